Lay the ground: common types, ports, build, formatter and linter

Cause: the repository is empty; parts are to be written side by side and need frozen borders. Change: Common and Scheduler (ports and shared types), the HTTP library's interface, CMake, CTest with doctest, clang-format and clang-tidy in WebKit style, the install, build, lint and test scripts, and the first design and protocol pages.

--- /dev/null
+++ b/Source/Core/Common/Hash.h
@@ -0,0 +1,13 @@
+// Stable hashing: the same on every host and in every release.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace Common {
+
+uint64_t stableHash(std::string_view text);
+/// Weight of `candidate` for `key` in rendezvous hashing; the highest weight wins.
+uint64_t rendezvousWeight(std::string_view key, std::string_view candidate);
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Common/Result.h
@@ -0,0 +1,47 @@
+// An optional value together with the reason when there is none.
+#pragma once
+
+#include "Common/Failure.h"
+
+#include <functional>
+#include <optional>
+#include <utility>
+
+namespace Common {
+
+/// Nothing, as a value: the success of an operation that yields none.
+struct Done {
+    bool operator==(const Done&) const = default;
+};
+
+/// A value or the reason that there is none.
+/// Invariant: `reason()` is meaningful only while the optional is empty.
+template <typename T> class Result {
+public:
+    Result(T value) // NOLINT: a value is a result
+        : m_value(std::move(value))
+    {
+    }
+    Result(Failure reason) // NOLINT: a failure is a result
+        : m_reason(std::move(reason))
+    {
+    }
+
+    explicit operator bool() const { return m_value.has_value(); }
+    bool hasValue() const { return m_value.has_value(); }
+    const T& operator*() const { return *m_value; }
+    T& operator*() { return *m_value; }
+    const T* operator->() const { return &*m_value; }
+    T* operator->() { return &*m_value; }
+    const std::optional<T>& value() const { return m_value; }
+    const Failure& reason() const { return m_reason; }
+
+private:
+    std::optional<T> m_value;
+    Failure m_reason;
+};
+
+/// Called exactly once, on the event loop, with the outcome of an asynchronous operation.
+template <typename T> using Callback = std::function<void(Result<T>)>;
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Http/EventLoop.h
@@ -0,0 +1,37 @@
+// The one event loop of a process: Asio's, with its timers and random source as the core's Runtime.
+#pragma once
+
+#include "Scheduler/Runtime.h"
+
+#include <memory>
+
+namespace asio {
+class io_context;
+}
+
+namespace Http {
+
+class EventLoop final : public Scheduler::Runtime {
+public:
+    EventLoop();
+    ~EventLoop() override;
+
+    asio::io_context& context();
+    /// Runs until stop().
+    void run();
+    void stop();
+    /// Calls `action` on the loop at the first of the given signals (each later one too).
+    void onSignals(std::initializer_list<int> signals, std::function<void(int)> action);
+
+    Common::MonoTime now() const override;
+    int64_t wallMilliseconds() const override;
+    Scheduler::TimerId schedule(Common::Duration delay, std::function<void()> action) override;
+    void cancel(Scheduler::TimerId) override;
+    std::mt19937_64& random() override;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace Http
--- /dev/null
+++ b/Source/Core/Scheduler/ServiceContext.h
@@ -0,0 +1,20 @@
+// What every service of the daemon is built with.
+#pragma once
+
+namespace Common {
+class Metrics;
+class Timeline;
+}
+
+namespace Scheduler {
+
+class Runtime;
+
+/// The referenced objects outlive all services.
+struct ServiceContext {
+    Runtime& runtime;
+    Common::Timeline& timeline;
+    Common::Metrics& metrics;
+};
+
+} // namespace Scheduler
--- /dev/null
+++ b/Source/Core/Scheduler/SyncRequest.h
@@ -0,0 +1,29 @@
+// The one control message that an owner sends a worker, about once a second.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Units.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Scheduler {
+
+/// Makes or renews the claim, renews task leases and acknowledges ended tasks, then yields the report.
+struct SyncRequest {
+    Common::DaemonId daemon;
+    std::string address;
+    /// Nothing: only read the report. Otherwise make or renew a claim under this term.
+    std::optional<Common::ClaimTerm> claim;
+    std::chrono::milliseconds claimTimeToLive {};
+    /// Withdraws the daemon's claim instead (direct hand-over).
+    bool withdraw = false;
+    std::vector<Common::TaskId> renew;
+    std::chrono::milliseconds renewTimeToLive {};
+    /// Ended tasks that need not be reported any more.
+    std::vector<Common::TaskId> acknowledge;
+};
+
+} // namespace Scheduler
--- /dev/null
+++ b/Source/Core/Scheduler/WorkerPort.cpp
@@ -0,0 +1,13 @@
+// Which failures of a start prove that nothing ran.
+#include "Scheduler/WorkerPort.h"
+
+namespace Scheduler {
+
+bool provesNotRun(Common::ErrorCode code)
+{
+    using Common::ErrorCode;
+    return code == ErrorCode::ConnectFailed || code == ErrorCode::StartTooLate || code == ErrorCode::WorkerRebooted
+        || code == ErrorCode::WorkerFull;
+}
+
+} // namespace Scheduler
