Declare membership and fleet; decide ownership of one worker

A row of reports with a gap longer than the start window does not count towards the wait, nor towards ownership: in such a gap another daemon can have claimed, owned and withdrawn. Not run yet: tests follow with the services.

--- /dev/null
+++ b/Source/Core/Membership/FleetService.h
@@ -0,0 +1,138 @@
+// Claims, syncs and watches the workers of the daemon's failure domain.
+#pragma once
+
+#include "Membership/FleetSettings.h"
+#include "Membership/HostListKeeper.h"
+#include "Membership/WorkerOwnership.h"
+#include "Scheduler/HostEntry.h"
+#include "Scheduler/Runtime.h"
+#include "Scheduler/ServiceContext.h"
+#include "Scheduler/WorkerFleet.h"
+#include "Scheduler/WorkerReport.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+}
+
+namespace Scheduler {
+class MembershipView;
+class PeerPort;
+class StorePort;
+class WorkerPort;
+struct SyncRequest;
+}
+
+namespace Membership {
+
+/// Domain and address of the daemon are those of membership.self().
+class FleetService final : public Scheduler::WorkerFleet {
+public:
+    /// One worker as operators see it.
+    struct WorkerSummary {
+        Scheduler::HostEntry host;
+        WorkerOwnership::State state = WorkerOwnership::State::Unclaimed;
+        Common::DaemonId assignedOwner;
+        bool leaving = false;
+        bool reachable = true;
+        /// Empty unless this daemon owns the worker.
+        Scheduler::WorkerReport report;
+    };
+
+    FleetService(const Scheduler::ServiceContext&, Scheduler::WorkerPort&, Scheduler::StorePort&, Scheduler::PeerPort&,
+        Scheduler::MembershipView&, const FleetSettings&);
+    ~FleetService() override;
+    FleetService(const FleetService&) = delete;
+    FleetService& operator=(const FleetService&) = delete;
+
+    void start();
+    /// For a planned stop, after the daemon's other services have finished: ends all authority, withdraws all claims,
+    /// then calls `done`. Silent workers are waited for at most one sync timeout.
+    void drain(std::function<void()> done);
+    /// All workers of the domain's host list.
+    std::vector<WorkerSummary> summaries() const;
+
+    std::optional<Scheduler::OwnedWorker> authority(const Common::WorkerId&) const override;
+    std::vector<Common::WorkerId> owned() const override;
+    std::optional<std::string> addressOf(const Common::WorkerId&) const override;
+    std::optional<Common::DaemonId> assignedOwner(const Common::WorkerId&) const override;
+    void acknowledge(const Common::WorkerId&, const std::vector<Common::TaskId>&) override;
+    void syncSoon(const Common::WorkerId&) override;
+    void onChange(Listener) override;
+
+private:
+    struct Entry {
+        explicit Entry(WorkerOwnership ownershipOfWorker)
+            : ownership(std::move(ownershipOfWorker))
+        {
+        }
+
+        Scheduler::HostEntry host;
+        /// False once the platform's list no longer names the worker.
+        bool listed = true;
+        Common::DaemonId assigned;
+        WorkerOwnership ownership;
+        /// The newest report that was handled. `worker` in it may be empty when there is none.
+        Scheduler::WorkerReport report;
+        std::set<Common::TaskId> toAcknowledge;
+        bool syncing = false;
+        bool queued = false;
+        /// Time before which no further sync is sent.
+        Common::MonoTime nextAllowed;
+        std::optional<Scheduler::TimerId> timer;
+        uint32_t misses = 0;
+        bool leavingNoted = false;
+    };
+
+    void takeHosts(const std::vector<Scheduler::HostEntry>&);
+    void reassign();
+    void applyAssignment(Entry&);
+    bool shouldWant(const Entry&) const;
+    bool isForeignClaimRenewed(const Entry&) const;
+    bool needsSync(const Entry&) const;
+    bool isLeaving(const Entry&) const;
+    void scheduleSync(Entry&, Common::Duration);
+    void enqueueSync(Entry&);
+    void sendQueued();
+    void sendSync(Entry&);
+    Scheduler::SyncRequest makeRequest(Entry&, const WorkerOwnership::Ticket&) const;
+    void handleReport(Entry&, const WorkerOwnership::Ticket&, const Scheduler::WorkerReport&);
+    void handleFailure(Entry&);
+    void afterSync(Entry&);
+    void noteOutcome(Entry&, WorkerOwnership::Outcome);
+    void announce(Change, const Entry&);
+    void removeIfGone(const Common::WorkerId&);
+    void finishDrainIfDone();
+    Scheduler::OwnedWorker toOwnedWorker(const Entry&) const;
+    Entry* find(const Common::WorkerId&);
+    const Entry* find(const Common::WorkerId&) const;
+
+    Scheduler::ServiceContext m_context;
+    Scheduler::WorkerPort& m_workers;
+    Scheduler::MembershipView& m_membership;
+    FleetSettings m_settings;
+    HostListKeeper m_hosts;
+    std::unordered_map<Common::WorkerId, std::unique_ptr<Entry>> m_entries;
+    std::deque<Common::WorkerId> m_syncQueue;
+    size_t m_syncsUnderWay = 0;
+    size_t m_ownedCount = 0;
+    std::vector<Listener> m_listeners;
+    std::function<void()> m_drained;
+    bool m_draining = false;
+    prometheus::Counter& m_syncs;
+    prometheus::Counter& m_syncFailures;
+    prometheus::Counter& m_claims;
+    prometheus::Counter& m_takeovers;
+    prometheus::Gauge& m_ownedGauge;
+    std::shared_ptr<int> m_lifetime;
+};
+
+} // namespace Membership
--- /dev/null
+++ b/Source/Core/Membership/HostListKeeper.h
@@ -0,0 +1,62 @@
+// Keeps the host list of the daemon's domain, through outages of the store.
+#pragma once
+
+#include "Common/HybridTime.h"
+#include "Common/Result.h"
+#include "Membership/FleetSettings.h"
+#include "Membership/HostListMessage.h"
+#include "Scheduler/Runtime.h"
+#include "Scheduler/ServiceContext.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Scheduler {
+class MembershipView;
+class PeerPort;
+class StorePort;
+}
+
+namespace Membership {
+
+/// One daemon a domain, the lister, asks the store every hostListInterval; the others ask the lister, and anyone asks
+/// a random peer when that fails. The last list is kept until there is a later one.
+class HostListKeeper {
+public:
+    using Listener = std::function<void(const std::vector<Scheduler::HostEntry>&)>;
+
+    HostListKeeper(const Scheduler::ServiceContext&, Scheduler::StorePort&, Scheduler::PeerPort&,
+        const Scheduler::MembershipView&, const FleetSettings&);
+    ~HostListKeeper();
+    HostListKeeper(const HostListKeeper&) = delete;
+    HostListKeeper& operator=(const HostListKeeper&) = delete;
+
+    void start(Listener);
+
+private:
+    void poll();
+    void askStore();
+    void askPeer(const std::string& address);
+    void askAnyPeer();
+    bool isLister() const;
+    std::vector<std::string> domainPeers() const;
+    std::string listerAddress() const;
+    void serve(const nlohmann::json& params, const std::function<void(Common::Result<nlohmann::json>)>& reply) const;
+    void take(HostListMessage);
+
+    Scheduler::ServiceContext m_context;
+    Scheduler::StorePort& m_store;
+    Scheduler::PeerPort& m_peers;
+    const Scheduler::MembershipView& m_membership;
+    FleetSettings m_settings;
+    Listener m_listener;
+    HostListMessage m_list;
+    Scheduler::TimerId m_timer;
+    std::shared_ptr<int> m_lifetime;
+};
+
+} // namespace Membership
--- /dev/null
+++ b/Source/Core/Membership/WorkerOwnership.cpp
@@ -0,0 +1,166 @@
+// The ownership protocol of one worker, as seen by one daemon.
+#include "Membership/WorkerOwnership.h"
+
+#include "Scheduler/WorkerReport.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Membership {
+
+namespace {
+
+    bool isUnexpired(const Scheduler::WorkerClaim& claim, Common::WorkerTime clock) { return clock < claim.lapsesAt; }
+
+    bool outranks(const Scheduler::WorkerClaim& left, const Scheduler::WorkerClaim& right)
+    {
+        return std::tie(left.term, left.daemon) > std::tie(right.term, right.daemon);
+    }
+
+    std::optional<Scheduler::WorkerClaim> countingClaim(const Scheduler::WorkerReport& report)
+    {
+        std::optional<Scheduler::WorkerClaim> best;
+        for (const Scheduler::WorkerClaim& claim : report.claims) {
+            if (isUnexpired(claim, report.clock) && (!best || outranks(claim, *best)))
+                best = claim;
+        }
+        return best;
+    }
+
+    bool hasClaimOf(const Common::DaemonId& daemon, const Scheduler::WorkerReport& report)
+    {
+        return std::any_of(report.claims.begin(), report.claims.end(), [&](const Scheduler::WorkerClaim& claim) {
+            return claim.daemon == daemon && isUnexpired(claim, report.clock);
+        });
+    }
+
+} // namespace
+
+WorkerOwnership::WorkerOwnership(Common::DaemonId self, const OwnershipSettings& settings)
+    : m_self(std::move(self))
+    , m_settings(settings)
+{
+}
+
+bool WorkerOwnership::setWanted(bool wanted)
+{
+    if (wanted) {
+        if (m_state == State::Unclaimed || m_state == State::Yielding)
+            endOwnership(State::Claiming);
+        return false;
+    }
+    if (m_state == State::Unclaimed || m_state == State::Yielding)
+        return false;
+    // A claim may be on its way even if no report has shown it yet.
+    return endOwnership(m_term ? State::Yielding : State::Unclaimed) == Outcome::Lost;
+}
+
+WorkerOwnership::Ticket WorkerOwnership::beginSync(Common::MonoTime now)
+{
+    Ticket ticket;
+    ticket.sequence = ++m_lastSent;
+    ticket.sentAt = now;
+    ticket.withdraw = m_state == State::Yielding;
+    if (m_state == State::Claiming || m_state == State::Owned)
+        ticket.claim = m_term;
+    return ticket;
+}
+
+WorkerOwnership::Outcome WorkerOwnership::handleReport(const Ticket& ticket, const Scheduler::WorkerReport& report)
+{
+    if (isStale(ticket, report))
+        return Outcome::Ignored;
+    m_lastHandled = ticket.sequence;
+    const bool rebooted = report.boot != m_boot;
+    const Common::WorkerTime previousClock = std::exchange(m_lastClock, report.clock);
+    m_boot = report.boot;
+    if (rebooted)
+        m_highestTerm = Common::ClaimTerm {};
+    noteTerms(report);
+
+    const std::optional<Scheduler::WorkerClaim> counting = countingClaim(report);
+    const bool isOurs = counting && counting->daemon == m_self && m_term && counting->term == *m_term;
+    m_foreignClaim = counting && counting->daemon != m_self ? counting : std::nullopt;
+
+    switch (m_state) {
+    case State::Unclaimed:
+        return Outcome::Noted;
+    case State::Yielding:
+        if (!hasClaimOf(m_self, report))
+            endOwnership(State::Unclaimed);
+        return Outcome::Noted;
+    case State::Claiming:
+    case State::Owned:
+        break;
+    }
+    if (isOurs && !rebooted)
+        return handleCounting(ticket, previousClock);
+    // Guard CLAIM_CHECK: the claim lapsed, is outranked, or went with the boot. Anew, under a term above all.
+    const Outcome outcome = endOwnership(State::Claiming);
+    m_term = Common::ClaimTerm { std::max(m_highestTerm.value + 1, report.clock.milliseconds) };
+    return outcome;
+}
+
+bool WorkerOwnership::expire(Common::MonoTime now)
+{
+    if (m_state != State::Owned || now < m_authorityEndsAt)
+        return false;
+    const std::optional<Common::ClaimTerm> term = m_term;
+    endOwnership(State::Claiming);
+    // The claim itself may still stand; the wait begins again with the next report that shows it.
+    m_term = term;
+    return true;
+}
+
+bool WorkerOwnership::needsSyncNow() const
+{
+    if (m_state == State::Yielding)
+        return true;
+    return m_state == State::Claiming && m_term && !m_waitFrom;
+}
+
+bool WorkerOwnership::isStale(const Ticket& ticket, const Scheduler::WorkerReport& report) const
+{
+    if (ticket.sequence <= m_lastHandled)
+        return true;
+    return report.boot == m_boot && report.clock < m_lastClock;
+}
+
+void WorkerOwnership::noteTerms(const Scheduler::WorkerReport& report)
+{
+    for (const Scheduler::WorkerClaim& claim : report.claims)
+        m_highestTerm = std::max(m_highestTerm, claim.term);
+}
+
+WorkerOwnership::Outcome WorkerOwnership::handleCounting(const Ticket& ticket, Common::WorkerTime previousClock)
+{
+    // Guard CONTINUITY: after a longer gap another daemon may have owned the worker and withdrawn in between.
+    const bool unbroken = m_waitFrom && m_lastClock <= previousClock + m_settings.startWindow;
+    Outcome outcome = Outcome::Noted;
+    if (!unbroken) {
+        outcome = endOwnership(State::Claiming);
+        m_waitFrom = m_lastClock;
+    }
+    const auto window = std::chrono::duration_cast<Common::Duration>(m_settings.startWindow);
+    m_authorityEndsAt = ticket.sentAt + window * (1000 - m_settings.clockRateMarginPerMille) / 1000;
+    if (m_state == State::Owned)
+        return Outcome::Renewed;
+    // Guard WAIT: starts of older owners are refused by the worker from here on, and the report lists the rest.
+    if (m_lastClock < *m_waitFrom + m_settings.startWindow)
+        return outcome;
+    m_state = State::Owned;
+    return Outcome::Owned;
+}
+
+WorkerOwnership::Outcome WorkerOwnership::endOwnership(State next)
+{
+    const bool wasOwned = m_state == State::Owned;
+    m_state = next;
+    m_waitFrom.reset();
+    if (next == State::Unclaimed)
+        m_term.reset();
+    return wasOwned ? Outcome::Lost : Outcome::Noted;
+}
+
+} // namespace Membership
