Declare the ledger's services

Cause: the request path and the daemon are written against them at the same time. No code yet; the library joins the build with its first source file. Not measured: nothing runs yet.

--- /dev/null
+++ b/Source/Core/Ledger/JobSubmission.h
@@ -0,0 +1,31 @@
+// A batch job as a caller submits it.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Resources.h"
+#include "Common/Result.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+
+namespace Ledger {
+
+struct JobSubmission {
+    /// The caller's key: submitting the same key again yields the same job. Letters, digits, ".", "_", "-"; 1 to 64.
+    std::string key;
+    Common::TeamName team;
+    Common::ProfileName profile;
+    Common::Resources resources;
+    /// What to run, opaque to the scheduler.
+    std::string command;
+
+    bool operator==(const JobSubmission&) const = default;
+};
+
+/// {"id","team","profile","resources":{"slots",...},"command"}; a command that is no string is kept as JSON text.
+nlohmann::json toJson(const JobSubmission&);
+/// MalformedRequest when a member is missing or of the wrong kind. A missing "id" leaves the key empty.
+Common::Result<JobSubmission> submissionFromJson(const nlohmann::json&);
+
+} // namespace Ledger
