Write the headers of the decisions under load and colocation

Cause: the path of requests and jobs is coded against them while the modules are still being filled in.

--- /dev/null
+++ b/Source/Core/Policy/EvictionCandidate.h
@@ -0,0 +1,21 @@
+// What the owner of a worker knows of a batch task beyond the worker's report.
+#pragma once
+
+#include "Common/Units.h"
+#include "Scheduler/Priority.h"
+
+namespace Policy {
+
+struct EvictionCandidate {
+    /// False: never stopped, at most throttled.
+    bool evictable = true;
+    Scheduler::Priority priority = Scheduler::Priority::Normal;
+    Common::MonoTime startedAt;
+    /// Not stopped before it has run this long.
+    Common::Duration minimumRunTime {};
+    /// Predicted harm to the latency-critical work beside it; see InterferenceModel. The most harmful is throttled
+    /// first.
+    double harm = 0;
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/InterferenceModel.h
@@ -0,0 +1,88 @@
+// Learns from lagging reports how much each kind of work slows down each other kind on the same worker.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Units.h"
+#include "Policy/WorkClass.h"
+#include "Scheduler/WorkerReport.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+namespace Policy {
+
+/// Slowdowns are natural logarithms of (speed alone / speed beside others): they add up over the neighbours, and zero
+/// means none. Samples lag, so each is credited to the tasks that ran on the worker when it was taken.
+/// Invariant: memory is bounded by `maximumClasses` squared and by the history of each known worker.
+class InterferenceModel {
+public:
+    struct Settings {
+        /// Further classes share the last index.
+        uint16_t maximumClasses = 256;
+        /// Share of the error that one sample corrects.
+        double learningRate = 0.2;
+        /// Assumed of pairings never seen.
+        double priorSlowdown = 0.02;
+        /// What was learned of a pairing loses half its weight in this time without samples.
+        Common::Duration halfLife = std::chrono::minutes(10);
+        size_t historyLength = 16;
+    };
+    /// A small number that stands for a class; stable while the model lives.
+    using ClassIndex = uint16_t;
+    using ClassOf = std::function<ClassIndex(const Common::TaskId&)>;
+
+    InterferenceModel();
+    explicit InterferenceModel(Settings);
+
+    ClassIndex indexOf(const WorkClass&);
+    /// Learns from one report; `classOf` names the class of each task in it. Samples seen before are ignored.
+    void observe(const Scheduler::WorkerReport&, const ClassOf&, Common::MonoTime now);
+    void forget(const Common::WorkerId&);
+
+    /// How much `victim` is slowed down by one task of `neighbour`.
+    double slowdown(ClassIndex victim, ClassIndex neighbour, Common::MonoTime now) const;
+    /// How much a task of class `added` would suffer beside `running`.
+    double slowdownOf(ClassIndex added, const std::vector<ClassIndex>& running, Common::MonoTime now) const;
+    /// Sum of what `running` would suffer from a task of class `added`.
+    double slowdownBy(ClassIndex added, const std::vector<ClassIndex>& running, Common::MonoTime now) const;
+    uint64_t samples() const { return m_samples; }
+
+private:
+    struct Pairing {
+        float slowdown = 0;
+        bool seen = false;
+        Common::MonoTime updatedAt;
+    };
+    struct RunningTask {
+        Common::TaskId task;
+        ClassIndex workClass = 0;
+    };
+    struct Snapshot {
+        Common::WorkerTime clock;
+        std::vector<RunningTask> running;
+    };
+    struct WorkerHistory {
+        Common::WorkerBootId boot;
+        /// Oldest first.
+        std::deque<Snapshot> snapshots;
+        /// Newest sample credited for each running task.
+        std::unordered_map<Common::TaskId, Common::WorkerTime> credited;
+    };
+
+    Pairing& pairing(ClassIndex victim, ClassIndex neighbour);
+    const Pairing& pairing(ClassIndex victim, ClassIndex neighbour) const;
+    void remember(WorkerHistory&, const Scheduler::WorkerReport&, const ClassOf&) const;
+    void credit(const Snapshot&, const Scheduler::TaskReport&, Common::MonoTime now);
+
+    Settings m_settings;
+    std::unordered_map<WorkClass, ClassIndex> m_classes;
+    /// Row by victim, column by neighbour; grows with the classes.
+    std::vector<std::vector<Pairing>> m_pairings;
+    std::unordered_map<Common::WorkerId, WorkerHistory> m_histories;
+    uint64_t m_samples = 0;
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/LinkBudget.h
@@ -0,0 +1,31 @@
+// The bytes that this daemon may send over the link between regions.
+#pragma once
+
+#include "Common/Units.h"
+
+#include <cstdint>
+
+namespace Policy {
+
+/// A token bucket. Invariant: over any time t no more than bytesPerSecond * t + burst bytes are taken.
+class LinkBudget {
+public:
+    LinkBudget(double bytesPerSecond, double burstBytes);
+
+    void setRate(double bytesPerSecond, Common::MonoTime now);
+    /// Takes the bytes, or nothing when there are too few.
+    bool take(int64_t bytes, Common::MonoTime now);
+    /// Bytes that could be taken now.
+    int64_t available(Common::MonoTime now) const;
+
+private:
+    double tokens(Common::MonoTime now) const;
+
+    double m_bytesPerSecond;
+    double m_burst;
+    double m_tokens;
+    bool m_started = false;
+    Common::MonoTime m_filledAt;
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/Placement.h
@@ -0,0 +1,124 @@
+// Chooses the worker for a task and keeps the account of what each worker holds.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Resources.h"
+#include "Common/Units.h"
+#include "Policy/FreeResourcesTree.h"
+#include "Policy/InterferenceModel.h"
+#include "Policy/PlacementRequest.h"
+#include "Policy/UsageModel.h"
+#include "Policy/WorkerHealth.h"
+#include "Scheduler/WorkerReport.h"
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace Policy {
+
+/// The workers that this daemon may use.
+/// Invariant: nothing is committed to a worker unless its capacity holds, for each resource, the sum over its tasks of
+/// the larger of declared, observed and expected use. Its tasks are those of the last report that run, and those
+/// committed since that no report has shown yet; each counts once.
+class Placement {
+public:
+    struct Settings {
+        /// Workers compared for one decision.
+        uint32_t candidates = 4;
+        /// Share of all slots that only requests and urgent work may fill.
+        uint32_t urgentReservePercent = 5;
+        /// Weights of the score: load, predicted slowdown, and crowding of a class on one rack.
+        double loadWeight = 1;
+        double interferenceWeight = 2;
+        double rackWeight = 0.3;
+    };
+
+    /// Both outlive this object; it teaches the one and asks the other.
+    Placement(Settings, InterferenceModel&, WorkerHealth&);
+
+    /// Adds the worker or takes in its next report. Reports of one worker come in the order in which they were taken.
+    void upsert(const Scheduler::WorkerReport&, bool leaving, Common::MonoTime now);
+    void remove(const Common::WorkerId&);
+
+    /// A worker that has room; nothing is kept for the task until `commit`.
+    std::optional<Common::WorkerId> choose(const PlacementRequest&, Common::MonoTime now, std::mt19937_64&) const;
+    /// Counts the task on the worker; false, and nothing changes, when it does not fit there (any more).
+    bool commit(const Common::WorkerId&, const Common::TaskId&, const PlacementRequest&, Common::MonoTime now);
+    /// The task has ended or did not start.
+    void release(const Common::TaskId&);
+    /// Names the class of a task adopted from an earlier owner, so that its usage and interference are learned.
+    void classify(const Common::TaskId&, const WorkClass&);
+
+    /// Whether any worker, empty, could hold this.
+    bool fitsAnywhere(const Common::Resources&) const;
+    int64_t freeSlots() const { return m_totalSlots - m_usedSlots; }
+    int64_t totalSlots() const { return m_totalSlots; }
+    /// What the account says the worker holds; for checks and the time line.
+    std::optional<Common::Resources> heldBy(const Common::WorkerId&) const;
+    std::optional<Common::WorkerId> workerOf(const Common::TaskId&) const;
+    size_t workerCount() const { return m_indexOf.size(); }
+
+private:
+    using ClassIndex = InterferenceModel::ClassIndex;
+    struct HeldTask {
+        Common::TaskId id;
+        Common::Resources held;
+        Common::Resources declared;
+        ClassIndex workClass = 0;
+        /// A report has shown it.
+        bool reported = false;
+    };
+    struct Worker {
+        Common::WorkerId id;
+        Common::WorkerBootId boot;
+        uint32_t rack = 0;
+        bool present = false;
+        bool leaving = false;
+        Common::Resources capacity;
+        Common::Resources held;
+        std::vector<HeldTask> tasks;
+        /// Class of each task, in the order of `tasks`.
+        std::vector<ClassIndex> classes;
+    };
+    struct Rack {
+        int64_t usedSlots = 0;
+        int64_t totalSlots = 0;
+    };
+
+    size_t slotFor(const Common::WorkerId&);
+    uint32_t rackNamed(const Common::RackId&);
+    void takeIn(Worker&, size_t index, const Scheduler::WorkerReport&, Common::MonoTime now);
+    void hold(Worker&, size_t index, HeldTask);
+    void drop(Worker&, size_t position);
+    void recount(Worker&, size_t index);
+    void subtract(const Worker&);
+    void addUp(const Worker&);
+    bool reserveAllows(const PlacementRequest&, const Common::Resources& wanted) const;
+    Common::Resources expected(const PlacementRequest&, ClassIndex) const;
+    double score(const Worker&, const Common::Resources& wanted, ClassIndex, Common::MonoTime now) const;
+    std::optional<size_t> chooseAmong(const PlacementRequest&, const Common::Resources& wanted, ClassIndex, bool avoid,
+        Common::MonoTime now, std::mt19937_64&) const;
+
+    Settings m_settings;
+    InterferenceModel& m_interference;
+    WorkerHealth& m_health;
+    UsageModel m_usage;
+    std::vector<Worker> m_workers;
+    std::vector<size_t> m_unused;
+    std::unordered_map<Common::WorkerId, size_t> m_indexOf;
+    std::unordered_map<Common::TaskId, size_t> m_workerOfTask;
+    /// Classes of tasks that were adopted.
+    std::unordered_map<Common::TaskId, ClassIndex> m_adoptedClasses;
+    FreeResourcesTree m_free;
+    FreeResourcesTree m_capacities;
+    std::vector<Rack> m_racks;
+    std::unordered_map<Common::RackId, uint32_t> m_rackOf;
+    /// Tasks by class and rack; no zero entries.
+    std::unordered_map<uint64_t, int32_t> m_classOnRack;
+    int64_t m_totalSlots = 0;
+    int64_t m_usedSlots = 0;
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/QueuedRequest.h
@@ -0,0 +1,21 @@
+// A latency-critical request as the admission queue sees it.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Units.h"
+#include "Scheduler/Priority.h"
+
+namespace Policy {
+
+struct QueuedRequest {
+    Common::RequestId id;
+    Common::ProfileName profile;
+    Common::TeamName team;
+    Scheduler::Priority priority = Scheduler::Priority::Normal;
+    Common::MonoTime arrival;
+    Common::MonoTime deadline;
+    /// A hint used until run times of the profile have been seen; zero: no hint.
+    Common::Duration expectedRunTime {};
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/Router.h
@@ -0,0 +1,75 @@
+// Orders the daemons to which a request may be passed on.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Units.h"
+#include "Policy/LinkBudget.h"
+#include "Policy/RouteQuery.h"
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace Policy {
+
+/// Knows of each peer its last load summary, what was sent there since, and whether calls to it make progress.
+class Router {
+public:
+    struct Settings {
+        /// Calls in a row without an answer after which a peer is passed over, except for probes.
+        uint32_t failuresToSkip = 2;
+        Common::Duration firstProbeAfter = std::chrono::milliseconds(500);
+        Common::Duration longestProbeAfter = std::chrono::seconds(30);
+        /// A peer whose usual answer takes more than this share of the time left is passed over.
+        uint32_t slowSharePercent = 70;
+        uint32_t candidatesPerScope = 2;
+    };
+    enum class Scope {
+        Here,
+        Domain,
+        Region,
+        OtherRegion,
+    };
+    struct Candidate {
+        Scope scope = Scope::Here;
+        Common::DaemonId daemon;
+    };
+
+    /// The budget outlives the router. The caller takes from it when it does send to another region.
+    Router(Settings, const LinkBudget&);
+
+    /// This daemon first if it has room, then peers by scope; those without room after all with room.
+    std::vector<Candidate> choose(const RouteQuery&, Common::MonoTime now, std::mt19937_64&) const;
+
+    void onSent(const Common::DaemonId&, Common::MonoTime now);
+    /// `took` counts from the sending to the whole answer. An answer "not run" tells of no room: `refused`.
+    void onAnswered(const Common::DaemonId&, Common::Duration took, bool refused, Common::MonoTime now);
+    /// No answer in time, or no connection.
+    void onNoAnswer(const Common::DaemonId&, Common::MonoTime now);
+    /// A fresh load summary came: what was sent before it is counted in it.
+    void onSummary(const Common::DaemonId&, Common::MonoTime now);
+    void forget(const Common::DaemonId&);
+
+private:
+    struct Peer {
+        uint32_t failuresInARow = 0;
+        int64_t sentSinceSummary = 0;
+        bool refusedSinceSummary = false;
+        double answerMicroseconds = 0;
+        Common::MonoTime probeAt;
+        Common::MonoTime answeredAt;
+    };
+
+    const Peer* find(const Common::DaemonId&) const;
+    bool usable(const RouteQuery&, const Scheduler::PeerInfo&, Common::MonoTime now) const;
+    int64_t room(const Scheduler::PeerInfo&) const;
+    void appendScope(std::vector<Candidate>& with, std::vector<Candidate>& without, Scope, const RouteQuery&,
+        Common::MonoTime now, std::mt19937_64&) const;
+
+    Settings m_settings;
+    const LinkBudget& m_link;
+    std::unordered_map<Common::DaemonId, Peer> m_peers;
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/WorkerHealth.h
@@ -0,0 +1,103 @@
+// Tells workers that fail what they are given from work that fails wherever it runs.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Units.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Policy {
+
+/// Each outcome moves a worker's score by the likelihood ratio of "this worker fails most of its work" to "the subject
+/// fails at its usual rate" (a cumulative sum test). A job that failed on several workers therefore hardly counts
+/// against the next one, and a quick failure counts as much as a slow one.
+/// Invariant: at most `maximumEjectedPercent` of the known workers are ejected or on probation by outcomes.
+class WorkerHealth {
+public:
+    struct Settings {
+        uint32_t maximumEjectedPercent = 30;
+        /// Ejects above this score: about four failures in a row of work that usually succeeds.
+        double ejectionScore = 9;
+        Common::Duration firstEjection = std::chrono::seconds(10);
+        Common::Duration longestEjection = std::chrono::minutes(10);
+        /// Time between the first two tasks on probation; halves with each success.
+        Common::Duration probationInterval = std::chrono::seconds(2);
+        uint32_t probationSuccesses = 6;
+        /// Bound on the subjects remembered; the least recently seen are forgotten.
+        size_t maximumSubjects = 20000;
+        /// Distinct workers on which a subject without any success has to fail to be called poison.
+        uint32_t poisonWorkers = 3;
+    };
+    enum class Verdict {
+        Unchanged,
+        Ejected,
+        /// Work goes there again without restraint.
+        Readmitted,
+    };
+
+    WorkerHealth();
+    explicit WorkerHealth(Settings);
+
+    void add(const Common::WorkerId&);
+    void remove(const Common::WorkerId&);
+    /// `subject` is the job's id or the service's name. `ok`: the work ended well. Cancelled or stopped work isn't
+    /// told.
+    Verdict recordOutcome(const Common::WorkerId&, const std::string& subject, bool ok, Common::MonoTime now);
+    /// Work was sent there; spaces the tasks of a worker on probation.
+    void recordStart(const Common::WorkerId&, Common::MonoTime now);
+    /// Nothing is heard from the worker: it gets no work until `heard`.
+    void silent(const Common::WorkerId&);
+    void heard(const Common::WorkerId&);
+
+    /// Whether a new task may go there now.
+    bool admits(const Common::WorkerId&, Common::MonoTime now) const;
+    /// Whether the subject failed on enough distinct workers, and nowhere succeeded, to be given up.
+    bool poisonous(const std::string& subject) const;
+    size_t ejectedCount() const { return m_ejected; }
+    size_t workerCount() const { return m_workers.size(); }
+
+private:
+    enum class Standing {
+        Healthy,
+        /// Ejected until a time, then on probation.
+        Ejected,
+    };
+    struct Worker {
+        Standing standing = Standing::Healthy;
+        bool isSilent = false;
+        double score = 0;
+        Common::MonoTime ejectedUntil;
+        Common::MonoTime nextTrial;
+        uint32_t ejections = 0;
+        uint32_t trialSuccesses = 0;
+        Common::MonoTime readmittedAt;
+        size_t lastFailedSubject = 0;
+    };
+    struct Subject {
+        uint32_t successes = 0;
+        /// Distinct workers on which it failed, as hashes; bounded.
+        std::vector<size_t> failedOn;
+        Common::MonoTime seenAt;
+        uint64_t generation = 0;
+    };
+
+    double usualFailureRate(const Subject&) const;
+    void learn(Subject&, size_t workerHash, bool ok, Common::MonoTime now);
+    Subject& subjectNamed(const std::string&);
+    bool mayEject() const;
+    void eject(Worker&, Common::MonoTime now);
+    Verdict recordTrial(Worker&, bool ok, Common::MonoTime now);
+
+    Settings m_settings;
+    std::unordered_map<Common::WorkerId, Worker> m_workers;
+    /// Two generations; the older is dropped when the younger is full.
+    std::unordered_map<std::string, Subject> m_subjects;
+    std::unordered_map<std::string, Subject> m_olderSubjects;
+    double m_domainFailureRate = 0.05;
+    size_t m_ejected = 0;
+};
+
+} // namespace Policy
