Dispatch requests and tasks over owned workers and peers

Cause: decisions, ownership and ledger are separate parts; something has to take a request from arrival to its one outcome, and a task from its reservation to its views. Ruled out: filtering a worker's report by what is under way here (a request abandoned over a lost worker would drop out of the account while it still runs); what is known to have ended is left out instead. Measured: nothing yet; it compiles, tests follow with the parts it joins.

--- /dev/null
+++ b/Source/Core/Dispatch/Place.h
@@ -0,0 +1,19 @@
+// Room on a worker for one task, with the authority to start it there.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Units.h"
+
+#include <string>
+
+namespace Dispatch {
+
+struct Place {
+    Common::WorkerId worker;
+    std::string address;
+    Common::WorkerBootId boot;
+    /// The worker refuses the start from this reading of its clock on.
+    Common::WorkerTime startBy;
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/RequestCounters.h
@@ -0,0 +1,42 @@
+// Counters of the request path.
+#pragma once
+
+#include "Common/ErrorCode.h"
+#include "Dispatch/RequestOutcome.h"
+
+#include <unordered_map>
+
+namespace Common {
+class Metrics;
+}
+
+namespace prometheus {
+class Counter;
+class Histogram;
+}
+
+namespace Dispatch {
+
+class RequestCounters {
+public:
+    explicit RequestCounters(Common::Metrics&);
+
+    void countOutcome(const RequestOutcome&, double seconds);
+
+    prometheus::Counter& attempts;
+    prometheus::Counter& retries;
+    prometheus::Counter& joined;
+    prometheus::Counter& forwarded;
+    prometheus::Counter& cancelled;
+
+private:
+    prometheus::Counter& reason(const char* outcome, Common::ErrorCode);
+
+    Common::Metrics& m_metrics;
+    prometheus::Counter& m_answered;
+    prometheus::Histogram& m_answerSeconds;
+    std::unordered_map<int, prometheus::Counter*> m_notRun;
+    std::unordered_map<int, prometheus::Counter*> m_unknown;
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -0,0 +1,585 @@
+// The path of a latency-critical request.
+#include "Dispatch/RequestService.h"
+
+#include "Common/Event.h"
+#include "Common/Metrics.h"
+#include "Common/Timeline.h"
+#include "Dispatch/ForwardPort.h"
+#include "Dispatch/WorkerPool.h"
+#include "Ledger/ShardOwners.h"
+#include "Policy/AdmissionQueue.h"
+#include "Policy/LinkBudget.h"
+#include "Policy/Placement.h"
+#include "Policy/Router.h"
+#include "Policy/WorkerHealth.h"
+#include "Scheduler/ClusterConfig.h"
+#include "Scheduler/ConfigView.h"
+#include "Scheduler/MembershipView.h"
+#include "Scheduler/RunCommand.h"
+#include "Scheduler/Runtime.h"
+#include "Scheduler/WorkerPort.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Dispatch {
+
+using Common::ErrorCode;
+using Common::Event;
+using Common::EventKind;
+using Common::Failure;
+using Common::Result;
+
+namespace {
+
+    /// Headers and framing of a request that is passed on, beside its body.
+    constexpr int64_t forwardOverheadBytes = 600;
+
+    Common::Duration timeLeft(const ActiveRequest& active, Common::MonoTime now)
+    {
+        return std::max(Common::Duration::zero(), active.deadline - now);
+    }
+
+    Policy::QueuedRequest toQueued(const ActiveRequest& active)
+    {
+        return Policy::QueuedRequest {
+            .id = active.request.id,
+            .profile = active.profile.name,
+            .team = active.service.team,
+            .priority = active.profile.priority,
+            .arrival = active.arrival,
+            .deadline = active.deadline,
+        };
+    }
+
+    Policy::PlacementRequest toPlacement(const ActiveRequest& active)
+    {
+        return Policy::PlacementRequest {
+            .declared = active.service.resources,
+            .kind = Scheduler::TaskKind::Request,
+            .workClass = Policy::classOfService(active.service.name),
+            .priority = active.profile.priority,
+            .avoid = active.avoid,
+        };
+    }
+
+} // namespace
+
+RequestService::RequestService(
+    const Scheduler::ServiceContext& context, const Parts& parts, const RequestServiceSettings& settings)
+    : m_context(context)
+    , m_parts(parts)
+    , m_settings(settings)
+    , m_counters(context.metrics)
+{
+}
+
+void RequestService::start()
+{
+    m_parts.pool.onRoom(m_lifetime.guard([this] { pump(); }));
+    m_parts.pool.onLost(m_lifetime.guard([this](const Common::WorkerId& worker) { onWorkerLost(worker); }));
+    m_parts.config.onChange(m_lifetime.guard([this] { m_parts.queue.setConfig(m_parts.config.current()); }));
+    m_parts.queue.setConfig(m_parts.config.current());
+}
+
+void RequestService::submit(IncomingRequest request, OutcomeCallback callback)
+{
+    if (join(request, callback))
+        return;
+    if (const auto failure = refusal(request)) {
+        const RequestOutcome outcome = NotRun { *failure };
+        m_counters.countOutcome(outcome, 0);
+        callback(outcome);
+        return;
+    }
+    const ActivePointer active = makeActive(std::move(request), std::move(callback));
+    if (active->idempotent || active->request.intentHeld)
+        route(active);
+    else
+        beginIntent(active);
+}
+
+bool RequestService::join(const IncomingRequest& request, OutcomeCallback& callback)
+{
+    const auto known = m_active.find(request.id);
+    if (known == m_active.end())
+        return false;
+    m_counters.joined.Increment();
+    if (known->second->request.service != request.service) {
+        callback(NotRun { { ErrorCode::DuplicateId, "the request id is in use for another service" } });
+        return true;
+    }
+    known->second->waiters.push_back(std::move(callback));
+    return true;
+}
+
+std::optional<Failure> RequestService::refusal(const IncomingRequest& request) const
+{
+    const auto config = m_parts.config.current();
+    if (!config)
+        return Failure { ErrorCode::NoConfiguration, "no configuration is known yet", m_settings.retryAfter };
+    const auto service = config->services.find(request.service);
+    if (service == config->services.end())
+        return Failure { ErrorCode::UnknownService, "no service is named " + request.service.value() };
+    if (!config->profiles.contains(service->second.profile))
+        return Failure { ErrorCode::UnknownProfile, "no profile is named " + service->second.profile.value() };
+    if (request.deadline && *request.deadline <= Common::Duration::zero())
+        return Failure { ErrorCode::DeadlinePassed, "the deadline has passed" };
+    if (m_active.size() >= m_settings.maximumKeptRequests
+        || m_keptBytes + request.body.size() > m_settings.maximumKeptBytes)
+        return Failure { ErrorCode::Overloaded, "this daemon keeps as many requests as it may", m_settings.retryAfter };
+    return std::nullopt;
+}
+
+RequestService::ActivePointer RequestService::makeActive(IncomingRequest request, OutcomeCallback callback)
+{
+    const auto config = m_parts.config.current();
+    const auto active = std::make_shared<ActiveRequest>();
+    active->service = config->services.at(request.service);
+    active->profile = config->profiles.at(active->service.profile);
+    active->idempotent = request.idempotent.value_or(active->profile.idempotent);
+    active->arrival = m_context.runtime.now();
+    active->deadline = active->arrival
+        + std::min(request.deadline.value_or(active->profile.deadline), active->profile.maximumDeadline);
+    active->request = std::move(request);
+    active->waiters.push_back(std::move(callback));
+    m_keptBytes += active->request.body.size();
+    m_active.emplace(active->request.id, active);
+    active->deadlineTimer = m_context.runtime.schedule(
+        active->deadline - active->arrival, m_lifetime.guard([this, active] { onDeadline(active); }));
+    m_context.timeline.record(Event { .kind = EventKind::RequestAdmitted, .request = active->request.id.value() });
+    return active;
+}
+
+void RequestService::beginIntent(const ActivePointer& active)
+{
+    active->stage = Stage::Intent;
+    const auto owner = m_parts.shards.assignedOwner(m_parts.shards.shardOf(active->request.id.value()));
+    if (!owner) {
+        finish(active,
+            NotRun { { ErrorCode::NotOwner, "nobody keeps the ledger of this id now", m_settings.retryAfter } });
+        return;
+    }
+    if (owner->id == m_parts.membership.self().id) {
+        m_parts.intents.begin(active->request.id,
+            m_lifetime.guard(
+                [this, active](const Result<Ledger::IntentService::Verdict>& verdict) { onIntent(active, verdict); }));
+        return;
+    }
+    if (active->request.hops > 0) {
+        finish(active, NotRun { { ErrorCode::NotOwner, "the ledger of this id is moving", m_settings.retryAfter } });
+        return;
+    }
+    forwardTo(active, owner->id, owner->address, true);
+}
+
+void RequestService::onIntent(const ActivePointer& active, const Result<Ledger::IntentService::Verdict>& verdict)
+{
+    using Ledger::IntentService;
+    if (!isActive(active)) {
+        // The deadline came first and "not run" was answered; take the intent back.
+        if (verdict && std::holds_alternative<IntentService::Fresh>(*verdict))
+            m_parts.intents.finish(active->request.id, IntentService::NotRun { { ErrorCode::DeadlinePassed, "" } });
+        return;
+    }
+    if (!verdict) {
+        finish(active, NotRun { verdict.reason() });
+    } else if (std::holds_alternative<IntentService::Fresh>(*verdict)) {
+        active->ownsIntent = true;
+        route(active);
+    } else if (const auto* const answered = std::get_if<IntentService::Answered>(&*verdict)) {
+        finish(active, Answered { answered->answer.contentType, answered->answer.body });
+    } else if (const auto* const notRun = std::get_if<IntentService::NotRun>(&*verdict)) {
+        finish(active, NotRun { notRun->reason });
+    } else {
+        finish(active, OutcomeUnknown { { ErrorCode::OutcomeUnknown, "an earlier run of this id may have happened" } });
+    }
+}
+
+void RequestService::route(const ActivePointer& active)
+{
+    const bool roomHere = m_parts.placement.freeSlots() > static_cast<int64_t>(m_parts.queue.size());
+    if ((!roomHere || m_draining) && forwardToPeer(active))
+        return;
+    if (m_draining && active->request.hops == 0 && !active->ownsIntent) {
+        finish(active, NotRun { { ErrorCode::Draining, "this daemon is about to stop", m_settings.retryAfter } });
+        return;
+    }
+    enqueue(active);
+}
+
+bool RequestService::forwardToPeer(const ActivePointer& active)
+{
+    // The way to the owner of the id's ledger was one hop already.
+    const int maximumHops = m_settings.maximumHops + (active->ownsIntent ? 1 : 0);
+    if (active->request.hops >= maximumHops || active->forwardsTried >= m_settings.maximumForwards)
+        return false;
+    const Common::MonoTime now = m_context.runtime.now();
+    Scheduler::PeerInfo self = m_parts.membership.self();
+    self.freeSlots = 0;
+    const Policy::RouteQuery query {
+        .self = self,
+        .peers = m_parts.membership.livePeers(),
+        .spill = active->profile.spill,
+        .bytes = forwardOverheadBytes + static_cast<int64_t>(active->request.body.size()),
+        .timeLeft = timeLeft(*active, now),
+    };
+    for (const Policy::Router::Candidate& candidate : m_parts.router.choose(query, now, m_context.runtime.random())) {
+        if (candidate.scope == Policy::Router::Scope::Here)
+            continue;
+        const auto peer = m_parts.membership.find(candidate.daemon);
+        if (!peer || peer->draining || peer->freeSlots <= 0)
+            continue;
+        if (candidate.scope == Policy::Router::Scope::OtherRegion && !m_parts.link.take(query.bytes, now))
+            continue;
+        forwardTo(active, peer->id, peer->address, false);
+        return true;
+    }
+    return false;
+}
+
+void RequestService::forwardTo(
+    const ActivePointer& active, const Common::DaemonId& peer, const std::string& address, bool toOwner)
+{
+    const Common::MonoTime now = m_context.runtime.now();
+    active->stage = Stage::Forwarded;
+    active->forwardedTo = address;
+    ++active->forwardsTried;
+    IncomingRequest passedOn = active->request;
+    passedOn.deadline = timeLeft(*active, now);
+    passedOn.idempotent = active->idempotent;
+    passedOn.intentHeld = active->ownsIntent || active->request.intentHeld;
+    ++passedOn.hops;
+    m_counters.forwarded.Increment();
+    m_parts.router.onSent(peer, now);
+    m_context.timeline.record(
+        Event { .kind = EventKind::RequestForwarded, .request = active->request.id.value(), .note = peer.value() });
+    m_parts.forward.forward(address, passedOn, timeLeft(*active, now),
+        m_lifetime.guard([this, active, peer, toOwner, now](
+                             const RequestOutcome& outcome) { onForwarded(active, peer, toOwner, now, outcome); }));
+}
+
+void RequestService::onForwarded(const ActivePointer& active, const Common::DaemonId& peer, bool toOwner,
+    Common::MonoTime sentAt, const RequestOutcome& outcome)
+{
+    const Common::MonoTime now = m_context.runtime.now();
+    const auto* const notRun = std::get_if<NotRun>(&outcome);
+    const bool unreachable = notRun && notRun->reason.code == ErrorCode::ConnectFailed;
+    const auto* const unknown = std::get_if<OutcomeUnknown>(&outcome);
+    const bool silent
+        = unknown && (unknown->reason.code == ErrorCode::Timeout || unknown->reason.code == ErrorCode::ConnectionLost);
+    if (unreachable || silent)
+        m_parts.router.onNoAnswer(peer, now);
+    else
+        m_parts.router.onAnswered(peer, now - sentAt, notRun != nullptr, now);
+    if (!isActive(active))
+        return;
+    active->forwardedTo.clear();
+    // What did not run there may yet run elsewhere; only the owner of an id's ledger may judge a first run.
+    if (notRun && !toOwner && timeLeft(*active, now) > Common::Duration::zero()) {
+        route(active);
+        return;
+    }
+    // An idempotent request that a silent peer may have run may run again, within the retry budget.
+    active->mayHaveRun = active->mayHaveRun || unknown;
+    if (silent && !toOwner && active->idempotent && mayRetry(*active, false)) {
+        route(active);
+        return;
+    }
+    finish(active, outcome);
+}
+
+void RequestService::enqueue(const ActivePointer& active)
+{
+    active->stage = Stage::Queued;
+    const Policy::AdmissionQueue::Offer offer = m_parts.queue.offer(toQueued(*active), m_context.runtime.now());
+    if (const auto* const refused = std::get_if<Policy::AdmissionQueue::Refused>(&offer)) {
+        finish(active, NotRun { refused->failure });
+        return;
+    }
+    active->admitted = true;
+    pump();
+}
+
+void RequestService::pump()
+{
+    if (m_pumping)
+        return;
+    m_pumping = true;
+    dropExpired();
+    while (!m_parts.queue.empty() && m_parts.placement.freeSlots() > 0) {
+        const Common::MonoTime now = m_context.runtime.now();
+        const auto next = m_parts.queue.takeNext(now);
+        if (!next)
+            break;
+        const auto active = m_active.find(next->id);
+        if (active != m_active.end() && !dispatch(active->second)) {
+            m_parts.queue.putBack(*next, now);
+            break;
+        }
+    }
+    m_pumping = false;
+    scheduleExpiry();
+}
+
+void RequestService::dropExpired()
+{
+    for (const Common::RequestId& id : m_parts.queue.dropExpired(m_context.runtime.now())) {
+        const auto active = m_active.find(id);
+        if (active == m_active.end())
+            continue;
+        active->second->admitted = false;
+        finish(active->second,
+            NotRun { { ErrorCode::DeadlineUnreachable, "no worker came free in time", m_settings.retryAfter } });
+    }
+}
+
+void RequestService::scheduleExpiry()
+{
+    const auto next = m_parts.queue.nextExpiry();
+    if (!next || (m_expiryAt && *m_expiryAt <= *next))
+        return;
+    m_expiryAt = next;
+    const Common::Duration delay = std::max(Common::Duration::zero(), *next - m_context.runtime.now());
+    m_context.runtime.schedule(delay + std::chrono::microseconds(1), m_lifetime.guard([this] {
+        m_expiryAt.reset();
+        pump();
+    }));
+}
+
+bool RequestService::dispatch(const ActivePointer& active)
+{
+    const Common::TaskId task = nextTask();
+    const Result<Place> place = m_parts.pool.place(task, toPlacement(*active));
+    if (!place)
+        return false;
+    active->stage = Stage::Dispatched;
+    active->attempts.push_back({ task, *place, m_context.runtime.now() });
+    if (++active->attemptsSent > 1)
+        m_counters.retries.Increment();
+    send(active, active->attempts.back());
+    return true;
+}
+
+void RequestService::send(const ActivePointer& active, const ActiveRequest::Attempt& attempt)
+{
+    m_counters.attempts.Increment();
+    m_context.timeline.record(Event { .kind = EventKind::RequestDispatched,
+        .request = active->request.id.value(),
+        .worker = attempt.place.worker.value(),
+        .attempt = active->attemptsSent });
+    const Scheduler::RunCommand command {
+        .task = attempt.task,
+        .boot = attempt.place.boot,
+        .startBy = attempt.place.startBy,
+        .service = active->service.name,
+        .declared = active->service.resources,
+        .contentType = active->request.contentType,
+        .body = active->request.body,
+        .timeout = timeLeft(*active, m_context.runtime.now()),
+    };
+    if (active->attempts.size() == 1)
+        armSecondAttempt(active);
+    m_parts.workers.run(attempt.place.address, command,
+        m_lifetime.guard([this, active, task = attempt.task](
+                             const Result<Scheduler::RunAnswer>& result) { onRun(active, task, result); }));
+}
+
+void RequestService::armSecondAttempt(const ActivePointer& active)
+{
+    if (!active->idempotent || active->profile.maximumAttempts < 2)
+        return;
+    const Common::Duration delay = timeLeft(*active, m_context.runtime.now()) * m_settings.secondAttemptPercent / 100;
+    active->secondAttemptTimer
+        = m_context.runtime.schedule(delay, m_lifetime.guard([this, active] { sendSecondAttempt(active); }));
+}
+
+void RequestService::sendSecondAttempt(const ActivePointer& active)
+{
+    active->secondAttemptTimer.reset();
+    if (!isActive(active) || active->stage != Stage::Dispatched || active->attempts.size() != 1)
+        return;
+    if (!mayRetry(*active, false))
+        return;
+    active->avoid.push_back(active->attempts.front().place.worker);
+    dispatch(active);
+}
+
+void RequestService::onRun(
+    const ActivePointer& active, const Common::TaskId& task, const Result<Scheduler::RunAnswer>& result)
+{
+    const auto found = std::find_if(active->attempts.begin(), active->attempts.end(),
+        [&](const ActiveRequest::Attempt& attempt) { return attempt.task == task; });
+    if (result)
+        m_parts.pool.ended(task);
+    if (found == active->attempts.end() || !isActive(active)) {
+        pump();
+        return;
+    }
+    const ActiveRequest::Attempt attempt = *found;
+    active->attempts.erase(found);
+    if (!result) {
+        onAttemptFailed(active, attempt, result.reason());
+        pump();
+        return;
+    }
+    const Common::MonoTime now = m_context.runtime.now();
+    m_parts.health.recordOutcome(attempt.place.worker, active->service.name.value(), true, now);
+    budget(active->profile).onSuccess();
+    m_parts.queue.onCompleted(active->profile.name, active->service.team, now - attempt.startedAt, true, now);
+    active->admitted = false;
+    finish(active, Answered { result->contentType, result->body });
+    pump();
+}
+
+void RequestService::onAttemptFailed(
+    const ActivePointer& active, const ActiveRequest::Attempt& attempt, const Failure& failure)
+{
+    const bool provedNotRun = Scheduler::provesNotRun(failure.code);
+    const bool ended = provedNotRun || failure.code == ErrorCode::WorkFailed;
+    if (ended)
+        m_parts.pool.ended(attempt.task);
+    else
+        m_parts.pool.abandon(attempt.task);
+    if (failure.code != ErrorCode::StartTooLate && failure.code != ErrorCode::WorkerRebooted)
+        m_parts.health.recordOutcome(
+            attempt.place.worker, active->service.name.value(), false, m_context.runtime.now());
+    active->avoid.push_back(attempt.place.worker);
+    if (!active->attempts.empty())
+        return;
+    if (!provedNotRun)
+        active->mayHaveRun = true;
+    if ((!active->mayHaveRun || active->idempotent) && mayRetry(*active, provedNotRun)) {
+        if (!dispatch(active))
+            waitAgain(active);
+        return;
+    }
+    Failure reason = failure;
+    reason.retryAfter = m_settings.retryAfter;
+    finish(active, NotRun { reason });
+}
+
+void RequestService::waitAgain(const ActivePointer& active)
+{
+    active->stage = Stage::Queued;
+    m_parts.queue.putBack(toQueued(*active), m_context.runtime.now());
+    scheduleExpiry();
+}
+
+bool RequestService::mayRetry(const ActiveRequest& active, bool provedNotRun)
+{
+    const Common::MonoTime now = m_context.runtime.now();
+    if (active.attemptsSent >= active.profile.maximumAttempts || timeLeft(active, now) <= Common::Duration::zero())
+        return false;
+    // A start that was refused cost its worker nothing.
+    return provedNotRun || budget(active.profile).take(now);
+}
+
+void RequestService::onWorkerLost(const Common::WorkerId& worker)
+{
+    const Failure lost { ErrorCode::ConnectionLost, "the worker is not heard from any more" };
+    std::vector<std::pair<ActivePointer, Common::TaskId>> affected;
+    for (const auto& [id, active] : m_active) {
+        for (const ActiveRequest::Attempt& attempt : active->attempts) {
+            if (attempt.place.worker == worker && active->idempotent)
+                affected.emplace_back(active, attempt.task);
+        }
+    }
+    for (const auto& [active, task] : affected)
+        onRun(active, task, lost);
+}
+
+void RequestService::onDeadline(const ActivePointer& active)
+{
+    active->deadlineTimer.reset();
+    if (!isActive(active))
+        return;
+    const Failure passed { ErrorCode::DeadlinePassed, "the deadline has passed" };
+    // An intent that is still being written is taken back when its answer comes.
+    finish(active, NotRun { passed });
+}
+
+bool RequestService::cancel(const Common::RequestId& id)
+{
+    const auto found = m_active.find(id);
+    if (found == m_active.end())
+        return false;
+    const ActivePointer active = found->second;
+    m_counters.cancelled.Increment();
+    const Failure cancelled { ErrorCode::Cancelled, "the caller gave the request up" };
+    if (active->stage == Stage::Forwarded)
+        m_parts.forward.cancel(active->forwardedTo, id.value());
+    finish(active, NotRun { cancelled });
+    return true;
+}
+
+void RequestService::finish(const ActivePointer& active, RequestOutcome outcome)
+{
+    const bool underWay = active->stage == Stage::Dispatched || active->stage == Stage::Forwarded;
+    const bool clear = active->attempts.empty() && active->forwardedTo.empty();
+    if (const auto* const notRun = std::get_if<NotRun>(&outcome);
+        notRun && (active->mayHaveRun || (underWay && !clear)))
+        outcome = OutcomeUnknown { notRun->reason };
+    m_active.erase(active->request.id);
+    m_keptBytes -= active->request.body.size();
+    for (const auto& timer : { active->deadlineTimer, active->secondAttemptTimer }) {
+        if (timer)
+            m_context.runtime.cancel(*timer);
+    }
+    releaseQueueAccount(*active, outcome);
+    for (const ActiveRequest::Attempt& attempt : active->attempts)
+        m_parts.pool.abandon(attempt.task);
+    active->attempts.clear();
+    endIntent(*active, outcome);
+    const Common::Duration took = m_context.runtime.now() - active->arrival;
+    m_counters.countOutcome(outcome, std::chrono::duration<double>(took).count());
+    const EventKind kinds[] { EventKind::RequestAnswered, EventKind::RequestNotRun, EventKind::RequestUnknown };
+    m_context.timeline.record(Event { .kind = kinds[outcome.index()], .request = active->request.id.value() });
+    const auto waiters = std::move(active->waiters);
+    active->waiters.clear();
+    for (const OutcomeCallback& waiter : waiters)
+        waiter(outcome);
+}
+
+void RequestService::releaseQueueAccount(const ActiveRequest& active, const RequestOutcome& outcome)
+{
+    if (!active.admitted)
+        return;
+    const Common::MonoTime now = m_context.runtime.now();
+    if (active.stage == Stage::Queued && m_parts.queue.cancel(active.request.id, now))
+        return;
+    m_parts.queue.onCompleted(active.profile.name, active.service.team, now - active.arrival, false, now);
+}
+
+void RequestService::endIntent(const ActiveRequest& active, const RequestOutcome& outcome)
+{
+    if (!active.ownsIntent)
+        return;
+    if (const auto* const answered = std::get_if<Answered>(&outcome)) {
+        m_parts.intents.finish(active.request.id, Scheduler::RunAnswer { {}, answered->contentType, answered->body });
+    } else if (const auto* const notRun = std::get_if<NotRun>(&outcome)) {
+        m_parts.intents.finish(active.request.id, Ledger::IntentService::NotRun { notRun->reason });
+    } else {
+        m_parts.intents.finish(active.request.id, Ledger::IntentService::Unknown {});
+    }
+}
+
+bool RequestService::isActive(const ActivePointer& active) const
+{
+    const auto found = m_active.find(active->request.id);
+    return found != m_active.end() && found->second == active;
+}
+
+Policy::RetryBudget& RequestService::budget(const Scheduler::Profile& profile)
+{
+    const auto [entry, isNew] = m_budgets.try_emplace(profile.name, profile.retryBudgetPercent);
+    entry->second.setPercent(profile.retryBudgetPercent);
+    return entry->second;
+}
+
+Common::TaskId RequestService::nextTask()
+{
+    return Common::TaskId("r:" + m_parts.membership.self().id.value() + ":" + std::to_string(++m_lastTask));
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/TaskPlaneService.cpp
@@ -0,0 +1,491 @@
+// Batch tasks on workers of this daemon and of its peers.
+#include "Dispatch/TaskPlaneService.h"
+
+#include "Dispatch/TaskMessages.h"
+#include "Dispatch/WorkerPool.h"
+#include "Ledger/JobService.h"
+#include "Ledger/ShardOwners.h"
+#include "Policy/Placement.h"
+#include "Policy/WorkerHealth.h"
+#include "Scheduler/ClusterConfig.h"
+#include "Scheduler/ConfigView.h"
+#include "Scheduler/MembershipView.h"
+#include "Scheduler/Runtime.h"
+#include "Scheduler/StartCommand.h"
+#include "Scheduler/WorkerPort.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Dispatch {
+
+using Common::ErrorCode;
+using Common::Failure;
+using Common::Result;
+using nlohmann::json;
+using Scheduler::WorkerFleet;
+
+namespace {
+
+    constexpr const char* reserveMethod = "tasks.reserve";
+    constexpr const char* startMethod = "tasks.start";
+    constexpr const char* releaseMethod = "tasks.release";
+    constexpr const char* controlMethod = "tasks.control";
+    constexpr const char* acknowledgeMethod = "tasks.acknowledge";
+    constexpr const char* watchMethod = "tasks.watch";
+    constexpr const char* viewMethod = "tasks.view";
+    constexpr const char* evictMethod = "tasks.evict";
+
+    const Failure malformed { ErrorCode::ProtocolError, "a message about tasks is malformed" };
+
+    json tasksToJson(const std::vector<Common::TaskId>& tasks)
+    {
+        json names = json::array();
+        for (const Common::TaskId& task : tasks)
+            names.push_back(task.value());
+        return names;
+    }
+
+    std::vector<Common::TaskId> tasksFromJson(const json& names)
+    {
+        std::vector<Common::TaskId> tasks;
+        for (const json& name : names) {
+            if (name.is_string())
+                tasks.emplace_back(name.get<std::string>());
+        }
+        return tasks;
+    }
+
+    std::string textMember(const json& object, const char* name)
+    {
+        const auto member = object.find(name);
+        return member != object.end() && member->is_string() ? member->get<std::string>() : std::string();
+    }
+
+    bool inScope(const Scheduler::PeerInfo& self, const Scheduler::PeerInfo& peer, Scheduler::SpillScope scope)
+    {
+        switch (scope) {
+        case Scheduler::SpillScope::Domain:
+            return peer.domain == self.domain;
+        case Scheduler::SpillScope::Region:
+            return peer.region == self.region;
+        case Scheduler::SpillScope::Everywhere:
+            return true;
+        }
+        return false;
+    }
+
+    /// The near ones first, among these the ones with most room.
+    int distance(const Scheduler::PeerInfo& self, const Scheduler::PeerInfo& peer)
+    {
+        if (peer.domain == self.domain)
+            return 0;
+        return peer.region == self.region ? 1 : 2;
+    }
+
+    Scheduler::WorkerView makeView(const Scheduler::WorkerReport& report)
+    {
+        Scheduler::WorkerView view { report.worker, report.boot, report.clock, {} };
+        for (const Scheduler::TaskReport& task : report.tasks) {
+            if (task.kind == Scheduler::TaskKind::Batch)
+                view.tasks.push_back(task);
+        }
+        return view;
+    }
+
+    /// What makes a view worth telling again: everything but the clock.
+    std::string contentOf(const Scheduler::WorkerView& view)
+    {
+        json content = toJson(view);
+        content.erase("clock");
+        return content.dump();
+    }
+
+} // namespace
+
+TaskPlaneService::TaskPlaneService(
+    const Scheduler::ServiceContext& context, const Parts& parts, const Settings& settings)
+    : m_context(context)
+    , m_parts(parts)
+    , m_settings(settings)
+{
+}
+
+void TaskPlaneService::start()
+{
+    m_parts.fleet.onChange(m_lifetime.guard(
+        [this](WorkerFleet::Change change, const Scheduler::OwnedWorker& worker) { onFleetChange(change, worker); }));
+    servePeers();
+}
+
+void TaskPlaneService::servePeers()
+{
+    using Reply = Scheduler::PeerPort::Reply;
+    const auto serve = [this](const char* method, auto handler) {
+        m_parts.peers.serve(method, m_lifetime.guard(std::move(handler)));
+    };
+    serve(reserveMethod, [this](const json& params, const Reply& reply) {
+        const auto spec = specFromJson(params);
+        if (!spec)
+            return reply(malformed);
+        const Result<Scheduler::Reservation> reservation = reserveHere(*spec);
+        reservation ? reply(toJson(*reservation)) : reply(reservation.reason());
+    });
+    serve(startMethod, [this](const json& params, const Reply& reply) {
+        const auto reservation = reservationFromJson(params.value("reservation", json::object()));
+        const auto spec = specFromJson(params.value("spec", json::object()));
+        if (!reservation || !spec)
+            return reply(malformed);
+        startHere(*reservation, *spec,
+            [reply](const Result<Common::Done>& done) { done ? reply(json::object()) : reply(done.reason()); });
+    });
+    serve(releaseMethod, [this](const json& params, const Reply& reply) {
+        if (const auto reservation = reservationFromJson(params))
+            release(*reservation);
+        reply(json::object());
+    });
+    serve(controlMethod, [this](const json& params, const Reply& reply) {
+        const Common::WorkerId worker(textMember(params, "worker"));
+        const auto action = static_cast<Scheduler::TaskControl>(params.value("action", 0));
+        controlHere(worker, action, tasksFromJson(params.value("tasks", json::array())));
+        reply(json::object());
+    });
+    serve(acknowledgeMethod, [this](const json& params, const Reply& reply) {
+        const Common::WorkerId worker(textMember(params, "worker"));
+        if (m_parts.fleet.authority(worker))
+            m_parts.fleet.acknowledge(worker, tasksFromJson(params.value("tasks", json::array())));
+        reply(json::object());
+    });
+    serve(watchMethod, [this](const json& params, const Reply& reply) {
+        watchHere(Common::WorkerId(textMember(params, "worker")), Common::DaemonId(textMember(params, "by")));
+        reply(json::object());
+    });
+    serve(viewMethod, [this](const json& params, const Reply& reply) {
+        if (const auto view = viewFromJson(params.value("view", json::object())))
+            receiveView(*view, Common::DaemonId(textMember(params, "from")));
+        reply(json::object());
+    });
+    serve(evictMethod, [this](const json& params, const Reply& reply) {
+        if (m_evict)
+            m_evict(Common::TaskId(textMember(params, "task")));
+        reply(json::object());
+    });
+}
+
+Policy::PlacementRequest TaskPlaneService::placementOf(const Scheduler::TaskSpec& spec) const
+{
+    Policy::PlacementRequest request {
+        .declared = spec.declared,
+        .kind = Scheduler::TaskKind::Batch,
+        .workClass = Policy::classOfJobs(spec.team, spec.profile),
+        .avoid = spec.avoid,
+    };
+    if (spec.urgent)
+        request.priority = Scheduler::Priority::Urgent;
+    return request;
+}
+
+Result<Scheduler::Reservation> TaskPlaneService::reserveHere(const Scheduler::TaskSpec& spec)
+{
+    if (m_parts.placement.workerCount() > 0 && !m_parts.placement.fitsAnywhere(spec.declared))
+        return Failure { ErrorCode::JobFitsNoWorker, "no worker, even an empty one, could hold the task" };
+    const Result<Place> place = m_parts.pool.place(spec.task, placementOf(spec));
+    if (!place)
+        return place.reason();
+    m_parts.pool.leaveOpen(spec.task);
+    m_specs[spec.task] = spec;
+    return Scheduler::Reservation { spec.task, place->worker, place->boot, place->startBy,
+        m_parts.membership.self().id };
+}
+
+void TaskPlaneService::reserve(const Scheduler::TaskSpec& spec, Common::Callback<Scheduler::Reservation> callback)
+{
+    const Result<Scheduler::Reservation> here = reserveHere(spec);
+    if (here) {
+        callback(here);
+        return;
+    }
+    const auto search = std::make_shared<Search>();
+    search->spec = spec;
+    search->callback = std::move(callback);
+    search->neverFits = here.reason().code == ErrorCode::JobFitsNoWorker;
+    search->candidates = candidatesFor(spec);
+    if (!search->neverFits && search->candidates.size() > m_settings.maximumPeersAsked) {
+        search->candidates.resize(m_settings.maximumPeersAsked);
+        search->incomplete = true;
+    }
+    askNext(search);
+}
+
+std::vector<Scheduler::PeerInfo> TaskPlaneService::candidatesFor(const Scheduler::TaskSpec& spec) const
+{
+    const Scheduler::PeerInfo& self = m_parts.membership.self();
+    Scheduler::SpillScope scope = Scheduler::SpillScope::Region;
+    if (const auto config = m_parts.config.current()) {
+        const auto profile = config->profiles.find(spec.profile);
+        if (profile != config->profiles.end())
+            scope = profile->second.spill;
+    }
+    std::vector<Scheduler::PeerInfo> candidates;
+    for (const Scheduler::PeerInfo& peer : m_parts.membership.livePeers()) {
+        if (peer.id != self.id && !peer.draining && peer.freeSlots > 0 && inScope(self, peer, scope))
+            candidates.push_back(peer);
+    }
+    std::sort(candidates.begin(), candidates.end(), [&](const Scheduler::PeerInfo& a, const Scheduler::PeerInfo& b) {
+        return std::pair(distance(self, a), -a.freeSlots) < std::pair(distance(self, b), -b.freeSlots);
+    });
+    return candidates;
+}
+
+void TaskPlaneService::askNext(const std::shared_ptr<Search>& search)
+{
+    if (search->next == search->candidates.size()) {
+        endSearch(search);
+        return;
+    }
+    const Scheduler::PeerInfo peer = search->candidates[search->next++];
+    m_parts.peers.call(peer.address, reserveMethod, toJson(search->spec), m_settings.peerTimeout,
+        m_lifetime.guard([this, search](const Result<json>& answer) {
+            const auto reservation = answer ? reservationFromJson(*answer) : std::nullopt;
+            if (reservation) {
+                search->callback(*reservation);
+                return;
+            }
+            search->neverFits = search->neverFits && !answer && answer.reason().code == ErrorCode::JobFitsNoWorker;
+            askNext(search);
+        }));
+}
+
+void TaskPlaneService::endSearch(const std::shared_ptr<Search>& search)
+{
+    if (search->neverFits && !search->incomplete)
+        search->callback(Failure { ErrorCode::JobFitsNoWorker, "no worker, even an empty one, could hold the task" });
+    else
+        search->callback(Failure { ErrorCode::NoWorker, "no worker has room for the task now" });
+}
+
+void TaskPlaneService::start(
+    const Scheduler::Reservation& reservation, const Scheduler::TaskSpec& spec, Common::Callback<Common::Done> callback)
+{
+    if (reservation.owner == m_parts.membership.self().id) {
+        startHere(reservation, spec, callback);
+        return;
+    }
+    const auto owner = m_parts.membership.find(reservation.owner);
+    if (!owner) {
+        callback(Failure { ErrorCode::ConnectFailed, "the owner of the worker is gone" });
+        return;
+    }
+    const json params { { "reservation", toJson(reservation) }, { "spec", toJson(spec) } };
+    m_parts.peers.call(owner->address, startMethod, params, m_settings.peerTimeout,
+        m_lifetime.guard([callback = std::move(callback)](const Result<json>& answer) {
+            answer ? callback(Common::Done {}) : callback(answer.reason());
+        }));
+}
+
+void TaskPlaneService::startHere(const Scheduler::Reservation& reservation, const Scheduler::TaskSpec& spec,
+    const Common::Callback<Common::Done>& callback)
+{
+    const Result<Place> place = m_parts.pool.confirm(reservation.task);
+    if (!place) {
+        m_parts.pool.ended(reservation.task);
+        callback(place.reason());
+        return;
+    }
+    const Scheduler::StartCommand command {
+        .task = reservation.task,
+        .boot = reservation.boot,
+        .startBy = reservation.startBy,
+        .leaseTimeToLive = m_settings.taskLease,
+        .declared = spec.declared,
+        .checkpoint = spec.checkpoint,
+        .command = spec.command,
+    };
+    m_parts.workers.start(place->address, command,
+        m_lifetime.guard([this, task = reservation.task, callback](const Result<Common::Done>& started) {
+            if (!started && Scheduler::provesNotRun(started.reason().code))
+                m_parts.pool.ended(task);
+            callback(started);
+        }));
+}
+
+void TaskPlaneService::release(const Scheduler::Reservation& reservation)
+{
+    if (reservation.owner == m_parts.membership.self().id) {
+        m_parts.pool.ended(reservation.task);
+        m_specs.erase(reservation.task);
+        return;
+    }
+    if (const auto owner = m_parts.membership.find(reservation.owner))
+        m_parts.peers.call(
+            owner->address, releaseMethod, toJson(reservation), m_settings.peerTimeout, [](const auto&) {});
+}
+
+void TaskPlaneService::control(
+    const Common::WorkerId& worker, Scheduler::TaskControl action, const std::vector<Common::TaskId>& tasks)
+{
+    if (m_parts.fleet.authority(worker)) {
+        controlHere(worker, action, tasks);
+        return;
+    }
+    const json params { { "worker", worker.value() }, { "action", static_cast<int>(action) },
+        { "tasks", tasksToJson(tasks) } };
+    callOwner(worker, controlMethod, params);
+}
+
+void TaskPlaneService::controlHere(
+    const Common::WorkerId& worker, Scheduler::TaskControl action, const std::vector<Common::TaskId>& tasks)
+{
+    const auto authority = m_parts.fleet.authority(worker);
+    if (!authority || tasks.empty())
+        return;
+    m_parts.workers.control(authority->address, action, tasks,
+        m_lifetime.guard([this, worker](const Result<Common::Done>&) { m_parts.fleet.syncSoon(worker); }));
+}
+
+void TaskPlaneService::acknowledge(const Common::WorkerId& worker, const std::vector<Common::TaskId>& tasks)
+{
+    if (m_parts.fleet.authority(worker)) {
+        m_parts.fleet.acknowledge(worker, tasks);
+        return;
+    }
+    callOwner(worker, acknowledgeMethod, json { { "worker", worker.value() }, { "tasks", tasksToJson(tasks) } });
+}
+
+void TaskPlaneService::requestView(const Common::WorkerId& worker)
+{
+    const Common::DaemonId self = m_parts.membership.self().id;
+    if (m_parts.fleet.authority(worker)) {
+        watchHere(worker, self);
+        return;
+    }
+    callOwner(worker, watchMethod, json { { "worker", worker.value() }, { "by", self.value() } });
+}
+
+void TaskPlaneService::watchHere(const Common::WorkerId& worker, const Common::DaemonId& by)
+{
+    if (!m_parts.fleet.authority(worker))
+        return;
+    m_views[worker].interestedUntil[by] = m_context.runtime.now() + m_settings.interestLasts;
+    m_parts.fleet.syncSoon(worker);
+}
+
+void TaskPlaneService::callOwner(const Common::WorkerId& worker, const std::string& method, const json& params)
+{
+    std::vector<Scheduler::PeerInfo> targets;
+    if (const auto assigned = m_parts.fleet.assignedOwner(worker)) {
+        if (const auto peer = m_parts.membership.find(*assigned))
+            targets.push_back(*peer);
+    }
+    const auto teller = m_lastTeller.find(worker);
+    if (teller != m_lastTeller.end()) {
+        if (const auto peer = m_parts.membership.find(teller->second))
+            targets.push_back(*peer);
+    }
+    if (targets.empty())
+        targets = m_parts.membership.livePeers();
+    std::set<Common::DaemonId> called { m_parts.membership.self().id };
+    for (const Scheduler::PeerInfo& target : targets) {
+        if (called.insert(target.id).second)
+            m_parts.peers.call(target.address, method, params, m_settings.peerTimeout, [](const auto&) {});
+    }
+}
+
+void TaskPlaneService::onView(std::function<void(const Scheduler::WorkerView&)> receiver)
+{
+    m_receiver = std::move(receiver);
+}
+
+void TaskPlaneService::onFleetChange(WorkerFleet::Change change, const Scheduler::OwnedWorker& worker)
+{
+    if (change == WorkerFleet::Change::Lost) {
+        m_views.erase(worker.worker);
+        m_counted.erase(worker.worker);
+        return;
+    }
+    learnOutcomes(worker);
+    tellViews(worker);
+}
+
+void TaskPlaneService::learnOutcomes(const Scheduler::OwnedWorker& worker)
+{
+    std::unordered_set<Common::TaskId>& counted = m_counted[worker.worker];
+    std::unordered_set<Common::TaskId> listed;
+    for (const Scheduler::TaskReport& task : worker.report.tasks) {
+        if (task.kind != Scheduler::TaskKind::Batch || task.state == Scheduler::TaskState::Running)
+            continue;
+        listed.insert(task.task);
+        if (counted.contains(task.task))
+            continue;
+        const auto job = Ledger::JobService::jobOfTask(task.task);
+        if (job && task.state != Scheduler::TaskState::Stopped)
+            m_parts.health.recordOutcome(
+                worker.worker, job->value(), task.state == Scheduler::TaskState::Finished, m_context.runtime.now());
+        m_specs.erase(task.task);
+    }
+    counted = std::move(listed);
+}
+
+void TaskPlaneService::tellViews(const Scheduler::OwnedWorker& worker)
+{
+    const Common::MonoTime now = m_context.runtime.now();
+    const Scheduler::WorkerView view = makeView(worker.report);
+    ViewState& state = m_views[worker.worker];
+    std::erase_if(state.interestedUntil, [&](const auto& row) { return row.second < now; });
+    std::set<Common::DaemonId> receivers;
+    for (const auto& [daemon, until] : state.interestedUntil)
+        receivers.insert(daemon);
+    std::string content = contentOf(view);
+    if (content != state.lastContent || now - state.sentAt >= m_settings.viewRepeat) {
+        state.lastContent = std::move(content);
+        state.sentAt = now;
+        for (const Scheduler::TaskReport& task : view.tasks) {
+            const auto shard = Ledger::JobService::shardOfTask(task.task);
+            const auto owner = shard ? m_parts.shards.assignedOwner(*shard) : std::nullopt;
+            if (owner)
+                receivers.insert(owner->id);
+        }
+    }
+    for (const Common::DaemonId& receiver : receivers)
+        tell(receiver, view);
+}
+
+void TaskPlaneService::tell(const Common::DaemonId& receiver, const Scheduler::WorkerView& view)
+{
+    const Common::DaemonId self = m_parts.membership.self().id;
+    if (receiver == self) {
+        receiveView(view, self);
+        return;
+    }
+    if (const auto peer = m_parts.membership.find(receiver)) {
+        const json params { { "from", self.value() }, { "view", toJson(view) } };
+        m_parts.peers.call(peer->address, viewMethod, params, m_settings.peerTimeout, [](const auto&) {});
+    }
+}
+
+void TaskPlaneService::receiveView(const Scheduler::WorkerView& view, const Common::DaemonId& from)
+{
+    m_lastTeller[view.worker] = from;
+    if (m_receiver)
+        m_receiver(view);
+}
+
+void TaskPlaneService::requestEviction(const Common::TaskId& task)
+{
+    if (m_evict && m_evict(task))
+        return;
+    const auto shard = Ledger::JobService::shardOfTask(task);
+    const auto owner = shard ? m_parts.shards.assignedOwner(*shard) : std::nullopt;
+    if (owner && owner->id != m_parts.membership.self().id)
+        m_parts.peers.call(
+            owner->address, evictMethod, json { { "task", task.value() } }, m_settings.peerTimeout, [](const auto&) {});
+}
+
+const Scheduler::TaskSpec* TaskPlaneService::specOf(const Common::TaskId& task) const
+{
+    const auto spec = m_specs.find(task);
+    return spec == m_specs.end() ? nullptr : &spec->second;
+}
+
+} // namespace Dispatch
