Put the daemon together: node, HTTP API, process

Cause: the services exist as parts; a daemon process has to join them behind one port. Ruled out: a second port for peers; one is less to configure and to cut by mistake. Measured: nothing yet; it needs the adapters to link.

--- /dev/null
+++ b/Source/Core/Daemon/Node.cpp
@@ -0,0 +1,113 @@
+// All services of one daemon.
+#include "Daemon/Node.h"
+
+#include "Common/Event.h"
+#include "Common/Timeline.h"
+#include "Scheduler/Runtime.h"
+
+namespace Daemon {
+
+namespace {
+
+    /// The link budget lets this many seconds' worth through at once.
+    constexpr double linkBurstSeconds = 1;
+    constexpr Common::Duration drainPoll = std::chrono::milliseconds(50);
+
+} // namespace
+
+Node::Node(const NodePorts& ports, const NodeSettings& settings)
+    : m_ports(ports)
+    , m_settings(settings)
+    , m_context { ports.runtime, ports.timeline, ports.metrics }
+    , m_membership(m_context, ports.peers, ports.store, settings.self, settings.membership)
+    , m_config(m_context, ports.store, ports.peers, m_membership, settings.config,
+          [this](Common::ConfigRevision revision) { m_membership.setConfigRevision(revision); })
+    , m_fleet(m_context, ports.workers, ports.store, ports.peers, m_membership, settings.fleet)
+    , m_health(settings.health)
+    , m_placement(settings.placement, m_interference, m_health)
+    , m_queue(settings.queue)
+    , m_link(settings.interRegionBytesPerSecond, settings.interRegionBytesPerSecond * linkBurstSeconds)
+    , m_router(settings.router, m_link)
+    , m_shards(m_context, ports.store, m_membership, settings.ledger)
+    , m_intents(m_context, m_shards, settings.ledger)
+    , m_pool(m_context, m_fleet, ports.workers, m_placement, m_health)
+    , m_tasks(m_context,
+          { m_config, m_membership, ports.peers, m_fleet, ports.workers, m_pool, m_shards, m_placement, m_health },
+          settings.tasks)
+    , m_jobs(m_context, m_shards, m_tasks, m_config, settings.ledger,
+          [this](const Common::WorkerId& worker) { return m_tasks.hearsDomainOf(worker); })
+    , m_gateway(m_context, m_shards, m_jobs, m_membership, ports.peers, settings.ledger)
+    , m_requests(m_context,
+          { m_config, m_membership, ports.workers, m_pool, ports.forward, m_shards, m_intents, m_queue, m_placement,
+              m_health, m_router, m_link },
+          settings.requests)
+    , m_evictor(m_context, m_config, m_fleet, ports.workers, m_tasks, settings.evictions)
+{
+}
+
+void Node::start()
+{
+    m_ports.timeline.record(Common::Event { .kind = Common::EventKind::DaemonStarted });
+    m_tasks.onView([this](const Scheduler::WorkerView& view) { m_jobs.onView(view); });
+    m_tasks.onEvict([this](const Common::TaskId& task) { return m_jobs.evict(task); });
+    // Registered first: the account of room is brought up to date before others act on a report.
+    m_pool.start();
+    m_tasks.start();
+    m_evictor.start();
+    m_requests.start();
+    m_membership.start();
+    m_config.start();
+    m_fleet.start();
+    m_jobs.start();
+    m_gateway.start();
+    m_shards.start();
+    updateLoad();
+}
+
+bool Node::ready() const { return !m_draining && m_config.current() != nullptr; }
+
+Common::MonoTime Node::now() const { return m_ports.runtime.now(); }
+
+void Node::updateLoad()
+{
+    m_membership.updateLoad(m_placement.freeSlots(), m_placement.totalSlots(), static_cast<int64_t>(m_queue.size()));
+    for (const Scheduler::PeerInfo& peer : m_membership.livePeers())
+        m_router.onSummary(peer.id, m_ports.runtime.now());
+    m_ports.runtime.schedule(m_settings.loadInterval, m_lifetime.guard([this] { updateLoad(); }));
+}
+
+void Node::drain(std::function<void()> done)
+{
+    if (m_draining)
+        return;
+    m_draining = true;
+    m_drained = std::move(done);
+    m_ports.timeline.record(Common::Event { .kind = Common::EventKind::DaemonDraining });
+    m_membership.setDraining(true);
+    m_requests.setDraining();
+    awaitRequests(m_ports.runtime.now() + m_settings.drainTimeout);
+}
+
+void Node::awaitRequests(Common::MonoTime giveUpAt)
+{
+    if (m_requests.underWay() == 0 || m_ports.runtime.now() >= giveUpAt) {
+        handOver();
+        return;
+    }
+    m_ports.runtime.schedule(drainPoll, m_lifetime.guard([this, giveUpAt] { awaitRequests(giveUpAt); }));
+}
+
+void Node::handOver()
+{
+    m_shards.drain(m_lifetime.guard([this] {
+        m_fleet.drain(m_lifetime.guard([this] {
+            m_config.stop();
+            m_membership.leave(m_lifetime.guard([this] {
+                m_ports.timeline.record(Common::Event { .kind = Common::EventKind::DaemonStopped });
+                m_drained();
+            }));
+        }));
+    }));
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/Node.h
@@ -0,0 +1,82 @@
+// All services of one daemon, put together over ports.
+#pragma once
+
+#include "Common/Lifetime.h"
+#include "Config/ConfigService.h"
+#include "Daemon/NodePorts.h"
+#include "Daemon/NodeSettings.h"
+#include "Dispatch/Evictor.h"
+#include "Dispatch/RequestService.h"
+#include "Dispatch/TaskPlaneService.h"
+#include "Dispatch/WorkerPool.h"
+#include "Ledger/IntentService.h"
+#include "Ledger/JobGateway.h"
+#include "Ledger/JobService.h"
+#include "Ledger/ShardOwners.h"
+#include "Membership/FleetService.h"
+#include "Membership/MembershipService.h"
+#include "Policy/AdmissionQueue.h"
+#include "Policy/InterferenceModel.h"
+#include "Policy/LinkBudget.h"
+#include "Policy/Placement.h"
+#include "Policy/Router.h"
+#include "Policy/WorkerHealth.h"
+
+#include <functional>
+
+namespace Daemon {
+
+/// Members stand in the order in which they use each other.
+class Node {
+public:
+    Node(const NodePorts&, const NodeSettings&);
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+
+    void start();
+    /// A planned stop: hands everything over, lets what is under way end, then calls `done`. Later calls are ignored.
+    void drain(std::function<void()> done);
+    bool draining() const { return m_draining; }
+    /// Has a configuration, and takes new work.
+    bool ready() const;
+
+    Membership::MembershipService& membership() { return m_membership; }
+    Membership::FleetService& fleet() { return m_fleet; }
+    Config::ConfigService& config() { return m_config; }
+    Dispatch::RequestService& requests() { return m_requests; }
+    Ledger::JobGateway& jobs() { return m_gateway; }
+    Policy::WorkerHealth& health() { return m_health; }
+    Common::Timeline& timeline() { return m_ports.timeline; }
+    Common::MonoTime now() const;
+
+private:
+    void updateLoad();
+    void awaitRequests(Common::MonoTime giveUpAt);
+    void handOver();
+
+    NodePorts m_ports;
+    NodeSettings m_settings;
+    Scheduler::ServiceContext m_context;
+    Membership::MembershipService m_membership;
+    Config::ConfigService m_config;
+    Membership::FleetService m_fleet;
+    Policy::InterferenceModel m_interference;
+    Policy::WorkerHealth m_health;
+    Policy::Placement m_placement;
+    Policy::AdmissionQueue m_queue;
+    Policy::LinkBudget m_link;
+    Policy::Router m_router;
+    Ledger::ShardOwners m_shards;
+    Ledger::IntentService m_intents;
+    Dispatch::WorkerPool m_pool;
+    Dispatch::TaskPlaneService m_tasks;
+    Ledger::JobService m_jobs;
+    Ledger::JobGateway m_gateway;
+    Dispatch::RequestService m_requests;
+    Dispatch::Evictor m_evictor;
+    bool m_draining = false;
+    std::function<void()> m_drained;
+    Common::Lifetime m_lifetime;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/NodeSettings.h
@@ -0,0 +1,46 @@
+// Settings of all services of a node.
+#pragma once
+
+#include "Config/ConfigServiceOptions.h"
+#include "Dispatch/RequestServiceSettings.h"
+#include "Dispatch/TaskPlaneService.h"
+#include "Ledger/LedgerSettings.h"
+#include "Membership/FleetSettings.h"
+#include "Membership/MembershipSettings.h"
+#include "Policy/AdmissionQueue.h"
+#include "Policy/EvictionPlanner.h"
+#include "Policy/Placement.h"
+#include "Policy/Router.h"
+#include "Policy/WorkerHealth.h"
+#include "Scheduler/PeerInfo.h"
+
+namespace Config {
+struct DaemonSettings;
+}
+
+namespace Daemon {
+
+struct NodeSettings {
+    Scheduler::PeerInfo self;
+    Membership::MembershipSettings membership;
+    Membership::FleetSettings fleet;
+    Ledger::LedgerSettings ledger;
+    Config::ConfigServiceOptions config;
+    Dispatch::RequestServiceSettings requests;
+    Dispatch::TaskPlaneService::Settings tasks;
+    Policy::AdmissionQueue::Settings queue;
+    Policy::Placement::Settings placement;
+    Policy::WorkerHealth::Settings health;
+    Policy::Router::Settings router;
+    Policy::EvictionPlanner::Settings evictions;
+    double interRegionBytesPerSecond = 250'000;
+    /// How often the load summary for peers is renewed.
+    Common::Duration loadInterval = std::chrono::milliseconds(250);
+    /// Longest wait of a planned stop for the requests under way.
+    Common::Duration drainTimeout = std::chrono::seconds(60);
+};
+
+/// `boot` tells this run of the daemon from all others on the host.
+NodeSettings toNodeSettings(const Config::DaemonSettings&, const std::string& boot, const std::string& address);
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemon/RouteTable.h
@@ -0,0 +1,30 @@
+// Finds the handler of an HTTP call by method and path.
+#pragma once
+
+#include "Daemon/ApiTypes.h"
+
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+class RouteTable {
+public:
+    /// `pattern` is a path whose segments "*" match any one segment: "/v1/jobs/*".
+    void add(const std::string& method, const std::string& pattern, ApiHandler);
+    /// Answers UnknownRoute itself when nothing matches, and Internal when a handler throws.
+    void serve(Http::Request, const ApiReply&) const;
+
+private:
+    struct Route {
+        std::string method;
+        std::vector<std::string> segments;
+        ApiHandler handler;
+    };
+
+    static bool matches(const Route&, const std::vector<std::string>& segments);
+
+    std::vector<Route> m_routes;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Dispatch/Evictor.cpp
@@ -0,0 +1,89 @@
+// Carries out evictions.
+#include "Dispatch/Evictor.h"
+
+#include "Common/Metrics.h"
+#include "Dispatch/TaskPlaneService.h"
+#include "Scheduler/ClusterConfig.h"
+#include "Scheduler/ConfigView.h"
+#include "Scheduler/Runtime.h"
+#include "Scheduler/WorkerPort.h"
+
+namespace Dispatch {
+
+namespace {
+
+    prometheus::Counter& actionCounter(Common::Metrics& metrics, const char* action)
+    {
+        return metrics.counter(
+            "lavendercart_eviction_actions_total", "Steps to relieve workers", { { "action", action } });
+    }
+
+} // namespace
+
+Evictor::Evictor(const Scheduler::ServiceContext& context, Scheduler::ConfigView& config, Scheduler::WorkerFleet& fleet,
+    Scheduler::WorkerPort& workers, TaskPlaneService& tasks, Policy::EvictionPlanner::Settings settings)
+    : m_context(context)
+    , m_config(config)
+    , m_fleet(fleet)
+    , m_workers(workers)
+    , m_tasks(tasks)
+    , m_planner(settings)
+    , m_throttles(actionCounter(context.metrics, "throttle"))
+    , m_checkpoints(actionCounter(context.metrics, "checkpoint"))
+    , m_stops(actionCounter(context.metrics, "stop"))
+{
+}
+
+void Evictor::start()
+{
+    m_fleet.onChange(m_lifetime.guard([this](Scheduler::WorkerFleet::Change change,
+                                          const Scheduler::OwnedWorker& worker) { onFleetChange(change, worker); }));
+}
+
+void Evictor::onFleetChange(Scheduler::WorkerFleet::Change change, const Scheduler::OwnedWorker& worker)
+{
+    if (change == Scheduler::WorkerFleet::Change::Lost) {
+        m_planner.forget(worker.worker);
+        return;
+    }
+    const auto lookup = [this](const Scheduler::TaskReport& task) { return candidateFor(task); };
+    for (const Policy::EvictionAction& action : m_planner.plan(worker.report, lookup, m_context.runtime.now()))
+        carryOut(action, worker.address);
+}
+
+Policy::EvictionCandidate Evictor::candidateFor(const Scheduler::TaskReport& task) const
+{
+    Policy::EvictionCandidate candidate;
+    const Scheduler::TaskSpec* const spec = m_tasks.specOf(task.task);
+    const auto config = m_config.current();
+    if (!spec || !config)
+        return candidate;
+    const auto profile = config->profiles.find(spec->profile);
+    if (profile == config->profiles.end())
+        return candidate;
+    // Work that runs at most once could not be resumed.
+    candidate.evictable = profile->second.evictable && profile->second.idempotent;
+    candidate.priority = profile->second.priority;
+    candidate.minimumRunTime = profile->second.minimumRunTime;
+    return candidate;
+}
+
+void Evictor::carryOut(const Policy::EvictionAction& action, const std::string& address)
+{
+    switch (action.control) {
+    case Scheduler::TaskControl::Stop:
+        m_stops.Increment();
+        m_tasks.requestEviction(action.task);
+        return;
+    case Scheduler::TaskControl::Checkpoint:
+        m_checkpoints.Increment();
+        break;
+    case Scheduler::TaskControl::Throttle:
+    case Scheduler::TaskControl::Unthrottle:
+        m_throttles.Increment();
+        break;
+    }
+    m_workers.control(address, action.control, { action.task }, [](const auto&) {});
+}
+
+} // namespace Dispatch
--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -228,7 +228,8 @@
         if (candidate.scope == Policy::Router::Scope::Here)
             continue;
         const auto peer = m_parts.membership.find(candidate.daemon);
-        if (!peer || peer->draining || peer->freeSlots <= 0)
+        // A daemon that is about to stop would rather have its requests wait elsewhere.
+        if (!peer || peer->draining || (peer->freeSlots <= 0 && !m_draining))
             continue;
         if (candidate.scope == Policy::Router::Scope::OtherRegion && !m_parts.link.take(query.bytes, now))
             continue;
@@ -499,6 +500,24 @@
     finish(active, NotRun { passed });
 }
 
+void RequestService::setDraining()
+{
+    m_draining = true;
+    std::vector<ActivePointer> queued;
+    for (const auto& [id, active] : m_active) {
+        if (active->stage == Stage::Queued)
+            queued.push_back(active);
+    }
+    for (const ActivePointer& active : queued) {
+        const Common::MonoTime now = m_context.runtime.now();
+        if (!m_parts.queue.cancel(active->request.id, now))
+            continue;
+        active->admitted = false;
+        if (!forwardToPeer(active))
+            enqueue(active);
+    }
+}
+
 bool RequestService::cancel(const Common::RequestId& id)
 {
     const auto found = m_active.find(id);
--- a/Source/Core/Dispatch/RequestService.h
+++ b/Source/Core/Dispatch/RequestService.h
@@ -69,8 +69,8 @@
     /// Gives the request up: its outcome comes at once. False when it isn't under way here.
     bool cancel(const Common::RequestId&);
     size_t underWay() const { return m_active.size(); }
-    /// From now on only requests that peers can take are accepted; what is under way goes on.
-    void setDraining() { m_draining = true; }
+    /// From now on requests go to peers, those that wait included; what is dispatched goes on.
+    void setDraining();
 
 private:
     using ActivePointer = std::shared_ptr<ActiveRequest>;
--- a/Source/Core/Dispatch/TaskPlaneService.cpp
+++ b/Source/Core/Dispatch/TaskPlaneService.cpp
@@ -147,8 +147,11 @@
     });
     serve(controlMethod, [this](const json& params, const Reply& reply) {
         const Common::WorkerId worker(textMember(params, "worker"));
-        const auto action = static_cast<Scheduler::TaskControl>(params.value("action", 0));
-        controlHere(worker, action, tasksFromJson(params.value("tasks", json::array())));
+        const int action = params.value("action", -1);
+        if (action < 0 || action > static_cast<int>(Scheduler::TaskControl::Stop))
+            return reply(malformed);
+        controlHere(
+            worker, static_cast<Scheduler::TaskControl>(action), tasksFromJson(params.value("tasks", json::array())));
         reply(json::object());
     });
     serve(acknowledgeMethod, [this](const json& params, const Reply& reply) {
@@ -380,7 +383,7 @@
     }
     const auto teller = m_lastTeller.find(worker);
     if (teller != m_lastTeller.end()) {
-        if (const auto peer = m_parts.membership.find(teller->second))
+        if (const auto peer = m_parts.membership.find(teller->second.daemon))
             targets.push_back(*peer);
     }
     if (targets.empty())
@@ -466,11 +469,24 @@
 
 void TaskPlaneService::receiveView(const Scheduler::WorkerView& view, const Common::DaemonId& from)
 {
-    m_lastTeller[view.worker] = from;
+    if (const auto teller = m_parts.membership.find(from))
+        m_lastTeller[view.worker] = Teller { from, teller->domain };
     if (m_receiver)
         m_receiver(view);
 }
 
+bool TaskPlaneService::hearsDomainOf(const Common::WorkerId& worker) const
+{
+    if (m_parts.fleet.addressOf(worker))
+        return true;
+    const auto teller = m_lastTeller.find(worker);
+    if (teller == m_lastTeller.end())
+        return false;
+    const auto peers = m_parts.membership.livePeers();
+    return std::any_of(peers.begin(), peers.end(),
+        [&](const Scheduler::PeerInfo& peer) { return peer.domain == teller->second.domain; });
+}
+
 void TaskPlaneService::requestEviction(const Common::TaskId& task)
 {
     if (m_evict && m_evict(task))
--- a/Source/Core/Dispatch/TaskPlaneService.h
+++ b/Source/Core/Dispatch/TaskPlaneService.h
@@ -72,6 +72,8 @@
     void onEvict(Evict evict) { m_evict = std::move(evict); }
     /// Has the shard's owner evict the task, wherever that is.
     void requestEviction(const Common::TaskId&);
+    /// True when a daemon of the worker's domain is heard from, so that the worker's silence says something of it.
+    bool hearsDomainOf(const Common::WorkerId&) const;
     /// What was asked for when room for the task was kept here; nothing for adopted tasks.
     const Scheduler::TaskSpec* specOf(const Common::TaskId&) const;
 
@@ -126,7 +128,11 @@
     std::function<void(const Scheduler::WorkerView&)> m_receiver;
     std::unordered_map<Common::WorkerId, ViewState> m_views;
     /// Who last told of a worker that is not owned here.
-    std::unordered_map<Common::WorkerId, Common::DaemonId> m_lastTeller;
+    struct Teller {
+        Common::DaemonId daemon;
+        Common::DomainId domain;
+    };
+    std::unordered_map<Common::WorkerId, Teller> m_lastTeller;
     std::unordered_map<Common::TaskId, Scheduler::TaskSpec> m_specs;
     /// Ended tasks whose outcome was counted; they stay listed until acknowledged.
     std::unordered_map<Common::WorkerId, std::unordered_set<Common::TaskId>> m_counted;
