--- a/Source/Core/Membership/FleetService.h
+++ b/Source/Core/Membership/FleetService.h
@@ -1,6 +1,7 @@
 // Claims, syncs and watches the workers of the daemon's failure domain.
 #pragma once
 
+#include "Common/Event.h"
 #include "Membership/FleetSettings.h"
 #include "Membership/HostListKeeper.h"
 #include "Membership/WorkerOwnership.h"
@@ -13,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -70,23 +72,21 @@
 
 private:
     struct Entry {
-        explicit Entry(WorkerOwnership ownershipOfWorker)
-            : ownership(std::move(ownershipOfWorker))
-        {
-        }
+        Entry(Scheduler::HostEntry, const Common::DaemonId& self, const OwnershipSettings&);
 
         Scheduler::HostEntry host;
         /// False once the platform's list no longer names the worker.
         bool listed = true;
         Common::DaemonId assigned;
         WorkerOwnership ownership;
-        /// The newest report that was handled. `worker` in it may be empty when there is none.
+        /// The newest report that was handled; without an id while there is none.
         Scheduler::WorkerReport report;
+        /// Set by the last report of another owner's claim: it was renewed lately.
+        bool foreignClaimRenewed = false;
         std::set<Common::TaskId> toAcknowledge;
         bool syncing = false;
         bool queued = false;
-        /// Time before which no further sync is sent.
-        Common::MonoTime nextAllowed;
+        Common::MonoTime lastSent;
         std::optional<Scheduler::TimerId> timer;
         uint32_t misses = 0;
         bool leavingNoted = false;
@@ -95,21 +95,27 @@
     void takeHosts(const std::vector<Scheduler::HostEntry>&);
     void reassign();
     void applyAssignment(Entry&);
+    void applyWanted(Entry&);
     bool shouldWant(const Entry&) const;
-    bool isForeignClaimRenewed(const Entry&) const;
     bool needsSync(const Entry&) const;
     bool isLeaving(const Entry&) const;
-    void scheduleSync(Entry&, Common::Duration);
-    void enqueueSync(Entry&);
+    bool isUnreachable(const Entry&) const;
+    void scheduleSync(Entry&, Common::Duration delay);
+    void scheduleNextSync(Entry&);
+    void enqueueSync(const Common::WorkerId&);
     void sendQueued();
     void sendSync(Entry&);
-    Scheduler::SyncRequest makeRequest(Entry&, const WorkerOwnership::Ticket&) const;
+    Scheduler::SyncRequest makeRequest(const Entry&, const WorkerOwnership::Ticket&) const;
+    void finishSync(const Common::WorkerId&, const WorkerOwnership::Ticket&, const Scheduler::SyncRequest&,
+        const Common::Result<Scheduler::WorkerReport>&);
     void handleReport(Entry&, const WorkerOwnership::Ticket&, const Scheduler::WorkerReport&);
-    void handleFailure(Entry&);
-    void afterSync(Entry&);
-    void noteOutcome(Entry&, WorkerOwnership::Outcome);
+    void handleMiss(Entry&);
+    void noteForeignClaim(Entry&) const;
+    void announceOwned(Entry&);
+    void announceLost(Entry&);
+    void noteLeaving(Entry&);
     void announce(Change, const Entry&);
-    void removeIfGone(const Common::WorkerId&);
+    void record(Common::EventKind, const Entry&, const std::string& note);
     void finishDrainIfDone();
     Scheduler::OwnedWorker toOwnedWorker(const Entry&) const;
     Entry* find(const Common::WorkerId&);
@@ -121,11 +127,14 @@
     FleetSettings m_settings;
     HostListKeeper m_hosts;
     std::unordered_map<Common::WorkerId, std::unique_ptr<Entry>> m_entries;
+    /// Workers whose sync is due but waits for room among the concurrent ones.
     std::deque<Common::WorkerId> m_syncQueue;
     size_t m_syncsUnderWay = 0;
-    size_t m_ownedCount = 0;
+    /// Invariant: the entries in state Owned.
+    std::set<Common::WorkerId> m_owned;
     std::vector<Listener> m_listeners;
     std::function<void()> m_drained;
+    std::optional<Scheduler::TimerId> m_drainTimer;
     bool m_draining = false;
     prometheus::Counter& m_syncs;
     prometheus::Counter& m_syncFailures;
--- a/Source/Core/Membership/FleetSettings.h
+++ b/Source/Core/Membership/FleetSettings.h
@@ -19,13 +19,15 @@
     Common::Duration minimumSyncGap = std::chrono::milliseconds(200);
     /// First syncs of workers that are newly assigned are spread over this.
     Common::Duration firstSyncSpread = std::chrono::milliseconds(250);
-    size_t maximumConcurrentSyncs = 128;
+    size_t maximumConcurrentSyncs = 384;
     /// A task survives its owner's death by this.
     std::chrono::milliseconds taskLease { 15000 };
     Common::Duration hostListInterval = std::chrono::seconds(2);
     Common::Duration hostListTimeout = std::chrono::seconds(1);
     /// A worker that missed so many syncs in a row counts as unreachable.
     uint32_t unreachableAfterMisses = 3;
+    /// Unreachable workers are tried at this rate.
+    Common::Duration unreachableSyncInterval = std::chrono::seconds(3);
 };
 
 } // namespace Membership
--- a/Source/Core/Membership/HostListKeeper.h
+++ b/Source/Core/Membership/HostListKeeper.h
@@ -1,10 +1,10 @@
 // Keeps the host list of the daemon's domain, through outages of the store.
 #pragma once
 
-#include "Common/HybridTime.h"
 #include "Common/Result.h"
 #include "Membership/FleetSettings.h"
 #include "Membership/HostListMessage.h"
+#include "Scheduler/PeerInfo.h"
 #include "Scheduler/Runtime.h"
 #include "Scheduler/ServiceContext.h"
 
@@ -24,7 +24,8 @@
 namespace Membership {
 
 /// One daemon a domain, the lister, asks the store every hostListInterval; the others ask the lister, and anyone asks
-/// a random peer when that fails. The last list is kept until there is a later one.
+/// a random peer when that fails. Store calls: one every hostListInterval a domain; while lists stay away, one every
+/// fourth interval a daemon besides. The last list is kept until there is a later one.
 class HostListKeeper {
 public:
     using Listener = std::function<void(const std::vector<Scheduler::HostEntry>&)>;
@@ -42,11 +43,12 @@
     void askStore();
     void askPeer(const std::string& address);
     void askAnyPeer();
-    bool isLister() const;
-    std::vector<std::string> domainPeers() const;
-    std::string listerAddress() const;
+    bool isOverdue() const;
+    /// The daemon of the domain that asks the store.
+    Scheduler::PeerInfo lister() const;
+    std::vector<Scheduler::PeerInfo> domainPeers() const;
     void serve(const nlohmann::json& params, const std::function<void(Common::Result<nlohmann::json>)>& reply) const;
-    void take(HostListMessage);
+    void take(const HostListMessage&);
 
     Scheduler::ServiceContext m_context;
     Scheduler::StorePort& m_store;
@@ -55,6 +57,8 @@
     FleetSettings m_settings;
     Listener m_listener;
     HostListMessage m_list;
+    /// When the list last proved to be current.
+    Common::MonoTime m_refreshedAt;
     Scheduler::TimerId m_timer;
     std::shared_ptr<int> m_lifetime;
 };
--- a/Source/Core/Membership/MembershipService.h
+++ b/Source/Core/Membership/MembershipService.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,9 +57,10 @@
         bool live = false;
         Scheduler::PeerInfo peer;
         int64_t startedAtMilliseconds = 0;
+        /// The sender's stamp in its newest message; older ones are ignored.
+        Common::HybridTime messageTime;
         Common::MonoTime heardAt;
-        Common::MonoTime sentAt;
-        bool sent = false;
+        std::optional<Common::MonoTime> sentAt;
         uint32_t heartbeats = 0;
     };
 
@@ -67,12 +69,16 @@
     void sendDueHeartbeats();
     bool isDue(const Row&) const;
     Common::Duration intervalOf(const Scheduler::PeerInfo&) const;
-    void sendHeartbeat(const std::string& address, Row&, std::function<void()> done);
-    HeartbeatMessage makeMessage(bool withAddresses);
+    void sendToAllLive(bool leaving, const std::function<void()>& done);
+    void sendHeartbeat(const std::string& address, Row&, bool leaving, const std::function<void()>& done);
+    HeartbeatMessage makeMessage(bool withAddresses, bool leaving);
     void handleMessage(const HeartbeatMessage&);
     void markLive(Row&, const HeartbeatMessage&);
-    void markDown(Row&, const char* reason);
-    void addAddress(const std::string& address, bool seed);
+    void markDown(Row&, const std::string& reason);
+    void learnAddress(const std::string& address, bool seed);
+    Row& rowOf(const std::string& address);
+    void forgetOldRows();
+    bool isSessionLister() const;
     void notify();
 
     Scheduler::ServiceContext m_context;
@@ -81,7 +87,7 @@
     MembershipSettings m_settings;
     int64_t m_startedAtMilliseconds;
     SessionKeeper m_session;
-    /// By address. Invariant: at most one row is live for a daemon id; the daemon's own address has none.
+    /// By address. Invariant: the daemon's own address has none.
     std::map<std::string, Row> m_rows;
     std::vector<std::function<void()>> m_listeners;
     Scheduler::TimerId m_timer;
--- a/Source/Core/Membership/MembershipSettings.h
+++ b/Source/Core/Membership/MembershipSettings.h
@@ -18,7 +18,7 @@
     uint32_t gossipEvery = 8;
     /// How often an address is tried that does not answer, and when it is forgotten unless it is a seed.
     Common::Duration probeInterval = std::chrono::seconds(2);
-    Common::Duration forgetAfter = std::chrono::minutes(5);
+    Common::Duration forgetAfter = std::chrono::minutes(2);
     Common::Duration callTimeout = std::chrono::milliseconds(1000);
     /// Calls to the store: a renewal every renewInterval a daemon, a listing every listInterval a domain,
     /// and while it fails one try every retryInterval.
--- a/Source/Core/Membership/SessionKeeper.h
+++ b/Source/Core/Membership/SessionKeeper.h
@@ -41,11 +41,10 @@
     void grant();
     void writeRow(Common::StoreRevision expected);
     void resolveConflict();
-    void listMembers(bool always);
+    void listMembers();
     void handleMembers(const std::vector<Scheduler::StoreValue>&);
     void scheduleRenew(Common::Duration);
     void scheduleList(Common::Duration);
-    bool noteStore(bool worked);
     std::string key() const;
 
     Scheduler::ServiceContext m_context;
--- a/Source/Core/Membership/WorkerOwnership.cpp
+++ b/Source/Core/Membership/WorkerOwnership.cpp
@@ -46,14 +46,16 @@
 bool WorkerOwnership::setWanted(bool wanted)
 {
     if (wanted) {
-        if (m_state == State::Unclaimed || m_state == State::Yielding)
-            endOwnership(State::Claiming);
+        if (m_state == State::Claiming || m_state == State::Owned)
+            return false;
+        endOwnership(State::Claiming);
+        if (hasReport())
+            chooseTerm();
         return false;
     }
     if (m_state == State::Unclaimed || m_state == State::Yielding)
         return false;
-    // A claim may be on its way even if no report has shown it yet.
-    return endOwnership(m_term ? State::Yielding : State::Unclaimed) == Outcome::Lost;
+    return endOwnership(m_claimSent ? State::Yielding : State::Unclaimed) == Outcome::Lost;
 }
 
 WorkerOwnership::Ticket WorkerOwnership::beginSync(Common::MonoTime now)
@@ -64,6 +66,7 @@
     ticket.withdraw = m_state == State::Yielding;
     if (m_state == State::Claiming || m_state == State::Owned)
         ticket.claim = m_term;
+    m_claimSent = m_claimSent || ticket.claim;
     return ticket;
 }
 
@@ -75,8 +78,6 @@
     const bool rebooted = report.boot != m_boot;
     const Common::WorkerTime previousClock = std::exchange(m_lastClock, report.clock);
     m_boot = report.boot;
-    if (rebooted)
-        m_highestTerm = Common::ClaimTerm {};
     noteTerms(report);
 
     const std::optional<Scheduler::WorkerClaim> counting = countingClaim(report);
@@ -98,7 +99,7 @@
         return handleCounting(ticket, previousClock);
     // Guard CLAIM_CHECK: the claim lapsed, is outranked, or went with the boot. Anew, under a term above all.
     const Outcome outcome = endOwnership(State::Claiming);
-    m_term = Common::ClaimTerm { std::max(m_highestTerm.value + 1, report.clock.milliseconds) };
+    chooseTerm();
     return outcome;
 }
 
@@ -106,13 +107,17 @@
 {
     if (m_state != State::Owned || now < m_authorityEndsAt)
         return false;
-    const std::optional<Common::ClaimTerm> term = m_term;
-    endOwnership(State::Claiming);
     // The claim itself may still stand; the wait begins again with the next report that shows it.
-    m_term = term;
+    endOwnership(State::Claiming);
     return true;
 }
 
+void WorkerOwnership::abandon()
+{
+    if (m_state == State::Yielding)
+        endOwnership(State::Unclaimed);
+}
+
 bool WorkerOwnership::needsSyncNow() const
 {
     if (m_state == State::Yielding)
@@ -120,6 +125,14 @@
     return m_state == State::Claiming && m_term && !m_waitFrom;
 }
 
+std::optional<std::chrono::milliseconds> WorkerOwnership::waitLeft() const
+{
+    if (m_state != State::Claiming || !m_waitFrom)
+        return std::nullopt;
+    const Common::WorkerTime end = *m_waitFrom + m_settings.startWindow;
+    return std::chrono::milliseconds(end.milliseconds - m_lastClock.milliseconds);
+}
+
 bool WorkerOwnership::isStale(const Ticket& ticket, const Scheduler::WorkerReport& report) const
 {
     if (ticket.sequence <= m_lastHandled)
@@ -158,9 +171,18 @@
     const bool wasOwned = m_state == State::Owned;
     m_state = next;
     m_waitFrom.reset();
-    if (next == State::Unclaimed)
+    if (next == State::Unclaimed) {
         m_term.reset();
+        m_claimSent = false;
+    }
     return wasOwned ? Outcome::Lost : Outcome::Noted;
 }
 
+void WorkerOwnership::chooseTerm()
+{
+    // Above all that was seen; the clock makes terms grow even after all claims have lapsed.
+    m_highestTerm = Common::ClaimTerm { std::max(m_highestTerm.value + 1, m_lastClock.milliseconds) };
+    m_term = m_highestTerm;
+}
+
 } // namespace Membership
--- a/Source/Core/Membership/WorkerOwnership.h
+++ b/Source/Core/Membership/WorkerOwnership.h
@@ -60,6 +60,9 @@
     /// Drops ownership whose authority has run out. Yields true when ownership was lost by this.
     bool expire(Common::MonoTime now);
 
+    /// Leaves a claim that can't be withdrawn, on a silent worker, to lapse.
+    void abandon();
+
     State state() const { return m_state; }
     /// Whether work may be started now.
     bool hasAuthority(Common::MonoTime now) const { return m_state == State::Owned && now < m_authorityEndsAt; }
@@ -74,18 +77,25 @@
     Common::WorkerTime lastClock() const { return m_lastClock; }
     /// True when a sync should follow at once: a claim is to be made or withdrawn.
     bool needsSyncNow() const;
+    /// What is left of the wait on the worker's clock by the last report; nothing unless a counting claim waits.
+    std::optional<std::chrono::milliseconds> waitLeft() const;
 
 private:
+    bool hasReport() const { return !m_boot.empty(); }
     bool isStale(const Ticket&, const Scheduler::WorkerReport&) const;
     void noteTerms(const Scheduler::WorkerReport&);
     Outcome handleCounting(const Ticket&, Common::WorkerTime previousClock);
     Outcome endOwnership(State);
+    void chooseTerm();
 
     Common::DaemonId m_self;
     OwnershipSettings m_settings;
     State m_state = State::Unclaimed;
     /// The term under which the claim is made; none until the worker's claims have been read.
     std::optional<Common::ClaimTerm> m_term;
+    /// A sync with the claim was sent, so that the worker may hold it.
+    bool m_claimSent = false;
+    /// The highest term that was seen or chosen.
     Common::ClaimTerm m_highestTerm;
     uint64_t m_lastSent = 0;
     uint64_t m_lastHandled = 0;
