Keep a shard's log in a ring of slots; run non-idempotent requests at most once

Cause: jobs and at-most-once requests need a durable record that survives daemons, pauses and lost answers. Change: LedgerLog (recovery, fence entry, group commits with read-back, paced by a bucket of tokens), SnapshotWriter (alternating sides, parts under compare-and-swap and epochs), ShardOwners (rendezvous, jitter, two recoveries at once), IntentService, and FakeStore for tests.

--- a/Source/Core/Ledger/IntentService.h
+++ b/Source/Core/Ledger/IntentService.h
@@ -34,13 +34,14 @@
 
     using Verdict = std::variant<Fresh, Answered, NotRun, Unknown>;
     using Outcome = std::variant<Scheduler::RunAnswer, NotRun, Unknown>;
+    using Callback = Common::Callback<Verdict>;
 
     IntentService(const Scheduler::ServiceContext&, ShardOwners&, const LedgerSettings&);
     ~IntentService();
 
     /// Each failure proves that this call started nothing: NotOwner, StoreUnavailable (within acceptTimeout) and
     /// Overloaded. A repeat of an id that is under way waits and gets that run's outcome instead of Fresh.
-    void begin(const Common::RequestId&, Common::Callback<Verdict>);
+    void begin(const Common::RequestId&, Callback);
     /// Ends the run that begin() answered with Fresh. NotRun removes the intent, so that a repeat may run.
     void finish(const Common::RequestId&, const Outcome&);
 
--- a/Source/Core/Ledger/JobAttempt.h
+++ b/Source/Core/Ledger/JobAttempt.h
@@ -4,7 +4,9 @@
 #include "Common/Ids.h"
 #include "Common/Units.h"
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace Ledger {
 
@@ -33,5 +35,6 @@
 };
 
 std::string_view attemptEndName(AttemptEnd);
+std::optional<AttemptEnd> attemptEndFromName(std::string_view);
 
 } // namespace Ledger
--- /dev/null
+++ b/Source/Core/Ledger/LedgerShard.h
@@ -0,0 +1,47 @@
+// A shard that this process owns or is about to: its log and the state that the log makes.
+#pragma once
+
+#include "Common/Result.h"
+#include "Ledger/LedgerLog.h"
+#include "Ledger/LedgerSettings.h"
+#include "Ledger/ShardIndex.h"
+#include "Ledger/ShardState.h"
+#include "Scheduler/ServiceContext.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace Ledger {
+
+/// Invariant: `state()` is exactly what the committed deltas make, less what retention has dropped.
+class LedgerShard {
+public:
+    LedgerShard(const Scheduler::ServiceContext&, Scheduler::StorePort&, ShardIndex, const Common::DaemonId&,
+        const LedgerSettings&);
+
+    void recover(Common::Callback<Common::Done>);
+    void onFenced(std::function<void()> action) { m_log.onFenced(std::move(action)); }
+    void release(std::function<void()> done) { m_log.release(std::move(done)); }
+
+    ShardIndex index() const { return m_index; }
+    uint64_t epoch() const { return m_log.epoch(); }
+    const ShardState& state() const { return m_state; }
+    /// Makes the change durable, applies it, then calls `done`. Fails as LedgerLog::append does.
+    LedgerLog::Ticket commit(LedgerDelta, Common::Callback<Common::Done>);
+    bool withdraw(LedgerLog::Ticket ticket) { return m_log.withdraw(ticket); }
+    size_t waiting() const { return m_log.waiting(); }
+
+    std::vector<Common::RequestId> pruneIntents();
+    std::vector<Common::JobId> pruneJobs();
+
+private:
+    Common::Result<Common::Done> replay(const LedgerLog::Recovered&);
+
+    Scheduler::ServiceContext m_context;
+    ShardIndex m_index;
+    const LedgerSettings& m_settings;
+    ShardState m_state;
+    LedgerLog m_log;
+};
+
+} // namespace Ledger
