Fill in the decisions under load and colocation

Ruled out so far: mean run times (a few long runs would refuse everything), ejection by a plain failure share (a poison job or a failing service would eject good workers). Not measured yet.

--- /dev/null
+++ b/Source/Core/Policy/AdmissionQueue.cpp
@@ -0,0 +1,329 @@
+// Admission by estimated wait, and the order of the queue.
+#include "Policy/AdmissionQueue.h"
+
+#include "Common/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Policy {
+
+using Common::Duration;
+using Common::ErrorCode;
+using Common::Failure;
+using Common::MonoTime;
+using Scheduler::Profile;
+
+namespace {
+
+    /// Shares of the dispatches while all priorities have requests waiting, by priority from Low to Urgent.
+    constexpr std::array<uint64_t, 4> classWeights { 1, 4, 32, 256 };
+    constexpr uint64_t strideUnit = 1 << 16;
+
+    constexpr Duration longestEstimate = std::chrono::hours(1);
+
+    size_t classOf(const QueuedRequest& request) { return static_cast<size_t>(request.priority); }
+
+    Duration seconds(double value)
+    {
+        const double longest = std::chrono::duration<double>(longestEstimate).count();
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(value, longest)));
+    }
+
+    /// A number from 0 to 1 that spreads callers evenly.
+    double spread(const Common::RequestId& id, MonoTime now)
+    {
+        constexpr double range = 1 << 20;
+        const uint64_t mixed = Common::stableHash(id.value()) + 0x9E3779B97F4A7C15ULL * now.time_since_epoch().count();
+        return static_cast<double>((mixed ^ (mixed >> 29)) % (1 << 20)) / range;
+    }
+
+    const char* explain(ErrorCode code)
+    {
+        switch (code) {
+        case ErrorCode::NoConfiguration:
+            return "no configuration is known yet";
+        case ErrorCode::UnknownProfile:
+            return "the profile is not in the configuration";
+        case ErrorCode::DeadlinePassed:
+            return "the deadline has passed";
+        case ErrorCode::DuplicateId:
+            return "a request with this id is waiting";
+        case ErrorCode::QuotaExceeded:
+            return "the team has as many requests under way as its quota allows";
+        case ErrorCode::DeadlineUnreachable:
+            return "the answer would come after the deadline";
+        default:
+            return "the queue is full";
+        }
+    }
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(Settings settings)
+    : m_settings(settings)
+{
+}
+
+void AdmissionQueue::setConfig(std::shared_ptr<const Scheduler::ClusterConfig> config)
+{
+    m_config = std::move(config);
+    std::erase_if(m_profiles, [this](const auto& entry) { return !entry.second.queued && !profile(entry.first); });
+}
+
+AdmissionQueue::Offer AdmissionQueue::offer(const QueuedRequest& request, MonoTime now)
+{
+    const Key key { latestStart(request, now), ++m_lastSequence };
+    if (std::optional<Failure> failure = refusal(request, key, now))
+        return Refused { std::move(*failure) };
+    insert(request, key, now);
+    ++m_underWay[request.team];
+    return Admitted {};
+}
+
+std::optional<QueuedRequest> AdmissionQueue::takeNext(MonoTime now)
+{
+    const std::optional<size_t> next = nextClass(now);
+    if (!next)
+        return std::nullopt;
+    PriorityClass& priorityClass = m_classes[*next];
+    const QueuedRequest request = priorityClass.entries.lower_bound(Key { now, 0 })->second;
+    m_virtualTime = priorityClass.pass;
+    priorityClass.pass += strideUnit / classWeights[*next];
+    m_drainRate.onDispatched(now);
+    erase(request.id, now);
+    return request;
+}
+
+std::vector<Common::RequestId> AdmissionQueue::dropExpired(MonoTime now)
+{
+    std::vector<Common::RequestId> dropped;
+    for (PriorityClass& priorityClass : m_classes) {
+        while (!priorityClass.entries.empty() && priorityClass.entries.begin()->first.first < now) {
+            const QueuedRequest& first = priorityClass.entries.begin()->second;
+            dropped.push_back(first.id);
+            leaveTeam(first.team);
+            erase(dropped.back(), now);
+        }
+    }
+    return dropped;
+}
+
+bool AdmissionQueue::cancel(const Common::RequestId& id, MonoTime now)
+{
+    const auto place = m_byId.find(id);
+    if (place == m_byId.end())
+        return false;
+    leaveTeam(m_classes[place->second.priorityClass].entries.find(place->second.key)->second.team);
+    erase(Common::RequestId(id), now);
+    return true;
+}
+
+void AdmissionQueue::putBack(const QueuedRequest& request, MonoTime now)
+{
+    if (m_byId.contains(request.id))
+        return;
+    const size_t index = classOf(request);
+    m_drainRate.undoDispatch();
+    insert(request, Key { latestStart(request, now), ++m_lastSequence }, now);
+    PriorityClass& priorityClass = m_classes[index];
+    priorityClass.pass -= std::min(priorityClass.pass, strideUnit / classWeights[index]);
+}
+
+void AdmissionQueue::onCompleted(
+    const Common::ProfileName& name, const Common::TeamName& team, Duration runTime, bool answered, MonoTime now)
+{
+    leaveTeam(team);
+    if (!profile(name))
+        return;
+    RunTimeEstimate& estimate = m_profiles[name].runTime;
+    // Work given up early tells only that it takes longer.
+    if (answered || runTime > estimate.value(now))
+        estimate.add(runTime, now);
+}
+
+std::optional<MonoTime> AdmissionQueue::nextExpiry() const
+{
+    std::optional<MonoTime> next;
+    for (const PriorityClass& priorityClass : m_classes) {
+        if (priorityClass.entries.empty())
+            continue;
+        const MonoTime expiry = priorityClass.entries.begin()->first.first + Duration(1);
+        next = next ? std::min(*next, expiry) : expiry;
+    }
+    return next;
+}
+
+uint32_t AdmissionQueue::underWay(const Common::TeamName& team) const
+{
+    const auto found = m_underWay.find(team);
+    return found == m_underWay.end() ? 0 : found->second;
+}
+
+Duration AdmissionQueue::runTime(const Common::ProfileName& name, MonoTime now) const
+{
+    const auto found = m_profiles.find(name);
+    return found == m_profiles.end() ? Duration::zero() : found->second.runTime.value(now);
+}
+
+Duration AdmissionQueue::estimatedWait(Scheduler::Priority priority, MonoTime now) const
+{
+    const auto index = static_cast<size_t>(priority);
+    return waitBehind(index, m_classes[index].entries.size(), now);
+}
+
+std::optional<Failure> AdmissionQueue::refusal(const QueuedRequest& request, const Key& key, MonoTime now)
+{
+    const auto refuse = [&](ErrorCode code, std::optional<Duration> comeBack) {
+        return Failure { code, explain(code), comeBack };
+    };
+    if (!m_config)
+        return refuse(ErrorCode::NoConfiguration, retryAfter(request.id, now));
+    const Profile* rules = profile(request.profile);
+    if (!rules)
+        return refuse(ErrorCode::UnknownProfile, std::nullopt);
+    if (request.deadline <= now)
+        return refuse(ErrorCode::DeadlinePassed, std::nullopt);
+    if (m_byId.contains(request.id))
+        return refuse(ErrorCode::DuplicateId, std::nullopt);
+    const auto team = m_config->teams.find(request.team);
+    const uint32_t limit = team == m_config->teams.end() ? 0 : team->second.maximumConcurrentRequests;
+    if (limit > 0 && underWay(request.team) >= limit)
+        return refuse(ErrorCode::QuotaExceeded, retryAfter(request.id, now));
+    if (m_byId.size() >= m_settings.maximumQueued || m_profiles[request.profile].queued >= rules->maximumQueued)
+        return refuse(ErrorCode::Overloaded, retryAfter(request.id, now));
+    if (const std::optional<ErrorCode> code = waitRefusal(request, key, now))
+        return refuse(*code, retryAfter(request.id, now));
+    return std::nullopt;
+}
+
+std::optional<ErrorCode> AdmissionQueue::waitRefusal(const QueuedRequest& request, const Key& key, MonoTime now) const
+{
+    const size_t index = classOf(request);
+    const PriorityClass& priorityClass = m_classes[index];
+    const size_t expired = priorityClass.entries.order_of_key(Key { now, 0 });
+    const size_t before = priorityClass.entries.order_of_key(key);
+    const Duration wait = waitBehind(index, before - std::min(before, expired), now);
+    if (now + wait + expectedRunTime(request, now) > request.deadline)
+        return ErrorCode::DeadlineUnreachable;
+    if (wait > allowedWait(index, *profile(request.profile), now))
+        return ErrorCode::Overloaded;
+    return std::nullopt;
+}
+
+const Profile* AdmissionQueue::profile(const Common::ProfileName& name) const
+{
+    if (!m_config)
+        return nullptr;
+    const auto found = m_config->profiles.find(name);
+    return found == m_config->profiles.end() ? nullptr : &found->second;
+}
+
+Duration AdmissionQueue::expectedRunTime(const QueuedRequest& request, MonoTime now) const
+{
+    const auto found = m_profiles.find(request.profile);
+    if (found == m_profiles.end() || !found->second.runTime.known())
+        return request.expectedRunTime;
+    return found->second.runTime.value(now);
+}
+
+MonoTime AdmissionQueue::latestStart(const QueuedRequest& request, MonoTime now) const
+{
+    const MonoTime byDeadline = request.deadline - expectedRunTime(request, now);
+    const Profile* rules = profile(request.profile);
+    return rules ? std::min(byDeadline, request.arrival + rules->maximumQueueTime) : byDeadline;
+}
+
+Duration AdmissionQueue::waitBehind(size_t priorityClass, size_t ahead, MonoTime now) const
+{
+    const std::optional<double> rate = m_drainRate.perSecond(now);
+    if (ahead == 0 || !rate)
+        return Duration::zero();
+    uint64_t weights = 0;
+    size_t others = 0;
+    for (size_t index = 0; index < classCount; ++index) {
+        if (index == priorityClass || m_classes[index].entries.empty())
+            continue;
+        weights += classWeights[index];
+        others += m_classes[index].entries.size();
+    }
+    const uint64_t own = classWeights[priorityClass];
+    const double share = static_cast<double>(own) / static_cast<double>(own + weights);
+    // Its share of the rate while the others have work, and never longer than until all are gone.
+    const double byShare = static_cast<double>(ahead) / share;
+    const double behindAll = static_cast<double>(ahead + others);
+    constexpr double slowestRate = 1e-3;
+    return seconds(std::min(byShare, behindAll) / std::max(*rate, slowestRate));
+}
+
+Duration AdmissionQueue::allowedWait(size_t index, const Profile& rules, MonoTime now) const
+{
+    const PriorityClass& priorityClass = m_classes[index];
+    const bool overloaded
+        = !priorityClass.entries.empty() && now - priorityClass.waitingSince >= m_settings.overloadInterval;
+    if (!overloaded)
+        return rules.maximumQueueTime;
+    return rules.maximumQueueTime * m_settings.standingWaitPercent / 100;
+}
+
+Duration AdmissionQueue::retryAfter(const Common::RequestId& id, MonoTime now)
+{
+    // Each refused caller is given the next free place in time, so that they return at the rate that can be served.
+    const double rate = m_drainRate.perSecond(now).value_or(0);
+    const Duration place = rate > 0 ? seconds(1 / rate) : m_settings.shortestRetryAfter;
+    const MonoTime latest = now + m_settings.longestRetryAfter;
+    m_returnsBookedUntil = std::min(latest, std::max(m_returnsBookedUntil, now) + place);
+    const Duration booked = m_returnsBookedUntil - now;
+    const auto jittered = std::chrono::duration_cast<Duration>(booked * (0.5 + 0.5 * spread(id, now)));
+    return std::max(jittered, m_settings.shortestRetryAfter);
+}
+
+void AdmissionQueue::insert(const QueuedRequest& request, const Key& key, MonoTime now)
+{
+    const size_t index = classOf(request);
+    PriorityClass& priorityClass = m_classes[index];
+    if (priorityClass.entries.empty()) {
+        priorityClass.pass = std::max(priorityClass.pass, m_virtualTime);
+        priorityClass.waitingSince = now;
+    }
+    priorityClass.entries.insert({ key, request });
+    m_byId.emplace(request.id, Place { index, key });
+    ++m_profiles[request.profile].queued;
+    m_drainRate.setBacklogged(true, now);
+}
+
+void AdmissionQueue::erase(const Common::RequestId& id, MonoTime now)
+{
+    const auto place = m_byId.find(id);
+    const auto [index, key] = place->second;
+    Entries& entries = m_classes[index].entries;
+    const auto entry = entries.find(key);
+    --m_profiles[entry->second.profile].queued;
+    entries.erase(entry);
+    m_byId.erase(place);
+    if (m_byId.empty())
+        m_drainRate.setBacklogged(false, now);
+}
+
+void AdmissionQueue::leaveTeam(const Common::TeamName& team)
+{
+    const auto found = m_underWay.find(team);
+    if (found != m_underWay.end() && --found->second == 0)
+        m_underWay.erase(found);
+}
+
+std::optional<size_t> AdmissionQueue::nextClass(MonoTime now) const
+{
+    std::optional<size_t> best;
+    // From the highest priority down: it wins ties.
+    for (size_t index = classCount; index-- > 0;) {
+        const PriorityClass& priorityClass = m_classes[index];
+        if (priorityClass.entries.lower_bound(Key { now, 0 }) == priorityClass.entries.end())
+            continue;
+        if (!best || priorityClass.pass < m_classes[*best].pass)
+            best = index;
+    }
+    return best;
+}
+
+} // namespace Policy
--- a/Source/Core/Policy/AdmissionQueue.h
+++ b/Source/Core/Policy/AdmissionQueue.h
@@ -31,10 +31,10 @@
     struct Settings {
         /// Bound on all waiting requests, whatever the profiles say.
         size_t maximumQueued = 20000;
-        /// A queue that has not been shorter than this share of the profile's maximumQueueTime for a whole
-        /// `overloadInterval` is overloaded; newcomers then wait at most this share.
+        /// A priority that has had requests waiting for a whole `overloadInterval` is overloaded; newcomers are then
+        /// admitted only if they wait at most this share of the profile's maximumQueueTime. Bursts get all of it.
         uint32_t standingWaitPercent = 20;
-        Common::Duration overloadInterval = std::chrono::milliseconds(200);
+        Common::Duration overloadInterval = std::chrono::milliseconds(500);
         Common::Duration shortestRetryAfter = std::chrono::milliseconds(50);
         Common::Duration longestRetryAfter = std::chrono::seconds(5);
     };
@@ -72,7 +72,7 @@
     /// Requests of the team that wait or run.
     uint32_t underWay(const Common::TeamName&) const;
     Common::Duration runTime(const Common::ProfileName&, Common::MonoTime now) const;
-    /// How long a request of this priority, and with all the time in the world, would wait.
+    /// How long a request would wait that goes behind all others of its priority.
     Common::Duration estimatedWait(Scheduler::Priority, Common::MonoTime now) const;
 
 private:
@@ -86,6 +86,8 @@
         Entries entries;
         /// Virtual time of stride scheduling; the non-empty class with the lowest one goes next.
         uint64_t pass = 0;
+        /// Since when it has not been empty; meaningful only while it is not.
+        Common::MonoTime waitingSince;
     };
     struct Place {
         size_t priorityClass = 0;
@@ -96,17 +98,18 @@
         RunTimeEstimate runTime;
     };
 
-    std::optional<Common::Failure> refusal(const QueuedRequest&, const Scheduler::Profile&, Common::MonoTime now);
-    Common::Failure refuse(Common::ErrorCode, const char* detail, const QueuedRequest&, Common::MonoTime now);
+    std::optional<Common::Failure> refusal(const QueuedRequest&, const Key&, Common::MonoTime now);
+    std::optional<Common::ErrorCode> waitRefusal(const QueuedRequest&, const Key&, Common::MonoTime now) const;
+    const Scheduler::Profile* profile(const Common::ProfileName&) const;
     Common::Duration expectedRunTime(const QueuedRequest&, Common::MonoTime now) const;
     Common::MonoTime latestStart(const QueuedRequest&, Common::MonoTime now) const;
     Common::Duration waitBehind(size_t priorityClass, size_t ahead, Common::MonoTime now) const;
+    Common::Duration allowedWait(size_t priorityClass, const Scheduler::Profile&, Common::MonoTime now) const;
+    Common::Duration retryAfter(const Common::RequestId&, Common::MonoTime now);
     void insert(const QueuedRequest&, const Key&, Common::MonoTime now);
-    void remove(const Common::RequestId&, const Place&);
+    void erase(const Common::RequestId&, Common::MonoTime now);
     void leaveTeam(const Common::TeamName&);
-    void noteWait(Common::Duration wait, Common::MonoTime now);
-    bool overloaded(Common::Duration target, Common::MonoTime now) const;
-    const PriorityClass* firstClass(Common::MonoTime now) const;
+    std::optional<size_t> nextClass(Common::MonoTime now) const;
 
     Settings m_settings;
     std::shared_ptr<const Scheduler::ClusterConfig> m_config;
@@ -118,10 +121,6 @@
     DrainRate m_drainRate;
     uint64_t m_lastSequence = 0;
     uint64_t m_virtualTime = 0;
-    /// Shortest wait of a dispatched request in the current and in the previous overload interval.
-    Common::MonoTime m_intervalStart;
-    Common::Duration m_shortestWait = Common::Duration::max();
-    Common::Duration m_previousShortestWait {};
     /// Up to when the capacity has been promised to refused callers.
     Common::MonoTime m_returnsBookedUntil;
 };
--- /dev/null
+++ b/Source/Core/Policy/DrainRate.cpp
@@ -0,0 +1,70 @@
+// The decaying counts behind the drain rate.
+#include "Policy/DrainRate.h"
+
+#include <cmath>
+
+namespace Policy {
+
+namespace {
+
+    using Seconds = std::chrono::duration<double>;
+
+    constexpr double windowSeconds = 1.0;
+    constexpr double shortestMeasureSeconds = 0.05;
+    constexpr Common::Duration longestUnused = std::chrono::seconds(10);
+
+} // namespace
+
+void DrainRate::setBacklogged(bool backlogged, Common::MonoTime now)
+{
+    if (backlogged == m_backlogged)
+        return;
+    advance(now);
+    m_backlogged = backlogged;
+}
+
+void DrainRate::onDispatched(Common::MonoTime now)
+{
+    advance(now);
+    // A request that found nothing before it tells nothing of the rate.
+    if (m_backlogged && m_backloggedSeconds > 0)
+        m_dispatches += 1;
+}
+
+void DrainRate::undoDispatch()
+{
+    if (m_dispatches >= 1)
+        m_dispatches -= 1;
+}
+
+std::optional<double> DrainRate::perSecond(Common::MonoTime now) const
+{
+    if (!m_backlogged && now - m_advancedTo > longestUnused)
+        return std::nullopt;
+    const double waiting = m_backlogged ? Seconds(now - m_advancedTo).count() : 0;
+    const double seconds = m_backloggedSeconds + waiting;
+    if (seconds < shortestMeasureSeconds)
+        return std::nullopt;
+    return m_dispatches / seconds;
+}
+
+void DrainRate::advance(Common::MonoTime now)
+{
+    const Common::Duration passed = now - m_advancedTo;
+    m_advancedTo = now;
+    if (!m_backlogged) {
+        if (passed > longestUnused) {
+            m_dispatches = 0;
+            m_backloggedSeconds = 0;
+        }
+        return;
+    }
+    if (passed <= Common::Duration::zero())
+        return;
+    const double seconds = Seconds(passed).count();
+    const double kept = std::exp(-seconds / windowSeconds);
+    m_dispatches *= kept;
+    m_backloggedSeconds = m_backloggedSeconds * kept + seconds;
+}
+
+} // namespace Policy
--- a/Source/Core/Policy/DrainRate.h
+++ b/Source/Core/Policy/DrainRate.h
@@ -14,6 +14,8 @@
     void setBacklogged(bool, Common::MonoTime now);
     /// One request left the queue for a worker.
     void onDispatched(Common::MonoTime now);
+    /// The request that was dispatched last came back.
+    void undoDispatch();
     /// Nothing until the queue has been backlogged for long enough to tell, or when that is too long ago.
     std::optional<double> perSecond(Common::MonoTime now) const;
 
--- a/Source/Core/Policy/EvictionPlanner.h
+++ b/Source/Core/Policy/EvictionPlanner.h
@@ -12,14 +12,13 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace Policy {
 
 /// Plans for all workers of one owner. One step a worker at a time: the next waits until a sample taken after the last
 /// step shows that it did not help.
-/// Invariant: stops no more tasks a minute than the settings allow, and none that isn't evictable or is younger than
-/// its minimum run time, except when memory is full.
+/// Invariant: stops at most `stopsPerMinute` tasks a minute and `burst` more, none that isn't evictable, and none that
+/// is younger than its minimum run time except when memory is full.
 class EvictionPlanner {
 public:
     struct Settings {
@@ -46,12 +45,13 @@
 
     explicit EvictionPlanner(Settings);
 
-    /// The steps to take after this report. `lookup` is asked for running batch tasks only.
-    std::vector<EvictionAction> plan(const Scheduler::WorkerReport&, const Lookup&, Common::MonoTime now);
+    /// The step to take after this report, if any. `lookup` is asked for running batch tasks only.
+    std::optional<EvictionAction> plan(const Scheduler::WorkerReport&, const Lookup&, Common::MonoTime now);
     void forget(const Common::WorkerId&);
     uint64_t stops() const { return m_stops; }
 
 private:
+    /// A task that was told to write a checkpoint before it is stopped.
     struct Checkpointing {
         Common::TaskId task;
         std::string previous;
@@ -59,8 +59,8 @@
     };
     struct TaskProgress {
         std::string checkpoint;
-        Common::WorkerTime checkpointedAt;
-        Common::WorkerTime firstSeen;
+        /// When it started or wrote its last checkpoint, as far as seen.
+        Common::WorkerTime safeSince;
     };
     struct Worker {
         Common::WorkerBootId boot;
@@ -68,25 +68,48 @@
         Common::WorkerTime lastSample;
         uint32_t pressedSamples = 0;
         std::optional<Common::WorkerTime> easySince;
+        /// Multiplies easeBeforeUnthrottle; grows when pressure comes back soon after an unthrottling.
+        int easeFactor = 1;
+        Common::WorkerTime unthrottledAt;
         std::optional<Checkpointing> checkpointing;
         std::unordered_map<Common::TaskId, TaskProgress> tasks;
     };
-    struct Situation;
+    /// What one report shows.
+    struct Situation {
+        /// Mean speed of the latency-critical tasks; nothing when none ran.
+        std::optional<int64_t> speedPerMille;
+        Common::WorkerTime newestSample;
+        int64_t memoryPercent = 0;
+    };
+    /// One report with what belongs to it.
+    struct Round {
+        const Scheduler::WorkerReport& report;
+        const Lookup& lookup;
+        Situation situation;
+        Common::MonoTime now;
+    };
 
-    void track(Worker&, const Scheduler::WorkerReport&) const;
-    std::optional<EvictionAction> nextStep(
-        Worker&, const Scheduler::WorkerReport&, const Situation&, const Lookup&, Common::MonoTime now);
-    std::optional<EvictionAction> finishCheckpoint(Worker&, const Scheduler::WorkerReport&, Common::MonoTime now);
-    std::optional<EvictionAction> throttleWorst(const Scheduler::WorkerReport&, const Lookup&) const;
-    std::optional<EvictionAction> beginEviction(
-        Worker&, const Scheduler::WorkerReport&, const Lookup&, bool atOnce, Common::MonoTime now);
-    bool takeStop(Common::MonoTime now);
+    static Situation situationOf(const Scheduler::WorkerReport&);
+    static void track(Worker&, const Scheduler::WorkerReport&);
+    void judge(Worker&, const Round&) const;
+    bool atEase(const Situation&) const;
+    std::optional<EvictionAction> nextStep(Worker&, const Round&);
+    std::optional<EvictionAction> finishCheckpoint(Worker&, const Round&);
+    std::optional<EvictionAction> relieveMemory(Worker&, const Round&);
+    std::optional<EvictionAction> relieveLatency(Worker&, const Round&);
+    std::optional<EvictionAction> unthrottle(Worker&, const Round&) const;
+    const Scheduler::TaskReport* mostHarmful(const Round&) const;
+    /// The evictable task whose stop loses the least, among those at least `minimumHarm` harmful.
+    const Scheduler::TaskReport* leastLost(const Worker&, const Round&, double minimumHarm, bool anyAge) const;
+    EvictionAction beginCheckpoint(Worker&, const Round&, const Scheduler::TaskReport&) const;
+    bool mayStop(Common::MonoTime now);
+    EvictionAction stop(Worker&, const Round&, const Common::TaskId&);
 
     Settings m_settings;
     std::unordered_map<Common::WorkerId, Worker> m_workers;
+    /// Stops that may be made now.
     double m_tokens;
-    Common::MonoTime m_refilledAt;
-    bool m_started = false;
+    std::optional<Common::MonoTime> m_refilledAt;
     uint64_t m_stops = 0;
 };
 
--- /dev/null
+++ b/Source/Core/Policy/InterferenceModel.cpp
@@ -0,0 +1,160 @@
+// Credits lagging samples to the tasks that ran together.
+#include "Policy/InterferenceModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Policy {
+
+using Common::MonoTime;
+using Scheduler::TaskReport;
+using Scheduler::TaskState;
+
+namespace {
+
+    /// ln(20): a task that is slower than a twentieth counts as that.
+    constexpr double largestSlowdown = 3.0;
+    /// A pairing touched within this share of its half-life is taken as it is.
+    constexpr int freshShare = 32;
+
+    double slowdownFromSpeed(int64_t speedPerMille)
+    {
+        const double speed = std::max<double>(1, static_cast<double>(speedPerMille)) / 1000;
+        return std::clamp(-std::log(speed), 0.0, largestSlowdown);
+    }
+
+} // namespace
+
+InterferenceModel::InterferenceModel()
+    : InterferenceModel(Settings {})
+{
+}
+
+InterferenceModel::InterferenceModel(Settings settings)
+    : m_settings(settings)
+{
+}
+
+InterferenceModel::ClassIndex InterferenceModel::indexOf(const WorkClass& workClass)
+{
+    const auto known = m_classes.find(workClass);
+    if (known != m_classes.end())
+        return known->second;
+    const size_t count = m_pairings.size();
+    if (count >= m_settings.maximumClasses)
+        return static_cast<ClassIndex>(count - 1);
+    for (std::vector<Pairing>& row : m_pairings)
+        row.emplace_back();
+    m_pairings.emplace_back(count + 1);
+    m_classes.emplace(workClass, static_cast<ClassIndex>(count));
+    return static_cast<ClassIndex>(count);
+}
+
+void InterferenceModel::observe(const Scheduler::WorkerReport& report, const ClassOf& classOf, MonoTime now)
+{
+    WorkerHistory& history = m_histories[report.worker];
+    if (history.boot != report.boot)
+        history = WorkerHistory { .boot = report.boot };
+    remember(history, report, classOf);
+    for (const TaskReport& task : report.tasks) {
+        // A throttled task is slow for another reason.
+        if (task.state != TaskState::Running || task.throttled)
+            continue;
+        Common::WorkerTime& credited = history.credited[task.task];
+        if (task.sampledAt <= credited)
+            continue;
+        credited = task.sampledAt;
+        const auto after = std::upper_bound(history.snapshots.begin(), history.snapshots.end(), task.sampledAt,
+            [](Common::WorkerTime time, const Snapshot& snapshot) { return time < snapshot.clock; });
+        if (after != history.snapshots.begin())
+            credit(*std::prev(after), task, now);
+    }
+}
+
+void InterferenceModel::forget(const Common::WorkerId& worker) { m_histories.erase(worker); }
+
+double InterferenceModel::slowdown(ClassIndex victim, ClassIndex neighbour, MonoTime now) const
+{
+    const Pairing& learned = pairing(victim, neighbour);
+    if (!learned.seen)
+        return m_settings.priorSlowdown;
+    const Common::Duration age = now - learned.updatedAt;
+    if (age * freshShare < m_settings.halfLife)
+        return learned.slowdown;
+    const double halfLives = std::chrono::duration<double>(age) / m_settings.halfLife;
+    const double weight = std::exp2(-halfLives);
+    return learned.slowdown * weight + m_settings.priorSlowdown * (1 - weight);
+}
+
+double InterferenceModel::slowdownOf(ClassIndex added, const std::vector<ClassIndex>& running, MonoTime now) const
+{
+    double sum = 0;
+    for (const ClassIndex neighbour : running)
+        sum += slowdown(added, neighbour, now);
+    return sum;
+}
+
+double InterferenceModel::slowdownBy(ClassIndex added, const std::vector<ClassIndex>& running, MonoTime now) const
+{
+    double sum = 0;
+    for (const ClassIndex victim : running)
+        sum += slowdown(victim, added, now);
+    return sum;
+}
+
+InterferenceModel::Pairing& InterferenceModel::pairing(ClassIndex victim, ClassIndex neighbour)
+{
+    return m_pairings[victim][neighbour];
+}
+
+const InterferenceModel::Pairing& InterferenceModel::pairing(ClassIndex victim, ClassIndex neighbour) const
+{
+    return m_pairings[victim][neighbour];
+}
+
+void InterferenceModel::remember(
+    WorkerHistory& history, const Scheduler::WorkerReport& report, const ClassOf& classOf) const
+{
+    Snapshot snapshot { .clock = report.clock };
+    std::unordered_map<Common::TaskId, Common::WorkerTime> credited;
+    for (const TaskReport& task : report.tasks) {
+        if (task.state != TaskState::Running)
+            continue;
+        const auto known = history.credited.find(task.task);
+        credited[task.task] = known == history.credited.end() ? Common::WorkerTime {} : known->second;
+        if (!task.throttled)
+            snapshot.running.push_back({ task.task, classOf(task.task) });
+    }
+    history.credited = std::move(credited);
+    history.snapshots.push_back(std::move(snapshot));
+    if (history.snapshots.size() > m_settings.historyLength)
+        history.snapshots.pop_front();
+}
+
+void InterferenceModel::credit(const Snapshot& snapshot, const TaskReport& sample, MonoTime now)
+{
+    const auto victim = std::find_if(snapshot.running.begin(), snapshot.running.end(),
+        [&](const RunningTask& running) { return running.task == sample.task; });
+    if (victim == snapshot.running.end() || snapshot.running.size() < 2)
+        return;
+    double predicted = 0;
+    for (const RunningTask& running : snapshot.running) {
+        if (running.task != sample.task)
+            predicted += slowdown(victim->workClass, running.workClass, now);
+    }
+    const double error = slowdownFromSpeed(sample.speedPerMille) - predicted;
+    const double neighbours = static_cast<double>(snapshot.running.size() - 1);
+    const double correction = m_settings.learningRate * error / neighbours;
+    for (const RunningTask& running : snapshot.running) {
+        if (running.task == sample.task)
+            continue;
+        const double before = slowdown(victim->workClass, running.workClass, now);
+        Pairing& learned = pairing(victim->workClass, running.workClass);
+        learned.slowdown = static_cast<float>(std::max(0.0, before + correction));
+        learned.updatedAt = now;
+        learned.seen = true;
+    }
+    ++m_samples;
+}
+
+} // namespace Policy
--- a/Source/Core/Policy/Placement.h
+++ b/Source/Core/Policy/Placement.h
@@ -43,7 +43,7 @@
     void remove(const Common::WorkerId&);
 
     /// A worker that has room; nothing is kept for the task until `commit`.
-    std::optional<Common::WorkerId> choose(const PlacementRequest&, Common::MonoTime now, std::mt19937_64&) const;
+    std::optional<Common::WorkerId> choose(const PlacementRequest&, Common::MonoTime now, std::mt19937_64&);
     /// Counts the task on the worker; false, and nothing changes, when it does not fit there (any more).
     bool commit(const Common::WorkerId&, const Common::TaskId&, const PlacementRequest&, Common::MonoTime now);
     /// The task has ended or did not start.
@@ -64,9 +64,10 @@
     using ClassIndex = InterferenceModel::ClassIndex;
     struct HeldTask {
         Common::TaskId id;
+        /// What it declared or is expected to use, the larger of each.
+        Common::Resources expected;
+        /// The same with what was observed.
         Common::Resources held;
-        Common::Resources declared;
-        ClassIndex workClass = 0;
         /// A report has shown it.
         bool reported = false;
     };
@@ -74,32 +75,47 @@
         Common::WorkerId id;
         Common::WorkerBootId boot;
         uint32_t rack = 0;
-        bool present = false;
         bool leaving = false;
         Common::Resources capacity;
+        /// Invariant: the sum over `tasks`.
         Common::Resources held;
         std::vector<HeldTask> tasks;
         /// Class of each task, in the order of `tasks`.
         std::vector<ClassIndex> classes;
     };
+    /// A task on its way from one account of its worker to the next.
+    struct DetachedTask {
+        HeldTask task;
+        ClassIndex workClass = 0;
+    };
     struct Rack {
         int64_t usedSlots = 0;
         int64_t totalSlots = 0;
     };
 
-    size_t slotFor(const Common::WorkerId&);
+    /// What one decision is about.
+    struct Search {
+        const PlacementRequest& request;
+        Common::Resources wanted;
+        ClassIndex workClass = 0;
+        Common::MonoTime now;
+    };
+
+    size_t indexFor(const Common::WorkerId&);
     uint32_t rackNamed(const Common::RackId&);
-    void takeIn(Worker&, size_t index, const Scheduler::WorkerReport&, Common::MonoTime now);
-    void hold(Worker&, size_t index, HeldTask);
+    std::unordered_map<Common::TaskId, DetachedTask> detachTasks(Worker&);
+    void takeIn(
+        Worker&, size_t index, const Scheduler::WorkerReport&, std::unordered_map<Common::TaskId, DetachedTask> before);
+    void learn(const Worker&, const Scheduler::WorkerReport&, Common::MonoTime now);
+    void add(Worker&, size_t index, HeldTask, ClassIndex);
     void drop(Worker&, size_t position);
-    void recount(Worker&, size_t index);
-    void subtract(const Worker&);
-    void addUp(const Worker&);
+    void addCapacity(const Worker&, int64_t sign);
+    void countTask(const Worker&, const HeldTask&, ClassIndex, int64_t sign);
+    void publish(const Worker&, size_t index);
+    Common::Resources wantedBy(const PlacementRequest&, ClassIndex) const;
     bool reserveAllows(const PlacementRequest&, const Common::Resources& wanted) const;
-    Common::Resources expected(const PlacementRequest&, ClassIndex) const;
-    double score(const Worker&, const Common::Resources& wanted, ClassIndex, Common::MonoTime now) const;
-    std::optional<size_t> chooseAmong(const PlacementRequest&, const Common::Resources& wanted, ClassIndex, bool avoid,
-        Common::MonoTime now, std::mt19937_64&) const;
+    double score(const Worker&, const Search&) const;
+    std::optional<size_t> best(const Search&, bool useAvoided, std::mt19937_64&) const;
 
     Settings m_settings;
     InterferenceModel& m_interference;
@@ -109,8 +125,6 @@
     std::vector<size_t> m_unused;
     std::unordered_map<Common::WorkerId, size_t> m_indexOf;
     std::unordered_map<Common::TaskId, size_t> m_workerOfTask;
-    /// Classes of tasks that were adopted.
-    std::unordered_map<Common::TaskId, ClassIndex> m_adoptedClasses;
     FreeResourcesTree m_free;
     FreeResourcesTree m_capacities;
     std::vector<Rack> m_racks;
--- /dev/null
+++ b/Source/Core/Policy/Router.cpp
@@ -0,0 +1,188 @@
+// Power of two choices over peers that make progress.
+#include "Policy/Router.h"
+
+#include <algorithm>
+
+namespace Policy {
+
+using Common::Duration;
+using Common::MonoTime;
+using Scheduler::PeerInfo;
+
+namespace {
+
+    /// Share of a new answer time in the moving average.
+    constexpr double answerShare = 0.2;
+    /// A peer with several calls open and no answer for this long, or this many usual answers, is stalled.
+    constexpr int64_t stallCalls = 3;
+    constexpr Duration shortestStall = std::chrono::milliseconds(300);
+    constexpr int stallAnswers = 4;
+    constexpr uint32_t longestBackoffShift = 10;
+    /// Peers drawn at random for one choice.
+    constexpr int draws = 2;
+
+    Router::Scope scopeOf(const PeerInfo& self, const PeerInfo& peer)
+    {
+        if (peer.region != self.region)
+            return Router::Scope::OtherRegion;
+        return peer.domain == self.domain ? Router::Scope::Domain : Router::Scope::Region;
+    }
+
+    Router::Scope widest(Scheduler::SpillScope spill)
+    {
+        switch (spill) {
+        case Scheduler::SpillScope::Domain:
+            return Router::Scope::Domain;
+        case Scheduler::SpillScope::Region:
+            return Router::Scope::Region;
+        case Scheduler::SpillScope::Everywhere:
+            return Router::Scope::OtherRegion;
+        }
+        return Router::Scope::Domain;
+    }
+
+} // namespace
+
+Router::Router(Settings settings, const LinkBudget& link)
+    : m_settings(settings)
+    , m_link(link)
+{
+}
+
+std::vector<Router::Candidate> Router::choose(const RouteQuery& query, MonoTime now, std::mt19937_64& random) const
+{
+    const Candidate here { Scope::Here, query.self.id };
+    const bool roomHere = query.self.freeSlots > 0 && !query.self.draining;
+    std::vector<Candidate> candidates;
+    if (roomHere)
+        candidates.push_back(here);
+    for (const Scope scope : { Scope::Domain, Scope::Region, Scope::OtherRegion }) {
+        if (scope <= widest(query.spill))
+            appendScope(candidates, scope, query, now, random);
+    }
+    if (!roomHere && !query.self.draining)
+        candidates.push_back(here);
+    return candidates;
+}
+
+void Router::onSent(const Common::DaemonId& id, MonoTime now)
+{
+    Peer& peer = m_peers[id];
+    if (peer.inFlight++ == 0)
+        peer.progressAt = now;
+    ++peer.sentSinceSummary;
+    // While it is passed over, this one was the probe.
+    if (!progresses(peer, now))
+        peer.probeAt = now + backoff(peer);
+}
+
+void Router::onAnswered(const Common::DaemonId& id, Duration took, bool refused, MonoTime now)
+{
+    Peer& peer = m_peers[id];
+    peer.inFlight = std::max<int64_t>(0, peer.inFlight - 1);
+    peer.failuresInARow = 0;
+    peer.progressAt = now;
+    if (refused) {
+        peer.refusedSinceSummary = true;
+        return;
+    }
+    const auto sample = static_cast<double>(took.count());
+    const bool first = peer.answerMicroseconds == 0;
+    peer.answerMicroseconds
+        = first ? sample : peer.answerMicroseconds + answerShare * (sample - peer.answerMicroseconds);
+    peer.answeredAt = now;
+}
+
+void Router::onNoAnswer(const Common::DaemonId& id, MonoTime now)
+{
+    Peer& peer = m_peers[id];
+    peer.inFlight = std::max<int64_t>(0, peer.inFlight - 1);
+    ++peer.failuresInARow;
+    peer.probeAt = now + backoff(peer);
+}
+
+void Router::onSummary(const Common::DaemonId& id, MonoTime)
+{
+    const auto found = m_peers.find(id);
+    if (found == m_peers.end())
+        return;
+    found->second.sentSinceSummary = 0;
+    found->second.refusedSinceSummary = false;
+}
+
+void Router::forget(const Common::DaemonId& id) { m_peers.erase(id); }
+
+const Router::Peer* Router::find(const Common::DaemonId& id) const
+{
+    const auto found = m_peers.find(id);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+Duration Router::backoff(const Peer& peer) const
+{
+    const uint32_t shift = std::min(peer.failuresInARow, longestBackoffShift);
+    return std::min(m_settings.longestProbeAfter, m_settings.firstProbeAfter * (int64_t { 1 } << shift));
+}
+
+bool Router::progresses(const Peer& peer, MonoTime now) const
+{
+    if (peer.failuresInARow >= m_settings.failuresToSkip)
+        return false;
+    const Duration usual(static_cast<Duration::rep>(peer.answerMicroseconds));
+    const Duration stall = std::max(shortestStall, usual * stallAnswers);
+    return peer.inFlight < stallCalls || now - peer.progressAt <= stall;
+}
+
+bool Router::fastEnough(const Peer& peer, const RouteQuery& query, MonoTime now) const
+{
+    const auto allowed = static_cast<double>(query.timeLeft.count()) * m_settings.slowSharePercent / 100;
+    if (peer.answerMicroseconds <= allowed)
+        return true;
+    // What was learned ages, so that a peer that has recovered is found again.
+    return now - peer.answeredAt >= m_settings.longestProbeAfter;
+}
+
+bool Router::usable(const RouteQuery& query, const PeerInfo& info, MonoTime now) const
+{
+    if (info.draining || info.id == query.self.id || room(info) <= 0)
+        return false;
+    const Peer* peer = find(info.id);
+    if (!peer)
+        return true;
+    if (!progresses(*peer, now))
+        return now >= peer->probeAt;
+    return fastEnough(*peer, query, now);
+}
+
+int64_t Router::room(const PeerInfo& info) const
+{
+    const Peer* peer = find(info.id);
+    if (!peer)
+        return info.freeSlots;
+    return peer->refusedSinceSummary ? 0 : info.freeSlots - peer->sentSinceSummary;
+}
+
+void Router::appendScope(
+    std::vector<Candidate>& to, Scope scope, const RouteQuery& query, MonoTime now, std::mt19937_64& random) const
+{
+    if (scope == Scope::OtherRegion && m_link.available(now) < query.bytes)
+        return;
+    std::vector<const PeerInfo*> peers;
+    for (const PeerInfo& info : query.peers) {
+        if (scopeOf(query.self, info) == scope && usable(query, info, now))
+            peers.push_back(&info);
+    }
+    for (uint32_t taken = 0; taken < m_settings.candidatesPerScope && !peers.empty(); ++taken) {
+        size_t best = random() % peers.size();
+        for (int draw = 1; draw < draws; ++draw) {
+            const size_t other = random() % peers.size();
+            if (room(*peers[other]) > room(*peers[best]))
+                best = other;
+        }
+        to.push_back(Candidate { scope, peers[best]->id });
+        peers[best] = peers.back();
+        peers.pop_back();
+    }
+}
+
+} // namespace Policy
--- a/Source/Core/Policy/Router.h
+++ b/Source/Core/Policy/Router.h
@@ -39,7 +39,8 @@
     /// The budget outlives the router. The caller takes from it when it does send to another region.
     Router(Settings, const LinkBudget&);
 
-    /// This daemon first if it has room, then peers by scope; those without room after all with room.
+    /// This daemon first if it has room, then peers with room, near ones first. This daemon last if it has none: its
+    /// queue is the place to wait. Never empty unless this daemon drains.
     std::vector<Candidate> choose(const RouteQuery&, Common::MonoTime now, std::mt19937_64&) const;
 
     void onSent(const Common::DaemonId&, Common::MonoTime now);
@@ -54,18 +55,25 @@
 private:
     struct Peer {
         uint32_t failuresInARow = 0;
+        int64_t inFlight = 0;
+        /// The last answer, or the first call after a time without any in flight.
+        Common::MonoTime progressAt;
         int64_t sentSinceSummary = 0;
         bool refusedSinceSummary = false;
+        /// Moving average; zero: no answer yet.
         double answerMicroseconds = 0;
-        Common::MonoTime probeAt;
         Common::MonoTime answeredAt;
+        /// While the peer makes no progress, one call may go there from then on.
+        Common::MonoTime probeAt;
     };
 
     const Peer* find(const Common::DaemonId&) const;
+    Common::Duration backoff(const Peer&) const;
+    bool progresses(const Peer&, Common::MonoTime now) const;
+    bool fastEnough(const Peer&, const RouteQuery&, Common::MonoTime now) const;
     bool usable(const RouteQuery&, const Scheduler::PeerInfo&, Common::MonoTime now) const;
     int64_t room(const Scheduler::PeerInfo&) const;
-    void appendScope(std::vector<Candidate>& with, std::vector<Candidate>& without, Scope, const RouteQuery&,
-        Common::MonoTime now, std::mt19937_64&) const;
+    void appendScope(std::vector<Candidate>&, Scope, const RouteQuery&, Common::MonoTime now, std::mt19937_64&) const;
 
     Settings m_settings;
     const LinkBudget& m_link;
--- a/Source/Core/Policy/RunTimeEstimate.h
+++ b/Source/Core/Policy/RunTimeEstimate.h
@@ -5,17 +5,18 @@
 
 namespace Policy {
 
-/// A moving average that fades when nothing is seen for a while, so that one slow phase can't lead to refusals for
-/// ever.
+/// The median of recent run times, tracked step by step, so that a few very long runs don't speak for all. It fades
+/// when nothing is seen for a while, so that one slow phase can't lead to refusals for ever.
 class RunTimeEstimate {
 public:
     void add(Common::Duration runTime, Common::MonoTime now);
-    bool known() const { return m_known; }
+    bool known() const { return m_median > 0; }
+    /// Zero when nothing was seen.
     Common::Duration value(Common::MonoTime now) const;
 
 private:
-    bool m_known = false;
-    double m_average = 0;
+    /// In microseconds.
+    double m_median = 0;
     Common::MonoTime m_updatedAt;
 };
 
--- /dev/null
+++ b/Source/Core/Policy/WorkerHealth.cpp
@@ -0,0 +1,224 @@
+// The cumulative sum test of workers, ejection and probation.
+#include "Policy/WorkerHealth.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Policy {
+
+using Common::Duration;
+using Common::MonoTime;
+
+namespace {
+
+    /// Failure rate of a bad worker, whatever runs there.
+    constexpr double badWorkerFailureRate = 0.9;
+    constexpr double lowestUsualRate = 0.05;
+    /// Outcomes that the domain's rate stands for while little is known of a subject.
+    constexpr double priorWeight = 4;
+    /// Counts are halved at this sum, so that old outcomes fade.
+    constexpr double largestRecord = 200;
+    /// A job that fails again where it failed last tells little more of the worker.
+    constexpr double repeatedFailureWeight = 0.25;
+    constexpr uint32_t longestBackoffShift = 10;
+
+    size_t hashOf(const Common::WorkerId& worker) { return std::hash<Common::WorkerId>()(worker); }
+
+} // namespace
+
+WorkerHealth::WorkerHealth()
+    : WorkerHealth(Settings {})
+{
+}
+
+WorkerHealth::WorkerHealth(Settings settings)
+    : m_settings(settings)
+{
+}
+
+void WorkerHealth::add(const Common::WorkerId& id) { m_workers.try_emplace(id); }
+
+void WorkerHealth::remove(const Common::WorkerId& id)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return;
+    if (found->second.ejected)
+        --m_ejected;
+    m_workers.erase(found);
+}
+
+WorkerHealth::Verdict WorkerHealth::recordOutcome(
+    const Common::WorkerId& id, const std::string& subjectName, bool ok, MonoTime now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return Verdict::Unchanged;
+    Worker& worker = found->second;
+    Subject& subject = subjectNamed(subjectName);
+    const double gained = evidence(worker, subject, subjectName, ok);
+    const Verdict trial = worker.ejected ? recordTrial(worker, subject, ok, now) : Verdict::Unchanged;
+    learn(subject, hashOf(id), ok);
+    if (!ok)
+        worker.lastFailedSubject = subjectName;
+    if (worker.ejected || trial != Verdict::Unchanged)
+        return trial;
+    worker.score = std::clamp(worker.score + gained, 0.0, 2 * m_settings.ejectionScore);
+    if (ok || worker.score < m_settings.ejectionScore || !mayEject())
+        return Verdict::Unchanged;
+    ++m_ejected;
+    eject(worker, now);
+    return Verdict::Ejected;
+}
+
+void WorkerHealth::recordStart(const Common::WorkerId& id, MonoTime now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !found->second.ejected)
+        return;
+    Worker& worker = found->second;
+    worker.nextTrial = now + m_settings.probationInterval / (int64_t { 1 } << worker.trialSuccesses);
+}
+
+void WorkerHealth::silent(const Common::WorkerId& id)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end())
+        found->second.isSilent = true;
+}
+
+void WorkerHealth::heard(const Common::WorkerId& id)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end())
+        found->second.isSilent = false;
+}
+
+bool WorkerHealth::admits(const Common::WorkerId& id, MonoTime now) const
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return true;
+    const Worker& worker = found->second;
+    if (worker.isSilent)
+        return false;
+    return !worker.ejected || (now >= worker.ejectedUntil && now >= worker.nextTrial);
+}
+
+bool WorkerHealth::poisonous(const std::string& name) const
+{
+    auto found = m_subjects.find(name);
+    if (found == m_subjects.end()) {
+        found = m_olderSubjects.find(name);
+        if (found == m_olderSubjects.end())
+            return false;
+    }
+    const Subject& subject = found->second;
+    return !subject.everSucceeded && subject.failedOn.size() >= m_settings.poisonWorkers;
+}
+
+void WorkerHealth::count(Record& record, size_t workerHash, bool ok)
+{
+    if (ok)
+        record.successes += 1;
+    else if (record.lastFailedOn != workerHash)
+        record.failures += 1;
+    if (!ok)
+        record.lastFailedOn = workerHash;
+    if (record.successes + record.failures < largestRecord)
+        return;
+    record.successes /= 2;
+    record.failures /= 2;
+}
+
+double WorkerHealth::usualFailureRate(const Subject& subject) const
+{
+    const Record& own = subject.record;
+    const double domain = (m_domain.failures + lowestUsualRate) / (m_domain.failures + m_domain.successes + 1);
+    const double rate = (own.failures + priorWeight * domain) / (own.failures + own.successes + priorWeight);
+    return std::clamp(rate, lowestUsualRate, badWorkerFailureRate);
+}
+
+double WorkerHealth::evidence(const Worker& worker, const Subject& subject, const std::string& name, bool ok) const
+{
+    const double usual = usualFailureRate(subject);
+    if (ok)
+        return std::log((1 - badWorkerFailureRate) / (1 - usual));
+    const double surprise = std::log(badWorkerFailureRate / usual);
+    const bool repeated = !subject.everSucceeded && worker.lastFailedSubject == name;
+    return repeated ? surprise * repeatedFailureWeight : surprise;
+}
+
+void WorkerHealth::learn(Subject& subject, size_t workerHash, bool ok)
+{
+    count(m_domain, workerHash, ok);
+    count(subject.record, workerHash, ok);
+    if (ok) {
+        subject.everSucceeded = true;
+        return;
+    }
+    const bool known
+        = std::find(subject.failedOn.begin(), subject.failedOn.end(), workerHash) != subject.failedOn.end();
+    if (!known && subject.failedOn.size() < m_settings.poisonWorkers)
+        subject.failedOn.push_back(workerHash);
+}
+
+WorkerHealth::Subject& WorkerHealth::subjectNamed(const std::string& name)
+{
+    const auto young = m_subjects.find(name);
+    if (young != m_subjects.end())
+        return young->second;
+    if (m_subjects.size() >= m_settings.maximumSubjects / 2) {
+        m_olderSubjects = std::move(m_subjects);
+        m_subjects.clear();
+    }
+    Subject& subject = m_subjects[name];
+    const auto older = m_olderSubjects.find(name);
+    if (older != m_olderSubjects.end()) {
+        subject = std::move(older->second);
+        m_olderSubjects.erase(older);
+    }
+    return subject;
+}
+
+bool WorkerHealth::mayEject() const
+{
+    return (m_ejected + 1) * 100 <= m_settings.maximumEjectedPercent * m_workers.size();
+}
+
+void WorkerHealth::eject(Worker& worker, MonoTime now) const
+{
+    if (worker.ejections > 0 && !worker.ejected && now - worker.readmittedAt > m_settings.longestEjection)
+        worker.ejections = 0;
+    const uint32_t shift = std::min(worker.ejections, longestBackoffShift);
+    ++worker.ejections;
+    worker.ejected = true;
+    worker.score = 0;
+    worker.trialSuccesses = 0;
+    worker.ejectedUntil
+        = now + std::min(m_settings.longestEjection, m_settings.firstEjection * (int64_t { 1 } << shift));
+    worker.nextTrial = worker.ejectedUntil;
+}
+
+WorkerHealth::Verdict WorkerHealth::recordTrial(Worker& worker, const Subject& subject, bool ok, MonoTime now)
+{
+    // Work sent before the ejection may still end while it lasts.
+    if (now < worker.ejectedUntil)
+        return Verdict::Unchanged;
+    if (ok) {
+        if (++worker.trialSuccesses < m_settings.probationSuccesses)
+            return Verdict::Unchanged;
+        worker.ejected = false;
+        worker.readmittedAt = now;
+        --m_ejected;
+        return Verdict::Readmitted;
+    }
+    // Work that fails everywhere says nothing here either.
+    constexpr double tellingRate = 0.5;
+    if (usualFailureRate(subject) > tellingRate)
+        return Verdict::Unchanged;
+    eject(worker, now);
+    return Verdict::Ejected;
+}
+
+} // namespace Policy
--- a/Source/Core/Policy/WorkerHealth.h
+++ b/Source/Core/Policy/WorkerHealth.h
@@ -14,7 +14,8 @@
 /// Each outcome moves a worker's score by the likelihood ratio of "this worker fails most of its work" to "the subject
 /// fails at its usual rate" (a cumulative sum test). A job that failed on several workers therefore hardly counts
 /// against the next one, and a quick failure counts as much as a slow one.
-/// Invariant: at most `maximumEjectedPercent` of the known workers are ejected or on probation by outcomes.
+/// Invariant: no worker is ejected that would bring the ejected ones, with those on probation, above
+/// `maximumEjectedPercent` of the known workers.
 class WorkerHealth {
 public:
     struct Settings {
@@ -26,7 +27,7 @@
         /// Time between the first two tasks on probation; halves with each success.
         Common::Duration probationInterval = std::chrono::seconds(2);
         uint32_t probationSuccesses = 6;
-        /// Bound on the subjects remembered; the least recently seen are forgotten.
+        /// Bound on the subjects remembered; those not seen for long are forgotten.
         size_t maximumSubjects = 20000;
         /// Distinct workers on which a subject without any success has to fail to be called poison.
         uint32_t poisonWorkers = 3;
@@ -60,43 +61,49 @@
     size_t workerCount() const { return m_workers.size(); }
 
 private:
-    enum class Standing {
-        Healthy,
-        /// Ejected until a time, then on probation.
-        Ejected,
-    };
     struct Worker {
-        Standing standing = Standing::Healthy;
+        /// Ejected until a time, then on probation; work goes there without restraint otherwise.
+        bool ejected = false;
         bool isSilent = false;
+        /// Logarithm of the likelihood that the worker is bad against that it is good.
         double score = 0;
         Common::MonoTime ejectedUntil;
         Common::MonoTime nextTrial;
         uint32_t ejections = 0;
         uint32_t trialSuccesses = 0;
         Common::MonoTime readmittedAt;
-        size_t lastFailedSubject = 0;
+        std::string lastFailedSubject;
+    };
+    /// Outcomes of one kind. A failure on the worker of the failure before it isn't counted, so that a bad worker
+    /// can't make good work look bad.
+    struct Record {
+        double successes = 0;
+        double failures = 0;
+        size_t lastFailedOn = 0;
     };
     struct Subject {
-        uint32_t successes = 0;
-        /// Distinct workers on which it failed, as hashes; bounded.
+        Record record;
+        bool everSucceeded = false;
+        /// Distinct workers on which it failed, as hashes; at most `poisonWorkers`.
         std::vector<size_t> failedOn;
-        Common::MonoTime seenAt;
-        uint64_t generation = 0;
     };
 
+    static void count(Record&, size_t workerHash, bool ok);
     double usualFailureRate(const Subject&) const;
-    void learn(Subject&, size_t workerHash, bool ok, Common::MonoTime now);
+    double evidence(const Worker&, const Subject&, const std::string& name, bool ok) const;
+    void learn(Subject&, size_t workerHash, bool ok);
     Subject& subjectNamed(const std::string&);
     bool mayEject() const;
-    void eject(Worker&, Common::MonoTime now);
-    Verdict recordTrial(Worker&, bool ok, Common::MonoTime now);
+    void eject(Worker&, Common::MonoTime now) const;
+    Verdict recordTrial(Worker&, const Subject&, bool ok, Common::MonoTime now);
 
     Settings m_settings;
     std::unordered_map<Common::WorkerId, Worker> m_workers;
-    /// Two generations; the older is dropped when the younger is full.
+    /// Two generations: when the younger is full it takes the place of the older.
     std::unordered_map<std::string, Subject> m_subjects;
     std::unordered_map<std::string, Subject> m_olderSubjects;
-    double m_domainFailureRate = 0.05;
+    /// Outcomes of all work on all workers.
+    Record m_domain;
     size_t m_ejected = 0;
 };
 
