--- a/Source/Core/Policy/AdmissionQueue.cpp
+++ b/Source/Core/Policy/AdmissionQueue.cpp
@@ -22,6 +22,8 @@
 
     constexpr Duration longestEstimate = std::chrono::hours(1);
 
+    uint64_t stride(size_t priorityClass) { return strideUnit / classWeights[priorityClass]; }
+
     size_t classOf(const QueuedRequest& request) { return static_cast<size_t>(request.priority); }
 
     Duration seconds(double value)
@@ -89,7 +91,7 @@
     PriorityClass& priorityClass = m_classes[*next];
     const QueuedRequest request = priorityClass.entries.lower_bound(Key { now, 0 })->second;
     m_virtualTime = priorityClass.pass;
-    priorityClass.pass += strideUnit / classWeights[*next];
+    priorityClass.pass += stride(*next);
     m_drainRate.onDispatched(now);
     erase(request.id, now);
     return request;
@@ -127,7 +129,7 @@
     m_drainRate.undoDispatch();
     insert(request, Key { latestStart(request, now), ++m_lastSequence }, now);
     PriorityClass& priorityClass = m_classes[index];
-    priorityClass.pass -= std::min(priorityClass.pass, strideUnit / classWeights[index]);
+    priorityClass.pass -= std::min(priorityClass.pass, stride(index));
 }
 
 void AdmissionQueue::onCompleted(
@@ -315,13 +317,18 @@
 std::optional<size_t> AdmissionQueue::nextClass(MonoTime now) const
 {
     std::optional<size_t> best;
+    uint64_t earliest = 0;
     // From the highest priority down: it wins ties.
     for (size_t index = classCount; index-- > 0;) {
         const PriorityClass& priorityClass = m_classes[index];
         if (priorityClass.entries.lower_bound(Key { now, 0 }) == priorityClass.entries.end())
             continue;
-        if (!best || priorityClass.pass < m_classes[*best].pass)
-            best = index;
+        // By the end of the turn, so that a class that has just got work does not go before a more urgent one.
+        const uint64_t turnEnd = priorityClass.pass + stride(index);
+        if (best && turnEnd >= earliest)
+            continue;
+        best = index;
+        earliest = turnEnd;
     }
     return best;
 }
--- a/Source/Core/Policy/AdmissionQueue.h
+++ b/Source/Core/Policy/AdmissionQueue.h
@@ -84,7 +84,7 @@
     /// The waiting requests of one priority, earliest latest start first.
     struct PriorityClass {
         Entries entries;
-        /// Virtual time of stride scheduling; the non-empty class with the lowest one goes next.
+        /// Virtual time at which its next turn starts; the non-empty class whose turn ends first goes next.
         uint64_t pass = 0;
         /// Since when it has not been empty; meaningful only while it is not.
         Common::MonoTime waitingSince;
--- a/Source/Core/Policy/WorkerHealth.cpp
+++ b/Source/Core/Policy/WorkerHealth.cpp
@@ -14,6 +14,8 @@
     /// Failure rate of a bad worker, whatever runs there.
     constexpr double badWorkerFailureRate = 0.9;
     constexpr double lowestUsualRate = 0.05;
+    /// Assumed of work that has failed on another worker, until outcomes of such work are known.
+    constexpr double rateAfterFailure = 0.5;
     /// Outcomes that the domain's rate stands for while little is known of a subject.
     constexpr double priorWeight = 4;
     /// Counts are halved at this sum, so that old outcomes fade.
@@ -117,6 +119,12 @@
     return !subject.everSucceeded && subject.failedOn.size() >= m_settings.poisonWorkers;
 }
 
+size_t WorkerHealth::failuresElsewhere(const Subject& subject)
+{
+    constexpr size_t most = std::tuple_size_v<decltype(m_domain)> - 1;
+    return subject.everSucceeded ? 0 : std::min(subject.failedOn.size(), most);
+}
+
 void WorkerHealth::count(Record& record, size_t workerHash, bool ok)
 {
     if (ok)
@@ -134,7 +142,10 @@
 double WorkerHealth::usualFailureRate(const Subject& subject) const
 {
     const Record& own = subject.record;
-    const double domain = (m_domain.failures + lowestUsualRate) / (m_domain.failures + m_domain.successes + 1);
+    const size_t elsewhere = failuresElsewhere(subject);
+    const Record& alike = m_domain[elsewhere];
+    const double assumed = elsewhere == 0 ? lowestUsualRate : rateAfterFailure;
+    const double domain = (alike.failures + assumed) / (alike.failures + alike.successes + 1);
     const double rate = (own.failures + priorWeight * domain) / (own.failures + own.successes + priorWeight);
     return std::clamp(rate, lowestUsualRate, badWorkerFailureRate);
 }
@@ -151,7 +162,7 @@
 
 void WorkerHealth::learn(Subject& subject, size_t workerHash, bool ok)
 {
-    count(m_domain, workerHash, ok);
+    count(m_domain[failuresElsewhere(subject)], workerHash, ok);
     count(subject.record, workerHash, ok);
     if (ok) {
         subject.everSucceeded = true;
--- a/Source/Core/Policy/WorkerHealth.h
+++ b/Source/Core/Policy/WorkerHealth.h
@@ -4,6 +4,7 @@
 #include "Common/Ids.h"
 #include "Common/Units.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -20,8 +21,8 @@
 public:
     struct Settings {
         uint32_t maximumEjectedPercent = 30;
-        /// Ejects above this score: about four failures in a row of work that usually succeeds.
-        double ejectionScore = 9;
+        /// Ejects above this score: five failures in a row of work that usually succeeds.
+        double ejectionScore = 12;
         Common::Duration firstEjection = std::chrono::seconds(10);
         Common::Duration longestEjection = std::chrono::minutes(10);
         /// Time between the first two tasks on probation; halves with each success.
@@ -88,6 +89,7 @@
         std::vector<size_t> failedOn;
     };
 
+    static size_t failuresElsewhere(const Subject&);
     static void count(Record&, size_t workerHash, bool ok);
     double usualFailureRate(const Subject&) const;
     double evidence(const Worker&, const Subject&, const std::string& name, bool ok) const;
@@ -102,8 +104,9 @@
     /// Two generations: when the younger is full it takes the place of the older.
     std::unordered_map<std::string, Subject> m_subjects;
     std::unordered_map<std::string, Subject> m_olderSubjects;
-    /// Outcomes of all work on all workers.
-    Record m_domain;
+    /// Outcomes of all work on all workers, by the number of workers on which the subject had failed before without
+    /// any success: what failed elsewhere is likely to fail again.
+    std::array<Record, 3> m_domain;
     size_t m_ejected = 0;
 };
 
