Check daemon settings and the cluster configuration against typed tables

No JSON-schema library is packaged, so each structure declares its settings once: path, rule, default, documentation. Reader, printer and the page of settings visit the same rows. A check goes through the whole text and reports every fault with path, value, what is allowed and the nearest known name; names given twice are found by nlohmann's parser callback, syntax errors carry line and column. Durations are text with a unit, since a bare number leaves the unit to guessing.

Ruled out: an own tokenizer for places of all faults (the path is enough).

--- /dev/null
+++ b/Source/Core/Config/SettingRule.h
@@ -0,0 +1,66 @@
+// What a setting's value may be. One variant, visited by the reader, the printer and the page of settings.
+#pragma once
+
+#include "Common/Units.h"
+#include "Config/SettingFault.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Config {
+
+using SettingValue = std::variant<std::string, int64_t, bool, Common::Duration, std::vector<std::string>>;
+
+/// Letters, digits, '-' and '_', beginning with a letter or digit, at most 63.
+struct NameRule { };
+
+/// A name that the document defines under `section`; checked once the whole document has been read.
+struct ReferenceRule {
+    std::string section;
+};
+
+struct IntegerRule {
+    int64_t minimum = 0;
+    int64_t maximum = 0;
+    std::string unit;
+};
+
+struct DurationRule {
+    Common::Duration minimum {};
+    Common::Duration maximum {};
+};
+
+struct FlagRule { };
+
+struct ChoiceRule {
+    std::vector<std::string> names;
+};
+
+/// "IP:port" with an IPv4 number.
+struct AddressRule {
+    bool zeroPort = false;
+};
+
+struct AddressListRule {
+    size_t longest = 0;
+};
+
+using SettingRule = std::variant<NameRule, ReferenceRule, IntegerRule, DurationRule, FlagRule, ChoiceRule, AddressRule,
+    AddressListRule>;
+
+bool isName(std::string_view);
+/// "duration", "integer", ...
+std::string ruleType(const SettingRule&);
+/// The range or the allowed values, in words.
+std::string ruleAllowed(const SettingRule&);
+/// The value if it has the right type and is allowed; otherwise adds a fault.
+std::optional<SettingValue> readSetting(
+    const SettingRule&, const nlohmann::json&, const std::string& path, std::vector<SettingFault>& faults);
+nlohmann::json settingToJson(const SettingValue&);
+
+} // namespace Config
--- /dev/null
+++ b/Source/UnitTests/Config/NearestNameTest.cpp
@@ -0,0 +1,17 @@
+// Mistyped names find the one that was probably meant.
+#include "Config/NearestName.h"
+
+#include <doctest/doctest.h>
+
+TEST_CASE("the nearest known name is found, and none when all are far")
+{
+    const std::vector<std::string> known { "deadline", "maximumDeadline", "priority", "spill" };
+    CHECK(Config::nearestName("deadlin", known) == "deadline");
+    CHECK(Config::nearestName("Spil", known) == "spill");
+    CHECK(Config::nearestName("prio", known) == "priority");
+    CHECK(Config::nearestName("spillage", known) == "spill");
+    CHECK(Config::nearestName("maximumDedline", known) == "maximumDeadline");
+    CHECK(Config::nearestName("colour", known).empty());
+    CHECK(Config::nearestName("", known).empty());
+    CHECK(Config::nearestName(std::string(1000, 'a'), known).empty());
+}
