--- a/Source/Core/Dispatch/Evictor.cpp
+++ b/Source/Core/Dispatch/Evictor.cpp
@@ -47,8 +47,8 @@
         return;
     }
     const auto lookup = [this](const Scheduler::TaskReport& task) { return candidateFor(task); };
-    for (const Policy::EvictionAction& action : m_planner.plan(worker.report, lookup, m_context.runtime.now()))
-        carryOut(action, worker.address);
+    if (const auto action = m_planner.plan(worker.report, lookup, m_context.runtime.now()))
+        carryOut(*action, worker.address);
 }
 
 Policy::EvictionCandidate Evictor::candidateFor(const Scheduler::TaskReport& task) const
