Put HTTP on the event loop: RESTinio's server, curl's multi client

Cause: every adapter and the daemon need one loop with a server and a client that never block. Additive: Server::dropConnection (status 0) for stand-ins; Client holds a shared_ptr to its implementation. Ruled out: CURLOPT_FRESH_CONNECT for POST (a connection set-up for each run).

--- /dev/null
+++ b/Source/Core/Http/Client.cpp
@@ -0,0 +1,565 @@
+// curl's multi interface on the event loop: one set of transfers, sockets watched and timed by Asio.
+#include "Http/Client.h"
+
+#include "Http/EventLoop.h"
+
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace Http {
+
+namespace {
+
+    /// Connections idle for longer are closed, well before servers close theirs, so that reuse seldom meets a close.
+    constexpr long maximumIdleSeconds = 20;
+    constexpr long maximumPooledConnections = 8192;
+    constexpr size_t maximumSpareHandles = 1024;
+    constexpr size_t maximumReservedBodyBytes = size_t { 64 } << 20;
+    constexpr long receiveBufferBytes = 64L << 10;
+    /// TCP probes find connections that lost their other end, also while they are idle in the pool.
+    constexpr int keepAliveIdleSeconds = 5;
+    constexpr int keepAliveIntervalSeconds = 2;
+    constexpr int keepAliveProbes = 3;
+    constexpr unsigned unacknowledgedMilliseconds = 10'000;
+
+    struct CurlProcess {
+        CurlProcess() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+        CurlProcess(const CurlProcess&) = delete;
+        CurlProcess& operator=(const CurlProcess&) = delete;
+        ~CurlProcess() { curl_global_cleanup(); }
+    };
+
+    struct EasyDeleter {
+        void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+    };
+    using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
+
+    struct ListDeleter {
+        void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+    };
+    using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+    /// One request under way.
+    struct Transfer {
+        uint64_t id = 0;
+        std::string address;
+        Request request;
+        HeaderList headers;
+        Response response;
+        Common::Callback<Response> callback;
+        /// Null while the transfer waits for a free connection.
+        EasyHandle easy;
+        Common::MonoTime deadline;
+        Scheduler::TimerId waitTimer;
+        /// Set when the request is about to be written. Never written twice: curl would repeat a request that met a
+        /// closed connection, and the work might run twice.
+        bool started = false;
+        bool answerBegun = false;
+    };
+
+    /// The transfers of one address. curl could limit connections itself, but it doesn't time out what waits.
+    struct AddressQueue {
+        long active = 0;
+        /// Oldest first; may hold ids of transfers that are gone.
+        std::deque<uint64_t> waiting;
+    };
+
+    /// One socket of curl's, watched by Asio.
+    struct Socket {
+        Socket(asio::io_context& context, curl_socket_t fd, std::string address)
+            : descriptor(context, fd)
+            , address(std::move(address))
+        {
+        }
+
+        asio::posix::stream_descriptor descriptor;
+        std::string address;
+        /// CURL_POLL_*; CURL_POLL_REMOVE means that the connection is idle in curl's pool.
+        int wanted = CURL_POLL_NONE;
+        bool readPending = false;
+        bool writePending = false;
+    };
+
+    void appendHeader(HeaderList& list, const std::string& line)
+    {
+        // curl copies the line and yields the same list, or a new one when it was empty.
+        list.reset(curl_slist_append(list.release(), line.c_str()));
+    }
+
+    std::string headerLine(const std::string& name, const std::string& value)
+    {
+        // curl sends a field without a value only in this form.
+        std::string line = name;
+        line += value.empty() ? ";" : ": ";
+        line += value;
+        return line;
+    }
+
+    HeaderList buildHeaders(const Request& request)
+    {
+        HeaderList list;
+        // Without these curl would wait for "100 Continue" and make up fields of its own.
+        for (const char* const none : { "Expect:", "Accept:", "Content-Type:" })
+            appendHeader(list, none);
+        for (const auto& [name, value] : request.headers.all())
+            appendHeader(list, headerLine(name, value));
+        return list;
+    }
+
+    size_t onBody(char* data, size_t size, size_t count, void* user)
+    {
+        static_cast<Transfer*>(user)->response.body.append(data, size * count);
+        return size * count;
+    }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        const size_t first = text.find_first_not_of(" \t\r\n");
+        if (first == std::string_view::npos)
+            return {};
+        return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+    }
+
+    void reserveBody(Transfer& transfer, std::string_view contentLength)
+    {
+        size_t bytes = 0;
+        std::from_chars(contentLength.data(), contentLength.data() + contentLength.size(), bytes);
+        transfer.response.body.reserve(std::min(bytes, maximumReservedBodyBytes));
+    }
+
+    size_t onHeader(char* data, size_t size, size_t count, void* user)
+    {
+        auto& transfer = *static_cast<Transfer*>(user);
+        const std::string_view line(data, size * count);
+        transfer.answerBegun = true;
+        if (line.starts_with("HTTP/")) {
+            // A new status line follows an interim answer.
+            transfer.response = Response {};
+            return line.size();
+        }
+        const size_t colon = line.find(':');
+        if (colon == std::string_view::npos)
+            return line.size();
+        const std::string_view name = line.substr(0, colon);
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (name.size() == std::string_view("Content-Length").size() && (name[0] == 'C' || name[0] == 'c')
+            && (name[8] == 'L' || name[8] == 'l'))
+            reserveBody(transfer, value);
+        transfer.response.headers.set(std::string(name), std::string(value));
+        return line.size();
+    }
+
+    /// curl calls this each time that it is about to write the request.
+    int onBeforeRequest(void* user, char*, char*, int, int)
+    {
+        auto& transfer = *static_cast<Transfer*>(user);
+        if (transfer.started)
+            return CURL_PREREQFUNC_ABORT;
+        transfer.started = true;
+        return CURL_PREREQFUNC_OK;
+    }
+
+    Common::ErrorCode errorCode(CURLcode code, const Transfer& transfer)
+    {
+        using Common::ErrorCode;
+        if (!transfer.started)
+            return ErrorCode::ConnectFailed;
+        switch (code) {
+        case CURLE_OPERATION_TIMEDOUT:
+            return ErrorCode::Timeout;
+        case CURLE_PARTIAL_FILE:
+            return ErrorCode::TruncatedAnswer;
+        case CURLE_UNSUPPORTED_PROTOCOL:
+        case CURLE_WEIRD_SERVER_REPLY:
+            return ErrorCode::ProtocolError;
+        default:
+            return transfer.answerBegun ? ErrorCode::TruncatedAnswer : ErrorCode::ConnectionLost;
+        }
+    }
+
+    void setKeepAlive(curl_socket_t fd)
+    {
+        struct IntOption {
+            int level;
+            int name;
+            int value;
+        };
+        for (const IntOption& option : std::array {
+                 IntOption { SOL_SOCKET, SO_KEEPALIVE, 1 },
+                 IntOption { IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds },
+                 IntOption { IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds },
+                 IntOption { IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes },
+                 IntOption { IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledgedMilliseconds) },
+             })
+            ::setsockopt(fd, option.level, option.name, &option.value, sizeof option.value);
+    }
+
+} // namespace
+
+struct Client::Impl : public std::enable_shared_from_this<Client::Impl> {
+    Impl(EventLoop& eventLoop, Limits clientLimits)
+        : loop(eventLoop)
+        , limits(clientLimits)
+        , timer(eventLoop.context())
+    {
+        static const CurlProcess process;
+        multi = curl_multi_init();
+        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, onSocket);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, onTimer);
+        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, maximumPooledConnections);
+    }
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+    ~Impl()
+    {
+        for (const auto& [easy, id] : byHandle)
+            curl_multi_remove_handle(multi, easy);
+        transfers.clear();
+        // Handles hold callbacks into this object until they are gone.
+        spareHandles.clear();
+        curl_multi_cleanup(multi);
+    }
+
+    EventLoop& loop;
+    Limits limits;
+    CURLM* multi = nullptr;
+    asio::steady_timer timer;
+    uint64_t lastTransfer = 0;
+    std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers;
+    /// The ids of `transfers` by their curl handle.
+    std::unordered_map<CURL*, uint64_t> byHandle;
+    /// Every socket that curl has open.
+    std::unordered_map<curl_socket_t, std::unique_ptr<Socket>> sockets;
+    /// Holds an entry for each address with a transfer.
+    std::unordered_map<std::string, AddressQueue> queues;
+    std::vector<EasyHandle> spareHandles;
+
+    // ---- Sockets ----
+
+    static curl_socket_t openSocket(void* user, curlsocktype, curl_sockaddr* peer)
+    {
+        auto& transfer = *static_cast<Transfer*>(user);
+        Impl* impl = nullptr;
+        curl_easy_getinfo(transfer.easy.get(), CURLINFO_PRIVATE, &impl);
+        const curl_socket_t fd = ::socket(peer->family, peer->socktype | SOCK_NONBLOCK | SOCK_CLOEXEC, peer->protocol);
+        if (fd == CURL_SOCKET_BAD)
+            return CURL_SOCKET_BAD;
+        setKeepAlive(fd);
+        impl->sockets.emplace(fd, std::make_unique<Socket>(impl->loop.context(), fd, transfer.address));
+        return fd;
+    }
+
+    static int closeSocket(void* user, curl_socket_t fd)
+    {
+        // The descriptor closes the socket and cancels its waits.
+        static_cast<Impl*>(user)->sockets.erase(fd);
+        return 0;
+    }
+
+    static int onSocket(CURL*, curl_socket_t fd, int what, void* user, void*)
+    {
+        auto& impl = *static_cast<Impl*>(user);
+        const auto found = impl.sockets.find(fd);
+        if (found == impl.sockets.end())
+            return 0;
+        found->second->wanted = what;
+        impl.watch(*found->second);
+        return 0;
+    }
+
+    void watch(Socket& socket)
+    {
+        const bool wantsRead = socket.wanted == CURL_POLL_IN || socket.wanted == CURL_POLL_INOUT;
+        const bool wantsWrite = socket.wanted == CURL_POLL_OUT || socket.wanted == CURL_POLL_INOUT;
+        if (wantsRead && !socket.readPending) {
+            socket.readPending = true;
+            startWait(socket, asio::posix::stream_descriptor::wait_read, CURL_CSELECT_IN);
+        }
+        if (wantsWrite && !socket.writePending) {
+            socket.writePending = true;
+            startWait(socket, asio::posix::stream_descriptor::wait_write, CURL_CSELECT_OUT);
+        }
+    }
+
+    void startWait(Socket& socket, asio::posix::stream_descriptor::wait_type type, int event)
+    {
+        const curl_socket_t fd = socket.descriptor.native_handle();
+        socket.descriptor.async_wait(
+            type, [weak = weak_from_this(), fd, watched = &socket, event](const asio::error_code& error) {
+                const auto impl = weak.lock();
+                if (impl && error != asio::error::operation_aborted)
+                    impl->ready(fd, watched, event, error ? CURL_CSELECT_ERR : event);
+            });
+    }
+
+    void ready(curl_socket_t fd, const Socket* watched, int event, int signalled)
+    {
+        const auto found = sockets.find(fd);
+        // The number may belong to a newer socket by now.
+        if (found == sockets.end() || found->second.get() != watched)
+            return;
+        Socket& socket = *found->second;
+        (event == CURL_CSELECT_IN ? socket.readPending : socket.writePending) = false;
+        if (socket.wanted == CURL_POLL_REMOVE || socket.wanted == CURL_POLL_NONE)
+            return;
+        int running = 0;
+        curl_multi_socket_action(multi, fd, signalled, &running);
+        finishCompleted();
+        const auto still = sockets.find(fd);
+        if (still != sockets.end() && still->second.get() == watched)
+            watch(*still->second);
+    }
+
+    /// Makes curl find the idle connections to an address dead, so that the next request opens a new one.
+    void dropIdle(const std::string& address)
+    {
+        for (const auto& [fd, socket] : sockets) {
+            if (socket->wanted == CURL_POLL_REMOVE && socket->address == address)
+                ::shutdown(fd, SHUT_RDWR);
+        }
+    }
+
+    // ---- Timer ----
+
+    static int onTimer(CURLM*, long milliseconds, void* user)
+    {
+        auto& impl = *static_cast<Impl*>(user);
+        if (milliseconds < 0) {
+            impl.timer.cancel();
+            return 0;
+        }
+        impl.timer.expires_after(std::chrono::milliseconds(milliseconds));
+        impl.timer.async_wait([weak = impl.weak_from_this()](const asio::error_code& error) {
+            const auto self = weak.lock();
+            if (self && !error)
+                self->timeOut();
+        });
+        return 0;
+    }
+
+    void timeOut()
+    {
+        int running = 0;
+        curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+        finishCompleted();
+    }
+
+    // ---- Transfers ----
+
+    EasyHandle takeHandle()
+    {
+        if (spareHandles.empty())
+            return EasyHandle(curl_easy_init());
+        EasyHandle easy = std::move(spareHandles.back());
+        spareHandles.pop_back();
+        return easy;
+    }
+
+    void giveBack(EasyHandle easy)
+    {
+        if (spareHandles.size() >= maximumSpareHandles)
+            return;
+        curl_easy_reset(easy.get());
+        spareHandles.push_back(std::move(easy));
+    }
+
+    void setConnectionOptions(CURL* easy, Transfer& transfer)
+    {
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maximumIdleSeconds);
+        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receiveBufferBytes);
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, openSocket);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    }
+
+    static void setRequestOptions(CURL* easy, Transfer& transfer)
+    {
+        const Request& request = transfer.request;
+        const std::string url = "http://" + transfer.address + request.target;
+        curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+        if (request.method != "GET" || !request.body.empty()) {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+        }
+        if (request.method != "POST")
+            curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeRequest);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    }
+
+    void setTimeouts(CURL* easy, Common::Duration timeout) const
+    {
+        const auto total
+            = std::max(std::chrono::ceil<std::chrono::milliseconds>(timeout), std::chrono::milliseconds(1));
+        const auto connect = std::min(std::chrono::ceil<std::chrono::milliseconds>(limits.connectTimeout), total);
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(total.count()));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect.count()));
+    }
+
+    uint64_t start(
+        const std::string& address, Request request, Common::Duration timeout, Common::Callback<Response> callback)
+    {
+        auto owned = std::make_unique<Transfer>();
+        Transfer& transfer = *owned;
+        transfer.id = ++lastTransfer;
+        transfer.address = address;
+        transfer.request = std::move(request);
+        transfer.callback = std::move(callback);
+        transfer.deadline = loop.now() + timeout;
+        transfers.emplace(transfer.id, std::move(owned));
+        AddressQueue& queue = queues[address];
+        if (queue.active < limits.maximumConnectionsPerAddress)
+            activate(transfer, queue);
+        else
+            wait(transfer, queue, timeout);
+        return transfer.id;
+    }
+
+    void activate(Transfer& transfer, AddressQueue& queue)
+    {
+        ++queue.active;
+        transfer.headers = buildHeaders(transfer.request);
+        transfer.easy = takeHandle();
+        CURL* const easy = transfer.easy.get();
+        setConnectionOptions(easy, transfer);
+        setRequestOptions(easy, transfer);
+        setTimeouts(easy, transfer.deadline - loop.now());
+        byHandle.emplace(easy, transfer.id);
+        const CURLMcode added = curl_multi_add_handle(multi, easy);
+        if (added == CURLM_OK)
+            return;
+        asio::post(loop.context(), [weak = weak_from_this(), id = transfer.id, added] {
+            if (const auto impl = weak.lock())
+                impl->fail(id, curl_multi_strerror(added));
+        });
+    }
+
+    void wait(Transfer& transfer, AddressQueue& queue, Common::Duration timeout)
+    {
+        queue.waiting.push_back(transfer.id);
+        transfer.waitTimer = loop.schedule(timeout, [weak = weak_from_this(), id = transfer.id] {
+            if (const auto impl = weak.lock())
+                impl->fail(id, "no free connection in time");
+        });
+    }
+
+    /// Ends a transfer of which nothing was sent.
+    void fail(uint64_t id, const char* why)
+    {
+        const auto transfer = take(id);
+        if (transfer)
+            transfer->callback(
+                Common::Failure { Common::ErrorCode::ConnectFailed, transfer->address + ": " + why, std::nullopt });
+    }
+
+    /// Takes a transfer out of curl's hands and the tables, and lets the next of its address go on.
+    std::unique_ptr<Transfer> take(uint64_t id)
+    {
+        const auto found = transfers.find(id);
+        if (found == transfers.end())
+            return nullptr;
+        std::unique_ptr<Transfer> transfer = std::move(found->second);
+        transfers.erase(found);
+        loop.cancel(transfer->waitTimer);
+        if (transfer->easy) {
+            byHandle.erase(transfer->easy.get());
+            curl_multi_remove_handle(multi, transfer->easy.get());
+            giveBack(std::move(transfer->easy));
+            --queues[transfer->address].active;
+        }
+        activateWaiting(transfer->address);
+        return transfer;
+    }
+
+    void activateWaiting(const std::string& address)
+    {
+        const auto found = queues.find(address);
+        AddressQueue& queue = found->second;
+        while (!queue.waiting.empty() && queue.active < limits.maximumConnectionsPerAddress) {
+            const auto next = transfers.find(queue.waiting.front());
+            queue.waiting.pop_front();
+            if (next == transfers.end())
+                continue;
+            loop.cancel(next->second->waitTimer);
+            activate(*next->second, queue);
+        }
+        if (queue.active == 0)
+            queues.erase(found);
+    }
+
+    void finishCompleted()
+    {
+        // Callbacks may start or abandon transfers, or destroy the client.
+        const auto self = shared_from_this();
+        int left = 0;
+        while (const CURLMsg* const message = curl_multi_info_read(multi, &left)) {
+            if (message->msg == CURLMSG_DONE)
+                finish(message->easy_handle, message->data.result);
+        }
+    }
+
+    void finish(CURL* easy, CURLcode code)
+    {
+        const auto known = byHandle.find(easy);
+        if (known == byHandle.end())
+            return;
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        const auto transfer = take(known->second);
+        if (code == CURLE_OK) {
+            transfer->response.status = static_cast<int>(status);
+            transfer->callback(std::move(transfer->response));
+            return;
+        }
+        const Common::ErrorCode error = errorCode(code, *transfer);
+        // What hid one connection from the other end may have hidden the others as well.
+        if (error == Common::ErrorCode::Timeout)
+            dropIdle(transfer->address);
+        transfer->callback(
+            Common::Failure { error, transfer->address + ": " + curl_easy_strerror(code), std::nullopt });
+    }
+};
+
+Client::Client(EventLoop& loop, Limits limits)
+    : m_impl(std::make_shared<Impl>(loop, limits))
+{
+}
+
+Client::~Client() = default;
+
+uint64_t Client::send(
+    const std::string& address, Request request, Common::Duration timeout, Common::Callback<Response> callback)
+{
+    return m_impl->start(address, std::move(request), timeout, std::move(callback));
+}
+
+void Client::abandon(uint64_t id) { m_impl->take(id); }
+
+} // namespace Http
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -33,7 +33,7 @@
 
 private:
     struct Impl;
-    std::unique_ptr<Impl> m_impl;
+    std::shared_ptr<Impl> m_impl;
 };
 
 } // namespace Http
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -20,6 +20,8 @@
     /// Call once for each request, now or later, on the loop.
     using Responder = std::function<void(Response)>;
     using Handler = std::function<void(Request, Responder)>;
+    /// A response with this status closes the connection without an answer (for stand-ins).
+    static constexpr int dropConnection = 0;
 
     struct Limits {
         size_t maximumBodyBytes = size_t { 16 } << 20;
