--- a/Tools/fleet.py
+++ b/Tools/fleet.py
@@ -178,8 +178,9 @@
         self.host = name
         self.domain = domain
         self.address = address or f"127.0.0.1:{free_port()}"
-        values = {"host": name, "listen": self.address, "domain": domain, "region": region,
-                  "store": store_address, "peers": seeds, **(settings or {})}
+        values = {"id": name, "listen": self.address, "domain": domain, "region": region,
+                  "store": {"address": store_address}, "peers": [s for s in seeds if s != self.address],
+                  **(settings or {})}
         self.settings_file = fleet.folder / f"{name}.json"
         self.settings_file.write_text(json.dumps(values, indent=2))
         super().__init__(fleet, name, [BIN / "lavendercartd", f"--settings={self.settings_file}"])
