Run batch jobs from the ledger's shards

Cause: jobs must be accepted durably, started once an attempt, and resolved from what workers report. Change: JobService over one JobShard an owned shard; JobQueue (urgent, priority with aging, fair over teams), TeamUsage. Ruled out: resolving an unreachable worker by time alone. Its domain may be cut off from this daemon only, and the owner in there goes on renewing the task's lease; so silence counts only while a daemon of that domain is heard.

--- a/Source/Core/Ledger/JobService.h
+++ b/Source/Core/Ledger/JobService.h
@@ -61,7 +61,8 @@
     bool evict(const Common::TaskId&);
     void onEvicted(EvictListener);
 
-    /// What the owner of a worker reports. Late and repeated views do no harm.
+    /// What the owner of a worker reports: all batch tasks on it, at least those of all shards that this process owns;
+    /// a task that is left out counts as gone. Late and repeated views do no harm.
     void onView(const Scheduler::WorkerView&);
 
     /// What each team's unresolved attempts of this process's shards hold, and what other daemons say of theirs.
--- /dev/null
+++ b/Source/Core/Ledger/JobShardAttempts.cpp
@@ -0,0 +1,520 @@
+// Attempts of one shard's jobs: reserved, intended, started, judged by views, and resolved.
+#include "Ledger/JobShard.h"
+
+#include "Common/Timeline.h"
+#include "Ledger/JobCounters.h"
+#include "Scheduler/ConfigView.h"
+#include "Scheduler/Profile.h"
+#include "Scheduler/Runtime.h"
+#include "Scheduler/TaskPlane.h"
+#include "Scheduler/WorkerPort.h"
+
+#include <algorithm>
+
+namespace Ledger {
+
+namespace {
+
+    using Phase = LiveJob::Phase;
+
+    constexpr Common::Duration failureBackoffMinimum = std::chrono::seconds(1);
+    constexpr Common::Duration failureBackoffMaximum = std::chrono::minutes(5);
+    constexpr uint32_t roundsInSecond = 1;
+    constexpr size_t viewsAskedAtOnce = 32;
+
+    bool provesNotStarted(Common::ErrorCode code)
+    {
+        return Scheduler::provesNotRun(code) || code == Common::ErrorCode::NotOwner
+            || code == Common::ErrorCode::NoAuthority;
+    }
+
+    std::optional<uint32_t> attemptOf(const Common::TaskId& task)
+    {
+        const size_t mark = task.value().rfind('#');
+        if (mark == std::string::npos)
+            return std::nullopt;
+        return static_cast<uint32_t>(std::strtoul(task.value().c_str() + mark + 1, nullptr, 10));
+    }
+
+    Common::Duration failureBackoff(const JobRecord& record)
+    {
+        const auto failures = std::count_if(record.attempts.begin(), record.attempts.end(),
+            [](const JobAttempt& attempt) { return attempt.end == AttemptEnd::Failed; });
+        return std::min(failureBackoffMaximum, failureBackoffMinimum * (int64_t { 1 } << failures));
+    }
+
+} // namespace
+
+// Start
+
+void JobShard::tick()
+{
+    const JobQueue::Allows allows = [this](const JobQueue::Item& item) { return quotaAllows(item); };
+    while (m_reserving < m_with.settings.maximumReserving) {
+        const auto item = m_queue.pop(now(), wall(), allows);
+        if (!item)
+            break;
+        startNext(*item);
+    }
+    sendControls();
+}
+
+Scheduler::TaskSpec JobShard::specOf(const JobRecord& record, uint32_t attempt) const
+{
+    return Scheduler::TaskSpec { .task = Common::TaskId(record.job.value() + "#" + std::to_string(attempt)),
+        .job = record.job,
+        .team = record.submission.team,
+        .profile = record.submission.profile,
+        .declared = record.submission.resources,
+        .checkpoint = record.checkpoint,
+        .command = record.submission.command,
+        .urgent = profileOf(record).priority == Scheduler::Priority::Urgent,
+        .avoid = record.failedWorkers };
+}
+
+void JobShard::startNext(const JobQueue::Item& item)
+{
+    const JobRecord* const record = m_shard.state().job(item.job);
+    const auto live = m_live.find(item.job);
+    if (record == nullptr || live == m_live.end() || live->second.ending)
+        return;
+    live->second.phase = Phase::Reserving;
+    count(*record, live->second);
+    ++m_reserving;
+    m_with.plane.reserve(specOf(*record, record->lastAttempt() + 1),
+        [this, token = m_lifetime.token(), item, &plane = m_with.plane](
+            const Common::Result<Scheduler::Reservation>& result) {
+            if (token.lock() && !m_abandoned)
+                reserved(item, result);
+            else if (result)
+                plane.release(*result);
+        });
+}
+
+void JobShard::reserved(const JobQueue::Item& item, const Common::Result<Scheduler::Reservation>& result)
+{
+    --m_reserving;
+    const JobRecord* const record = m_shard.state().job(item.job);
+    const auto live = m_live.find(item.job);
+    const bool wanted = record != nullptr && live != m_live.end() && !live->second.ending;
+    if (!wanted) {
+        if (result)
+            m_with.plane.release(*result);
+        return;
+    }
+    if (result) {
+        intend(*record, live->second, *result);
+        return;
+    }
+    m_with.counters.noWorker.Increment();
+    live->second.phase = Phase::Queued;
+    uncount(*record, live->second);
+    m_queue.refund(item);
+    m_queue.pushFront(item);
+    m_queue.holdBack(item, now() + m_with.settings.noWorkerPause);
+}
+
+void JobShard::intend(const JobRecord& record, LiveJob& live, const Scheduler::Reservation& reservation)
+{
+    live.phase = Phase::Intending;
+    live.reservation = reservation;
+    const JobAttempt attempt { .number = Common::AttemptNumber { record.lastAttempt() + 1 },
+        .worker = reservation.worker,
+        .boot = reservation.boot,
+        .startBy = reservation.startBy,
+        .workerOwner = reservation.owner };
+    live.intent = m_shard.commit(LedgerDelta { LedgerDelta::AttemptIntended { record.job, attempt } },
+        m_lifetime.guard(
+            [this, job = record.job](const Common::Result<Common::Done>& result) { intended(job, result); }));
+}
+
+void JobShard::intended(const Common::JobId& job, const Common::Result<Common::Done>& result)
+{
+    const auto found = m_live.find(job);
+    if (m_abandoned || found == m_live.end() || !found->second.reservation)
+        return;
+    LiveJob& live = found->second;
+    const Scheduler::Reservation reservation = *live.reservation;
+    // The shard is lost; abandon() follows and gives the room back.
+    if (!result)
+        return;
+    live.reservation.reset();
+    const JobRecord& record = *m_shard.state().job(job);
+    m_with.counters.intended.Increment();
+    this->record(Common::EventKind::JobIntended, record);
+    open(record, live, Phase::Starting);
+    if (live.cancelling) {
+        m_with.plane.release(reservation);
+        resolve(record, live, AttemptEnd::NotStarted);
+        return;
+    }
+    const uint32_t attempt = record.lastAttempt();
+    m_with.plane.start(reservation, specOf(record, attempt),
+        m_lifetime.guard(
+            [this, job, attempt](const Common::Result<Common::Done>& start) { started(job, attempt, start); }));
+}
+
+void JobShard::open(const JobRecord& record, LiveJob& live, Phase phase)
+{
+    live.phase = phase;
+    live.silentRounds = 0;
+    live.otherBootSince.reset();
+    live.nextControl = now();
+    live.cancelling |= record.cancelRequested;
+    if (live.cancelling)
+        m_controlled.insert(record.job);
+    count(record, live);
+    WorkerWatch& watch = m_workers[record.openAttempt()->worker];
+    watch.jobs.insert(record.job);
+}
+
+void JobShard::started(const Common::JobId& job, uint32_t attempt, const Common::Result<Common::Done>& start)
+{
+    const JobRecord* const record = m_shard.state().job(job);
+    const auto live = m_live.find(job);
+    if (m_abandoned || record == nullptr || live == m_live.end() || live->second.ending)
+        return;
+    if (record->openAttempt() == nullptr || record->lastAttempt() != attempt)
+        return;
+    if (start)
+        return;
+    if (provesNotStarted(start.reason().code)) {
+        resolve(*record, live->second, AttemptEnd::NotStarted);
+        return;
+    }
+    // It may be running: only views tell.
+    m_with.plane.requestView(record->openAttempt()->worker);
+}
+
+// Views
+
+void JobShard::onView(const Scheduler::WorkerView& view)
+{
+    const auto found = m_workers.find(view.worker);
+    std::unordered_map<Common::TaskId, const Scheduler::TaskReport*> reports;
+    for (const Scheduler::TaskReport& report : view.tasks) {
+        reports.emplace(report.task, &report);
+        tidy(view, report);
+    }
+    if (found == m_workers.end())
+        return;
+    found->second.lastView = now();
+    const std::vector<Common::JobId> jobs(found->second.jobs.begin(), found->second.jobs.end());
+    for (const Common::JobId& job : jobs) {
+        const JobRecord* const record = m_shard.state().job(job);
+        const auto live = m_live.find(job);
+        if (record == nullptr || live == m_live.end() || live->second.ending || record->openAttempt() == nullptr)
+            continue;
+        const auto report = reports.find(record->task());
+        judge(*record, live->second, view, report == reports.end() ? nullptr : report->second);
+    }
+}
+
+void JobShard::judge(
+    const JobRecord& record, LiveJob& live, const Scheduler::WorkerView& view, const Scheduler::TaskReport* report)
+{
+    live.silentRounds = 0;
+    const JobAttempt& attempt = *record.openAttempt();
+    if (view.boot != attempt.boot) {
+        judgeOtherBoot(record, live);
+        return;
+    }
+    live.otherBootSince.reset();
+    if (report != nullptr) {
+        judgeReport(record, live, *report);
+        return;
+    }
+    // Neither running nor ended nor able to start any more.
+    if (view.clock >= attempt.startBy)
+        resolve(record, live, AttemptEnd::Lost);
+}
+
+/// Boots have no order, and a view of an older boot may be late. So a reboot counts only when views of another boot
+/// still come once every late one has arrived, and none of the attempt's boot came between.
+void JobShard::judgeOtherBoot(const JobRecord& record, LiveJob& live)
+{
+    if (!live.otherBootSince) {
+        live.otherBootSince = now();
+        m_with.plane.requestView(record.openAttempt()->worker);
+        return;
+    }
+    if (now() - *live.otherBootSince >= m_with.settings.bootConfirmation)
+        resolve(record, live, AttemptEnd::Lost);
+}
+
+void JobShard::judgeReport(const JobRecord& record, LiveJob& live, const Scheduler::TaskReport& report)
+{
+    switch (report.state) {
+    case Scheduler::TaskState::Running:
+        seenRunning(record, live, report);
+        return;
+    case Scheduler::TaskState::Finished:
+        resolve(record, live, AttemptEnd::Finished, report.checkpoint);
+        return;
+    case Scheduler::TaskState::Failed:
+        resolve(record, live, AttemptEnd::Failed, report.checkpoint);
+        return;
+    case Scheduler::TaskState::Stopped:
+        resolve(
+            record, live, live.phase == Phase::Stopping ? AttemptEnd::Evicted : AttemptEnd::Lost, report.checkpoint);
+        return;
+    }
+}
+
+void JobShard::seenRunning(const JobRecord& record, LiveJob& live, const Scheduler::TaskReport& report)
+{
+    if (live.phase == Phase::Starting) {
+        live.phase = Phase::Running;
+        live.runningSince = now();
+        live.nextCheckpointRecord = now() + m_with.settings.checkpointRecordGap;
+        this->record(Common::EventKind::JobStarted, record);
+    }
+    if (report.checkpoint.empty() || report.checkpoint == record.checkpoint || live.recordingCheckpoint)
+        return;
+    if (live.phase == Phase::Checkpointing || now() >= live.nextCheckpointRecord)
+        recordCheckpoint(record, live, report.checkpoint);
+}
+
+void JobShard::recordCheckpoint(const JobRecord& record, LiveJob& live, const std::string& checkpoint)
+{
+    live.recordingCheckpoint = true;
+    live.nextCheckpointRecord = now() + m_with.settings.checkpointRecordGap;
+    m_shard.commit(LedgerDelta { LedgerDelta::CheckpointRecorded { record.job, checkpoint } },
+        m_lifetime.guard([this, job = record.job](const Common::Result<Common::Done>& result) {
+            const auto found = m_live.find(job);
+            if (found == m_live.end())
+                return;
+            found->second.recordingCheckpoint = false;
+            if (result && found->second.phase == Phase::Checkpointing) {
+                found->second.phase = Phase::Stopping;
+                found->second.nextControl = now();
+            }
+        }));
+}
+
+/// Attempts that are durably resolved: an ended one is acknowledged, a running one is stopped. Attempts that this owner
+/// doesn't know may be a successor's and are left alone.
+void JobShard::tidy(const Scheduler::WorkerView& view, const Scheduler::TaskReport& report)
+{
+    const auto job = JobService::jobOfTask(report.task);
+    const auto attempt = attemptOf(report.task);
+    const JobRecord* const record = job ? m_shard.state().job(*job) : nullptr;
+    if (record == nullptr || !attempt || *attempt > record->lastAttempt())
+        return;
+    if (record->openAttempt() != nullptr && *attempt == record->lastAttempt())
+        return;
+    if (report.state != Scheduler::TaskState::Running) {
+        m_with.plane.acknowledge(view.worker, { report.task });
+        return;
+    }
+    m_with.counters.strayStops.Increment();
+    m_with.plane.control(view.worker, Scheduler::TaskControl::Stop, { report.task });
+}
+
+// Ends of attempts and jobs
+
+void JobShard::resolve(const JobRecord& record, LiveJob& live, AttemptEnd end, const std::string& checkpoint)
+{
+    if (const auto final = finalState(record, live, end)) {
+        this->end(record, live, final->first, end, final->second);
+        return;
+    }
+    requeue(record, live, end, checkpoint);
+}
+
+std::optional<std::pair<JobState, std::string>> JobShard::finalState(
+    const JobRecord& record, const LiveJob& live, AttemptEnd end) const
+{
+    if (end == AttemptEnd::Finished)
+        return std::pair(JobState::Finished, std::string());
+    if (live.cancelling || record.cancelRequested)
+        return std::pair(JobState::Cancelled, std::string("cancelled"));
+    if (end == AttemptEnd::NotStarted)
+        return std::nullopt;
+    if (end != AttemptEnd::Failed) {
+        if (record.atMostOnce)
+            return std::pair(JobState::Unknown, std::string("the attempt may have run; runs at most once"));
+        return std::nullopt;
+    }
+    if (record.atMostOnce)
+        return std::pair(JobState::Failed, std::string("the attempt failed; runs at most once"));
+    std::set<Common::WorkerId> failed(record.failedWorkers.begin(), record.failedWorkers.end());
+    failed.insert(record.openAttempt()->worker);
+    if (failed.size() >= profileOf(record).maximumJobFailures)
+        return std::pair(JobState::Failed, "failed on " + std::to_string(failed.size()) + " distinct workers");
+    return std::nullopt;
+}
+
+void JobShard::requeue(const JobRecord& record, LiveJob& live, AttemptEnd end, const std::string& checkpoint)
+{
+    live.ending = true;
+    const JobAttempt attempt = *record.openAttempt();
+    m_shard.commit(LedgerDelta { LedgerDelta::AttemptEnded { record.job, end, checkpoint } },
+        m_lifetime.guard([this, job = record.job, end, attempt](
+                             const Common::Result<Common::Done>& result) { requeued(job, end, attempt, result); }));
+}
+
+void JobShard::requeued(
+    const Common::JobId& job, AttemptEnd end, const JobAttempt& attempt, const Common::Result<Common::Done>& result)
+{
+    const auto found = m_live.find(job);
+    if (!result || m_abandoned || found == m_live.end())
+        return;
+    LiveJob& live = found->second;
+    const JobRecord& record = *m_shard.state().job(job);
+    close(record, live, attempt);
+    live.ending = false;
+    live.phase = Phase::Queued;
+    m_with.counters.attemptEnded(end);
+    if (end == AttemptEnd::Lost)
+        this->record(Common::EventKind::JobAttemptLost, record);
+    if (live.cancelling) {
+        this->end(record, live, JobState::Cancelled, end, "cancelled");
+        return;
+    }
+    if (end == AttemptEnd::Failed) {
+        enqueueLater(job, failureBackoff(record));
+        return;
+    }
+    if (end == AttemptEnd::NotStarted) {
+        enqueueLater(job, m_with.settings.noWorkerPause);
+        return;
+    }
+    if (end == AttemptEnd::Evicted) {
+        this->record(Common::EventKind::JobEvicted, record);
+        m_with.evicted(record.task(), record.checkpoint);
+    }
+    enqueue(record);
+}
+
+void JobShard::end(const JobRecord& record, LiveJob& live, JobState state, AttemptEnd end, const std::string& detail)
+{
+    live.ending = true;
+    m_queue.remove(record.job);
+    const std::optional<JobAttempt> attempt
+        = record.openAttempt() != nullptr ? std::optional(*record.openAttempt()) : std::nullopt;
+    LedgerDelta delta { LedgerDelta::JobEnded { record.job, state, end, wall(), detail } };
+    m_shard.commit(std::move(delta),
+        m_lifetime.guard([this, job = record.job, state, attempt](
+                             const Common::Result<Common::Done>& result) { ended(job, state, attempt, result); }));
+}
+
+void JobShard::ended(const Common::JobId& job, JobState state, const std::optional<JobAttempt>& attempt,
+    const Common::Result<Common::Done>& result)
+{
+    const auto found = m_live.find(job);
+    if (!result || m_abandoned || found == m_live.end())
+        return;
+    LiveJob& live = found->second;
+    const JobRecord& record = *m_shard.state().job(job);
+    if (attempt)
+        close(record, live, *attempt);
+    uncount(record, live);
+    m_controlled.erase(job);
+    m_with.counters.ended(state);
+    if (state == JobState::Finished)
+        this->record(Common::EventKind::JobFinished, record);
+    else if (state == JobState::Cancelled)
+        this->record(Common::EventKind::JobCancelled, record);
+    else
+        this->record(Common::EventKind::JobFailed, record, record.detail);
+    const auto waiters = std::move(live.cancelWaiters);
+    m_live.erase(found);
+    for (const auto& waiter : waiters)
+        waiter(Common::Done {});
+}
+
+void JobShard::close(const JobRecord& record, LiveJob& live, const JobAttempt& attempt)
+{
+    uncount(record, live);
+    m_controlled.erase(record.job);
+    const auto watch = m_workers.find(attempt.worker);
+    if (watch != m_workers.end()) {
+        watch->second.jobs.erase(record.job);
+        if (watch->second.jobs.empty())
+            m_workers.erase(watch);
+    }
+    const Common::TaskId task(record.job.value() + "#" + std::to_string(attempt.number.value));
+    m_with.plane.acknowledge(attempt.worker, { task });
+}
+
+// Controls, repeated until a view shows their effect
+
+void JobShard::sendControls()
+{
+    ControlBatch batch;
+    for (auto job = m_controlled.begin(); job != m_controlled.end();) {
+        const JobRecord* const record = m_shard.state().job(*job);
+        const auto live = m_live.find(*job);
+        if (record == nullptr || live == m_live.end()) {
+            job = m_controlled.erase(job);
+            continue;
+        }
+        if (record->openAttempt() != nullptr && live->second.nextControl <= now())
+            addControl(*record, live->second, batch);
+        ++job;
+    }
+    for (const auto& [target, tasks] : batch)
+        m_with.plane.control(target.first, target.second, tasks);
+}
+
+void JobShard::addControl(const JobRecord& record, LiveJob& live, ControlBatch& batch)
+{
+    live.nextControl = now() + m_with.settings.controlRepeat;
+    // Without a checkpoint in time the task resumes from the one that it has.
+    if (live.phase == Phase::Checkpointing && now() >= live.evictCheckpointUntil)
+        live.phase = Phase::Stopping;
+    const bool stop = record.cancelRequested || live.phase == Phase::Stopping;
+    if (!stop && live.phase != Phase::Checkpointing)
+        return;
+    const auto control = stop ? Scheduler::TaskControl::Stop : Scheduler::TaskControl::Checkpoint;
+    batch[{ record.openAttempt()->worker, control }].push_back(record.task());
+}
+
+// Once a second
+
+void JobShard::round()
+{
+    checkSilence();
+    askForViews();
+    m_shard.pruneJobs();
+}
+
+void JobShard::checkSilence()
+{
+    const auto span
+        = std::chrono::ceil<std::chrono::seconds>(m_with.settings.longestTaskLease + m_with.settings.leaseMargin);
+    const auto limit = static_cast<uint32_t>(span.count()) * roundsInSecond;
+    std::vector<Common::JobId> lost;
+    for (auto& [worker, watch] : m_workers) {
+        const bool heard = m_with.domainHeard && m_with.domainHeard(worker);
+        for (const Common::JobId& job : watch.jobs) {
+            LiveJob& live = m_live[job];
+            live.silentRounds = heard ? live.silentRounds + 1 : 0;
+            if (live.silentRounds > limit && !live.ending)
+                lost.push_back(job);
+        }
+    }
+    for (const Common::JobId& job : lost) {
+        const JobRecord& record = *m_shard.state().job(job);
+        if (record.openAttempt() != nullptr)
+            resolve(record, m_live[job], AttemptEnd::Lost);
+    }
+}
+
+void JobShard::askForViews()
+{
+    size_t asked = 0;
+    for (auto& [worker, watch] : m_workers) {
+        if (asked == viewsAskedAtOnce)
+            return;
+        const Common::MonoTime last = std::max(watch.lastView, watch.lastAsked);
+        if (now() - last < m_with.settings.viewOverdue && last != Common::MonoTime {})
+            continue;
+        watch.lastAsked = now();
+        m_with.plane.requestView(worker);
+        ++asked;
+    }
+}
+
+} // namespace Ledger
