--- a/Source/Core/Ledger/JobQueue.cpp
+++ b/Source/Core/Ledger/JobQueue.cpp
@@ -10,12 +10,38 @@
 {
     double& virtualTime = m_virtualTimes[item.team];
     virtualTime = std::max(virtualTime, m_virtualTime);
-    laneOf(item).entries.push_back(Entry { item, nextSequence(item.job) });
+    laneOf(item).push_back(Entry { item, nextSequence(item.job) });
 }
 
-void JobQueue::pushFront(const Item& item) { laneOf(item).entries.push_front(Entry { item, nextSequence(item.job) }); }
+void JobQueue::pushFront(const Item& item) { laneOf(item).push_front(Entry { item, nextSequence(item.job) }); }
 
-void JobQueue::holdBack(const Item& item, Common::MonoTime until) { laneOf(item).notBefore = until; }
+void JobQueue::holdBack(const Common::Resources& amount, Common::MonoTime until)
+{
+    bool known = false;
+    for (NoRoom& noRoom : m_noRoom) {
+        if (!Common::fits(noRoom.amount, amount))
+            continue;
+        noRoom.until = until;
+        noRoom.probing = false;
+        known |= noRoom.amount == amount;
+    }
+    if (!known && m_noRoom.size() < maximumSizesHeldBack)
+        m_noRoom.push_back(NoRoom { amount, until });
+}
+
+void JobQueue::hasRoom(const Item& item)
+{
+    // A team that comes later begins where the served ones stand.
+    m_virtualTime = std::max(m_virtualTime, m_virtualTimes[item.team] - cost(item));
+    std::erase_if(m_noRoom, [&](const NoRoom& noRoom) { return Common::fits(noRoom.amount, item.declared); });
+}
+
+bool JobQueue::heldBack(const Item& item, Common::MonoTime now) const
+{
+    return std::any_of(m_noRoom.begin(), m_noRoom.end(), [&](const NoRoom& noRoom) {
+        return (noRoom.probing || now < noRoom.until) && Common::fits(noRoom.amount, item.declared);
+    });
+}
 
 uint64_t JobQueue::nextSequence(const Common::JobId& job)
 {
@@ -25,12 +51,12 @@
 
 const JobQueue::Entry* JobQueue::front(Lane& lane)
 {
-    while (!lane.entries.empty()) {
-        const Entry& first = lane.entries.front();
+    while (!lane.empty()) {
+        const Entry& first = lane.front();
         const auto waiting = m_waiting.find(first.item.job);
         if (waiting != m_waiting.end() && waiting->second == first.sequence)
             return &first;
-        lane.entries.pop_front();
+        lane.pop_front();
     }
     return nullptr;
 }
@@ -61,8 +87,8 @@
                 continue;
             }
             const std::pair rank(effectivePriority(first->item, wallMilliseconds), -m_virtualTimes[first->item.team]);
-            const bool candidate = lane->second.notBefore <= now && (best == nullptr || rank > bestRank);
-            if (candidate && allows(first->item)) {
+            const bool better = best == nullptr || rank > bestRank;
+            if (better && !heldBack(first->item, now) && allows(first->item)) {
                 best = &lane->second;
                 bestRank = rank;
             }
@@ -71,12 +97,12 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    Item item = std::move(best->entries.front().item);
-    best->entries.pop_front();
+    Item item = std::move(best->front().item);
+    best->pop_front();
     m_waiting.erase(item.job);
-    double& virtualTime = m_virtualTimes[item.team];
-    m_virtualTime = std::max(m_virtualTime, virtualTime);
-    virtualTime += cost(item);
+    for (NoRoom& noRoom : m_noRoom)
+        noRoom.probing |= Common::fits(noRoom.amount, item.declared);
+    m_virtualTimes[item.team] += cost(item);
     return item;
 }
 
--- a/Source/Core/Ledger/JobQueue.h
+++ b/Source/Core/Ledger/JobQueue.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace Ledger {
 
@@ -40,10 +41,12 @@
     /// Gives a team back what a job cost that did not start.
     void refund(const Item& item) { m_virtualTimes[item.team] -= cost(item); }
     void remove(const Common::JobId& job) { m_waiting.erase(job); }
-    /// The next job whose lane isn't held back and that `allows` lets pass.
+    /// The next job that is not held back and that `allows` lets pass.
     std::optional<Item> pop(Common::MonoTime now, int64_t wallMilliseconds, const Allows& allows);
-    /// Holds back the lane of `item`: nothing of it has room now.
-    void holdBack(const Item& item, Common::MonoTime until);
+    /// Nothing as large as `amount` has room now: holds back all such jobs until then. After that only the first of
+    /// them is yielded until hasRoom() or holdBack() tells how it fared, so that others don't take the room before it.
+    void holdBack(const Common::Resources& amount, Common::MonoTime until);
+    void hasRoom(const Item&);
     size_t size() const { return m_waiting.size(); }
 
 private:
@@ -51,10 +54,13 @@
         Item item;
         uint64_t sequence = 0;
     };
-    struct Lane {
-        std::deque<Entry> entries;
-        Common::MonoTime notBefore {};
+    struct NoRoom {
+        Common::Resources amount;
+        Common::MonoTime until;
+        /// The first job of this size is being tried.
+        bool probing = false;
     };
+    using Lane = std::deque<Entry>;
     using Lanes = std::map<Common::TeamName, Lane>;
 
     static constexpr size_t priorityCount = 4;
@@ -63,15 +69,19 @@
     uint64_t nextSequence(const Common::JobId&);
     /// The first entry that is still waiting; null when there is none.
     const Entry* front(Lane&);
+    bool heldBack(const Item&, Common::MonoTime now) const;
     int effectivePriority(const Item&, int64_t wallMilliseconds) const;
     static double cost(const Item&);
 
+    static constexpr size_t maximumSizesHeldBack = 64;
+
     Common::Duration m_agingStep;
     std::array<Lanes, priorityCount> m_lanes;
     /// The valid entry of each queued job.
     std::unordered_map<Common::JobId, uint64_t> m_waiting;
     std::map<Common::TeamName, double> m_virtualTimes;
     double m_virtualTime = 0;
+    std::vector<NoRoom> m_noRoom;
     uint64_t m_lastSequence = 0;
 };
 
--- a/Source/Core/Ledger/JobShardAttempts.cpp
+++ b/Source/Core/Ledger/JobShardAttempts.cpp
@@ -76,8 +76,10 @@
 {
     const JobRecord* const record = m_shard.state().job(item.job);
     const auto live = m_live.find(item.job);
-    if (record == nullptr || live == m_live.end() || live->second.ending)
+    if (record == nullptr || live == m_live.end() || live->second.ending) {
+        m_queue.hasRoom(item);
         return;
+    }
     live->second.phase = Phase::Reserving;
     count(*record, live->second);
     ++m_reserving;
@@ -94,6 +96,10 @@
 void JobShard::reserved(const JobQueue::Item& item, const Common::Result<Scheduler::Reservation>& result)
 {
     --m_reserving;
+    if (result)
+        m_queue.hasRoom(item);
+    else
+        m_queue.holdBack(item.declared, now() + m_with.settings.noWorkerPause);
     const JobRecord* const record = m_shard.state().job(item.job);
     const auto live = m_live.find(item.job);
     const bool wanted = record != nullptr && live != m_live.end() && !live->second.ending;
@@ -111,7 +117,6 @@
     uncount(*record, live->second);
     m_queue.refund(item);
     m_queue.pushFront(item);
-    m_queue.holdBack(item, now() + m_with.settings.noWorkerPause);
 }
 
 void JobShard::intend(const JobRecord& record, LiveJob& live, const Scheduler::Reservation& reservation)
--- /dev/null
+++ b/Source/UnitTests/Ledger/JobServiceTest.cpp
@@ -0,0 +1,428 @@
+// Jobs through faults, judged by the workers' journal.
+#include "Ledger/JobService.h"
+
+#include "Ledger/JobWorld.h"
+#include "Ledger/LedgerSeeds.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace Ledger;
+using namespace LedgerTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Submits and waits; the job must be accepted.
+Common::JobId accept(JobWorld& world, JobDaemon& daemon, const JobSubmission& submission)
+{
+    std::optional<Common::Result<JobService::Accepted>> answer;
+    daemon.jobs.submit(submission, [&](const auto& result) { answer = result; });
+    world.runtime.advance(2s);
+    REQUIRE(answer);
+    REQUIRE(answer->hasValue());
+    return (*answer)->job;
+}
+
+std::optional<Common::ErrorCode> refusal(JobWorld& world, JobDaemon& daemon, const JobSubmission& submission)
+{
+    std::optional<Common::ErrorCode> code;
+    daemon.jobs.submit(submission, [&](const auto& result) {
+        if (!result)
+            code = result.reason().code;
+    });
+    world.runtime.advance(3s);
+    return code;
+}
+
+JobState stateOf(const JobDaemon& daemon, const Common::JobId& job)
+{
+    const auto status = daemon.jobs.get(job);
+    REQUIRE(status);
+    return status->state;
+}
+
+Common::TaskId taskOf(const Common::JobId& job, int attempt)
+{
+    return Common::TaskId(job.value() + "#" + std::to_string(attempt));
+}
+
+} // namespace
+
+TEST_CASE("a job is accepted once a key, runs, and ends")
+{
+    JobWorld world;
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    const Common::JobId job = accept(world, daemon, JobWorld::submission("one"));
+    CHECK(JobService::shardOfJob(job) == daemon.owners.shardOf("one"));
+    CHECK(JobService::shardOfTask(taskOf(job, 1)) == JobService::shardOfJob(job));
+    CHECK(accept(world, daemon, JobWorld::submission("one")) == job);
+    CHECK(refusal(world, daemon, JobWorld::submission("one", "once")) == Common::ErrorCode::DuplicateId);
+    world.runtime.advance(30s);
+    CHECK(stateOf(daemon, job) == JobState::Finished);
+    CHECK(world.workers.journal.size() == 1);
+    // Its end was acknowledged.
+    for (const auto& entry : world.workers.workers)
+        CHECK(entry.second.tasks.empty());
+}
+
+TEST_CASE("what can never run or be read is refused")
+{
+    JobWorld world;
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    CHECK(refusal(world, daemon, JobWorld::submission("big", "batch", "t1", 5)) == Common::ErrorCode::JobFitsNoWorker);
+    CHECK(refusal(world, daemon, JobWorld::submission("bad key")) == Common::ErrorCode::MalformedRequest);
+    CHECK(refusal(world, daemon, JobWorld::submission("k", "none")) == Common::ErrorCode::UnknownProfile);
+    CHECK(refusal(world, daemon, JobWorld::submission("k", "batch", "small", 3)) == Common::ErrorCode::QuotaExceeded);
+    world.store.faults.down = true;
+    const auto code = refusal(world, daemon, JobWorld::submission("k"));
+    CHECK((code == Common::ErrorCode::StoreUnavailable || code == Common::ErrorCode::OutcomeUnknown));
+}
+
+TEST_CASE("evicted work resumes once, from its checkpoint, on a successor too")
+{
+    JobWorld world;
+    world.workers.faults.longestRun = std::chrono::hours(1);
+    JobDaemon& first = world.add("a");
+    world.runtime.advance(3s);
+    const Common::JobId job = accept(world, first, JobWorld::submission("one"));
+    world.runtime.advance(3s);
+    REQUIRE(stateOf(first, job) == JobState::Running);
+    std::string resumeFrom;
+    first.jobs.onEvicted([&](const Common::TaskId&, const std::string& checkpoint) { resumeFrom = checkpoint; });
+    CHECK(first.jobs.evict(taskOf(job, 1)));
+    CHECK_FALSE(first.jobs.evict(taskOf(job, 1)));
+    world.runtime.advance(10s);
+    REQUIRE(world.workers.journal.size() == 2);
+    CHECK_FALSE(resumeFrom.empty());
+    CHECK(world.workers.journal[1].checkpoint == resumeFrom);
+    first.runtime.kill();
+    JobDaemon& second = world.add("b");
+    world.runtime.advance(10s);
+    CHECK(stateOf(second, job) == JobState::Running);
+    CHECK(second.jobs.get(job)->attempts.size() == 2);
+    CHECK(world.workers.journal.size() == 2);
+}
+
+TEST_CASE("a job that fails on distinct workers is given up, a sick worker alone gives up none")
+{
+    JobWorld world(1, 4);
+    for (auto& entry : world.workers.workers)
+        entry.second.failsAll = true;
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    const Common::JobId poison = accept(world, daemon, JobWorld::submission("poison"));
+    world.runtime.advance(60s);
+    CHECK(stateOf(daemon, poison) == JobState::Failed);
+    CHECK(world.workers.journal.size() == 3);
+    for (const char* healthy : { "w1", "w2", "w3" })
+        world.workers.workers[healthy].failsAll = false;
+    const Common::JobId good = accept(world, daemon, JobWorld::submission("good"));
+    world.runtime.advance(60s);
+    CHECK(stateOf(daemon, good) == JobState::Finished);
+}
+
+TEST_CASE("a flood of cancellations is few writes and few controls")
+{
+    JobWorld world;
+    world.workers.faults.longestRun = std::chrono::hours(1);
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    std::vector<Common::JobId> jobs;
+    for (int number = 0; number < 3000; ++number) {
+        daemon.jobs.submit(JobWorld::submission("k" + std::to_string(number)), [&](const auto& result) {
+            if (result)
+                jobs.push_back(result->job);
+        });
+    }
+    world.runtime.advance(10s);
+    REQUIRE(jobs.size() == 3000);
+    const uint64_t writes = world.store.counts.writes;
+    const uint64_t controls = daemon.plane.controls;
+    size_t cancelled = 0;
+    for (const Common::JobId& job : jobs)
+        daemon.jobs.cancel(job, [&](const auto& result) { cancelled += result.hasValue() ? 1 : 0; });
+    world.runtime.advance(5s);
+    CHECK(cancelled == 3000);
+    CHECK(world.store.counts.writes - writes < 100);
+    CHECK(daemon.plane.controls - controls < 50);
+    for (const Common::JobId& job : jobs)
+        CHECK(stateOf(daemon, job) == JobState::Cancelled);
+}
+
+TEST_CASE("a domain that is cut off keeps its work; a dead worker's work goes elsewhere after the lease")
+{
+    JobWorld world(1, 2);
+    world.workers.faults.longestRun = std::chrono::hours(1);
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    const Common::JobId job = accept(world, daemon, JobWorld::submission("one"));
+    world.runtime.advance(3s);
+    auto& first = world.workers.workers["w0"];
+    first.cutOff = true;
+    world.runtime.advance(120s);
+    CHECK(world.workers.journal.size() == 1);
+    first.cutOff = false;
+    world.runtime.advance(5s);
+    CHECK(stateOf(daemon, job) == JobState::Running);
+    world.workers.die(first);
+    world.runtime.advance(30s);
+    CHECK(world.workers.journal.size() == 2);
+    CHECK(stateOf(daemon, job) == JobState::Running);
+}
+
+TEST_CASE("urgent work first, teams share, quotas hold, low priority does not starve")
+{
+    JobWorld world(1, 1);
+    world.workers.faults.longestRun = std::chrono::hours(1);
+    world.settings.shardCount = 1;
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    for (const char* key : { "a1", "a2", "a3", "a4" })
+        accept(world, daemon, JobWorld::submission(key, "batch", "small"));
+    world.runtime.advance(5s);
+    CHECK(world.workers.journal.size() == 2);
+    for (const char* key : { "b1", "b2", "b3", "b4" })
+        accept(world, daemon, JobWorld::submission(key, "batch", "t1"));
+    accept(world, daemon, JobWorld::submission("c1", "batch", "t2"));
+    const Common::JobId urgent = accept(world, daemon, JobWorld::submission("u1", "urgent", "t3"));
+    REQUIRE(world.workers.journal.size() == 4);
+    // One slot comes free after the other: the urgent job, then the team that had less.
+    const auto freeOne = [&](size_t run) {
+        daemon.jobs.cancel(Common::JobId(world.workers.journal[run].job), [](const auto&) {});
+        world.runtime.advance(5s);
+    };
+    freeOne(2);
+    REQUIRE(world.workers.journal.size() == 5);
+    CHECK(world.workers.journal[4].job == urgent.value());
+    freeOne(3);
+    REQUIRE(world.workers.journal.size() == 6);
+    CHECK(world.workers.journal[5].job == "j-00-c1");
+}
+
+namespace {
+
+/// One random schedule and what its journal must show.
+class Schedule {
+public:
+    explicit Schedule(uint64_t seed)
+        : m_world(seed)
+    {
+        m_world.workers.faults = { .lostViews = 15,
+            .repeatedViews = 15,
+            .lostStarts = 20,
+            .longestStart = 6s,
+            .longestView = 2s,
+            .longestRun = 15s };
+        m_world.settings.checkpointRecordGap = 3s;
+    }
+
+    void play()
+    {
+        for (int step = 0; step < 40; ++step) {
+            faults();
+            membership();
+            calls();
+            m_world.runtime.advance(m_world.workers.between(0s, 1500ms));
+        }
+        settle();
+    }
+    void judge()
+    {
+        std::map<std::string, std::vector<const Run*>> runs;
+        for (const Run& run : m_world.workers.journal)
+            runs[run.job].push_back(&run);
+        for (const std::string& key : m_accepted)
+            judgeJob(key, runs);
+        for (const auto& entry : runs)
+            CHECK_MESSAGE(m_maybe.contains(entry.first.substr(5)), "a refused job ran: " << entry.first);
+        for (const auto& [task, checkpoint] : m_evicted)
+            judgeEviction(task, checkpoint, runs);
+    }
+    size_t runs() const { return m_world.workers.journal.size(); }
+    size_t evictions() const { return m_evicted.size(); }
+    size_t accepted() const { return m_accepted.size(); }
+
+private:
+    void faults()
+    {
+        auto& store = m_world.store.faults;
+        store.lostAnswers = m_world.random(3) == 0 ? 30 : 0;
+        store.lateWrites = m_world.random(4) == 0 ? 20 : 0;
+        store.down = m_world.random(10) == 0;
+        for (auto& entry : m_world.workers.workers) {
+            auto& worker = entry.second;
+            const uint64_t fate = m_world.random(80);
+            if (fate == 0)
+                m_world.workers.reboot(worker);
+            if (fate == 1 && !worker.dead)
+                m_world.workers.die(worker);
+            if (fate == 2)
+                worker.cutOff = true;
+            if (fate > 60)
+                worker.cutOff = worker.dead = false;
+            worker.failsAll = m_world.random(30) == 0;
+        }
+    }
+    void membership()
+    {
+        if (m_names.size() < 2 || m_world.random(30) == 0) {
+            m_names.push_back("d" + std::to_string(m_names.size()));
+            JobDaemon& daemon = m_world.add(m_names.back());
+            daemon.jobs.onEvicted([this](const Common::TaskId& task, const std::string& checkpoint) {
+                m_evicted[task.value()] = checkpoint;
+            });
+        }
+        for (const auto& daemon : m_world.daemons) {
+            const uint64_t fate = m_world.random(60);
+            if (fate == 0)
+                daemon->runtime.kill();
+            else if (fate < 5)
+                daemon->runtime.pause();
+            else if (fate < 25)
+                daemon->runtime.resume();
+            if (m_world.random(12) == 0)
+                daemon->members.see({ m_names[m_world.random(m_names.size())], daemon->members.self().id.value() });
+        }
+    }
+    void calls()
+    {
+        for (const auto& daemon : m_world.daemons) {
+            if (!daemon->runtime.running())
+                continue;
+            const std::string key = "k" + std::to_string(m_world.random(25));
+            const char* const profile = std::hash<std::string>()(key) % 3 == 0 ? "once" : "batch";
+            submit(*daemon, key, profile);
+            submit(*daemon, "u" + std::to_string(++m_lastUnique), profile);
+            const std::string other = "k" + std::to_string(m_world.random(25));
+            const Common::JobId job("j-0" + std::to_string(daemon->owners.shardOf(other).value) + "-" + other);
+            if (m_world.random(6) == 0)
+                daemon->jobs.cancel(job, [](const auto&) {});
+            else if (m_world.random(2) == 0)
+                evictSome(*daemon);
+        }
+    }
+    void submit(JobDaemon& daemon, const std::string& key, const char* profile)
+    {
+        m_maybe.insert(key);
+        daemon.jobs.submit(JobWorld::submission(key, profile), [this, key](const auto& result) {
+            if (result)
+                m_accepted.insert(key);
+            else if (result.reason().code != Common::ErrorCode::OutcomeUnknown && key.front() == 'u')
+                m_maybe.erase(key);
+        });
+    }
+    void evictSome(JobDaemon& daemon)
+    {
+        for (const JobStatus& status : daemon.jobs.list({ .state = JobState::Running })) {
+            if (m_world.random(2) == 0)
+                daemon.jobs.evict(taskOf(status.job, static_cast<int>(status.attempts.back().number.value)));
+        }
+    }
+    /// Everything heals, and one daemon is left.
+    void settle()
+    {
+        m_world.store.faults = {};
+        m_world.workers.faults = { .longestRun = 5s };
+        for (auto& entry : m_world.workers.workers)
+            entry.second.dead = entry.second.cutOff = entry.second.failsAll = false;
+        m_last = &m_world.add("last");
+        for (const auto& daemon : m_world.daemons) {
+            daemon->runtime.resume();
+            daemon->members.see({ "last" });
+        }
+        for (int round = 0; round < 30 && !allEnded(); ++round)
+            m_world.runtime.advance(10s);
+    }
+    bool allEnded() const
+    {
+        for (const std::string& key : m_accepted) {
+            const auto status = statusOf(key);
+            if (!status || !isEnded(status->state))
+                return false;
+        }
+        return true;
+    }
+    Common::Result<JobStatus> statusOf(const std::string& key) const
+    {
+        const uint32_t shard = m_last->owners.shardOf(key).value;
+        return m_last->jobs.get(Common::JobId("j-0" + std::to_string(shard) + "-" + key));
+    }
+    void judgeJob(const std::string& key, const std::map<std::string, std::vector<const Run*>>& runs) const
+    {
+        CAPTURE(key);
+        const auto status = statusOf(key);
+        REQUIRE_MESSAGE(status, "an accepted job is lost");
+        CHECK_MESSAGE(isEnded(status->state), "a job did not end: " << jobStateName(status->state));
+        const auto found = runs.find(status->job.value());
+        if (found == runs.end()) {
+            CHECK(status->state != JobState::Finished);
+            return;
+        }
+        const auto& list = found->second;
+        std::set<std::string> tasks;
+        size_t finished = 0;
+        for (size_t index = 0; index < list.size(); ++index) {
+            CHECK_MESSAGE(tasks.insert(list[index]->task).second, "an attempt ran twice: " << list[index]->task);
+            finished += list[index]->finished ? 1 : 0;
+            if (list[index]->finished && !list[index]->endLost)
+                CHECK_MESSAGE(index + 1 == list.size(), "finished work ran again: " << list[index]->task);
+            if (index == 0)
+                continue;
+            const auto& before = list[index - 1]->until;
+            CHECK_MESSAGE((before && *before <= list[index]->from), "two attempts ran at once: " << list[index]->task);
+        }
+        if (status->state == JobState::Finished)
+            CHECK(finished >= 1);
+        if (status->profile.value() == "once")
+            CHECK_MESSAGE(list.size() == 1, "an at-most-once job ran again");
+    }
+    static void judgeEviction(const std::string& task, const std::string& checkpoint,
+        const std::map<std::string, std::vector<const Run*>>& runs)
+    {
+        const std::string job = task.substr(0, task.rfind('#'));
+        const auto found = runs.find(job);
+        REQUIRE(found != runs.end());
+        const auto& list = found->second;
+        const auto evicted = std::find_if(list.begin(), list.end(), [&](const Run* run) { return run->task == task; });
+        REQUIRE(evicted != list.end());
+        if (std::next(evicted) != list.end())
+            CHECK((*std::next(evicted))->checkpoint == checkpoint);
+    }
+
+    JobWorld m_world;
+    std::vector<std::string> m_names;
+    std::set<std::string> m_accepted;
+    /// Keys of submissions that weren't refused for sure.
+    std::set<std::string> m_maybe;
+    std::map<std::string, std::string> m_evicted;
+    int m_lastUnique = 0;
+    JobDaemon* m_last = nullptr;
+};
+
+} // namespace
+
+TEST_CASE("no task runs twice, no accepted job is lost, at most once holds, evicted work resumes once")
+{
+    size_t schedules = 0;
+    size_t runs = 0;
+    size_t evictions = 0;
+    size_t accepted = 0;
+    forEachSeed(1000, [&](uint64_t seed) {
+        CAPTURE(seed);
+        Schedule schedule(seed);
+        schedule.play();
+        schedule.judge();
+        ++schedules;
+        runs += schedule.runs();
+        evictions += schedule.evictions();
+        accepted += schedule.accepted();
+    });
+    MESSAGE(schedules << " schedules, " << accepted << " jobs, " << runs << " runs, " << evictions << " evictions");
+    CHECK(accepted > schedules * 3);
+    CHECK(runs > schedules * 3);
+}
