Add the configuration service

One watcher a domain (the lowest live daemon) follows the store by long polls from the last document seen; the others learn from peers, their own domain first. Only higher revisions apply, and every learned document passes the whole check again.

Ruled out: a periodic read of the whole document by every daemon (bytes over the link); passing a watch's upTo to the next watch (one lost notification would then hide a change until the next read).

--- a/Source/Core/Config/Checked.h
+++ b/Source/Core/Config/Checked.h
@@ -25,6 +25,7 @@
     const T& operator*() const { return *m_value; }
     T& operator*() { return *m_value; }
     const T* operator->() const { return &*m_value; }
+    T* operator->() { return &*m_value; }
     const std::vector<SettingFault>& faults() const { return m_faults; }
 
 private:
--- /dev/null
+++ b/Source/Core/Config/ConfigWatcher.cpp
@@ -0,0 +1,117 @@
+// The watcher's loop.
+#include "Config/ConfigWatcher.h"
+
+#include "Scheduler/Runtime.h"
+
+#include <algorithm>
+
+namespace Config {
+
+using Common::ErrorCode;
+using Common::Result;
+
+namespace {
+
+    /// Between the starts of two watches that yielded nothing, should the store not wait as it was asked to.
+    constexpr Common::Duration shortestWatchInterval = std::chrono::seconds(1);
+
+} // namespace
+
+ConfigWatcher::ConfigWatcher(
+    Scheduler::Runtime& runtime, std::shared_ptr<ConfigStore> store, const ConfigServiceOptions& options, Learn learn)
+    : m_runtime(runtime)
+    , m_store(std::move(store))
+    , m_options(options)
+    , m_learn(std::move(learn))
+{
+}
+
+void ConfigWatcher::setActive(bool active)
+{
+    if (active && !m_active)
+        m_lastRead.reset();
+    m_active = active;
+    if (!m_busy)
+        step();
+}
+
+void ConfigWatcher::step()
+{
+    m_busy = m_active;
+    if (!m_active)
+        return;
+    const bool readDue = !m_lastRead || m_runtime.now() - *m_lastRead >= m_options.readInterval;
+    if (readDue)
+        read();
+    else
+        watch();
+}
+
+void ConfigWatcher::stepAfter(Common::Duration delay)
+{
+    m_runtime.schedule(delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->step();
+    });
+}
+
+void ConfigWatcher::read()
+{
+    m_store->readCurrent([weak = weak_from_this()](const Result<ConfigStore::Stored>& stored) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        if (!stored) {
+            self->takeFailure(stored.reason());
+            return;
+        }
+        self->m_lastRead = self->m_runtime.now();
+        self->m_since = stored->storeRevision;
+        if (stored->document.revision.value > 0)
+            self->m_learn(stored->document);
+        self->stepAfter({});
+    });
+}
+
+void ConfigWatcher::watch()
+{
+    const auto receive
+        = [weak = weak_from_this(), startedAt = m_runtime.now()](const Result<Scheduler::StoreChanges>& changes) {
+              const auto self = weak.lock();
+              if (!self)
+                  return;
+              if (changes)
+                  self->takeChanges(*changes, startedAt);
+              else
+                  self->takeFailure(changes.reason());
+          };
+    m_store->watchCurrent(m_since, m_options.watchWait, m_options.watchGrace, receive);
+}
+
+void ConfigWatcher::takeFailure(const Common::Failure& failure)
+{
+    m_lastRead.reset();
+    // A call that timed out was its own pause.
+    stepAfter(failure.code == ErrorCode::Timeout ? Common::Duration {} : m_options.storePause);
+}
+
+void ConfigWatcher::takeChanges(const Scheduler::StoreChanges& changes, Common::MonoTime startedAt)
+{
+    bool changed = false;
+    for (const Scheduler::StoreValue& value : changes.written) {
+        if (value.key != ConfigStore::currentKey() || value.revision <= m_since)
+            continue;
+        m_since = value.revision;
+        changed = true;
+        if (const Result<ConfigDocument> document = documentFromText(value.value))
+            m_learn(*document);
+    }
+    if (changed) {
+        stepAfter({});
+        return;
+    }
+    const Common::MonoTime next = startedAt + shortestWatchInterval;
+    stepAfter(std::max(Common::Duration {}, next - m_runtime.now()));
+}
+
+} // namespace Config
--- a/Source/Core/Config/JsonDocument.cpp
+++ b/Source/Core/Config/JsonDocument.cpp
@@ -106,6 +106,12 @@
 
 std::optional<nlohmann::json> parseJsonDocument(std::string_view text, std::vector<SettingFault>& faults)
 {
+    // The parser looks at bytes in values and names, but not in comments.
+    if (!isUtf8(text)) {
+        faults.push_back(
+            SettingFault { .kind = SettingFault::Kind::Syntax, .allowed = "text in UTF-8", .line = 1, .column = 1 });
+        return std::nullopt;
+    }
     DuplicateKeys duplicates(faults);
     const auto callback = [&](int, nlohmann::json::parse_event_t event, nlohmann::json& parsed) {
         duplicates.see(event, parsed);
@@ -119,6 +125,15 @@
     }
 }
 
+bool isUtf8(std::string_view text)
+{
+    try {
+        return !nlohmann::json(text).dump().empty();
+    } catch (const nlohmann::json::type_error&) {
+        return false;
+    }
+}
+
 std::string shownValue(const nlohmann::json& value)
 {
     std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/Source/Core/Config/JsonDocument.h
+++ b/Source/Core/Config/JsonDocument.h
@@ -14,6 +14,8 @@
 
 /// Nothing after a syntax error. After duplicate names the last value counts, and a fault is added for each.
 std::optional<nlohmann::json> parseJsonDocument(std::string_view text, std::vector<SettingFault>& faults);
+/// Whether JSON can carry the text.
+bool isUtf8(std::string_view);
 /// A value as a fault shows it: JSON, cut when long.
 std::string shownValue(const nlohmann::json&);
 
