Prove the request path under a virtual clock

Cause: one outcome a request, at most one run of an order, and no room given away twice have to be shown to hold. Change: 19 cases over the real request service, pool, intents and admission, with scripted workers and the fake store.

--- /dev/null
+++ b/Source/UnitTests/Dispatch/RequestServiceTest.cpp
@@ -0,0 +1,284 @@
+// Each request ends once, and as it was: answered, provably not run, or unknown.
+#include "Dispatch/RequestService.h"
+
+#include "Dispatch/RequestWorld.h"
+
+#include <doctest/doctest.h>
+
+using Common::ErrorCode;
+using DispatchTests::RequestWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("answers go to their own requests, in whatever order they come")
+{
+    RequestWorld world;
+    world.submit("previews", "a");
+    world.submit("previews", "b");
+    REQUIRE(world.workers.runs.size() == 2);
+    std::swap(world.workers.runs[0], world.workers.runs[1]);
+    world.workers.answer("for b");
+    world.workers.answer("for a");
+    REQUIRE(world.outcomes.size() == 2);
+    CHECK(world.outcomes[0].first == "b");
+    CHECK(std::get<Dispatch::Answered>(world.outcomes[0].second).body == "for b");
+    CHECK(std::get<Dispatch::Answered>(world.outcomes[1].second).body == "for a");
+}
+
+TEST_CASE("repeats of an id join what is under way")
+{
+    RequestWorld world;
+    world.submit("previews", "a");
+    world.submit("previews", "a");
+    CHECK(world.workers.runsSent == 1);
+    world.workers.answer("once");
+    CHECK(world.outcomes.size() == 2);
+    world.submit("previews", "b");
+    world.submit("orders", "b");
+    CHECK(world.lastNotRun() == ErrorCode::DuplicateId);
+}
+
+TEST_CASE("a start that the worker refused is tried elsewhere, also for work that runs at most once")
+{
+    RequestWorld world;
+    world.submitOrder("o");
+    const auto refused = world.workers.fail(ErrorCode::StartTooLate);
+    REQUIRE(world.workers.runs.size() == 1);
+    CHECK(world.workers.runs[0].address != refused.address);
+    CHECK(world.workers.runs[0].command.task != refused.command.task);
+    world.workers.answer("done");
+    CHECK(world.lastAnswer() == "done");
+}
+
+TEST_CASE("work that runs at most once is not sent again after an unclear end")
+{
+    for (const ErrorCode code : { ErrorCode::Timeout, ErrorCode::ConnectionLost, ErrorCode::TruncatedAnswer,
+             ErrorCode::ProtocolError, ErrorCode::WorkFailed }) {
+        RequestWorld world;
+        world.submitOrder("o");
+        world.workers.fail(code);
+        CHECK(world.lastUnknown() == code);
+        world.submitOrder("o");
+        CHECK(std::holds_alternative<Dispatch::OutcomeUnknown>(world.last()));
+        CHECK(world.workers.runsSent == 1);
+    }
+}
+
+TEST_CASE("an answered order is answered again without a second run")
+{
+    RequestWorld world;
+    world.submitOrder("o");
+    world.workers.answer("order taken");
+    world.submitOrder("o");
+    CHECK(world.lastAnswer() == "order taken");
+    CHECK(world.workers.runsSent == 1);
+}
+
+TEST_CASE("an order that was refused by every worker did not run and may come back")
+{
+    RequestWorld world;
+    world.submitOrder("o");
+    world.workers.fail(ErrorCode::StartTooLate);
+    world.workers.fail(ErrorCode::ConnectFailed);
+    REQUIRE(std::holds_alternative<Dispatch::NotRun>(world.last()));
+    CHECK(std::get<Dispatch::NotRun>(world.last()).reason.retryAfter);
+    world.runtime.advance(seconds(1));
+    world.submitOrder("o");
+    world.workers.answer("second try");
+    CHECK(world.lastAnswer() == "second try");
+}
+
+TEST_CASE("not run is never said once some attempt may have run")
+{
+    RequestWorld world;
+    world.submit("previews", "p");
+    world.workers.fail(ErrorCode::ConnectionLost);
+    REQUIRE(world.workers.runs.size() == 1);
+    world.workers.fail(ErrorCode::StartTooLate);
+    CHECK(world.lastUnknown() == ErrorCode::StartTooLate);
+}
+
+TEST_CASE("an idempotent request moves on when its worker is lost, and a late answer of the first attempt is dropped")
+{
+    RequestWorld world;
+    world.submit("previews", "p");
+    const auto first = world.workers.take();
+    world.workers.lose(first.address);
+    REQUIRE(world.workers.runs.size() == 1);
+    CHECK(world.workers.runs[0].address != first.address);
+    first.callback(Scheduler::RunAnswer { first.command.task, "text/plain", "late" });
+    CHECK(world.outcomes.empty());
+    world.workers.answer("from the second");
+    CHECK(world.outcomes.size() == 1);
+    CHECK(world.lastAnswer() == "from the second");
+}
+
+TEST_CASE("an order stays with its lost worker and ends unknown at its deadline")
+{
+    RequestWorld world;
+    world.submitOrder("o");
+    world.workers.lose(world.workers.runs[0].address);
+    CHECK(world.workers.runs.size() == 1);
+    world.runtime.advance(seconds(3));
+    CHECK(world.lastUnknown() == ErrorCode::DeadlinePassed);
+}
+
+TEST_CASE("a request without room waits, and ends at once when it can't make its deadline any more")
+{
+    RequestWorld world(1, 1);
+    world.submit("previews", "running");
+    world.submit("previews", "waiting");
+    CHECK(world.workers.runs.size() == 1);
+    world.runtime.advance(seconds(5));
+    REQUIRE(world.outcomes.size() == 2);
+    for (const auto& [id, outcome] : world.outcomes) {
+        if (id == "waiting")
+            CHECK(std::holds_alternative<Dispatch::NotRun>(outcome));
+        else
+            CHECK(std::holds_alternative<Dispatch::OutcomeUnknown>(outcome));
+    }
+}
+
+TEST_CASE("the room of an abandoned request is kept until a report shows that it has ended")
+{
+    RequestWorld world(1, 1);
+    world.submit("previews", "slow");
+    const auto run = world.workers.take();
+    world.runtime.advance(seconds(5));
+    CHECK(world.lastUnknown() == ErrorCode::DeadlinePassed);
+    CHECK(world.workers.stopped == std::vector { run.command.task });
+    world.workers.report("w0", 5000, { run.command.task });
+    world.submit("previews", "next");
+    CHECK(world.workers.runs.empty());
+    world.workers.report("w0", 6000, {});
+    CHECK(world.workers.runs.size() == 1);
+}
+
+TEST_CASE("a report made before an answer does not take the room again")
+{
+    RequestWorld world(1, 1);
+    world.submit("previews", "a");
+    const auto run = world.workers.answer("a");
+    world.workers.report("w0", 100, { run.command.task });
+    world.submit("previews", "b");
+    CHECK(world.workers.runs.size() == 1);
+}
+
+TEST_CASE("cancelled requests end at once, and a flood of them costs one call a worker")
+{
+    RequestWorld world(50, 1);
+    for (int i = 0; i < 150; ++i)
+        world.submit("previews", std::to_string(i));
+    CHECK(world.workers.runs.size() == 50);
+    for (int i = 0; i < 150; ++i)
+        CHECK(world.requests.cancel(Common::RequestId(std::to_string(i))));
+    CHECK(world.outcomes.size() == 150);
+    const auto unknown = std::count_if(world.outcomes.begin(), world.outcomes.end(),
+        [](const auto& row) { return std::holds_alternative<Dispatch::OutcomeUnknown>(row.second); });
+    CHECK(unknown == 50);
+    world.runtime.advance(milliseconds(50));
+    CHECK(world.workers.stopped.size() == 50);
+    CHECK(world.workers.controlCalls == 1);
+    CHECK_FALSE(world.requests.cancel(Common::RequestId("0")));
+}
+
+TEST_CASE("retries stay within a share of the answers")
+{
+    RequestWorld world(1000, 1);
+    world.config.document->profiles[Common::ProfileName("preview")].retryBudgetPercent = 10;
+    constexpr int wanted = 400;
+    for (int i = 0; i < wanted; ++i)
+        world.submit("previews", std::to_string(i));
+    while (!world.workers.runs.empty())
+        world.workers.fail(ErrorCode::ConnectionLost);
+    // Nothing succeeded: only what the budget starts with.
+    CHECK(world.workers.runsSent <= wanted + wanted / 10);
+    CHECK(world.outcomes.size() == wanted);
+}
+
+TEST_CASE("a silent attempt is given company in time, within the budget, and the first answer counts")
+{
+    RequestWorld world;
+    world.submit("previews", "p");
+    const auto silent = world.workers.take();
+    world.runtime.advance(milliseconds(1500));
+    REQUIRE(world.workers.runs.size() == 1);
+    CHECK(world.workers.runs[0].address != silent.address);
+    world.workers.answer("from the second");
+    CHECK(world.lastAnswer() == "from the second");
+    world.runtime.advance(milliseconds(50));
+    CHECK(world.workers.stopped == std::vector { silent.command.task });
+}
+
+TEST_CASE("while the store is away orders are refused as not run, previews go on")
+{
+    RequestWorld world;
+    world.store.faults.down = true;
+    world.submit("orders", "o");
+    world.runtime.advance(milliseconds(1500));
+    REQUIRE(std::holds_alternative<Dispatch::NotRun>(world.last()));
+    CHECK(std::get<Dispatch::NotRun>(world.last()).reason.retryAfter);
+    CHECK(world.workers.runsSent == 0);
+    world.submit("previews", "p");
+    world.workers.answer("here");
+    CHECK(world.lastAnswer() == "here");
+}
+
+TEST_CASE("an intent that comes after the deadline is taken back, and a repeat runs")
+{
+    RequestWorld world;
+    world.store.faults.minimumLatency = milliseconds(700);
+    world.store.faults.maximumLatency = milliseconds(700);
+    Dispatch::IncomingRequest request;
+    request.id = Common::RequestId("o");
+    request.service = Common::ServiceName("orders");
+    request.deadline = milliseconds(300);
+    world.requests.submit(std::move(request),
+        [&](const Dispatch::RequestOutcome& outcome) { world.outcomes.emplace_back("o", outcome); });
+    world.runtime.advance(seconds(4));
+    CHECK(world.lastNotRun() == ErrorCode::DeadlinePassed);
+    CHECK(world.workers.runsSent == 0);
+    world.store.faults.minimumLatency = milliseconds(1);
+    world.store.faults.maximumLatency = milliseconds(3);
+    world.runtime.advance(seconds(4));
+    world.submitOrder("o");
+    REQUIRE(world.workers.runs.size() == 1);
+    world.workers.answer("ran");
+    CHECK(world.lastAnswer() == "ran");
+}
+
+TEST_CASE("without a configuration, a service or a deadline nothing is run")
+{
+    RequestWorld world;
+    world.submit("nothing", "a");
+    CHECK(world.lastNotRun() == ErrorCode::UnknownService);
+    Dispatch::IncomingRequest late;
+    late.id = Common::RequestId("late");
+    late.service = Common::ServiceName("previews");
+    late.deadline = milliseconds(0);
+    world.requests.submit(
+        late, [&](const Dispatch::RequestOutcome& outcome) { world.outcomes.emplace_back("late", outcome); });
+    CHECK(world.lastNotRun() == ErrorCode::DeadlinePassed);
+    world.config.document = nullptr;
+    world.submit("previews", "b");
+    CHECK(world.lastNotRun() == ErrorCode::NoConfiguration);
+    CHECK(world.workers.runsSent == 0);
+}
+
+TEST_CASE("the bodies kept are bounded, whatever the callers do")
+{
+    RequestWorld world(1, 1);
+    int refused = 0;
+    for (int i = 0; i < 100; ++i) {
+        Dispatch::IncomingRequest request;
+        request.id = Common::RequestId(std::to_string(i));
+        request.service = Common::ServiceName("previews");
+        request.body.assign(size_t { 1 } << 20, 'x');
+        world.requests.submit(std::move(request), [&](const Dispatch::RequestOutcome& outcome) {
+            const auto* const notRun = std::get_if<Dispatch::NotRun>(&outcome);
+            refused += notRun && notRun->reason.code == ErrorCode::Overloaded ? 1 : 0;
+        });
+    }
+    CHECK(refused >= 52);
+    CHECK(world.requests.underWay() <= 48);
+}
