--- a/Source/Core/Http/EventLoop.h
+++ b/Source/Core/Http/EventLoop.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-namespace asio {
+namespace asio { // NOLINT: Asio's own name
 class io_context;
 }
 
--- /dev/null
+++ b/Source/Core/Peer/JsonRpcPeer.cpp
@@ -0,0 +1,102 @@
+// Calls between daemons.
+#include "Peer/JsonRpcPeer.h"
+
+#include "Http/Client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Peer {
+
+using Common::ErrorCode;
+using Common::Failure;
+using Common::Result;
+using nlohmann::json;
+
+namespace {
+
+    constexpr const char* codeMember = "code";
+    constexpr const char* retryAfterMember = "retryAfterMs";
+
+    std::string dataOf(const Failure& failure)
+    {
+        json data { { codeMember, Common::errorName(failure.code) } };
+        if (failure.retryAfter)
+            data[retryAfterMember] = std::chrono::ceil<std::chrono::milliseconds>(*failure.retryAfter).count();
+        return data.dump();
+    }
+
+    Failure failureOf(const RpcCodec::Reply& reply)
+    {
+        Failure failure { ErrorCode::ProtocolError, reply.errorMessage };
+        const json data = json::parse(reply.errorData, nullptr, false);
+        if (!data.is_object())
+            return failure;
+        const auto code = data.find(codeMember);
+        if (code != data.end() && code->is_string())
+            failure.code = Common::errorFromName(code->get<std::string>()).value_or(ErrorCode::ProtocolError);
+        const auto retryAfter = data.find(retryAfterMember);
+        if (retryAfter != data.end() && retryAfter->is_number_integer())
+            failure.retryAfter = std::chrono::milliseconds(retryAfter->get<int64_t>());
+        return failure;
+    }
+
+    Result<json> readReply(const Result<Http::Response>& response)
+    {
+        if (!response)
+            return response.reason();
+        if (response->status != 200)
+            return Failure { ErrorCode::ProtocolError,
+                "the peer answered with status " + std::to_string(response->status) };
+        const RpcCodec::Reply reply = RpcCodec::decodeReply(response->body);
+        if (!reply.ok)
+            return failureOf(reply);
+        json result = json::parse(reply.result, nullptr, false);
+        if (result.is_discarded())
+            return Failure { ErrorCode::ProtocolError, "the peer's result is not JSON" };
+        return result;
+    }
+
+} // namespace
+
+JsonRpcPeer::JsonRpcPeer(Http::Client& client)
+    : m_client(client)
+{
+}
+
+void JsonRpcPeer::call(
+    const std::string& address, const std::string& method, const json& params, Common::Duration timeout, Reply reply)
+{
+    Http::Request request;
+    request.method = "POST";
+    request.target = path;
+    request.headers.set("Content-Type", "application/json");
+    request.body = RpcCodec::encodeCall(method, params.dump());
+    m_client.send(address, std::move(request), timeout,
+        [reply = std::move(reply)](const Result<Http::Response>& response) { reply(readReply(response)); });
+}
+
+void JsonRpcPeer::serve(const std::string& method, Handler handler)
+{
+    if (m_handlers.emplace(method, std::move(handler)).second)
+        m_codec.addMethod(method);
+}
+
+void JsonRpcPeer::handle(const std::string& body, std::function<void(std::string)> reply)
+{
+    const RpcCodec::Call call = m_codec.decodeCall(body);
+    if (!call.valid) {
+        reply(call.reply);
+        return;
+    }
+    const json params = json::parse(call.params, nullptr, false);
+    m_handlers.at(call.method)(params, [this, body, reply = std::move(reply)](const Result<json>& result) {
+        if (result)
+            reply(m_codec.encodeResult(body, result->dump()));
+        else
+            reply(m_codec.encodeError(body, result.reason().detail, dataOf(result.reason())));
+    });
+}
+
+} // namespace Peer
