--- a/Source/Core/Membership/FleetService.cpp
+++ b/Source/Core/Membership/FleetService.cpp
@@ -59,8 +59,7 @@
     , m_syncs(context.metrics.counter("lavendercart_syncs_total", "Syncs sent to workers"))
     , m_syncFailures(context.metrics.counter("lavendercart_sync_failures_total", "Syncs without a report"))
     , m_claims(context.metrics.counter("lavendercart_claims_total", "Claims made on workers"))
-    , m_takeovers(
-          context.metrics.counter("lavendercart_takeovers_total", "Workers owned while another daemon's claim stood"))
+    , m_takeovers(context.metrics.counter("lavendercart_takeovers_total", "Claims made over another daemon's"))
     , m_ownedGauge(context.metrics.gauge("lavendercart_owned_workers", "Workers that this daemon owns"))
     , m_lifetime(std::make_shared<int>())
 {
@@ -95,6 +94,8 @@
             drained();
     });
     reassign();
+    for (const auto& [worker, entry] : m_entries)
+        syncSoon(worker);
     finishDrainIfDone();
 }
 
@@ -186,7 +187,9 @@
 void FleetService::applyAssignment(Entry& entry)
 {
     applyWanted(entry);
-    if (!needsSync(entry) || entry.timer || entry.syncing || entry.queued)
+    if (!needsSync(entry) || entry.syncing || entry.queued)
+        return;
+    if (entry.timer && !entry.ownership.needsSyncNow())
         return;
     // A daemon's death or return moves many workers at once.
     const auto spread = static_cast<uint64_t>(m_settings.firstSyncSpread.count());
@@ -240,17 +243,29 @@
 
 void FleetService::scheduleNextSync(Entry& entry)
 {
-    if (entry.ownership.needsSyncNow()) {
+    if (entry.ownership.needsSyncNow() && entry.misses == 0) {
         syncSoon(entry.host.worker);
         return;
     }
+    const Common::Duration sinceSent = m_context.runtime.now() - entry.lastSent;
+    const Common::Duration delay = std::max(Common::Duration::zero(), jitteredInterval(entry) - sinceSent);
+    const std::optional<std::chrono::milliseconds> waitLeft = entry.ownership.waitLeft();
+    if (!waitLeft) {
+        scheduleSync(entry, delay);
+        return;
+    }
+    // The sync that ends the wait goes out as soon as the worker's clock, maybe a little slow, must have got there.
+    const std::chrono::milliseconds margin = *waitLeft * m_settings.ownership.clockRateMarginPerMille / 1000;
+    scheduleSync(entry, std::min<Common::Duration>(delay, *waitLeft + margin + std::chrono::milliseconds(1)));
+}
+
+Common::Duration FleetService::jitteredInterval(const Entry& entry) const
+{
     const Common::Duration interval
         = isUnreachable(entry) ? m_settings.unreachableSyncInterval : m_settings.syncInterval;
     const Common::Duration jitter = interval * m_settings.syncJitterPerMille / 1000;
     const auto width = static_cast<uint64_t>(2 * jitter.count() + 1);
-    const Common::Duration varied = interval - jitter + Common::Duration(m_context.runtime.random()() % width);
-    const Common::Duration sinceSent = m_context.runtime.now() - entry.lastSent;
-    scheduleSync(entry, std::max(Common::Duration::zero(), varied - sinceSent));
+    return interval - jitter + Common::Duration(m_context.runtime.random()() % width);
 }
 
 void FleetService::enqueueSync(const Common::WorkerId& worker)
@@ -343,14 +358,14 @@
 void FleetService::handleReport(
     Entry& entry, const WorkerOwnership::Ticket& ticket, const Scheduler::WorkerReport& report)
 {
+    const bool wasCounting = entry.ownership.isCounting();
+    const bool hadForeignClaim = entry.ownership.foreignClaim().has_value();
     const WorkerOwnership::Outcome outcome = entry.ownership.handleReport(ticket, report);
     if (outcome == WorkerOwnership::Outcome::Ignored)
         return;
-    const bool claimed = ticket.claim && entry.ownership.isCounting() && !entry.report.worker.empty();
-    const bool wasCounting = m_owned.contains(entry.host.worker);
-    (void)claimed;
-    (void)wasCounting;
     entry.report = report;
+    if (!wasCounting && entry.ownership.isCounting())
+        noteClaim(entry, hadForeignClaim);
     noteForeignClaim(entry);
     noteLeaving(entry);
     switch (outcome) {
@@ -392,15 +407,19 @@
     entry.foreignClaimRenewed = age < toMilliseconds(m_settings.syncInterval) * renewedWithinPerMille / 1000;
 }
 
+void FleetService::noteClaim(const Entry& entry, bool overAnother)
+{
+    m_claims.Increment();
+    if (overAnother)
+        m_takeovers.Increment();
+    record(Common::EventKind::WorkerClaimed, entry, overAnother ? "over another daemon's claim" : "");
+}
+
 void FleetService::announceOwned(Entry& entry)
 {
     m_owned.insert(entry.host.worker);
     m_ownedGauge.Set(static_cast<double>(m_owned.size()));
-    const bool isTakeover = std::any_of(entry.report.tasks.begin(), entry.report.tasks.end(),
-        [](const Scheduler::TaskReport& task) { return task.state == Scheduler::TaskState::Running; });
-    if (isTakeover)
-        m_takeovers.Increment();
-    record(Common::EventKind::WorkerOwned, entry, isTakeover ? "adopted running tasks" : "");
+    record(Common::EventKind::WorkerOwned, entry, std::to_string(entry.report.tasks.size()) + " tasks adopted");
     announce(Change::Owned, entry);
 }
 
@@ -446,8 +465,8 @@
     if (m_drainTimer)
         m_context.runtime.cancel(*m_drainTimer);
     m_drainTimer.reset();
-    const auto drained = std::exchange(m_drained, nullptr);
-    drained();
+    // Not from within: the receiver may destroy this service.
+    m_context.runtime.schedule(Common::Duration::zero(), std::exchange(m_drained, nullptr));
 }
 
 Scheduler::OwnedWorker FleetService::toOwnedWorker(const Entry& entry) const
--- a/Source/Core/Membership/FleetService.h
+++ b/Source/Core/Membership/FleetService.h
@@ -20,10 +20,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace prometheus {
-class Counter;
-class Gauge;
-}
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 
 namespace Scheduler {
 class MembershipView;
@@ -102,6 +100,7 @@
     bool isUnreachable(const Entry&) const;
     void scheduleSync(Entry&, Common::Duration delay);
     void scheduleNextSync(Entry&);
+    Common::Duration jitteredInterval(const Entry&) const;
     void enqueueSync(const Common::WorkerId&);
     void sendQueued();
     void sendSync(Entry&);
@@ -111,6 +110,7 @@
     void handleReport(Entry&, const WorkerOwnership::Ticket&, const Scheduler::WorkerReport&);
     void handleMiss(Entry&);
     void noteForeignClaim(Entry&) const;
+    void noteClaim(const Entry&, bool overAnother);
     void announceOwned(Entry&);
     void announceLost(Entry&);
     void noteLeaving(Entry&);
--- a/Source/Core/Membership/MembershipService.cpp
+++ b/Source/Core/Membership/MembershipService.cpp
@@ -60,7 +60,7 @@
     tick();
 }
 
-void MembershipService::leave(std::function<void()> done)
+void MembershipService::leave(const std::function<void()>& done)
 {
     m_left = true;
     m_context.runtime.cancel(m_timer);
--- a/Source/Core/Membership/MembershipService.h
+++ b/Source/Core/Membership/MembershipService.h
@@ -15,10 +15,8 @@
 #include <string>
 #include <vector>
 
-namespace prometheus {
-class Counter;
-class Gauge;
-}
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 
 namespace Scheduler {
 class PeerPort;
@@ -39,7 +37,7 @@
     /// Serves heartbeats and begins to send them.
     void start();
     /// Says goodbye to the peers and gives up the store's session; `done` is called at once or after a call timeout.
-    void leave(std::function<void()> done);
+    void leave(const std::function<void()>& done);
     void setDraining(bool draining);
     void setConfigRevision(Common::ConfigRevision);
     void updateLoad(int64_t freeSlots, int64_t totalSlots, int64_t queuedRequests);
--- a/Source/Core/Membership/WorkerOwnership.cpp
+++ b/Source/Core/Membership/WorkerOwnership.cpp
@@ -96,7 +96,7 @@
         break;
     }
     if (isOurs && !rebooted)
-        return handleCounting(ticket, previousClock);
+        return handleCounting(ticket, previousClock, counting->madeAt);
     // Guard CLAIM_CHECK: the claim lapsed, is outranked, or went with the boot. Anew, under a term above all.
     const Outcome outcome = endOwnership(State::Claiming);
     chooseTerm();
@@ -146,14 +146,18 @@
         m_highestTerm = std::max(m_highestTerm, claim.term);
 }
 
-WorkerOwnership::Outcome WorkerOwnership::handleCounting(const Ticket& ticket, Common::WorkerTime previousClock)
+WorkerOwnership::Outcome WorkerOwnership::handleCounting(
+    const Ticket& ticket, Common::WorkerTime previousClock, Common::WorkerTime madeAt)
 {
-    // Guard CONTINUITY: after a longer gap another daemon may have owned the worker and withdrawn in between.
-    const bool unbroken = m_waitFrom && m_lastClock <= previousClock + m_settings.startWindow;
+    // Guard CONTINUITY: in a gap of a start window or more another daemon may have claimed, owned and withdrawn.
+    const bool hasGap = m_lastClock >= previousClock + m_settings.startWindow;
+    // Guard IDENTITY: the claim was away in between (a late withdrawal, say) and another one counted.
+    const bool isRemade = madeAt != m_madeAt;
     Outcome outcome = Outcome::Noted;
-    if (!unbroken) {
+    if (!m_waitFrom || hasGap || isRemade) {
         outcome = endOwnership(State::Claiming);
         m_waitFrom = m_lastClock;
+        m_madeAt = madeAt;
     }
     const auto window = std::chrono::duration_cast<Common::Duration>(m_settings.startWindow);
     m_authorityEndsAt = ticket.sentAt + window * (1000 - m_settings.clockRateMarginPerMille) / 1000;
--- a/Source/Core/Membership/WorkerOwnership.h
+++ b/Source/Core/Membership/WorkerOwnership.h
@@ -84,7 +84,7 @@
     bool hasReport() const { return !m_boot.empty(); }
     bool isStale(const Ticket&, const Scheduler::WorkerReport&) const;
     void noteTerms(const Scheduler::WorkerReport&);
-    Outcome handleCounting(const Ticket&, Common::WorkerTime previousClock);
+    Outcome handleCounting(const Ticket&, Common::WorkerTime previousClock, Common::WorkerTime madeAt);
     Outcome endOwnership(State);
     void chooseTerm();
 
@@ -101,9 +101,11 @@
     uint64_t m_lastHandled = 0;
     Common::WorkerBootId m_boot;
     Common::WorkerTime m_lastClock;
-    /// Clock of the first of the unbroken row of reports that showed the claim as the counting one, each at most one
-    /// start window after the one before. Invariant: set while Owned.
+    /// Clock of the first of the unbroken row of reports that showed the claim as the counting one, each less than
+    /// a start window after the one before. Invariant: set while Owned.
     std::optional<Common::WorkerTime> m_waitFrom;
+    /// When the worker made the claim that those reports show.
+    Common::WorkerTime m_madeAt;
     std::optional<Scheduler::WorkerClaim> m_foreignClaim;
     /// Counted from when the sync was sent, which is before the worker read its clock.
     Common::MonoTime m_authorityEndsAt;
