Serve jobs through any daemon, and share team quotas between shard owners

Cause: callers and operators reach any daemon; a job's shard may be owned elsewhere. Change: JobGateway routes to the assigned owner, tries again after NotOwner, repeats a lost submission under its key, and sends one call an owner for many cancellations. Shard owners tell each other every 10 s what teams hold. Ruled out: a fixed part of each quota for each shard: a quota below 16 tasks would starve the jobs of some shards. So each owner may add its equal share of what was left at the last exchange.

--- a/Source/Core/Ledger/JobGateway.h
+++ b/Source/Core/Ledger/JobGateway.h
@@ -11,6 +11,8 @@
 #include "Scheduler/ServiceContext.h"
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace Scheduler {
@@ -38,17 +40,21 @@
     void start();
 
     /// An empty key is made up here. A lost answer is asked for again under the same key.
-    void submit(JobSubmission, Common::Callback<JobService::Accepted>);
-    void get(const Common::JobId&, Common::Callback<JobStatus>);
+    void submit(JobSubmission, const Common::Callback<JobService::Accepted>&);
+    void get(const Common::JobId&, const Common::Callback<JobStatus>&);
     /// Of all daemons that answer in time.
-    void list(const JobQuery&, Common::Callback<std::vector<JobStatus>>);
+    void list(const JobQuery&, const Common::Callback<std::vector<JobStatus>>&);
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
     /// One call to each owner, however many jobs there are.
-    void cancelMany(const std::vector<Common::JobId>&, Common::Callback<std::vector<CancelResult>>);
+    void cancelMany(const std::vector<Common::JobId>&, const Common::Callback<std::vector<CancelResult>>&);
 
 private:
     class Impl;
+
+    std::string newKey();
+
     std::unique_ptr<Impl> m_impl;
+    Scheduler::Runtime& m_runtime;
 };
 
 } // namespace Ledger
--- a/Source/Core/Ledger/JobService.cpp
+++ b/Source/Core/Ledger/JobService.cpp
@@ -309,9 +309,9 @@
 
 std::map<Common::TeamName, Common::Resources> JobService::teamUsage() const { return m_impl->usage.local(); }
 
-void JobService::setRemoteTeamUsage(std::map<Common::TeamName, Common::Resources> remote)
+void JobService::setRemoteTeamUsage(std::map<Common::TeamName, Common::Resources> remote, uint32_t owners)
 {
-    m_impl->usage.setRemote(std::move(remote));
+    m_impl->usage.setRemote(std::move(remote), owners);
 }
 
 std::optional<ShardIndex> JobService::shardOfJob(const Common::JobId& job)
--- a/Source/Core/Ledger/JobService.h
+++ b/Source/Core/Ledger/JobService.h
@@ -65,9 +65,10 @@
     /// a task that is left out counts as gone. Late and repeated views do no harm.
     void onView(const Scheduler::WorkerView&);
 
-    /// What each team's unresolved attempts of this process's shards hold, and what other daemons say of theirs.
+    /// What each team's unresolved attempts of this process's shards hold, and what other daemons that own shards say
+    /// of theirs; `owners` counts them and this one.
     std::map<Common::TeamName, Common::Resources> teamUsage() const;
-    void setRemoteTeamUsage(std::map<Common::TeamName, Common::Resources>);
+    void setRemoteTeamUsage(std::map<Common::TeamName, Common::Resources>, uint32_t owners);
 
     /// "j-07-key" is of shard 7. Nothing when the text is no job's.
     static std::optional<ShardIndex> shardOfJob(const Common::JobId&);
--- a/Source/Core/Ledger/LedgerSettings.h
+++ b/Source/Core/Ledger/LedgerSettings.h
@@ -76,6 +76,8 @@
     /// Waiting raises a job by one priority step for each of these, so that low priority does not starve.
     Common::Duration agingStep = std::chrono::minutes(10);
 
+    /// How often daemons that own shards tell each other what teams hold.
+    Common::Duration usageExchange = std::chrono::seconds(10);
     /// Calls between daemons about jobs, and the wait before NotOwner is tried again.
     Common::Duration peerTimeout = std::chrono::seconds(3);
     Common::Duration notOwnerRetry = std::chrono::milliseconds(300);
--- a/Source/Core/Ledger/TeamUsage.cpp
+++ b/Source/Core/Ledger/TeamUsage.cpp
@@ -1,11 +1,38 @@
 // Sums of local and remote use.
 #include "Ledger/TeamUsage.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Ledger {
 
 namespace {
 
-    bool within(int64_t used, int64_t quota) { return quota == 0 || used <= quota; }
+    struct Amounts {
+        int64_t wanted = 0;
+        int64_t quota = 0;
+        int64_t local = 0;
+        int64_t localThen = 0;
+        int64_t remote = 0;
+    };
+
+    bool within(const Amounts& amounts, uint32_t owners)
+    {
+        if (amounts.quota == 0)
+            return true;
+        if (amounts.local + amounts.remote + amounts.wanted > amounts.quota)
+            return false;
+        const int64_t left = std::max<int64_t>(0, amounts.quota - amounts.remote - amounts.localThen);
+        const int64_t growth = std::max<int64_t>(0, amounts.local - amounts.localThen);
+        return growth == 0 || growth + amounts.wanted <= left / owners;
+    }
+
+    Common::Resources amountOf(
+        const std::map<Common::TeamName, Common::Resources>& amounts, const Common::TeamName& team)
+    {
+        const auto found = amounts.find(team);
+        return found == amounts.end() ? Common::Resources {} : found->second;
+    }
 
 } // namespace
 
@@ -19,16 +46,24 @@
         m_local.erase(team);
 }
 
+void TeamUsage::setRemote(std::map<Common::TeamName, Common::Resources> remote, uint32_t owners)
+{
+    m_remote = std::move(remote);
+    m_localThen = m_local;
+    m_owners = std::max<uint32_t>(1, owners);
+}
+
 bool TeamUsage::allows(
     const Common::TeamName& team, const Common::Resources& wanted, const Common::Resources& quota) const
 {
-    Common::Resources used = wanted;
-    if (const auto held = m_local.find(team); held != m_local.end())
-        used += held->second;
-    if (const auto held = m_remote.find(team); held != m_remote.end())
-        used += held->second;
-    return within(used.slots, quota.slots) && within(used.milliCores, quota.milliCores)
-        && within(used.memoryMegabytes, quota.memoryMegabytes) && within(used.accelerators, quota.accelerators);
+    const Common::Resources local = amountOf(m_local, team);
+    const Common::Resources then = amountOf(m_localThen, team);
+    const Common::Resources remote = amountOf(m_remote, team);
+    const auto member = [&](int64_t Common::Resources::*amount) {
+        return within({ wanted.*amount, quota.*amount, local.*amount, then.*amount, remote.*amount }, m_owners);
+    };
+    return member(&Common::Resources::slots) && member(&Common::Resources::milliCores)
+        && member(&Common::Resources::memoryMegabytes) && member(&Common::Resources::accelerators);
 }
 
 } // namespace Ledger
