--- /dev/null
+++ b/Source/Benchmarks/DecisionBenchmark.cpp
@@ -0,0 +1,192 @@
+// Processor time of admission, routing and placement alone, at 50, 510 and 5,100 workers. Fails when placement costs
+// more than the control budget allows or grows faster than the logarithm of the workers.
+#include "Policy/AdmissionQueue.h"
+#include "Policy/Placement.h"
+#include "Policy/Router.h"
+
+#include <benchmark/benchmark.h>
+
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <memory>
+
+using namespace Policy;
+using namespace std::chrono_literals;
+using Common::Duration;
+using Common::MonoTime;
+using Common::Resources;
+using Scheduler::TaskKind;
+
+namespace {
+
+constexpr Resources capacity { .slots = 8, .milliCores = 16000, .memoryMegabytes = 60000, .accelerators = 1 };
+constexpr Resources small { .slots = 1, .milliCores = 1000, .memoryMegabytes = 2000 };
+constexpr int classCount = 12;
+/// 4.7% of one core shared by 5,000 starts a second.
+constexpr double placementBudgetNanoseconds = 0.047 * 1e9 / 5000;
+/// Room for noise and cache misses above growth by the logarithm.
+constexpr double growthAllowance = 1.5;
+
+PlacementRequest requestOf(int number)
+{
+    const bool batch = number % 3 != 0;
+    const WorkClass workClass("class" + std::to_string(number % classCount));
+    return PlacementRequest { small, batch ? TaskKind::Batch : TaskKind::Request, workClass };
+}
+
+/// Workers with six of eight slots taken, and an interference model that knows all pairings.
+struct Fleet {
+    InterferenceModel interference;
+    WorkerHealth health;
+    Placement placement { {}, interference, health };
+    std::mt19937_64 random { 1 };
+    MonoTime now { 1h };
+    std::vector<PlacementRequest> requests;
+
+    explicit Fleet(size_t workers)
+    {
+        for (int i = 0; i < classCount; ++i)
+            requests.push_back(requestOf(i));
+        for (size_t i = 0; i < workers; ++i)
+            placement.upsert(reportOf(i), false, now);
+        for (size_t i = 0; i < workers; ++i) {
+            for (int task = 0; task < 6; ++task) {
+                const Common::TaskId id("held-" + std::to_string(i) + "-" + std::to_string(task));
+                placement.commit(reportOf(i).worker, id, requests[(i + task) % classCount], now);
+            }
+        }
+    }
+    static Scheduler::WorkerReport reportOf(size_t index)
+    {
+        Scheduler::WorkerReport report { .worker = Common::WorkerId("worker-" + std::to_string(index)) };
+        report.rack = Common::RackId("rack-" + std::to_string(index / 8));
+        report.capacity = capacity;
+        return report;
+    }
+};
+
+void place(benchmark::State& state)
+{
+    Fleet fleet(static_cast<size_t>(state.range(0)));
+    uint64_t number = 0;
+    for (auto _ : state) {
+        const PlacementRequest& request = fleet.requests[number % classCount];
+        const Common::TaskId task("task-" + std::to_string(++number));
+        const auto chosen = fleet.placement.choose(request, fleet.now, fleet.random);
+        if (!chosen || !fleet.placement.commit(*chosen, task, request, fleet.now)) {
+            state.SkipWithError("nothing fits");
+            break;
+        }
+        fleet.placement.release(task);
+    }
+}
+BENCHMARK(place)->Name("placement/start")->Arg(50)->Arg(510)->Arg(5100);
+
+void report(benchmark::State& state)
+{
+    Fleet fleet(static_cast<size_t>(state.range(0)));
+    Scheduler::WorkerReport next = Fleet::reportOf(0);
+    for (int task = 0; task < 6; ++task) {
+        Scheduler::TaskReport entry { .task = Common::TaskId("held-0-" + std::to_string(task)), .declared = small };
+        entry.used = small;
+        next.tasks.push_back(entry);
+    }
+    for (auto _ : state) {
+        next.clock.milliseconds += 1000;
+        for (Scheduler::TaskReport& task : next.tasks)
+            task.sampledAt.milliseconds = next.clock.milliseconds - 500;
+        fleet.placement.upsert(next, false, fleet.now);
+    }
+}
+BENCHMARK(report)->Name("placement/report")->Arg(50)->Arg(510)->Arg(5100);
+
+/// One offer and one take with a queue of ten requests a worker.
+void admit(benchmark::State& state)
+{
+    AdmissionQueue queue({ .maximumQueued = 100000 });
+    const Common::ProfileName profile("preview");
+    Scheduler::ClusterConfig config;
+    config.profiles[profile] = Scheduler::Profile { .name = profile, .maximumQueued = 100000 };
+    queue.setConfig(std::make_shared<Scheduler::ClusterConfig>(config));
+    MonoTime now { 1h };
+    uint64_t number = 0;
+    const auto offer = [&] {
+        ++number;
+        queue.offer(
+            QueuedRequest { Common::RequestId("request-" + std::to_string(number)), profile, Common::TeamName("team"),
+                static_cast<Scheduler::Priority>(number % 4), now, now + 1s + Duration(number * 7919 % 500000) },
+            now);
+    };
+    for (int64_t i = 0; i < state.range(0) * 10; ++i)
+        offer();
+    for (auto _ : state) {
+        offer();
+        benchmark::DoNotOptimize(queue.takeNext(now));
+    }
+}
+BENCHMARK(admit)->Name("admission/offer-and-take")->Arg(50)->Arg(510)->Arg(5100);
+
+/// One daemon a fifty workers, in three regions; each request looks at all of them.
+void route(benchmark::State& state)
+{
+    LinkBudget link(3e6, 1e6);
+    Router router({}, link);
+    std::mt19937_64 random(1);
+    RouteQuery query { .spill = Scheduler::SpillScope::Everywhere, .bytes = 1000, .timeLeft = 2s };
+    for (int64_t i = 0; i < std::max<int64_t>(3, state.range(0) / 50); ++i) {
+        Scheduler::PeerInfo peer { .id = Common::DaemonId("daemon-" + std::to_string(i)) };
+        peer.domain = Common::DomainId("domain-" + std::to_string(i % 10));
+        peer.region = Common::RegionId("region-" + std::to_string(i % 10 % 3));
+        peer.freeSlots = 10 + i;
+        query.peers.push_back(peer);
+    }
+    query.self = query.peers[0];
+    query.self.freeSlots = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(router.choose(query, MonoTime { 1h }, random));
+}
+BENCHMARK(route)->Name("routing/choose")->Arg(50)->Arg(510)->Arg(5100);
+
+/// Keeps the medians of processor time for the bounds.
+class MedianReporter : public benchmark::ConsoleReporter {
+public:
+    void ReportRuns(const std::vector<Run>& runs) override
+    {
+        for (const Run& run : runs) {
+            if (run.aggregate_name == "median")
+                medians[run.benchmark_name()] = run.GetAdjustedCPUTime();
+        }
+        ConsoleReporter::ReportRuns(runs);
+    }
+
+    std::map<std::string, double> medians;
+};
+
+bool judge(const char* name, double value, double bound)
+{
+    const bool met = value > 0 && value <= bound;
+    std::printf("%s %-50s %10.4g  bound <= %.4g\n", met ? "ok  " : "MISS", name, value, bound);
+    return met;
+}
+
+} // namespace
+
+int main()
+{
+    char program[] = "DecisionBenchmark";
+    char repetitions[] = "--benchmark_repetitions=5";
+    char minimumTime[] = "--benchmark_min_time=0.1";
+    char aggregates[] = "--benchmark_report_aggregates_only=true";
+    char* arguments[] = { program, repetitions, minimumTime, aggregates };
+    int count = 4;
+    benchmark::Initialize(&count, arguments);
+    MedianReporter reporter;
+    benchmark::RunSpecifiedBenchmarks(&reporter);
+    const auto start
+        = [&](int workers) { return reporter.medians["placement/start/" + std::to_string(workers) + "_median"]; };
+    bool met = judge("placement at 5,100 workers, ns of a core a start", start(5100), placementBudgetNanoseconds);
+    const double logarithm = std::log2(5100) / std::log2(50);
+    met &= judge("placement, 5,100 against 50 workers", start(5100) / start(50), logarithm * growthAllowance);
+    return met ? 0 : 1;
+}
--- a/Source/UnitTests/Policy/EvictionPlannerTest.cpp
+++ b/Source/UnitTests/Policy/EvictionPlannerTest.cpp
@@ -46,7 +46,7 @@
         report.clock.milliseconds += 1000;
         task("p").speedPerMille = speed;
         task("p").sampledAt = report.clock;
-        const auto action = planner.plan(
+        auto action = planner.plan(
             report, [this](const TaskReport& task) { return candidates[task.task]; }, now);
         if (action && action->control == TaskControl::Throttle)
             task(action->task.value()).throttled = true;
