Test lost watches and dead writers of the configuration

Two guards had no test that failed without them: the base's history entry and the repeated watch from the last document seen.

--- a/Source/UnitTests/Config/ConfigServiceTest.cpp
+++ b/Source/UnitTests/Config/ConfigServiceTest.cpp
@@ -154,6 +154,19 @@
     CHECK(cluster.allHave(3));
 }
 
+TEST_CASE("a repeated change is recognised although its first writer died before it wrote the history")
+{
+    Trinacria cluster(12);
+    applyEverywhere(cluster, 0);
+    applyEverywhere(cluster, 1);
+    cluster.store.values.erase("config/history/0000000002");
+    applyEverywhere(cluster, 2);
+    const auto again = apply(cluster, 3, 1, "change-2", documentWith(2));
+    cluster.runtime.advance(5s);
+    REQUIRE(again->accepted());
+    CHECK(std::get<ChangeAccepted>(*again->outcome).revision.value == 2);
+}
+
 TEST_CASE("a faulty document and one edited from a wrong revision write nothing")
 {
     Trinacria cluster(4);
@@ -216,6 +229,24 @@
     }
 }
 
+TEST_CASE("a change whose writer died at once is in force within the promised time although watches are lost")
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        Trinacria cluster(seed);
+        applyEverywhere(cluster, 0);
+        cluster.store.silentWatches = seed % 2 == 0 ? 3 : 0;
+        cluster.store.blindWatches = seed % 2 == 0 ? 0 : 3;
+        // Every watcher has sent its next watch by now, and none of these has ended.
+        cluster.runtime.advance(std::chrono::milliseconds(4050 + seed));
+        const ConfigDocument orphan { ConfigRevision { 2 }, ChangeId("orphan"), "anna", 0, documentWith(2) };
+        const Common::StoreRevision held = cluster.store.values.at("config/current").revision;
+        REQUIRE(cluster.store.swap("config/current", held, toJson(orphan).dump()));
+        cluster.runtime.advance(promisedTime);
+        CHECK(cluster.allHave(2));
+    }
+}
+
 TEST_CASE("a domain that is cut off from the store alone learns from another domain")
 {
     // The watcher of the domain gets nothing from the store: its watches are all silent.
