Add the worker stand-in

Cause: claims, leases, interference and overload have to be brought about and seen from outside the scheduler.

--- /dev/null
+++ b/Source/StandIns/WorkerMessages.h
@@ -0,0 +1,27 @@
+// JSON of the messages between daemons and workers, as a worker reads and writes them.
+#pragma once
+
+#include "Common/Resources.h"
+#include "Scheduler/StartCommand.h"
+#include "Scheduler/SyncRequest.h"
+#include "Scheduler/TaskControl.h"
+#include "Scheduler/WorkerReport.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string_view>
+
+/// Readers throw nlohmann::json::exception on a body of another shape.
+namespace StandIns {
+
+nlohmann::json writeResources(const Common::Resources&);
+/// Missing members are zero.
+Common::Resources readResources(const nlohmann::json&);
+Scheduler::SyncRequest readSync(const nlohmann::json&);
+nlohmann::json writeReport(const Scheduler::WorkerReport&);
+Scheduler::StartCommand readStart(const nlohmann::json&);
+std::optional<Scheduler::TaskControl> taskControlFromName(std::string_view);
+std::string_view taskKindName(Scheduler::TaskKind);
+
+} // namespace StandIns
