--- a/Source/Core/Daemon/DaemonProcess.cpp
+++ b/Source/Core/Daemon/DaemonProcess.cpp
@@ -69,7 +69,7 @@
         , workerClient(loop, clientLimits(settings))
         , peerClient(loop, clientLimits(settings))
         , storeClient(loop, clientLimits(settings))
-        , store(storeClient, settings.storeAddress, settings.storeTimeout)
+        , store(storeClient, { .address = settings.storeAddress, .timeout = settings.storeTimeout })
         , workers(workerClient)
         , peers(peerClient)
         , forward(peerClient)
--- a/Tools/fleet.py
+++ b/Tools/fleet.py
@@ -126,7 +126,7 @@
     def __init__(self, fleet, hosts):
         self.address = f"127.0.0.1:{free_port()}"
         self.hosts_file = fleet.folder / "hosts.json"
-        self.hosts_file.write_text(json.dumps({"hosts": hosts}))
+        self.hosts_file.write_text(json.dumps(hosts))
         super().__init__(fleet, "store", [BIN / "lavendercart-store-standin", f"--listen={self.address}",
                                           f"--hosts-file={self.hosts_file}", "--host-list-lag-ms=500"])
 
