Let services refer to the node's own settings

Cause: daemons died of a division by zero in the ledger within seconds: it keeps a reference to its settings, and the node passed it the constructor's argument, which was gone by then. Ruled out: the host list and the configuration fetcher (both guard the empty case); a core file named the line. Change: the node's members are built from its own copy.

--- a/Source/Core/Daemon/Node.cpp
+++ b/Source/Core/Daemon/Node.cpp
@@ -19,29 +19,29 @@
     : m_ports(ports)
     , m_settings(settings)
     , m_context { ports.runtime, ports.timeline, ports.metrics }
-    , m_membership(m_context, ports.peers, ports.store, settings.self, settings.membership)
-    , m_config(m_context, ports.store, ports.peers, m_membership, settings.config,
+    , m_membership(m_context, ports.peers, ports.store, m_settings.self, m_settings.membership)
+    , m_config(m_context, ports.store, ports.peers, m_membership, m_settings.config,
           [this](Common::ConfigRevision revision) { m_membership.setConfigRevision(revision); })
-    , m_fleet(m_context, ports.workers, ports.store, ports.peers, m_membership, settings.fleet)
-    , m_health(settings.health)
-    , m_placement(settings.placement, m_interference, m_health)
-    , m_queue(settings.queue)
-    , m_link(settings.interRegionBytesPerSecond, settings.interRegionBytesPerSecond * linkBurstSeconds)
-    , m_router(settings.router, m_link)
-    , m_shards(m_context, ports.store, m_membership, settings.ledger)
-    , m_intents(m_context, m_shards, settings.ledger)
+    , m_fleet(m_context, ports.workers, ports.store, ports.peers, m_membership, m_settings.fleet)
+    , m_health(m_settings.health)
+    , m_placement(m_settings.placement, m_interference, m_health)
+    , m_queue(m_settings.queue)
+    , m_link(m_settings.interRegionBytesPerSecond, m_settings.interRegionBytesPerSecond * linkBurstSeconds)
+    , m_router(m_settings.router, m_link)
+    , m_shards(m_context, ports.store, m_membership, m_settings.ledger)
+    , m_intents(m_context, m_shards, m_settings.ledger)
     , m_pool(m_context, m_fleet, ports.workers, m_placement, m_health)
     , m_tasks(m_context,
           { m_config, m_membership, ports.peers, m_fleet, ports.workers, m_pool, m_shards, m_placement, m_health },
-          settings.tasks)
-    , m_jobs(m_context, m_shards, m_tasks, m_config, settings.ledger,
+          m_settings.tasks)
+    , m_jobs(m_context, m_shards, m_tasks, m_config, m_settings.ledger,
           [this](const Common::WorkerId& worker) { return m_tasks.hearsDomainOf(worker); })
-    , m_gateway(m_context, m_shards, m_jobs, m_membership, ports.peers, settings.ledger)
+    , m_gateway(m_context, m_shards, m_jobs, m_membership, ports.peers, m_settings.ledger)
     , m_requests(m_context,
           { m_config, m_membership, ports.workers, m_pool, ports.forward, m_shards, m_intents, m_queue, m_placement,
               m_health, m_router, m_link },
-          settings.requests)
-    , m_evictor(m_context, m_config, m_fleet, ports.workers, m_tasks, settings.evictions)
+          m_settings.requests)
+    , m_evictor(m_context, m_config, m_fleet, ports.workers, m_tasks, m_settings.evictions)
 {
 }
 
--- a/Tools/fleet.py
+++ b/Tools/fleet.py
@@ -235,6 +235,7 @@
         try:
             self.start()
         except BaseException:
+            self.print_logs()
             self.close()
             raise
         return self
