Take a refusal for a task only if it names that task

Cause: run() checked X-Task on whole answers only. A late refusal of another task ("start-too-late") would have been taken as proof that this task did not run, and it could have run twice. Change: X-Task is checked on every answer of /run, before its status. Tests of the adapter against the stand-in, in one process. Measured: before the change WorkerTests failed in "An answer or refusal of another task proves nothing about this one" (start-too-late instead of protocol-error); after it all 9 cases pass.

--- a/Source/Core/Worker/HttpWorker.cpp
+++ b/Source/Core/Worker/HttpWorker.cpp
@@ -62,10 +62,11 @@
     {
         if (!response)
             return response.reason();
-        if (response->status != 200)
-            return failureOf(*response);
+        // A refusal of another task proves nothing about this one.
         if (response->headers.get(taskHeader) != task.value())
             return Failure { ErrorCode::ProtocolError, "the answer is another task's" };
+        if (response->status != 200)
+            return failureOf(*response);
         return Scheduler::RunAnswer { task, response->headers.get("Content-Type").value_or(""), response->body };
     }
 
