Give each load run ids of its own

Cause: two runs with one seed sent the same task ids, and the worker rightly refused the second run as duplicates. Change: the wall clock at the start is part of the ids; the seed still decides arrivals and choices.

--- a/Source/StandIns/LoadTool/LoadRunner.cpp
+++ b/Source/StandIns/LoadTool/LoadRunner.cpp
@@ -30,6 +30,7 @@
     , m_settings(std::move(settings))
     , m_client(loop, { m_settings.connections, std::chrono::seconds(1) })
     , m_random(m_settings.seed)
+    , m_idPrefix("load-" + std::to_string(m_settings.seed) + "-" + std::to_string(loop.wallMilliseconds()) + "-")
 {
 }
 
@@ -107,7 +108,7 @@
 void LoadRunner::arrive(Common::MonoTime due)
 {
     auto caller = std::make_shared<Caller>();
-    caller->id = "load-" + std::to_string(m_settings.seed) + "-" + std::to_string(++m_lastCaller);
+    caller->id = m_idPrefix + std::to_string(++m_lastCaller);
     caller->due = due;
     caller->attemptsLeft = m_settings.retries;
     m_stats.countSent();
--- a/Source/StandIns/LoadTool/LoadRunner.h
+++ b/Source/StandIns/LoadTool/LoadRunner.h
@@ -84,6 +84,8 @@
     Settings m_settings;
     Http::Client m_client;
     std::mt19937_64 m_random;
+    /// Differs between runs, also with the same seed, so that ids are never used twice.
+    std::string m_idPrefix;
     LoadStats m_stats;
     std::unordered_map<std::string, WorkerClock> m_clocks;
     std::function<void()> m_finished;
