Bound what an answer and the open connections may take

Cause: a client took answers of any length into memory; RESTinio stops accepting for good after an accept that fails for want of a descriptor; close() destroyed the handler that may be calling it. Change: Client::Limits::maximumAnswerBytes (64 MiB by default, reported as truncated); the server takes at most half of the process's descriptors; close() leaves the handler to the last connection. Bodies over the limit are read 4 MiB further instead of 16. Ruled out: raising the process's limit of descriptors; that is the operator's.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -26,7 +26,6 @@
     constexpr long maximumIdleSeconds = 20;
     constexpr long maximumPooledConnections = 8192;
     constexpr size_t maximumSpareHandles = 1024;
-    constexpr size_t maximumReservedBodyBytes = size_t { 64 } << 20;
     constexpr long receiveBufferBytes = 64L << 10;
     /// TCP probes find connections that lost their other end, also while they are idle in the pool.
     constexpr int keepAliveIdleSeconds = 5;
@@ -63,6 +62,7 @@
         EasyHandle easy;
         Common::MonoTime deadline;
         Scheduler::TimerId waitTimer;
+        size_t maximumAnswerBytes = 0;
         /// Set when the request is about to be written. Never written twice: curl would repeat a request that met a
         /// closed connection, and the work might run twice.
         bool started = false;
@@ -120,7 +120,11 @@
 
     size_t onBody(char* data, size_t size, size_t count, void* user)
     {
-        static_cast<Transfer*>(user)->response.body.append(data, size * count);
+        auto& transfer = *static_cast<Transfer*>(user);
+        // A short count makes curl end the transfer.
+        if (transfer.response.body.size() + size * count > transfer.maximumAnswerBytes)
+            return 0;
+        transfer.response.body.append(data, size * count);
         return size * count;
     }
 
@@ -136,7 +140,7 @@
     {
         size_t bytes = 0;
         std::from_chars(contentLength.data(), contentLength.data() + contentLength.size(), bytes);
-        transfer.response.body.reserve(std::min(bytes, maximumReservedBodyBytes));
+        transfer.response.body.reserve(std::min(bytes, transfer.maximumAnswerBytes));
     }
 
     size_t onHeader(char* data, size_t size, size_t count, void* user)
@@ -433,6 +437,7 @@
         transfer.request = std::move(request);
         transfer.callback = std::move(callback);
         transfer.deadline = loop.now() + timeout;
+        transfer.maximumAnswerBytes = limits.maximumAnswerBytes;
         transfers.emplace(transfer.id, std::move(owned));
         AddressQueue& queue = queues[address];
         if (queue.active < limits.maximumConnectionsPerAddress)
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -20,6 +20,8 @@
     struct Limits {
         long maximumConnectionsPerAddress = 60;
         Common::Duration connectTimeout = std::chrono::seconds(1);
+        /// A longer answer is cut off and reported as truncated.
+        size_t maximumAnswerBytes = size_t { 64 } << 20;
     };
 
     Client(EventLoop&, Limits);
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -7,13 +7,16 @@
 #include "Http/EventLoop.h"
 
 #include <restinio/all.hpp>
+#include <sys/resource.h>
+
+#include <algorithm>
 
 namespace Http {
 
 namespace {
 
     /// Bodies over the limit are still read this far, so that the caller gets the typed refusal and not a reset.
-    constexpr uint64_t refusedBodySlackBytes = uint64_t { 16 } << 20;
+    constexpr uint64_t refusedBodySlackBytes = uint64_t { 4 } << 20;
     constexpr size_t readBufferBytes = size_t { 16 } << 10;
     /// One request is handled at a time; the second place keeps a read pending, which shows that the peer has closed.
     constexpr size_t pipelinedRequests = 2;
@@ -21,6 +24,15 @@
     constexpr std::chrono::hours handleTimeout { 24 };
     constexpr std::chrono::seconds writeTimeout { 60 };
 
+    /// RESTinio stops accepting for good when a connection can't get a descriptor, so half of them are left to others.
+    size_t affordableConnections(size_t wanted)
+    {
+        rlimit limit {};
+        if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+            return wanted;
+        return std::min<size_t>(wanted, limit.rlim_cur / 2);
+    }
+
     struct ServerTraits : public restinio::default_single_thread_traits_t {
         static constexpr bool use_connection_count_limiter = true; // NOLINT: RESTinio's name
         using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
@@ -120,7 +132,7 @@
         settings.address(endpoint.address());
         settings.buffer_size(readBufferBytes);
         settings.max_pipelined_requests(pipelinedRequests);
-        settings.max_parallel_connections(limits.maximumConnections);
+        settings.max_parallel_connections(affordableConnections(limits.maximumConnections));
         settings.read_next_http_message_timelimit(limits.idleTimeout);
         settings.write_http_response_timelimit(writeTimeout);
         settings.handle_request_timeout(handleTimeout);
@@ -170,8 +182,8 @@
 void Server::close()
 {
     stopAccepting();
+    // The handler itself may be what calls this, so it stays until the last connection has gone.
     m_impl->shared->closed = true;
-    m_impl->shared->handler = nullptr;
 }
 
 } // namespace Http
--- a/Source/UnitTests/Http/ClientFaultsTest.cpp
+++ b/Source/UnitTests/Http/ClientFaultsTest.cpp
@@ -77,6 +77,19 @@
     CHECK(answer.reason().code == ErrorCode::TruncatedAnswer);
 }
 
+TEST_CASE("An answer over the limit is reported as truncated")
+{
+    Http::EventLoop loop;
+    RawServer server(loop, [](RawServer::Connection& connection) { connection.write(wholeAnswer); });
+    Http::Client::Limits limits;
+    limits.maximumAnswerBytes = 1;
+    Http::Client client(loop, limits);
+    CHECK(sendAndWait(loop, client, server.address(), "x", longTimeout).reason().code == ErrorCode::TruncatedAnswer);
+    limits.maximumAnswerBytes = 2;
+    Http::Client roomy(loop, limits);
+    CHECK(sendAndWait(loop, roomy, server.address(), "x", longTimeout));
+}
+
 TEST_CASE("A port on which nobody listens is reported as not connected")
 {
     Http::EventLoop loop;
@@ -127,7 +140,7 @@
 {
     Http::EventLoop loop;
     RawServer server(loop, [](RawServer::Connection&) {});
-    Http::Client client(loop, { 1, seconds(10) });
+    Http::Client client(loop, { 1, seconds(10), size_t { 1 } << 20 });
     std::optional<Common::Result<Http::Response>> first;
     std::optional<Common::Result<Http::Response>> second;
     client.send(server.address(), {}, longTimeout, [&](auto result) { first = std::move(result); });
