--- a/Source/Core/Membership/FleetService.cpp
+++ b/Source/Core/Membership/FleetService.cpp
@@ -137,8 +137,12 @@
 
 void FleetService::acknowledge(const Common::WorkerId& worker, const std::vector<Common::TaskId>& tasks)
 {
-    if (Entry* entry = find(worker))
-        entry->toAcknowledge.insert(tasks.begin(), tasks.end());
+    Entry* entry = find(worker);
+    if (!entry || entry->ownership.state() != WorkerOwnership::State::Owned)
+        return;
+    // No start that was ever decided is valid beyond this.
+    for (const Common::TaskId& task : tasks)
+        entry->toAcknowledge.try_emplace(task, entry->ownership.startBy());
 }
 
 void FleetService::syncSoon(const Common::WorkerId& worker)
@@ -320,7 +324,10 @@
     request.claimTimeToLive = m_settings.ownership.claimTimeToLive;
     request.withdraw = ticket.withdraw;
     request.renewTimeToLive = m_settings.taskLease;
-    request.acknowledge.assign(entry.toAcknowledge.begin(), entry.toAcknowledge.end());
+    for (const auto& [task, notBefore] : entry.toAcknowledge) {
+        if (entry.ownership.lastClock() >= notBefore)
+            request.acknowledge.push_back(task);
+    }
     if (!entry.ownership.isCounting())
         return request;
     for (const Scheduler::TaskReport& task : entry.report.tasks) {
@@ -426,6 +433,7 @@
 void FleetService::announceLost(Entry& entry)
 {
     m_owned.erase(entry.host.worker);
+    entry.toAcknowledge.clear();
     m_ownedGauge.Set(static_cast<double>(m_owned.size()));
     const std::optional<Scheduler::WorkerClaim>& foreign = entry.ownership.foreignClaim();
     record(Common::EventKind::WorkerLost, entry, foreign ? "claimed by " + foreign->daemon.value() : "");
--- a/Source/Core/Membership/FleetService.h
+++ b/Source/Core/Membership/FleetService.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -64,6 +65,8 @@
     std::vector<Common::WorkerId> owned() const override;
     std::optional<std::string> addressOf(const Common::WorkerId&) const override;
     std::optional<Common::DaemonId> assignedOwner(const Common::WorkerId&) const override;
+    /// Sent a start window later, when the worker would refuse a late copy of the start though it has forgotten the id.
+    /// Ignored for workers that this daemon does not own; acknowledge again when another report lists the task.
     void acknowledge(const Common::WorkerId&, const std::vector<Common::TaskId>&) override;
     void syncSoon(const Common::WorkerId&) override;
     void onChange(Listener) override;
@@ -81,7 +84,8 @@
         Scheduler::WorkerReport report;
         /// Set by the last report of another owner's claim: it was renewed lately.
         bool foreignClaimRenewed = false;
-        std::set<Common::TaskId> toAcknowledge;
+        /// Each with the worker's clock from which it may be sent.
+        std::map<Common::TaskId, Common::WorkerTime> toAcknowledge;
         bool syncing = false;
         bool queued = false;
         Common::MonoTime lastSent;
--- /dev/null
+++ b/Source/UnitTests/Membership/FleetServiceTest.cpp
@@ -0,0 +1,148 @@
+// Who owns which worker, and how soon after a failure.
+#include "Cluster.h"
+
+#include <doctest/doctest.h>
+
+using namespace Fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Virtual time until `condition` holds, or the limit.
+template <typename Condition> Common::Duration timeUntil(Cluster& cluster, Common::Duration limit, Condition condition)
+{
+    Common::Duration passed {};
+    while (passed < limit && !condition()) {
+        cluster.run(50ms);
+        passed += 50ms;
+    }
+    return passed;
+}
+
+} // namespace
+
+TEST_CASE("workers are shared out, and each is owned by the daemon that it is assigned to")
+{
+    Cluster cluster(1, 3, 30);
+    cluster.run(20s);
+    CHECK(cluster.allOwnedOnce());
+    for (const Cluster::Daemon* daemon : cluster.live) {
+        CHECK(daemon->fleet.owned().size() > 3);
+        for (const Common::WorkerId& worker : daemon->fleet.owned())
+            CHECK(daemon->fleet.assignedOwner(worker) == daemon->membership.self().id);
+    }
+    CHECK(cluster.firstViolation() == "");
+}
+
+TEST_CASE(
+    "with the store down a killed daemon's workers are owned by survivors within detection, wait and two intervals")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Cluster cluster(seed, 3, 12);
+        cluster.run(10s);
+        REQUIRE(cluster.allOwnedOnce());
+        cluster.store.isDown = true;
+        cluster.run(30s);
+        cluster.live[0]->process.kill();
+        const auto taken = timeUntil(cluster, 30s, [&] { return cluster.allOwnedOnce(); });
+        const Membership::MembershipSettings membership;
+        const Membership::FleetSettings fleet;
+        const Common::Duration detection = membership.heartbeatInterval * (membership.silentIntervals + 1);
+        CHECK_MESSAGE(taken <= detection + fleet.ownership.startWindow + fleet.syncInterval * 2, "seed ", seed);
+        MESSAGE("seed ", seed, " taken over after ", taken.count() / 1000, " ms");
+    }
+}
+
+TEST_CASE("daemons that start while the store is down own nothing without a host list, and find each other by seeds")
+{
+    Cluster cluster(3, 2, 4, true);
+    cluster.run(20s);
+    CHECK(cluster.live[0]->membership.livePeers().size() == 2);
+    CHECK(cluster.live[0]->fleet.owned().empty());
+    cluster.store.isDown = false;
+    cluster.run(15s);
+    CHECK(cluster.allOwnedOnce());
+}
+
+TEST_CASE("a daemon that is replaced during an outage gets the host list from its peer")
+{
+    Cluster cluster(4, 2, 8);
+    cluster.run(10s);
+    cluster.store.isDown = true;
+    cluster.live[1]->process.kill();
+    cluster.startDaemon(1);
+    cluster.run(20s);
+    CHECK(cluster.allOwnedOnce());
+    CHECK(!cluster.live[1]->fleet.owned().empty());
+}
+
+TEST_CASE("a drained daemon hands over at once, and its claims are gone")
+{
+    Cluster cluster(5, 2, 8);
+    cluster.run(10s);
+    cluster.live[0]->membership.setDraining(true);
+    const auto moved = timeUntil(cluster, 30s, [&] { return cluster.live[0]->fleet.owned().empty(); });
+    CHECK(moved <= 2s);
+    bool drained = false;
+    cluster.live[0]->fleet.drain([&] { drained = true; });
+    cluster.run(2s);
+    CHECK(drained);
+    cluster.run(5s);
+    CHECK(cluster.live[1]->fleet.owned().size() == 8);
+}
+
+TEST_CASE("an owner keeps its workers while the daemon that should have them can't reach them")
+{
+    Cluster cluster(6, 2, 6);
+    cluster.run(10s);
+    cluster.live[0]->process.kill();
+    cluster.run(10s);
+    REQUIRE(cluster.live[1]->fleet.owned().size() == 6);
+    for (const auto& worker : cluster.workers)
+        cluster.network.cut("d0", worker->address());
+    cluster.startDaemon(0);
+    cluster.run(20s);
+    CHECK(cluster.live[1]->fleet.owned().size() == 6);
+    CHECK(cluster.allOwnedOnce());
+}
+
+TEST_CASE("daemons that can't hear each other don't take workers from each other")
+{
+    Cluster cluster(7, 2, 6);
+    cluster.run(10s);
+    cluster.network.cut("d0", "d1");
+    cluster.network.cut("d1", "d0");
+    cluster.run(5s);
+    const size_t before = cluster.live[0]->fleet.owned().size();
+    cluster.run(30s);
+    CHECK(cluster.allOwnedOnce());
+    CHECK(cluster.live[0]->fleet.owned().size() == before);
+}
+
+TEST_CASE("a worker that says that it is leaving is shown as such")
+{
+    Cluster cluster(8, 1, 1);
+    cluster.run(8s);
+    cluster.workers[0]->setLeaving(true);
+    cluster.run(2s);
+    const auto worker = cluster.live[0]->fleet.authority(cluster.workers[0]->id());
+    REQUIRE(worker);
+    CHECK(worker->leaving);
+}
+
+TEST_CASE("store calls stay within their bound, also in an outage")
+{
+    Cluster cluster(9, 3, 6);
+    cluster.run(20s);
+    for (const bool isDown : { false, true }) {
+        cluster.store.isDown = isDown;
+        cluster.store.calls.clear();
+        cluster.run(60s);
+        // A domain's lister asks every 2 s; while lists stay away, the two others ask every 8 s besides.
+        CHECK(cluster.store.calls["hosts"] <= (isDown ? 30 + 2 * 8 : 31));
+        // 3 renewals every 10 s, or one try of each every 5 s.
+        CHECK(cluster.store.calls["renew"] <= (isDown ? 3 * 13 : 3 * 7));
+        CHECK(cluster.store.calls["list"] <= 3);
+        CHECK(cluster.store.calls["write"] == 0);
+    }
+}
