--- a/Source/UnitTests/Membership/Cluster.h
+++ b/Source/UnitTests/Membership/Cluster.h
@@ -103,7 +103,8 @@
                       .domain = Common::DomainId("yard"),
                       .region = Common::RegionId("est"),
                       .address = address },
-                  Membership::MembershipSettings { .seeds = cluster.seeds })
+                  Membership::MembershipSettings {
+                      .seeds = cluster.withSeeds ? cluster.addresses : std::vector<std::string> {} })
             , fleet(context, workers, store, peers, membership, Membership::FleetSettings {})
             , placer(process, workers, fleet, id)
         {
@@ -131,7 +132,7 @@
     {
         store.isDown = storeDown;
         for (size_t number = 0; number < daemonCount; ++number)
-            seeds.push_back("d" + std::to_string(number));
+            addresses.push_back("d" + std::to_string(number));
         for (size_t number = 0; number < workerCount; ++number)
             addWorker("w" + std::to_string(number));
         live.resize(daemonCount, nullptr);
@@ -149,8 +150,8 @@
     /// A restarted daemon has the old address and a new id.
     void startDaemon(size_t number)
     {
-        const std::string id = seeds[number] + "@" + std::to_string(daemons.size());
-        daemons.push_back(std::make_unique<Daemon>(*this, seeds[number], id));
+        const std::string id = addresses[number] + "@" + std::to_string(daemons.size());
+        daemons.push_back(std::make_unique<Daemon>(*this, addresses[number], id));
         live[number] = daemons.back().get();
     }
     void run(Common::Duration span) { world.advance(span); }
@@ -188,7 +189,9 @@
     MemoryStore store;
     FakePeer::Directory peers;
     FakeWorkerPort::Directory workerDirectory;
-    std::vector<std::string> seeds;
+    /// Of the daemons; also their seeds, unless that is turned off before a daemon starts.
+    std::vector<std::string> addresses;
+    bool withSeeds = true;
     std::vector<std::unique_ptr<FakeWorker>> workers;
     /// All there ever were; the newest of each number is in `live`.
     std::vector<std::unique_ptr<Daemon>> daemons;
--- a/Source/UnitTests/Membership/OwnershipScheduleTest.cpp
+++ b/Source/UnitTests/Membership/OwnershipScheduleTest.cpp
@@ -37,7 +37,7 @@
         }
         repairAll();
         m_cluster.run(16s);
-        const std::string violation = m_cluster.firstViolation();
+        std::string violation = m_cluster.firstViolation();
         if (!violation.empty())
             return violation;
         return m_cluster.allOwnedOnce() ? "" : "not every worker has one owner after all was repaired";
@@ -71,7 +71,7 @@
             daemon.process.resume();
             break;
         case 5:
-            m_cluster.network.cut(daemon.address, m_cluster.seeds[anyDaemon()]);
+            m_cluster.network.cut(daemon.address, m_cluster.addresses[anyDaemon()]);
             break;
         case 6:
             m_cluster.network.cut(daemon.address, anyWorker().address());
