Let the second choice own a worker that the first can't reach

Cause: a worker that only the daemon it is assigned to can't reach lay idle. The first choice claims over it when it gets there.

--- a/Source/Core/Membership/FleetService.cpp
+++ b/Source/Core/Membership/FleetService.cpp
@@ -24,17 +24,26 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
     }
 
-    /// The daemon that should own the worker; an empty id when there is no candidate.
-    Common::DaemonId assign(const Common::WorkerId& worker, const std::vector<Common::DaemonId>& candidates)
+    /// The daemons that should own a worker, first and second choice; empty ids where there are too few candidates.
+    struct Assignment {
+        Common::DaemonId first;
+        Common::DaemonId second;
+    };
+
+    Assignment assign(const Common::WorkerId& worker, const std::vector<Common::DaemonId>& candidates)
     {
-        Common::DaemonId best;
-        uint64_t bestWeight = 0;
+        Assignment best;
+        uint64_t firstWeight = 0;
+        uint64_t secondWeight = 0;
         for (const Common::DaemonId& candidate : candidates) {
             const uint64_t weight = Common::rendezvousWeight(worker.value(), candidate.value());
-            if (!best.empty() && weight <= bestWeight)
-                continue;
-            best = candidate;
-            bestWeight = weight;
+            if (best.first.empty() || weight > firstWeight) {
+                best.second = std::exchange(best.first, candidate);
+                secondWeight = std::exchange(firstWeight, weight);
+            } else if (best.second.empty() || weight > secondWeight) {
+                best.second = candidate;
+                secondWeight = weight;
+            }
         }
         return best;
     }
@@ -179,8 +188,11 @@
     }
     for (auto position = m_entries.begin(); position != m_entries.end();) {
         Entry& entry = *position->second;
-        entry.assigned = entry.listed ? assign(position->first, candidates) : Common::DaemonId();
-        applyAssignment(entry);
+        const Assignment assignment = entry.listed ? assign(position->first, candidates) : Assignment {};
+        const bool wasHere = isAssignedHere(entry);
+        entry.assigned = assignment.first;
+        entry.standby = assignment.second;
+        applyAssignment(entry, !wasHere && isAssignedHere(entry));
         const bool isGone = !entry.listed && !needsSync(entry) && !entry.syncing;
         if (isGone && entry.timer)
             m_context.runtime.cancel(*entry.timer);
@@ -188,15 +200,18 @@
     }
 }
 
-void FleetService::applyAssignment(Entry& entry)
+void FleetService::applyAssignment(Entry& entry, bool isNewHere)
 {
     applyWanted(entry);
     if (!needsSync(entry) || entry.syncing || entry.queued)
         return;
-    if (entry.timer && !entry.ownership.needsSyncNow())
+    const bool isStandby = !isAssignedHere(entry) && entry.ownership.state() == WorkerOwnership::State::Unclaimed;
+    const bool isUrgent = isNewHere || entry.ownership.needsSyncNow();
+    if (entry.timer && (isStandby || !isUrgent))
         return;
     // A daemon's death or return moves many workers at once.
-    const auto spread = static_cast<uint64_t>(m_settings.firstSyncSpread.count());
+    const Common::Duration spreadOver = isStandby ? m_settings.standbyInterval : m_settings.firstSyncSpread;
+    const auto spread = static_cast<uint64_t>(spreadOver.count());
     scheduleSync(entry, Common::Duration(m_context.runtime.random()() % (spread + 1)));
 }
 
@@ -213,9 +228,9 @@
     // An owner keeps a worker until the daemon that should have it has claimed it: no worker lies idle because that
     // daemon can't reach it, and the successor's wait overlaps with the last starts here.
     if (entry.ownership.isCounting())
-        return !isUnreachable(entry) || entry.assigned == m_membership.self().id;
-    if (entry.assigned != m_membership.self().id)
-        return false;
+        return !isUnreachable(entry) || isAssignedHere(entry);
+    if (!isAssignedHere(entry))
+        return isStandbyNeeded(entry);
     const std::optional<Scheduler::WorkerClaim>& foreign = entry.ownership.foreignClaim();
     if (!foreign || !entry.foreignClaimRenewed)
         return true;
@@ -224,11 +239,18 @@
     return m_membership.find(foreign->daemon).has_value();
 }
 
+bool FleetService::isAssignedHere(const Entry& entry) const { return entry.assigned == m_membership.self().id; }
+
+bool FleetService::isStandbyNeeded(const Entry& entry) const
+{
+    return entry.standby == m_membership.self().id && entry.unclaimedReports >= m_settings.standbyLooks;
+}
+
 bool FleetService::needsSync(const Entry& entry) const
 {
     if (entry.ownership.state() != WorkerOwnership::State::Unclaimed)
         return true;
-    return entry.assigned == m_membership.self().id && !m_draining;
+    return !m_draining && (isAssignedHere(entry) || entry.standby == m_membership.self().id);
 }
 
 bool FleetService::isLeaving(const Entry& entry) const
@@ -263,10 +285,16 @@
     scheduleSync(entry, std::min<Common::Duration>(delay, *waitLeft + margin + std::chrono::milliseconds(1)));
 }
 
+Common::Duration FleetService::baseInterval(const Entry& entry) const
+{
+    if (entry.ownership.state() == WorkerOwnership::State::Unclaimed && !isAssignedHere(entry))
+        return m_settings.standbyInterval;
+    return isUnreachable(entry) ? m_settings.unreachableSyncInterval : m_settings.syncInterval;
+}
+
 Common::Duration FleetService::jitteredInterval(const Entry& entry) const
 {
-    const Common::Duration interval
-        = isUnreachable(entry) ? m_settings.unreachableSyncInterval : m_settings.syncInterval;
+    const Common::Duration interval = baseInterval(entry);
     const Common::Duration jitter = interval * m_settings.syncJitterPerMille / 1000;
     const auto width = static_cast<uint64_t>(2 * jitter.count() + 1);
     return interval - jitter + Common::Duration(m_context.runtime.random()() % width);
@@ -371,6 +399,7 @@
     if (outcome == WorkerOwnership::Outcome::Ignored)
         return;
     entry.report = report;
+    entry.unclaimedReports = report.claims.empty() ? entry.unclaimedReports + 1 : 0;
     if (!wasCounting && entry.ownership.isCounting())
         noteClaim(entry, hadForeignClaim);
     noteForeignClaim(entry);
@@ -395,6 +424,7 @@
 void FleetService::handleMiss(Entry& entry)
 {
     ++entry.misses;
+    entry.unclaimedReports = 0;
     if (entry.ownership.expire(m_context.runtime.now()))
         announceLost(entry);
     if (isUnreachable(entry))
--- a/Source/Core/Membership/FleetService.h
+++ b/Source/Core/Membership/FleetService.h
@@ -79,6 +79,8 @@
         /// False once the platform's list no longer names the worker.
         bool listed = true;
         Common::DaemonId assigned;
+        /// The second choice.
+        Common::DaemonId standby;
         WorkerOwnership ownership;
         /// The newest report that was handled; without an id while there is none.
         Scheduler::WorkerReport report;
@@ -91,19 +93,24 @@
         Common::MonoTime lastSent;
         std::optional<Scheduler::TimerId> timer;
         uint32_t misses = 0;
+        /// Reports in a row that showed no claim at all.
+        uint32_t unclaimedReports = 0;
         bool leavingNoted = false;
     };
 
     void takeHosts(const std::vector<Scheduler::HostEntry>&);
     void reassign();
-    void applyAssignment(Entry&);
+    void applyAssignment(Entry&, bool isNewHere);
     void applyWanted(Entry&);
     bool shouldWant(const Entry&) const;
+    bool isAssignedHere(const Entry&) const;
+    bool isStandbyNeeded(const Entry&) const;
     bool needsSync(const Entry&) const;
     bool isLeaving(const Entry&) const;
     bool isUnreachable(const Entry&) const;
     void scheduleSync(Entry&, Common::Duration delay);
     void scheduleNextSync(Entry&);
+    Common::Duration baseInterval(const Entry&) const;
     Common::Duration jitteredInterval(const Entry&) const;
     void enqueueSync(const Common::WorkerId&);
     void sendQueued();
--- a/Source/UnitTests/Membership/FleetServiceTest.cpp
+++ b/Source/UnitTests/Membership/FleetServiceTest.cpp
@@ -37,6 +37,7 @@
 TEST_CASE(
     "with the store down a killed daemon's workers are owned by survivors within detection, wait and two intervals")
 {
+    Common::Duration longest {};
     for (uint64_t seed = 1; seed <= 20; ++seed) {
         Cluster cluster(seed, 3, 12);
         cluster.run(10s);
@@ -49,8 +50,9 @@
         const Membership::FleetSettings fleet;
         const Common::Duration detection = membership.heartbeatInterval * (membership.silentIntervals + 1);
         CHECK_MESSAGE(taken <= detection + fleet.ownership.startWindow + fleet.syncInterval * 2, "seed ", seed);
-        MESSAGE("seed ", seed, " taken over after ", taken.count() / 1000, " ms");
+        longest = std::max(longest, taken);
     }
+    MESSAGE("longest takeover ", longest.count() / 1000, " ms");
 }
 
 TEST_CASE("daemons that start while the store is down own nothing without a host list, and find each other by seeds")
@@ -106,6 +108,20 @@
     CHECK(cluster.allOwnedOnce());
 }
 
+TEST_CASE("a worker that the daemon it is assigned to can't reach is owned by the second choice")
+{
+    Cluster cluster(10, 3, 9);
+    for (const auto& worker : cluster.workers)
+        cluster.network.cut("d0", worker->address());
+    cluster.run(30s);
+    CHECK(cluster.live[0]->fleet.owned().empty());
+    CHECK(cluster.allOwnedOnce());
+    cluster.network.heal();
+    cluster.run(10s);
+    CHECK(!cluster.live[0]->fleet.owned().empty());
+    CHECK(cluster.allOwnedOnce());
+}
+
 TEST_CASE("daemons that can't hear each other don't take workers from each other")
 {
     Cluster cluster(7, 2, 6);
