--- a/Source/Core/Membership/FleetService.h
+++ b/Source/Core/Membership/FleetService.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -64,6 +65,8 @@
     std::vector<Common::WorkerId> owned() const override;
     std::optional<std::string> addressOf(const Common::WorkerId&) const override;
     std::optional<Common::DaemonId> assignedOwner(const Common::WorkerId&) const override;
+    /// Sent a start window later, when the worker would refuse a late copy of the start though it has forgotten the id.
+    /// Ignored for workers that this daemon does not own; acknowledge again when another report lists the task.
     void acknowledge(const Common::WorkerId&, const std::vector<Common::TaskId>&) override;
     void syncSoon(const Common::WorkerId&) override;
     void onChange(Listener) override;
@@ -76,30 +79,38 @@
         /// False once the platform's list no longer names the worker.
         bool listed = true;
         Common::DaemonId assigned;
+        /// The second choice.
+        Common::DaemonId standby;
         WorkerOwnership ownership;
         /// The newest report that was handled; without an id while there is none.
         Scheduler::WorkerReport report;
         /// Set by the last report of another owner's claim: it was renewed lately.
         bool foreignClaimRenewed = false;
-        std::set<Common::TaskId> toAcknowledge;
+        /// Each with the worker's clock from which it may be sent.
+        std::map<Common::TaskId, Common::WorkerTime> toAcknowledge;
         bool syncing = false;
         bool queued = false;
         Common::MonoTime lastSent;
         std::optional<Scheduler::TimerId> timer;
         uint32_t misses = 0;
+        /// Reports in a row that showed no claim at all.
+        uint32_t unclaimedReports = 0;
         bool leavingNoted = false;
     };
 
     void takeHosts(const std::vector<Scheduler::HostEntry>&);
     void reassign();
-    void applyAssignment(Entry&);
+    void applyAssignment(Entry&, bool isNewHere);
     void applyWanted(Entry&);
     bool shouldWant(const Entry&) const;
+    bool isAssignedHere(const Entry&) const;
+    bool isStandbyNeeded(const Entry&) const;
     bool needsSync(const Entry&) const;
     bool isLeaving(const Entry&) const;
     bool isUnreachable(const Entry&) const;
     void scheduleSync(Entry&, Common::Duration delay);
     void scheduleNextSync(Entry&);
+    Common::Duration baseInterval(const Entry&) const;
     Common::Duration jitteredInterval(const Entry&) const;
     void enqueueSync(const Common::WorkerId&);
     void sendQueued();
