--- a/Source/Core/Policy/Placement.cpp
+++ b/Source/Core/Policy/Placement.cpp
@@ -27,8 +27,6 @@
         return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
     }
 
-    uint64_t rackKey(uint16_t workClass, uint32_t rack) { return (uint64_t { workClass } << 32) | rack; }
-
     /// Tasks of earlier owners, until somebody classifies them.
     WorkClass adoptedClass(Scheduler::TaskKind kind)
     {
@@ -277,11 +275,19 @@
 {
     if (!worker.leaving)
         m_usedSlots += sign * task.held.slots;
-    const uint64_t key = rackKey(workClass, worker.rack);
-    int32_t& count = m_classOnRack[key];
-    count += static_cast<int32_t>(sign);
-    if (count == 0)
-        m_classOnRack.erase(key);
+    if (workClass >= m_classOnRack.size())
+        m_classOnRack.resize(workClass + size_t { 1 });
+    std::vector<int32_t>& racks = m_classOnRack[workClass];
+    if (worker.rack >= racks.size())
+        racks.resize(m_racks.size());
+    racks[worker.rack] += static_cast<int32_t>(sign);
+}
+
+int32_t Placement::onRack(ClassIndex workClass, uint32_t rack) const
+{
+    if (workClass >= m_classOnRack.size() || rack >= m_classOnRack[workClass].size())
+        return 0;
+    return m_classOnRack[workClass][rack];
 }
 
 void Placement::publish(const Worker& worker, size_t index)
@@ -319,8 +325,7 @@
             share(held.memoryMegabytes, worker.capacity.memoryMegabytes) });
     const double slowdown = m_interference.slowdownOf(search.workClass, worker.classes, search.now)
         + m_interference.slowdownBy(search.workClass, worker.classes, search.now);
-    const auto onRack = m_classOnRack.find(rackKey(search.workClass, worker.rack));
-    const double crowding = onRack == m_classOnRack.end() ? 0 : share(onRack->second, m_racks[worker.rack].totalSlots);
+    const double crowding = share(onRack(search.workClass, worker.rack), m_racks[worker.rack].totalSlots);
     return m_settings.loadWeight * load + m_settings.interferenceWeight * slowdown + m_settings.rackWeight * crowding;
 }
 
@@ -328,12 +333,16 @@
 {
     if (m_free.size() == 0)
         return std::nullopt;
+    const bool pickAny = !m_health.anyRestricted() && (useAvoided || search.request.avoid.empty());
     struct Filter {
         const Placement& placement;
         const Search& search;
         bool useAvoided;
-    } const filter { *this, search, useAvoided };
+        bool pickAny;
+    } const filter { *this, search, useAvoided, pickAny };
     const std::function<bool(size_t)> accept = [&filter](size_t index) {
+        if (filter.pickAny)
+            return true;
         const Worker& worker = filter.placement.m_workers[index];
         const auto& avoid = filter.search.request.avoid;
         if (!filter.useAvoided && std::find(avoid.begin(), avoid.end(), worker.id) != avoid.end())
--- a/Source/Core/Policy/Placement.h
+++ b/Source/Core/Policy/Placement.h
@@ -111,6 +111,7 @@
     void drop(Worker&, size_t position);
     void addCapacity(const Worker&, int64_t sign);
     void countTask(const Worker&, const HeldTask&, ClassIndex, int64_t sign);
+    int32_t onRack(ClassIndex, uint32_t rack) const;
     void publish(const Worker&, size_t index);
     Common::Resources wantedBy(const PlacementRequest&, ClassIndex) const;
     bool reserveAllows(const PlacementRequest&, const Common::Resources& wanted) const;
@@ -129,8 +130,8 @@
     FreeResourcesTree m_capacities;
     std::vector<Rack> m_racks;
     std::unordered_map<Common::RackId, uint32_t> m_rackOf;
-    /// Tasks by class and rack; no zero entries.
-    std::unordered_map<uint64_t, int32_t> m_classOnRack;
+    /// Tasks by class and rack.
+    std::vector<std::vector<int32_t>> m_classOnRack;
     int64_t m_totalSlots = 0;
     int64_t m_usedSlots = 0;
 };
--- a/Source/Core/Policy/WorkerHealth.cpp
+++ b/Source/Core/Policy/WorkerHealth.cpp
@@ -47,6 +47,8 @@
         return;
     if (found->second.ejected)
         --m_ejected;
+    if (found->second.isSilent)
+        --m_silent;
     m_workers.erase(found);
 }
 
@@ -82,18 +84,17 @@
     worker.nextTrial = now + m_settings.probationInterval / (int64_t { 1 } << worker.trialSuccesses);
 }
 
-void WorkerHealth::silent(const Common::WorkerId& id)
-{
-    const auto found = m_workers.find(id);
-    if (found != m_workers.end())
-        found->second.isSilent = true;
-}
+void WorkerHealth::silent(const Common::WorkerId& id) { setSilent(id, true); }
 
-void WorkerHealth::heard(const Common::WorkerId& id)
+void WorkerHealth::heard(const Common::WorkerId& id) { setSilent(id, false); }
+
+void WorkerHealth::setSilent(const Common::WorkerId& id, bool silent)
 {
     const auto found = m_workers.find(id);
-    if (found != m_workers.end())
-        found->second.isSilent = false;
+    if (found == m_workers.end() || found->second.isSilent == silent)
+        return;
+    found->second.isSilent = silent;
+    m_silent += silent ? 1 : -1;
 }
 
 bool WorkerHealth::admits(const Common::WorkerId& id, MonoTime now) const
--- a/Source/Core/Policy/WorkerHealth.h
+++ b/Source/Core/Policy/WorkerHealth.h
@@ -56,12 +56,16 @@
 
     /// Whether a new task may go there now.
     bool admits(const Common::WorkerId&, Common::MonoTime now) const;
+    /// False: every worker admits work.
+    bool anyRestricted() const { return m_ejected > 0 || m_silent > 0; }
     /// Whether the subject failed on enough distinct workers, and nowhere succeeded, to be given up.
     bool poisonous(const std::string& subject) const;
     size_t ejectedCount() const { return m_ejected; }
     size_t workerCount() const { return m_workers.size(); }
 
 private:
+    void setSilent(const Common::WorkerId&, bool);
+
     struct Worker {
         /// Ejected until a time, then on probation; work goes there without restraint otherwise.
         bool ejected = false;
@@ -108,6 +112,7 @@
     /// any success: what failed elsewhere is likely to fail again.
     std::array<Record, 3> m_domain;
     size_t m_ejected = 0;
+    size_t m_silent = 0;
 };
 
 } // namespace Policy
