--- a/Source/Core/Policy/EvictionPlanner.cpp
+++ b/Source/Core/Policy/EvictionPlanner.cpp
@@ -46,13 +46,18 @@
 }
 
 std::optional<EvictionAction> EvictionPlanner::plan(
-    const Scheduler::WorkerReport& report, const Lookup& lookup, MonoTime now)
+    const Scheduler::WorkerReport& report, const Lookup& lookup, MonoTime now, std::optional<int64_t> measuredSpeed)
 {
     Worker& worker = m_workers[report.worker];
     if (worker.boot != report.boot)
         worker = Worker { .boot = report.boot };
     track(worker, report);
-    const Round round { report, lookup, situationOf(report), now };
+    Situation situation = situationOf(report);
+    if (measuredSpeed) {
+        situation.speedPerMille = measuredSpeed;
+        situation.newestSample = report.clock;
+    }
+    const Round round { report, lookup, situation, now };
     judge(worker, round);
     std::optional<EvictionAction> action = nextStep(worker, round);
     if (action)
--- a/Source/Core/Policy/EvictionPlanner.h
+++ b/Source/Core/Policy/EvictionPlanner.h
@@ -45,8 +45,11 @@
 
     explicit EvictionPlanner(Settings);
 
-    /// The step to take after this report, if any. `lookup` is asked for running batch tasks only.
-    std::optional<EvictionAction> plan(const Scheduler::WorkerReport&, const Lookup&, Common::MonoTime now);
+    /// The step to take after this report, if any. `lookup` is asked for running batch tasks only. `measuredSpeed`:
+    /// what the requests that finished since the report before were slowed down to, where that is known; it goes before
+    /// the samples, which miss short requests.
+    std::optional<EvictionAction> plan(const Scheduler::WorkerReport&, const Lookup&, Common::MonoTime now,
+        std::optional<int64_t> measuredSpeed = std::nullopt);
     void forget(const Common::WorkerId&);
     uint64_t stops() const { return m_stops; }
 
--- a/Source/Core/Policy/InterferenceModel.cpp
+++ b/Source/Core/Policy/InterferenceModel.cpp
@@ -71,6 +71,24 @@
     }
 }
 
+int64_t InterferenceModel::observeRun(
+    ClassIndex victim, const std::vector<ClassIndex>& neighbours, Common::Duration runTime, MonoTime now)
+{
+    const double observed = std::log(std::max<double>(1, static_cast<double>(runTime.count())));
+    if (victim >= m_runTimes.size())
+        m_runTimes.resize(victim + size_t { 1 }, 0);
+    double& alone = m_runTimes[victim];
+    if (alone == 0)
+        alone = observed;
+    const double error = std::clamp(observed - alone - slowdownOf(victim, neighbours, now), -1.0, 1.0);
+    const double correction = m_settings.runLearningRate * error / static_cast<double>(neighbours.size() + 1);
+    const double aloneBefore = alone;
+    alone += correction;
+    for (const ClassIndex neighbour : neighbours)
+        correct(victim, neighbour, correction, now);
+    return static_cast<int64_t>(1000 * std::exp(std::clamp(aloneBefore - observed, -largestSlowdown, largestSlowdown)));
+}
+
 void InterferenceModel::forget(const Common::WorkerId& worker) { m_histories.erase(worker); }
 
 double InterferenceModel::slowdown(ClassIndex victim, ClassIndex neighbour, MonoTime now) const
@@ -131,6 +149,15 @@
         history.snapshots.pop_front();
 }
 
+void InterferenceModel::correct(ClassIndex victim, ClassIndex neighbour, double by, MonoTime now)
+{
+    const double before = slowdown(victim, neighbour, now);
+    Pairing& learned = pairing(victim, neighbour);
+    learned.slowdown = static_cast<float>(std::max(0.0, before + by));
+    learned.updatedAt = now;
+    learned.seen = true;
+}
+
 void InterferenceModel::credit(const Snapshot& snapshot, const TaskReport& sample, MonoTime now)
 {
     const auto victim = std::find_if(snapshot.running.begin(), snapshot.running.end(),
@@ -148,11 +175,7 @@
     for (const RunningTask& running : snapshot.running) {
         if (running.task == sample.task)
             continue;
-        const double before = slowdown(victim->workClass, running.workClass, now);
-        Pairing& learned = pairing(victim->workClass, running.workClass);
-        learned.slowdown = static_cast<float>(std::max(0.0, before + correction));
-        learned.updatedAt = now;
-        learned.seen = true;
+        correct(victim->workClass, running.workClass, correction, now);
     }
     ++m_samples;
 }
--- a/Source/Core/Policy/InterferenceModel.h
+++ b/Source/Core/Policy/InterferenceModel.h
@@ -24,6 +24,8 @@
         uint16_t maximumClasses = 256;
         /// Share of the error that one sample corrects.
         double learningRate = 0.2;
+        /// The same for one run time, which also varies by itself.
+        double runLearningRate = 0.02;
         /// Assumed of pairings never seen.
         double priorSlowdown = 0.02;
         /// What was learned of a pairing loses half its weight in this time without samples.
@@ -40,6 +42,11 @@
     ClassIndex indexOf(const WorkClass&);
     /// Learns from one report; `classOf` names the class of each task in it. Samples seen before are ignored.
     void observe(const Scheduler::WorkerReport&, const ClassOf&, Common::MonoTime now);
+    /// Learns from the run time of one task that ended, for work too short to be caught by the lagging samples. Each
+    /// class is assumed to have a usual run time of its own beside nothing. Returns the speed in thousandths against
+    /// that.
+    int64_t observeRun(
+        ClassIndex, const std::vector<ClassIndex>& neighbours, Common::Duration runTime, Common::MonoTime now);
     void forget(const Common::WorkerId&);
 
     /// How much `victim` is slowed down by one task of `neighbour`.
@@ -75,6 +82,7 @@
     Pairing& pairing(ClassIndex victim, ClassIndex neighbour);
     const Pairing& pairing(ClassIndex victim, ClassIndex neighbour) const;
     void remember(WorkerHistory&, const Scheduler::WorkerReport&, const ClassOf&) const;
+    void correct(ClassIndex victim, ClassIndex neighbour, double by, Common::MonoTime now);
     void credit(const Snapshot&, const Scheduler::TaskReport&, Common::MonoTime now);
 
     Settings m_settings;
@@ -82,6 +90,8 @@
     /// Row by victim, column by neighbour; grows with the classes.
     std::vector<std::vector<Pairing>> m_pairings;
     std::unordered_map<Common::WorkerId, WorkerHistory> m_histories;
+    /// Natural logarithm of the usual run time alone, in microseconds, by class; zero: unknown.
+    std::vector<double> m_runTimes;
     uint64_t m_samples = 0;
 };
 
--- a/Source/Core/Policy/Placement.cpp
+++ b/Source/Core/Policy/Placement.cpp
@@ -15,6 +15,9 @@
     /// Workers that may turn out not to admit work or to be avoided before one decision gives up.
     constexpr size_t maximumAsked = 64;
 
+    /// Requests that have to finish between two reports for their mean speed to tell anything.
+    constexpr int64_t telltaleRequests = 3;
+
     Resources freeOf(const Resources& capacity, const Resources& held)
     {
         Resources free = capacity;
@@ -58,6 +61,10 @@
     addCapacity(worker, 1);
     takeIn(worker, index, report, std::move(before));
     learn(worker, report, now);
+    const bool telling = worker.speedCount >= telltaleRequests;
+    worker.lastSpeed = telling ? std::optional(worker.speedSum / worker.speedCount) : std::nullopt;
+    worker.speedSum = 0;
+    worker.speedCount = 0;
     publish(worker, index);
 }
 
@@ -106,7 +113,7 @@
     const Resources wanted = wantedBy(request, workClass);
     if (worker.leaving || !fits(wanted, freeOf(worker.capacity, worker.held)))
         return false;
-    add(worker, found->second, HeldTask { task, wanted, wanted, false }, workClass);
+    add(worker, found->second, HeldTask { task, wanted, wanted, false, request.kind, false }, workClass);
     publish(worker, found->second);
     m_health.recordStart(id, now);
     return true;
@@ -119,27 +126,66 @@
         return;
     const size_t index = found->second;
     Worker& worker = m_workers[index];
-    const auto held = std::find_if(
-        worker.tasks.begin(), worker.tasks.end(), [&](const HeldTask& candidate) { return candidate.id == task; });
-    if (held == worker.tasks.end())
+    const std::optional<size_t> position = positionOf(worker, task);
+    if (!position)
         return;
-    drop(worker, static_cast<size_t>(held - worker.tasks.begin()));
+    drop(worker, *position);
     publish(worker, index);
 }
 
-void Placement::classify(const Common::TaskId& task, const WorkClass& workClass)
+void Placement::finish(const Common::TaskId& task, Common::Duration runTime, MonoTime now)
 {
     const auto found = m_workerOfTask.find(task);
     if (found == m_workerOfTask.end())
         return;
     Worker& worker = m_workers[found->second];
-    for (size_t position = 0; position < worker.tasks.size(); ++position) {
-        if (worker.tasks[position].id != task)
-            continue;
-        countTask(worker, worker.tasks[position], worker.classes[position], -1);
-        worker.classes[position] = m_interference.indexOf(workClass);
-        countTask(worker, worker.tasks[position], worker.classes[position], 1);
+    if (const std::optional<size_t> position = positionOf(worker, task)) {
+        std::vector<ClassIndex> neighbours;
+        for (size_t i = 0; i < worker.tasks.size(); ++i) {
+            if (i != *position && !worker.tasks[i].throttled)
+                neighbours.push_back(worker.classes[i]);
+        }
+        worker.speedSum += m_interference.observeRun(worker.classes[*position], neighbours, runTime, now);
+        ++worker.speedCount;
     }
+    release(task);
+}
+
+std::optional<int64_t> Placement::requestSpeed(const Common::WorkerId& id) const
+{
+    const auto found = m_indexOf.find(id);
+    return found == m_indexOf.end() ? std::nullopt : m_workers[found->second].lastSpeed;
+}
+
+double Placement::harmOf(const Common::TaskId& task, MonoTime now) const
+{
+    const auto found = m_workerOfTask.find(task);
+    if (found == m_workerOfTask.end())
+        return 0;
+    const Worker& worker = m_workers[found->second];
+    const std::optional<size_t> position = positionOf(worker, task);
+    if (!position)
+        return 0;
+    double harm = 0;
+    for (size_t i = 0; i < worker.tasks.size(); ++i) {
+        if (worker.tasks[i].kind == Scheduler::TaskKind::Request)
+            harm += m_interference.slowdown(worker.classes[i], worker.classes[*position], now);
+    }
+    return harm;
+}
+
+void Placement::classify(const Common::TaskId& task, const WorkClass& workClass)
+{
+    const auto found = m_workerOfTask.find(task);
+    if (found == m_workerOfTask.end())
+        return;
+    Worker& worker = m_workers[found->second];
+    const std::optional<size_t> position = positionOf(worker, task);
+    if (!position)
+        return;
+    countTask(worker, worker.tasks[*position], worker.classes[*position], -1);
+    worker.classes[*position] = m_interference.indexOf(workClass);
+    countTask(worker, worker.tasks[*position], worker.classes[*position], 1);
 }
 
 bool Placement::fitsAnywhere(const Resources& wanted) const
@@ -185,6 +231,15 @@
     return entry->second;
 }
 
+std::optional<size_t> Placement::positionOf(const Worker& worker, const Common::TaskId& task) const
+{
+    for (size_t position = 0; position < worker.tasks.size(); ++position) {
+        if (worker.tasks[position].id == task)
+            return position;
+    }
+    return std::nullopt;
+}
+
 std::unordered_map<Common::TaskId, Placement::DetachedTask> Placement::detachTasks(Worker& worker)
 {
     std::unordered_map<Common::TaskId, DetachedTask> detached;
@@ -203,7 +258,8 @@
         const auto known = before.find(task.task);
         const bool running = task.state == TaskState::Running;
         if (running && known == before.end()) {
-            HeldTask adopted { task.task, task.declared, largerOf(task.declared, task.used), true };
+            HeldTask adopted { task.task, task.declared, largerOf(task.declared, task.used), true, task.kind,
+                task.throttled };
             add(worker, index, std::move(adopted), m_interference.indexOf(adoptedClass(task.kind)));
         }
         if (known == before.end())
@@ -211,6 +267,7 @@
         if (running) {
             HeldTask& held = known->second.task;
             held.reported = true;
+            held.throttled = task.throttled;
             held.held = largerOf(largerOf(held.expected, task.declared), task.used);
             add(worker, index, std::move(held), known->second.workClass);
         }
--- a/Source/Core/Policy/Placement.h
+++ b/Source/Core/Policy/Placement.h
@@ -48,6 +48,13 @@
     bool commit(const Common::WorkerId&, const Common::TaskId&, const PlacementRequest&, Common::MonoTime now);
     /// The task has ended or did not start.
     void release(const Common::TaskId&);
+    /// The same for a request that was answered; its run time teaches how its neighbours slow it down.
+    void finish(const Common::TaskId&, Common::Duration runTime, Common::MonoTime now);
+    /// Mean speed, in thousandths of that alone, of the requests that finished between the last two reports; nothing
+    /// when they were too few to tell. For EvictionPlanner.
+    std::optional<int64_t> requestSpeed(const Common::WorkerId&) const;
+    /// The harm that a task does to the requests beside it, for EvictionCandidate.
+    double harmOf(const Common::TaskId&, Common::MonoTime now) const;
     /// Names the class of a task adopted from an earlier owner, so that its usage and interference are learned.
     void classify(const Common::TaskId&, const WorkClass&);
 
@@ -70,6 +77,8 @@
         Common::Resources held;
         /// A report has shown it.
         bool reported = false;
+        Scheduler::TaskKind kind = Scheduler::TaskKind::Batch;
+        bool throttled = false;
     };
     struct Worker {
         Common::WorkerId id;
@@ -82,6 +91,10 @@
         std::vector<HeldTask> tasks;
         /// Class of each task, in the order of `tasks`.
         std::vector<ClassIndex> classes;
+        /// Speeds of the requests that finished since the last report, and the mean of those before it.
+        int64_t speedSum = 0;
+        int64_t speedCount = 0;
+        std::optional<int64_t> lastSpeed;
     };
     /// A task on its way from one account of its worker to the next.
     struct DetachedTask {
@@ -103,6 +116,7 @@
 
     size_t indexFor(const Common::WorkerId&);
     uint32_t rackNamed(const Common::RackId&);
+    std::optional<size_t> positionOf(const Worker&, const Common::TaskId&) const;
     std::unordered_map<Common::TaskId, DetachedTask> detachTasks(Worker&);
     void takeIn(
         Worker&, size_t index, const Scheduler::WorkerReport&, std::unordered_map<Common::TaskId, DetachedTask> before);
--- a/Source/Core/Policy/WorkerHealth.cpp
+++ b/Source/Core/Policy/WorkerHealth.cpp
@@ -18,6 +18,8 @@
     constexpr double rateAfterFailure = 0.5;
     /// Outcomes that the domain's rate stands for while little is known of a subject.
     constexpr double priorWeight = 4;
+    /// Share of a new outcome in a worker's failure rate.
+    constexpr double failureRateShare = 0.1;
     /// Counts are halved at this sum, so that old outcomes fade.
     constexpr double largestRecord = 200;
     /// A job that fails again where it failed last tells little more of the worker.
@@ -49,6 +51,7 @@
         --m_ejected;
     if (found->second.isSilent)
         --m_silent;
+    m_failureRates = std::max(0.0, m_failureRates - found->second.failureRate);
     m_workers.erase(found);
 }
 
@@ -62,7 +65,7 @@
     Subject& subject = subjectNamed(subjectName);
     const double gained = evidence(worker, subject, subjectName, ok);
     const Verdict trial = worker.ejected ? recordTrial(worker, subject, ok, now) : Verdict::Unchanged;
-    learn(subject, hashOf(id), ok);
+    learn(worker, subject, hashOf(id), ok);
     if (!ok)
         worker.lastFailedSubject = subjectName;
     if (worker.ejected || trial != Verdict::Unchanged)
@@ -120,34 +123,45 @@
     return !subject.everSucceeded && subject.failedOn.size() >= m_settings.poisonWorkers;
 }
 
-size_t WorkerHealth::failuresElsewhere(const Subject& subject)
+std::optional<size_t> WorkerHealth::afterFailure(const Subject& subject)
 {
-    constexpr size_t most = std::tuple_size_v<decltype(m_domain)> - 1;
-    return subject.everSucceeded ? 0 : std::min(subject.failedOn.size(), most);
+    if (subject.everSucceeded || subject.failedOn.empty())
+        return std::nullopt;
+    return subject.failedOn.size() == 1 ? 0 : 1;
 }
 
 void WorkerHealth::count(Record& record, size_t workerHash, bool ok)
 {
-    if (ok)
+    if (ok) {
         record.successes += 1;
-    else if (record.lastFailedOn != workerHash)
+    } else {
+        auto& last = record.lastFailedOn;
+        if (std::find(last.begin(), last.end(), workerHash) != last.end())
+            return;
         record.failures += 1;
-    if (!ok)
-        record.lastFailedOn = workerHash;
+        last[record.nextFailedOn] = workerHash;
+        record.nextFailedOn = (record.nextFailedOn + 1) % last.size();
+    }
     if (record.successes + record.failures < largestRecord)
         return;
     record.successes /= 2;
     record.failures /= 2;
 }
 
+double WorkerHealth::assumedFailureRate(const Subject& subject) const
+{
+    const std::optional<size_t> after = afterFailure(subject);
+    if (!after)
+        return m_workers.empty() ? 0 : m_failureRates / static_cast<double>(m_workers.size());
+    const Record& alike = m_afterFailure[*after];
+    return (alike.failures + rateAfterFailure) / (alike.failures + alike.successes + 1);
+}
+
 double WorkerHealth::usualFailureRate(const Subject& subject) const
 {
     const Record& own = subject.record;
-    const size_t elsewhere = failuresElsewhere(subject);
-    const Record& alike = m_domain[elsewhere];
-    const double assumed = elsewhere == 0 ? lowestUsualRate : rateAfterFailure;
-    const double domain = (alike.failures + assumed) / (alike.failures + alike.successes + 1);
-    const double rate = (own.failures + priorWeight * domain) / (own.failures + own.successes + priorWeight);
+    const double assumed = assumedFailureRate(subject);
+    const double rate = (own.failures + priorWeight * assumed) / (own.failures + own.successes + priorWeight);
     return std::clamp(rate, lowestUsualRate, badWorkerFailureRate);
 }
 
@@ -161,9 +175,15 @@
     return repeated ? surprise * repeatedFailureWeight : surprise;
 }
 
-void WorkerHealth::learn(Subject& subject, size_t workerHash, bool ok)
+void WorkerHealth::learn(Worker& worker, Subject& subject, size_t workerHash, bool ok)
 {
-    count(m_domain[failuresElsewhere(subject)], workerHash, ok);
+    if (const std::optional<size_t> after = afterFailure(subject)) {
+        count(m_afterFailure[*after], workerHash, ok);
+    } else {
+        const double change = failureRateShare * ((ok ? 0 : 1) - worker.failureRate);
+        worker.failureRate += change;
+        m_failureRates += change;
+    }
     count(subject.record, workerHash, ok);
     if (ok) {
         subject.everSucceeded = true;
--- a/Source/Core/Policy/WorkerHealth.h
+++ b/Source/Core/Policy/WorkerHealth.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -78,13 +79,16 @@
         uint32_t trialSuccesses = 0;
         Common::MonoTime readmittedAt;
         std::string lastFailedSubject;
+        /// Moving average over work that had not failed elsewhere.
+        double failureRate = 0;
     };
-    /// Outcomes of one kind. A failure on the worker of the failure before it isn't counted, so that a bad worker
-    /// can't make good work look bad.
+    /// Outcomes of one kind. A failure on one of the workers of the last few counted failures isn't counted, so that a
+    /// few bad workers can't make good work look bad.
     struct Record {
         double successes = 0;
         double failures = 0;
-        size_t lastFailedOn = 0;
+        std::array<size_t, 4> lastFailedOn {};
+        size_t nextFailedOn = 0;
     };
     struct Subject {
         Record record;
@@ -93,11 +97,13 @@
         std::vector<size_t> failedOn;
     };
 
-    static size_t failuresElsewhere(const Subject&);
+    /// The record that the subject belongs to; none while it has not failed, or after a success.
+    static std::optional<size_t> afterFailure(const Subject&);
+    double assumedFailureRate(const Subject&) const;
     static void count(Record&, size_t workerHash, bool ok);
     double usualFailureRate(const Subject&) const;
     double evidence(const Worker&, const Subject&, const std::string& name, bool ok) const;
-    void learn(Subject&, size_t workerHash, bool ok);
+    void learn(Worker&, Subject&, size_t workerHash, bool ok);
     Subject& subjectNamed(const std::string&);
     bool mayEject() const;
     void eject(Worker&, Common::MonoTime now) const;
@@ -108,9 +114,12 @@
     /// Two generations: when the younger is full it takes the place of the older.
     std::unordered_map<std::string, Subject> m_subjects;
     std::unordered_map<std::string, Subject> m_olderSubjects;
-    /// Outcomes of all work on all workers, by the number of workers on which the subject had failed before without
-    /// any success: what failed elsewhere is likely to fail again.
-    std::array<Record, 3> m_domain;
+    /// Outcomes of work that had failed on one, or on more, other workers without any success: it is likely to fail
+    /// again.
+    std::array<Record, 2> m_afterFailure;
+    /// Sum of the workers' failure rates. The mean over workers, not over outcomes, is what is usual, since a bad
+    /// worker ends more tasks than a good one.
+    double m_failureRates = 0;
     size_t m_ejected = 0;
     size_t m_silent = 0;
 };
