Keep quiet workers free for requests

Cause: a job's placement saw only the requests that ran at that moment, so that noisy jobs were spread over all workers. Change: batch prefers workers that requests had better avoid anyway (harm to the services seen here, by what was learned); requests weigh slowdown higher than batch does; eight workers are compared instead of four.

--- a/Source/Benchmarks/ColocationSimulation.cpp
+++ b/Source/Benchmarks/ColocationSimulation.cpp
@@ -44,8 +44,11 @@
     Policy::Placement::Settings placementSettings(bool useInterference)
     {
         Policy::Placement::Settings settings;
-        if (!useInterference)
-            settings.interferenceWeight = 0;
+        if (!useInterference) {
+            settings.requestInterferenceWeight = 0;
+            settings.batchInterferenceWeight = 0;
+            settings.separationWeight = 0;
+        }
         return settings;
     }
 
--- a/Source/Core/Policy/Placement.cpp
+++ b/Source/Core/Policy/Placement.cpp
@@ -18,6 +18,8 @@
     /// Requests that have to finish between two reports for their mean speed to tell anything.
     constexpr int64_t telltaleRequests = 3;
 
+    constexpr Common::Duration harmValidFor = std::chrono::seconds(1);
+
     Resources freeOf(const Resources& capacity, const Resources& held)
     {
         Resources free = capacity;
@@ -90,6 +92,7 @@
     const PlacementRequest& request, MonoTime now, std::mt19937_64& random)
 {
     const ClassIndex workClass = m_interference.indexOf(request.workClass);
+    noteService(request, workClass);
     const Search search { request, wantedBy(request, workClass), workClass, now };
     if (!reserveAllows(request, search.wanted))
         return std::nullopt;
@@ -383,7 +386,43 @@
     const double slowdown = m_interference.slowdownOf(search.workClass, worker.classes, search.now)
         + m_interference.slowdownBy(search.workClass, worker.classes, search.now);
     const double crowding = share(onRack(search.workClass, worker.rack), m_racks[worker.rack].totalSlots);
-    return m_settings.loadWeight * load + m_settings.interferenceWeight * slowdown + m_settings.rackWeight * crowding;
+    const double common = m_settings.loadWeight * load + m_settings.rackWeight * crowding;
+    if (search.request.kind == Scheduler::TaskKind::Request)
+        return common + m_settings.requestInterferenceWeight * slowdown;
+    return common + m_settings.batchInterferenceWeight * slowdown
+        - m_settings.separationWeight * std::min(1.0, harmOn(worker, search.now));
+}
+
+double Placement::harmToServices(ClassIndex workClass, MonoTime now) const
+{
+    if (m_services.empty())
+        return 0;
+    if (workClass >= m_harm.size())
+        m_harm.resize(workClass + size_t { 1 });
+    Harm& harm = m_harm[workClass];
+    if (harm.workedOutAt && now - *harm.workedOutAt < harmValidFor)
+        return harm.value;
+    double sum = 0;
+    for (const ClassIndex service : m_services)
+        sum += m_interference.slowdown(service, workClass, now);
+    harm = Harm { sum / static_cast<double>(m_services.size()), now };
+    return harm.value;
+}
+
+double Placement::harmOn(const Worker& worker, MonoTime now) const
+{
+    double harm = 0;
+    for (const ClassIndex running : worker.classes)
+        harm += harmToServices(running, now);
+    return harm;
+}
+
+void Placement::noteService(const PlacementRequest& request, ClassIndex workClass)
+{
+    if (request.kind != Scheduler::TaskKind::Request)
+        return;
+    if (std::find(m_services.begin(), m_services.end(), workClass) == m_services.end())
+        m_services.push_back(workClass);
 }
 
 std::optional<size_t> Placement::best(const Search& search, bool useAvoided, std::mt19937_64& random) const
--- a/Source/Core/Policy/Placement.h
+++ b/Source/Core/Policy/Placement.h
@@ -26,13 +26,17 @@
 public:
     struct Settings {
         /// Workers compared for one decision.
-        uint32_t candidates = 4;
+        uint32_t candidates = 8;
         /// Share of all slots that only requests and urgent work may fill.
         uint32_t urgentReservePercent = 5;
-        /// Weights of the score: load, predicted slowdown, and crowding of a class on one rack.
+        /// Weights of the score: load, crowding of a class on one rack, and predicted slowdown of and by a request or a
+        /// batch task.
         double loadWeight = 1;
-        double interferenceWeight = 2;
         double rackWeight = 0.3;
+        double requestInterferenceWeight = 6;
+        double batchInterferenceWeight = 2;
+        /// How much batch prefers workers that requests had better avoid anyway, so that quiet ones stay free for them.
+        double separationWeight = 1;
     };
 
     /// Both outlive this object; it teaches the one and asks the other.
@@ -130,6 +134,10 @@
     Common::Resources wantedBy(const PlacementRequest&, ClassIndex) const;
     bool reserveAllows(const PlacementRequest&, const Common::Resources& wanted) const;
     double score(const Worker&, const Search&) const;
+    /// Mean slowdown that a task of the class causes to the services seen here.
+    double harmToServices(ClassIndex, Common::MonoTime now) const;
+    double harmOn(const Worker&, Common::MonoTime now) const;
+    void noteService(const PlacementRequest&, ClassIndex);
     std::optional<size_t> best(const Search&, bool useAvoided, std::mt19937_64&) const;
 
     Settings m_settings;
@@ -140,6 +148,14 @@
     std::vector<size_t> m_unused;
     std::unordered_map<Common::WorkerId, size_t> m_indexOf;
     std::unordered_map<Common::TaskId, size_t> m_workerOfTask;
+    /// Classes of the requests seen here.
+    std::vector<ClassIndex> m_services;
+    /// Harm by class, worked out anew now and then.
+    struct Harm {
+        double value = 0;
+        std::optional<Common::MonoTime> workedOutAt;
+    };
+    mutable std::vector<Harm> m_harm;
     FreeResourcesTree m_free;
     FreeResourcesTree m_capacities;
     std::vector<Rack> m_racks;
