--- a/Source/Core/Policy/Placement.cpp
+++ b/Source/Core/Policy/Placement.cpp
@@ -15,6 +15,11 @@
     /// Workers that may turn out not to admit work or to be avoided before one decision gives up.
     constexpr size_t maximumAsked = 64;
 
+    /// Requests that have to finish between two reports for their mean speed to tell anything.
+    constexpr int64_t telltaleRequests = 3;
+
+    constexpr Common::Duration harmValidFor = std::chrono::seconds(1);
+
     Resources freeOf(const Resources& capacity, const Resources& held)
     {
         Resources free = capacity;
@@ -27,8 +32,6 @@
         return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
     }
 
-    uint64_t rackKey(uint16_t workClass, uint32_t rack) { return (uint64_t { workClass } << 32) | rack; }
-
     /// Tasks of earlier owners, until somebody classifies them.
     WorkClass adoptedClass(Scheduler::TaskKind kind)
     {
@@ -60,6 +63,10 @@
     addCapacity(worker, 1);
     takeIn(worker, index, report, std::move(before));
     learn(worker, report, now);
+    const bool telling = worker.speedCount >= telltaleRequests;
+    worker.lastSpeed = telling ? std::optional(worker.speedSum / worker.speedCount) : std::nullopt;
+    worker.speedSum = 0;
+    worker.speedCount = 0;
     publish(worker, index);
 }
 
@@ -85,6 +92,7 @@
     const PlacementRequest& request, MonoTime now, std::mt19937_64& random)
 {
     const ClassIndex workClass = m_interference.indexOf(request.workClass);
+    noteService(request, workClass);
     const Search search { request, wantedBy(request, workClass), workClass, now };
     if (!reserveAllows(request, search.wanted))
         return std::nullopt;
@@ -108,7 +116,7 @@
     const Resources wanted = wantedBy(request, workClass);
     if (worker.leaving || !fits(wanted, freeOf(worker.capacity, worker.held)))
         return false;
-    add(worker, found->second, HeldTask { task, wanted, wanted, false }, workClass);
+    add(worker, found->second, HeldTask { task, wanted, wanted, false, request.kind, false }, workClass);
     publish(worker, found->second);
     m_health.recordStart(id, now);
     return true;
@@ -121,27 +129,66 @@
         return;
     const size_t index = found->second;
     Worker& worker = m_workers[index];
-    const auto held = std::find_if(
-        worker.tasks.begin(), worker.tasks.end(), [&](const HeldTask& candidate) { return candidate.id == task; });
-    if (held == worker.tasks.end())
+    const std::optional<size_t> position = positionOf(worker, task);
+    if (!position)
         return;
-    drop(worker, static_cast<size_t>(held - worker.tasks.begin()));
+    drop(worker, *position);
     publish(worker, index);
 }
 
-void Placement::classify(const Common::TaskId& task, const WorkClass& workClass)
+void Placement::finish(const Common::TaskId& task, Common::Duration runTime, MonoTime now)
 {
     const auto found = m_workerOfTask.find(task);
     if (found == m_workerOfTask.end())
         return;
     Worker& worker = m_workers[found->second];
-    for (size_t position = 0; position < worker.tasks.size(); ++position) {
-        if (worker.tasks[position].id != task)
-            continue;
-        countTask(worker, worker.tasks[position], worker.classes[position], -1);
-        worker.classes[position] = m_interference.indexOf(workClass);
-        countTask(worker, worker.tasks[position], worker.classes[position], 1);
+    if (const std::optional<size_t> position = positionOf(worker, task)) {
+        std::vector<ClassIndex> neighbours;
+        for (size_t i = 0; i < worker.tasks.size(); ++i) {
+            if (i != *position && !worker.tasks[i].throttled)
+                neighbours.push_back(worker.classes[i]);
+        }
+        worker.speedSum += m_interference.observeRun(worker.classes[*position], neighbours, runTime, now);
+        ++worker.speedCount;
+    }
+    release(task);
+}
+
+std::optional<int64_t> Placement::requestSpeed(const Common::WorkerId& id) const
+{
+    const auto found = m_indexOf.find(id);
+    return found == m_indexOf.end() ? std::nullopt : m_workers[found->second].lastSpeed;
+}
+
+double Placement::harmOf(const Common::TaskId& task, MonoTime now) const
+{
+    const auto found = m_workerOfTask.find(task);
+    if (found == m_workerOfTask.end())
+        return 0;
+    const Worker& worker = m_workers[found->second];
+    const std::optional<size_t> position = positionOf(worker, task);
+    if (!position)
+        return 0;
+    double harm = 0;
+    for (size_t i = 0; i < worker.tasks.size(); ++i) {
+        if (worker.tasks[i].kind == Scheduler::TaskKind::Request)
+            harm += m_interference.slowdown(worker.classes[i], worker.classes[*position], now);
     }
+    return harm;
+}
+
+void Placement::classify(const Common::TaskId& task, const WorkClass& workClass)
+{
+    const auto found = m_workerOfTask.find(task);
+    if (found == m_workerOfTask.end())
+        return;
+    Worker& worker = m_workers[found->second];
+    const std::optional<size_t> position = positionOf(worker, task);
+    if (!position)
+        return;
+    countTask(worker, worker.tasks[*position], worker.classes[*position], -1);
+    worker.classes[*position] = m_interference.indexOf(workClass);
+    countTask(worker, worker.tasks[*position], worker.classes[*position], 1);
 }
 
 bool Placement::fitsAnywhere(const Resources& wanted) const
@@ -187,6 +234,15 @@
     return entry->second;
 }
 
+std::optional<size_t> Placement::positionOf(const Worker& worker, const Common::TaskId& task) const
+{
+    for (size_t position = 0; position < worker.tasks.size(); ++position) {
+        if (worker.tasks[position].id == task)
+            return position;
+    }
+    return std::nullopt;
+}
+
 std::unordered_map<Common::TaskId, Placement::DetachedTask> Placement::detachTasks(Worker& worker)
 {
     std::unordered_map<Common::TaskId, DetachedTask> detached;
@@ -205,7 +261,8 @@
         const auto known = before.find(task.task);
         const bool running = task.state == TaskState::Running;
         if (running && known == before.end()) {
-            HeldTask adopted { task.task, task.declared, largerOf(task.declared, task.used), true };
+            HeldTask adopted { task.task, task.declared, largerOf(task.declared, task.used), true, task.kind,
+                task.throttled };
             add(worker, index, std::move(adopted), m_interference.indexOf(adoptedClass(task.kind)));
         }
         if (known == before.end())
@@ -213,6 +270,7 @@
         if (running) {
             HeldTask& held = known->second.task;
             held.reported = true;
+            held.throttled = task.throttled;
             held.held = largerOf(largerOf(held.expected, task.declared), task.used);
             add(worker, index, std::move(held), known->second.workClass);
         }
@@ -277,11 +335,19 @@
 {
     if (!worker.leaving)
         m_usedSlots += sign * task.held.slots;
-    const uint64_t key = rackKey(workClass, worker.rack);
-    int32_t& count = m_classOnRack[key];
-    count += static_cast<int32_t>(sign);
-    if (count == 0)
-        m_classOnRack.erase(key);
+    if (workClass >= m_classOnRack.size())
+        m_classOnRack.resize(workClass + size_t { 1 });
+    std::vector<int32_t>& racks = m_classOnRack[workClass];
+    if (worker.rack >= racks.size())
+        racks.resize(m_racks.size());
+    racks[worker.rack] += static_cast<int32_t>(sign);
+}
+
+int32_t Placement::onRack(ClassIndex workClass, uint32_t rack) const
+{
+    if (workClass >= m_classOnRack.size() || rack >= m_classOnRack[workClass].size())
+        return 0;
+    return m_classOnRack[workClass][rack];
 }
 
 void Placement::publish(const Worker& worker, size_t index)
@@ -319,21 +385,60 @@
             share(held.memoryMegabytes, worker.capacity.memoryMegabytes) });
     const double slowdown = m_interference.slowdownOf(search.workClass, worker.classes, search.now)
         + m_interference.slowdownBy(search.workClass, worker.classes, search.now);
-    const auto onRack = m_classOnRack.find(rackKey(search.workClass, worker.rack));
-    const double crowding = onRack == m_classOnRack.end() ? 0 : share(onRack->second, m_racks[worker.rack].totalSlots);
-    return m_settings.loadWeight * load + m_settings.interferenceWeight * slowdown + m_settings.rackWeight * crowding;
+    const double crowding = share(onRack(search.workClass, worker.rack), m_racks[worker.rack].totalSlots);
+    const double common = m_settings.loadWeight * load + m_settings.rackWeight * crowding;
+    if (search.request.kind == Scheduler::TaskKind::Request)
+        return common + m_settings.requestInterferenceWeight * slowdown;
+    return common + m_settings.batchInterferenceWeight * slowdown
+        - m_settings.separationWeight * std::min(1.0, harmOn(worker, search.now));
+}
+
+double Placement::harmToServices(ClassIndex workClass, MonoTime now) const
+{
+    if (m_services.empty())
+        return 0;
+    if (workClass >= m_harm.size())
+        m_harm.resize(workClass + size_t { 1 });
+    Harm& harm = m_harm[workClass];
+    if (harm.workedOutAt && now - *harm.workedOutAt < harmValidFor)
+        return harm.value;
+    double sum = 0;
+    for (const ClassIndex service : m_services)
+        sum += m_interference.slowdown(service, workClass, now);
+    harm = Harm { sum / static_cast<double>(m_services.size()), now };
+    return harm.value;
+}
+
+double Placement::harmOn(const Worker& worker, MonoTime now) const
+{
+    double harm = 0;
+    for (const ClassIndex running : worker.classes)
+        harm += harmToServices(running, now);
+    return harm;
+}
+
+void Placement::noteService(const PlacementRequest& request, ClassIndex workClass)
+{
+    if (request.kind != Scheduler::TaskKind::Request)
+        return;
+    if (std::find(m_services.begin(), m_services.end(), workClass) == m_services.end())
+        m_services.push_back(workClass);
 }
 
 std::optional<size_t> Placement::best(const Search& search, bool useAvoided, std::mt19937_64& random) const
 {
     if (m_free.size() == 0)
         return std::nullopt;
+    const bool pickAny = !m_health.anyRestricted() && (useAvoided || search.request.avoid.empty());
     struct Filter {
         const Placement& placement;
         const Search& search;
         bool useAvoided;
-    } const filter { *this, search, useAvoided };
+        bool pickAny;
+    } const filter { *this, search, useAvoided, pickAny };
     const std::function<bool(size_t)> accept = [&filter](size_t index) {
+        if (filter.pickAny)
+            return true;
         const Worker& worker = filter.placement.m_workers[index];
         const auto& avoid = filter.search.request.avoid;
         if (!filter.useAvoided && std::find(avoid.begin(), avoid.end(), worker.id) != avoid.end())
--- a/Source/Core/Policy/Placement.h
+++ b/Source/Core/Policy/Placement.h
@@ -26,13 +26,17 @@
 public:
     struct Settings {
         /// Workers compared for one decision.
-        uint32_t candidates = 4;
+        uint32_t candidates = 8;
         /// Share of all slots that only requests and urgent work may fill.
         uint32_t urgentReservePercent = 5;
-        /// Weights of the score: load, predicted slowdown, and crowding of a class on one rack.
+        /// Weights of the score: load, crowding of a class on one rack, and predicted slowdown of and by a request or a
+        /// batch task.
         double loadWeight = 1;
-        double interferenceWeight = 2;
         double rackWeight = 0.3;
+        double requestInterferenceWeight = 6;
+        double batchInterferenceWeight = 2;
+        /// How much batch prefers workers that requests had better avoid anyway, so that quiet ones stay free for them.
+        double separationWeight = 1;
     };
 
     /// Both outlive this object; it teaches the one and asks the other.
@@ -48,6 +52,13 @@
     bool commit(const Common::WorkerId&, const Common::TaskId&, const PlacementRequest&, Common::MonoTime now);
     /// The task has ended or did not start.
     void release(const Common::TaskId&);
+    /// The same for a request that was answered; its run time teaches how its neighbours slow it down.
+    void finish(const Common::TaskId&, Common::Duration runTime, Common::MonoTime now);
+    /// Mean speed, in thousandths of that alone, of the requests that finished between the last two reports; nothing
+    /// when they were too few to tell. For EvictionPlanner.
+    std::optional<int64_t> requestSpeed(const Common::WorkerId&) const;
+    /// The harm that a task does to the requests beside it, for EvictionCandidate.
+    double harmOf(const Common::TaskId&, Common::MonoTime now) const;
     /// Names the class of a task adopted from an earlier owner, so that its usage and interference are learned.
     void classify(const Common::TaskId&, const WorkClass&);
 
@@ -70,6 +81,8 @@
         Common::Resources held;
         /// A report has shown it.
         bool reported = false;
+        Scheduler::TaskKind kind = Scheduler::TaskKind::Batch;
+        bool throttled = false;
     };
     struct Worker {
         Common::WorkerId id;
@@ -82,6 +95,10 @@
         std::vector<HeldTask> tasks;
         /// Class of each task, in the order of `tasks`.
         std::vector<ClassIndex> classes;
+        /// Speeds of the requests that finished since the last report, and the mean of those before it.
+        int64_t speedSum = 0;
+        int64_t speedCount = 0;
+        std::optional<int64_t> lastSpeed;
     };
     /// A task on its way from one account of its worker to the next.
     struct DetachedTask {
@@ -103,6 +120,7 @@
 
     size_t indexFor(const Common::WorkerId&);
     uint32_t rackNamed(const Common::RackId&);
+    std::optional<size_t> positionOf(const Worker&, const Common::TaskId&) const;
     std::unordered_map<Common::TaskId, DetachedTask> detachTasks(Worker&);
     void takeIn(
         Worker&, size_t index, const Scheduler::WorkerReport&, std::unordered_map<Common::TaskId, DetachedTask> before);
@@ -111,10 +129,15 @@
     void drop(Worker&, size_t position);
     void addCapacity(const Worker&, int64_t sign);
     void countTask(const Worker&, const HeldTask&, ClassIndex, int64_t sign);
+    int32_t onRack(ClassIndex, uint32_t rack) const;
     void publish(const Worker&, size_t index);
     Common::Resources wantedBy(const PlacementRequest&, ClassIndex) const;
     bool reserveAllows(const PlacementRequest&, const Common::Resources& wanted) const;
     double score(const Worker&, const Search&) const;
+    /// Mean slowdown that a task of the class causes to the services seen here.
+    double harmToServices(ClassIndex, Common::MonoTime now) const;
+    double harmOn(const Worker&, Common::MonoTime now) const;
+    void noteService(const PlacementRequest&, ClassIndex);
     std::optional<size_t> best(const Search&, bool useAvoided, std::mt19937_64&) const;
 
     Settings m_settings;
@@ -125,12 +148,20 @@
     std::vector<size_t> m_unused;
     std::unordered_map<Common::WorkerId, size_t> m_indexOf;
     std::unordered_map<Common::TaskId, size_t> m_workerOfTask;
+    /// Classes of the requests seen here.
+    std::vector<ClassIndex> m_services;
+    /// Harm by class, worked out anew now and then.
+    struct Harm {
+        double value = 0;
+        std::optional<Common::MonoTime> workedOutAt;
+    };
+    mutable std::vector<Harm> m_harm;
     FreeResourcesTree m_free;
     FreeResourcesTree m_capacities;
     std::vector<Rack> m_racks;
     std::unordered_map<Common::RackId, uint32_t> m_rackOf;
-    /// Tasks by class and rack; no zero entries.
-    std::unordered_map<uint64_t, int32_t> m_classOnRack;
+    /// Tasks by class and rack.
+    std::vector<std::vector<int32_t>> m_classOnRack;
     int64_t m_totalSlots = 0;
     int64_t m_usedSlots = 0;
 };
