--- /dev/null
+++ b/Source/Core/Cli/Commands.h
@@ -0,0 +1,30 @@
+// The tool's commands.
+#pragma once
+
+#include "Cli/ExitCode.h"
+
+#include <string>
+
+namespace Cli {
+
+struct Session;
+
+ExitCode configCheck(Session&);
+ExitCode configApply(Session&);
+ExitCode configShow(Session&);
+ExitCode configHistory(Session&);
+ExitCode configStatus(Session&);
+ExitCode sendRequest(Session&);
+ExitCode jobSubmit(Session&);
+ExitCode jobStatus(Session&);
+ExitCode jobList(Session&);
+ExitCode jobCancel(Session&);
+ExitCode listWorkers(Session&);
+ExitCode listHosts(Session&);
+ExitCode drainDaemon(Session&);
+ExitCode showTimeline(Session&);
+
+/// Runs the command of that name.
+ExitCode runCommand(const std::string& name, Session&);
+
+} // namespace Cli
