--- a/Source/Core/Cli/CommandSpec.cpp
+++ b/Source/Core/Cli/CommandSpec.cpp
@@ -36,6 +36,7 @@
             { "config show", "", 0, 0, "Print the document in force, or the difference to a file.",
                 { "diff", "revision" }, "" },
             { "config history", "", 0, 0, "List accepted revisions, newest first.", { "limit" }, "" },
+            { "config settings", "", 0, 0, "Print every setting with its range and default, in Markdown.", {}, "" },
             { "config status", "", 0, 0, "Which daemon has which revision in force.", {}, "" },
         };
     }
--- a/Source/Core/Cli/Commands.cpp
+++ b/Source/Core/Cli/Commands.cpp
@@ -13,6 +13,7 @@
         { "config show", configShow },
         { "config history", configHistory },
         { "config status", configStatus },
+        { "config settings", configSettings },
         { "request", sendRequest },
         { "job submit", jobSubmit },
         { "job status", jobStatus },
--- a/Source/Core/Cli/Commands.h
+++ b/Source/Core/Cli/Commands.h
@@ -14,6 +14,7 @@
 ExitCode configShow(Session&);
 ExitCode configHistory(Session&);
 ExitCode configStatus(Session&);
+ExitCode configSettings(Session&);
 ExitCode sendRequest(Session&);
 ExitCode jobSubmit(Session&);
 ExitCode jobStatus(Session&);
--- a/Source/Core/Cli/ConfigCommands.cpp
+++ b/Source/Core/Cli/ConfigCommands.cpp
@@ -8,6 +8,7 @@
 #include "Cli/TimelineMerge.h"
 #include "Config/ClusterConfigParser.h"
 #include "Config/DocumentDifference.h"
+#include "Config/SettingsPage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -324,6 +325,12 @@
     return ExitCode::Success;
 }
 
+ExitCode configSettings(Session& session)
+{
+    session.output << Config::settingsPage();
+    return ExitCode::Success;
+}
+
 ExitCode configStatus(Session& session)
 {
     const Result<json> status = readJson(session, "/v1/config/status");
--- a/Source/Core/Config/ConfigServiceOptions.h
+++ b/Source/Core/Config/ConfigServiceOptions.h
@@ -7,6 +7,8 @@
 
 namespace Config {
 
+struct DaemonSettings;
+
 /// With these defaults a change is in force within 12 s on every daemon that can be reached, also when one watch is
 /// lost: watchWait + watchGrace + storeTimeout + a heartbeat + pollInterval + peerTimeout.
 struct ConfigServiceOptions {
@@ -29,6 +31,8 @@
     uint64_t historyKept = 200;
     /// How long a daemon that is no longer heard from stays in the status.
     Common::Duration statusMemory = std::chrono::minutes(10);
+
+    static ConfigServiceOptions from(const DaemonSettings&);
 };
 
 } // namespace Config
--- a/Source/Core/Config/DaemonSettings.cpp
+++ b/Source/Core/Config/DaemonSettings.cpp
@@ -70,7 +70,7 @@
         using Settings = DaemonSettings;
         table.address("store.address", AddressRule {}, &Settings::storeAddress, "The platform's key-value store.",
             Presence::Required);
-        table.duration("store.timeout", DurationRule { 100ms, 30s }, &Settings::storeTimeout,
+        table.duration("store.timeout", DurationRule { 100ms, 5s }, &Settings::storeTimeout,
             "A call to the store without an answer is given up after this long.");
         table.duration("config.watchWait", DurationRule { 500ms, 5s }, &Settings::configWatchWait,
             "How long one watch on the configuration waits in the store.");
@@ -138,6 +138,20 @@
         std::vector<SettingFault>& m_faults;
     };
 
+    /// So that a change is in force within 12 s: what is left of them after the watch's grace, a poll of the peers'
+    /// revisions and the fetch from a peer (ConfigServiceOptions).
+    constexpr Common::Duration longestUntilLearned = 8500ms;
+
+    void checkConfigTimes(const DaemonSettings& settings, ConsistencyCheck& check)
+    {
+        const Common::Duration untilLearned
+            = settings.configWatchWait + settings.storeTimeout + settings.heartbeatInterval;
+        check.require(untilLearned <= longestUntilLearned, "config.watchWait",
+            "\"" + printDuration(settings.configWatchWait) + "\"",
+            "with store.timeout and membership.heartbeat at most \"" + printDuration(longestUntilLearned)
+                + "\", so that a change is in force within 12s");
+    }
+
     bool isEveryInterface(const std::string& address) { return address.compare(0, 8, "0.0.0.0:") == 0; }
 
     void checkTogether(const DaemonSettings& settings, std::vector<SettingFault>& faults)
@@ -156,6 +170,7 @@
         check.longerThan("workers.claim", settings.claimTimeToLive, settings.startWindow, "workers.startWindow");
         check.longerThan("workers.taskLease", settings.taskLease, settings.claimTimeToLive + settings.startWindow,
             "workers.claim and workers.startWindow together");
+        checkConfigTimes(settings, check);
         check.require(settings.maximumKeptBytes >= settings.maximumBodyBytes, "limits.keptBytes",
             std::to_string(settings.maximumKeptBytes), "at least limits.bodyBytes");
     }
--- a/Source/UnitTests/Config/DaemonSettingsTest.cpp
+++ b/Source/UnitTests/Config/DaemonSettingsTest.cpp
@@ -103,15 +103,15 @@
 
 TEST_CASE("settings that do not fit each other are faults")
 {
-    const auto settings = DaemonSettings::parse(with(R"("membership": {"heartbeat": "1s", "session": "2s"},
+    const auto settings = DaemonSettings::parse(with(R"("membership": {"heartbeat": "2s", "session": "2s"},
         "workers": {"sync": "2s", "claim": "3s", "taskLease": "5s", "syncTimeout": "3s"},
-        "limits": {"keptBytes": 1048576})"));
+        "limits": {"keptBytes": 1048576}, "config": {"watchWait": "5s"})"));
     REQUIRE_FALSE(settings);
     for (const char* path : { "membership.peerTimeout", "membership.session", "workers.startWindow", "workers.claim",
-             "workers.taskLease", "limits.keptBytes" })
+             "workers.taskLease", "limits.keptBytes", "config.watchWait" })
         checkFault(settings.faults(), path, Kind::Inconsistent);
     // startWindow is too short for both the sync timeout and two syncs.
-    CHECK(settings.faults().size() == 7);
+    CHECK(settings.faults().size() == 8);
 }
 
 TEST_CASE("listening on every interface needs an address for the others")
