Keep curl from searching its address cache at each request

Cause: a profile of 510 syncs a second showed curl walking its whole cache of addresses for old entries at each request, a cost that grows with the fleet; handles were configured from nothing each time. Change: cached addresses don't age (they are IP numbers); handles keep what doesn't change between requests; the timer is set anew only when curl's next timeout comes earlier.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -15,6 +15,7 @@
 #include <array>
 #include <charconv>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -26,7 +27,6 @@
     constexpr long maximumIdleSeconds = 20;
     constexpr long maximumPooledConnections = 8192;
     constexpr size_t maximumSpareHandles = 1024;
-    constexpr long receiveBufferBytes = 64L << 10;
     /// TCP probes find connections that lost their other end, also while they are idle in the pool.
     constexpr int keepAliveIdleSeconds = 5;
     constexpr int keepAliveIntervalSeconds = 2;
@@ -243,6 +243,9 @@
     Limits limits;
     CURLM* multi = nullptr;
     asio::steady_timer timer;
+    /// When curl wants to be called, if at all, and when the timer will fire: not later.
+    std::optional<Common::MonoTime> timeoutDue;
+    std::optional<Common::MonoTime> timerArmedFor;
     uint64_t lastTransfer = 0;
     std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers;
     /// The ids of `transfers` by their curl handle.
@@ -344,16 +347,38 @@
     {
         auto& impl = *static_cast<Impl*>(user);
         if (milliseconds < 0) {
-            impl.timer.cancel();
+            impl.timeoutDue.reset();
             return 0;
         }
-        impl.timer.expires_after(std::chrono::milliseconds(milliseconds));
-        impl.timer.async_wait([weak = impl.weak_from_this()](const asio::error_code& error) {
+        impl.timeoutDue = impl.loop.now() + std::chrono::milliseconds(milliseconds);
+        if (!impl.timerArmedFor || *impl.timeoutDue < *impl.timerArmedFor)
+            impl.armTimer();
+        return 0;
+    }
+
+    /// curl moves its timeout with each transfer; a timer that fires too early is cheaper than one that is set anew.
+    void armTimer()
+    {
+        timerArmedFor = timeoutDue;
+        timer.expires_after(std::max(*timeoutDue - loop.now(), Common::Duration::zero()));
+        timer.async_wait([weak = weak_from_this()](const asio::error_code& error) {
             const auto self = weak.lock();
             if (self && !error)
-                self->timeOut();
+                self->timerFired();
         });
-        return 0;
+    }
+
+    void timerFired()
+    {
+        timerArmedFor.reset();
+        if (!timeoutDue)
+            return;
+        if (loop.now() < *timeoutDue) {
+            armTimer();
+            return;
+        }
+        timeoutDue.reset();
+        timeOut();
     }
 
     void timeOut()
@@ -368,7 +393,7 @@
     EasyHandle takeHandle()
     {
         if (spareHandles.empty())
-            return EasyHandle(curl_easy_init());
+            return makeHandle();
         EasyHandle easy = std::move(spareHandles.back());
         spareHandles.pop_back();
         return easy;
@@ -376,45 +401,54 @@
 
     void giveBack(EasyHandle easy)
     {
-        if (spareHandles.size() >= maximumSpareHandles)
-            return;
-        curl_easy_reset(easy.get());
-        spareHandles.push_back(std::move(easy));
+        if (spareHandles.size() < maximumSpareHandles)
+            spareHandles.push_back(std::move(easy));
     }
 
-    void setConnectionOptions(CURL* easy, Transfer& transfer)
+    /// A handle with everything that doesn't change between requests.
+    EasyHandle makeHandle()
     {
+        EasyHandle handle(curl_easy_init());
+        CURL* const easy = handle.get();
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maximumIdleSeconds);
-        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receiveBufferBytes);
+        // Addresses are IP numbers. With an age, curl would search its whole cache for old ones at each request.
+        curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, -1L);
         curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
         curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, openSocket);
-        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeader);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeRequest);
+        return handle;
     }
 
     static void setRequestOptions(CURL* easy, Transfer& transfer)
     {
         const Request& request = transfer.request;
-        const std::string url = "http://" + transfer.address + request.target;
+        std::string url = "http://";
+        url += transfer.address;
+        url += request.target;
         curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-        if (request.method != "GET" || !request.body.empty()) {
+        const bool plainGet = request.method == "GET" && request.body.empty();
+        if (plainGet) {
+            curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+        } else {
+            curl_easy_setopt(easy, CURLOPT_POST, 1L);
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
         }
-        if (request.method != "POST")
-            curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        const bool ownMethod = plainGet || request.method == "POST";
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, ownMethod ? nullptr : request.method.c_str());
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
-        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeader);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeRequest);
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     }
 
@@ -453,7 +487,6 @@
         transfer.headers = buildHeaders(transfer.request);
         transfer.easy = takeHandle();
         CURL* const easy = transfer.easy.get();
-        setConnectionOptions(easy, transfer);
         setRequestOptions(easy, transfer);
         setTimeouts(easy, transfer.deadline - loop.now());
         byHandle.emplace(easy, transfer.id);
--- a/Source/UnitTests/Http/ClientServerTest.cpp
+++ b/Source/UnitTests/Http/ClientServerTest.cpp
@@ -123,7 +123,8 @@
     });
     const std::string address = listenOn(server);
     Http::Client client(loop, {});
-    for (const std::string method : { "GET", "POST", "PUT", "DELETE" }) {
+    // Twice over, since handles are used again with another method.
+    for (const std::string method : { "GET", "POST", "PUT", "DELETE", "GET", "PUT", "POST", "GET" }) {
         Http::Request request;
         request.method = method;
         request.target = "/kv/a%2Fb?expect=1";
