--- a/Source/UnitTests/Membership/Cluster.h
+++ b/Source/UnitTests/Membership/Cluster.h
@@ -73,12 +73,19 @@
             command.leaseTimeToLive = std::chrono::seconds(15);
             command.declared = { .slots = 1, .milliCores = 100, .memoryMegabytes = 100 };
             m_pending[worker.worker][command.task] = { command.boot, command.startBy };
-            m_process.schedule(std::chrono::milliseconds(m_process.random()() % 60), [this, worker, command] {
+            m_process.schedule(timeToSend(), [this, worker, command] {
                 m_workers.start(worker.address, command, [](const Common::Result<Common::Done>&) {});
             });
         }
     }
 
+    /// Sometimes a pause between check and send.
+    Common::Duration timeToSend()
+    {
+        const uint64_t bound = m_process.random()() % 8 == 0 ? 3000 : 60;
+        return std::chrono::milliseconds(m_process.random()() % bound);
+    }
+
     FakeProcess& m_process;
     FakeWorkerPort& m_workers;
     Membership::FleetService& m_fleet;
--- a/Source/UnitTests/Membership/OwnershipScheduleTest.cpp
+++ b/Source/UnitTests/Membership/OwnershipScheduleTest.cpp
@@ -55,7 +55,7 @@
     {
         const size_t number = anyDaemon();
         Cluster::Daemon& daemon = *m_cluster.live[number];
-        switch (pick(12)) {
+        switch (pick(14)) {
         case 0:
             daemon.process.kill();
             break;
@@ -91,8 +91,26 @@
         case 11:
             makeNetworkBad();
             break;
+        case 12:
+            m_cluster.network.heal();
+            break;
+        case 13:
+            stopAsPlanned(number);
+            break;
         }
     }
+    void stopAsPlanned(size_t number)
+    {
+        Cluster::Daemon& daemon = *m_cluster.live[number];
+        daemon.process.post([this, number, &daemon] {
+            daemon.membership.setDraining(true);
+            daemon.fleet.drain([this, number, &daemon] {
+                daemon.membership.leave([] {});
+                daemon.process.kill();
+                m_cluster.startDaemon(number);
+            });
+        });
+    }
     void makeNetworkBad()
     {
         m_cluster.network.heal();
