Let a displaced owner use up the authority that it has

Change: an owner that sees a higher claim extends its authority no more but keeps what its last own report gave it. The successor waits for exactly that, so the two do not overlap; the model's DISPLACED state shows it.

--- a/Models/Ownership.pml
+++ b/Models/Ownership.pml
@@ -31,6 +31,7 @@
 #define UNCLAIMED 0 /* or yielding */
 #define CLAIMING 1
 #define OWNED 2
+#define DISPLACED 3
 
 /* A copy of a sync that withdraws; one that claims is known by its term. */
 #define WITHDRAWAL (TERMS + 1)
@@ -45,7 +46,7 @@
 byte state[2];
 byte term[2];
 bit seen[2];     /* has a report of this boot */
-byte lastAge[2]; /* since the worker made the newest report */
+byte lastAge[2]; /* since the newest report that showed the claim as the counting one */
 bit waiting[2];  /* the row of reports that show the claim as the counting one has begun */
 byte waited[2];  /* from the first to the newest report of that row */
 bit viewTaken[2]; /* a report or a start of its own takes the slot */
@@ -77,8 +78,10 @@
 #endif
 #ifdef MUTANT_NO_CLAIM_CHECK
 #define KEEPS(d) (seen[d] && state[d] == OWNED)
+#define FADES(d) false
 #else
 #define KEEPS(d) false
+#define FADES(d) (seen[d] && state[d] >= OWNED && LIVE(1 - d) && !COUNTS(d) && lastAge[d] < WINDOW)
 #endif
 
 #ifdef MUTANT_NO_BOOT_CHECK
@@ -149,12 +152,13 @@
     :: state[d] == UNCLAIMED
     :: else ->
         if
-        :: seen[d] && COUNTS(d) && claimTerm[d] == term[d] -> handleCounting(d)
-        :: KEEPS(d) && !COUNTS(d) -> viewTaken[d] = slotTaken || sent[d]
+        :: seen[d] && state[d] != DISPLACED && COUNTS(d) && claimTerm[d] == term[d] -> handleCounting(d); lastAge[d] = 0
+        :: KEEPS(d) && !COUNTS(d) -> viewTaken[d] = slotTaken || sent[d]; lastAge[d] = 0
+        /* Authority lasts as long as the newest report gave it that showed the claim as the counting one. */
+        :: FADES(d) -> state[d] = DISPLACED; waiting[d] = 0; waited[d] = 0; viewTaken[d] = slotTaken || sent[d]
         :: else -> forget(d); state[d] = CLAIMING; pickTerm(d)
         fi
     fi;
-    lastAge[d] = 0;
     claimNew[d] = 0;
     seen[d] = 1
 }
@@ -177,7 +181,7 @@
     claimLeft[d] = (LIVE(d) -> claimLeft[d] - 1 : 0);
     claimTerm[d] = (LIVE(d) -> claimTerm[d] : 0);
     claimNew[d] = (LIVE(d) && claimNew[d]);
-    lastAge[d] = (waiting[d] && lastAge[d] < WINDOW -> lastAge[d] + 1 : lastAge[d]);
+    lastAge[d] = ((waiting[d] || state[d] == DISPLACED) && lastAge[d] < WINDOW -> lastAge[d] + 1 : lastAge[d]);
     startLeft[d] = (startLeft[d] > 0 -> startLeft[d] - 1 : 0);
 #ifndef MUTANT_NO_START_BY
     if
@@ -222,8 +226,9 @@
     do
     :: atomic { state[d] == UNCLAIMED -> state[d] = CLAIMING; pickTerm(d) }
     :: d_step { state[d] != UNCLAIMED -> state[d] = UNCLAIMED; term[d] = 0; forget(d) }
-    :: atomic { true -> sync(d) }
-    :: d_step { state[d] == OWNED && !viewTaken[d] && lastAge[d] < WINDOW ->
+    :: atomic { state[d] != DISPLACED -> sync(d) }
+    :: atomic { state[d] == DISPLACED -> handleReport(d) } /* reads only */
+    :: d_step { state[d] >= OWNED && !viewTaken[d] && lastAge[d] < WINDOW ->
         sent[d] = 1; viewTaken[d] = 1; startLeft[d] = WINDOW - lastAge[d];
         OLD_BOOT_START(d) }
     :: d_step { sent[d] -> deliverStart(d) }
--- a/Source/Core/Membership/FleetService.cpp
+++ b/Source/Core/Membership/FleetService.cpp
@@ -113,7 +113,7 @@
     std::vector<WorkerSummary> all;
     all.reserve(m_entries.size());
     for (const auto& [worker, entry] : m_entries) {
-        const bool isOwned = entry->ownership.state() == WorkerOwnership::State::Owned;
+        const bool isOwned = m_owned.contains(worker);
         all.push_back(WorkerSummary { entry->host, entry->ownership.state(), entry->assigned, isLeaving(*entry),
             !isUnreachable(*entry), isOwned ? entry->report : Scheduler::WorkerReport {} });
     }
@@ -225,6 +225,8 @@
 {
     if (m_draining)
         return false;
+    if (entry.ownership.state() == WorkerOwnership::State::Displaced)
+        return true;
     // An owner keeps a worker until the daemon that should have it has claimed it: no worker lies idle because that
     // daemon can't reach it, and the successor's wait overlaps with the last starts here.
     if (entry.ownership.isCounting())
--- a/Source/Core/Membership/FleetService.h
+++ b/Source/Core/Membership/FleetService.h
@@ -141,7 +141,7 @@
     /// Workers whose sync is due but waits for room among the concurrent ones.
     std::deque<Common::WorkerId> m_syncQueue;
     size_t m_syncsUnderWay = 0;
-    /// Invariant: the entries in state Owned.
+    /// Invariant: the entries in state Owned or Displaced.
     std::set<Common::WorkerId> m_owned;
     std::vector<Listener> m_listeners;
     std::function<void()> m_drained;
--- a/Source/Core/Membership/WorkerOwnership.cpp
+++ b/Source/Core/Membership/WorkerOwnership.cpp
@@ -46,7 +46,7 @@
 bool WorkerOwnership::setWanted(bool wanted)
 {
     if (wanted) {
-        if (m_state == State::Claiming || m_state == State::Owned)
+        if (m_state == State::Claiming || isOwner())
             return false;
         endOwnership(State::Claiming);
         if (hasReport())
@@ -93,11 +93,18 @@
         return Outcome::Noted;
     case State::Claiming:
     case State::Owned:
+    case State::Displaced:
         break;
     }
-    if (isOurs && !rebooted)
+    if (isOurs && !rebooted && m_state != State::Displaced)
         return handleCounting(ticket, previousClock, counting->madeAt);
-    // Guard CLAIM_CHECK: the claim lapsed, is outranked, or went with the boot. Anew, under a term above all.
+    // Guard CLAIM_CHECK: authority is not extended any more. The successor waits until what is left of it has run out.
+    if (m_foreignClaim && !rebooted && isOwner() && report.clock < m_startBy) {
+        m_state = State::Displaced;
+        m_waitFrom.reset();
+        return Outcome::Renewed;
+    }
+    // The claim lapsed or went with the boot, or its successor's wait is over. Anew, under a term above all.
     const Outcome outcome = endOwnership(State::Claiming);
     chooseTerm();
     return outcome;
@@ -105,7 +112,7 @@
 
 bool WorkerOwnership::expire(Common::MonoTime now)
 {
-    if (m_state != State::Owned || now < m_authorityEndsAt)
+    if (!isOwner() || now < m_authorityEndsAt)
         return false;
     // The claim itself may still stand; the wait begins again with the next report that shows it.
     endOwnership(State::Claiming);
@@ -160,6 +167,7 @@
         m_madeAt = madeAt;
     }
     const auto window = std::chrono::duration_cast<Common::Duration>(m_settings.startWindow);
+    m_startBy = m_lastClock + m_settings.startWindow;
     m_authorityEndsAt = ticket.sentAt + window * (1000 - m_settings.clockRateMarginPerMille) / 1000;
     if (m_state == State::Owned)
         return Outcome::Renewed;
@@ -172,7 +180,7 @@
 
 WorkerOwnership::Outcome WorkerOwnership::endOwnership(State next)
 {
-    const bool wasOwned = m_state == State::Owned;
+    const bool wasOwned = isOwner();
     m_state = next;
     m_waitFrom.reset();
     if (next == State::Unclaimed) {
--- a/Source/Core/Membership/WorkerOwnership.h
+++ b/Source/Core/Membership/WorkerOwnership.h
@@ -24,6 +24,8 @@
         Claiming,
         /// The tasks of older owners are adopted; work may be placed while hasAuthority().
         Owned,
+        /// Another daemon's claim counts; until the last authority runs out, work may still be placed.
+        Displaced,
         /// The claim is being withdrawn.
         Yielding,
     };
@@ -65,9 +67,9 @@
 
     State state() const { return m_state; }
     /// Whether work may be started now.
-    bool hasAuthority(Common::MonoTime now) const { return m_state == State::Owned && now < m_authorityEndsAt; }
+    bool hasAuthority(Common::MonoTime now) const { return isOwner() && now < m_authorityEndsAt; }
     /// Goes with every start. Meaningful while hasAuthority().
-    Common::WorkerTime startBy() const { return m_lastClock + m_settings.startWindow; }
+    Common::WorkerTime startBy() const { return m_startBy; }
     Common::WorkerBootId boot() const { return m_boot; }
     /// True when the last report shows this daemon's claim as the counting one.
     bool isCounting() const { return m_waitFrom.has_value(); }
@@ -81,6 +83,7 @@
     std::optional<std::chrono::milliseconds> waitLeft() const;
 
 private:
+    bool isOwner() const { return m_state == State::Owned || m_state == State::Displaced; }
     bool hasReport() const { return !m_boot.empty(); }
     bool isStale(const Ticket&, const Scheduler::WorkerReport&) const;
     void noteTerms(const Scheduler::WorkerReport&);
@@ -107,6 +110,8 @@
     /// When the worker made the claim that those reports show.
     Common::WorkerTime m_madeAt;
     std::optional<Scheduler::WorkerClaim> m_foreignClaim;
+    /// A start window after the newest report that showed the claim as the counting one.
+    Common::WorkerTime m_startBy;
     /// Counted from when the sync was sent, which is before the worker read its clock.
     Common::MonoTime m_authorityEndsAt;
 };
