--- a/Source/Core/Ledger/LedgerLog.cpp
+++ b/Source/Core/Ledger/LedgerLog.cpp
@@ -336,6 +336,12 @@
         retry(&LedgerLog::send);
         return;
     }
+    if (!found->has_value()) {
+        // Somebody removed the slot: nothing can be said about the entry.
+        m_commit->doubtful = true;
+        beFenced();
+        return;
+    }
     const Common::Result<LogEntry> entry = decodeEntry((*found)->value);
     if (entry && entry->commitId == m_commit->head.commitId) {
         committed(there);
--- a/Source/UnitTests/Ledger/LedgerLogTest.cpp
+++ b/Source/UnitTests/Ledger/LedgerLogTest.cpp
@@ -153,6 +153,63 @@
     CHECK(world.store.counts.largestValue < 1000 * 1000);
 }
 
+TEST_CASE("no slot is written over before a snapshot holds its entry, however slow the snapshot is")
+{
+    World world;
+    world.settings.slotCount = 16;
+    world.settings.reservedSlots = 4;
+    world.settings.snapshotEvery = 6;
+    world.settings.commitGap = 1ms;
+    world.settings.commitsPerSecond = 500;
+    // Each record a part of its own: a snapshot takes far longer than the ring's commits.
+    world.settings.maximumPartBytes = 10;
+    Owner first(world.runtime, world.store, world.settings, "a");
+    first.recover();
+    world.runtime.advance(1s);
+    for (int number = 0; number < 400; ++number) {
+        first.add("r" + std::to_string(number));
+        world.runtime.advance(5ms);
+    }
+    first.runtime.kill();
+    Owner second(world.runtime, world.store, world.settings, "b");
+    second.recover();
+    world.runtime.advance(5s);
+    REQUIRE(second.owned);
+    REQUIRE(first.durable.size() > 20);
+    for (const std::string& request : first.durable)
+        CHECK(second.has(request));
+}
+
+TEST_CASE("a commit whose answer was lost before the shard was, is not called refused")
+{
+    World world;
+    world.settings.slotCount = 16;
+    world.settings.reservedSlots = 4;
+    world.settings.snapshotEvery = 6;
+    Owner old(world.runtime, world.store, world.settings, "a");
+    old.recover();
+    world.runtime.advance(1s);
+    world.store.faults.lostAnswers = 100;
+    old.add("in doubt");
+    world.runtime.advance(1ms);
+    world.store.cut("a");
+    world.store.faults.lostAnswers = 0;
+    world.runtime.advance(1s);
+    Owner fresh(world.runtime, world.store, world.settings, "b");
+    fresh.recover();
+    world.runtime.advance(1s);
+    REQUIRE(fresh.has("in doubt"));
+    // A full round: the old owner finds another entry in its slot.
+    for (int number = 0; number < 40; ++number) {
+        fresh.add("r" + std::to_string(number));
+        world.runtime.advance(200ms);
+    }
+    world.store.heal("a");
+    world.runtime.advance(10s);
+    CHECK_FALSE(old.owned);
+    CHECK(old.refused.empty());
+}
+
 TEST_CASE("lost answers, late writes, outages, pauses and takeovers lose nothing that was acknowledged")
 {
     LedgerTests::forEachSeed(400, [](uint64_t seed) {
