--- a/Source/Core/Policy/EvictionPlanner.h
+++ b/Source/Core/Policy/EvictionPlanner.h
@@ -23,13 +23,13 @@
 public:
     struct Settings {
         /// Latency-critical speed below which a worker is under pressure, and above which it is at ease.
-        int64_t pressurePerMille = 700;
-        int64_t easePerMille = 850;
+        int64_t pressurePerMille = 500;
+        int64_t easePerMille = 700;
         /// Memory in use, as a share of capacity: under pressure, and so full that something must go at once.
         uint32_t memoryPressurePercent = 92;
         uint32_t memoryFullPercent = 98;
         /// Fresh samples in a row that must show pressure before the first step.
-        uint32_t samplesToAct = 2;
+        uint32_t samplesToAct = 3;
         /// Between two steps on one worker, on its own clock, beside the wait for a fresh sample.
         std::chrono::milliseconds coolDown { 2000 };
         /// How long ease must last before one task is unthrottled.
@@ -37,7 +37,7 @@
         /// How long a checkpoint may take before the task is stopped without a newer one.
         std::chrono::milliseconds checkpointTime { 5000 };
         /// Throttled tasks are only stopped if the speed stays below this: throttling does most of the good.
-        int64_t stopBelowPerMille = 450;
+        int64_t stopBelowPerMille = 300;
         double stopsPerMinute = 6;
         double burst = 3;
     };
--- a/Source/UnitTests/Policy/EvictionPlannerTest.cpp
+++ b/Source/UnitTests/Policy/EvictionPlannerTest.cpp
@@ -15,13 +15,18 @@
 
 namespace {
 
+/// The bounds that the speeds in these tests refer to, whatever the defaults are.
+constexpr EvictionPlanner::Settings bounds {
+    .pressurePerMille = 700, .easePerMille = 850, .samplesToAct = 2, .stopBelowPerMille = 450
+};
+
 struct Fixture {
     EvictionPlanner planner;
     Scheduler::WorkerReport report { .worker = Common::WorkerId("w") };
     std::map<TaskId, EvictionCandidate> candidates;
     MonoTime now { 1h };
 
-    explicit Fixture(EvictionPlanner::Settings settings = {})
+    explicit Fixture(EvictionPlanner::Settings settings = bounds)
         : planner(settings)
     {
         report.capacity = { .slots = 8, .milliCores = 16000, .memoryMegabytes = 10000 };
