Spread curl's connections over several multi handles

Cause: whenever a transfer ends curl walks all connections of its multi handle (it looks for connect-only ones); with 6,120 pooled connections a third of the samples of 510 syncs a second were there. Change: 64 multi handles, chosen by the hash of the address. Http, Store, Worker and StandIns tests pass.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -26,6 +26,8 @@
     /// Connections idle for longer are closed, well before servers close theirs, so that reuse seldom meets a close.
     constexpr long maximumIdleSeconds = 20;
     constexpr long maximumPooledConnections = 8192;
+    /// curl walks all connections of a multi handle whenever a transfer ends, so they are spread over several handles.
+    constexpr size_t shardCount = 64;
     constexpr size_t maximumSpareHandles = 1024;
     /// TCP probes find connections that lost their other end, also while they are idle in the pool.
     constexpr int keepAliveIdleSeconds = 5;
@@ -212,40 +214,52 @@
 
 } // namespace
 
+/// One multi handle of curl's, with the connections of the addresses that hash to it.
+struct Client::Shard {
+    Shard(Impl& owner, asio::io_context& context)
+        : impl(owner)
+        , multi(curl_multi_init())
+        , timer(context)
+    {
+    }
+    Shard(const Shard&) = delete;
+    Shard& operator=(const Shard&) = delete;
+    ~Shard() { curl_multi_cleanup(multi); }
+
+    Impl& impl;
+    CURLM* const multi;
+    asio::steady_timer timer;
+    /// When curl wants to be called, if at all, and when the timer will fire: not later.
+    std::optional<Common::MonoTime> timeoutDue;
+    std::optional<Common::MonoTime> timerArmedFor;
+};
+
 struct Client::Impl : public std::enable_shared_from_this<Client::Impl> {
     Impl(EventLoop& eventLoop, Limits clientLimits)
         : loop(eventLoop)
         , limits(clientLimits)
-        , timer(eventLoop.context())
     {
         static const CurlProcess process;
-        multi = curl_multi_init();
-        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, onSocket);
-        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
-        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, onTimer);
-        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
-        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, maximumPooledConnections);
+        for (size_t i = 0; i < shardCount; ++i)
+            shards.push_back(makeShard());
     }
     Impl(const Impl&) = delete;
     Impl& operator=(const Impl&) = delete;
     ~Impl()
     {
-        for (const auto& [easy, id] : byHandle)
-            curl_multi_remove_handle(multi, easy);
+        for (const auto& [id, transfer] : transfers) {
+            if (transfer->easy)
+                curl_multi_remove_handle(shardOf(transfer->address).multi, transfer->easy.get());
+        }
         transfers.clear();
         // Handles hold callbacks into this object until they are gone.
         spareHandles.clear();
-        curl_multi_cleanup(multi);
+        shards.clear();
     }
 
     EventLoop& loop;
     Limits limits;
-    CURLM* multi = nullptr;
-    asio::steady_timer timer;
-    /// When curl wants to be called, if at all, and when the timer will fire: not later.
-    std::optional<Common::MonoTime> timeoutDue;
-    std::optional<Common::MonoTime> timerArmedFor;
+    std::vector<std::unique_ptr<Shard>> shards;
     uint64_t lastTransfer = 0;
     std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers;
     /// The ids of `transfers` by their curl handle.
@@ -256,6 +270,24 @@
     std::unordered_map<std::string, AddressQueue> queues;
     std::vector<EasyHandle> spareHandles;
 
+    std::unique_ptr<Shard> makeShard()
+    {
+        auto shard = std::make_unique<Shard>(*this, loop.context());
+        CURLM* const multi = shard->multi;
+        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, onSocket);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, shard.get());
+        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, onTimer);
+        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, shard.get());
+        curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, maximumPooledConnections);
+        return shard;
+    }
+
+    Shard& shardOf(const std::string& address) const
+    {
+        return *shards[std::hash<std::string>()(address) % shards.size()];
+    }
+
     // ---- Sockets ----
 
     static curl_socket_t openSocket(void* user, curlsocktype, curl_sockaddr* peer)
@@ -280,7 +312,7 @@
 
     static int onSocket(CURL*, curl_socket_t fd, int what, void* user, void*)
     {
-        auto& impl = *static_cast<Impl*>(user);
+        Impl& impl = static_cast<Shard*>(user)->impl;
         const auto found = impl.sockets.find(fd);
         if (found == impl.sockets.end())
             return 0;
@@ -324,9 +356,10 @@
         (event == CURL_CSELECT_IN ? socket.readPending : socket.writePending) = false;
         if (socket.wanted == CURL_POLL_REMOVE || socket.wanted == CURL_POLL_NONE)
             return;
+        Shard& shard = shardOf(socket.address);
         int running = 0;
-        curl_multi_socket_action(multi, fd, signalled, &running);
-        finishCompleted();
+        curl_multi_socket_action(shard.multi, fd, signalled, &running);
+        finishCompleted(shard);
         const auto still = sockets.find(fd);
         if (still != sockets.end() && still->second.get() == watched)
             watch(*still->second);
@@ -345,47 +378,42 @@
 
     static int onTimer(CURLM*, long milliseconds, void* user)
     {
-        auto& impl = *static_cast<Impl*>(user);
+        Shard& shard = *static_cast<Shard*>(user);
         if (milliseconds < 0) {
-            impl.timeoutDue.reset();
+            shard.timeoutDue.reset();
             return 0;
         }
-        impl.timeoutDue = impl.loop.now() + std::chrono::milliseconds(milliseconds);
-        if (!impl.timerArmedFor || *impl.timeoutDue < *impl.timerArmedFor)
-            impl.armTimer();
+        shard.timeoutDue = shard.impl.loop.now() + std::chrono::milliseconds(milliseconds);
+        if (!shard.timerArmedFor || *shard.timeoutDue < *shard.timerArmedFor)
+            shard.impl.armTimer(shard);
         return 0;
     }
 
     /// curl moves its timeout with each transfer; a timer that fires too early is cheaper than one that is set anew.
-    void armTimer()
+    void armTimer(Shard& shard)
     {
-        timerArmedFor = timeoutDue;
-        timer.expires_after(std::max(*timeoutDue - loop.now(), Common::Duration::zero()));
-        timer.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+        shard.timerArmedFor = shard.timeoutDue;
+        shard.timer.expires_after(std::max(*shard.timeoutDue - loop.now(), Common::Duration::zero()));
+        shard.timer.async_wait([weak = weak_from_this(), &shard](const asio::error_code& error) {
             const auto self = weak.lock();
             if (self && !error)
-                self->timerFired();
+                self->timerFired(shard);
         });
     }
 
-    void timerFired()
+    void timerFired(Shard& shard)
     {
-        timerArmedFor.reset();
-        if (!timeoutDue)
+        shard.timerArmedFor.reset();
+        if (!shard.timeoutDue)
             return;
-        if (loop.now() < *timeoutDue) {
-            armTimer();
+        if (loop.now() < *shard.timeoutDue) {
+            armTimer(shard);
             return;
         }
-        timeoutDue.reset();
-        timeOut();
-    }
-
-    void timeOut()
-    {
+        shard.timeoutDue.reset();
         int running = 0;
-        curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
-        finishCompleted();
+        curl_multi_socket_action(shard.multi, CURL_SOCKET_TIMEOUT, 0, &running);
+        finishCompleted(shard);
     }
 
     // ---- Transfers ----
@@ -490,7 +518,7 @@
         setRequestOptions(easy, transfer);
         setTimeouts(easy, transfer.deadline - loop.now());
         byHandle.emplace(easy, transfer.id);
-        const CURLMcode added = curl_multi_add_handle(multi, easy);
+        const CURLMcode added = curl_multi_add_handle(shardOf(transfer.address).multi, easy);
         if (added == CURLM_OK)
             return;
         asio::post(loop.context(), [weak = weak_from_this(), id = transfer.id, added] {
@@ -528,7 +556,7 @@
         loop.cancel(transfer->waitTimer);
         if (transfer->easy) {
             byHandle.erase(transfer->easy.get());
-            curl_multi_remove_handle(multi, transfer->easy.get());
+            curl_multi_remove_handle(shardOf(transfer->address).multi, transfer->easy.get());
             giveBack(std::move(transfer->easy));
             --queues[transfer->address].active;
         }
@@ -552,12 +580,12 @@
             queues.erase(found);
     }
 
-    void finishCompleted()
+    void finishCompleted(Shard& shard)
     {
         // Callbacks may start or abandon transfers, or destroy the client.
         const auto self = shared_from_this();
         int left = 0;
-        while (const CURLMsg* const message = curl_multi_info_read(multi, &left)) {
+        while (const CURLMsg* const message = curl_multi_info_read(shard.multi, &left)) {
             if (message->msg == CURLMSG_DONE)
                 finish(message->easy_handle, message->data.result);
         }
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -35,6 +35,7 @@
 
 private:
     struct Impl;
+    struct Shard;
     std::shared_ptr<Impl> m_impl;
 };
 
