Give timing in tests room on a busy machine

Cause: a 50 ms timeout could pass before the request was written, when the process is held up, and the verdict would be connect-failed instead of timeout; a 10 ms lease could lapse before its key was written. Change: longer times for what must happen before them; the checks are as they were.

--- a/Source/UnitTests/Http/ClientFaultsTest.cpp
+++ b/Source/UnitTests/Http/ClientFaultsTest.cpp
@@ -125,7 +125,7 @@
     }
     REQUIRE(runUntil(loop, [&] { return answered == pooled; }));
     silentBelow = server.connections();
-    const auto first = sendAndWait(loop, client, server.address(), "x", milliseconds(50));
+    const auto first = sendAndWait(loop, client, server.address(), "x", milliseconds(300));
     REQUIRE_FALSE(first);
     CHECK(first.reason().code == ErrorCode::Timeout);
     for (int i = 0; i < pooled; ++i) {
@@ -144,7 +144,7 @@
     std::optional<Common::Result<Http::Response>> first;
     std::optional<Common::Result<Http::Response>> second;
     client.send(server.address(), {}, longTimeout, [&](auto result) { first = std::move(result); });
-    client.send(server.address(), {}, milliseconds(50), [&](auto result) { second = std::move(result); });
+    client.send(server.address(), {}, milliseconds(300), [&](auto result) { second = std::move(result); });
     REQUIRE(runUntil(loop, [&] { return second.has_value(); }));
     CHECK(second->reason().code == ErrorCode::ConnectFailed);
     CHECK_FALSE(first.has_value());
--- a/Source/UnitTests/StandIns/LinkProxyTest.cpp
+++ b/Source/UnitTests/StandIns/LinkProxyTest.cpp
@@ -85,7 +85,7 @@
 {
     REQUIRE(send("a", longTimeout));
     proxy.silenceExisting();
-    CHECK(send("b", milliseconds(50)).reason().code == ErrorCode::Timeout);
+    CHECK(send("b", milliseconds(300)).reason().code == ErrorCode::Timeout);
     const auto next = send("c", longTimeout);
     REQUIRE(next);
     CHECK(next->body == "c");
@@ -109,7 +109,7 @@
     StandIns::LinkProxy::Behaviour behaviour;
     behaviour.silent = true;
     proxy.setBehaviour(behaviour);
-    CHECK(send("a", milliseconds(50)).reason().code == ErrorCode::Timeout);
+    CHECK(send("a", milliseconds(300)).reason().code == ErrorCode::Timeout);
     proxy.setBehaviour({});
     CHECK(send("b", longTimeout));
 }
--- a/Source/UnitTests/StandIns/LoadRunnerTest.cpp
+++ b/Source/UnitTests/StandIns/LoadRunnerTest.cpp
@@ -85,7 +85,7 @@
     Http::EventLoop loop;
     Http::Server daemon(loop, {}, [](const Http::Request&, const Http::Server::Responder&) {});
     auto settings = settingsFor(daemon);
-    settings.giveUpAfter = milliseconds(10);
+    settings.giveUpAfter = milliseconds(300);
     settings.retries = 1;
     const json summary = runLoad(loop, settings);
     CHECK(summary["gaveUp"] == summary["sent"]);
--- a/Source/UnitTests/Store/HttpStoreTest.cpp
+++ b/Source/UnitTests/Store/HttpStoreTest.cpp
@@ -99,7 +99,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "Leases bind keys, and a lapsed lease is reported")
 {
-    const auto lease = await<Common::LeaseId>([&](auto callback) { store.grantLease(milliseconds(10), callback); });
+    const auto lease = await<Common::LeaseId>([&](auto callback) { store.grantLease(milliseconds(500), callback); });
     REQUIRE(lease);
     REQUIRE(put("members/a", {}, "here", *lease));
     const auto gone
--- a/Source/UnitTests/Worker/HttpWorkerTest.cpp
+++ b/Source/UnitTests/Worker/HttpWorkerTest.cpp
@@ -169,7 +169,7 @@
     faults.silent = true;
     server.setFaults(faults);
     auto command = runCommand("r#2", "x");
-    command.timeout = milliseconds(50);
+    command.timeout = milliseconds(300);
     CHECK(run(command).reason().code == ErrorCode::Timeout);
 }
 
