--- a/Source/Core/Cli/JobCommands.cpp
+++ b/Source/Core/Cli/JobCommands.cpp
@@ -115,10 +115,15 @@
         return jsonOf(session.client.call(HttpCall { .target = "/v1/jobs/" + percentEncoded(id) }));
     }
 
-    bool hasEnded(const std::string& state) { return state == "finished" || state == "failed" || state == "cancelled"; }
+    bool hasEnded(const std::string& state)
+    {
+        return state == "finished" || state == "failed" || state == "cancelled" || state == "unknown";
+    }
 
     ExitCode exitCodeOfState(const std::string& state)
     {
+        if (state == "unknown")
+            return ExitCode::Unknown;
         const bool endedBadly = state == "failed" || state == "cancelled";
         return endedBadly ? ExitCode::WorkFailed : ExitCode::Success;
     }
--- a/Source/UnitTests/Cli/CommandsTest.cpp
+++ b/Source/UnitTests/Cli/CommandsTest.cpp
@@ -207,7 +207,7 @@
 TEST_CASE("waiting for a job ends with its end")
 {
     const std::map<std::string, ExitCode> ends { { "finished", ExitCode::Success }, { "failed", ExitCode::WorkFailed },
-        { "running", ExitCode::Incomplete } };
+        { "unknown", ExitCode::Unknown }, { "running", ExitCode::Incomplete } };
     for (const auto& end : ends) {
         const std::string& state = end.first;
         CAPTURE(state);
