Wait for a job under the id that the daemon gave it

A trial with a store, three workers and three daemons of the example settings showed that the submitted id is a key and the job's own id another: waiting asked for an unknown job. The table shows the time of submission in place of the declared size, which a job's status does not carry.

--- a/Source/Core/Cli/Flags.cpp
+++ b/Source/Core/Cli/Flags.cpp
@@ -17,7 +17,8 @@
 DEFINE_string(author, "", "Who changes the configuration (or USER)");
 DEFINE_string(diff, "", "Show the changes from the revision in force to this file");
 DEFINE_int64(limit, 0, "Most entries to print");
-DEFINE_string(id, "", "Id of the request or job; made up if missing");
+DEFINE_string(
+    id, "", "Id of the request, or key of the job: repeat with it after an unknown outcome; made up if missing");
 DEFINE_string(body, "", "The request's body");
 DEFINE_string(file, "", "File with the request's body, \"-\" for standard input");
 DEFINE_string(content_type, "", "Content type of the request's body");
--- a/Source/Core/Cli/JobCommands.cpp
+++ b/Source/Core/Cli/JobCommands.cpp
@@ -85,11 +85,16 @@
         return job;
     }
 
+    std::string submittedAt(const json& job)
+    {
+        const json at = job.is_object() ? job.value("submittedAtMs", json()) : json();
+        return at.is_number_integer() ? renderTime(at.get<int64_t>()) : std::string();
+    }
+
     std::vector<std::string> jobRow(const json& job)
     {
         return { textMember(job, "id"), textMember(job, "state"), textMember(job, "team"), textMember(job, "profile"),
-            textMember(job, "attempt"), textMember(job, "worker"), resourcesText(job, "resources"),
-            textMember(job, "reason") };
+            textMember(job, "attempt"), textMember(job, "worker"), submittedAt(job), textMember(job, "reason") };
     }
 
     std::string renderJobs(const json& jobs)
@@ -97,7 +102,8 @@
         std::vector<std::vector<std::string>> rows;
         for (const json& job : jobs)
             rows.push_back(jobRow(job));
-        return renderTable({ "JOB", "STATE", "TEAM", "PROFILE", "ATTEMPT", "WORKER", "DECLARED", "REASON" }, rows);
+        return renderTable(
+            { "JOB", "STATE", "TEAM", "PROFILE", "ATTEMPT", "WORKER", "SUBMITTED (UTC)", "REASON" }, rows);
     }
 
     void printJob(Session& session, const json& job)
@@ -200,7 +206,7 @@
         return exitCode;
     }
     if (session.options.wait)
-        return waitForEnd(session, id);
+        return waitForEnd(session, textMember(jobIn(*answer), "id"));
     printJob(session, jobIn(*answer));
     return ExitCode::Success;
 }
--- a/Source/UnitTests/Cli/CommandsTest.cpp
+++ b/Source/UnitTests/Cli/CommandsTest.cpp
@@ -221,6 +221,15 @@
     }
 }
 
+TEST_CASE("a submitted job is waited for under the id that the daemon gave it")
+{
+    Bench bench;
+    bench.transport.on("POST /v1/jobs", reply(201, R"({"job": {"id": "j-14-key", "state": "queued"}})"));
+    bench.transport.on("GET /v1/jobs/j-14-key", reply(200, R"({"job": {"id": "j-14-key", "state": "finished"}})"));
+    const Options options { .id = "key", .team = "t", .profile = "p", .command = "{}", .wait = true };
+    CHECK(bench.run("job submit", {}, options) == ExitCode::Success);
+}
+
 TEST_CASE("a cancellation of an unknown job is not a success")
 {
     Bench bench;
