--- a/Source/Core/Ledger/JobShardAttempts.cpp
+++ b/Source/Core/Ledger/JobShardAttempts.cpp
@@ -294,7 +294,8 @@
                 found->second.phase = Phase::Stopping;
                 found->second.nextControl = now();
             }
-        }));
+        }),
+        live.phase == Phase::Checkpointing ? LedgerLog::Haste::Eager : LedgerLog::Haste::Lazy);
 }
 
 /// Attempts that are durably resolved: an ended one is acknowledged, a running one is stopped. Attempts that this owner
--- a/Source/Core/Ledger/LedgerLog.cpp
+++ b/Source/Core/Ledger/LedgerLog.cpp
@@ -195,7 +195,7 @@
 
 // Commits
 
-LedgerLog::Ticket LedgerLog::append(std::string delta, Common::Callback<Common::Done> done)
+LedgerLog::Ticket LedgerLog::append(std::string delta, Haste haste, Common::Callback<Common::Done> done)
 {
     const Ticket ticket { ++m_lastTicket };
     if (m_state != State::Owned) {
@@ -204,8 +204,8 @@
         });
         return ticket;
     }
-    m_queue.push_back(Pending { ticket, std::move(delta), std::move(done) });
-    pumpSoon(Common::Duration(0));
+    m_queue.push_back(Pending { ticket, std::move(delta), haste, std::move(done) });
+    pumpSoon(haste == Haste::Eager ? Common::Duration(0) : m_settings.lazyCommitDelay);
     return ticket;
 }
 
@@ -229,15 +229,25 @@
 
 void LedgerLog::pumpSoon(Common::Duration delay)
 {
-    if (m_pumpScheduled)
+    const Common::MonoTime at = m_context.runtime.now() + delay;
+    if (m_pumpAt && *m_pumpAt <= at)
         return;
-    m_pumpScheduled = true;
-    m_context.runtime.schedule(delay, m_lifetime.guard([this] {
-        m_pumpScheduled = false;
+    m_pumpAt = at;
+    m_context.runtime.schedule(delay, m_lifetime.guard([this, at] {
+        // An earlier one was asked for since.
+        if (m_pumpAt != at)
+            return;
+        m_pumpAt.reset();
         pump();
     }));
 }
 
+bool LedgerLog::hasHaste() const
+{
+    const auto eager = [](const Pending& pending) { return pending.haste == Haste::Eager; };
+    return m_nextSnapshot || m_releasing || std::any_of(m_queue.begin(), m_queue.end(), eager);
+}
+
 bool LedgerLog::hasWork() const { return !m_queue.empty() || m_nextSnapshot || m_releasing; }
 
 bool LedgerLog::ringHasRoom() const
@@ -380,7 +390,7 @@
     }
     snapshotIfDue();
     if (hasWork())
-        pumpSoon(Common::Duration(0));
+        pumpSoon(hasHaste() ? Common::Duration(0) : m_settings.lazyCommitDelay);
 }
 
 void LedgerLog::beFenced()
--- a/Source/Core/Ledger/LedgerLog.h
+++ b/Source/Core/Ledger/LedgerLog.h
@@ -29,6 +29,12 @@
     struct Ticket {
         uint64_t value = 0;
     };
+    enum class Haste {
+        /// Somebody waits for it.
+        Eager,
+        /// Goes with the next commit, or after lazyCommitDelay.
+        Lazy,
+    };
     struct Recovered {
         std::vector<std::string> snapshotParts;
         /// Of all entries after the snapshot, in order.
@@ -49,7 +55,7 @@
 
     /// Commits the delta with whatever else waits. Waits as long as the store is away. Fails only when the shard is
     /// lost: NotOwner when it was surely not committed, OutcomeUnknown when it may have been.
-    Ticket append(std::string delta, Common::Callback<Common::Done>);
+    Ticket append(std::string delta, Haste, Common::Callback<Common::Done>);
     /// Takes back a delta that wasn't sent yet; its callback is not called. False when it was sent.
     bool withdraw(Ticket);
     /// Commits what waits and an entry that gives the shard up. Append nothing after.
@@ -62,6 +68,7 @@
     struct Pending {
         Ticket ticket;
         std::string delta;
+        Haste haste = Haste::Eager;
         Common::Callback<Common::Done> done;
     };
     struct Commit {
@@ -96,6 +103,7 @@
     void pumpSoon(Common::Duration);
     void pump();
     bool hasWork() const;
+    bool hasHaste() const;
     bool ringHasRoom() const;
     void buildCommit();
     void send();
@@ -127,7 +135,7 @@
     uint64_t m_lastCommitId = 0;
     CommitPacer m_pacer;
     Common::Duration m_retryPause {};
-    bool m_pumpScheduled = false;
+    std::optional<Common::MonoTime> m_pumpAt;
     bool m_releasing = false;
     SnapshotSource m_snapshotSource;
     SnapshotWriter m_snapshotWriter;
--- a/Source/Core/Ledger/LedgerSettings.h
+++ b/Source/Core/Ledger/LedgerSettings.h
@@ -25,6 +25,8 @@
     uint32_t commitBurst = 8;
     double commitsPerSecond = 8;
     double commitsPerSecondUnderPressure = 2;
+    /// How long a delta that nobody waits for may wait for others.
+    Common::Duration lazyCommitDelay = std::chrono::seconds(5);
     /// The store counts as slow from this latency on.
     Common::Duration slowStoreLatency = std::chrono::milliseconds(250);
     /// Longest time to wait for durability before a caller is refused.
@@ -68,7 +70,7 @@
     /// A view of another boot counts only when confirmed this much later: longer than a view can be under way.
     Common::Duration bootConfirmation = std::chrono::seconds(5);
     /// A running task's new checkpoint is recorded at most this often.
-    Common::Duration checkpointRecordGap = std::chrono::seconds(60);
+    Common::Duration checkpointRecordGap = std::chrono::minutes(10);
     /// How long eviction waits for a new checkpoint before it goes on with the one that it has.
     Common::Duration evictCheckpointWait = std::chrono::seconds(10);
     /// Controls are repeated this often until a view shows their effect.
--- a/Source/Core/Ledger/LedgerShard.cpp
+++ b/Source/Core/Ledger/LedgerShard.cpp
@@ -47,10 +47,10 @@
     return Common::Done {};
 }
 
-LedgerLog::Ticket LedgerShard::commit(LedgerDelta delta, Common::Callback<Common::Done> done)
+LedgerLog::Ticket LedgerShard::commit(LedgerDelta delta, Common::Callback<Common::Done> done, LedgerLog::Haste haste)
 {
     std::string encoded = encode(delta);
-    return m_log.append(std::move(encoded),
+    return m_log.append(std::move(encoded), haste,
         [this, delta = std::move(delta), done = std::move(done)](const Common::Result<Common::Done>& result) {
             if (result)
                 m_state.apply(delta);
--- a/Source/UnitTests/Ledger/JobServiceTest.cpp
+++ b/Source/UnitTests/Ledger/JobServiceTest.cpp
@@ -204,6 +204,50 @@
     CHECK(world.workers.journal[5].job == "j-00-c1");
 }
 
+TEST_CASE("a job's way through the log is short")
+{
+    JobWorld world(1, 50);
+    // No snapshot, so that the ring still holds everything.
+    world.settings.shardCount = 1;
+    world.settings.slotCount = 4096;
+    world.settings.snapshotEvery = 4000;
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    constexpr uint64_t jobCount = 1000;
+    for (uint64_t number = 0; number < jobCount; ++number) {
+        daemon.jobs.submit(JobWorld::submission("job-" + std::to_string(number)), [](const auto&) {});
+        world.runtime.advance(20ms);
+    }
+    world.runtime.advance(60s);
+    CHECK(daemon.jobs.list({ .state = JobState::Finished, .limit = jobCount }).size() == jobCount);
+    uint64_t bytes = 0;
+    for (const auto& entry : world.store.values())
+        bytes += entry.second.value.size();
+    const uint64_t perJob = bytes / jobCount;
+    MESSAGE(perJob << " bytes of log a job in " << world.store.values().size() << " entries");
+    // Accepted, intended, ended, and the job's share of its entries' heads.
+    CHECK(perJob < 350);
+}
+
+TEST_CASE("checkpoints of running work wait for other commits")
+{
+    JobWorld world;
+    world.workers.faults.longestRun = std::chrono::hours(1);
+    world.settings.checkpointRecordGap = 1s;
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    const Common::JobId job = accept(world, daemon, JobWorld::submission("one"));
+    world.runtime.advance(10s);
+    const uint64_t before = world.store.counts.writes;
+    for (int second = 0; second < 60; ++second) {
+        for (auto& entry : world.workers.workers)
+            world.workers.control(entry.second, Scheduler::TaskControl::Checkpoint, { taskOf(job, 1) });
+        world.runtime.advance(1s);
+    }
+    CHECK_FALSE(daemon.jobs.get(job)->checkpoint.empty());
+    CHECK(world.store.counts.writes - before <= 60 / 5 + 1);
+}
+
 namespace {
 
 /// One random schedule and what its journal must show.
