--- a/Source/Core/Policy/Router.cpp
+++ b/Source/Core/Policy/Router.cpp
@@ -70,7 +70,6 @@
     Peer& peer = m_peers[id];
     if (peer.inFlight++ == 0)
         peer.progressAt = now;
-    ++peer.sentSinceSummary;
     // While it is passed over, this one was the probe.
     if (!progresses(peer, now))
         peer.probeAt = now + backoff(peer);
@@ -83,7 +82,7 @@
     peer.failuresInARow = 0;
     peer.progressAt = now;
     if (refused) {
-        peer.refusedSinceSummary = true;
+        peer.refusedUntil = now + m_settings.refusalPause;
         return;
     }
     const auto sample = static_cast<double>(took.count());
@@ -106,8 +105,7 @@
     const auto found = m_peers.find(id);
     if (found == m_peers.end())
         return;
-    found->second.sentSinceSummary = 0;
-    found->second.refusedSinceSummary = false;
+    found->second.inFlightAtSummary = found->second.inFlight;
 }
 
 void Router::forget(const Common::DaemonId& id) { m_peers.erase(id); }
@@ -144,11 +142,15 @@
 
 bool Router::usable(const RouteQuery& query, const PeerInfo& info, MonoTime now) const
 {
-    if (info.draining || info.id == query.self.id || room(info) <= 0)
+    if (info.draining || info.id == query.self.id)
+        return false;
+    if (info.region != query.self.region && room(info) <= 0)
         return false;
     const Peer* peer = find(info.id);
     if (!peer)
         return true;
+    if (now < peer->refusedUntil)
+        return false;
     if (!progresses(*peer, now))
         return now >= peer->probeAt;
     return fastEnough(*peer, query, now);
@@ -159,7 +161,8 @@
     const Peer* peer = find(info.id);
     if (!peer)
         return info.freeSlots;
-    return peer->refusedSinceSummary ? 0 : info.freeSlots - peer->sentSinceSummary;
+    // What was sent and answered since has left its slot again.
+    return info.freeSlots - std::max<int64_t>(0, peer->inFlight - peer->inFlightAtSummary);
 }
 
 void Router::appendScope(
--- a/Source/Core/Policy/Router.h
+++ b/Source/Core/Policy/Router.h
@@ -13,17 +13,20 @@
 
 namespace Policy {
 
-/// Knows of each peer its last load summary, what was sent there since, and whether calls to it make progress.
+/// Knows of each peer what is in flight there beyond what its last load summary counted, and whether calls to it make
+/// progress.
 class Router {
 public:
     struct Settings {
         /// Calls in a row without an answer after which a peer is passed over, except for probes.
         uint32_t failuresToSkip = 2;
         Common::Duration firstProbeAfter = std::chrono::milliseconds(500);
-        Common::Duration longestProbeAfter = std::chrono::seconds(30);
+        Common::Duration longestProbeAfter = std::chrono::seconds(2);
         /// A peer whose usual answer takes more than this share of the time left is passed over.
         uint32_t slowSharePercent = 70;
         uint32_t candidatesPerScope = 2;
+        /// A peer that refused for want of room is not asked again for this long.
+        Common::Duration refusalPause = std::chrono::milliseconds(50);
     };
     enum class Scope {
         Here,
@@ -39,8 +42,9 @@
     /// The budget outlives the router. The caller takes from it when it does send to another region.
     Router(Settings, const LinkBudget&);
 
-    /// This daemon first if it has room, then peers with room, near ones first. This daemon last if it has none: its
-    /// queue is the place to wait. Never empty unless this daemon drains.
+    /// This daemon first if it has room, then peers, near ones first, last of all this daemon if it has none: its queue
+    /// is the place to wait. Summaries are old by the time of many short requests, so that a peer of the region that
+    /// had no room is asked all the same, after one that had; another region is asked only if it had room.
     std::vector<Candidate> choose(const RouteQuery&, Common::MonoTime now, std::mt19937_64&) const;
 
     void onSent(const Common::DaemonId&, Common::MonoTime now);
@@ -58,8 +62,8 @@
         int64_t inFlight = 0;
         /// The last answer, or the first call after a time without any in flight.
         Common::MonoTime progressAt;
-        int64_t sentSinceSummary = 0;
-        bool refusedSinceSummary = false;
+        int64_t inFlightAtSummary = 0;
+        Common::MonoTime refusedUntil;
         /// Moving average; zero: no answer yet.
         double answerMicroseconds = 0;
         Common::MonoTime answeredAt;
