Wait for a ledger that is being handed over; pass on what can't be placed here

Cause: the process tests found orders refused while their shard moved (not-owner), requests stuck behind a silent worker whose slots still count as room, and a refused submission told as a conflict (409) with a message that the JSON-RPC library had put words before. A drain no longer waits for the store for ever.

--- a/Source/Core/Common/ErrorCode.cpp
+++ b/Source/Core/Common/ErrorCode.cpp
@@ -43,7 +43,7 @@
         ErrorRow { ErrorCode::TruncatedAnswer, "truncated-answer", 502 },
         ErrorRow { ErrorCode::ProtocolError, "protocol-error", 502 },
         ErrorRow { ErrorCode::PeerUnavailable, "peer-unavailable", 503 },
-        ErrorRow { ErrorCode::NotOwner, "not-owner", 409 },
+        ErrorRow { ErrorCode::NotOwner, "not-owner", 503 },
         ErrorRow { ErrorCode::NoAuthority, "no-authority", 503 },
         ErrorRow { ErrorCode::StartTooLate, "start-too-late", 409 },
         ErrorRow { ErrorCode::WorkerRebooted, "worker-rebooted", 409 },
--- a/Source/Core/Daemon/JobApi.cpp
+++ b/Source/Core/Daemon/JobApi.cpp
@@ -131,7 +131,7 @@
     }
     std::vector<Common::JobId> jobs;
     for (const json& id : *ids)
-        jobs.emplace_back(id.get<std::string>());
+        jobs.emplace_back(id.is_string() ? id.get<std::string>() : id.dump());
     m_node.jobs().cancelMany(jobs, [reply](const Result<std::vector<Ledger::JobGateway::CancelResult>>& results) {
         if (!results) {
             reply(failureResponse(results.reason()));
--- a/Source/Core/Daemon/Node.cpp
+++ b/Source/Core/Daemon/Node.cpp
@@ -99,13 +99,23 @@
 
 void Node::handOver()
 {
-    m_shards.drain(m_lifetime.guard([this] {
-        m_fleet.drain(m_lifetime.guard([this] {
-            m_config.stop();
-            m_membership.leave(m_lifetime.guard([this] {
-                m_ports.timeline.record(Common::Event { .kind = Common::EventKind::DaemonStopped });
-                m_drained();
-            }));
+    // The ledger can't be released while the store is away; a successor fences it all the same.
+    const auto release = std::make_shared<std::function<void()>>([this] { releaseWorkers(); });
+    const auto releaseOnce = m_lifetime.guard([release] {
+        if (const auto action = std::exchange(*release, nullptr))
+            action();
+    });
+    m_shards.drain(releaseOnce);
+    m_ports.runtime.schedule(m_settings.handOverTimeout, releaseOnce);
+}
+
+void Node::releaseWorkers()
+{
+    m_fleet.drain(m_lifetime.guard([this] {
+        m_config.stop();
+        m_membership.leave(m_lifetime.guard([this] {
+            m_ports.timeline.record(Common::Event { .kind = Common::EventKind::DaemonStopped });
+            m_drained();
         }));
     }));
 }
--- a/Source/Core/Daemon/Node.h
+++ b/Source/Core/Daemon/Node.h
@@ -53,6 +53,7 @@
     void updateLoad();
     void awaitRequests(Common::MonoTime giveUpAt);
     void handOver();
+    void releaseWorkers();
 
     NodePorts m_ports;
     NodeSettings m_settings;
--- a/Source/Core/Daemon/NodeSettings.h
+++ b/Source/Core/Daemon/NodeSettings.h
@@ -38,6 +38,8 @@
     Common::Duration loadInterval = std::chrono::milliseconds(250);
     /// Longest wait of a planned stop for the requests under way.
     Common::Duration drainTimeout = std::chrono::seconds(60);
+    /// Longest wait for the ledger's release after that.
+    Common::Duration handOverTimeout = std::chrono::seconds(10);
 };
 
 /// `boot` tells this run of the daemon from all others on the host.
--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -156,8 +156,9 @@
     active->stage = Stage::Intent;
     const auto owner = m_parts.shards.assignedOwner(m_parts.shards.shardOf(active->request.id.value()));
     if (!owner) {
-        finish(active,
-            NotRun { { ErrorCode::NotOwner, "nobody keeps the ledger of this id now", m_settings.retryAfter } });
+        if (!askOwnerAgain(active))
+            finish(active,
+                NotRun { { ErrorCode::NotOwner, "nobody keeps the ledger of this id now", m_settings.retryAfter } });
         return;
     }
     if (owner->id == m_parts.membership.self().id) {
@@ -173,6 +174,21 @@
     forwardTo(active, owner->id, owner->address, true);
 }
 
+bool RequestService::askOwnerAgain(const ActivePointer& active)
+{
+    const Common::MonoTime now = m_context.runtime.now();
+    const Common::MonoTime patienceEnds = active->arrival + m_settings.ownerPatience;
+    // A daemon that was passed the request leaves the asking to the first one.
+    if (active->request.hops > 0 || now >= std::min(patienceEnds, active->deadline))
+        return false;
+    active->stage = Stage::Intent;
+    m_context.runtime.schedule(m_settings.ownerRetry, m_lifetime.guard([this, active] {
+        if (isActive(active))
+            beginIntent(active);
+    }));
+    return true;
+}
+
 void RequestService::onIntent(const ActivePointer& active, const Result<Ledger::IntentService::Verdict>& verdict)
 {
     using Ledger::IntentService;
@@ -183,7 +199,8 @@
         return;
     }
     if (!verdict) {
-        finish(active, NotRun { verdict.reason() });
+        if (verdict.reason().code != ErrorCode::NotOwner || !askOwnerAgain(active))
+            finish(active, NotRun { verdict.reason() });
     } else if (std::holds_alternative<IntentService::Fresh>(*verdict)) {
         active->ownsIntent = true;
         route(active);
@@ -198,14 +215,10 @@
 
 void RequestService::route(const ActivePointer& active)
 {
+    // A daemon that is about to stop still uses up the authority that it has.
     const bool roomHere = m_parts.placement.freeSlots() > static_cast<int64_t>(m_parts.queue.size());
-    if ((!roomHere || m_draining) && forwardToPeer(active))
-        return;
-    if (m_draining && active->request.hops == 0 && !active->ownsIntent) {
-        finish(active, NotRun { { ErrorCode::Draining, "this daemon is about to stop", m_settings.retryAfter } });
-        return;
-    }
-    enqueue(active);
+    if (roomHere || !forwardToPeer(active))
+        enqueue(active);
 }
 
 bool RequestService::forwardToPeer(const ActivePointer& active)
@@ -276,6 +289,8 @@
     if (!isActive(active))
         return;
     active->forwardedTo.clear();
+    if (toOwner && notRun && notRun->reason.code == ErrorCode::NotOwner && askOwnerAgain(active))
+        return;
     // What did not run there may yet run elsewhere; only the owner of an id's ledger may judge a first run.
     if (notRun && !toOwner && timeLeft(*active, now) > Common::Duration::zero()) {
         route(active);
@@ -313,8 +328,14 @@
         const auto next = m_parts.queue.takeNext(now);
         if (!next)
             break;
-        const auto active = m_active.find(next->id);
-        if (active != m_active.end() && !dispatch(active->second)) {
+        const auto found = m_active.find(next->id);
+        if (found == m_active.end())
+            continue;
+        const ActivePointer active = found->second;
+        if (dispatch(active))
+            continue;
+        // The account shows room, but none that may be used now: a silent worker's, or one with other demands.
+        if (!forwardFromQueue(active)) {
             m_parts.queue.putBack(*next, now);
             break;
         }
@@ -323,6 +344,16 @@
     scheduleExpiry();
 }
 
+bool RequestService::forwardFromQueue(const ActivePointer& active)
+{
+    if (!forwardToPeer(active))
+        return false;
+    active->admitted = false;
+    m_parts.queue.onCompleted(
+        active->profile.name, active->service.team, Common::Duration::zero(), false, m_context.runtime.now());
+    return true;
+}
+
 void RequestService::dropExpired()
 {
     for (const Common::RequestId& id : m_parts.queue.dropExpired(m_context.runtime.now())) {
@@ -488,29 +519,20 @@
     }
     for (const auto& [active, task] : affected)
         onRun(active, task, lost);
+    passOnQueue();
 }
 
-void RequestService::onDeadline(const ActivePointer& active)
+void RequestService::passOnQueue()
 {
-    active->deadlineTimer.reset();
-    if (!isActive(active))
+    if (m_parts.placement.freeSlots() > 0)
         return;
-    const Failure passed { ErrorCode::DeadlinePassed, "the deadline has passed" };
-    // An intent that is still being written is taken back when its answer comes.
-    finish(active, NotRun { passed });
-}
-
-void RequestService::setDraining()
-{
-    m_draining = true;
     std::vector<ActivePointer> queued;
     for (const auto& [id, active] : m_active) {
         if (active->stage == Stage::Queued)
             queued.push_back(active);
     }
     for (const ActivePointer& active : queued) {
-        const Common::MonoTime now = m_context.runtime.now();
-        if (!m_parts.queue.cancel(active->request.id, now))
+        if (!m_parts.queue.cancel(active->request.id, m_context.runtime.now()))
             continue;
         active->admitted = false;
         if (!forwardToPeer(active))
@@ -518,6 +540,18 @@
     }
 }
 
+void RequestService::onDeadline(const ActivePointer& active)
+{
+    active->deadlineTimer.reset();
+    if (!isActive(active))
+        return;
+    const Failure passed { ErrorCode::DeadlinePassed, "the deadline has passed" };
+    // An intent that is still being written is taken back when its answer comes.
+    finish(active, NotRun { passed });
+}
+
+void RequestService::setDraining() { m_draining = true; }
+
 bool RequestService::cancel(const Common::RequestId& id)
 {
     const auto found = m_active.find(id);
--- a/Source/Core/Dispatch/RequestService.h
+++ b/Source/Core/Dispatch/RequestService.h
@@ -69,7 +69,7 @@
     /// Gives the request up: its outcome comes at once. False when it isn't under way here.
     bool cancel(const Common::RequestId&);
     size_t underWay() const { return m_active.size(); }
-    /// From now on requests go to peers, those that wait included; what is dispatched goes on.
+    /// From now on requests may wait at peers that have no room either, rather than here.
     void setDraining();
 
 private:
@@ -80,6 +80,8 @@
     ActivePointer makeActive(IncomingRequest, OutcomeCallback);
     bool join(const IncomingRequest&, OutcomeCallback&);
     void beginIntent(const ActivePointer&);
+    /// False when the request has waited long enough for its ledger's owner.
+    bool askOwnerAgain(const ActivePointer&);
     void onIntent(const ActivePointer&, const Common::Result<Ledger::IntentService::Verdict>&);
     void route(const ActivePointer&);
     bool forwardToPeer(const ActivePointer&);
@@ -88,6 +90,10 @@
         const ActivePointer&, const Common::DaemonId&, bool toOwner, Common::MonoTime sentAt, const RequestOutcome&);
     void enqueue(const ActivePointer&);
     void pump();
+    /// Passes a request on that was taken from the queue.
+    bool forwardFromQueue(const ActivePointer&);
+    /// When the last worker is gone, what waits here goes to peers.
+    void passOnQueue();
     void dropExpired();
     void scheduleExpiry();
     /// False when no worker has room.
--- a/Source/Core/Peer/JsonRpcPeer.cpp
+++ b/Source/Core/Peer/JsonRpcPeer.cpp
@@ -17,11 +17,13 @@
 namespace {
 
     constexpr const char* codeMember = "code";
+    constexpr const char* detailMember = "detail";
     constexpr const char* retryAfterMember = "retryAfterMs";
 
     std::string dataOf(const Failure& failure)
     {
-        json data { { codeMember, Common::errorName(failure.code) } };
+        // The library puts words of its own before an error's message.
+        json data { { codeMember, Common::errorName(failure.code) }, { detailMember, failure.detail } };
         if (failure.retryAfter)
             data[retryAfterMember] = std::chrono::ceil<std::chrono::milliseconds>(*failure.retryAfter).count();
         return data.dump();
@@ -36,6 +38,7 @@
         const auto code = data.find(codeMember);
         if (code != data.end() && code->is_string())
             failure.code = Common::errorFromName(code->get<std::string>()).value_or(ErrorCode::ProtocolError);
+        failure.detail = data.value(detailMember, failure.detail);
         const auto retryAfter = data.find(retryAfterMember);
         if (retryAfter != data.end() && retryAfter->is_number_integer())
             failure.retryAfter = std::chrono::milliseconds(retryAfter->get<int64_t>());
--- a/Tools/fleet.py
+++ b/Tools/fleet.py
@@ -84,7 +84,7 @@
             found = condition()
             if found:
                 return found
-        except (OSError, http.client.HTTPException, ValueError):
+        except (OSError, http.client.HTTPException, ValueError, KeyError):
             pass
         time.sleep(0.05)
     raise FleetError(f"not within {seconds} s: {what}")
