Answer a cancellation in bounded time while the store is away

Cause: a caller of DELETE /v1/jobs would have waited as long as the outage. Change: after acceptTimeout the caller gets OutcomeUnknown; the wish stays and takes effect when the store is back. Ruled out: taking the wish back. It may be on its way to the store already, and the caller asked for it.

--- a/Source/Core/Ledger/JobService.h
+++ b/Source/Core/Ledger/JobService.h
@@ -54,7 +54,8 @@
     /// UnknownJob, or NotOwner when the job's shard isn't owned here.
     Common::Result<JobStatus> get(const Common::JobId&) const;
     std::vector<JobStatus> list(const JobQuery&) const;
-    /// Yields once the wish is durable. Cancelling an ended job is a success without effect.
+    /// Yields once the wish is durable, or OutcomeUnknown after acceptTimeout: it may still take effect. Cancelling an
+    /// ended job is a success without effect.
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
     /// Checkpoints, stops and queues the job again. False when it isn't running here, may not be evicted by its
     /// profile, or runs at most once.
--- a/Source/Core/Ledger/JobShard.cpp
+++ b/Source/Core/Ledger/JobShard.cpp
@@ -252,6 +252,10 @@
         return;
     }
     LiveJob& live = m_live[job];
+    if (live.cancelWaiters.empty()) {
+        m_with.context.runtime.schedule(
+            m_with.settings.acceptTimeout, m_lifetime.guard([this, job] { cancelTimedOut(job); }));
+    }
     live.cancelWaiters.push_back(std::move(done));
     if (live.cancelling)
         return;
@@ -273,6 +277,18 @@
         }));
 }
 
+/// The wish stays and takes effect once the store is back.
+void JobShard::cancelTimedOut(const Common::JobId& job)
+{
+    const auto live = m_live.find(job);
+    if (live == m_live.end())
+        return;
+    const Common::Failure failure { Common::ErrorCode::OutcomeUnknown,
+        "the cancellation isn't durable yet and may still take effect", m_with.settings.storeRetryAfter };
+    for (const auto& waiter : std::exchange(live->second.cancelWaiters, {}))
+        waiter(failure);
+}
+
 bool JobShard::evict(const Common::TaskId& task)
 {
     const auto job = JobService::jobOfTask(task);
--- a/Source/Core/Ledger/JobShard.h
+++ b/Source/Core/Ledger/JobShard.h
@@ -92,6 +92,7 @@
     void accepted(const Common::JobId&, const Common::Result<Common::Done>&);
     void acceptTimedOut(const Common::JobId&);
     void armAcceptTimer(const Common::JobId&, Accepting&);
+    void cancelTimedOut(const Common::JobId&);
 
     JobQueue::Item itemOf(const JobRecord&) const;
     bool quotaAllows(const JobQueue::Item&) const;
--- a/Source/UnitTests/Ledger/JobServiceTest.cpp
+++ b/Source/UnitTests/Ledger/JobServiceTest.cpp
@@ -154,6 +154,25 @@
         CHECK(stateOf(daemon, job) == JobState::Cancelled);
 }
 
+TEST_CASE("a cancellation while the store is away is answered in bounded time and takes effect later")
+{
+    JobWorld world;
+    world.workers.faults.longestRun = std::chrono::hours(1);
+    JobDaemon& daemon = world.add("a");
+    world.runtime.advance(3s);
+    const Common::JobId job = accept(world, daemon, JobWorld::submission("one"));
+    world.runtime.advance(3s);
+    world.store.faults.down = true;
+    std::optional<Common::ErrorCode> code;
+    daemon.jobs.cancel(job, [&](const auto& result) { code = result.reason().code; });
+    world.runtime.advance(world.settings.acceptTimeout);
+    CHECK(code == Common::ErrorCode::OutcomeUnknown);
+    CHECK(stateOf(daemon, job) == JobState::Running);
+    world.store.faults.down = false;
+    world.runtime.advance(10s);
+    CHECK(stateOf(daemon, job) == JobState::Cancelled);
+}
+
 TEST_CASE("a domain that is cut off keeps its work; a dead worker's work goes elsewhere after the lease")
 {
     JobWorld world(1, 2);
