--- a/Source/Benchmarks/SlowRegionScenario.cpp
+++ b/Source/Benchmarks/SlowRegionScenario.cpp
@@ -1,6 +1,6 @@
 // The other region turns silent, then slow, then recovers, while this region spills into it; decisions under a virtual
 // clock. Baselines in the same run: the most room by the last summary, and a cost of aged latency and decaying failures
-// as in the related paper on routing over several overlays (MultiRouter, section 4).
+// after J. Newell and I. Gupta, "The P2P MultiRouter: a Black Box Approach to Run-time Adaptivity for P2P DHTs".
 #include "Policy/LinkBudget.h"
 #include "Policy/Router.h"
 
@@ -116,8 +116,7 @@
 
     void summarise()
     {
-        for (size_t to = 0; to < m_daemons.size(); ++to) {
-            Daemon& daemon = m_daemons[to];
+        for (Daemon& daemon : m_daemons) {
             daemon.peers.resize(m_daemons.size());
             for (size_t from = 0; from < m_daemons.size(); ++from) {
                 // Heartbeats of a slow region still come: only the path of requests is slow.
