--- a/Source/UnitTests/Policy/PlacementTest.cpp
+++ b/Source/UnitTests/Policy/PlacementTest.cpp
@@ -218,3 +218,40 @@
         quiet += f.placement.choose(preview, f.now, f.random) == WorkerId("w1");
     CHECK(quiet > 150);
 }
+
+TEST_CASE(
+    "run times of short requests teach what slows them down, and batch then keeps to workers that are noisy anyway")
+{
+    Fixture f;
+    f.add("w0");
+    f.add("w1");
+    const auto jobOf = [](const std::string& workClass) {
+        return PlacementRequest { small, TaskKind::Batch, WorkClass(workClass) };
+    };
+    REQUIRE(f.placement.commit(WorkerId("w0"), TaskId("noisy"), jobOf("noisy"), f.now));
+    REQUIRE(f.placement.commit(WorkerId("w1"), TaskId("calm"), jobOf("calm"), f.now));
+    const PlacementRequest preview { small, TaskKind::Request, WorkClass("preview") };
+    for (int i = 0; i < 2000; ++i) {
+        f.placement.choose(preview, f.now, f.random);
+        const bool beside = i % 2 == 0;
+        const TaskId task("p" + std::to_string(i));
+        REQUIRE(f.placement.commit(WorkerId(beside ? "w0" : "w1"), task, preview, f.now));
+        f.placement.finish(task, beside ? 200ms : 100ms, f.now);
+    }
+    CHECK(f.placement.freeSlots() == 14);
+    const auto preview0 = f.interference.indexOf(WorkClass("preview"));
+    const auto noisy = f.interference.indexOf(WorkClass("noisy"));
+    const auto calm = f.interference.indexOf(WorkClass("calm"));
+    CHECK(f.interference.slowdown(preview0, noisy, f.now) - f.interference.slowdown(preview0, calm, f.now) > 0.5);
+    CHECK_FALSE(f.placement.requestSpeed(WorkerId("w0")));
+    f.add("w0");
+    f.add("w1");
+    REQUIRE(f.placement.requestSpeed(WorkerId("w0")));
+    CHECK(*f.placement.requestSpeed(WorkerId("w0")) * 3 < *f.placement.requestSpeed(WorkerId("w1")) * 2);
+    REQUIRE(f.placement.commit(WorkerId("w0"), TaskId("victim"), preview, f.now));
+    CHECK(f.placement.harmOf(TaskId("noisy"), f.now) > 0.4);
+    f.placement.release(TaskId("victim"));
+    f.now += 2s;
+    for (int i = 0; i < 20; ++i)
+        CHECK(f.placement.choose(jobOf("other"), f.now, f.random) == WorkerId("w0"));
+}
