Use in the daemon what the policy learns, and treat unreachable workers as no room

Cause: requests waited behind workers that no sync reaches, since their slots counted as room; run times, pairings' harm and measured speeds were learned by the modules but not told to them by the daemon. Change: a worker found without authority is set aside until its next report; answers teach run times, the evictor passes harm, start and measured speed; a refused request is offered to peers, those with room first; rows of gone peers are dropped.

--- a/Source/Core/Daemon/Node.cpp
+++ b/Source/Core/Daemon/Node.cpp
@@ -41,7 +41,7 @@
           { m_config, m_membership, ports.workers, m_pool, ports.forward, m_shards, m_intents, m_queue, m_placement,
               m_health, m_router, m_link },
           m_settings.requests)
-    , m_evictor(m_context, m_config, m_fleet, ports.workers, m_tasks, m_settings.evictions)
+    , m_evictor(m_context, m_config, m_fleet, ports.workers, m_tasks, m_placement, m_settings.evictions)
 {
 }
 
@@ -71,8 +71,16 @@
 void Node::updateLoad()
 {
     m_membership.updateLoad(m_placement.freeSlots(), m_placement.totalSlots(), static_cast<int64_t>(m_queue.size()));
-    for (const Scheduler::PeerInfo& peer : m_membership.livePeers())
+    std::set<Common::DaemonId> live;
+    for (const Scheduler::PeerInfo& peer : m_membership.livePeers()) {
         m_router.onSummary(peer.id, m_ports.runtime.now());
+        live.insert(peer.id);
+    }
+    for (const Common::DaemonId& peer : m_routedPeers) {
+        if (!live.contains(peer))
+            m_router.forget(peer);
+    }
+    m_routedPeers = std::move(live);
     m_ports.runtime.schedule(m_settings.loadInterval, m_lifetime.guard([this] { updateLoad(); }));
 }
 
--- a/Source/Core/Daemon/Node.h
+++ b/Source/Core/Daemon/Node.h
@@ -23,6 +23,7 @@
 #include "Policy/WorkerHealth.h"
 
 #include <functional>
+#include <set>
 
 namespace Daemon {
 
@@ -75,6 +76,8 @@
     Ledger::JobGateway m_gateway;
     Dispatch::RequestService m_requests;
     Dispatch::Evictor m_evictor;
+    /// Peers that the router knows of.
+    std::set<Common::DaemonId> m_routedPeers;
     bool m_draining = false;
     std::function<void()> m_drained;
     Common::Lifetime m_lifetime;
--- a/Source/Core/Dispatch/Evictor.cpp
+++ b/Source/Core/Dispatch/Evictor.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/Metrics.h"
 #include "Dispatch/TaskPlaneService.h"
+#include "Policy/Placement.h"
 #include "Scheduler/ClusterConfig.h"
 #include "Scheduler/ConfigView.h"
 #include "Scheduler/Runtime.h"
@@ -21,12 +22,14 @@
 } // namespace
 
 Evictor::Evictor(const Scheduler::ServiceContext& context, Scheduler::ConfigView& config, Scheduler::WorkerFleet& fleet,
-    Scheduler::WorkerPort& workers, TaskPlaneService& tasks, Policy::EvictionPlanner::Settings settings)
+    Scheduler::WorkerPort& workers, TaskPlaneService& tasks, const Policy::Placement& placement,
+    Policy::EvictionPlanner::Settings settings)
     : m_context(context)
     , m_config(config)
     , m_fleet(fleet)
     , m_workers(workers)
     , m_tasks(tasks)
+    , m_placement(placement)
     , m_planner(settings)
     , m_throttles(actionCounter(context.metrics, "throttle"))
     , m_checkpoints(actionCounter(context.metrics, "checkpoint"))
@@ -47,18 +50,21 @@
         return;
     }
     const auto lookup = [this](const Scheduler::TaskReport& task) { return candidateFor(task); };
-    if (const auto action = m_planner.plan(worker.report, lookup, m_context.runtime.now()))
+    if (const auto action
+        = m_planner.plan(worker.report, lookup, m_context.runtime.now(), m_placement.requestSpeed(worker.worker)))
         carryOut(*action, worker.address);
 }
 
 Policy::EvictionCandidate Evictor::candidateFor(const Scheduler::TaskReport& task) const
 {
     Policy::EvictionCandidate candidate;
-    const Scheduler::TaskSpec* const spec = m_tasks.specOf(task.task);
+    candidate.harm = m_placement.harmOf(task.task, m_context.runtime.now());
+    const TaskPlaneService::PlacedTask* const placed = m_tasks.placed(task.task);
     const auto config = m_config.current();
-    if (!spec || !config)
+    if (!placed || !config)
         return candidate;
-    const auto profile = config->profiles.find(spec->profile);
+    candidate.startedAt = placed->reservedAt;
+    const auto profile = config->profiles.find(placed->spec.profile);
     if (profile == config->profiles.end())
         return candidate;
     // Work that runs at most once could not be resumed.
--- a/Source/Core/Dispatch/Evictor.h
+++ b/Source/Core/Dispatch/Evictor.h
@@ -11,6 +11,10 @@
 class Counter;
 }
 
+namespace Policy {
+class Placement;
+}
+
 namespace Scheduler {
 class ConfigView;
 class WorkerPort;
@@ -25,7 +29,7 @@
 class Evictor {
 public:
     Evictor(const Scheduler::ServiceContext&, Scheduler::ConfigView&, Scheduler::WorkerFleet&, Scheduler::WorkerPort&,
-        TaskPlaneService&, Policy::EvictionPlanner::Settings);
+        TaskPlaneService&, const Policy::Placement&, Policy::EvictionPlanner::Settings);
 
     void start();
 
@@ -39,6 +43,7 @@
     Scheduler::WorkerFleet& m_fleet;
     Scheduler::WorkerPort& m_workers;
     TaskPlaneService& m_tasks;
+    const Policy::Placement& m_placement;
     Policy::EvictionPlanner m_planner;
     prometheus::Counter& m_throttles;
     prometheus::Counter& m_checkpoints;
--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -237,19 +237,22 @@
         .bytes = forwardOverheadBytes + static_cast<int64_t>(active->request.body.size()),
         .timeLeft = timeLeft(*active, now),
     };
-    for (const Policy::Router::Candidate& candidate : m_parts.router.choose(query, now, m_context.runtime.random())) {
-        if (candidate.scope == Policy::Router::Scope::Here)
-            continue;
-        const auto peer = m_parts.membership.find(candidate.daemon);
-        // A daemon that is about to stop would rather have its requests wait elsewhere.
-        if (!peer || peer->draining || (peer->freeSlots <= 0 && !m_draining))
-            continue;
-        if (candidate.scope == Policy::Router::Scope::OtherRegion && !m_parts.link.take(query.bytes, now))
-            continue;
-        forwardTo(active, peer->id, peer->address, false);
-        return true;
-    }
-    return false;
+    const auto candidates = m_parts.router.choose(query, now, m_context.runtime.random());
+    const auto forwardToFirst = [&](bool withRoom) {
+        for (const Policy::Router::Candidate& candidate : candidates) {
+            const auto peer = m_parts.membership.find(candidate.daemon);
+            const bool here = candidate.scope == Policy::Router::Scope::Here;
+            if (here || !peer || peer->draining || (peer->freeSlots > 0) != withRoom)
+                continue;
+            if (candidate.scope == Policy::Router::Scope::OtherRegion && !m_parts.link.take(query.bytes, now))
+                continue;
+            forwardTo(active, peer->id, peer->address, false);
+            return true;
+        }
+        return false;
+    };
+    // A daemon that is about to stop would rather have its requests wait elsewhere.
+    return forwardToFirst(true) || (m_draining && forwardToFirst(false));
 }
 
 void RequestService::forwardTo(
@@ -310,7 +313,9 @@
     active->stage = Stage::Queued;
     const Policy::AdmissionQueue::Offer offer = m_parts.queue.offer(toQueued(*active), m_context.runtime.now());
     if (const auto* const refused = std::get_if<Policy::AdmissionQueue::Refused>(&offer)) {
-        finish(active, NotRun { refused->failure });
+        // Little room here need not mean little room elsewhere.
+        if (!forwardToPeer(active))
+            finish(active, NotRun { refused->failure });
         return;
     }
     active->admitted = true;
@@ -442,7 +447,9 @@
 {
     const auto found = std::find_if(active->attempts.begin(), active->attempts.end(),
         [&](const ActiveRequest::Attempt& attempt) { return attempt.task == task; });
-    if (result)
+    if (result && found != active->attempts.end())
+        m_parts.pool.answered(task, m_context.runtime.now() - found->startedAt);
+    else if (result)
         m_parts.pool.ended(task);
     if (found == active->attempts.end() || !isActive(active)) {
         pump();
--- a/Source/Core/Dispatch/RequestServiceSettings.h
+++ b/Source/Core/Dispatch/RequestServiceSettings.h
@@ -14,7 +14,7 @@
     /// Daemons that one request may pass through beyond the first.
     int maximumHops = 1;
     /// Peers tried before the request waits here.
-    int maximumForwards = 2;
+    int maximumForwards = 3;
     /// A second attempt is sent beside the first, out of the retry budget, after this share of the time to the
     /// deadline.
     int64_t secondAttemptPercent = 50;
--- a/Source/Core/Dispatch/TaskPlaneService.cpp
+++ b/Source/Core/Dispatch/TaskPlaneService.cpp
@@ -197,7 +197,7 @@
     if (!place)
         return place.reason();
     m_parts.pool.leaveOpen(spec.task);
-    m_specs[spec.task] = spec;
+    m_placed[spec.task] = PlacedTask { spec, m_context.runtime.now() };
     return Scheduler::Reservation { spec.task, place->worker, place->boot, place->startBy,
         m_parts.membership.self().id };
 }
@@ -307,8 +307,10 @@
     };
     m_parts.workers.start(place->address, command,
         m_lifetime.guard([this, task = reservation.task, callback](const Result<Common::Done>& started) {
-            if (!started && Scheduler::provesNotRun(started.reason().code))
+            if (!started && Scheduler::provesNotRun(started.reason().code)) {
                 m_parts.pool.ended(task);
+                m_placed.erase(task);
+            }
             callback(started);
         }));
 }
@@ -317,7 +319,7 @@
 {
     if (reservation.owner == m_parts.membership.self().id) {
         m_parts.pool.ended(reservation.task);
-        m_specs.erase(reservation.task);
+        m_placed.erase(reservation.task);
         return;
     }
     if (const auto owner = m_parts.membership.find(reservation.owner))
@@ -405,6 +407,7 @@
     if (change == WorkerFleet::Change::Lost) {
         m_views.erase(worker.worker);
         m_counted.erase(worker.worker);
+        std::erase_if(m_placed, [&](const auto& row) { return !m_parts.placement.workerOf(row.first); });
         return;
     }
     learnOutcomes(worker);
@@ -425,7 +428,7 @@
         if (job && task.state != Scheduler::TaskState::Stopped)
             m_parts.health.recordOutcome(
                 worker.worker, job->value(), task.state == Scheduler::TaskState::Finished, m_context.runtime.now());
-        m_specs.erase(task.task);
+        m_placed.erase(task.task);
     }
     counted = std::move(listed);
 }
@@ -498,10 +501,10 @@
             owner->address, evictMethod, json { { "task", task.value() } }, m_settings.peerTimeout, [](const auto&) {});
 }
 
-const Scheduler::TaskSpec* TaskPlaneService::specOf(const Common::TaskId& task) const
+const TaskPlaneService::PlacedTask* TaskPlaneService::placed(const Common::TaskId& task) const
 {
-    const auto spec = m_specs.find(task);
-    return spec == m_specs.end() ? nullptr : &spec->second;
+    const auto found = m_placed.find(task);
+    return found == m_placed.end() ? nullptr : &found->second;
 }
 
 } // namespace Dispatch
--- a/Source/Core/Dispatch/TaskPlaneService.h
+++ b/Source/Core/Dispatch/TaskPlaneService.h
@@ -74,8 +74,13 @@
     void requestEviction(const Common::TaskId&);
     /// True when a daemon of the worker's domain is heard from, so that the worker's silence says something of it.
     bool hearsDomainOf(const Common::WorkerId&) const;
-    /// What was asked for when room for the task was kept here; nothing for adopted tasks.
-    const Scheduler::TaskSpec* specOf(const Common::TaskId&) const;
+    /// A task for which room was kept here.
+    struct PlacedTask {
+        Scheduler::TaskSpec spec;
+        Common::MonoTime reservedAt;
+    };
+    /// Null for tasks that were adopted from an earlier owner.
+    const PlacedTask* placed(const Common::TaskId&) const;
 
     void reserve(const Scheduler::TaskSpec&, Common::Callback<Scheduler::Reservation>) override;
     void start(const Scheduler::Reservation&, const Scheduler::TaskSpec&, Common::Callback<Common::Done>) override;
@@ -133,7 +138,7 @@
         Common::DomainId domain;
     };
     std::unordered_map<Common::WorkerId, Teller> m_lastTeller;
-    std::unordered_map<Common::TaskId, Scheduler::TaskSpec> m_specs;
+    std::unordered_map<Common::TaskId, PlacedTask> m_placed;
     /// Ended tasks whose outcome was counted; they stay listed until acknowledged.
     std::unordered_map<Common::WorkerId, std::unordered_set<Common::TaskId>> m_counted;
     Common::Lifetime m_lifetime;
--- a/Source/Core/Dispatch/WorkerPool.cpp
+++ b/Source/Core/Dispatch/WorkerPool.cpp
@@ -57,8 +57,7 @@
             break;
         const auto authority = m_fleet.authority(*worker);
         if (!authority) {
-            // Its syncs have stopped getting through; the next report brings it back.
-            m_health.silent(*worker);
+            setAside(*worker);
             continue;
         }
         if (!m_placement.commit(*worker, task, request, now))
@@ -85,6 +84,25 @@
 void WorkerPool::ended(const Common::TaskId& task)
 {
     m_placement.release(task);
+    noteEnd(task);
+}
+
+void WorkerPool::answered(const Common::TaskId& task, Common::Duration runTime)
+{
+    m_placement.finish(task, runTime, m_context.runtime.now());
+    noteEnd(task);
+}
+
+void WorkerPool::setAside(const Common::WorkerId& worker)
+{
+    m_health.silent(worker);
+    const auto report = m_lastReport.find(worker);
+    if (report != m_lastReport.end())
+        m_placement.upsert(report->second, true, m_context.runtime.now());
+}
+
+void WorkerPool::noteEnd(const Common::TaskId& task)
+{
     const auto open = m_open.find(task);
     if (open == m_open.end())
         return;
@@ -128,7 +146,9 @@
 void WorkerPool::takeReport(const Scheduler::OwnedWorker& worker)
 {
     settle(worker.report);
-    m_placement.upsert(withoutEnded(worker.report), worker.leaving, m_context.runtime.now());
+    Scheduler::WorkerReport& report = m_lastReport[worker.worker];
+    report = withoutEnded(worker.report);
+    m_placement.upsert(report, worker.leaving, m_context.runtime.now());
 }
 
 Scheduler::WorkerReport WorkerPool::withoutEnded(const Scheduler::WorkerReport& report)
@@ -155,6 +175,7 @@
 {
     m_placement.remove(worker);
     m_health.remove(worker);
+    m_lastReport.erase(worker);
     m_endedSinceReport.erase(worker);
     const auto onWorker = m_openByWorker.find(worker);
     if (onWorker == m_openByWorker.end())
--- a/Source/Core/Dispatch/WorkerPool.h
+++ b/Source/Core/Dispatch/WorkerPool.h
@@ -40,6 +40,8 @@
     Common::Result<Place> confirm(const Common::TaskId&) const;
     /// The task has ended, or provably did not start.
     void ended(const Common::TaskId&);
+    /// The request was answered after this run time, which teaches how its neighbours slow it down.
+    void answered(const Common::TaskId&, Common::Duration runTime);
     /// Nobody waits for the task any more, but it may run: stops it and keeps its room until a report settles it.
     void abandon(const Common::TaskId&);
     /// The start of a batch task had no clear answer: keeps its room until a report settles it.
@@ -64,6 +66,9 @@
     /// Leaves out the tasks that are known to have ended since the report was made.
     Scheduler::WorkerReport withoutEnded(const Scheduler::WorkerReport&);
     void dropWorker(const Common::WorkerId&);
+    /// No sync gets through: until the next report its slots are no room.
+    void setAside(const Common::WorkerId&);
+    void noteEnd(const Common::TaskId&);
     void settle(const Scheduler::WorkerReport&);
     void queueStop(const Common::WorkerId&, const Common::TaskId&);
     void sendStops();
@@ -76,6 +81,8 @@
     Policy::WorkerHealth& m_health;
     std::unordered_map<Common::TaskId, OpenTask> m_open;
     std::unordered_map<Common::WorkerId, std::unordered_set<Common::TaskId>> m_openByWorker;
+    /// The last report of each owned worker, as it was taken into the account.
+    std::unordered_map<Common::WorkerId, Scheduler::WorkerReport> m_lastReport;
     /// Tasks that ended since the last report; a report may still list them.
     std::unordered_map<Common::WorkerId, std::unordered_set<Common::TaskId>> m_endedSinceReport;
     std::unordered_map<Common::WorkerId, std::vector<Common::TaskId>> m_stops;
