--- a/Models/Ownership.pml
+++ b/Models/Ownership.pml
@@ -25,7 +25,6 @@
 #ifndef TERMS
 #define TERMS 2
 #endif
-#define NOBODY 2
 
 /* States, as in Membership::WorkerOwnership. */
 #define UNCLAIMED 0 /* or yielding */
@@ -45,10 +44,10 @@
 /* What a daemon knows. */
 byte state[2];
 byte term[2];
-bit seen[2];     /* has a report of this boot */
+bit seen[2];      /* has a report of this boot */
 byte lastAge[2]; /* since the newest report that showed the claim as the counting one */
-bit waiting[2];  /* the row of reports that show the claim as the counting one has begun */
-byte waited[2];  /* from the first to the newest report of that row */
+bit waiting[2];   /* the row of reports that show the claim as the counting one has begun */
+byte waited[2];   /* from the first to the newest report of that row */
 bit viewTaken[2]; /* a report or a start of its own takes the slot */
 
 /* A copy of an earlier sync. */
