Pass waiting requests on while there is no room here

Change: the queue is looked at with each load summary; a peer is chosen before the place in the queue is given up. The test of a replaced daemon waited for something that need not come (by its new id it may be assigned none of two workers): it now kills the domain's other daemon and asks for all of the domain's workers.

--- a/Source/Core/Daemon/Node.cpp
+++ b/Source/Core/Daemon/Node.cpp
@@ -81,6 +81,7 @@
             m_router.forget(peer);
     }
     m_routedPeers = std::move(live);
+    m_requests.tick();
     m_ports.runtime.schedule(m_settings.loadInterval, m_lifetime.guard([this] { updateLoad(); }));
 }
 
--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -221,38 +221,47 @@
         enqueue(active);
 }
 
-bool RequestService::forwardToPeer(const ActivePointer& active)
+std::optional<Scheduler::PeerInfo> RequestService::choosePeer(const ActiveRequest& active)
 {
     // The way to the owner of the id's ledger was one hop already.
-    const int maximumHops = m_settings.maximumHops + (active->ownsIntent ? 1 : 0);
-    if (active->request.hops >= maximumHops || active->forwardsTried >= m_settings.maximumForwards)
-        return false;
+    const int maximumHops = m_settings.maximumHops + (active.ownsIntent ? 1 : 0);
+    // A daemon that is about to stop has nowhere else to let a request wait.
+    const bool triedEnough = active.forwardsTried >= m_settings.maximumForwards && !m_draining;
+    if (active.request.hops >= maximumHops || triedEnough)
+        return std::nullopt;
     const Common::MonoTime now = m_context.runtime.now();
     Scheduler::PeerInfo self = m_parts.membership.self();
     self.freeSlots = 0;
     const Policy::RouteQuery query {
         .self = self,
         .peers = m_parts.membership.livePeers(),
-        .spill = active->profile.spill,
-        .bytes = forwardOverheadBytes + static_cast<int64_t>(active->request.body.size()),
-        .timeLeft = timeLeft(*active, now),
+        .spill = active.profile.spill,
+        .bytes = forwardOverheadBytes + static_cast<int64_t>(active.request.body.size()),
+        .timeLeft = timeLeft(active, now),
     };
     const auto candidates = m_parts.router.choose(query, now, m_context.runtime.random());
-    const auto forwardToFirst = [&](bool withRoom) {
+    const auto first = [&](bool withRoom) -> std::optional<Scheduler::PeerInfo> {
         for (const Policy::Router::Candidate& candidate : candidates) {
             const auto peer = m_parts.membership.find(candidate.daemon);
             const bool here = candidate.scope == Policy::Router::Scope::Here;
             if (here || !peer || peer->draining || (peer->freeSlots > 0) != withRoom)
                 continue;
-            if (candidate.scope == Policy::Router::Scope::OtherRegion && !m_parts.link.take(query.bytes, now))
-                continue;
-            forwardTo(active, peer->id, peer->address, false);
-            return true;
+            if (candidate.scope != Policy::Router::Scope::OtherRegion || m_parts.link.take(query.bytes, now))
+                return peer;
         }
-        return false;
+        return std::nullopt;
     };
-    // A daemon that is about to stop would rather have its requests wait elsewhere.
-    return forwardToFirst(true) || (m_draining && forwardToFirst(false));
+    const auto withRoom = first(true);
+    return withRoom || !m_draining ? withRoom : first(false);
+}
+
+bool RequestService::forwardToPeer(const ActivePointer& active)
+{
+    const auto peer = choosePeer(*active);
+    if (!peer)
+        return false;
+    forwardTo(active, peer->id, peer->address, false);
+    return true;
 }
 
 void RequestService::forwardTo(
@@ -526,12 +535,18 @@
     }
     for (const auto& [active, task] : affected)
         onRun(active, task, lost);
+    tick();
+}
+
+void RequestService::tick()
+{
+    pump();
     passOnQueue();
 }
 
 void RequestService::passOnQueue()
 {
-    if (m_parts.placement.freeSlots() > 0)
+    if (m_parts.placement.freeSlots() > 0 || m_parts.queue.empty())
         return;
     std::vector<ActivePointer> queued;
     for (const auto& [id, active] : m_active) {
@@ -539,11 +554,14 @@
             queued.push_back(active);
     }
     for (const ActivePointer& active : queued) {
+        const auto peer = choosePeer(*active);
+        // Where there is none for this one, there is hardly one for the rest: they keep their places.
+        if (!peer)
+            return;
         if (!m_parts.queue.cancel(active->request.id, m_context.runtime.now()))
             continue;
         active->admitted = false;
-        if (!forwardToPeer(active))
-            enqueue(active);
+        forwardTo(active, peer->id, peer->address, false);
     }
 }
 
--- a/Source/Core/Dispatch/RequestService.h
+++ b/Source/Core/Dispatch/RequestService.h
@@ -11,10 +11,12 @@
 #include "Dispatch/RequestServiceSettings.h"
 #include "Ledger/IntentService.h"
 #include "Policy/RetryBudget.h"
+#include "Scheduler/PeerInfo.h"
 #include "Scheduler/RunAnswer.h"
 #include "Scheduler/ServiceContext.h"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace Ledger {
@@ -68,6 +70,8 @@
     void submit(IncomingRequest, OutcomeCallback);
     /// Gives the request up: its outcome comes at once. False when it isn't under way here.
     bool cancel(const Common::RequestId&);
+    /// Called now and then: what waits without room here may find some elsewhere.
+    void tick();
     size_t underWay() const { return m_active.size(); }
     /// From now on requests may wait at peers that have no room either, rather than here.
     void setDraining();
@@ -84,6 +88,8 @@
     bool askOwnerAgain(const ActivePointer&);
     void onIntent(const ActivePointer&, const Common::Result<Ledger::IntentService::Verdict>&);
     void route(const ActivePointer&);
+    /// The peer to pass the request on to, if there is one; takes its bytes from the link's budget.
+    std::optional<Scheduler::PeerInfo> choosePeer(const ActiveRequest&);
     bool forwardToPeer(const ActivePointer&);
     void forwardTo(const ActivePointer&, const Common::DaemonId&, const std::string& address, bool toOwner);
     void onForwarded(
--- a/Source/UnitTests/Process/kill_test.py
+++ b/Source/UnitTests/Process/kill_test.py
@@ -91,8 +91,11 @@
         victim.kill()
         fresh = self.fleet.start_daemon(victim.name, victim.domain, region, victim.address)
         fleets.wait_for(lambda: fresh.get("/readyz").status == 200, 30, "the fresh daemon knows the configuration")
-        fleets.wait_for(lambda: fresh.owned_workers(), 30, "the fresh daemon owns workers")
         self.fleet.wait_all_owned()
+        # By its new id the fresh daemon may be assigned no worker of two; alone in its domain it has them all.
+        next(d for d in self.fleet.daemons.values() if d.domain == victim.domain and d is not fresh).kill()
+        of_domain = {w.worker for w in self.fleet.workers.values() if w.domain == victim.domain}
+        fleets.wait_for(lambda: of_domain <= set(fresh.owned_workers()), 30, "the fresh daemon owns its domain's workers")
         self.assertEqual(fresh.request("previews", {"runMs": 5, "echo": "again"}).outcome, "answer")
         self.assert_promises()
 
