Give the demo's first configuration its base

Cause: config apply asks which revision the document was edited from; the demo named none and ended with 2.

--- a/Tools/demo.py
+++ b/Tools/demo.py
@@ -36,7 +36,7 @@
         os.environ["LAVENDERCART_DAEMON"] = ",".join(d.address for d in fleet.daemons.values())
         print(f"fleet: {len(fleet.daemons)} daemons, {len(fleet.workers)} workers, 3 failure domains, 1 store")
         cli("config", "check", str(CONFIG_FILE))
-        cli("config", "apply", str(CONFIG_FILE))
+        cli("config", "apply", str(CONFIG_FILE), "--base", "0")
         fleet.wait_all_owned()
         cli("hosts")
         cli("workers")
