Keep a request alive while it is taken out of the queue as expired

dropExpired() handed finish() a reference into the map of active requests. finish() erases that entry first, so everything after it read freed memory. pump() now holds a copy too, since dispatch may end the request at once.

Widening finish() to take its argument by value was ruled out: the other callers hold a copy already.

--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -313,8 +313,10 @@
         const auto next = m_parts.queue.takeNext(now);
         if (!next)
             break;
-        const auto active = m_active.find(next->id);
-        if (active != m_active.end() && !dispatch(active->second)) {
+        const auto found = m_active.find(next->id);
+        // A copy, since the request may end, and leave the map, inside the call.
+        const ActivePointer active = found == m_active.end() ? nullptr : found->second;
+        if (active && !dispatch(active)) {
             m_parts.queue.putBack(*next, now);
             break;
         }
@@ -326,11 +328,13 @@
 void RequestService::dropExpired()
 {
     for (const Common::RequestId& id : m_parts.queue.dropExpired(m_context.runtime.now())) {
-        const auto active = m_active.find(id);
-        if (active == m_active.end())
+        const auto found = m_active.find(id);
+        if (found == m_active.end())
             continue;
-        active->second->admitted = false;
-        finish(active->second,
+        // A copy, since finish() takes the request out of the map.
+        const ActivePointer active = found->second;
+        active->admitted = false;
+        finish(active,
             NotRun { { ErrorCode::DeadlineUnreachable, "no worker came free in time", m_settings.retryAfter } });
     }
 }
