--- a/Source/UnitTests/Fakes/FakeNetwork.h
+++ b/Source/UnitTests/Fakes/FakeNetwork.h
@@ -32,12 +32,17 @@
     }
     /// Delivers never, once or twice.
     void send(const std::string& from, const std::string& to, const std::function<void()>& deliver)
+    {
+        if (sendOnce(from, to, deliver) && happens(m_duplicatesPerMille))
+            m_world.schedule(delay() * 4, deliver);
+    }
+    /// Delivers never or once, as a connection does. False: never.
+    bool sendOnce(const std::string& from, const std::string& to, const std::function<void()>& deliver)
     {
         if (m_cuts.contains({ from, to }) || happens(m_lossPerMille))
-            return;
+            return false;
         m_world.schedule(delay(), deliver);
-        if (happens(m_duplicatesPerMille))
-            m_world.schedule(delay() * 4, deliver);
+        return true;
     }
 
 private:
--- a/Source/UnitTests/Fakes/FakePeer.h
+++ b/Source/UnitTests/Fakes/FakePeer.h
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -29,13 +31,21 @@
     void call(const std::string& address, const std::string& method, const nlohmann::json& params,
         Common::Duration timeout, Reply reply) override
     {
-        const auto serveThere = [this, address, method, params](const Reply& answer) {
-            const auto peer = m_directory.find(address);
-            if (peer == m_directory.end() || peer->second->m_process.isKilled()) {
+        // The first delivery decides who takes the call, or that nobody does, as a connection would: a repeated message
+        // must not turn a call that was taken into a failed connection.
+        const auto taker = std::make_shared<std::optional<FakePeer*>>();
+        const auto serveThere = [this, address, method, params, taker](const Reply& answer) {
+            if (!*taker) {
+                const auto found = m_directory.find(address);
+                const bool there = found != m_directory.end() && !found->second->m_process.isKilled();
+                *taker = there ? found->second : nullptr;
+            }
+            FakePeer* const peer = **taker;
+            if (!peer) {
                 answer(Common::Failure { Common::ErrorCode::ConnectFailed, address, std::nullopt });
                 return;
             }
-            peer->second->m_process.post([peer = peer->second, method, params, answer] {
+            peer->m_process.post([peer, method, params, answer] {
                 const auto handler = peer->m_handlers.find(method);
                 if (handler != peer->m_handlers.end())
                     handler->second(params, answer);
