--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -345,6 +345,7 @@
         const auto found = m_active.find(next->id);
         if (found == m_active.end())
             continue;
+        // A copy, since the request may end, and leave the map, inside the call.
         const ActivePointer active = found->second;
         if (dispatch(active))
             continue;
@@ -371,11 +372,13 @@
 void RequestService::dropExpired()
 {
     for (const Common::RequestId& id : m_parts.queue.dropExpired(m_context.runtime.now())) {
-        const auto active = m_active.find(id);
-        if (active == m_active.end())
+        const auto found = m_active.find(id);
+        if (found == m_active.end())
             continue;
-        active->second->admitted = false;
-        finish(active->second,
+        // A copy, since finish() takes the request out of the map.
+        const ActivePointer active = found->second;
+        active->admitted = false;
+        finish(active,
             NotRun { { ErrorCode::DeadlineUnreachable, "no worker came free in time", m_settings.retryAfter } });
     }
 }
