--- a/Source/Core/Daemon/DaemonProcess.cpp
+++ b/Source/Core/Daemon/DaemonProcess.cpp
@@ -65,7 +65,8 @@
 struct DaemonProcess::Parts {
     explicit Parts(const Config::DaemonSettings& settings)
         : server(loop, serverLimits(settings),
-            [this](Http::Request request, Http::Server::Responder respond) { serve(std::move(request), respond); })
+            [this](
+                Http::Request request, const Http::Server::Responder& respond) { serve(std::move(request), respond); })
         , workerClient(loop, clientLimits(settings))
         , peerClient(loop, clientLimits(settings))
         , storeClient(loop, clientLimits(settings))
@@ -145,7 +146,7 @@
 Common::Result<uint16_t> DaemonProcess::start()
 {
     Parts& parts = *m_parts;
-    const Common::Result<uint16_t> port = parts.server.listen(m_settings.listenAddress);
+    Common::Result<uint16_t> port = parts.server.listen(m_settings.listenAddress);
     if (!port)
         return port;
     std::string address
--- a/Source/Core/Dispatch/Evictor.h
+++ b/Source/Core/Dispatch/Evictor.h
@@ -7,7 +7,7 @@
 #include "Scheduler/ServiceContext.h"
 #include "Scheduler/WorkerFleet.h"
 
-namespace prometheus {
+namespace prometheus { // NOLINT: the name that the library has
 class Counter;
 }
 
--- a/Source/Core/Dispatch/RequestCounters.h
+++ b/Source/Core/Dispatch/RequestCounters.h
@@ -10,7 +10,7 @@
 class Metrics;
 }
 
-namespace prometheus {
+namespace prometheus { // NOLINT: the name that the library has
 class Counter;
 class Histogram;
 }
--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -134,7 +134,7 @@
 RequestService::ActivePointer RequestService::makeActive(IncomingRequest request, OutcomeCallback callback)
 {
     const auto config = m_parts.config.current();
-    const auto active = std::make_shared<ActiveRequest>();
+    auto active = std::make_shared<ActiveRequest>();
     active->service = config->services.at(request.service);
     active->profile = config->profiles.at(active->service.profile);
     active->idempotent = request.idempotent.value_or(active->profile.idempotent);
@@ -242,7 +242,7 @@
     const auto candidates = m_parts.router.choose(query, now, m_context.runtime.random());
     const auto first = [&](bool withRoom) -> std::optional<Scheduler::PeerInfo> {
         for (const Policy::Router::Candidate& candidate : candidates) {
-            const auto peer = m_parts.membership.find(candidate.daemon);
+            auto peer = m_parts.membership.find(candidate.daemon);
             const bool here = candidate.scope == Policy::Router::Scope::Here;
             if (here || !peer || peer->draining || (peer->freeSlots > 0) != withRoom)
                 continue;
@@ -251,7 +251,7 @@
         }
         return std::nullopt;
     };
-    const auto withRoom = first(true);
+    auto withRoom = first(true);
     return withRoom || !m_draining ? withRoom : first(false);
 }
 
--- a/Source/Core/Ledger/LedgerLog.cpp
+++ b/Source/Core/Ledger/LedgerLog.cpp
@@ -184,6 +184,7 @@
     m_last = head.number;
     m_epoch = head.epoch;
     m_state = State::Owned;
+    checkOwnershipLater();
     done(std::move(recovered));
 }
 
@@ -413,6 +414,40 @@
         m_onFenced();
 }
 
+// An owner that was paused or cut off finds its successor's entry by its next commit; without one it has to look.
+
+void LedgerLog::checkOwnershipLater()
+{
+    m_context.runtime.schedule(
+        m_settings.ownershipCheckInterval, m_lifetime.guard([this, last = m_last] { checkOwnership(last); }));
+}
+
+void LedgerLog::checkOwnership(uint64_t lastBefore)
+{
+    if (m_state != State::Owned)
+        return;
+    const bool busy = m_commit || m_last != lastBefore;
+    if (busy) {
+        checkOwnershipLater();
+        return;
+    }
+    const uint64_t next = m_last + 1;
+    m_store.get(slotKey(next), m_lifetime.guard([this, next](const auto& found) { onOwnershipChecked(next, found); }));
+}
+
+void LedgerLog::onOwnershipChecked(uint64_t next, const Common::Result<std::optional<Scheduler::StoreValue>>& found)
+{
+    if (m_state != State::Owned)
+        return;
+    checkOwnershipLater();
+    // What was committed meanwhile says more than this read.
+    if (!found || m_commit || m_last + 1 != next)
+        return;
+    const Common::StoreRevision there = found->has_value() ? (*found)->revision : Common::StoreRevision {};
+    if (there != slotRevision(next))
+        beFenced();
+}
+
 // Snapshots
 
 void LedgerLog::snapshotIfDue()
--- a/Source/Core/Ledger/LedgerLog.h
+++ b/Source/Core/Ledger/LedgerLog.h
@@ -113,6 +113,9 @@
     void retry(void (LedgerLog::*step)());
     void committed(Common::StoreRevision);
     void beFenced();
+    void checkOwnershipLater();
+    void checkOwnership(uint64_t lastBefore);
+    void onOwnershipChecked(uint64_t next, const Common::Result<std::optional<Scheduler::StoreValue>>&);
     void snapshotIfDue();
 
     Scheduler::ServiceContext m_context;
--- a/Source/Core/Ledger/LedgerSettings.h
+++ b/Source/Core/Ledger/LedgerSettings.h
@@ -37,6 +37,9 @@
     Common::Duration storeRetryMinimum = std::chrono::milliseconds(50);
     Common::Duration storeRetryMaximum = std::chrono::seconds(2);
 
+    /// An owner that has committed nothing for this long looks whether its shard was taken over; one read a shard.
+    Common::Duration ownershipCheckInterval = std::chrono::seconds(5);
+
     /// Takeover: a random wait before the first read, and the recoveries under way at once in this process.
     Common::Duration takeoverJitter = std::chrono::milliseconds(500);
     uint32_t maximumRecoveries = 2;
--- a/Source/UnitTests/Ledger/IntentServiceTest.cpp
+++ b/Source/UnitTests/Ledger/IntentServiceTest.cpp
@@ -182,7 +182,7 @@
 {
     size_t schedules = 0;
     size_t requestsRun = 0;
-    LedgerTests::forEachSeed(600, [&](uint64_t seed) {
+    LedgerTests::forEachSeed(1500, [&](uint64_t seed) {
         CAPTURE(seed);
         World world(seed);
         std::vector<std::string> names;
--- a/Source/UnitTests/Ledger/JobServiceTest.cpp
+++ b/Source/UnitTests/Ledger/JobServiceTest.cpp
@@ -475,7 +475,7 @@
     size_t runs = 0;
     size_t evictions = 0;
     size_t accepted = 0;
-    forEachSeed(1000, [&](uint64_t seed) {
+    forEachSeed(1500, [&](uint64_t seed) {
         CAPTURE(seed);
         Schedule schedule(seed);
         schedule.play();
--- a/Source/UnitTests/Ledger/LedgerLogTest.cpp
+++ b/Source/UnitTests/Ledger/LedgerLogTest.cpp
@@ -136,6 +136,23 @@
     CHECK(fresh.has("kept"));
 }
 
+TEST_CASE("a replaced owner with nothing to commit finds out all the same, with few reads")
+{
+    World world;
+    Owner first(world.runtime, world.store, world.settings, "a");
+    first.recover();
+    world.runtime.advance(1s);
+    Owner second(world.runtime, world.store, world.settings, "b");
+    second.recover();
+    world.runtime.advance(1s);
+    REQUIRE(second.owned);
+    const uint64_t before = world.store.counts.gets;
+    world.runtime.advance(60s);
+    CHECK_FALSE(first.owned);
+    CHECK(second.owned);
+    CHECK(world.store.counts.gets - before <= 14);
+}
+
 TEST_CASE("values stay under a megabyte whatever the backlog")
 {
     World world;
@@ -212,7 +229,7 @@
 
 TEST_CASE("lost answers, late writes, outages, pauses and takeovers lose nothing that was acknowledged")
 {
-    LedgerTests::forEachSeed(400, [](uint64_t seed) {
+    LedgerTests::forEachSeed(1500, [](uint64_t seed) {
         CAPTURE(seed);
         World world(seed);
         world.settings.slotCount = 24;
--- a/Source/UnitTests/Membership/OwnershipScheduleTest.cpp
+++ b/Source/UnitTests/Membership/OwnershipScheduleTest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr uint64_t defaultSchedules = 3000;
+constexpr uint64_t defaultSchedules = 5000;
 
 uint64_t numberFromEnvironment(const char* name, uint64_t otherwise)
 {
--- a/Source/UnitTests/Node/NodeScheduleTest.cpp
+++ b/Source/UnitTests/Node/NodeScheduleTest.cpp
@@ -5,7 +5,6 @@
 #include <doctest/doctest.h>
 
 #include <iostream>
-#include <set>
 
 using NodeTests::NodeSchedule;
 
@@ -13,8 +12,6 @@
 
 /// About a minute of processor time.
 constexpr uint64_t defaultSchedules = 300;
-/// Listed with their fault in KNOWN-RED.txt; the whole run only prints them, a replay of one fails.
-const std::set<uint64_t> knownRed { 104 };
 
 void print(const std::vector<std::string>& lines)
 {
@@ -39,12 +36,6 @@
         if (replay)
             print(schedule.judge().trace());
         CAPTURE(seed);
-        if (!replay && knownRed.contains(seed)) {
-            MESSAGE("KNOWN RED seed " << seed << ": " << schedule.judge().violations().size() << " violations");
-            CHECK_MESSAGE(
-                !schedule.judge().violations().empty(), "seed " << seed << " is mended: take it off KNOWN-RED.txt");
-            return;
-        }
         for (const std::string& violation : schedule.judge().violations())
             CHECK_MESSAGE(false, "seed " << seed << ": " << violation);
     });
