Give syncs connections of their own

Cause: a sync waited behind up to 60 requests for a free connection to its worker, so that a worker full of requests could cost its owner the authority over it. Change: HttpWorker sends syncs over a client of its own. The test hangs a request on the only connection; with syncs on the requests' client it failed with a timeout (run with that one line changed back). Also mends the three lint findings of DaemonProcess.cpp.

--- a/Source/Core/Daemon/DaemonProcess.cpp
+++ b/Source/Core/Daemon/DaemonProcess.cpp
@@ -65,12 +65,14 @@
 struct DaemonProcess::Parts {
     explicit Parts(const Config::DaemonSettings& settings)
         : server(loop, serverLimits(settings),
-            [this](Http::Request request, Http::Server::Responder respond) { serve(std::move(request), respond); })
+            [this](
+                Http::Request request, const Http::Server::Responder& respond) { serve(std::move(request), respond); })
         , workerClient(loop, clientLimits(settings))
+        , syncClient(loop, clientLimits(settings))
         , peerClient(loop, clientLimits(settings))
         , storeClient(loop, clientLimits(settings))
         , store(storeClient, { .address = settings.storeAddress, .timeout = settings.storeTimeout })
-        , workers(workerClient)
+        , workers(workerClient, syncClient)
         , peers(peerClient)
         , forward(peerClient)
     {
@@ -85,6 +87,7 @@
     Common::Metrics metrics;
     Http::Server server;
     Http::Client workerClient;
+    Http::Client syncClient;
     Http::Client peerClient;
     Http::Client storeClient;
     Store::HttpStore store;
@@ -145,7 +148,7 @@
 Common::Result<uint16_t> DaemonProcess::start()
 {
     Parts& parts = *m_parts;
-    const Common::Result<uint16_t> port = parts.server.listen(m_settings.listenAddress);
+    Common::Result<uint16_t> port = parts.server.listen(m_settings.listenAddress);
     if (!port)
         return port;
     std::string address
--- a/Source/Core/Worker/HttpWorker.cpp
+++ b/Source/Core/Worker/HttpWorker.cpp
@@ -75,7 +75,7 @@
 void HttpWorker::sync(const std::string& address, const Scheduler::SyncRequest& request, Common::Duration timeout,
     Common::Callback<Scheduler::WorkerReport> callback)
 {
-    m_client.send(address, jsonPost("/sync", encodeSync(request)), timeout,
+    m_syncClient.send(address, jsonPost("/sync", encodeSync(request)), timeout,
         [callback = std::move(callback)](const Result<Http::Response>& response) {
             if (!response)
                 callback(response.reason());
--- a/Source/Core/Worker/HttpWorker.h
+++ b/Source/Core/Worker/HttpWorker.h
@@ -11,8 +11,10 @@
 
 class HttpWorker final : public Scheduler::WorkerPort {
 public:
-    explicit HttpWorker(Http::Client& client)
+    /// Syncs go over connections of their own: they never wait behind requests for a free one.
+    HttpWorker(Http::Client& client, Http::Client& syncClient)
         : m_client(client)
+        , m_syncClient(syncClient)
     {
     }
 
@@ -25,6 +27,7 @@
 
 private:
     Http::Client& m_client;
+    Http::Client& m_syncClient;
 };
 
 } // namespace Worker
--- a/Source/UnitTests/Worker/HttpWorkerTest.cpp
+++ b/Source/UnitTests/Worker/HttpWorkerTest.cpp
@@ -35,7 +35,8 @@
     Fixture()
         : server(loop, standInSettings())
         , client(loop, {})
-        , worker(client)
+        , syncClient(loop, {})
+        , worker(client, syncClient)
         , address("127.0.0.1:" + std::to_string(*server.listen("127.0.0.1:0")))
     {
     }
@@ -78,6 +79,7 @@
     Http::EventLoop loop;
     mutable StandIns::WorkerServer server;
     Http::Client client;
+    Http::Client syncClient;
     Worker::HttpWorker worker;
     std::string address;
 };
@@ -173,6 +175,22 @@
     CHECK(run(command).reason().code == ErrorCode::Timeout);
 }
 
+TEST_CASE_FIXTURE(Fixture, "A sync does not wait behind requests for a free connection")
+{
+    Http::Client oneConnection(loop, { .maximumConnectionsPerAddress = 1 });
+    Worker::HttpWorker busyWorker(oneConnection, syncClient);
+    bool answered = false;
+    auto command = runCommand("r#1", R"({"runMs":600000})");
+    command.timeout = std::chrono::hours(1);
+    busyWorker.run(address, command, [&](const auto&) { answered = true; });
+    REQUIRE(runUntil(loop, [&] { return server.calls("run") == 1; }));
+    std::optional<bool> synced;
+    busyWorker.sync(address, {}, longTimeout, [&](const auto& report) { synced = report.operator bool(); });
+    REQUIRE(runUntil(loop, [&] { return synced.has_value(); }));
+    CHECK(*synced);
+    CHECK_FALSE(answered);
+}
+
 TEST_CASE("An answer or refusal of another task proves nothing about this one")
 {
     Http::EventLoop loop;
@@ -185,7 +203,7 @@
     });
     const std::string address = "127.0.0.1:" + std::to_string(*server.listen("127.0.0.1:0"));
     Http::Client client(loop, {});
-    Worker::HttpWorker worker(client);
+    Worker::HttpWorker worker(client, client);
     Scheduler::RunCommand command;
     command.task = TaskId("r#1");
     command.timeout = longTimeout;
