--- a/Source/Core/Daemon/Node.h
+++ b/Source/Core/Daemon/Node.h
@@ -23,6 +23,7 @@
 #include "Policy/WorkerHealth.h"
 
 #include <functional>
+#include <set>
 
 namespace Daemon {
 
@@ -53,6 +54,7 @@
     void updateLoad();
     void awaitRequests(Common::MonoTime giveUpAt);
     void handOver();
+    void releaseWorkers();
 
     NodePorts m_ports;
     NodeSettings m_settings;
@@ -74,6 +76,8 @@
     Ledger::JobGateway m_gateway;
     Dispatch::RequestService m_requests;
     Dispatch::Evictor m_evictor;
+    /// Peers that the router knows of.
+    std::set<Common::DaemonId> m_routedPeers;
     bool m_draining = false;
     std::function<void()> m_drained;
     Common::Lifetime m_lifetime;
--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -156,8 +156,9 @@
     active->stage = Stage::Intent;
     const auto owner = m_parts.shards.assignedOwner(m_parts.shards.shardOf(active->request.id.value()));
     if (!owner) {
-        finish(active,
-            NotRun { { ErrorCode::NotOwner, "nobody keeps the ledger of this id now", m_settings.retryAfter } });
+        if (!askOwnerAgain(active))
+            finish(active,
+                NotRun { { ErrorCode::NotOwner, "nobody keeps the ledger of this id now", m_settings.retryAfter } });
         return;
     }
     if (owner->id == m_parts.membership.self().id) {
@@ -173,6 +174,21 @@
     forwardTo(active, owner->id, owner->address, true);
 }
 
+bool RequestService::askOwnerAgain(const ActivePointer& active)
+{
+    const Common::MonoTime now = m_context.runtime.now();
+    const Common::MonoTime patienceEnds = active->arrival + m_settings.ownerPatience;
+    // A daemon that was passed the request leaves the asking to the first one.
+    if (active->request.hops > 0 || now >= std::min(patienceEnds, active->deadline))
+        return false;
+    active->stage = Stage::Intent;
+    m_context.runtime.schedule(m_settings.ownerRetry, m_lifetime.guard([this, active] {
+        if (isActive(active))
+            beginIntent(active);
+    }));
+    return true;
+}
+
 void RequestService::onIntent(const ActivePointer& active, const Result<Ledger::IntentService::Verdict>& verdict)
 {
     using Ledger::IntentService;
@@ -183,7 +199,8 @@
         return;
     }
     if (!verdict) {
-        finish(active, NotRun { verdict.reason() });
+        if (verdict.reason().code != ErrorCode::NotOwner || !askOwnerAgain(active))
+            finish(active, NotRun { verdict.reason() });
     } else if (std::holds_alternative<IntentService::Fresh>(*verdict)) {
         active->ownsIntent = true;
         route(active);
@@ -198,45 +215,53 @@
 
 void RequestService::route(const ActivePointer& active)
 {
+    // A daemon that is about to stop still uses up the authority that it has.
     const bool roomHere = m_parts.placement.freeSlots() > static_cast<int64_t>(m_parts.queue.size());
-    if ((!roomHere || m_draining) && forwardToPeer(active))
-        return;
-    if (m_draining && active->request.hops == 0 && !active->ownsIntent) {
-        finish(active, NotRun { { ErrorCode::Draining, "this daemon is about to stop", m_settings.retryAfter } });
-        return;
-    }
-    enqueue(active);
+    if (roomHere || !forwardToPeer(active))
+        enqueue(active);
 }
 
-bool RequestService::forwardToPeer(const ActivePointer& active)
+std::optional<Scheduler::PeerInfo> RequestService::choosePeer(const ActiveRequest& active)
 {
     // The way to the owner of the id's ledger was one hop already.
-    const int maximumHops = m_settings.maximumHops + (active->ownsIntent ? 1 : 0);
-    if (active->request.hops >= maximumHops || active->forwardsTried >= m_settings.maximumForwards)
-        return false;
+    const int maximumHops = m_settings.maximumHops + (active.ownsIntent ? 1 : 0);
+    // A daemon that is about to stop has nowhere else to let a request wait.
+    const bool triedEnough = active.forwardsTried >= m_settings.maximumForwards && !m_draining;
+    if (active.request.hops >= maximumHops || triedEnough)
+        return std::nullopt;
     const Common::MonoTime now = m_context.runtime.now();
     Scheduler::PeerInfo self = m_parts.membership.self();
     self.freeSlots = 0;
     const Policy::RouteQuery query {
         .self = self,
         .peers = m_parts.membership.livePeers(),
-        .spill = active->profile.spill,
-        .bytes = forwardOverheadBytes + static_cast<int64_t>(active->request.body.size()),
-        .timeLeft = timeLeft(*active, now),
+        .spill = active.profile.spill,
+        .bytes = forwardOverheadBytes + static_cast<int64_t>(active.request.body.size()),
+        .timeLeft = timeLeft(active, now),
     };
-    for (const Policy::Router::Candidate& candidate : m_parts.router.choose(query, now, m_context.runtime.random())) {
-        if (candidate.scope == Policy::Router::Scope::Here)
-            continue;
-        const auto peer = m_parts.membership.find(candidate.daemon);
-        // A daemon that is about to stop would rather have its requests wait elsewhere.
-        if (!peer || peer->draining || (peer->freeSlots <= 0 && !m_draining))
-            continue;
-        if (candidate.scope == Policy::Router::Scope::OtherRegion && !m_parts.link.take(query.bytes, now))
-            continue;
-        forwardTo(active, peer->id, peer->address, false);
-        return true;
-    }
-    return false;
+    const auto candidates = m_parts.router.choose(query, now, m_context.runtime.random());
+    const auto first = [&](bool withRoom) -> std::optional<Scheduler::PeerInfo> {
+        for (const Policy::Router::Candidate& candidate : candidates) {
+            const auto peer = m_parts.membership.find(candidate.daemon);
+            const bool here = candidate.scope == Policy::Router::Scope::Here;
+            if (here || !peer || peer->draining || (peer->freeSlots > 0) != withRoom)
+                continue;
+            if (candidate.scope != Policy::Router::Scope::OtherRegion || m_parts.link.take(query.bytes, now))
+                return peer;
+        }
+        return std::nullopt;
+    };
+    const auto withRoom = first(true);
+    return withRoom || !m_draining ? withRoom : first(false);
+}
+
+bool RequestService::forwardToPeer(const ActivePointer& active)
+{
+    const auto peer = choosePeer(*active);
+    if (!peer)
+        return false;
+    forwardTo(active, peer->id, peer->address, false);
+    return true;
 }
 
 void RequestService::forwardTo(
@@ -276,6 +301,8 @@
     if (!isActive(active))
         return;
     active->forwardedTo.clear();
+    if (toOwner && notRun && notRun->reason.code == ErrorCode::NotOwner && askOwnerAgain(active))
+        return;
     // What did not run there may yet run elsewhere; only the owner of an id's ledger may judge a first run.
     if (notRun && !toOwner && timeLeft(*active, now) > Common::Duration::zero()) {
         route(active);
@@ -295,7 +322,9 @@
     active->stage = Stage::Queued;
     const Policy::AdmissionQueue::Offer offer = m_parts.queue.offer(toQueued(*active), m_context.runtime.now());
     if (const auto* const refused = std::get_if<Policy::AdmissionQueue::Refused>(&offer)) {
-        finish(active, NotRun { refused->failure });
+        // Little room here need not mean little room elsewhere.
+        if (!forwardToPeer(active))
+            finish(active, NotRun { refused->failure });
         return;
     }
     active->admitted = true;
@@ -313,8 +342,15 @@
         const auto next = m_parts.queue.takeNext(now);
         if (!next)
             break;
-        const auto active = m_active.find(next->id);
-        if (active != m_active.end() && !dispatch(active->second)) {
+        const auto found = m_active.find(next->id);
+        if (found == m_active.end())
+            continue;
+        // A copy, since the request may end, and leave the map, inside the call.
+        const ActivePointer active = found->second;
+        if (dispatch(active))
+            continue;
+        // The account shows room, but none that may be used now: a silent worker's, or one with other demands.
+        if (!forwardFromQueue(active)) {
             m_parts.queue.putBack(*next, now);
             break;
         }
@@ -323,14 +359,26 @@
     scheduleExpiry();
 }
 
+bool RequestService::forwardFromQueue(const ActivePointer& active)
+{
+    if (!forwardToPeer(active))
+        return false;
+    active->admitted = false;
+    m_parts.queue.onCompleted(
+        active->profile.name, active->service.team, Common::Duration::zero(), false, m_context.runtime.now());
+    return true;
+}
+
 void RequestService::dropExpired()
 {
     for (const Common::RequestId& id : m_parts.queue.dropExpired(m_context.runtime.now())) {
-        const auto active = m_active.find(id);
-        if (active == m_active.end())
+        const auto found = m_active.find(id);
+        if (found == m_active.end())
             continue;
-        active->second->admitted = false;
-        finish(active->second,
+        // A copy, since finish() takes the request out of the map.
+        const ActivePointer active = found->second;
+        active->admitted = false;
+        finish(active,
             NotRun { { ErrorCode::DeadlineUnreachable, "no worker came free in time", m_settings.retryAfter } });
     }
 }
@@ -411,7 +459,9 @@
 {
     const auto found = std::find_if(active->attempts.begin(), active->attempts.end(),
         [&](const ActiveRequest::Attempt& attempt) { return attempt.task == task; });
-    if (result)
+    if (result && found != active->attempts.end())
+        m_parts.pool.answered(task, m_context.runtime.now() - found->startedAt);
+    else if (result)
         m_parts.pool.ended(task);
     if (found == active->attempts.end() || !isActive(active)) {
         pump();
@@ -488,36 +538,48 @@
     }
     for (const auto& [active, task] : affected)
         onRun(active, task, lost);
+    tick();
 }
 
-void RequestService::onDeadline(const ActivePointer& active)
+void RequestService::tick()
 {
-    active->deadlineTimer.reset();
-    if (!isActive(active))
-        return;
-    const Failure passed { ErrorCode::DeadlinePassed, "the deadline has passed" };
-    // An intent that is still being written is taken back when its answer comes.
-    finish(active, NotRun { passed });
+    pump();
+    passOnQueue();
 }
 
-void RequestService::setDraining()
+void RequestService::passOnQueue()
 {
-    m_draining = true;
+    if (m_parts.placement.freeSlots() > 0 || m_parts.queue.empty())
+        return;
     std::vector<ActivePointer> queued;
     for (const auto& [id, active] : m_active) {
         if (active->stage == Stage::Queued)
             queued.push_back(active);
     }
     for (const ActivePointer& active : queued) {
-        const Common::MonoTime now = m_context.runtime.now();
-        if (!m_parts.queue.cancel(active->request.id, now))
+        const auto peer = choosePeer(*active);
+        // Where there is none for this one, there is hardly one for the rest: they keep their places.
+        if (!peer)
+            return;
+        if (!m_parts.queue.cancel(active->request.id, m_context.runtime.now()))
             continue;
         active->admitted = false;
-        if (!forwardToPeer(active))
-            enqueue(active);
+        forwardTo(active, peer->id, peer->address, false);
     }
 }
 
+void RequestService::onDeadline(const ActivePointer& active)
+{
+    active->deadlineTimer.reset();
+    if (!isActive(active))
+        return;
+    const Failure passed { ErrorCode::DeadlinePassed, "the deadline has passed" };
+    // An intent that is still being written is taken back when its answer comes.
+    finish(active, NotRun { passed });
+}
+
+void RequestService::setDraining() { m_draining = true; }
+
 bool RequestService::cancel(const Common::RequestId& id)
 {
     const auto found = m_active.find(id);
--- a/Source/Core/Dispatch/RequestService.h
+++ b/Source/Core/Dispatch/RequestService.h
@@ -11,10 +11,12 @@
 #include "Dispatch/RequestServiceSettings.h"
 #include "Ledger/IntentService.h"
 #include "Policy/RetryBudget.h"
+#include "Scheduler/PeerInfo.h"
 #include "Scheduler/RunAnswer.h"
 #include "Scheduler/ServiceContext.h"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace Ledger {
@@ -68,8 +70,10 @@
     void submit(IncomingRequest, OutcomeCallback);
     /// Gives the request up: its outcome comes at once. False when it isn't under way here.
     bool cancel(const Common::RequestId&);
+    /// Called now and then: what waits without room here may find some elsewhere.
+    void tick();
     size_t underWay() const { return m_active.size(); }
-    /// From now on requests go to peers, those that wait included; what is dispatched goes on.
+    /// From now on requests may wait at peers that have no room either, rather than here.
     void setDraining();
 
 private:
@@ -80,14 +84,22 @@
     ActivePointer makeActive(IncomingRequest, OutcomeCallback);
     bool join(const IncomingRequest&, OutcomeCallback&);
     void beginIntent(const ActivePointer&);
+    /// False when the request has waited long enough for its ledger's owner.
+    bool askOwnerAgain(const ActivePointer&);
     void onIntent(const ActivePointer&, const Common::Result<Ledger::IntentService::Verdict>&);
     void route(const ActivePointer&);
+    /// The peer to pass the request on to, if there is one; takes its bytes from the link's budget.
+    std::optional<Scheduler::PeerInfo> choosePeer(const ActiveRequest&);
     bool forwardToPeer(const ActivePointer&);
     void forwardTo(const ActivePointer&, const Common::DaemonId&, const std::string& address, bool toOwner);
     void onForwarded(
         const ActivePointer&, const Common::DaemonId&, bool toOwner, Common::MonoTime sentAt, const RequestOutcome&);
     void enqueue(const ActivePointer&);
     void pump();
+    /// Passes a request on that was taken from the queue.
+    bool forwardFromQueue(const ActivePointer&);
+    /// When the last worker is gone, what waits here goes to peers.
+    void passOnQueue();
     void dropExpired();
     void scheduleExpiry();
     /// False when no worker has room.
