--- a/Source/Core/Daemon/DaemonProcess.cpp
+++ b/Source/Core/Daemon/DaemonProcess.cpp
@@ -68,10 +68,11 @@
             [this](
                 Http::Request request, const Http::Server::Responder& respond) { serve(std::move(request), respond); })
         , workerClient(loop, clientLimits(settings))
+        , syncClient(loop, clientLimits(settings))
         , peerClient(loop, clientLimits(settings))
         , storeClient(loop, clientLimits(settings))
         , store(storeClient, { .address = settings.storeAddress, .timeout = settings.storeTimeout })
-        , workers(workerClient)
+        , workers(workerClient, syncClient)
         , peers(peerClient)
         , forward(peerClient)
     {
@@ -86,6 +87,7 @@
     Common::Metrics metrics;
     Http::Server server;
     Http::Client workerClient;
+    Http::Client syncClient;
     Http::Client peerClient;
     Http::Client storeClient;
     Store::HttpStore store;
