Let messages of the whole-node schedules come later than a start window

Without that the start-by check could be taken out unseen. In one step of ten messages now take up to 9 s.

--- a/Source/UnitTests/Node/NodeSchedule.h
+++ b/Source/UnitTests/Node/NodeSchedule.h
@@ -40,7 +40,7 @@
         configure();
         advance(std::chrono::seconds(12));
         for (size_t step = 0; step < stepCount; ++step) {
-            m_network.setMaximumDelay(std::chrono::milliseconds(below(5) == 0 ? 400 : 10));
+            m_network.setMaximumDelay(stepDelay());
             work();
             fault();
             advance(std::chrono::milliseconds(50 + below(2500)));
@@ -80,6 +80,13 @@
     static constexpr Common::Duration settleTime = std::chrono::seconds(150);
 
     uint64_t below(uint64_t bound) { return m_random() % bound; }
+    /// Now and then some messages come later than a start window.
+    std::chrono::milliseconds stepDelay()
+    {
+        if (below(10) == 0)
+            return std::chrono::seconds(9);
+        return std::chrono::milliseconds(below(5) == 0 ? 400 : 10);
+    }
     static Common::DomainId domainName(size_t domain) { return Common::DomainId("domain-" + std::to_string(domain)); }
 
     // ---- The cluster ----
