--- a/Source/UnitTests/Node/NodeScheduleTest.cpp
+++ b/Source/UnitTests/Node/NodeScheduleTest.cpp
@@ -1,5 +1,6 @@
 // Seeded random schedules of whole nodes. LC_SEED=n replays one with its trace, LC_SCHEDULES=n sets how many run.
 #include "Node/NodeSchedule.h"
+
 #include "Ledger/LedgerSeeds.h"
 
 #include <doctest/doctest.h>
