Believe a worker that goes on listing a task as running

A late or repeated tasks.release can end the account of a batch task that runs. The pool then hid the task's row in every later report, so its room was given away and the worker held 4 of 3 slots. Now a running row is hidden in one report only. Left: until the report after that the room still counts as free; a release should not end a task whose start was sent.

--- a/Source/Core/Dispatch/WorkerPool.cpp
+++ b/Source/Core/Dispatch/WorkerPool.cpp
@@ -141,7 +141,10 @@
     std::erase_if(kept.tasks, [&](const Scheduler::TaskReport& row) {
         if (!ended->second.contains(row.task))
             return false;
-        stillListed.insert(row.task);
+        // A report under way when the task ended may list it as running; one that comes after it must be believed,
+        // since a late or repeated release may have ended the account of a task that runs.
+        if (row.state != Scheduler::TaskState::Running)
+            stillListed.insert(row.task);
         return true;
     });
     if (stillListed.empty())
--- a/Source/UnitTests/Node/NodeScheduleTest.cpp
+++ b/Source/UnitTests/Node/NodeScheduleTest.cpp
@@ -14,7 +14,7 @@
 /// About a minute of processor time.
 constexpr uint64_t defaultSchedules = 300;
 /// Listed with their fault in KNOWN-RED.txt; the whole run only prints them, a replay of one fails.
-const std::set<uint64_t> knownRed { 6, 136, 222, 225, 252 };
+const std::set<uint64_t> knownRed { 222, 225, 252 };
 
 void print(const std::vector<std::string>& lines)
 {
