--- a/Source/Core/Dispatch/TaskPlaneService.cpp
+++ b/Source/Core/Dispatch/TaskPlaneService.cpp
@@ -296,6 +296,9 @@
         callback(place.reason());
         return;
     }
+    const auto placed = m_placed.find(reservation.task);
+    if (placed != m_placed.end())
+        placed->second.startSent = true;
     const Scheduler::StartCommand command {
         .task = reservation.task,
         .boot = reservation.boot,
@@ -318,8 +321,11 @@
 void TaskPlaneService::release(const Scheduler::Reservation& reservation)
 {
     if (reservation.owner == m_parts.membership.self().id) {
+        const auto placed = m_placed.find(reservation.task);
+        if (placed == m_placed.end() || placed->second.startSent)
+            return;
         m_parts.pool.ended(reservation.task);
-        m_placed.erase(reservation.task);
+        m_placed.erase(placed);
         return;
     }
     if (const auto owner = m_parts.membership.find(reservation.owner))
--- a/Source/Core/Dispatch/TaskPlaneService.h
+++ b/Source/Core/Dispatch/TaskPlaneService.h
@@ -78,6 +78,8 @@
     struct PlacedTask {
         Scheduler::TaskSpec spec;
         Common::MonoTime reservedAt;
+        /// Only a report or a refusal ends it from then on; a release that comes late does not.
+        bool startSent = false;
     };
     /// Null for tasks that were adopted from an earlier owner.
     const PlacedTask* placed(const Common::TaskId&) const;
