--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -496,10 +496,10 @@
         m_parts.health.recordOutcome(
             attempt.place.worker, active->service.name.value(), false, m_context.runtime.now());
     active->avoid.push_back(attempt.place.worker);
-    if (!active->attempts.empty())
-        return;
     if (!provedNotRun)
         active->mayHaveRun = true;
+    if (!active->attempts.empty())
+        return;
     if ((!active->mayHaveRun || active->idempotent) && mayRetry(*active, provedNotRun)) {
         if (!dispatch(active))
             waitAgain(active);
--- a/Source/UnitTests/Dispatch/RequestServiceTest.cpp
+++ b/Source/UnitTests/Dispatch/RequestServiceTest.cpp
@@ -98,6 +98,18 @@
     CHECK(world.lastUnknown() == ErrorCode::StartTooLate);
 }
 
+TEST_CASE("an unclear attempt counts also when it fails while another is under way")
+{
+    RequestWorld world;
+    world.submit("previews", "p");
+    const auto first = world.workers.take();
+    world.runtime.advance(milliseconds(1500));
+    const auto second = world.workers.take();
+    first.callback(Common::Failure { ErrorCode::ConnectionLost, "scripted" });
+    second.callback(Common::Failure { ErrorCode::StartTooLate, "scripted" });
+    CHECK(world.lastUnknown() == ErrorCode::StartTooLate);
+}
+
 TEST_CASE("an idempotent request moves on when its worker is lost, and a late answer of the first attempt is dropped")
 {
     RequestWorld world;
