Pass requests on from a daemon that has no workers, whatever the last summary says

Ruled out: the admission's estimate as such (with no worker nothing drains, and a newcomer behind another is refused). Change: a daemon without workers passes requests on to peers with room, else busy ones, else any; so does a retry that finds no room here.

--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -225,7 +225,8 @@
 {
     // The way to the owner of the id's ledger was one hop already.
     const int maximumHops = m_settings.maximumHops + (active.ownsIntent ? 1 : 0);
-    // A daemon that is about to stop has nowhere else to let a request wait.
+    // A daemon that is about to stop, or owns no worker, would rather have its requests wait elsewhere.
+    const bool noWaitingHere = m_draining || m_parts.placement.totalSlots() == 0;
     const bool triedEnough = active.forwardsTried >= m_settings.maximumForwards && !m_draining;
     if (active.request.hops >= maximumHops || triedEnough)
         return std::nullopt;
@@ -240,19 +241,34 @@
         .timeLeft = timeLeft(active, now),
     };
     const auto candidates = m_parts.router.choose(query, now, m_context.runtime.random());
-    const auto first = [&](bool withRoom) -> std::optional<Scheduler::PeerInfo> {
+    // By the last load summary, which lags: room, busy workers, or none that is known of.
+    enum class Load {
+        Room,
+        Busy,
+        Empty,
+    };
+    const auto loadOf = [](const Scheduler::PeerInfo& peer) {
+        if (peer.freeSlots > 0)
+            return Load::Room;
+        return peer.totalSlots > 0 ? Load::Busy : Load::Empty;
+    };
+    const auto first = [&](Load load) -> std::optional<Scheduler::PeerInfo> {
         for (const Policy::Router::Candidate& candidate : candidates) {
             auto peer = m_parts.membership.find(candidate.daemon);
             const bool here = candidate.scope == Policy::Router::Scope::Here;
-            if (here || !peer || peer->draining || (peer->freeSlots > 0) != withRoom)
+            if (here || !peer || peer->draining || loadOf(*peer) != load)
                 continue;
             if (candidate.scope != Policy::Router::Scope::OtherRegion || m_parts.link.take(query.bytes, now))
                 return peer;
         }
         return std::nullopt;
     };
-    auto withRoom = first(true);
-    return withRoom || !m_draining ? withRoom : first(false);
+    auto chosen = first(Load::Room);
+    for (const Load load : { Load::Busy, Load::Empty }) {
+        if (!chosen && noWaitingHere)
+            chosen = first(load);
+    }
+    return chosen;
 }
 
 bool RequestService::forwardToPeer(const ActivePointer& active)
@@ -363,7 +379,8 @@
 {
     if (!forwardToPeer(active))
         return false;
-    active->admitted = false;
+    if (!std::exchange(active->admitted, false))
+        return true;
     m_parts.queue.onCompleted(
         active->profile.name, active->service.team, Common::Duration::zero(), false, m_context.runtime.now());
     return true;
@@ -501,7 +518,7 @@
     if (!active->attempts.empty())
         return;
     if ((!active->mayHaveRun || active->idempotent) && mayRetry(*active, provedNotRun)) {
-        if (!dispatch(active))
+        if (!dispatch(active) && !forwardFromQueue(active))
             waitAgain(active);
         return;
     }
--- a/Source/UnitTests/Dispatch/RequestServiceTest.cpp
+++ b/Source/UnitTests/Dispatch/RequestServiceTest.cpp
@@ -277,6 +277,22 @@
     CHECK(world.workers.runsSent == 0);
 }
 
+TEST_CASE("a daemon without workers lets requests wait at a peer that has some, even busy ones")
+{
+    RequestWorld world(1, 0);
+    Scheduler::PeerInfo busy;
+    busy.id = Common::DaemonId("d2");
+    busy.address = "d2";
+    busy.totalSlots = 8;
+    world.members.seePeers({ busy });
+    for (const char* id : { "a", "b", "c" })
+        world.submit("previews", id);
+    CHECK(world.outcomes.empty());
+    REQUIRE(world.peers.forwards.size() == 3);
+    CHECK(world.peers.forwards[0].address == "d2");
+    CHECK(world.peers.forwards[0].request.hops == 1);
+}
+
 TEST_CASE("the bodies kept are bounded, whatever the callers do")
 {
     RequestWorld world(1, 1);
--- a/Source/UnitTests/Ledger/TestMembership.h
+++ b/Source/UnitTests/Ledger/TestMembership.h
@@ -27,6 +27,12 @@
     }
     void onChange(std::function<void()> action) override { m_listeners.push_back(std::move(action)); }
 
+    /// The daemon itself and these.
+    void seePeers(const std::vector<Scheduler::PeerInfo>& others)
+    {
+        m_peers = { m_self };
+        m_peers.insert(m_peers.end(), others.begin(), others.end());
+    }
     void see(const std::vector<std::string>& names)
     {
         m_peers.clear();
