--- a/Tools/bench_recovery.py
+++ b/Tools/bench_recovery.py
@@ -93,7 +93,9 @@
                 victim.resume()
             states = wait_jobs_ended(fleet, ids)
         faults = judge.faults(fleet)
-        attempts = [len(fleet.any_daemon().job(i)["attempts"]) for i in ids]
+        # A shard may be changing hands back to the daemon that woke up: ask until its owner answers.
+        rows = [fleets.wait_for(lambda i=i: fleet.any_daemon().job(i), 30, f"{i} is told") for i in ids]
+        attempts = [len(row["attempts"]) for row in rows]
         return {"seconds": (back - wall) / 1000, "resumed": sum(1 for n in attempts if n > 1),
                 "unknown": previews.count("unknown") + orders.count("unknown"),
                 "finished": sum(1 for s in states.values() if s == "finished"), "jobs": len(ids),
