--- a/Source/Core/Daemon/JobApi.cpp
+++ b/Source/Core/Daemon/JobApi.cpp
@@ -20,6 +20,7 @@
     constexpr uint64_t defaultListLimit = 100;
     constexpr uint64_t maximumListLimit = 10000;
     constexpr size_t maximumCancelledAtOnce = 10000;
+    constexpr Common::Duration submitRetryAfter = std::chrono::seconds(1);
 
     json jobToJson(const Ledger::JobStatus& status)
     {
@@ -67,9 +68,13 @@
         return;
     }
     m_node.jobs().submit(*submission, [this, reply](const Result<Ledger::JobService::Accepted>& accepted) {
-        if (!accepted)
-            reply(failureResponse(accepted.reason()));
-        else
+        if (!accepted) {
+            Failure told = accepted.reason();
+            // Whatever stands in the way now, the same key may be tried again.
+            if (!told.retryAfter && Common::httpStatus(told.code) >= 500)
+                told.retryAfter = submitRetryAfter;
+            reply(failureResponse(told));
+        } else
             replyWithJob(accepted->job.value(), accepted->known ? 200 : 201, reply);
     });
 }
