--- /dev/null
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -0,0 +1,443 @@
+// Batches, conflicts and unclear transactions of one cell.
+#include "Cells/CellCommitter.h"
+
+#include "Cells/StoreKeys.h"
+#include "Common/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cells {
+
+namespace {
+
+    /// Expected place, place and record.
+    constexpr size_t entriesOfAccept = 3;
+    /// Expected record of the cell, and the cell's workers.
+    constexpr size_t reservedEntries = 2;
+
+    bool nothingWasDone(Common::ErrorCode code)
+    {
+        return code == Common::ErrorCode::ConnectFailed || code == Common::ErrorCode::StoreUnavailable
+            || code == Common::ErrorCode::QuotaExceeded;
+    }
+
+    const Scheduler::StoreValue* findKey(const Conflict& conflict, const std::string& key)
+    {
+        const auto found = std::find_if(conflict.current.begin(), conflict.current.end(),
+            [&](const Scheduler::StoreValue& value) { return value.key == key; });
+        return found == conflict.current.end() ? nullptr : &*found;
+    }
+
+    Common::Failure failure(Common::ErrorCode code, const char* detail)
+    {
+        return Common::Failure { code, detail, std::nullopt };
+    }
+
+} // namespace
+
+CellCommitter::CellCommitter(Scheduler::Runtime& runtime, RecordStore& store, CellId cell, CellRecord record,
+    Common::StoreRevision fence, CommitterSettings settings, Hooks hooks)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_cell(std::move(cell))
+    , m_record(std::move(record))
+    , m_fence(fence)
+    , m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_confirmedAt(runtime.suspendAwareNow())
+{
+    m_runtime.schedule(m_settings.confirmInterval, m_lifetime.guard([this] { confirm(); }));
+}
+
+void CellCommitter::accept(const Common::JobId& job, std::string text, Common::Callback<AcceptOutcome> callback)
+{
+    if (m_stopped) {
+        callback(failure(Common::ErrorCode::NotOwner, "the cell has another owner"));
+        return;
+    }
+    const auto known = m_accepts.find(job);
+    if (known == m_accepts.end()) {
+        m_accepts.emplace(job, Accept { std::move(text), std::move(callback), m_runtime.now(), false });
+    } else {
+        // Its first caller has heard "unknown" and the write isn't settled yet.
+        known->second.callback = std::move(callback);
+        known->second.since = m_runtime.now();
+    }
+    gather(m_settings.urgentGather);
+    m_runtime.schedule(m_settings.acceptPatience, m_lifetime.guard([this] { expireAccepts(); }));
+}
+
+void CellCommitter::changed(const Common::JobId& job)
+{
+    if (m_stopped)
+        return;
+    m_changes[job];
+    gather(m_settings.lazyGather);
+}
+
+void CellCommitter::changedUrgently(const Common::JobId& job, Common::Callback<Common::Done> done)
+{
+    if (m_stopped) {
+        if (done)
+            done(failure(Common::ErrorCode::NotOwner, "the cell has another owner"));
+        return;
+    }
+    Change& change = m_changes[job];
+    if (done)
+        change.callbacks.push_back(std::move(done));
+    gather(m_settings.urgentGather);
+}
+
+void CellCommitter::forget(const Common::JobId& job)
+{
+    m_forgotten.push_back(job);
+    gather(m_settings.lazyGather);
+}
+
+void CellCommitter::setWorkers(std::string text, std::function<void()> written)
+{
+    m_workers = std::move(text);
+    m_workersWritten = std::move(written);
+    gather(m_settings.urgentGather);
+}
+
+void CellCommitter::release(std::function<void()> done)
+{
+    m_released = std::move(done);
+    if (m_stopped) {
+        finishRelease();
+        return;
+    }
+    gather(Common::Duration::zero());
+}
+
+void CellCommitter::stop()
+{
+    if (std::exchange(m_stopped, true))
+        return;
+    const auto accepts = std::exchange(m_accepts, {});
+    const auto changes = std::exchange(m_changes, {});
+    const auto batch = std::exchange(m_batch, {});
+    for (const auto& [job, accept] : accepts) {
+        if (!accept.callback)
+            continue;
+        const bool clear = !accept.unclear && !m_busy;
+        accept.callback(clear ? failure(Common::ErrorCode::NotOwner, "the cell has another owner")
+                              : failure(Common::ErrorCode::OutcomeUnknown, "the cell was lost during the write"));
+    }
+    const auto refuse = [](const std::map<Common::JobId, Change>& waiting) {
+        for (const auto& [job, change] : waiting) {
+            for (const auto& callback : change.callbacks)
+                callback(failure(Common::ErrorCode::OutcomeUnknown, "the cell was lost before the write was confirmed"));
+        }
+    };
+    refuse(changes);
+    refuse(batch.changes);
+    finishRelease();
+}
+
+bool CellCommitter::idle() const
+{
+    return m_accepts.empty() && m_changes.empty() && m_forgotten.empty() && !m_workers;
+}
+
+void CellCommitter::gather(Common::Duration delay)
+{
+    const Common::MonoTime due = m_runtime.now() + std::max(delay, m_pause);
+    if (m_flushTimer && m_flushDue <= due)
+        return;
+    if (m_flushTimer)
+        m_runtime.cancel(*m_flushTimer);
+    m_flushDue = due;
+    m_flushTimer = m_runtime.schedule(due - m_runtime.now(), m_lifetime.guard([this] {
+        m_flushTimer.reset();
+        flush();
+    }));
+}
+
+void CellCommitter::flush()
+{
+    if (m_busy || m_stopped)
+        return;
+    if (m_needsRewrite) {
+        rewriteRecord();
+        return;
+    }
+    if (idle()) {
+        if (m_released) {
+            m_record.released = true;
+            rewriteRecord();
+        }
+        return;
+    }
+    m_busy = true;
+    m_sentAt = m_runtime.suspendAwareNow();
+    m_store.commit(build(), m_lifetime.guard([this](const Common::Result<TransactionOutcome>& outcome) {
+        m_busy = false;
+        if (!m_stopped)
+            onOutcome(outcome);
+    }));
+}
+
+RecordTransaction CellCommitter::build()
+{
+    RecordTransaction transaction;
+    m_batch = Batch {};
+    transaction.expected.emplace_back(StoreKeys::cell(m_cell), m_fence);
+    size_t room = RecordStore::maximumEntries - reservedEntries;
+    if (m_workers) {
+        transaction.puts.push_back({ StoreKeys::cellWorkers(m_cell), *m_workers, {} });
+        m_batch.workers = m_workers;
+    }
+    for (const auto& [job, accept] : m_accepts) {
+        if (room < entriesOfAccept)
+            break;
+        transaction.expected.emplace_back(StoreKeys::jobPlace(job), Common::StoreRevision {});
+        transaction.puts.push_back({ StoreKeys::jobPlace(job), m_cell.value(), {} });
+        transaction.puts.push_back({ StoreKeys::job(m_cell, job), accept.text, {} });
+        m_batch.accepts.push_back(job);
+        room -= entriesOfAccept;
+    }
+    while (room > 0 && !m_changes.empty()) {
+        auto change = m_changes.extract(m_changes.begin());
+        if (const auto snapshot = m_hooks.snapshot(change.key())) {
+            transaction.puts.push_back({ StoreKeys::job(m_cell, change.key()), snapshot->text, {} });
+            m_batch.snapshots.emplace(change.key(), snapshot->changes);
+            --room;
+        }
+        m_batch.changes.insert(std::move(change));
+    }
+    while (room > 1 && !m_forgotten.empty()) {
+        const Common::JobId job = m_forgotten.back();
+        m_forgotten.pop_back();
+        transaction.removals.push_back(StoreKeys::jobPlace(job));
+        transaction.removals.push_back(StoreKeys::job(m_cell, job));
+        m_batch.forgotten.push_back(job);
+        room -= 2;
+    }
+    return transaction;
+}
+
+void CellCommitter::onOutcome(Common::Result<TransactionOutcome> outcome)
+{
+    if (!outcome) {
+        const bool unclear = !nothingWasDone(outcome.reason().code);
+        LC_WARN(Store, "event=commit-failed cell=" << m_cell.value() << " reason="
+                                                   << Common::errorName(outcome.reason().code) << " jobs="
+                                                   << m_batch.accepts.size() + m_batch.changes.size());
+        m_failing = true;
+        if (unclear) {
+            m_needsRewrite = true;
+            for (const Common::JobId& job : m_batch.accepts) {
+                if (const auto accept = m_accepts.find(job); accept != m_accepts.end())
+                    accept->second.unclear = true;
+            }
+        }
+        requeue();
+        retryLater();
+        expireAccepts();
+        return;
+    }
+    m_failing = false;
+    m_pause = {};
+    std::visit(
+        [this](const auto& answer) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(answer)>, Committed>)
+                onCommitted(answer.revision);
+            else
+                onConflict(answer);
+        },
+        *outcome);
+    if (!m_stopped && (!idle() || m_released))
+        gather(m_released ? Common::Duration::zero() : m_settings.urgentGather);
+}
+
+void CellCommitter::onCommitted(Common::StoreRevision)
+{
+    m_confirmedAt = m_sentAt;
+    const Batch batch = std::exchange(m_batch, {});
+    if (batch.workers && batch.workers == m_workers) {
+        m_workers.reset();
+        std::exchange(m_workersWritten, nullptr)();
+    }
+    for (const auto& [job, changes] : batch.snapshots)
+        m_hooks.committed(job, changes);
+    for (const Common::JobId& job : batch.accepts)
+        answer(job, AcceptOutcome(Accepted {}));
+    for (const auto& [job, change] : batch.changes) {
+        for (const auto& callback : change.callbacks)
+            callback(Common::Done {});
+    }
+}
+
+void CellCommitter::onConflict(const Conflict& conflict)
+{
+    const Scheduler::StoreValue* const cell = findKey(conflict, StoreKeys::cell(m_cell));
+    requeue();
+    if (!cell || cell->revision != m_fence) {
+        lose();
+        return;
+    }
+    m_confirmedAt = m_sentAt;
+    for (const auto& value : conflict.current) {
+        if (value.revision.value == 0 || &value == cell)
+            continue;
+        // The only other keys that transactions expect are places of jobs.
+        const Common::JobId job(value.key.substr(value.key.rfind('/') + 1));
+        if (value.value == m_cell.value())
+            answer(job, AcceptOutcome(Accepted {}));
+        else
+            answer(job, AcceptOutcome(KnownElsewhere { CellId(value.value) }));
+    }
+}
+
+void CellCommitter::answer(const Common::JobId& job, Common::Result<AcceptOutcome> outcome)
+{
+    auto accept = m_accepts.extract(job);
+    if (accept.empty())
+        return;
+    if (accept.mapped().callback)
+        accept.mapped().callback(std::move(outcome));
+    else if (outcome && std::holds_alternative<Accepted>(*outcome))
+        m_hooks.acceptedLate(job);
+}
+
+/// What the failed batch held is written again, as it is then.
+void CellCommitter::requeue()
+{
+    Batch batch = std::exchange(m_batch, {});
+    for (auto& [job, change] : batch.changes) {
+        auto& callbacks = m_changes[job].callbacks;
+        callbacks.insert(callbacks.end(), std::make_move_iterator(change.callbacks.begin()),
+            std::make_move_iterator(change.callbacks.end()));
+    }
+    m_forgotten.insert(m_forgotten.end(), batch.forgotten.begin(), batch.forgotten.end());
+}
+
+void CellCommitter::retryLater()
+{
+    m_pause = std::clamp(2 * m_pause, m_settings.firstPause, m_settings.longestPause);
+    gather(m_pause);
+}
+
+void CellCommitter::expireAccepts()
+{
+    const Common::MonoTime now = m_runtime.now();
+    std::vector<Common::JobId> refused;
+    for (auto& [job, accept] : m_accepts) {
+        const bool underWay
+            = m_busy && std::find(m_batch.accepts.begin(), m_batch.accepts.end(), job) != m_batch.accepts.end();
+        if (accept.unclear || underWay) {
+            // The caller hears at once that nobody knows; the write's fate is settled later.
+            const bool patient = now - accept.since < m_settings.unclearPatience;
+            if (accept.callback && !patient)
+                std::exchange(accept.callback, nullptr)(
+                    failure(Common::ErrorCode::OutcomeUnknown, "the store's answer to the write was lost"));
+            continue;
+        }
+        if (now - accept.since >= m_settings.acceptPatience)
+            refused.push_back(job);
+    }
+    for (const Common::JobId& job : refused) {
+        Common::Failure reason = failure(Common::ErrorCode::StoreUnavailable, "the store can't be written");
+        reason.retryAfter = std::chrono::seconds(1);
+        answer(job, reason);
+    }
+}
+
+void CellCommitter::rewriteRecord()
+{
+    m_busy = true;
+    m_sentAt = m_runtime.suspendAwareNow();
+    CellRecord rewritten = m_record;
+    ++rewritten.rewrites;
+    RecordTransaction transaction;
+    transaction.expected.emplace_back(StoreKeys::cell(m_cell), m_fence);
+    transaction.puts.push_back({ StoreKeys::cell(m_cell), rewritten.encode(), {} });
+    m_store.commit(
+        std::move(transaction), m_lifetime.guard([this](const Common::Result<TransactionOutcome>& outcome) {
+            m_busy = false;
+            if (!m_stopped)
+                onRewritten(outcome);
+        }));
+}
+
+void CellCommitter::onRewritten(Common::Result<TransactionOutcome> outcome)
+{
+    if (!outcome) {
+        m_failing = true;
+        expireAccepts();
+        if (m_record.released) {
+            // The successor takes over without it, only later.
+            stop();
+            return;
+        }
+        retryLater();
+        return;
+    }
+    m_failing = false;
+    m_pause = {};
+    if (const auto* const committed = std::get_if<Committed>(&*outcome)) {
+        m_fence = committed->revision;
+        ++m_record.rewrites;
+    } else {
+        // An earlier rewrite may have been carried out late.
+        const auto* const current = findKey(std::get<Conflict>(*outcome), StoreKeys::cell(m_cell));
+        const auto record = current ? CellRecord::decode(current->value) : CellRecord::decode("");
+        if (!record || record->owner != m_record.owner || record->token != m_record.token) {
+            lose();
+            return;
+        }
+        m_fence = current->revision;
+        m_record.rewrites = record->rewrites;
+        if (m_record.released && !record->released) {
+            rewriteRecord();
+            return;
+        }
+    }
+    m_confirmedAt = m_sentAt;
+    m_needsRewrite = false;
+    if (m_record.released) {
+        stop();
+        return;
+    }
+    // A submission whose caller has heard "unknown" isn't written anew: it stands if it was carried out.
+    flush();
+}
+
+void CellCommitter::confirm()
+{
+    m_runtime.schedule(m_settings.confirmInterval, m_lifetime.guard([this] { confirm(); }));
+    const Common::MonoTime now = m_runtime.suspendAwareNow();
+    if (m_stopped || m_busy || now - m_confirmedAt < m_settings.confirmInterval)
+        return;
+    m_store.get(StoreKeys::cell(m_cell), Freshness::Linearizable,
+        m_lifetime.guard([this, now](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+            if (m_stopped || m_busy || m_needsRewrite)
+                return;
+            m_failing = !found;
+            if (!found)
+                return;
+            const auto record = *found ? CellRecord::decode((*found)->value) : CellRecord::decode("");
+            if (!record || record->owner != m_record.owner || record->token != m_record.token)
+                lose();
+            else if ((*found)->revision == m_fence)
+                m_confirmedAt = std::max(m_confirmedAt, now);
+        }));
+}
+
+void CellCommitter::lose()
+{
+    LC_WARN(Jobs, "event=cell-lost cell=" << m_cell.value() << " token=" << m_record.token.value);
+    stop();
+    m_hooks.lost();
+}
+
+void CellCommitter::finishRelease()
+{
+    if (const auto released = std::exchange(m_released, nullptr))
+        released();
+}
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellCommitter.h
@@ -0,0 +1,127 @@
+// Writes what a cell's owner decides into the store, a batch at a time.
+#pragma once
+
+#include "Cells/AcceptOutcome.h"
+#include "Cells/CellRecord.h"
+#include "Cells/CommitterSettings.h"
+#include "Cells/RecordStore.h"
+#include "Common/Ids.h"
+#include "Common/Lifetime.h"
+#include "Common/Result.h"
+#include "Scheduler/Runtime.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cells {
+
+/// Every transaction expects the cell's record as this owner last wrote it. When the fate of one is unclear the record is
+/// rewritten first: after that the lost transaction can't be carried out any more, and its changes are written anew.
+/// Invariant: at most one transaction is under way.
+class CellCommitter {
+public:
+    struct Snapshot {
+        std::string text;
+        uint64_t changes = 0;
+    };
+    struct Hooks {
+        /// The job's record as of now; nothing when the job isn't known any more.
+        std::function<std::optional<Snapshot>(const Common::JobId&)> snapshot;
+        /// The store has the job as of that change.
+        std::function<void(const Common::JobId&, uint64_t changes)> committed;
+        /// A submission whose caller heard "unknown" turned out to be durable.
+        std::function<void(const Common::JobId&)> acceptedLate;
+        /// Another owner has the cell. Nothing is written any more.
+        std::function<void()> lost;
+    };
+
+    CellCommitter(Scheduler::Runtime&, RecordStore&, CellId, CellRecord, Common::StoreRevision, CommitterSettings, Hooks);
+
+    /// Writes the job's first record, unless a job of that id is there. Failures: StoreUnavailable and NotOwner mean that
+    /// it was not written and will not be; OutcomeUnknown that it may have been.
+    void accept(const Common::JobId&, std::string text, Common::Callback<AcceptOutcome>);
+    /// The job has changed; it is written soon.
+    void changed(const Common::JobId&);
+    /// The job has changed and somebody waits. `done` is called when the change is durable, or with the failure.
+    void changedUrgently(const Common::JobId&, Common::Callback<Common::Done> done);
+    /// Removes the records of a job that nobody asks for any more.
+    void forget(const Common::JobId&);
+    /// Replaces the record of the cell's workers.
+    void setWorkers(std::string text, std::function<void()> written);
+    /// Writes what is left, then marks the cell as released. `done` is called also when that fails.
+    void release(std::function<void()> done);
+    /// Nothing is written any more; who waits hears NotOwner.
+    void stop();
+
+    /// When the store last confirmed that the cell is ours, on the clock that counts suspended time.
+    Common::MonoTime confirmedAt() const { return m_confirmedAt; }
+    bool storeAnswers() const { return !m_failing; }
+    size_t waiting() const { return m_accepts.size() + m_changes.size(); }
+
+private:
+    struct Accept {
+        std::string text;
+        Common::Callback<AcceptOutcome> callback;
+        Common::MonoTime since;
+        /// A transaction with it had no answer.
+        bool unclear = false;
+    };
+    struct Change {
+        std::vector<Common::Callback<Common::Done>> callbacks;
+    };
+    struct Batch {
+        std::vector<Common::JobId> accepts;
+        std::map<Common::JobId, Change> changes;
+        std::map<Common::JobId, uint64_t> snapshots;
+        std::vector<Common::JobId> forgotten;
+        std::optional<std::string> workers;
+    };
+
+    void gather(Common::Duration);
+    void flush();
+    RecordTransaction build();
+    void onOutcome(Common::Result<TransactionOutcome>);
+    void onCommitted(Common::StoreRevision);
+    void onConflict(const Conflict&);
+    void requeue();
+    void retryLater();
+    void rewriteRecord();
+    void onRewritten(Common::Result<TransactionOutcome>);
+    void confirm();
+    void lose();
+    void expireAccepts();
+    void answer(const Common::JobId&, Common::Result<AcceptOutcome>);
+    void finishRelease();
+    bool idle() const;
+
+    Scheduler::Runtime& m_runtime;
+    RecordStore& m_store;
+    CellId m_cell;
+    CellRecord m_record;
+    Common::StoreRevision m_fence;
+    CommitterSettings m_settings;
+    Hooks m_hooks;
+    std::map<Common::JobId, Accept> m_accepts;
+    std::map<Common::JobId, Change> m_changes;
+    std::vector<Common::JobId> m_forgotten;
+    std::optional<std::string> m_workers;
+    std::function<void()> m_workersWritten;
+    Batch m_batch;
+    std::function<void()> m_released;
+    std::optional<Scheduler::TimerId> m_flushTimer;
+    Common::MonoTime m_flushDue;
+    Common::MonoTime m_confirmedAt;
+    /// When the call under way was sent.
+    Common::MonoTime m_sentAt;
+    Common::Duration m_pause {};
+    bool m_busy = false;
+    bool m_needsRewrite = false;
+    bool m_failing = false;
+    bool m_stopped = false;
+    Common::Lifetime m_lifetime;
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -0,0 +1,594 @@
+// Jobs, reports and the life of one cell.
+#include "Cells/CellEngine.h"
+
+#include "Common/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Cells {
+
+namespace {
+
+    constexpr Common::Duration sweepInterval = std::chrono::milliseconds(500);
+    /// Workers list at most this many ends at a time; a longer list may hide an end.
+    constexpr size_t listedEnds = 500;
+    /// A run whose progress stood still for this long is taken for stuck: two looks and the slack between them.
+    constexpr Common::Duration stuckAfter = std::chrono::milliseconds(3600);
+    /// Long-running tasks are at work after a short start-up; one that isn't after this long is moved.
+    constexpr Common::Duration startUpLimit = std::chrono::milliseconds(4500);
+    /// Tasks that save their progress are moved off a leaving worker when it may leave within this time.
+    constexpr Common::Duration evacuationTime = std::chrono::milliseconds(900);
+    constexpr uint32_t atWork = 100;
+    /// Looks come more often where backfill runs beside a service above this share of its target.
+    constexpr double closeTailRatio = 0.6;
+    constexpr int64_t microsecondsPerSecond = 1'000'000;
+
+    const char* endName(RunEnd end)
+    {
+        constexpr std::array<const char*, 6> names { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+        return names.at(static_cast<size_t>(end));
+    }
+
+    bool isRun(const LiveTask* task, const Common::WorkerId& worker, Common::AttemptNumber attempt)
+    {
+        return task && task->run && task->run->worker == worker && task->run->attempt == attempt;
+    }
+
+} // namespace
+
+CellEngine::CellEngine(Scheduler::Runtime& runtime, RecordStore& store, WorkerOrders& orders, CellId id,
+    const CellSettings& settings, Inheritance inheritance, std::function<void()> lost)
+    : m_runtime(runtime)
+    , m_id(std::move(id))
+    , m_token(inheritance.record.token)
+    , m_settings(settings)
+    , m_committer(runtime, store, m_id, inheritance.record, inheritance.fence, settings.commits,
+          CellCommitter::Hooks {
+              .snapshot = [this](const Common::JobId& job) -> std::optional<CellCommitter::Snapshot> {
+                  const LiveJob* const live = findJob(job);
+                  if (!live)
+                      return std::nullopt;
+                  return CellCommitter::Snapshot { live->toRecord().encode(), live->changes() };
+              },
+              .committed =
+                  [this](const Common::JobId& job, uint64_t changes) {
+                      if (LiveJob* const live = findJob(job))
+                          live->committed(changes);
+                  },
+              .acceptedLate =
+                  [this](const Common::JobId& job) {
+                      auto record = m_submitted.extract(job);
+                      if (!record.empty())
+                          addJob(std::move(record.mapped()), false);
+                  },
+              .lost = [this] { lose(); },
+          })
+    , m_workers(runtime, orders, m_token, settings,
+          CellWorkers::Hooks {
+              .report = [this](CellWorker& worker, const RunReport& report,
+                            Common::MonoTime askedAt) { onReport(worker, report, askedAt); },
+              .emptied = [this](CellWorker& worker, bool newLife) { onEmptied(worker, newLife); },
+              .fenced =
+                  [this] {
+                      LC_WARN(Jobs, "event=fenced cell=" << m_id.value() << " token=" << m_token.value);
+                      lose();
+                  },
+              .acknowledge = [this](CellWorker& worker) { acknowledge(worker); },
+              .mayGrant = [this] { return mayGrant(); },
+              .lookClosely = [this](const CellWorker& worker) { return lookClosely(worker); },
+          })
+    , m_lost(std::move(lost))
+{
+    for (Jobs::JobRecord& record : inheritance.jobs)
+        addJob(std::move(record), true);
+    for (const WorkerEntry& worker : inheritance.workers) {
+        m_inheritedWorkers.insert(worker.id);
+        m_workers.add(worker, false);
+    }
+    m_runtime.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
+}
+
+CellEngine::~CellEngine() = default;
+
+void CellEngine::listWorker(const WorkerEntry& entry)
+{
+    m_workers.add(entry, true);
+    m_health.add(entry.id);
+    writeWorkers();
+    placeSoon();
+}
+
+void CellEngine::unlistWorker(const Common::WorkerId& id) { m_workers.unlist(id); }
+
+/// The record of workers is durable before the first start on a new one.
+void CellEngine::writeWorkers()
+{
+    nlohmann::json rows = nlohmann::json::array();
+    std::set<Common::WorkerId> ids;
+    for (const auto& [id, worker] : m_workers.all()) {
+        rows.push_back(nlohmann::json::array({ id.value(), worker->entry().address }));
+        ids.insert(id);
+    }
+    std::string text = rows.dump();
+    if (text == m_writtenWorkers)
+        return;
+    m_writtenWorkers = text;
+    m_committer.setWorkers(std::move(text), m_lifetime.guard([this, ids = std::move(ids)] {
+        m_recordedWorkers = ids;
+        placeSoon();
+    }));
+}
+
+LiveJob* CellEngine::findJob(const Common::JobId& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+LiveJob& CellEngine::addJob(Jobs::JobRecord record, bool recovered)
+{
+    const Common::JobId id = record.id;
+    auto job = std::make_unique<LiveJob>(
+        std::move(record), recovered, m_runtime.now(), m_runtime.wallMilliseconds());
+    job->committed(job->changes());
+    placeSoon();
+    return *(m_jobs[id] = std::move(job));
+}
+
+void CellEngine::submit(Jobs::JobRecord record, Common::Callback<AcceptOutcome> callback)
+{
+    if (m_closed || m_releasing) {
+        callback(Common::Failure { Common::ErrorCode::NotOwner, "the cell is being handed over", std::nullopt });
+        return;
+    }
+    const Common::JobId id = record.id;
+    if (m_jobs.contains(id)) {
+        callback(AcceptOutcome(Accepted {}));
+        return;
+    }
+    auto& waiting = m_submissions[id];
+    waiting.push_back(std::move(callback));
+    if (waiting.size() > 1)
+        return;
+    std::string text = record.encode();
+    m_submitted[id] = std::move(record);
+    m_committer.accept(id, std::move(text), m_lifetime.guard([this, id](const Common::Result<AcceptOutcome>& outcome) {
+        const auto callbacks = m_submissions.extract(id);
+        if (!outcome && outcome.reason().code == Common::ErrorCode::OutcomeUnknown) {
+            LC_WARN(Jobs, "event=submission-unclear job=" << id.value() << " cell=" << m_id.value());
+        } else if (auto submitted = m_submitted.extract(id); !submitted.empty() && outcome
+                   && std::holds_alternative<Accepted>(*outcome)) {
+            LC_INFO(Jobs, "event=job-accepted job=" << id.value() << " cell=" << m_id.value()
+                                                    << " route=" << submitted.mapped().terms.route);
+            addJob(std::move(submitted.mapped()), false);
+        }
+        if (callbacks.empty())
+            return;
+        for (const auto& waitingCaller : callbacks.mapped())
+            waitingCaller(outcome);
+    }));
+}
+
+std::optional<Jobs::JobPhase> CellEngine::phase(const Common::JobId& id) const
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return std::nullopt;
+    const LiveJob& job = *found->second;
+    // What isn't durable could still be taken back by a successor.
+    if (isFinal(job.phase()) && !job.durable())
+        return Jobs::JobPhase::Running;
+    return job.phase();
+}
+
+void CellEngine::cancel(const Common::JobId& id, Common::Callback<Common::Done> callback)
+{
+    LiveJob* const job = findJob(id);
+    if (!job) {
+        const bool unclear = m_submitted.contains(id);
+        callback(Common::Failure { unclear ? Common::ErrorCode::StoreUnavailable : Common::ErrorCode::UnknownJob,
+            "the job isn't in this cell", std::nullopt });
+        return;
+    }
+    if (isFinal(job->phase())) {
+        if (job->durable())
+            callback(Common::Done {});
+        else
+            m_committer.changedUrgently(id, std::move(callback));
+        return;
+    }
+    LC_INFO(Jobs, "event=job-cancelled job=" << id.value() << " cell=" << m_id.value());
+    finishJob(*job, Jobs::JobPhase::Cancelled, std::move(callback));
+}
+
+void CellEngine::finishJob(LiveJob& job, Jobs::JobPhase phase, Common::Callback<Common::Done> callback)
+{
+    job.finish(phase, m_runtime.wallMilliseconds());
+    stopRunsOf(job.id());
+    m_committer.changedUrgently(job.id(), std::move(callback));
+}
+
+void CellEngine::changed(LiveJob& job) { m_committer.changed(job.id()); }
+
+void CellEngine::release(std::function<void()> done)
+{
+    m_releasing = true;
+    m_committer.release(std::move(done));
+}
+
+void CellEngine::lose()
+{
+    if (std::exchange(m_closed, true))
+        return;
+    m_workers.close();
+    m_committer.stop();
+    m_lost();
+}
+
+bool CellEngine::mayGrant() const
+{
+    return !m_closed && m_runtime.suspendAwareNow() - m_committer.confirmedAt() < m_settings.authority;
+}
+
+bool CellEngine::unheardWorkers() const
+{
+    const auto& workers = m_workers.all();
+    return std::any_of(workers.begin(), workers.end(), [this](const auto& row) {
+        return !row.second->heardFrom && m_inheritedWorkers.contains(row.first)
+            && !m_workers.surelyEmpty(*row.second);
+    });
+}
+
+void CellEngine::sweep()
+{
+    m_runtime.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
+    if (m_closed)
+        return;
+    const int64_t now = m_runtime.wallMilliseconds();
+    const auto retention = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.statusRetention).count();
+    for (auto row = m_jobs.begin(); row != m_jobs.end();) {
+        const LiveJob& job = *row->second;
+        const bool old = isFinal(job.phase()) && job.durable() && now - job.finishedMilliseconds() > retention;
+        if (old)
+            m_committer.forget(job.id());
+        row = old ? m_jobs.erase(row) : std::next(row);
+    }
+    for (const auto& [id, worker] : m_workers.all()) {
+        moveStuckRuns(*worker);
+        if (worker->entry().draining)
+            evacuate(*worker);
+    }
+    placeSoon();
+}
+
+// Reports.
+
+void CellEngine::onReport(CellWorker& worker, const RunReport& report, Common::MonoTime askedAt)
+{
+    if (report.unreadable > 0)
+        LC_WARN(Worker, "event=unreadable-rows worker=" << worker.id().value() << " rows=" << report.unreadable);
+    if (!worker.heardFrom) {
+        LC_INFO(Worker, "event=worker-ready worker=" << worker.id().value() << " cell=" << m_id.value() << " runs="
+                                                     << report.running.size() << " ends=" << report.ended.size());
+    }
+    for (const EndedTask& end : report.ended) {
+        if (end.number > worker.processedThrough)
+            onEnd(worker, end);
+    }
+    for (const RunningTask& running : report.running)
+        onRunning(worker, running);
+    vacateAbsent(worker, report, askedAt);
+    paceBackfill(worker);
+    placeSoon();
+}
+
+void CellEngine::onEnd(CellWorker& worker, const EndedTask& end)
+{
+    const RunKey run { end.task, end.attempt };
+    worker.processedThrough = end.number;
+    worker.vacate(run);
+    LiveJob* const job = findJob(end.task.job);
+    if (job && !isFinal(job->phase())) {
+        LC_INFO(Jobs, "event=run-ended run=" << runName(run) << " worker=" << worker.id().value()
+                                             << " end=" << endName(end.end) << " number=" << end.number);
+        if (isRun(job->find(end.task), worker.id(), end.attempt))
+            job->clearRun(end.task);
+        if (end.end == RunEnd::Done)
+            onDone(*job, end);
+        else if (end.end == RunEnd::Failed)
+            onFailed(*job, worker, end);
+        else
+            job->saveCheckpoint(end.task, end.checkpoint);
+        if (!job->durable())
+            changed(*job);
+    }
+    worker.pendingEnds.push_back({ end.number, end.task.job, job ? job->changes() : 0 });
+}
+
+void CellEngine::onDone(LiveJob& job, const EndedTask& end)
+{
+    // A run that was given up too early may have done the work; the one that replaced it is needless.
+    const LiveTask* const task = job.find(end.task);
+    std::optional<std::pair<Common::WorkerId, RunKey>> other;
+    if (task && task->run)
+        other.emplace(task->run->worker, RunKey { end.task, task->run->attempt });
+    if (!job.markDone(end.task))
+        return;
+    if (other) {
+        if (CellWorker* const worker = m_workers.find(other->first))
+            stopRun(*worker, other->second);
+    }
+    if (!job.complete())
+        return;
+    LC_INFO(Jobs, "event=job-completed job=" << job.id().value() << " cell=" << m_id.value());
+    finishJob(job, Jobs::JobPhase::Completed, nullptr);
+}
+
+void CellEngine::onFailed(LiveJob& job, CellWorker& worker, const EndedTask& end)
+{
+    if (LiveTask* const task = job.find(end.task))
+        task->avoid = worker.id();
+    noteOutcome(worker, job, false);
+    if (!job.markFailed(end.task, end.attempt))
+        return;
+    LC_INFO(Jobs, "event=job-failed job=" << job.id().value() << " task=" << runName({ end.task, end.attempt }));
+    finishJob(job, Jobs::JobPhase::Failed, nullptr);
+}
+
+void CellEngine::noteOutcome(CellWorker& worker, const LiveJob& job, bool ok)
+{
+    const auto verdict = m_health.recordOutcome(worker.id(), job.id().value(), ok, m_runtime.now());
+    if (verdict == Policy::WorkerHealth::Verdict::Ejected)
+        LC_WARN(Worker, "event=worker-ejected worker=" << worker.id().value() << " job=" << job.id().value());
+    else if (verdict == Policy::WorkerHealth::Verdict::Readmitted)
+        LC_INFO(Worker, "event=worker-readmitted worker=" << worker.id().value());
+}
+
+void CellEngine::onRunning(CellWorker& worker, const RunningTask& row)
+{
+    const RunKey run { row.task, row.attempt };
+    LiveJob* const job = findJob(row.task.job);
+    Occupant* occupant = worker.find(run);
+    if (!occupant) {
+        adopt(worker, row, job);
+        occupant = worker.find(run);
+    }
+    occupant->seen = true;
+    occupant->load = row.load;
+    if (!occupant->settledAt)
+        occupant->settledAt = m_runtime.now();
+    LiveTask* const task = job && !isFinal(job->phase()) ? job->find(row.task) : nullptr;
+    if (!isRun(task, worker.id(), row.attempt)) {
+        stopRun(worker, run);
+        return;
+    }
+    TaskRun& current = *task->run;
+    if (current.phase == RunPhase::Ordered)
+        current.phase = RunPhase::Running;
+    if (!current.confirmedAt)
+        current.confirmedAt = m_runtime.now();
+    if (row.percent > current.percent || (row.percent == atWork && job->stepSpec(row.task.step).longRunning)
+        || occupant->pace < atWork)
+        current.progressedAt = m_runtime.now();
+    current.percent = row.percent;
+    // Kept for a worker that falls silent; written with the job's next change.
+    if (!row.checkpoint.empty())
+        task->progress.checkpoint = row.checkpoint;
+}
+
+/// A run that this owner has no account of: an earlier owner started it, or it was given up too early.
+void CellEngine::adopt(CellWorker& worker, const RunningTask& row, LiveJob* job)
+{
+    const RunKey run { row.task, row.attempt };
+    const bool known = job && row.task.step < job->spec().steps.size();
+    Occupant occupant;
+    if (known)
+        occupant = occupantOf(job->stepSpec(row.task.step));
+    else
+        occupant.held = worker.entry().capacity;
+    worker.occupy(run, std::move(occupant));
+    LiveTask* const task = known && !isFinal(job->phase()) ? job->find(row.task) : nullptr;
+    LC_INFO(Jobs, "event=run-adopted run=" << runName(run) << " worker=" << worker.id().value()
+                                           << " wanted=" << (task && task->waiting()));
+    if (!task || !task->waiting())
+        return;
+    const Common::MonoTime now = m_runtime.now();
+    job->adoptRun(row.task, TaskRun { worker.id(), row.attempt, RunPhase::Running, now, now, row.percent, now });
+}
+
+void CellEngine::vacateAbsent(CellWorker& worker, const RunReport& report, Common::MonoTime askedAt)
+{
+    if (report.ended.size() >= listedEnds)
+        return;
+    std::set<RunKey> present;
+    for (const RunningTask& row : report.running)
+        present.insert(RunKey { row.task, row.attempt });
+    std::vector<RunKey> gone;
+    for (const auto& [run, occupant] : worker.occupants()) {
+        if (occupant.settledAt && *occupant.settledAt < askedAt && !present.contains(run))
+            gone.push_back(run);
+    }
+    for (const RunKey& run : gone) {
+        LC_INFO(Jobs, "event=run-absent run=" << runName(run) << " worker=" << worker.id().value());
+        dropRun(worker, run);
+    }
+}
+
+void CellEngine::dropRun(CellWorker& worker, const RunKey& run)
+{
+    worker.vacate(run);
+    LiveJob* const job = findJob(run.task.job);
+    if (job && isRun(job->find(run.task), worker.id(), run.attempt))
+        job->clearRun(run.task);
+}
+
+void CellEngine::onEmptied(CellWorker& worker, bool newLife)
+{
+    std::vector<RunKey> gone;
+    for (const auto& [run, occupant] : worker.occupants()) {
+        // An order without an answer could still be carried out in the new life; repeating it there settles that.
+        if (!newLife || occupant.seen || occupant.settledAt || occupant.stopping)
+            gone.push_back(run);
+    }
+    LC_WARN(Worker, "event=" << (newLife ? "worker-reborn" : "worker-lease-passed") << " worker="
+                             << worker.id().value() << " lost=" << gone.size());
+    for (const RunKey& run : gone)
+        dropRun(worker, run);
+    if (newLife) {
+        worker.processedThrough = 0;
+        worker.acknowledgedThrough = 0;
+        worker.pendingEnds.clear();
+    }
+    placeSoon();
+}
+
+/// Ends may be forgotten by the worker once what follows from them is durable.
+void CellEngine::acknowledge(CellWorker& worker)
+{
+    while (!worker.pendingEnds.empty()) {
+        const CellWorker::PendingEnd& end = worker.pendingEnds.front();
+        const LiveJob* const job = findJob(end.job);
+        if (job && job->committedChanges() < end.change)
+            return;
+        worker.acknowledgedThrough = end.number;
+        worker.pendingEnds.pop_front();
+    }
+}
+
+void CellEngine::stopRun(CellWorker& worker, const RunKey& run)
+{
+    Occupant* const occupant = worker.find(run);
+    if (!occupant || occupant->stopping)
+        return;
+    LC_INFO(Jobs, "event=run-stop run=" << runName(run) << " worker=" << worker.id().value());
+    if (LiveJob* const job = findJob(run.task.job)) {
+        LiveTask* const task = job->find(run.task);
+        if (isRun(task, worker.id(), run.attempt))
+            task->run->phase = RunPhase::Stopping;
+    }
+    m_workers.stop(worker, run, [this, id = worker.id(), run](const OrderAnswer&) {
+        CellWorker* const stopped = m_workers.find(id);
+        if (Occupant* const ending = stopped ? stopped->find(run) : nullptr)
+            ending->settledAt = m_runtime.now();
+    });
+}
+
+void CellEngine::stopRunsOf(const Common::JobId& id)
+{
+    for (const auto& [workerId, worker] : m_workers.all()) {
+        std::vector<RunKey> runs;
+        for (const auto& [run, occupant] : worker->occupants()) {
+            if (run.task.job == id)
+                runs.push_back(run);
+        }
+        for (const RunKey& run : runs)
+            stopRun(*worker, run);
+    }
+}
+
+void CellEngine::moveStuckRuns(CellWorker& worker)
+{
+    if (!worker.reachable)
+        return;
+    const Common::MonoTime now = m_runtime.now();
+    std::vector<RunKey> stuck;
+    for (const auto& [run, occupant] : worker.occupants()) {
+        LiveJob* const job = occupant.stopping || !occupant.seen ? nullptr : findJob(run.task.job);
+        const LiveTask* const task = job ? job->find(run.task) : nullptr;
+        if (!isRun(task, worker.id(), run.attempt))
+            continue;
+        const bool longRunning = job->stepSpec(run.task.step).longRunning;
+        if (longRunning && task->run->percent >= atWork)
+            continue;
+        if (now - task->run->progressedAt > (longRunning ? startUpLimit : stuckAfter))
+            stuck.push_back(run);
+    }
+    for (const RunKey& run : stuck) {
+        LiveJob& job = *findJob(run.task.job);
+        LC_WARN(Jobs, "event=run-stuck run=" << runName(run) << " worker=" << worker.id().value());
+        job.find(run.task)->avoid = worker.id();
+        noteOutcome(worker, job, false);
+        stopRun(worker, run);
+    }
+}
+
+void CellEngine::evacuate(CellWorker& worker)
+{
+    const Common::MonoTime leavesAt = worker.drainingSince + worker.entry().remaining;
+    const bool leavesSoon = leavesAt - m_runtime.now() < evacuationTime;
+    std::vector<RunKey> moved;
+    for (const auto& [run, occupant] : worker.occupants()) {
+        LiveJob* const job = occupant.stopping || !occupant.seen ? nullptr : findJob(run.task.job);
+        const LiveTask* const task = job ? job->find(run.task) : nullptr;
+        if (!isRun(task, worker.id(), run.attempt))
+            continue;
+        const Jobs::StepSpec& spec = job->stepSpec(run.task.step);
+        const bool saved = spec.checkpoints && leavesSoon;
+        if ((spec.longRunning || saved) && choose(*job, run.task, *task))
+            moved.push_back(run);
+    }
+    for (const RunKey& run : moved)
+        stopRun(worker, run);
+}
+
+bool CellEngine::lookClosely(const CellWorker& worker) const
+{
+    return worker.backfillMilliCores() > 0 && worker.worstTailRatio() > closeTailRatio;
+}
+
+void CellEngine::paceBackfill(CellWorker& worker)
+{
+    Policy::BackfillPacer& pacer = m_pacers[worker.id()];
+    const double ratio = worker.worstTailRatio();
+    pacer.observe(ratio, m_runtime.now());
+    std::vector<RunKey> runs;
+    for (const auto& [run, occupant] : worker.occupants()) {
+        const bool backfill = occupant.backfillMilliCores > 0 && occupant.seen && !occupant.stopping;
+        if (backfill && occupant.pace != pacer.pace())
+            runs.push_back(run);
+    }
+    if (runs.empty())
+        return;
+    LC_INFO(Worker, "event=backfill-paced worker=" << worker.id().value() << " tail-ratio=" << ratio
+                                                   << " pace=" << pacer.pace() << " runs=" << runs.size());
+    for (const RunKey& run : runs)
+        m_workers.pace(worker, run, pacer.pace());
+}
+
+CellLoad CellEngine::load() const
+{
+    CellLoad load;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!worker->listed || worker->entry().draining || !worker->reachable)
+            continue;
+        load.capacityMilliCores += worker->entry().capacity.milliCores;
+        load.freeMilliCores += worker->free().milliCores;
+        load.backfillMilliCores += worker->unusedMilliCores() - worker->backfillMilliCores();
+    }
+    for (const auto& [id, job] : m_jobs) {
+        if (isFinal(job->phase()))
+            continue;
+        if (!job->anyTaskStarted() && !job->spec().scheduled())
+            ++load.pending[job->terms().route];
+        addWaiting(*job, load);
+    }
+    return load;
+}
+
+void CellEngine::addWaiting(const LiveJob& job, CellLoad& load)
+{
+    for (const auto& [index, occurrence] : job.occurrences()) {
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const Jobs::StepSpec& spec = job.stepSpec(step);
+            const int64_t waiting = occurrence.steps[step].waitingCount * spec.request.milliCores
+                * spec.estimate.count() / microsecondsPerSecond;
+            (spec.backfill ? load.waitingBackfill : load.waitingRegular) += waiting;
+        }
+    }
+}
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellEngine.h
@@ -0,0 +1,140 @@
+// Runs the jobs of one cell: the part of its owner that decides what starts, where, and what follows from reports.
+#pragma once
+
+#include "Cells/AcceptOutcome.h"
+#include "Cells/CellCommitter.h"
+#include "Cells/CellId.h"
+#include "Cells/CellLoad.h"
+#include "Cells/CellSettings.h"
+#include "Cells/CellWorkers.h"
+#include "Cells/LiveJob.h"
+#include "Cells/WorkerChanges.h"
+#include "Common/Ids.h"
+#include "Common/Lifetime.h"
+#include "Common/Result.h"
+#include "Jobs/JobRecord.h"
+#include "Policy/BackfillPacer.h"
+#include "Policy/StartOrder.h"
+#include "Policy/WorkerHealth.h"
+#include "Scheduler/Runtime.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Cells {
+
+/// Exists from the takeover of a cell until it is released or lost.
+/// A run that may be on a worker is in that worker's occupants; a task has at most one run.
+class CellEngine {
+public:
+    /// What a successor has read of the cell.
+    struct Inheritance {
+        CellRecord record;
+        Common::StoreRevision fence;
+        std::vector<Jobs::JobRecord> jobs;
+        /// Workers on which tasks of the cell may run.
+        std::vector<WorkerEntry> workers;
+    };
+
+    CellEngine(Scheduler::Runtime&, RecordStore&, WorkerOrders&, CellId, const CellSettings&, Inheritance,
+        std::function<void()> lost);
+    ~CellEngine();
+
+    const CellId& id() const { return m_id; }
+    FencingToken token() const { return m_token; }
+
+    /// Brings the cell's part of the platform's list up to date.
+    void listWorker(const WorkerEntry&);
+    void unlistWorker(const Common::WorkerId&);
+
+    /// Accepts the job once it is durable.
+    void submit(Jobs::JobRecord, Common::Callback<AcceptOutcome>);
+    /// Nothing when the cell doesn't have the job.
+    std::optional<Jobs::JobPhase> phase(const Common::JobId&) const;
+    /// Done once the cancellation is durable, or the job was final already. UnknownJob when it isn't here.
+    void cancel(const Common::JobId&, Common::Callback<Common::Done>);
+    CellLoad load() const;
+
+    /// Starts nothing more, writes what is left and marks the cell as released.
+    void release(std::function<void()> done);
+
+private:
+    struct Candidate {
+        LiveJob* job = nullptr;
+        uint32_t occurrence = 0;
+        uint32_t step = 0;
+        Policy::StartRank rank;
+    };
+
+    // Reports.
+    void onReport(CellWorker&, const RunReport&, Common::MonoTime askedAt);
+    void onEnd(CellWorker&, const EndedTask&);
+    void onDone(LiveJob&, const EndedTask&);
+    void onFailed(LiveJob&, CellWorker&, const EndedTask&);
+    void onRunning(CellWorker&, const RunningTask&);
+    void adopt(CellWorker&, const RunningTask&, LiveJob*);
+    void vacateAbsent(CellWorker&, const RunReport&, Common::MonoTime askedAt);
+    void onEmptied(CellWorker&, bool newLife);
+    void dropRun(CellWorker&, const RunKey&);
+    void acknowledge(CellWorker&);
+    void noteOutcome(CellWorker&, const LiveJob&, bool ok);
+    void moveStuckRuns(CellWorker&);
+    void evacuate(CellWorker&);
+    void paceBackfill(CellWorker&);
+    bool lookClosely(const CellWorker&) const;
+
+    // Starts.
+    void placeSoon();
+    void place();
+    std::vector<Candidate> candidates();
+    void placeStep(const Candidate&, std::vector<Candidate>& blocked);
+    void placeGang(const Candidate&);
+    CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&);
+    void order(LiveJob&, const Jobs::TaskName&, CellWorker&, Common::AttemptNumber);
+    void onOrderAnswer(const Common::WorkerId&, const RunKey&, OrderVerdict);
+    bool mayGrant() const;
+    bool unheardWorkers() const;
+
+    // Jobs.
+    LiveJob* findJob(const Common::JobId&);
+    LiveJob& addJob(Jobs::JobRecord, bool recovered);
+    void finishJob(LiveJob&, Jobs::JobPhase, Common::Callback<Common::Done>);
+    void stopRun(CellWorker&, const RunKey&);
+    void stopRunsOf(const Common::JobId&);
+    void changed(LiveJob&);
+    void writeWorkers();
+    static void addWaiting(const LiveJob&, CellLoad&);
+    void sweep();
+    void lose();
+
+    Scheduler::Runtime& m_runtime;
+    CellId m_id;
+    FencingToken m_token;
+    const CellSettings& m_settings;
+    std::map<Common::JobId, std::unique_ptr<LiveJob>> m_jobs;
+    /// Submissions under way, with those who asked for the same id again.
+    std::map<Common::JobId, std::vector<Common::Callback<AcceptOutcome>>> m_submissions;
+    std::map<Common::JobId, Jobs::JobRecord> m_submitted;
+    std::map<Common::WorkerId, Policy::BackfillPacer> m_pacers;
+    Policy::WorkerHealth m_health;
+    CellCommitter m_committer;
+    CellWorkers m_workers;
+    /// Workers on which runs of an earlier owner may be.
+    std::set<Common::WorkerId> m_inheritedWorkers;
+    std::string m_writtenWorkers;
+    /// Workers that the store's record of the cell names: only these get runs.
+    std::set<Common::WorkerId> m_recordedWorkers;
+    std::function<void()> m_lost;
+    bool m_placingSoon = false;
+    bool m_releasing = false;
+    bool m_closed = false;
+    std::optional<Scheduler::TimerId> m_dueTimer;
+    Common::Lifetime m_lifetime;
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -0,0 +1,531 @@
+// Claims, releases and beats.
+#include "Cells/CellKeeper.h"
+
+#include "Cells/StoreKeys.h"
+#include "Common/Log.h"
+#include "Policy/OwnerChoice.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    constexpr Common::Duration storeRetry = std::chrono::milliseconds(400);
+    /// A first layout is written once workers are listed, or after this long without any.
+    constexpr Common::Duration layoutPatience = std::chrono::seconds(4);
+    constexpr Common::Duration layoutRetry = std::chrono::milliseconds(300);
+    /// Beats begin fast.
+    constexpr Common::Duration introduction = std::chrono::seconds(2);
+    /// For this long beats say that a cell was released.
+    constexpr Common::Duration releaseNews = std::chrono::seconds(2);
+    /// Beats name at most this many other hosts.
+    constexpr size_t namedHosts = 8;
+
+    std::vector<WorkerEntry> readWorkers(const std::optional<Scheduler::StoreValue>& record)
+    {
+        std::vector<WorkerEntry> workers;
+        if (!record)
+            return workers;
+        try {
+            for (const nlohmann::json& row : nlohmann::json::parse(record->value)) {
+                WorkerEntry entry;
+                entry.id = Common::WorkerId(row.at(0).get<std::string>());
+                entry.address = row.at(1).get<std::string>();
+                workers.push_back(std::move(entry));
+            }
+        } catch (const nlohmann::json::exception& error) {
+            LC_ERROR(Store, "event=unreadable-record key=" << record->key << " reason=" << error.what());
+        }
+        return workers;
+    }
+
+} // namespace
+
+/// A takeover under way.
+struct CellKeeper::Claim {
+    Common::MonoTime since;
+};
+
+CellKeeper::CellKeeper(Ports ports, const HostSettings& settings, const CellSettings& cellSettings)
+    : m_ports(ports)
+    , m_settings(settings)
+    , m_cellSettings(cellSettings)
+    , m_directory(settings)
+{
+}
+
+CellKeeper::~CellKeeper() = default;
+
+void CellKeeper::start()
+{
+    m_startedAt = m_ports.runtime.now();
+    m_startedWall = m_ports.runtime.wallMilliseconds();
+    m_ports.beats.onReceive([this](std::string_view text) { onBeat(text); });
+    readLayout();
+    beatRegularly();
+    tick();
+}
+
+void CellKeeper::readLayout()
+{
+    m_ports.store.get(StoreKeys::layout, Freshness::Linearizable,
+        m_lifetime.guard([this](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+            if (!found) {
+                m_ports.runtime.schedule(storeRetry, m_lifetime.guard([this] { readLayout(); }));
+                return;
+            }
+            const auto layout = *found ? CellLayout::decode((*found)->value) : CellLayout::decode("");
+            if (layout)
+                useLayout(*layout);
+            else
+                createLayout();
+        }));
+}
+
+void CellKeeper::createLayout()
+{
+    m_ports.workers.list(m_lifetime.guard([this](const Common::Result<WorkerChanges>& listed) {
+        const bool patient = m_ports.runtime.now() - m_startedAt < layoutPatience;
+        if (!listed || (listed->listed.empty() && patient)) {
+            m_ports.runtime.schedule(layoutRetry, m_lifetime.guard([this] { readLayout(); }));
+            return;
+        }
+        writeLayout(listed->listed);
+    }));
+}
+
+void CellKeeper::writeLayout(const std::vector<WorkerEntry>& workers)
+{
+    const CellLayout layout = CellLayout::forWorkers(m_settings.domains, workers, m_settings.workersPerCell);
+    RecordTransaction transaction;
+    transaction.expected.emplace_back(StoreKeys::layout, Common::StoreRevision {});
+    transaction.puts.push_back({ StoreKeys::layout, layout.encode(), {} });
+    m_ports.store.commit(std::move(transaction), m_lifetime.guard([this](const Common::Result<TransactionOutcome>&) {
+        // Whoever wrote it first: the record decides.
+        readLayout();
+    }));
+}
+
+void CellKeeper::useLayout(CellLayout layout)
+{
+    m_layout = std::move(layout);
+    LC_INFO(Core, "event=layout-known cells=" << m_layout.cells().size());
+}
+
+void CellKeeper::beatRegularly()
+{
+    const bool introducing = m_ports.runtime.now() - m_startedAt < introduction;
+    m_ports.runtime.schedule(introducing ? m_settings.firstBeatInterval : m_settings.beatInterval,
+        m_lifetime.guard([this] { beatRegularly(); }));
+    beat();
+}
+
+void CellKeeper::beat()
+{
+    const Common::MonoTime now = m_ports.runtime.now();
+    m_directory.expire(now);
+    std::erase_if(m_released, [now](const auto& row) { return now - row.second > releaseNews; });
+    HostBeat message;
+    message.id = m_settings.id;
+    message.address = m_settings.address;
+    message.beatAddress = m_settings.beatAddress;
+    message.domain = m_settings.domain;
+    message.region = m_settings.region;
+    message.weight = m_settings.weight;
+    message.startedMilliseconds = m_startedWall;
+    message.draining = m_draining;
+    message.storeAnswers = m_storeAnswers;
+    message.configVersion = m_configVersion;
+    for (const auto& [cell, engine] : m_engines) {
+        if (!m_releasing.contains(cell))
+            message.cells.push_back({ cell, engine->token(), engine->load() });
+    }
+    for (const auto& [cell, since] : m_released)
+        message.released.push_back(cell);
+    for (const HostBeat* const other : m_directory.live(now)) {
+        if (message.others.size() < namedHosts)
+            message.others.push_back(other->beatAddress);
+    }
+    const std::string text = message.encode();
+    for (const std::string& address : m_directory.beatAddresses())
+        m_ports.beats.send(address, text);
+}
+
+void CellKeeper::onBeat(std::string_view text)
+{
+    Common::Result<HostBeat> beat = HostBeat::decode(text);
+    if (!beat) {
+        LC_WARN(Peer, "event=unreadable-beat reason=" << beat.reason().detail);
+        return;
+    }
+    const Common::MonoTime now = m_ports.runtime.now();
+    if (!m_directory.alive(beat->id, now))
+        LC_INFO(Peer, "event=host-heard host=" << beat->id.value() << " address=" << beat->address);
+    for (HostBeat::OwnedCell& owned : beat->cells) {
+        Owner& owner = m_owners[owned.cell];
+        if (owned.token < owner.token)
+            continue;
+        owner = Owner { beat->id, beat->address, owned.token, std::move(owned.load), now, false };
+    }
+    for (const CellId& cell : beat->released) {
+        const auto owner = m_owners.find(cell);
+        if (owner != m_owners.end() && owner->second.id == beat->id)
+            owner->second.released = true;
+    }
+    if (m_onBeat)
+        m_onBeat(*beat);
+    m_directory.heard(std::move(*beat), now);
+}
+
+void CellKeeper::tick()
+{
+    m_ports.runtime.schedule(m_settings.tickInterval, m_lifetime.guard([this] { tick(); }));
+    if (m_draining)
+        return;
+    for (const CellId& cell : m_layout.cells()) {
+        if (m_engines.contains(cell))
+            considerHandOver(cell);
+        else if (!m_claims.contains(cell))
+            considerClaim(cell);
+    }
+}
+
+const CellKeeper::Owner* CellKeeper::liveOwner(const CellId& cell) const
+{
+    const auto owner = m_owners.find(cell);
+    if (owner == m_owners.end() || owner->second.released)
+        return nullptr;
+    const bool alive = m_ports.runtime.now() - owner->second.heardAt < m_settings.hostSilence
+        && !m_directory.replaced(owner->second.id);
+    return alive ? &owner->second : nullptr;
+}
+
+size_t CellKeeper::servedCells() const
+{
+    size_t served = m_engines.size();
+    for (const auto& [cell, owner] : m_owners)
+        served += !m_engines.contains(cell) && liveOwner(cell) ? 1 : 0;
+    return served;
+}
+
+CellEngine* CellKeeper::engine(const CellId& cell)
+{
+    const auto found = m_engines.find(cell);
+    return found == m_engines.end() ? nullptr : found->second.get();
+}
+
+Common::RegionId CellKeeper::regionOf(const Common::DomainId& domain) const
+{
+    if (m_settings.domain == domain)
+        return m_settings.region;
+    for (const HostBeat* const host : m_directory.live(m_ports.runtime.now())) {
+        if (host->domain == domain)
+            return host->region;
+    }
+    return {};
+}
+
+std::vector<size_t> CellKeeper::rank(const CellId& cell, std::vector<Common::DaemonId>& hosts) const
+{
+    const Common::DomainId domain = m_layout.domainOf(cell);
+    std::vector<Policy::OwnerCandidate> candidates;
+    const Common::RegionId regionOfCell = regionOf(domain);
+    // The name without the boot: a host that restarts gets the same cells again.
+    const auto add = [&](const Common::DaemonId& id, const std::string& address, const Common::DomainId& hostDomain,
+                         const Common::RegionId& region, int64_t weight, bool storeAnswers) {
+        hosts.push_back(id);
+        candidates.push_back({ address, weight, hostDomain == domain, region == regionOfCell, storeAnswers });
+    };
+    add(m_settings.id, m_settings.address, m_settings.domain, m_settings.region, m_settings.weight, m_storeAnswers);
+    for (const HostBeat* const host : m_directory.live(m_ports.runtime.now())) {
+        if (!host->draining)
+            add(host->id, host->address, host->domain, host->region, host->weight, host->storeAnswers);
+    }
+    return Policy::rankOwners(cell.value(), candidates);
+}
+
+bool CellKeeper::ownerless(const CellId& cell) const { return liveOwner(cell) == nullptr; }
+
+void CellKeeper::considerClaim(const CellId& cell)
+{
+    const Common::MonoTime now = m_ports.runtime.now();
+    if (!ownerless(cell) || now - m_startedAt < m_settings.startGrace) {
+        m_ownerlessSince.erase(cell);
+        return;
+    }
+    const Common::MonoTime since = m_ownerlessSince.try_emplace(cell, now).first->second;
+    std::vector<Common::DaemonId> hosts;
+    const std::vector<size_t> order = rank(cell, hosts);
+    const auto own = std::find_if(order.begin(), order.end(), [&](size_t index) { return hosts[index] == m_settings.id; });
+    const auto place = own - order.begin();
+    if (now - since >= place * m_settings.claimStagger)
+        claim(cell);
+}
+
+void CellKeeper::considerHandOver(const CellId& cell)
+{
+    if (m_releasing.contains(cell))
+        return;
+    const Common::MonoTime now = m_ports.runtime.now();
+    std::vector<Common::DaemonId> hosts;
+    const std::vector<size_t> order = rank(cell, hosts);
+    if (hosts[order.front()] == m_settings.id) {
+        m_betterOwnerSince.erase(cell);
+        return;
+    }
+    const Common::MonoTime since = m_betterOwnerSince.try_emplace(cell, now).first->second;
+    if (now - since < m_settings.handOverAfter || !m_releasing.empty())
+        return;
+    LC_INFO(Jobs, "event=cell-hand-over cell=" << cell.value() << " to=" << hosts[order.front()].value());
+    m_betterOwnerSince.erase(cell);
+    releaseCell(cell, [] { });
+}
+
+void CellKeeper::releaseCell(const CellId& cell, std::function<void()> done)
+{
+    m_releasing.insert(cell);
+    m_engines.at(cell)->release(m_lifetime.guard([this, cell, done = std::move(done)] {
+        m_released[cell] = m_ports.runtime.now();
+        LC_INFO(Jobs, "event=cell-released cell=" << cell.value());
+        forgetEngine(cell);
+        // The successor hears of it at once.
+        beat();
+        done();
+    }));
+}
+
+/// The engine may be what calls, so it goes a moment later.
+void CellKeeper::forgetEngine(const CellId& cell)
+{
+    auto engine = m_engines.extract(cell);
+    m_releasing.erase(cell);
+    if (engine.empty())
+        return;
+    std::shared_ptr<CellEngine> ending = std::move(engine.mapped());
+    m_ports.runtime.schedule(Common::Duration::zero(), [ending] { });
+}
+
+void CellKeeper::claim(const CellId& cell)
+{
+    m_claims.emplace(cell, Claim { m_ports.runtime.now() });
+    m_ports.store.get(StoreKeys::cell(cell), Freshness::Linearizable,
+        m_lifetime.guard([this, cell](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+            if (!found)
+                endClaim(cell, "the record can't be read");
+            else
+                onRecord(cell, *found);
+        }));
+}
+
+void CellKeeper::endClaim(const CellId& cell, const char* reason)
+{
+    LC_INFO(Jobs, "event=claim-ended cell=" << cell.value() << " reason=" << reason);
+    m_claims.erase(cell);
+    // The next try waits as long as the first did.
+    m_ownerlessSince.erase(cell);
+}
+
+void CellKeeper::onRecord(const CellId& cell, const std::optional<Scheduler::StoreValue>& found)
+{
+    if (m_draining) {
+        endClaim(cell, "draining");
+        return;
+    }
+    if (!found) {
+        writeClaim(cell, CellRecord { m_settings.id, m_settings.address, FencingToken { 1 }, 0, false }, {});
+        return;
+    }
+    const auto record = CellRecord::decode(found->value);
+    if (!record) {
+        LC_ERROR(Store, "event=unreadable-record key=" << found->key << " reason=" << record.reason().detail);
+        endClaim(cell, "the record can't be read");
+        return;
+    }
+    if (record->owner == m_settings.id && !record->released) {
+        // An earlier claim whose answer was lost.
+        inherit(cell, *record, found->revision);
+        return;
+    }
+    Owner& owner = m_owners[cell];
+    if (record->token > owner.token && !record->released && m_directory.alive(record->owner, m_ports.runtime.now())) {
+        owner = Owner { record->owner, record->address, record->token, {}, m_ports.runtime.now(), false };
+        endClaim(cell, "another host has it");
+        return;
+    }
+    writeClaim(cell,
+        CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false },
+        found->revision);
+}
+
+void CellKeeper::writeClaim(const CellId& cell, CellRecord record, Common::StoreRevision expected)
+{
+    RecordTransaction transaction;
+    transaction.expected.emplace_back(StoreKeys::cell(cell), expected);
+    transaction.puts.push_back({ StoreKeys::cell(cell), record.encode(), {} });
+    m_ports.store.commit(std::move(transaction),
+        m_lifetime.guard([this, cell, record](const Common::Result<TransactionOutcome>& outcome) {
+            const auto* const committed = outcome ? std::get_if<Committed>(&*outcome) : nullptr;
+            if (committed)
+                inherit(cell, record, committed->revision);
+            else
+                endClaim(cell, outcome ? "another host was faster" : "the claim had no answer");
+        }));
+}
+
+void CellKeeper::inherit(const CellId& cell, CellRecord record, Common::StoreRevision fence)
+{
+    LC_INFO(Jobs, "event=cell-claimed cell=" << cell.value() << " token=" << record.token.value);
+    m_ports.store.list(StoreKeys::jobs(cell), Freshness::Linearizable,
+        m_lifetime.guard([this, cell, record, fence](const Common::Result<RecordListing>& jobs) {
+            if (!jobs) {
+                endClaim(cell, "the jobs can't be read");
+                return;
+            }
+            CellEngine::Inheritance inheritance { record, fence, {}, {} };
+            for (const Scheduler::StoreValue& value : jobs->records) {
+                auto job = Jobs::JobRecord::decode(value.value);
+                if (job)
+                    inheritance.jobs.push_back(std::move(*job));
+                else
+                    LC_ERROR(Store, "event=unreadable-record key=" << value.key << " reason=" << job.reason().detail);
+            }
+            m_ports.store.get(StoreKeys::cellWorkers(cell), Freshness::Linearizable,
+                m_lifetime.guard([this, cell, inheritance = std::move(inheritance)](
+                                     const Common::Result<std::optional<Scheduler::StoreValue>>& workers) mutable {
+                    if (!workers) {
+                        endClaim(cell, "the workers can't be read");
+                        return;
+                    }
+                    inheritance.workers = readWorkers(*workers);
+                    own(cell, std::move(inheritance));
+                }));
+        }));
+}
+
+void CellKeeper::own(const CellId& cell, CellEngine::Inheritance inheritance)
+{
+    m_claims.erase(cell);
+    if (m_draining)
+        return;
+    m_ownerlessSince.erase(cell);
+    m_released.erase(cell);
+    const size_t jobs = inheritance.jobs.size();
+    const FencingToken token = inheritance.record.token;
+    auto engine = std::make_unique<CellEngine>(m_ports.runtime, m_ports.store, m_ports.orders, cell, m_cellSettings,
+        std::move(inheritance), m_lifetime.guard([this, cell] {
+            m_owners.erase(cell);
+            forgetEngine(cell);
+        }));
+    LC_INFO(Jobs, "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs);
+    m_engines[cell] = std::move(engine);
+    m_owners.erase(cell);
+    beat();
+    if (!m_watchingList) {
+        listWorkers();
+        return;
+    }
+    for (const auto& [id, entry] : m_listed)
+        listWorker(entry);
+}
+
+void CellKeeper::listWorkers()
+{
+    m_watchingList = true;
+    m_ports.workers.list(m_lifetime.guard([this](const Common::Result<WorkerChanges>& listed) {
+        if (!listed) {
+            m_ports.runtime.schedule(storeRetry, m_lifetime.guard([this] { listWorkers(); }));
+            return;
+        }
+        WorkerChanges changes = *listed;
+        std::set<Common::WorkerId> present;
+        for (const WorkerEntry& entry : changes.listed)
+            present.insert(entry.id);
+        for (const auto& [id, entry] : m_listed) {
+            if (!present.contains(id))
+                changes.removed.push_back(id);
+        }
+        // All entries are told anew: a cell may have been taken over since the last listing.
+        std::erase_if(m_listed, [&](const auto& row) { return present.contains(row.first); });
+        onWorkers(changes);
+        watchWorkers();
+    }));
+}
+
+void CellKeeper::watchWorkers()
+{
+    if (m_engines.empty() && m_claims.empty()) {
+        m_watchingList = false;
+        return;
+    }
+    m_ports.workers.watch(
+        m_listRevision, m_settings.listWait, m_lifetime.guard([this](const Common::Result<WorkerChanges>& changes) {
+            if (changes)
+                onWorkers(*changes);
+            const bool historyLost = !changes && changes.reason().code == Common::ErrorCode::HistoryLost;
+            m_ports.runtime.schedule(
+                changes ? m_settings.listPause : storeRetry, m_lifetime.guard([this, historyLost] {
+                    if (historyLost)
+                        listWorkers();
+                    else
+                        watchWorkers();
+                }));
+        }));
+}
+
+void CellKeeper::onWorkers(const WorkerChanges& changes)
+{
+    m_listRevision = changes.upTo;
+    for (const WorkerEntry& entry : changes.listed) {
+        WorkerEntry& known = m_listed[entry.id];
+        if (known == entry)
+            continue;
+        if (entry.draining && !known.draining)
+            LC_INFO(Worker, "event=worker-draining worker=" << entry.id.value());
+        known = entry;
+        listWorker(entry);
+    }
+    for (const Common::WorkerId& id : changes.removed) {
+        if (m_listed.erase(id) == 0)
+            continue;
+        LC_INFO(Worker, "event=worker-unlisted worker=" << id.value());
+        for (const auto& [cell, engine] : m_engines)
+            engine->unlistWorker(id);
+    }
+}
+
+void CellKeeper::listWorker(const WorkerEntry& entry)
+{
+    if (CellEngine* const owner = engine(m_layout.cellOf(entry)))
+        owner->listWorker(entry);
+}
+
+void CellKeeper::drain(std::function<void()> done)
+{
+    m_draining = true;
+    beat();
+    const auto left = std::make_shared<size_t>(m_engines.size());
+    if (m_engines.empty()) {
+        done();
+        return;
+    }
+    std::vector<CellId> cells;
+    for (const auto& [cell, engine] : m_engines)
+        cells.push_back(cell);
+    for (const CellId& cell : cells) {
+        if (m_releasing.contains(cell)) {
+            --*left;
+            continue;
+        }
+        releaseCell(cell, [left, done] {
+            if (--*left == 0)
+                done();
+        });
+    }
+    if (*left == 0)
+        done();
+}
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellKeeper.h
@@ -0,0 +1,125 @@
+// Which cells this host owns, and who owns the others.
+#pragma once
+
+#include "Cells/BeatPort.h"
+#include "Cells/CellEngine.h"
+#include "Cells/CellLayout.h"
+#include "Cells/CellSettings.h"
+#include "Cells/HostDirectory.h"
+#include "Cells/HostSettings.h"
+#include "Cells/RecordStore.h"
+#include "Cells/WorkerList.h"
+#include "Cells/WorkerOrders.h"
+#include "Common/Ids.h"
+#include "Common/Lifetime.h"
+#include "Scheduler/Runtime.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Cells {
+
+/// Hosts tell each other by beats what they own. Beats only steer who should try to own what; the cell's record in the
+/// store decides, and its token keeps a replaced owner from doing harm.
+class CellKeeper {
+public:
+    struct Ports {
+        Scheduler::Runtime& runtime;
+        RecordStore& store;
+        WorkerList& workers;
+        WorkerOrders& orders;
+        BeatPort& beats;
+    };
+    /// The owner of a cell as last heard of.
+    struct Owner {
+        Common::DaemonId id;
+        std::string address;
+        FencingToken token;
+        CellLoad load;
+        Common::MonoTime heardAt;
+        bool released = false;
+    };
+
+    CellKeeper(Ports, const HostSettings&, const CellSettings&);
+    ~CellKeeper();
+
+    void start();
+    /// Hands all cells over; takes none any more.
+    void drain(std::function<void()> done);
+
+    const CellLayout& layout() const { return m_layout; }
+    /// The cell's engine, when this host owns it.
+    CellEngine* engine(const CellId&);
+    const std::map<CellId, std::unique_ptr<CellEngine>>& engines() const { return m_engines; }
+    /// The owner of a cell of another host, if it is alive.
+    const Owner* liveOwner(const CellId&) const;
+    /// The region of a failure domain, as far as a live host there has told it.
+    Common::RegionId regionOf(const Common::DomainId&) const;
+    /// Cells with a live owner.
+    size_t servedCells() const;
+    HostDirectory& hosts() { return m_directory; }
+    void setConfigVersion(int64_t version) { m_configVersion = version; }
+    /// Whether the store answered this host lately.
+    void setStoreAnswers(bool answers) { m_storeAnswers = answers; }
+    /// Called for each beat of another host.
+    void onHostBeat(std::function<void(const HostBeat&)> hook) { m_onBeat = std::move(hook); }
+
+private:
+    struct Claim;
+
+    void readLayout();
+    void createLayout();
+    void writeLayout(const std::vector<WorkerEntry>&);
+    void useLayout(CellLayout);
+    void beatRegularly();
+    void beat();
+    void onBeat(std::string_view text);
+    void tick();
+    bool ownerless(const CellId&) const;
+    std::vector<size_t> rank(const CellId&, std::vector<Common::DaemonId>& hosts) const;
+    void considerClaim(const CellId&);
+    void considerHandOver(const CellId&);
+    void claim(const CellId&);
+    void onRecord(const CellId&, const std::optional<Scheduler::StoreValue>&);
+    void writeClaim(const CellId&, CellRecord, Common::StoreRevision expected);
+    void inherit(const CellId&, CellRecord, Common::StoreRevision fence);
+    void own(const CellId&, CellEngine::Inheritance);
+    void endClaim(const CellId&, const char* reason);
+    void releaseCell(const CellId&, std::function<void()> done);
+    void forgetEngine(const CellId&);
+    void listWorkers();
+    void watchWorkers();
+    void onWorkers(const WorkerChanges&);
+    void listWorker(const WorkerEntry&);
+
+    Ports m_ports;
+    const HostSettings& m_settings;
+    const CellSettings& m_cellSettings;
+    HostDirectory m_directory;
+    CellLayout m_layout;
+    std::map<CellId, Owner> m_owners;
+    std::map<CellId, std::unique_ptr<CellEngine>> m_engines;
+    std::map<CellId, Claim> m_claims;
+    /// Since when a cell has had no owner, and since when another host has been the first choice for one of ours.
+    std::map<CellId, Common::MonoTime> m_ownerlessSince;
+    std::map<CellId, Common::MonoTime> m_betterOwnerSince;
+    std::set<CellId> m_releasing;
+    std::map<CellId, Common::MonoTime> m_released;
+    std::map<Common::WorkerId, WorkerEntry> m_listed;
+    Common::StoreRevision m_listRevision;
+    bool m_watchingList = false;
+    bool m_listKnown = false;
+    Common::MonoTime m_startedAt;
+    int64_t m_startedWall = 0;
+    int64_t m_configVersion = -1;
+    bool m_storeAnswers = false;
+    bool m_draining = false;
+    std::function<void(const HostBeat&)> m_onBeat;
+    Common::Lifetime m_lifetime;
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellLoad.h
@@ -0,0 +1,25 @@
+// How full a cell is, as other hosts hear it.
+#pragma once
+
+#include "Common/Units.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Cells {
+
+struct CellLoad {
+    /// Thousandths of a core of all workers that take work.
+    int64_t capacityMilliCores = 0;
+    int64_t freeMilliCores = 0;
+    /// Unused processor time less what backfill runs would like of it.
+    int64_t backfillMilliCores = 0;
+    /// Work that waits, in thousandths of a core times seconds.
+    int64_t waitingRegular = 0;
+    int64_t waitingBackfill = 0;
+    /// Accepted jobs that no task of has started, by route.
+    std::map<std::string, uint32_t> pending;
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellPlacing.cpp
@@ -0,0 +1,254 @@
+// The part of a cell's owner that starts runs.
+#include "Cells/CellEngine.h"
+
+#include "Common/Log.h"
+#include "Policy/WorkerChoice.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    /// After an attempt number was refused as too old, this many are skipped: an earlier owner may have used some.
+    constexpr uint32_t skippedAttempts = 4;
+    constexpr Common::Duration malformedPause = std::chrono::seconds(1);
+
+    bool hasLabel(const WorkerEntry& entry, const std::string& label)
+    {
+        return label.empty() || std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
+    }
+
+    Policy::TaskNeed needOf(const Jobs::StepSpec& spec)
+    {
+        Policy::TaskNeed need;
+        need.request = spec.request;
+        need.backfill = spec.backfill;
+        need.serves = spec.longRunning && spec.latencyTarget > Common::Duration::zero();
+        need.maximumPerWorker = spec.maximumPerWorker;
+        return need;
+    }
+
+    uint32_t countOfStep(const CellWorker& worker, const Jobs::TaskName& task)
+    {
+        return static_cast<uint32_t>(
+            std::count_if(worker.occupants().begin(), worker.occupants().end(), [&](const auto& row) {
+                const Jobs::TaskName& other = row.first.task;
+                return other.job == task.job && other.occurrence == task.occurrence && other.step == task.step;
+            }));
+    }
+
+    bool sameShape(const Jobs::StepSpec& blocked, const Jobs::StepSpec& spec)
+    {
+        return blocked.backfill == spec.backfill && blocked.requiredLabel == spec.requiredLabel
+            && blocked.maximumPerWorker == 0 && Common::fits(blocked.request, spec.request);
+    }
+
+} // namespace
+
+void CellEngine::placeSoon()
+{
+    if (m_closed || std::exchange(m_placingSoon, true))
+        return;
+    m_runtime.schedule(m_settings.placingGather, m_lifetime.guard([this] {
+        m_placingSoon = false;
+        place();
+    }));
+}
+
+void CellEngine::place()
+{
+    if (m_closed || m_releasing || !mayGrant())
+        return;
+    std::vector<Candidate> ranked = candidates();
+    std::sort(ranked.begin(), ranked.end(), [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+    std::vector<Candidate> blocked;
+    for (const Candidate& candidate : ranked)
+        placeStep(candidate, blocked);
+}
+
+std::vector<CellEngine::Candidate> CellEngine::candidates()
+{
+    const Common::MonoTime now = m_runtime.now();
+    const int64_t wallNow = m_runtime.wallMilliseconds()
+        - std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.dueMargin).count();
+    const bool unheard = unheardWorkers();
+    std::vector<Candidate> found;
+    std::optional<int64_t> nextDue;
+    for (const auto& [id, job] : m_jobs) {
+        // Tasks of an earlier owner's jobs may run on a worker that hasn't been heard from yet.
+        if (isFinal(job->phase()) || (unheard && job->recovered()))
+            continue;
+        if (const auto due = job->openDue(now, wallNow); due && (!nextDue || *due < *nextDue))
+            nextDue = due;
+        for (const auto& [index, occurrence] : job->occurrences()) {
+            for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.steps[step].waitingCount == 0 || !job->startable(occurrence, step))
+                    continue;
+                Policy::StartStanding standing;
+                standing.priority = job->terms().priority;
+                standing.longRunning = job->stepSpec(step).longRunning;
+                standing.age = now - occurrence.countsFrom;
+                standing.objective = job->objective();
+                standing.remaining = job->remainingChain(occurrence);
+                found.push_back(Candidate { job.get(), index, step, Policy::rankStart(standing) });
+            }
+        }
+    }
+    if (m_dueTimer)
+        m_runtime.cancel(*m_dueTimer);
+    m_dueTimer.reset();
+    if (nextDue) {
+        m_dueTimer = m_runtime.schedule(
+            std::chrono::milliseconds(*nextDue - wallNow + 1), m_lifetime.guard([this] { placeSoon(); }));
+    }
+    return found;
+}
+
+void CellEngine::placeStep(const Candidate& candidate, std::vector<Candidate>& blocked)
+{
+    LiveJob& job = *candidate.job;
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    const bool hopeless = std::any_of(blocked.begin(), blocked.end(), [&](const Candidate& other) {
+        return other.job->terms().service == job.terms().service && sameShape(other.job->stepSpec(other.step), spec);
+    });
+    if (hopeless)
+        return;
+    if (spec.gang) {
+        placeGang(candidate);
+        return;
+    }
+    const Common::MonoTime now = m_runtime.now();
+    const size_t count = job.occurrences().at(candidate.occurrence).steps[candidate.step].tasks.size();
+    for (uint32_t index = 0; index < count; ++index) {
+        const LiveTask& task = job.occurrences().at(candidate.occurrence).steps[candidate.step].tasks[index];
+        if (!task.waiting() || task.notBefore > now)
+            continue;
+        const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
+        CellWorker* const worker = choose(job, name, task);
+        if (!worker) {
+            blocked.push_back(candidate);
+            return;
+        }
+        order(job, name, *worker, Common::AttemptNumber { task.progress.lastAttempt + 1 });
+    }
+}
+
+/// The members of a gang start together or not at all.
+void CellEngine::placeGang(const Candidate& candidate)
+{
+    LiveJob& job = *candidate.job;
+    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    if (step.waitingCount != step.tasks.size())
+        return;
+    uint32_t lastAttempt = 0;
+    for (const LiveTask& task : step.tasks) {
+        if (task.notBefore > m_runtime.now())
+            return;
+        lastAttempt = std::max(lastAttempt, task.progress.lastAttempt);
+    }
+    // Room is taken member by member, so that each choice sees those before it.
+    std::vector<std::pair<Jobs::TaskName, CellWorker*>> places;
+    const Common::AttemptNumber attempt { lastAttempt + 1 };
+    for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
+        CellWorker* const worker = choose(job, name, step.tasks[index]);
+        if (!worker) {
+            for (const auto& [placed, holder] : places)
+                holder->vacate(RunKey { placed, attempt });
+            return;
+        }
+        worker->occupy(RunKey { name, attempt }, occupantOf(job.stepSpec(candidate.step)));
+        places.emplace_back(name, worker);
+    }
+    for (const auto& [name, worker] : places)
+        order(job, name, *worker, attempt);
+}
+
+CellWorker* CellEngine::choose(const LiveJob& job, const Jobs::TaskName& name, const LiveTask& task)
+{
+    const Common::MonoTime now = m_runtime.now();
+    const Jobs::StepSpec& spec = job.stepSpec(name.step);
+    std::vector<CellWorker*> workers;
+    std::vector<Policy::WorkerOffer> offers;
+    for (const auto& [id, worker] : m_workers.all()) {
+        const WorkerEntry& entry = worker->entry();
+        const bool usable = worker->listed && !entry.draining && worker->reachable && worker->heardFrom
+            && worker->closedUntil <= now && m_recordedWorkers.contains(id);
+        if (!usable || entry.service != job.terms().service || !hasLabel(entry, spec.requiredLabel)
+            || !m_health.admits(id, now))
+            continue;
+        Policy::WorkerOffer offer;
+        offer.capacity = entry.capacity;
+        offer.free = worker->free();
+        offer.unusedMilliCores = worker->unusedMilliCores();
+        offer.backfillMilliCores = worker->backfillMilliCores();
+        offer.tailRatio = worker->worstTailRatio();
+        offer.serves = worker->serves();
+        const auto pacer = m_pacers.find(id);
+        offer.paced = pacer != m_pacers.end() && pacer->second.pace() < 100;
+        offer.nearData = spec.preferredRack.empty() || spec.preferredRack == entry.rack;
+        offer.avoided = task.avoid == id;
+        offer.sameStep = spec.maximumPerWorker > 0 ? countOfStep(*worker, name) : 0;
+        workers.push_back(worker.get());
+        offers.push_back(offer);
+    }
+    const auto chosen = Policy::chooseWorker(needOf(spec), offers);
+    return chosen ? workers[*chosen] : nullptr;
+}
+
+void CellEngine::order(LiveJob& job, const Jobs::TaskName& name, CellWorker& worker, Common::AttemptNumber attempt)
+{
+    const Common::MonoTime now = m_runtime.now();
+    const RunKey run { name, attempt };
+    const LiveTask& task = *job.find(name);
+    const RunOrder order { name, attempt, job.spec().payload, task.progress.checkpoint, {} };
+    LC_INFO(Jobs, "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value()
+                                           << " token=" << m_token.value);
+    worker.occupy(run, occupantOf(job.stepSpec(name.step)));
+    job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
+    m_health.recordStart(worker.id(), now);
+    m_workers.start(worker, order, [this, id = worker.id(), run](const OrderAnswer& answer) {
+        onOrderAnswer(id, run, answer.verdict);
+    });
+}
+
+void CellEngine::onOrderAnswer(const Common::WorkerId& id, const RunKey& run, OrderVerdict verdict)
+{
+    CellWorker* const worker = m_workers.find(id);
+    Occupant* const occupant = worker ? worker->find(run) : nullptr;
+    LiveJob* const job = findJob(run.task.job);
+    LiveTask* const task = job ? job->find(run.task) : nullptr;
+    if (!occupant)
+        return;
+    const Common::MonoTime now = m_runtime.now();
+    if (verdict == OrderVerdict::Accepted || verdict == OrderVerdict::OldAttempt) {
+        // An attempt that is too old has run, or never will: the next look tells which.
+        occupant->settledAt = now;
+        if (task && task->run && task->run->attempt == run.attempt) {
+            task->run->confirmedAt = now;
+            task->run->progressedAt = now;
+            if (verdict == OrderVerdict::OldAttempt)
+                task->progress.lastAttempt += skippedAttempts;
+            if (task->run->phase == RunPhase::Ordered)
+                task->run->phase = RunPhase::Running;
+        }
+        if (verdict == OrderVerdict::OldAttempt)
+            m_workers.lookSoon(id);
+        return;
+    }
+    LC_INFO(Jobs, "event=run-refused run=" << runName(run) << " worker=" << id.value() << " verdict=" << static_cast<int>(verdict));
+    if (verdict == OrderVerdict::NoRoom || verdict == OrderVerdict::Unhealthy)
+        worker->closedUntil = now + m_settings.refusalPause;
+    if (task && verdict == OrderVerdict::Malformed)
+        task->notBefore = now + malformedPause;
+    // An earlier copy of the order may still be carried out; a stop makes that impossible.
+    if (occupant->unclear && verdict != OrderVerdict::Late) {
+        stopRun(*worker, run);
+        return;
+    }
+    dropRun(*worker, run);
+    placeSoon();
+}
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CellWorker.h
@@ -0,0 +1,79 @@
+// One worker of a cell: what runs on it, what is left, and what it was granted.
+#pragma once
+
+#include "Cells/Occupant.h"
+#include "Cells/WorkerEntry.h"
+#include "Cells/WorkerLease.h"
+#include "Common/Resources.h"
+#include "Common/Units.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+
+namespace Cells {
+
+/// A run occupies the worker from before its order is sent until its end is listed, or it surely can't run any more.
+/// Invariant: `used()` is the sum of what the occupants hold.
+class CellWorker {
+public:
+    explicit CellWorker(WorkerEntry entry);
+
+    const WorkerEntry& entry() const { return m_entry; }
+    const Common::WorkerId& id() const { return m_entry.id; }
+    /// A new listing of the same life.
+    void update(WorkerEntry entry);
+
+    WorkerLease& lease() { return m_lease; }
+    const WorkerLease& lease() const { return m_lease; }
+
+    void occupy(const RunKey&, Occupant);
+    void vacate(const RunKey&);
+    void vacateAll();
+    Occupant* find(const RunKey&);
+    const std::map<RunKey, Occupant>& occupants() const { return m_occupants; }
+
+    const Common::Resources& used() const { return m_used; }
+    Common::Resources free() const;
+    /// Processor time that the other runs leave unused, as far as is known, in thousandths of a core.
+    int64_t unusedMilliCores() const;
+    int64_t backfillMilliCores() const { return m_backfillMilliCores; }
+    /// The worst of tail latency over its target among the runs that serve; 0 when none does.
+    double worstTailRatio() const;
+    bool serves() const;
+
+    /// An end that was processed but isn't acknowledged to the worker yet.
+    struct PendingEnd {
+        uint64_t number = 0;
+        Common::JobId job;
+        /// The job's change that must be durable first; 0: nothing has to be.
+        uint64_t change = 0;
+    };
+    std::deque<PendingEnd> pendingEnds;
+    /// Ends up to this number have been processed.
+    uint64_t processedThrough = 0;
+    uint64_t acknowledgedThrough = 0;
+
+    /// Listed by the platform and not leaving.
+    bool listed = true;
+    /// Answered the last look.
+    bool reachable = false;
+    /// Its lists were read since this owner took over.
+    bool heardFrom = false;
+    /// No new work before then, after it refused some.
+    Common::MonoTime closedUntil;
+    /// The life that was last heard from; 0: not told.
+    int64_t bornMilliseconds = 0;
+    Common::MonoTime lastHeard;
+    /// When a draining worker was first seen to be that.
+    Common::MonoTime drainingSince;
+
+private:
+    WorkerEntry m_entry;
+    WorkerLease m_lease;
+    std::map<RunKey, Occupant> m_occupants;
+    Common::Resources m_used;
+    int64_t m_backfillMilliCores = 0;
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/CommitterSettings.h
@@ -0,0 +1,24 @@
+// Pace of a cell's commits.
+#pragma once
+
+#include "Common/Units.h"
+
+namespace Cells {
+
+struct CommitterSettings {
+    /// Changes that somebody waits for are gathered this long, so that callers who come together share a write.
+    Common::Duration urgentGather = std::chrono::milliseconds(5);
+    /// Other changes wait this long: workers keep ends until then, and a successor reads them there.
+    Common::Duration lazyGather = std::chrono::milliseconds(150);
+    /// Pause after a call that did nothing; doubles up to `longestPause`.
+    Common::Duration firstPause = std::chrono::milliseconds(100);
+    Common::Duration longestPause = std::chrono::seconds(1);
+    /// A submission that could not be written for this long is refused: its caller can still go elsewhere.
+    Common::Duration acceptPatience = std::chrono::milliseconds(900);
+    /// A caller hears "unknown" when the fate of its write isn't known after this long.
+    Common::Duration unclearPatience = std::chrono::milliseconds(400);
+    /// How often ownership is confirmed when nothing else is written.
+    Common::Duration confirmInterval = std::chrono::seconds(2);
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/ConfigFollower.cpp
@@ -0,0 +1,102 @@
+// Watch on the operator's configuration.
+#include "Cells/ConfigFollower.h"
+
+#include "Common/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    constexpr const char* method = "config.text";
+    constexpr Common::Duration watchWait = std::chrono::seconds(15);
+    constexpr Common::Duration peerTimeout = std::chrono::milliseconds(800);
+    /// A change has to be in force within three seconds, also when the watch was broken off.
+    constexpr Common::Duration firstPause = std::chrono::milliseconds(200);
+    constexpr Common::Duration longestPause = std::chrono::milliseconds(800);
+
+} // namespace
+
+ConfigFollower::ConfigFollower(Scheduler::Runtime& runtime, ConfigSource& source, Scheduler::PeerPort& peers)
+    : m_runtime(runtime)
+    , m_source(source)
+    , m_peers(peers)
+{
+}
+
+void ConfigFollower::start()
+{
+    m_peers.serve(method, [this](const nlohmann::json&, const Scheduler::PeerPort::Reply& reply) {
+        reply(nlohmann::json { { "text", m_text } });
+    });
+    read();
+}
+
+void ConfigFollower::read()
+{
+    m_source.read(m_lifetime.guard([this](const Common::Result<ConfigText>& found) {
+        if (found) {
+            m_revision = found->upTo;
+            learn(found->text, "store");
+            m_pause = {};
+            watch();
+            return;
+        }
+        m_pause = std::clamp(2 * m_pause, firstPause, longestPause);
+        m_runtime.schedule(m_pause, m_lifetime.guard([this] { read(); }));
+    }));
+}
+
+void ConfigFollower::watch()
+{
+    m_source.watch(m_revision, watchWait, m_lifetime.guard([this](const Common::Result<ConfigText>& found) {
+        if (found) {
+            m_pause = {};
+            m_revision = std::max(m_revision, found->upTo);
+            learn(found->text, "store");
+            watch();
+            return;
+        }
+        // A change may have been missed while the watch was broken.
+        m_pause = std::clamp(2 * m_pause, firstPause, longestPause);
+        m_runtime.schedule(m_pause, m_lifetime.guard([this] { read(); }));
+    }));
+}
+
+void ConfigFollower::learn(const std::string& text, const char* source)
+{
+    if (text.empty())
+        return;
+    const auto decoded = m_source.decode(text);
+    if (!decoded) {
+        LC_ERROR(Config, "event=unreadable-config source=" << source << " reason=" << decoded.reason().detail);
+        return;
+    }
+    if (m_current && decoded->version <= m_current->version)
+        return;
+    LC_INFO(Config, "event=config-in-force version=" << decoded->version << " routes=" << decoded->routes.size()
+                                                     << " source=" << source);
+    m_current = std::make_shared<const ServingConfig>(*decoded);
+    m_text = text;
+    if (m_onChange)
+        m_onChange(*m_current);
+}
+
+void ConfigFollower::onBeat(const HostBeat& beat)
+{
+    const int64_t own = m_current ? m_current->version : -1;
+    if (beat.configVersion <= own || m_asking)
+        return;
+    m_asking = true;
+    m_peers.call(beat.address, method, nlohmann::json::object(), peerTimeout,
+        m_lifetime.guard([this](const Common::Result<nlohmann::json>& answer) {
+            m_asking = false;
+            if (answer && answer->contains("text"))
+                learn(answer->at("text").get<std::string>(), "host");
+        }));
+}
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/JobFront.cpp
@@ -0,0 +1,429 @@
+// Submissions, states and cancellations at any host.
+#include "Cells/JobFront.h"
+
+#include "Cells/StoreKeys.h"
+#include "Common/Log.h"
+#include "Policy/CellChoice.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr const char* submitMethod = "job.submit";
+    constexpr const char* phaseMethod = "job.phase";
+    constexpr const char* cancelMethod = "job.cancel";
+    /// One owner gets this long to accept a job; another may still take it within the caller's time.
+    constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
+    constexpr Common::Duration askTimeout = std::chrono::milliseconds(1000);
+    constexpr size_t mostTries = 3;
+    constexpr Common::Duration retryAfterNoOwner = std::chrono::seconds(1);
+    /// Places of jobs that a host remembers; a hundredth of a day's jobs of the largest fleet.
+    constexpr size_t rememberedPlaces = 4000;
+
+    Common::Failure failure(Common::ErrorCode code, std::string detail)
+    {
+        return Common::Failure { code, std::move(detail), std::nullopt };
+    }
+
+    /// The call may have been served although its answer is missing.
+    bool mayHaveHappened(Common::ErrorCode code)
+    {
+        using Common::ErrorCode;
+        return code == ErrorCode::Timeout || code == ErrorCode::ConnectionLost || code == ErrorCode::TruncatedAnswer
+            || code == ErrorCode::OutcomeUnknown || code == ErrorCode::ProtocolError || code == ErrorCode::Internal;
+    }
+
+    Policy::JobDemand demandOf(const Jobs::JobSpec& spec)
+    {
+        Policy::JobDemand demand;
+        for (const Jobs::StepSpec& step : spec.steps) {
+            int64_t& kind = step.backfill ? demand.backfill : demand.regular;
+            kind = std::max(kind, step.request.milliCores * step.taskCount);
+        }
+        return demand;
+    }
+
+    Common::Result<AcceptOutcome> acceptFromJson(const Json& answer)
+    {
+        if (answer.contains("elsewhere"))
+            return AcceptOutcome(KnownElsewhere { CellId(answer.at("elsewhere").get<std::string>()) });
+        return AcceptOutcome(Accepted {});
+    }
+
+} // namespace
+
+/// One submission on its way through the cells.
+struct JobFront::Submission {
+    Jobs::JobRecord record;
+    Policy::JobDemand demand;
+    Common::MonoTime deadline;
+    Common::Callback<Common::Done> callback;
+    std::set<CellId> tried;
+    bool unclear = false;
+};
+
+struct JobFront::Lookup {
+    Common::JobId job;
+    Common::Duration timeout {};
+    Common::Callback<Jobs::JobPhase> callback;
+};
+
+JobFront::JobFront(Scheduler::Runtime& runtime, RecordStore& store, Scheduler::PeerPort& peers, CellKeeper& keeper,
+    const HostSettings& settings)
+    : m_runtime(runtime)
+    , m_store(store)
+    , m_peers(peers)
+    , m_keeper(keeper)
+    , m_settings(settings)
+{
+}
+
+JobFront::~JobFront() = default;
+
+void JobFront::start()
+{
+    m_peers.serve(submitMethod,
+        [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveSubmit(params, reply); });
+    m_peers.serve(phaseMethod,
+        [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePhase(params, reply); });
+    m_peers.serve(cancelMethod,
+        [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveCancel(params, reply); });
+}
+
+// Calls of other hosts.
+
+void JobFront::serveSubmit(const Json& params, const Scheduler::PeerPort::Reply& reply)
+{
+    CellEngine* const engine = m_keeper.engine(CellId(params.value("cell", std::string {})));
+    if (!engine) {
+        reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
+        return;
+    }
+    auto record = Jobs::submissionFromJson(params.value("job", Json::object()));
+    if (!record) {
+        reply(record.reason());
+        return;
+    }
+    engine->submit(std::move(*record), [reply](const Common::Result<AcceptOutcome>& outcome) {
+        if (!outcome) {
+            reply(outcome.reason());
+            return;
+        }
+        Json answer = Json::object();
+        if (const auto* const elsewhere = std::get_if<KnownElsewhere>(&*outcome))
+            answer["elsewhere"] = elsewhere->cell.value();
+        reply(answer);
+    });
+}
+
+void JobFront::servePhase(const Json& params, const Scheduler::PeerPort::Reply& reply)
+{
+    const CellEngine* const engine = m_keeper.engine(CellId(params.value("cell", std::string {})));
+    if (!engine) {
+        reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
+        return;
+    }
+    const auto phase = engine->phase(Common::JobId(params.value("job", std::string {})));
+    if (!phase)
+        reply(failure(Common::ErrorCode::UnknownJob, "the cell doesn't have the job"));
+    else
+        reply(Json { { "phase", Jobs::phaseName(*phase) } });
+}
+
+void JobFront::serveCancel(const Json& params, const Scheduler::PeerPort::Reply& reply)
+{
+    CellEngine* const engine = m_keeper.engine(CellId(params.value("cell", std::string {})));
+    if (!engine) {
+        reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
+        return;
+    }
+    engine->cancel(
+        Common::JobId(params.value("job", std::string {})), [reply](const Common::Result<Common::Done>& outcome) {
+            if (outcome)
+                reply(Json::object());
+            else
+                reply(outcome.reason());
+        });
+}
+
+// Submissions.
+
+void JobFront::submit(Jobs::JobRecord record, Common::Duration timeout, Common::Callback<Common::Done> callback)
+{
+    auto submission = std::make_shared<Submission>();
+    submission->demand = demandOf(record.spec);
+    submission->record = std::move(record);
+    submission->deadline = m_runtime.now() + timeout;
+    submission->callback = std::move(callback);
+    tryCell(submission);
+}
+
+std::optional<CellId> JobFront::chooseCell(const Submission& submission) const
+{
+    std::vector<CellId> cells;
+    std::vector<Policy::CellOffer> offers;
+    const auto offer = [&](const CellId& cell, const CellLoad& load, Common::MonoTime heardAt) {
+        Sent& sent = m_sent[cell];
+        if (sent.loadHeardAt != heardAt)
+            sent = Sent { heardAt, 0, 0 };
+        Policy::CellOffer row;
+        row.capacity = load.capacityMilliCores;
+        row.free = load.freeMilliCores - sent.regular;
+        row.backfill = load.backfillMilliCores - sent.backfill;
+        row.waitingRegular = load.waitingRegular;
+        row.waitingBackfill = load.waitingBackfill;
+        const Common::DomainId domain = m_keeper.layout().domainOf(cell);
+        row.sameDomain = domain == m_settings.domain;
+        row.sameRegion = row.sameDomain || m_keeper.regionOf(domain) == m_settings.region;
+        cells.push_back(cell);
+        offers.push_back(row);
+    };
+    for (const CellId& cell : m_keeper.layout().cells()) {
+        if (submission.tried.contains(cell))
+            continue;
+        if (const CellEngine* const engine = m_keeper.engine(cell))
+            offer(cell, engine->load(), m_runtime.now());
+        else if (const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell))
+            offer(cell, owner->load, owner->heardAt);
+    }
+    const auto chosen = Policy::chooseCell(submission.demand, offers);
+    if (!chosen)
+        return std::nullopt;
+    m_sent[cells[*chosen]].regular += submission.demand.regular;
+    m_sent[cells[*chosen]].backfill += submission.demand.backfill;
+    return cells[*chosen];
+}
+
+void JobFront::tryCell(const std::shared_ptr<Submission>& submission)
+{
+    const bool timeLeft = m_runtime.now() < submission->deadline && submission->tried.size() < mostTries;
+    const std::optional<CellId> cell = timeLeft ? chooseCell(*submission) : std::nullopt;
+    if (!cell) {
+        if (submission->unclear) {
+            submission->callback(failure(Common::ErrorCode::OutcomeUnknown, "no owner's answer came in time"));
+            return;
+        }
+        Common::Failure refusal = failure(Common::ErrorCode::PeerUnavailable, "no cell can take the job now");
+        refusal.retryAfter = retryAfterNoOwner;
+        submission->callback(refusal);
+        return;
+    }
+    submission->tried.insert(*cell);
+    sendSubmission(*cell, *submission,
+        m_lifetime.guard([this, submission, cell = *cell](const Common::Result<AcceptOutcome>& outcome) {
+            onSubmitted(submission, cell, outcome);
+        }));
+}
+
+void JobFront::sendSubmission(
+    const CellId& cell, const Submission& submission, Common::Callback<AcceptOutcome> callback)
+{
+    if (CellEngine* const engine = m_keeper.engine(cell)) {
+        engine->submit(submission.record, std::move(callback));
+        return;
+    }
+    const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell);
+    const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission.record) } };
+    m_peers.call(owner->address, submitMethod, params,
+        std::min(submitTimeout, submission.deadline - m_runtime.now()),
+        [callback = std::move(callback)](const Common::Result<Json>& answer) {
+            if (!answer)
+                callback(answer.reason());
+            else
+                callback(acceptFromJson(*answer));
+        });
+}
+
+void JobFront::onSubmitted(const std::shared_ptr<Submission>& submission, const CellId& cell,
+    const Common::Result<AcceptOutcome>& outcome)
+{
+    const Common::JobId& job = submission->record.id;
+    if (outcome) {
+        const auto* const elsewhere = std::get_if<KnownElsewhere>(&*outcome);
+        remember(job, elsewhere ? elsewhere->cell : cell);
+        submission->callback(Common::Done {});
+        return;
+    }
+    const Common::ErrorCode code = outcome.reason().code;
+    LC_WARN(Jobs, "event=submission-failed job=" << job.value() << " cell=" << cell.value()
+                                                 << " reason=" << Common::errorName(code));
+    if (mayHaveHappened(code))
+        submission->unclear = true;
+    // The place in the store keeps a second cell from taking a job that the first one has written.
+    const bool refused = code == Common::ErrorCode::Overloaded || code == Common::ErrorCode::DeadlineUnreachable
+        || code == Common::ErrorCode::JobFitsNoWorker;
+    if (refused && !submission->unclear) {
+        submission->callback(outcome.reason());
+        return;
+    }
+    tryCell(submission);
+}
+
+// Places.
+
+void JobFront::remember(const Common::JobId& job, const CellId& cell)
+{
+    if (m_places.size() >= rememberedPlaces)
+        m_places.erase(m_places.begin());
+    m_places[job] = cell;
+}
+
+void JobFront::locate(const Common::JobId& job, Common::Callback<Place> callback)
+{
+    if (const auto known = m_places.find(job); known != m_places.end()) {
+        callback(Place(known->second));
+        return;
+    }
+    for (const auto& [cell, engine] : m_keeper.engines()) {
+        if (engine->phase(job)) {
+            callback(Place(cell));
+            return;
+        }
+    }
+    locateInStore(job, Freshness::Stale, std::move(callback));
+}
+
+void JobFront::locateInStore(const Common::JobId& job, Freshness freshness, Common::Callback<Place> callback)
+{
+    m_store.get(StoreKeys::jobPlace(job), freshness,
+        m_lifetime.guard([this, job, freshness, callback = std::move(callback)](
+                             const Common::Result<std::optional<Scheduler::StoreValue>>& found) mutable {
+            if (found && *found) {
+                const CellId cell((*found)->value);
+                remember(job, cell);
+                callback(Place(cell));
+            } else if (freshness == Freshness::Stale) {
+                // A stale read may be older than the job.
+                locateInStore(job, Freshness::Linearizable, std::move(callback));
+            } else if (found) {
+                callback(Place(std::nullopt));
+            } else {
+                callback(found.reason());
+            }
+        }));
+}
+
+// States.
+
+void JobFront::phase(const Common::JobId& job, Common::Duration timeout, Common::Callback<Jobs::JobPhase> callback)
+{
+    auto lookup = std::make_shared<Lookup>(Lookup { job, timeout, std::move(callback) });
+    locate(job, m_lifetime.guard([this, lookup](const Common::Result<Place>& place) {
+        if (!place)
+            lookup->callback(place.reason());
+        else if (!*place)
+            lookup->callback(failure(Common::ErrorCode::UnknownJob, "there is no such job"));
+        else
+            phaseAt(**place, lookup);
+    }));
+}
+
+void JobFront::phaseAt(const CellId& cell, const std::shared_ptr<Lookup>& lookup)
+{
+    if (const CellEngine* const engine = m_keeper.engine(cell)) {
+        if (const auto phase = engine->phase(lookup->job))
+            lookup->callback(*phase);
+        else
+            phaseFromStore(cell, lookup);
+        return;
+    }
+    const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell);
+    if (!owner) {
+        phaseFromStore(cell, lookup);
+        return;
+    }
+    const Json params { { "cell", cell.value() }, { "job", lookup->job.value() } };
+    m_peers.call(owner->address, phaseMethod, params, std::min(askTimeout, lookup->timeout),
+        m_lifetime.guard([this, cell, lookup](const Common::Result<Json>& answer) {
+            const auto phase
+                = answer ? Jobs::phaseFromName(answer->value("phase", std::string {})) : std::nullopt;
+            if (phase)
+                lookup->callback(*phase);
+            else
+                phaseFromStore(cell, lookup);
+        }));
+}
+
+/// The last durable state, when no owner can tell.
+void JobFront::phaseFromStore(const CellId& cell, const std::shared_ptr<Lookup>& lookup)
+{
+    m_store.get(StoreKeys::job(cell, lookup->job), Freshness::Linearizable,
+        m_lifetime.guard([lookup](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+            if (!found) {
+                lookup->callback(found.reason());
+                return;
+            }
+            if (!*found) {
+                lookup->callback(failure(Common::ErrorCode::UnknownJob, "the job's record has expired"));
+                return;
+            }
+            const auto record = Jobs::JobRecord::decode((*found)->value);
+            if (record)
+                lookup->callback(record->phase);
+            else
+                lookup->callback(record.reason());
+        }));
+}
+
+// Cancellations.
+
+void JobFront::cancel(const Common::JobId& job, Common::Duration timeout, Common::Callback<Common::Done> callback)
+{
+    locate(job,
+        m_lifetime.guard([this, job, timeout, callback = std::move(callback)](const Common::Result<Place>& place) {
+            if (!place)
+                callback(place.reason());
+            else if (!*place)
+                callback(failure(Common::ErrorCode::UnknownJob, "there is no such job"));
+            else
+                cancelAt(**place, job, timeout, callback);
+        }));
+}
+
+void JobFront::cancelAt(
+    const CellId& cell, const Common::JobId& job, Common::Duration timeout, Common::Callback<Common::Done> callback)
+{
+    if (CellEngine* const engine = m_keeper.engine(cell)) {
+        engine->cancel(job, std::move(callback));
+        return;
+    }
+    const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell);
+    if (!owner) {
+        Common::Failure refusal = failure(Common::ErrorCode::PeerUnavailable, "the job's cell has no owner now");
+        refusal.retryAfter = retryAfterNoOwner;
+        callback(refusal);
+        return;
+    }
+    const Json params { { "cell", cell.value() }, { "job", job.value() } };
+    m_peers.call(owner->address, cancelMethod, params, timeout,
+        [callback = std::move(callback)](const Common::Result<Json>& answer) {
+            if (answer)
+                callback(Common::Done {});
+            else
+                callback(answer.reason());
+        });
+}
+
+uint32_t JobFront::pending(const std::string& route) const
+{
+    uint32_t count = 0;
+    const auto add = [&](const CellLoad& load) {
+        const auto found = load.pending.find(route);
+        count += found == load.pending.end() ? 0 : found->second;
+    };
+    for (const CellId& cell : m_keeper.layout().cells()) {
+        if (const CellEngine* const engine = m_keeper.engine(cell))
+            add(engine->load());
+        else if (const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell))
+            add(owner->load);
+    }
+    return count;
+}
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -0,0 +1,247 @@
+// Progress of one job's occurrences, steps and tasks.
+#include "Cells/LiveJob.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    LiveStep emptyStep(const Jobs::StepSpec& spec)
+    {
+        LiveStep step;
+        step.tasks.resize(spec.taskCount);
+        step.waitingCount = spec.taskCount;
+        return step;
+    }
+
+    void restore(LiveStep& step, const std::vector<Jobs::TaskProgress>& progress)
+    {
+        const size_t known = std::min(step.tasks.size(), progress.size());
+        for (size_t index = 0; index < known; ++index) {
+            step.tasks[index].progress = progress[index];
+            if (progress[index].done) {
+                ++step.doneCount;
+                --step.waitingCount;
+            }
+        }
+    }
+
+} // namespace
+
+LiveJob::LiveJob(Jobs::JobRecord record, bool recovered, Common::MonoTime now, int64_t wallMilliseconds)
+    : m_record(std::move(record))
+    , m_recovered(recovered)
+{
+    const auto progress = std::exchange(m_record.progress, {});
+    const double stretched = m_record.terms.stretch * static_cast<double>(wholeChain().count());
+    m_objective = Common::Duration(static_cast<Common::Duration::rep>(stretched)) + m_record.terms.targetDuration;
+    m_begun = m_record.phase == Jobs::JobPhase::Running;
+    if (isFinal(m_record.phase))
+        return;
+    for (const auto& [occurrence, steps] : progress) {
+        LiveOccurrence restored = open(occurrence, now, wallMilliseconds);
+        for (size_t step = 0; step < std::min(steps.size(), restored.steps.size()); ++step)
+            restore(restored.steps[step], steps[step]);
+        m_occurrences.emplace(occurrence, std::move(restored));
+    }
+}
+
+LiveOccurrence LiveJob::open(uint32_t occurrence, Common::MonoTime now, int64_t wallMilliseconds) const
+{
+    LiveOccurrence opened;
+    for (const Jobs::StepSpec& spec : m_record.spec.steps)
+        opened.steps.push_back(emptyStep(spec));
+    const int64_t due
+        = m_record.spec.scheduled() ? m_record.spec.dueMilliseconds(occurrence) : m_record.acceptedMilliseconds;
+    // Wall clocks of hosts differ and may jump; an occurrence can't have begun in the future.
+    const int64_t age = std::max<int64_t>(0, wallMilliseconds - due);
+    opened.countsFrom = now - std::chrono::milliseconds(age);
+    return opened;
+}
+
+std::optional<int64_t> LiveJob::openDue(Common::MonoTime now, int64_t wallMilliseconds)
+{
+    if (isFinal(phase()))
+        return std::nullopt;
+    for (uint32_t occurrence = 0; occurrence < m_record.spec.occurrenceCount(); ++occurrence) {
+        if (m_record.finishedOccurrences.contains(occurrence) || m_occurrences.contains(occurrence))
+            continue;
+        if (const int64_t due = m_record.spec.dueMilliseconds(occurrence); due > wallMilliseconds)
+            return due;
+        m_occurrences.emplace(occurrence, open(occurrence, now, wallMilliseconds));
+    }
+    return std::nullopt;
+}
+
+LiveStep* LiveJob::stepOf(const Jobs::TaskName& name)
+{
+    const auto occurrence = m_occurrences.find(name.occurrence);
+    if (occurrence == m_occurrences.end() || name.step >= occurrence->second.steps.size())
+        return nullptr;
+    return &occurrence->second.steps[name.step];
+}
+
+LiveTask* LiveJob::find(const Jobs::TaskName& name)
+{
+    LiveStep* const step = stepOf(name);
+    return step && name.index < step->tasks.size() ? &step->tasks[name.index] : nullptr;
+}
+
+bool LiveJob::startable(const LiveOccurrence& occurrence, uint32_t step) const
+{
+    const std::vector<uint32_t>& after = m_record.spec.steps[step].after;
+    return std::all_of(
+        after.begin(), after.end(), [&](uint32_t earlier) { return occurrence.steps.at(earlier).complete(); });
+}
+
+void LiveJob::beginRun(const Jobs::TaskName& name, TaskRun run)
+{
+    LiveStep* const step = stepOf(name);
+    LiveTask& task = step->tasks.at(name.index);
+    task.progress.lastAttempt = std::max(task.progress.lastAttempt, run.attempt.value);
+    task.run = std::move(run);
+    --step->waitingCount;
+    m_begun = true;
+    m_record.phase = Jobs::JobPhase::Running;
+}
+
+void LiveJob::adoptRun(const Jobs::TaskName& name, TaskRun run)
+{
+    LiveTask* const task = find(name);
+    if (task && task->waiting())
+        beginRun(name, std::move(run));
+}
+
+void LiveJob::clearRun(const Jobs::TaskName& name)
+{
+    LiveStep* const step = stepOf(name);
+    if (!step || name.index >= step->tasks.size() || !step->tasks[name.index].run)
+        return;
+    step->tasks[name.index].run.reset();
+    if (!step->tasks[name.index].progress.done)
+        ++step->waitingCount;
+}
+
+bool LiveJob::markDone(const Jobs::TaskName& name)
+{
+    LiveStep* const step = stepOf(name);
+    if (!step || name.index >= step->tasks.size())
+        return false;
+    const bool gang = stepSpec(name.step).gang;
+    bool news = false;
+    for (uint32_t index = 0; index < step->tasks.size(); ++index) {
+        LiveTask& task = step->tasks[index];
+        if ((!gang && index != name.index) || task.progress.done)
+            continue;
+        if (task.waiting())
+            --step->waitingCount;
+        task.progress = Jobs::TaskProgress { .done = true, .lastAttempt = task.progress.lastAttempt };
+        ++step->doneCount;
+        news = true;
+    }
+    if (news) {
+        ++m_changes;
+        closeFinished(name.occurrence);
+    }
+    return news;
+}
+
+void LiveJob::closeFinished(uint32_t occurrence)
+{
+    const auto found = m_occurrences.find(occurrence);
+    const auto& steps = found->second.steps;
+    if (!std::all_of(steps.begin(), steps.end(), [](const LiveStep& step) { return step.complete(); }))
+        return;
+    m_record.finishedOccurrences.insert(occurrence);
+    m_occurrences.erase(found);
+}
+
+bool LiveJob::markFailed(const Jobs::TaskName& name, Common::AttemptNumber attempt)
+{
+    LiveTask* const task = find(name);
+    if (!task || task->progress.done)
+        return false;
+    const auto counted
+        = [attempt](const LiveTask& other) { return other.progress.lastFailedAttempt >= attempt.value; };
+    const std::vector<LiveTask>& members = stepOf(name)->tasks;
+    const bool known
+        = stepSpec(name.step).gang ? std::any_of(members.begin(), members.end(), counted) : counted(*task);
+    if (known)
+        return false;
+    task->progress.lastFailedAttempt = attempt.value;
+    ++task->progress.failures;
+    ++m_changes;
+    const bool limited = m_record.terms.maximumAttempts > 0 && !stepSpec(name.step).longRunning;
+    uint32_t failures = task->progress.failures;
+    if (stepSpec(name.step).gang) {
+        failures = 0;
+        for (const LiveTask& member : members)
+            failures += member.progress.failures;
+    }
+    return limited && failures >= m_record.terms.maximumAttempts;
+}
+
+void LiveJob::saveCheckpoint(const Jobs::TaskName& name, const std::string& checkpoint)
+{
+    LiveTask* const task = find(name);
+    if (!task || task->progress.done || checkpoint.empty() || task->progress.checkpoint == checkpoint)
+        return;
+    task->progress.checkpoint = checkpoint;
+    // Any member's checkpoint is valid for the whole gang, and all must resume from the same one.
+    if (stepSpec(name.step).gang) {
+        for (LiveTask& member : stepOf(name)->tasks)
+            member.progress.checkpoint = checkpoint;
+    }
+    ++m_changes;
+}
+
+bool LiveJob::complete() const { return m_record.finishedOccurrences.size() == m_record.spec.occurrenceCount(); }
+
+void LiveJob::finish(Jobs::JobPhase phase, int64_t wallMilliseconds)
+{
+    m_record.phase = phase;
+    m_record.finishedMilliseconds = wallMilliseconds;
+    m_occurrences.clear();
+    ++m_changes;
+}
+
+Common::Duration LiveJob::chainFrom(const LiveOccurrence* occurrence, uint32_t step) const
+{
+    // Steps come after earlier ones only, so one pass from the last to the first finds every chain.
+    const auto& steps = m_record.spec.steps;
+    std::vector<Common::Duration> chains(steps.size(), Common::Duration::zero());
+    Common::Duration longest {};
+    for (size_t index = steps.size(); index-- > step;) {
+        const bool done = occurrence && occurrence->steps[index].complete();
+        const Common::Duration own = chains[index] + (done ? Common::Duration::zero() : steps[index].estimate);
+        longest = std::max(longest, own);
+        for (const uint32_t earlier : steps[index].after)
+            chains[earlier] = std::max(chains[earlier], own);
+    }
+    return longest;
+}
+
+Common::Duration LiveJob::remainingChain(const LiveOccurrence& occurrence) const { return chainFrom(&occurrence, 0); }
+
+Common::Duration LiveJob::wholeChain() const { return chainFrom(nullptr, 0); }
+
+Jobs::JobRecord LiveJob::toRecord() const
+{
+    Jobs::JobRecord record = m_record;
+    for (const auto& [occurrence, live] : m_occurrences) {
+        Jobs::JobRecord::OccurrenceProgress steps;
+        for (const LiveStep& step : live.steps) {
+            std::vector<Jobs::TaskProgress> tasks;
+            for (const LiveTask& task : step.tasks)
+                tasks.push_back(task.progress);
+            steps.push_back(std::move(tasks));
+        }
+        record.progress.emplace(occurrence, std::move(steps));
+    }
+    return record;
+}
+
+void LiveJob::committed(uint64_t changes) { m_committedChanges = std::max(m_committedChanges, changes); }
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/LiveJob.h
@@ -0,0 +1,86 @@
+// A job in the memory of its cell's owner.
+#pragma once
+
+#include "Cells/LiveOccurrence.h"
+#include "Common/Units.h"
+#include "Jobs/JobRecord.h"
+#include "Jobs/TaskName.h"
+
+#include <cstdint>
+#include <map>
+
+namespace Cells {
+
+/// Keeps the progress of its tasks. Decides neither where nor when they run.
+/// Invariant: a job that is final has no occurrences.
+class LiveJob {
+public:
+    /// `recovered`: an earlier owner may have started tasks of the job.
+    LiveJob(Jobs::JobRecord record, bool recovered, Common::MonoTime now, int64_t wallMilliseconds);
+
+    const Common::JobId& id() const { return m_record.id; }
+    const Jobs::JobTerms& terms() const { return m_record.terms; }
+    const Jobs::JobSpec& spec() const { return m_record.spec; }
+    Jobs::JobPhase phase() const { return m_record.phase; }
+    int64_t finishedMilliseconds() const { return m_record.finishedMilliseconds; }
+    bool recovered() const { return m_recovered; }
+    const std::map<uint32_t, LiveOccurrence>& occurrences() const { return m_occurrences; }
+    std::map<uint32_t, LiveOccurrence>& occurrences() { return m_occurrences; }
+
+    /// Begins the occurrences that are due at the wall clock time; yields when the next one is due.
+    std::optional<int64_t> openDue(Common::MonoTime now, int64_t wallMilliseconds);
+    /// Null when the occurrence isn't open or there is no such task.
+    LiveTask* find(const Jobs::TaskName&);
+    const Jobs::StepSpec& stepSpec(uint32_t step) const { return m_record.spec.steps.at(step); }
+    /// Whether the tasks of the step may start: all that it comes after is done.
+    bool startable(const LiveOccurrence&, uint32_t step) const;
+    bool anyTaskStarted() const { return m_begun; }
+
+    /// A run is ordered. The task must be waiting.
+    void beginRun(const Jobs::TaskName&, TaskRun);
+    /// A run that an earlier owner started, or that was given up too early, is there.
+    void adoptRun(const Jobs::TaskName&, TaskRun);
+    /// The task's run is gone; it waits again, unless it is done.
+    void clearRun(const Jobs::TaskName&);
+    /// One run ended well; for a gang that ends the whole step. True when it was news.
+    bool markDone(const Jobs::TaskName&);
+    /// One run failed. True when the job has failed with it.
+    bool markFailed(const Jobs::TaskName&, Common::AttemptNumber);
+    void saveCheckpoint(const Jobs::TaskName&, const std::string& checkpoint);
+    void finish(Jobs::JobPhase, int64_t wallMilliseconds);
+    /// All occurrences have ended well.
+    bool complete() const;
+
+    /// The longest chain of estimated work that an occurrence still has before it.
+    Common::Duration remainingChain(const LiveOccurrence&) const;
+    /// The longest chain of a whole occurrence.
+    Common::Duration wholeChain() const;
+    /// How long after its beginning an occurrence should have ended.
+    Common::Duration objective() const { return m_objective; }
+
+    Jobs::JobRecord toRecord() const;
+
+    /// Counts the changes that the store should know of.
+    uint64_t changes() const { return m_changes; }
+    /// The store has the state as of that change.
+    void committed(uint64_t changes);
+    uint64_t committedChanges() const { return m_committedChanges; }
+    bool durable() const { return m_committedChanges == m_changes; }
+
+private:
+    LiveOccurrence open(uint32_t occurrence, Common::MonoTime now, int64_t wallMilliseconds) const;
+    LiveStep* stepOf(const Jobs::TaskName&);
+    void closeFinished(uint32_t occurrence);
+    Common::Duration chainFrom(const LiveOccurrence*, uint32_t step) const;
+
+    /// Without `progress`, which is kept in `m_occurrences`.
+    Jobs::JobRecord m_record;
+    std::map<uint32_t, LiveOccurrence> m_occurrences;
+    Common::Duration m_objective {};
+    bool m_recovered = false;
+    bool m_begun = false;
+    uint64_t m_changes = 1;
+    uint64_t m_committedChanges = 0;
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/LiveStep.h
@@ -0,0 +1,20 @@
+// One step of an occurrence that has begun.
+#pragma once
+
+#include "Cells/LiveTask.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Cells {
+
+/// Invariant: `doneCount` and `waitingCount` are the numbers of tasks that are done and that are waiting.
+struct LiveStep {
+    std::vector<LiveTask> tasks;
+    uint32_t doneCount = 0;
+    uint32_t waitingCount = 0;
+
+    bool complete() const { return doneCount == tasks.size(); }
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/RecordListing.h
@@ -0,0 +1,17 @@
+// Records under a prefix.
+#pragma once
+
+#include "Common/Units.h"
+#include "Scheduler/StoreValue.h"
+
+#include <vector>
+
+namespace Cells {
+
+struct RecordListing {
+    std::vector<Scheduler::StoreValue> records;
+    /// The store's revision when the listing began; a watch from here on misses nothing.
+    Common::StoreRevision upTo;
+};
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/WorkerLease.cpp
@@ -0,0 +1,54 @@
+// Arithmetic of worker clocks.
+#include "Cells/WorkerLease.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    std::chrono::milliseconds wholeMilliseconds(Common::Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+    }
+
+} // namespace
+
+void WorkerLease::heard(Common::WorkerTime clock, Common::MonoTime now)
+{
+    // An answer that was overtaken tells an older clock.
+    if (m_clock && clock < *m_clock)
+        return;
+    m_clock = clock;
+    m_heardAt = now;
+}
+
+void WorkerLease::reset()
+{
+    m_clock.reset();
+    m_grantedUntil = {};
+}
+
+Common::WorkerTime WorkerLease::clockAt(Common::MonoTime now) const
+{
+    return m_clock.value_or(Common::WorkerTime {}) + wholeMilliseconds(now - m_heardAt);
+}
+
+Common::WorkerTime WorkerLease::grant(Common::Duration length, Common::MonoTime now)
+{
+    const Common::WorkerTime until = clockAt(now) + wholeMilliseconds(length);
+    m_grantedUntil = std::max(m_grantedUntil, until);
+    return until;
+}
+
+bool WorkerLease::passed(Common::MonoTime now) const
+{
+    if (!m_clock)
+        return m_grantedUntil == Common::WorkerTime {};
+    const double atLeast = static_cast<double>((now - m_heardAt).count()) * (1 - clockSlack);
+    const Common::WorkerTime earliest
+        = *m_clock + wholeMilliseconds(Common::Duration(static_cast<Common::Duration::rep>(atLeast)));
+    return earliest > m_grantedUntil;
+}
+
+} // namespace Cells
--- /dev/null
+++ b/Source/Core/Cells/WorkerLease.h
@@ -0,0 +1,35 @@
+// What a worker was granted, on its own clock, and when it can't run anything any more.
+#pragma once
+
+#include "Common/Units.h"
+
+#include <optional>
+
+namespace Cells {
+
+/// A worker ends all its runs when its lease passes on its own clock, which may be `clockSlack` slow.
+class WorkerLease {
+public:
+    /// A worker's clock may run this much slower than ours (the platform's promise, with a little to spare).
+    static constexpr double clockSlack = 0.021;
+
+    /// The worker told its clock in an answer that arrived now.
+    void heard(Common::WorkerTime clock, Common::MonoTime now);
+    /// Another life of the worker: its clock began anew and nothing was granted to it.
+    void reset();
+
+    bool clockKnown() const { return m_clock.has_value(); }
+    /// The worker's clock as it should be now; needs a known clock.
+    Common::WorkerTime clockAt(Common::MonoTime now) const;
+    /// A lease of that length from now, noted as granted.
+    Common::WorkerTime grant(Common::Duration length, Common::MonoTime now);
+    /// Whether everything that was granted has surely passed.
+    bool passed(Common::MonoTime now) const;
+
+private:
+    std::optional<Common::WorkerTime> m_clock;
+    Common::MonoTime m_heardAt;
+    Common::WorkerTime m_grantedUntil;
+};
+
+} // namespace Cells
--- a/Source/Core/Common/ErrorCode.cpp
+++ b/Source/Core/Common/ErrorCode.cpp
@@ -50,6 +50,7 @@
         ErrorRow { ErrorCode::WorkerFull, "worker-full", 409 },
         ErrorRow { ErrorCode::WorkFailed, "work-failed", 500 },
         ErrorRow { ErrorCode::OutcomeUnknown, "outcome-unknown", 502 },
+        ErrorRow { ErrorCode::HistoryLost, "history-lost", 410 },
         ErrorRow { ErrorCode::Internal, "internal", 500 },
     };
 
--- a/Source/Core/Common/ErrorCode.h
+++ b/Source/Core/Common/ErrorCode.h
@@ -45,6 +45,7 @@
     WorkerFull,
     WorkFailed,
     OutcomeUnknown,
+    HistoryLost,
     Internal,
 };
 
--- a/Source/Core/Config/SettingRule.cpp
+++ b/Source/Core/Config/SettingRule.cpp
@@ -79,6 +79,16 @@
             return number;
         }
 
+        std::optional<SettingValue> operator()(const NumberRule& rule) const
+        {
+            if (!m_value.is_number())
+                return fault(SettingFault::Kind::WrongType);
+            const auto number = m_value.get<double>();
+            if (!(number >= rule.minimum && number <= rule.maximum))
+                return fault(SettingFault::Kind::OutOfRange);
+            return number;
+        }
+
         std::optional<SettingValue> operator()(const DurationRule& rule) const
         {
             const std::optional<Common::Duration> duration
@@ -163,6 +173,8 @@
         std::vector<SettingFault>& m_faults;
     };
 
+    std::string shownNumber(double number) { return nlohmann::json(number).dump(); }
+
     std::string joined(const std::vector<std::string>& names)
     {
         std::string text;
@@ -188,6 +200,7 @@
                           [](const NameRule&) { return "name"; },
                           [](const ReferenceRule&) { return "name"; },
                           [](const IntegerRule&) { return "integer"; },
+                          [](const NumberRule&) { return "number"; },
                           [](const DurationRule&) { return "duration"; },
                           [](const FlagRule&) { return "boolean"; },
                           [](const ChoiceRule&) { return "text"; },
@@ -207,6 +220,10 @@
                 const std::string range = std::to_string(integer.minimum) + " to " + std::to_string(integer.maximum);
                 return integer.unit.empty() ? range : range + " " + integer.unit;
             },
+            [](const NumberRule& number) {
+                const std::string range = shownNumber(number.minimum) + " to " + shownNumber(number.maximum);
+                return number.unit.empty() ? range : range + " " + number.unit;
+            },
             [](const DurationRule& duration) {
                 return "\"" + printDuration(duration.minimum) + "\" to \"" + printDuration(duration.maximum) + "\"";
             },
--- a/Source/Core/Config/SettingRule.h
+++ b/Source/Core/Config/SettingRule.h
@@ -14,7 +14,7 @@
 
 namespace Config {
 
-using SettingValue = std::variant<std::string, int64_t, bool, Common::Duration, std::vector<std::string>>;
+using SettingValue = std::variant<std::string, int64_t, double, bool, Common::Duration, std::vector<std::string>>;
 
 /// Letters, digits, '-' and '_', beginning with a letter or digit, at most 63.
 struct NameRule { };
@@ -30,6 +30,13 @@
     std::string unit;
 };
 
+/// A whole number or a fraction.
+struct NumberRule {
+    double minimum = 0;
+    double maximum = 0;
+    std::string unit;
+};
+
 struct DurationRule {
     Common::Duration minimum {};
     Common::Duration maximum {};
@@ -50,8 +57,8 @@
     size_t longest = 0;
 };
 
-using SettingRule = std::variant<NameRule, ReferenceRule, IntegerRule, DurationRule, FlagRule, ChoiceRule, AddressRule,
-    AddressListRule>;
+using SettingRule = std::variant<NameRule, ReferenceRule, IntegerRule, NumberRule, DurationRule, FlagRule, ChoiceRule,
+    AddressRule, AddressListRule>;
 
 bool isName(std::string_view);
 /// "duration", "integer", ...
--- a/Source/Core/Config/SettingsTable.h
+++ b/Source/Core/Config/SettingsTable.h
@@ -57,6 +57,11 @@
         return plain<int64_t>(std::move(path), std::move(rule), accessor, std::move(doc));
     }
     template <typename Accessor>
+    SettingsTable& number(std::string path, NumberRule rule, Accessor accessor, std::string doc)
+    {
+        return plain<double>(std::move(path), std::move(rule), accessor, std::move(doc));
+    }
+    template <typename Accessor>
     SettingsTable& duration(std::string path, DurationRule rule, Accessor accessor, std::string doc)
     {
         return plain<Common::Duration>(std::move(path), rule, accessor, std::move(doc));
--- a/Source/Core/Http/EventLoop.cpp
+++ b/Source/Core/Http/EventLoop.cpp
@@ -6,6 +6,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <ctime>
 #include <unordered_map>
 #include <vector>
 
@@ -72,6 +73,14 @@
     return Common::MonoTime(std::chrono::duration_cast<Common::Duration>(sinceEpoch));
 }
 
+Common::MonoTime EventLoop::suspendAwareNow() const
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return Common::MonoTime(std::chrono::duration_cast<Common::Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 int64_t EventLoop::wallMilliseconds() const
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/Source/Core/Http/EventLoop.h
+++ b/Source/Core/Http/EventLoop.h
@@ -24,6 +24,7 @@
     void onSignals(std::initializer_list<int> signals, std::function<void(int)> action);
 
     Common::MonoTime now() const override;
+    Common::MonoTime suspendAwareNow() const override;
     int64_t wallMilliseconds() const override;
     Scheduler::TimerId schedule(Common::Duration delay, std::function<void()> action) override;
     void cancel(Scheduler::TimerId) override;
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -67,6 +67,50 @@
         return request;
     }
 
+    const char* reasonPhrase(int status)
+    {
+        switch (status) {
+        case 200:
+            return "OK";
+        case 202:
+            return "Accepted";
+        case 204:
+            return "No Content";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 409:
+            return "Conflict";
+        case 410:
+            return "Gone";
+        case 412:
+            return "Precondition Failed";
+        case 413:
+            return "Content Too Large";
+        case 421:
+            return "Misdirected Request";
+        case 422:
+            return "Unprocessable Content";
+        case 429:
+            return "Too Many Requests";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 500:
+            return "Internal Server Error";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return status < 400 ? "OK" : "Error";
+        }
+    }
+
     /// A final answer without any bytes makes RESTinio close the connection.
     void dropConnection(Exchange& exchange)
     {
@@ -86,8 +130,7 @@
             return;
         }
         const restinio::http_status_code_t code { static_cast<uint16_t>(response.status) };
-        exchange.builder.header().status_line(
-            restinio::http_status_line_t { code, response.status < 400 ? "OK" : "Error" });
+        exchange.builder.header().status_line(restinio::http_status_line_t { code, reasonPhrase(response.status) });
         for (const auto& [name, value] : response.headers.all())
             exchange.builder.append_header(name, value);
         if (!exchange.shared->accepting)
@@ -172,9 +215,11 @@
     return m_impl->port;
 }
 
+void Server::closeAfterAnswers() { m_impl->shared->accepting = false; }
+
 void Server::stopAccepting()
 {
-    m_impl->shared->accepting = false;
+    closeAfterAnswers();
     if (m_impl->server)
         m_impl->server->close_sync();
 }
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -34,6 +34,8 @@
 
     /// Binds "IP:port"; port 0 takes a free one. Yields the bound port.
     Common::Result<uint16_t> listen(const std::string& address);
+    /// Answers close their connections from now on, so that callers come back on new ones, elsewhere.
+    void closeAfterAnswers();
     /// Takes no new connections; open ones may finish.
     void stopAccepting();
     void close();
--- /dev/null
+++ b/Source/Core/Jobs/JobRecord.h
@@ -0,0 +1,47 @@
+// A job as the store keeps it.
+#pragma once
+
+#include "Common/Ids.h"
+#include "Common/Result.h"
+#include "Jobs/JobPhase.h"
+#include "Jobs/JobSpec.h"
+#include "Jobs/JobTerms.h"
+#include "Jobs/TaskProgress.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jobs {
+
+struct JobRecord {
+    /// Tasks of one occurrence: step by step, task by task.
+    using OccurrenceProgress = std::vector<std::vector<TaskProgress>>;
+
+    Common::JobId id;
+    JobTerms terms;
+    JobSpec spec;
+    /// Wall clock of the accepting host, in milliseconds.
+    int64_t acceptedMilliseconds = 0;
+    /// Wall clock of the owner when the job became final, in milliseconds; 0 before.
+    int64_t finishedMilliseconds = 0;
+    JobPhase phase = JobPhase::Queued;
+    std::set<uint32_t> finishedOccurrences;
+    /// Occurrences that have begun and aren't finished.
+    std::map<uint32_t, OccurrenceProgress> progress;
+
+    /// A final job is written without payload and progress. One that didn't complete keeps its steps, since runs of it
+    /// that still have to be stopped hold room by them.
+    std::string encode() const;
+    static Common::Result<JobRecord> decode(std::string_view text);
+};
+
+/// The submission part alone (id, terms, spec), as peers pass it on.
+nlohmann::json submissionToJson(const JobRecord&);
+Common::Result<JobRecord> submissionFromJson(const nlohmann::json&);
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/Core/Peer/DatagramBeats.h
@@ -0,0 +1,34 @@
+// Beats as UDP datagrams on the process's event loop.
+#pragma once
+
+#include "Cells/BeatPort.h"
+#include "Common/Result.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Http {
+class EventLoop;
+}
+
+namespace Peer {
+
+/// A datagram that can't be sent at once is dropped: the next beat says the same.
+class DatagramBeats final : public Cells::BeatPort {
+public:
+    explicit DatagramBeats(Http::EventLoop&);
+    ~DatagramBeats() override;
+
+    /// "IP:port"
+    Common::Result<Common::Done> listen(const std::string& address);
+
+    void send(const std::string& address, std::string_view text) override;
+    void onReceive(std::function<void(std::string_view)>) override;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace Peer
--- a/Source/Core/Peer/JsonRpcPeer.cpp
+++ b/Source/Core/Peer/JsonRpcPeer.cpp
@@ -94,12 +94,18 @@
         return;
     }
     const json params = json::parse(call.params, nullptr, false);
-    m_handlers.at(call.method)(params, [this, body, reply = std::move(reply)](const Result<json>& result) {
+    const auto answer = [this, body, reply = std::move(reply)](const Result<json>& result) {
         if (result)
             reply(m_codec.encodeResult(body, result->dump()));
         else
             reply(m_codec.encodeError(body, result.reason().detail, dataOf(result.reason())));
-    });
+    };
+    try {
+        m_handlers.at(call.method)(params, answer);
+    } catch (const json::exception& error) {
+        // Parameters of another shape than the method reads.
+        answer(Failure { ErrorCode::MalformedRequest, error.what(), std::nullopt });
+    }
 }
 
 } // namespace Peer
--- /dev/null
+++ b/Source/Core/Policy/WorkerChoice.cpp
@@ -0,0 +1,84 @@
+// Scores of workers for one task.
+#include "Policy/WorkerChoice.h"
+
+#include <algorithm>
+
+namespace Policy {
+
+namespace {
+
+    /// Backfill is started where at least this share of what it would like is unused; with less it would slow down
+    /// what already runs there.
+    constexpr double smallestBackfillShare = 0.7;
+    /// Backfill stays away from workers whose services are this near to their target.
+    constexpr double crowdedTailRatio = 0.75;
+    /// Penalties in shares of a worker's room.
+    constexpr double farFromData = 2;
+    constexpr double avoidedWorker = 1.5;
+    constexpr double tailWeight = 0.6;
+
+    double share(int64_t part, int64_t whole)
+    {
+        return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
+    }
+
+    double backfillScore(const TaskNeed& need, const WorkerOffer& offer)
+    {
+        const int64_t left = offer.unusedMilliCores - offer.backfillMilliCores - need.request.milliCores;
+        return share(left, offer.capacity.milliCores) - tailWeight * offer.tailRatio;
+    }
+
+    double regularScore(const TaskNeed& need, const WorkerOffer& offer)
+    {
+        const double room = share(offer.free.milliCores - need.request.milliCores, offer.capacity.milliCores);
+        const double crowding = share(offer.backfillMilliCores, offer.capacity.milliCores);
+        return need.serves ? room - crowding : room;
+    }
+
+    double score(const TaskNeed& need, const WorkerOffer& offer)
+    {
+        const double base = need.backfill ? backfillScore(need, offer) : regularScore(need, offer);
+        return base - (offer.nearData ? 0 : farFromData) - (offer.avoided ? avoidedWorker : 0);
+    }
+
+    bool hasBackfillRoom(const TaskNeed& need, const WorkerOffer& offer)
+    {
+        if (offer.serves && (offer.paced || offer.tailRatio > crowdedTailRatio))
+            return false;
+        const double left = static_cast<double>(offer.unusedMilliCores - offer.backfillMilliCores);
+        const double wanted = smallestBackfillShare * static_cast<double>(need.request.milliCores);
+        // A task that is wider than any worker's rest still has to run somewhere.
+        return left >= wanted || (offer.backfillMilliCores == 0 && !offer.serves);
+    }
+
+} // namespace
+
+bool admissible(const TaskNeed& need, const WorkerOffer& offer)
+{
+    if (need.maximumPerWorker > 0 && offer.sameStep >= need.maximumPerWorker)
+        return false;
+    Common::Resources counted = need.request;
+    if (need.backfill)
+        counted.milliCores = 0;
+    if (!Common::fits(counted, offer.free))
+        return false;
+    return !need.backfill || hasBackfillRoom(need, offer);
+}
+
+std::optional<size_t> chooseWorker(const TaskNeed& need, const std::vector<WorkerOffer>& offers)
+{
+    std::optional<size_t> best;
+    double bestScore = 0;
+    for (size_t index = 0; index < offers.size(); ++index) {
+        if (!admissible(need, offers[index]))
+            continue;
+        const double current = score(need, offers[index]);
+        if (!best || current > bestScore) {
+            best = index;
+            bestScore = current;
+        }
+    }
+    return best;
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Source/LavendercartEntry/JobApi.cpp
@@ -0,0 +1,146 @@
+// Callers' job calls.
+#include "LavendercartEntry/JobApi.h"
+
+#include "Common/Log.h"
+
+#include <variant>
+
+namespace Entry {
+
+namespace {
+
+    /// For callers that don't say how long they wait.
+    constexpr Common::Duration usualPatience = std::chrono::seconds(3);
+    /// The answer still has to reach the caller.
+    constexpr Common::Duration answerTime = std::chrono::milliseconds(60);
+    constexpr Common::Duration retryAfterNoConfig = std::chrono::seconds(1);
+
+    template <typename... Visitors> struct Overloaded : Visitors... {
+        using Visitors::operator()...;
+    };
+    template <typename... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+} // namespace
+
+struct JobApi::Call {
+    Http::Server::Responder respond;
+    Common::MonoTime arrivedAt;
+    Common::Duration patience {};
+    std::string method;
+    std::string job;
+    std::string route;
+    int64_t configVersion = -1;
+};
+
+JobApi::JobApi(Scheduler::Runtime& runtime, Cells::JobFront& front, Cells::ConfigFollower& config,
+    Common::Metrics& metrics)
+    : m_runtime(runtime)
+    , m_front(front)
+    , m_config(config)
+    , m_metrics(metrics)
+    , m_submitSeconds(metrics.latency(
+          "lavendercart_call_seconds", "Time from a caller's call to its answer", { { "call", "submit" } }))
+    , m_otherSeconds(metrics.latency(
+          "lavendercart_call_seconds", "Time from a caller's call to its answer", { { "call", "other" } }))
+{
+}
+
+void JobApi::serve(Http::Request request, const Http::Server::Responder& respond)
+{
+    ++m_underWay;
+    auto call = std::make_shared<Call>();
+    call->respond = respond;
+    call->arrivedAt = m_runtime.now();
+    call->method = request.method;
+    const std::shared_ptr<const Cells::ServingConfig> config = m_config.current();
+    if (!config) {
+        fail(call, { Common::ErrorCode::NoConfiguration, "there is no configuration yet", retryAfterNoConfig });
+        return;
+    }
+    call->configVersion = config->version;
+    const std::string_view path = Platform::pathOf(request);
+    const Cells::JobRoute* const route = config->find(Platform::hostOf(request), path);
+    if (!route) {
+        fail(call, { Common::ErrorCode::UnknownRoute, "no route has this host and path", std::nullopt });
+        return;
+    }
+    call->route = route->terms.route;
+    call->patience = Platform::patienceOf(request, usualPatience) - answerTime;
+    const std::string_view rest = path.substr(route->prefix.size());
+    call->job = std::string(rest);
+    auto read = Platform::readCall(request, rest);
+    if (!read)
+        fail(call, read.reason());
+    else
+        dispatch(call, std::move(*read), *route);
+}
+
+void JobApi::dispatch(const std::shared_ptr<Call>& call, Platform::JobCall&& read, const Cells::JobRoute& route)
+{
+    std::visit(Overloaded {
+                   [&](Platform::SubmitCall& submission) { submit(call, std::move(submission), route); },
+                   [&](const Platform::PhaseCall& asked) {
+                       m_front.phase(
+                           asked.job, call->patience, [this, call](const Common::Result<Jobs::JobPhase>& phase) {
+                               if (phase)
+                                   answer(call, Platform::phaseAnswer(*phase), "state");
+                               else
+                                   fail(call, phase.reason());
+                           });
+                   },
+                   [&](const Platform::CancelCall& cancelled) {
+                       m_front.cancel(
+                           cancelled.job, call->patience, [this, call](const Common::Result<Common::Done>& done) {
+                               if (done)
+                                   answer(call, Platform::acceptedAnswer(), "cancelled");
+                               else
+                                   fail(call, done.reason());
+                           });
+                   },
+                   [&](const Platform::PendingCall&) {
+                       answer(call, Platform::pendingAnswer(m_front.pending(route.terms.route)), "pending");
+                   },
+               },
+        read);
+}
+
+void JobApi::submit(
+    const std::shared_ptr<Call>& call, Platform::SubmitCall&& submission, const Cells::JobRoute& route)
+{
+    Jobs::JobRecord record;
+    record.id = submission.job;
+    record.terms = route.terms;
+    record.spec = std::move(submission.spec);
+    record.acceptedMilliseconds = m_runtime.wallMilliseconds();
+    m_front.submit(std::move(record), call->patience, [this, call](const Common::Result<Common::Done>& done) {
+        if (done)
+            answer(call, Platform::acceptedAnswer(), "accepted");
+        else
+            fail(call, done.reason());
+    });
+}
+
+void JobApi::answer(const std::shared_ptr<Call>& call, Http::Response response, const char* outcome)
+{
+    --m_underWay;
+    const Common::Duration took = m_runtime.now() - call->arrivedAt;
+    const bool submission = call->method == "POST";
+    (submission ? m_submitSeconds : m_otherSeconds).Observe(std::chrono::duration<double>(took).count());
+    m_metrics.counter("lavendercart_calls_total", "Callers' calls by outcome", { { "outcome", outcome } }).Increment();
+    // Reading a state decides nothing and is by far the most frequent call.
+    const bool plainRead = call->method == "GET" && response.status < 400;
+    if (!plainRead) {
+        LC_INFO(Requests, "event=call-answered method=" << call->method << " job=" << call->job << " route="
+                                                        << call->route << " config=" << call->configVersion
+                                                        << " status=" << response.status << " outcome=" << outcome
+                                                        << " took-us=" << took.count());
+    }
+    call->respond(std::move(response));
+}
+
+void JobApi::fail(const std::shared_ptr<Call>& call, const Common::Failure& failure)
+{
+    answer(call, Platform::failureAnswer(failure), std::string(Common::errorName(failure.code)).c_str());
+}
+
+} // namespace Entry
--- /dev/null
+++ b/Source/LavendercartEntry/JobApi.h
@@ -0,0 +1,41 @@
+// Serves callers' job calls: picks the route, hands the call on, answers.
+#pragma once
+
+#include "Cells/ConfigFollower.h"
+#include "Cells/JobFront.h"
+#include "Common/Metrics.h"
+#include "Http/Server.h"
+#include "Scheduler/Runtime.h"
+#include "platform/JobCalls.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Entry {
+
+class JobApi {
+public:
+    JobApi(Scheduler::Runtime&, Cells::JobFront&, Cells::ConfigFollower&, Common::Metrics&);
+
+    void serve(Http::Request, const Http::Server::Responder&);
+    /// Calls that have no answer yet.
+    size_t underWay() const { return m_underWay; }
+
+private:
+    struct Call;
+
+    void dispatch(const std::shared_ptr<Call>&, Platform::JobCall&&, const Cells::JobRoute&);
+    void submit(const std::shared_ptr<Call>&, Platform::SubmitCall&&, const Cells::JobRoute&);
+    void answer(const std::shared_ptr<Call>&, Http::Response, const char* outcome);
+    void fail(const std::shared_ptr<Call>&, const Common::Failure&);
+
+    Scheduler::Runtime& m_runtime;
+    Cells::JobFront& m_front;
+    Cells::ConfigFollower& m_config;
+    Common::Metrics& m_metrics;
+    prometheus::Histogram& m_submitSeconds;
+    prometheus::Histogram& m_otherSeconds;
+    size_t m_underWay = 0;
+};
+
+} // namespace Entry
