Pace backfill by learned pressure of image pairs; wait for all workers before the layout

The layout was written when two of three domains had registered workers.

Change: TailModel learns a factor a pair; BackfillPace slows down what presses; services of one image are kept together.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -23,8 +23,9 @@
     /// Tasks that save their progress are moved off a leaving worker when it may leave within this time.
     constexpr Common::Duration evacuationTime = std::chrono::milliseconds(900);
     constexpr uint32_t atWork = 100;
-    /// Looks come more often where backfill runs beside a service above this share of its target.
-    constexpr double closeTailRatio = 0.6;
+    /// Smaller changes of pace aren't worth an order; a slow-down matters more.
+    constexpr uint32_t smallestRise = 12;
+    constexpr uint32_t smallestSlowDown = 6;
     constexpr int64_t microsecondsPerSecond = 1'000'000;
 
     const char* endName(RunEnd end)
@@ -33,6 +34,13 @@
         return names.at(static_cast<size_t>(end));
     }
 
+    bool worthPacing(uint32_t before, uint32_t after)
+    {
+        const bool atLimit = after == 0 || after == atWork;
+        return after < before ? before - after >= smallestSlowDown || atLimit
+                              : after - before >= smallestRise || (after > before && atLimit);
+    }
+
     bool isRun(const LiveTask* task, const Common::WorkerId& worker, Common::AttemptNumber attempt)
     {
         return task && task->run && task->run->worker == worker && task->run->attempt == attempt;
@@ -282,6 +290,7 @@
     for (const RunningTask& running : report.running)
         onRunning(worker, running);
     vacateAbsent(worker, report, askedAt);
+    learnTails(worker);
     paceBackfill(worker);
     placeSoon();
 }
@@ -537,26 +546,56 @@
 
 bool CellEngine::lookClosely(const CellWorker& worker) const
 {
-    return worker.backfillMilliCores() > 0 && worker.worstTailRatio() > closeTailRatio;
+    return worker.backfillMilliCores() > 0 && !worker.services().empty();
+}
+
+void CellEngine::learnTails(const CellWorker& worker)
+{
+    std::map<std::string, double> shares;
+    for (const Policy::PacedRun& run : worker.backfillRuns()) {
+        if (run.used > 0)
+            shares[run.image] += run.used;
+    }
+    std::vector<Policy::TailModel::Source> sources;
+    for (const auto& [image, share] : shares)
+        sources.push_back({ image, share });
+    for (const Policy::PacedService& service : worker.services()) {
+        if (service.tailRatio >= 0)
+            m_tails.observe(service.image, service.tailRatio, sources);
+    }
 }
 
 void CellEngine::paceBackfill(CellWorker& worker)
 {
-    Policy::BackfillPacer& pacer = m_pacers[worker.id()];
-    const double ratio = worker.worstTailRatio();
-    pacer.observe(ratio, m_runtime.now());
-    std::vector<RunKey> runs;
+    const Common::MonoTime now = m_runtime.now();
+    const std::vector<Policy::PacedService> services = worker.services();
+    const bool over = std::any_of(services.begin(), services.end(),
+        [](const Policy::PacedService& service) { return service.tailRatio > 1; });
+    if (!over)
+        worker.overTargetSince.reset();
+    else if (!worker.overTargetSince)
+        worker.overTargetSince = now;
+    if (worker.backfillMilliCores() == 0)
+        return;
+    const std::vector<Policy::PacedRun> runs = worker.backfillRuns();
+    const std::vector<uint32_t> paces = Policy::paceBackfill(
+        m_tails, services, runs, worker.overTargetSince ? now - *worker.overTargetSince : Common::Duration::zero());
+    std::vector<std::pair<RunKey, uint32_t>> changes;
+    size_t index = 0;
     for (const auto& [run, occupant] : worker.occupants()) {
-        const bool backfill = occupant.backfillMilliCores > 0 && occupant.seen && !occupant.stopping;
-        if (backfill && occupant.pace != pacer.pace())
-            runs.push_back(run);
+        if (occupant.backfillMilliCores == 0)
+            continue;
+        const uint32_t pace = paces[index++];
+        if (occupant.seen && !occupant.stopping && worthPacing(occupant.pace, pace))
+            changes.emplace_back(run, pace);
     }
-    if (runs.empty())
+    if (changes.empty())
         return;
-    LC_INFO(Worker, "event=backfill-paced worker=" << worker.id().value() << " tail-ratio=" << ratio
-                                                   << " pace=" << pacer.pace() << " runs=" << runs.size());
-    for (const RunKey& run : runs)
-        m_workers.pace(worker, run, pacer.pace());
+    LC_INFO(Worker, "event=backfill-paced worker=" << worker.id().value() << " runs=" << changes.size() << " of="
+                                                   << runs.size() << " first=" << changes.front().second
+                                                   << " over-target=" << over);
+    for (const auto& [run, pace] : changes)
+        m_workers.pace(worker, run, pace);
 }
 
 CellLoad CellEngine::load() const
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -13,9 +13,11 @@
 #include "Common/Lifetime.h"
 #include "Common/Result.h"
 #include "Jobs/JobRecord.h"
-#include "Policy/BackfillPacer.h"
+#include "Policy/BackfillPace.h"
 #include "Policy/StartOrder.h"
+#include "Policy/TailModel.h"
 #include "Policy/WorkerHealth.h"
+#include "Policy/WorkerOffer.h"
 #include "Scheduler/Runtime.h"
 
 #include <functional>
@@ -85,6 +87,7 @@
     void noteOutcome(CellWorker&, const LiveJob&, bool ok);
     void moveStuckRuns(CellWorker&);
     void evacuate(CellWorker&);
+    void learnTails(const CellWorker&);
     void paceBackfill(CellWorker&);
     bool lookClosely(const CellWorker&) const;
 
@@ -94,6 +97,7 @@
     std::vector<Candidate> candidates();
     void placeStep(const Candidate&, std::vector<Candidate>& blocked);
     void placeGang(const Candidate&);
+    Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
     CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&);
     void order(LiveJob&, const Jobs::TaskName&, CellWorker&, Common::AttemptNumber);
     void onOrderAnswer(const Common::WorkerId&, const RunKey&, OrderVerdict);
@@ -120,7 +124,7 @@
     /// Submissions under way, with those who asked for the same id again.
     std::map<Common::JobId, std::vector<Common::Callback<AcceptOutcome>>> m_submissions;
     std::map<Common::JobId, Jobs::JobRecord> m_submitted;
-    std::map<Common::WorkerId, Policy::BackfillPacer> m_pacers;
+    Policy::TailModel m_tails;
     Policy::WorkerHealth m_health;
     CellCommitter m_committer;
     CellWorkers m_workers;
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -14,9 +14,9 @@
 namespace {
 
     constexpr Common::Duration storeRetry = std::chrono::milliseconds(400);
-    /// A first layout is written once workers are listed, or after this long without any.
-    constexpr Common::Duration layoutPatience = std::chrono::seconds(4);
-    constexpr Common::Duration layoutRetry = std::chrono::milliseconds(300);
+    /// A first layout is written once the list of workers has stopped growing, or after this long.
+    constexpr Common::Duration layoutPatience = std::chrono::seconds(5);
+    constexpr Common::Duration layoutRetry = std::chrono::milliseconds(600);
     /// Beats begin fast.
     constexpr Common::Duration introduction = std::chrono::seconds(2);
     /// For this long beats say that a cell was released.
@@ -89,7 +89,8 @@
 {
     m_ports.workers.list(m_lifetime.guard([this](const Common::Result<WorkerChanges>& listed) {
         const bool patient = m_ports.runtime.now() - m_startedAt < layoutPatience;
-        if (!listed || (listed->listed.empty() && patient)) {
+        const bool growing = listed && listed->listed.size() != std::exchange(m_workersAtLayout, listed->listed.size());
+        if (!listed || ((growing || listed->listed.empty()) && patient)) {
             m_ports.runtime.schedule(layoutRetry, m_lifetime.guard([this] { readLayout(); }));
             return;
         }
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -111,6 +111,7 @@
     std::map<CellId, Common::MonoTime> m_released;
     std::map<Common::WorkerId, WorkerEntry> m_listed;
     Common::StoreRevision m_listRevision;
+    size_t m_workersAtLayout = 0;
     bool m_watchingList = false;
     bool m_listKnown = false;
     Common::MonoTime m_startedAt;
--- a/Source/Core/Cells/CellPlacing.cpp
+++ b/Source/Core/Cells/CellPlacing.cpp
@@ -12,6 +12,7 @@
 
     /// After an attempt number was refused as too old, this many are skipped: an earlier owner may have used some.
     constexpr uint32_t skippedAttempts = 4;
+    constexpr double fullPace = 100;
     constexpr Common::Duration malformedPause = std::chrono::seconds(1);
 
     bool hasLabel(const WorkerEntry& entry, const std::string& label)
@@ -165,6 +166,28 @@
         order(job, name, *worker, attempt);
 }
 
+Policy::WorkerOffer CellEngine::offerOf(
+    const CellWorker& worker, const Jobs::StepSpec& spec, const Jobs::TaskName& name) const
+{
+    const WorkerEntry& entry = worker.entry();
+    Policy::WorkerOffer offer;
+    offer.capacity = entry.capacity;
+    offer.free = worker.free();
+    offer.unusedMilliCores = worker.unusedMilliCores();
+    offer.backfillMilliCores = worker.backfillMilliCores();
+    if (spec.backfill) {
+        const double demand = static_cast<double>(spec.request.milliCores)
+            / static_cast<double>(std::max<int64_t>(entry.capacity.milliCores, 1));
+        offer.backfillPace
+            = Policy::paceForNewRun(m_tails, worker.services(), worker.backfillRuns(), spec.image, demand);
+    } else if (spec.longRunning && spec.latencyTarget > Common::Duration::zero()) {
+        offer.sameImage = worker.shareOfImage(spec.image);
+    }
+    offer.nearData = spec.preferredRack.empty() || spec.preferredRack == entry.rack;
+    offer.sameStep = spec.maximumPerWorker > 0 ? countOfStep(worker, name) : 0;
+    return offer;
+}
+
 CellWorker* CellEngine::choose(const LiveJob& job, const Jobs::TaskName& name, const LiveTask& task)
 {
     const Common::MonoTime now = m_runtime.now();
@@ -178,18 +201,8 @@
         if (!usable || entry.service != job.terms().service || !hasLabel(entry, spec.requiredLabel)
             || !m_health.admits(id, now))
             continue;
-        Policy::WorkerOffer offer;
-        offer.capacity = entry.capacity;
-        offer.free = worker->free();
-        offer.unusedMilliCores = worker->unusedMilliCores();
-        offer.backfillMilliCores = worker->backfillMilliCores();
-        offer.tailRatio = worker->worstTailRatio();
-        offer.serves = worker->serves();
-        const auto pacer = m_pacers.find(id);
-        offer.paced = pacer != m_pacers.end() && pacer->second.pace() < 100;
-        offer.nearData = spec.preferredRack.empty() || spec.preferredRack == entry.rack;
+        Policy::WorkerOffer offer = offerOf(*worker, spec, name);
         offer.avoided = task.avoid == id;
-        offer.sameStep = spec.maximumPerWorker > 0 ? countOfStep(*worker, name) : 0;
         workers.push_back(worker.get());
         offers.push_back(offer);
     }
@@ -203,13 +216,21 @@
     const RunKey run { name, attempt };
     const LiveTask& task = *job.find(name);
     const RunOrder order { name, attempt, job.spec().payload, task.progress.checkpoint, {} };
-    LC_INFO(Jobs, "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value()
-                                           << " token=" << m_token.value);
-    worker.occupy(run, occupantOf(job.stepSpec(name.step)));
+    const Jobs::StepSpec& spec = job.stepSpec(name.step);
+    // Told once the worker has accepted the run.
+    const uint32_t pace = spec.backfill
+        ? static_cast<uint32_t>(fullPace * offerOf(worker, spec, name).backfillPace)
+        : static_cast<uint32_t>(fullPace);
+    LC_INFO(Jobs, "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token="
+                                           << m_token.value << " image=" << spec.image << " pace=" << pace);
+    worker.occupy(run, occupantOf(spec));
     job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
     m_health.recordStart(worker.id(), now);
-    m_workers.start(worker, order, [this, id = worker.id(), run](const OrderAnswer& answer) {
+    m_workers.start(worker, order, [this, id = worker.id(), run, pace](const OrderAnswer& answer) {
         onOrderAnswer(id, run, answer.verdict);
+        CellWorker* const target = m_workers.find(id);
+        if (target && answer.verdict == OrderVerdict::Accepted && pace < static_cast<uint32_t>(fullPace))
+            m_workers.pace(*target, run, pace);
     });
 }
 
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -11,10 +11,12 @@
     /// worker doesn't report their use while they serve.
     constexpr double servingUseShare = 0.5;
 
+    bool serves(const Occupant& occupant) { return occupant.latencyTarget > Common::Duration::zero(); }
+
     /// Thousandths of a core that a run which isn't backfill uses.
     int64_t usedMilliCores(const Occupant& occupant)
     {
-        if (occupant.latencyTarget > Common::Duration::zero())
+        if (serves(occupant))
             return static_cast<int64_t>(static_cast<double>(occupant.held.milliCores) * servingUseShare);
         if (!occupant.seen || occupant.load < 0)
             return occupant.held.milliCores;
@@ -79,22 +81,47 @@
     return std::max<int64_t>(unused, 0);
 }
 
-double CellWorker::worstTailRatio() const
+std::vector<Policy::PacedService> CellWorker::services() const
 {
-    double worst = 0;
+    std::vector<Policy::PacedService> services;
     for (const auto& [run, occupant] : m_occupants) {
-        if (occupant.latencyTarget <= Common::Duration::zero() || !occupant.seen || occupant.load < 0)
+        if (!serves(occupant))
             continue;
         const double target = std::chrono::duration<double, std::milli>(occupant.latencyTarget).count();
-        worst = std::max(worst, occupant.load / target);
+        const bool reported = occupant.seen && occupant.load >= 0;
+        services.push_back({ occupant.image, reported ? occupant.load / target : -1 });
     }
-    return worst;
+    return services;
 }
 
-bool CellWorker::serves() const
+std::vector<Policy::PacedRun> CellWorker::backfillRuns() const
 {
-    return std::any_of(m_occupants.begin(), m_occupants.end(),
-        [](const auto& row) { return row.second.latencyTarget > Common::Duration::zero(); });
+    const auto capacity = static_cast<double>(std::max<int64_t>(m_entry.capacity.milliCores, 1));
+    std::vector<Policy::PacedRun> runs;
+    for (const auto& [run, occupant] : m_occupants) {
+        if (occupant.backfillMilliCores == 0)
+            continue;
+        Policy::PacedRun paced;
+        paced.image = occupant.image;
+        paced.demand = static_cast<double>(occupant.backfillMilliCores) / capacity;
+        paced.used = occupant.seen ? std::max(occupant.load, 0.0) / capacity : 0;
+        paced.pace = occupant.pace;
+        runs.push_back(std::move(paced));
+    }
+    return runs;
+}
+
+double CellWorker::shareOfImage(const std::string& image) const
+{
+    size_t serving = 0;
+    size_t same = 0;
+    for (const auto& [run, occupant] : m_occupants) {
+        if (!serves(occupant))
+            continue;
+        ++serving;
+        same += occupant.image == image ? 1 : 0;
+    }
+    return serving == 0 ? 1 : static_cast<double>(same) / static_cast<double>(serving);
 }
 
 } // namespace Cells
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -6,10 +6,14 @@
 #include "Cells/WorkerLease.h"
 #include "Common/Resources.h"
 #include "Common/Units.h"
+#include "Policy/BackfillPace.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace Cells {
 
@@ -38,9 +42,11 @@
     /// Processor time that the other runs leave unused, as far as is known, in thousandths of a core.
     int64_t unusedMilliCores() const;
     int64_t backfillMilliCores() const { return m_backfillMilliCores; }
-    /// The worst of tail latency over its target among the runs that serve; 0 when none does.
-    double worstTailRatio() const;
-    bool serves() const;
+    /// The services' tasks and the backfill runs there, as their pace is decided by.
+    std::vector<Policy::PacedService> services() const;
+    std::vector<Policy::PacedRun> backfillRuns() const;
+    /// Share of the serving tasks that are of the image; 1 when none serves.
+    double shareOfImage(const std::string& image) const;
 
     /// An end that was processed but isn't acknowledged to the worker yet.
     struct PendingEnd {
@@ -67,6 +73,8 @@
     Common::MonoTime lastHeard;
     /// When a draining worker was first seen to be that.
     Common::MonoTime drainingSince;
+    /// Since when some service has been over its target without a break.
+    std::optional<Common::MonoTime> overTargetSince;
 
 private:
     WorkerEntry m_entry;
--- /dev/null
+++ b/Source/Core/Policy/BackfillPace.cpp
@@ -0,0 +1,102 @@
+// Shares out what the services on a worker can bear.
+#include "Policy/BackfillPace.h"
+
+#include <algorithm>
+
+namespace Policy {
+
+namespace {
+
+    constexpr double fullPace = 100;
+    /// Loads swing within seconds; the next report may be half a second away.
+    constexpr double loadMargin = 0.04;
+    /// Of what a service can bear, new runs are given this share, so that the swings don't hit them at once.
+    constexpr double newRunShare = 0.85;
+    /// Runs that press a service less than this, per whole processor, aren't worth slowing down for it.
+    constexpr double mildPressure = 0.4;
+    /// Paces rise at most by this much a report.
+    constexpr uint32_t riseStep = 30;
+    /// When a service stays over its target all runs are halved, then paused: an impact must not last four seconds.
+    constexpr Common::Duration halvedAfter = std::chrono::milliseconds(900);
+    constexpr Common::Duration pausedAfter = std::chrono::milliseconds(1900);
+    constexpr size_t passes = 2;
+
+    std::vector<TailModel::Source> usedBy(const std::vector<PacedRun>& runs)
+    {
+        std::vector<TailModel::Source> sources;
+        for (const PacedRun& run : runs)
+            sources.push_back({ run.image, run.used });
+        return sources;
+    }
+
+    /// Slows the runs down that press the service until it bears them.
+    void relieve(const TailModel& model, const PacedService& service, double bearable, const std::vector<PacedRun>& runs,
+        std::vector<double>& paces)
+    {
+        double mild = 0;
+        double heavy = 0;
+        for (size_t index = 0; index < runs.size(); ++index) {
+            const double factor = model.pressure(runs[index].image, service.image);
+            (factor < mildPressure ? mild : heavy) += factor * runs[index].demand * paces[index];
+        }
+        if (mild + heavy <= bearable || heavy <= 0)
+            return;
+        const double scale = std::max(0.0, (bearable - mild) / heavy);
+        for (size_t index = 0; index < runs.size(); ++index) {
+            if (model.pressure(runs[index].image, service.image) >= mildPressure)
+                paces[index] *= scale;
+        }
+    }
+
+} // namespace
+
+double ownLoad(const TailModel& model, const PacedService& service, const std::vector<PacedRun>& runs)
+{
+    const double usual = model.usualLoad(service.image);
+    if (service.tailRatio < 0)
+        return usual;
+    const double seen = model.utilization(service.image, service.tailRatio);
+    if (seen >= 1)
+        return usual;
+    return std::max(seen - model.pressure(usedBy(runs), service.image), usual / 2);
+}
+
+std::vector<uint32_t> paceBackfill(const TailModel& model, const std::vector<PacedService>& services,
+    const std::vector<PacedRun>& runs, Common::Duration overTargetFor)
+{
+    std::vector<double> paces(runs.size(), 1);
+    for (size_t pass = 0; pass < passes; ++pass) {
+        for (const PacedService& service : services)
+            relieve(model, service, pressedUtilization - loadMargin - ownLoad(model, service, runs), runs, paces);
+    }
+    std::vector<uint32_t> percents;
+    for (size_t index = 0; index < runs.size(); ++index) {
+        auto percent = static_cast<uint32_t>(paces[index] * fullPace);
+        percent = std::min(percent, runs[index].pace + riseStep);
+        if (overTargetFor >= pausedAfter)
+            percent = 0;
+        else if (overTargetFor >= halvedAfter)
+            percent = std::min(percent, runs[index].pace / 2);
+        percents.push_back(percent);
+    }
+    return percents;
+}
+
+double paceForNewRun(const TailModel& model, const std::vector<PacedService>& services,
+    const std::vector<PacedRun>& runs, const std::string& image, double demand)
+{
+    double pace = 1;
+    for (const PacedService& service : services) {
+        double pressed = 0;
+        for (const PacedRun& run : runs)
+            pressed += model.pressure(run.image, service.image) * run.demand * run.pace / fullPace;
+        const double load = std::max(ownLoad(model, service, runs), model.usualLoad(service.image));
+        const double bearable = newRunShare * (pressedUtilization - load) - pressed;
+        const double added = model.pressure(image, service.image) * demand;
+        if (added > 0)
+            pace = std::min(pace, std::max(0.0, bearable / added));
+    }
+    return pace;
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/BackfillPace.h
@@ -0,0 +1,47 @@
+// How fast each backfill run on a worker may work. The load it answers: batch work that presses on the tail latency of
+// the services beside it.
+#pragma once
+
+#include "Common/Units.h"
+#include "Policy/TailModel.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Policy {
+
+/// A service's task on the worker.
+struct PacedService {
+    std::string image;
+    /// Last reported tail latency over its target; negative: not reported yet.
+    double tailRatio = -1;
+};
+
+/// A backfill run on the worker.
+struct PacedRun {
+    std::string image;
+    /// Share of the worker's processor that it would like to have, 0 to 1.
+    double demand = 0;
+    /// Share of the worker's processor that it was last seen to use.
+    double used = 0;
+    uint32_t pace = 100;
+};
+
+/// Utilization up to which backfill may press a service: its tail is then at about five sixths of the target.
+constexpr double pressedUtilization = 0.73;
+
+/// Utilization by the task's own users, as far as the last report tells.
+double ownLoad(const TailModel&, const PacedService&, const std::vector<PacedRun>&);
+
+/// The paces, in percent, at which no service is pressed too far: runs that press a service more are slowed down more.
+/// `overTargetFor`: how long some service on the worker has been over its target without a break; when the model has it
+/// wrong all runs are slowed down, and paused before the disturbance lasts.
+std::vector<uint32_t> paceBackfill(const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&,
+    Common::Duration overTargetFor);
+
+/// The pace, 0 to 1, at which one more run would press no service too far.
+double paceForNewRun(const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&,
+    const std::string& image, double demand);
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/TailModel.h
@@ -0,0 +1,56 @@
+// How much backfill of one image presses on the tail latency of services of another. The load it answers: batch work on
+// the workers of long-running services, where some pairs of images disturb each other and others don't.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Policy {
+
+/// A service's tail latency grows like that of a queue: base / (1 - utilization). What backfill beside it uses of the
+/// worker's processor adds to the utilization, by a factor that depends on both images and is learned from reports.
+class TailModel {
+public:
+    /// What backfill of one image uses of a worker's processor, 0 to 1.
+    struct Source {
+        std::string image;
+        double share = 0;
+    };
+
+    /// A report: the tail latency as a share of its target, and what ran beside it in that time.
+    void observe(const std::string& service, double tailRatio, const std::vector<Source>&);
+
+    /// Utilization that a tail ratio stands for, 0 to 1.
+    double utilization(const std::string& service, double tailRatio) const;
+    /// What one whole processor of that backfill would add to the service's utilization.
+    double pressure(const std::string& backfill, const std::string& service) const;
+    /// What the sources add together.
+    double pressure(const std::vector<Source>&, const std::string& service) const;
+    /// Utilization by the service's own users, as usual.
+    double usualLoad(const std::string& service) const;
+
+private:
+    /// One factor with the variance of its estimate.
+    struct Factor {
+        double value;
+        double variance;
+    };
+    struct Service {
+        /// Smallest tail ratio that is usual: that of an idle service.
+        double baseRatio;
+        double load;
+    };
+    using Pair = std::pair<std::string, std::string>;
+
+    static Factor priorFactor();
+    static Service priorService();
+    const Service& serviceOf(const std::string&) const;
+    void learnFactors(const std::string& service, double surprise, const std::vector<Source>&);
+
+    std::map<Pair, Factor> m_factors;
+    std::map<std::string, Service> m_services;
+};
+
+} // namespace Policy
--- a/Source/Core/Policy/WorkerChoice.cpp
+++ b/Source/Core/Policy/WorkerChoice.cpp
@@ -10,12 +10,14 @@
     /// Backfill is started where at least this share of what it would like is unused; with less it would slow down
     /// what already runs there.
     constexpr double smallestBackfillShare = 0.7;
-    /// Backfill stays away from workers whose services are this near to their target.
-    constexpr double crowdedTailRatio = 0.75;
+    /// Slower than this a backfill run isn't started: it would hold memory and end too late all the same.
+    constexpr double smallestStartPace = 0.35;
     /// Penalties in shares of a worker's room.
     constexpr double farFromData = 2;
     constexpr double avoidedWorker = 1.5;
-    constexpr double tailWeight = 0.6;
+    constexpr double slowStart = 1;
+    /// Services of one image are kept together, so that backfill which disturbs one image finds workers without it.
+    constexpr double otherImages = 1.2;
 
     double share(int64_t part, int64_t whole)
     {
@@ -25,14 +27,13 @@
     double backfillScore(const TaskNeed& need, const WorkerOffer& offer)
     {
         const int64_t left = offer.unusedMilliCores - offer.backfillMilliCores - need.request.milliCores;
-        return share(left, offer.capacity.milliCores) - tailWeight * offer.tailRatio;
+        return share(left, offer.capacity.milliCores) - slowStart * (1 - offer.backfillPace);
     }
 
     double regularScore(const TaskNeed& need, const WorkerOffer& offer)
     {
         const double room = share(offer.free.milliCores - need.request.milliCores, offer.capacity.milliCores);
-        const double crowding = share(offer.backfillMilliCores, offer.capacity.milliCores);
-        return need.serves ? room - crowding : room;
+        return need.serves ? room - otherImages * (1 - offer.sameImage) : room;
     }
 
     double score(const TaskNeed& need, const WorkerOffer& offer)
@@ -43,12 +44,12 @@
 
     bool hasBackfillRoom(const TaskNeed& need, const WorkerOffer& offer)
     {
-        if (offer.serves && (offer.paced || offer.tailRatio > crowdedTailRatio))
+        if (offer.backfillPace < smallestStartPace)
             return false;
         const double left = static_cast<double>(offer.unusedMilliCores - offer.backfillMilliCores);
         const double wanted = smallestBackfillShare * static_cast<double>(need.request.milliCores);
         // A task that is wider than any worker's rest still has to run somewhere.
-        return left >= wanted || (offer.backfillMilliCores == 0 && !offer.serves);
+        return left >= wanted || offer.backfillMilliCores == 0;
     }
 
 } // namespace
--- a/Source/Core/Policy/WorkerOffer.h
+++ b/Source/Core/Policy/WorkerOffer.h
@@ -14,12 +14,10 @@
     int64_t unusedMilliCores = 0;
     /// What its backfill runs would like to have of that.
     int64_t backfillMilliCores = 0;
-    /// Worst tail latency over its target among the runs that serve there; 0 when none does.
-    double tailRatio = 0;
-    /// Long-running tasks that serve users run there.
-    bool serves = false;
-    /// The backfill runs there are slowed down on purpose.
-    bool paced = false;
+    /// Pace, 0 to 1, at which the task as backfill would press no service there too far.
+    double backfillPace = 1;
+    /// Share of the serving tasks there that are of the task's own image; 1 when none serves.
+    double sameImage = 1;
     /// It is on the rack that holds the data, or no rack does.
     bool nearData = true;
     /// The task's last run failed or stood still there.
