Test cells under failure; adopt, acknowledge and lease without a gap

Change: occurrences open when a job is added; leases and orders only to workers that answer; unseen runs stay in doubt over a new life until the next look; nothing is acknowledged to a worker that was silent.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -143,6 +143,8 @@
     auto job = std::make_unique<LiveJob>(
         std::move(record), recovered, m_runtime.now(), m_runtime.wallMilliseconds());
     job->committed(job->changes());
+    // Runs of an earlier owner can be adopted only where their occurrence is open.
+    job->openDue(m_runtime.now(), m_runtime.wallMilliseconds());
     placeSoon();
     return *(m_jobs[id] = std::move(job));
 }
@@ -438,15 +440,21 @@
 void CellEngine::onEmptied(CellWorker& worker, bool newLife)
 {
     std::vector<RunKey> gone;
-    for (const auto& [run, occupant] : worker.occupants()) {
-        // An order without an answer could still be carried out in the new life; repeating it there settles that.
-        if (!newLife || occupant.seen || occupant.settledAt || occupant.stopping)
-            gone.push_back(run);
-    }
+    std::vector<RunKey> doubtful;
+    for (const auto& [run, occupant] : worker.occupants())
+        (newLife && !occupant.seen ? doubtful : gone).push_back(run);
     LC_WARN(Worker, "event=" << (newLife ? "worker-reborn" : "worker-lease-passed") << " worker="
                              << worker.id().value() << " lost=" << gone.size());
     for (const RunKey& run : gone)
         dropRun(worker, run);
+    // Orders for runs that the life before never listed may have been, or may still be, carried out by the new one.
+    for (const RunKey& run : doubtful) {
+        Occupant& occupant = *worker.find(run);
+        if (occupant.settledAt)
+            occupant.settledAt = m_runtime.now();
+        if (std::exchange(occupant.stopping, false))
+            stopRun(worker, run);
+    }
     if (newLife) {
         worker.processedThrough = 0;
         worker.acknowledgedThrough = 0;
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -104,9 +104,11 @@
     m_hooks.acknowledge(*worker);
     WorkerOrders::HoldRequest request;
     request.token = m_token;
-    request.acknowledgedThrough = worker->acknowledgedThrough;
+    // A worker that was silent may live anew, and its ends would be counted from 1 again.
+    request.acknowledgedThrough = worker->reachable ? worker->acknowledgedThrough : 0;
     const bool occupied = !worker->occupants().empty();
-    if (occupied && worker->lease().clockKnown() && m_hooks.mayGrant())
+    // A silent worker's lease must be able to pass, so it is only looked at until it answers.
+    if (occupied && worker->reachable && worker->lease().clockKnown() && m_hooks.mayGrant())
         request.leaseUntil = worker->lease().grant(m_settings.runLease, m_runtime.now());
     if (occupied && worker->reachable && worker->pendingEnds.empty())
         request.wait = m_hooks.lookClosely(*worker) ? m_settings.closeLookWait : m_settings.lookWait;
@@ -219,7 +221,7 @@
     if (!occupant || occupant->seen || occupant->stopping)
         return;
     const auto again = m_lifetime.guard([this, id, order, answered] { startOnce(id, order, answered); });
-    if (!m_hooks.mayGrant() || !worker->lease().clockKnown()) {
+    if (!m_hooks.mayGrant() || !worker->reachable || !worker->lease().clockKnown()) {
         m_runtime.schedule(m_settings.orderRetry, again);
         return;
     }
--- a/Source/Core/Policy/BackfillPace.cpp
+++ b/Source/Core/Policy/BackfillPace.cpp
@@ -2,6 +2,7 @@
 #include "Policy/BackfillPace.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Policy {
 
@@ -12,8 +13,6 @@
     constexpr double loadMargin = 0.04;
     /// Of what a service can bear, new runs are given this share, so that the swings don't hit them at once.
     constexpr double newRunShare = 0.85;
-    /// Runs that press a service less than this, per whole processor, aren't worth slowing down for it.
-    constexpr double mildPressure = 0.4;
     /// Paces rise at most by this much a report.
     constexpr uint32_t riseStep = 30;
     /// When a service stays over its target all runs are halved, then paused: an impact must not last four seconds.
@@ -29,22 +28,25 @@
         return sources;
     }
 
-    /// Slows the runs down that press the service until it bears them.
+    /// Slows the runs down that press the service most until it bears the rest.
     void relieve(const TailModel& model, const PacedService& service, double bearable, const std::vector<PacedRun>& runs,
         std::vector<double>& paces)
     {
-        double mild = 0;
-        double heavy = 0;
+        std::vector<std::pair<double, size_t>> byFactor;
+        double pressed = 0;
         for (size_t index = 0; index < runs.size(); ++index) {
             const double factor = model.pressure(runs[index].image, service.image);
-            (factor < mildPressure ? mild : heavy) += factor * runs[index].demand * paces[index];
+            pressed += factor * runs[index].demand * paces[index];
+            byFactor.emplace_back(factor, index);
         }
-        if (mild + heavy <= bearable || heavy <= 0)
-            return;
-        const double scale = std::max(0.0, (bearable - mild) / heavy);
-        for (size_t index = 0; index < runs.size(); ++index) {
-            if (model.pressure(runs[index].image, service.image) >= mildPressure)
-                paces[index] *= scale;
+        std::sort(byFactor.rbegin(), byFactor.rend());
+        for (const auto& [factor, index] : byFactor) {
+            const double own = factor * runs[index].demand * paces[index];
+            if (pressed <= bearable || own <= 0)
+                return;
+            const double kept = std::max(0.0, own - (pressed - bearable));
+            paces[index] *= kept / own;
+            pressed -= own - kept;
         }
     }
 
--- /dev/null
+++ b/Source/UnitTests/Cells/CellScheduleTest.cpp
@@ -0,0 +1,167 @@
+// Seeded schedules of failures over whole hosts: whatever comes, no promise is broken and every accepted job ends.
+#include "Cells/CellWorld.h"
+#include "Common/Log.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t seeds = 60;
+constexpr size_t hostCount = 4;
+constexpr size_t faultCount = 10;
+
+struct Schedule : CellWorld {
+    std::mt19937_64 random;
+    std::map<uint64_t, std::optional<Common::Result<Common::Done>>> outcomes;
+    uint64_t jobs = 0;
+
+    explicit Schedule(uint64_t seed)
+        : CellWorld(seed)
+        , random(seed * 7919)
+    {
+        addWorkers("yard", 6, 4000);
+        addWorkers("shed", 6, 4000);
+        for (size_t index = 0; index < hostCount; ++index)
+            addHost(index % 2 ? "shed" : "yard", "h" + std::to_string(index) + ":1");
+        clock.advance(8s);
+    }
+
+    size_t pick(size_t bound) { return random() % bound; }
+    WorldHost* anyHost()
+    {
+        std::vector<WorldHost*> up = live();
+        std::erase_if(up, [](const WorldHost* host) { return host->process.isPaused(); });
+        return up.empty() ? nullptr : up[pick(up.size())];
+    }
+    void submitSome()
+    {
+        for (size_t count = pick(3) + 1; count > 0; --count) {
+            WorldHost* const host = anyHost();
+            if (!host)
+                return;
+            const uint64_t number = ++jobs;
+            const std::string payload = pick(8) == 0 ? "fail:200" : "run:" + std::to_string(200 + pick(1800));
+            submit(*host, job(number, payload, 1 + pick(5), 1 + pick(3)), outcomes[number]);
+        }
+    }
+    void cutPair(const std::string& a, const std::string& b)
+    {
+        network.cut(a, b);
+        network.cut(b, a);
+    }
+    /// With LC_SEED and LC_LOG set: what happens, with the virtual time.
+    void traceTime()
+    {
+        LC_INFO(Core, "event=time virtual-ms=" << clock.wallMilliseconds() << " starts=" << judge.starts
+                                               << " faults=" << judge.faults.size());
+        clock.schedule(100ms, [this] { traceTime(); });
+    }
+    void strike()
+    {
+        const size_t kind = pick(9);
+        LC_INFO(Core, "event=strike kind=" << kind);
+        switch (kind) {
+        case 0:
+            if (const size_t index = pick(hosts.size()); !hosts[index]->process.isKilled())
+                restart(index);
+            break;
+        case 1:
+            if (WorldHost* const host = anyHost()) {
+                host->process.pause();
+                clock.schedule(std::chrono::milliseconds(500 + pick(5000)), [host] { host->process.resume(); });
+            }
+            break;
+        case 2:
+            store.down = true;
+            clock.schedule(std::chrono::milliseconds(500 + pick(5000)), [this] { store.down = false; });
+            break;
+        case 3:
+            if (const WorldHost* const host = anyHost()) {
+                store.turnedAway.insert(host->address);
+                clock.schedule(std::chrono::milliseconds(500 + pick(7000)), [this] { store.turnedAway.clear(); });
+            }
+            break;
+        case 4:
+            store.lostPerMille = 200;
+            store.latePerMille = 200;
+            clock.schedule(std::chrono::milliseconds(500 + pick(4000)),
+                [this] { store.lostPerMille = store.latePerMille = 0; });
+            break;
+        case 5:
+            workers[pick(workers.size())]->restart();
+            break;
+        case 6:
+            latePerMille = 80;
+            clock.schedule(std::chrono::milliseconds(500 + pick(5000)), [this] { latePerMille = 0; });
+            break;
+        case 7:
+            if (const WorldHost* const host = anyHost()) {
+                cutPair(host->address, Fakes::FakeRecordStore::address);
+                for (const auto& peer : hosts)
+                    cutPair(host->address, peer->address);
+                clock.schedule(std::chrono::milliseconds(500 + pick(6000)), [this] { network.heal(); });
+            }
+            break;
+        default: {
+            const std::string worker = workers[pick(workers.size())]->entry().address;
+            for (const auto& host : hosts)
+                cutPair(worker, host->address);
+            clock.schedule(std::chrono::milliseconds(500 + pick(9000)), [this] { network.heal(); });
+        }
+        }
+    }
+    void calm()
+    {
+        network.heal();
+        store.down = false;
+        store.turnedAway.clear();
+        store.lostPerMille = store.latePerMille = latePerMille = 0;
+        for (const auto& host : hosts)
+            host->process.resume();
+    }
+    std::string lost()
+    {
+        std::string text;
+        for (const auto& [number, outcome] : outcomes) {
+            if (!outcome || !outcome->hasValue())
+                continue;
+            const auto found = phase(*live().front(), number);
+            if (!found || !Jobs::isFinal(*found))
+                text += "job " + std::to_string(number) + " didn't end; ";
+        }
+        return text;
+    }
+};
+
+} // namespace
+
+TEST_CASE("schedules of failures")
+{
+    const char* const wanted = std::getenv("LC_SEED");
+    if (wanted && std::getenv("LC_LOG"))
+        Common::initLog("schedule", "info");
+    const uint64_t first = wanted ? std::strtoull(wanted, nullptr, 10) : 1;
+    const uint64_t last = wanted ? first : seeds;
+    for (uint64_t seed = first; seed <= last; ++seed) {
+        CAPTURE(seed);
+        Schedule schedule(seed);
+        if (wanted && std::getenv("LC_LOG"))
+            schedule.traceTime();
+        for (size_t fault = 0; fault < faultCount; ++fault) {
+            schedule.submitSome();
+            schedule.clock.advance(std::chrono::milliseconds(schedule.pick(1500)));
+            schedule.strike();
+            schedule.clock.advance(std::chrono::milliseconds(schedule.pick(2500)));
+        }
+        schedule.clock.advance(4s);
+        schedule.calm();
+        schedule.clock.advance(60s);
+        CHECK(schedule.judge.summary() == "");
+        CHECK(schedule.lost() == "");
+    }
+}
--- /dev/null
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -0,0 +1,249 @@
+// Whole entry hosts over fakes: store, workers, list of workers, beats and peers.
+#pragma once
+
+#include "Cells/BeatPort.h"
+#include "Cells/CellKeeper.h"
+#include "Cells/JobFront.h"
+#include "Cells/RelayedStore.h"
+#include "Cells/RunWorkerPort.h"
+#include "Cells/WorkerList.h"
+#include "Fakes/FakePeer.h"
+#include "Fakes/FakeRecordStore.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace CellTests {
+
+/// The platform's list, without lag.
+class RunWorkerList final : public Cells::WorkerList {
+public:
+    RunWorkerList(Fakes::FakeProcess& process, const std::vector<std::unique_ptr<RunWorker>>& workers)
+        : m_process(process)
+        , m_workers(workers)
+    {
+    }
+
+    void list(Common::Callback<Cells::WorkerChanges> done) override
+    {
+        m_process.schedule(std::chrono::milliseconds(3), [this, done] { done(changes()); });
+    }
+    void watch(Common::StoreRevision, Common::Duration, Common::Callback<Cells::WorkerChanges> done) override
+    {
+        m_process.schedule(std::chrono::seconds(1), [this, done] { done(changes()); });
+    }
+
+private:
+    Cells::WorkerChanges changes() const
+    {
+        Cells::WorkerChanges found;
+        for (const auto& worker : m_workers) {
+            if (worker->up())
+                found.listed.push_back(worker->entry());
+            else
+                found.removed.push_back(worker->entry().id);
+        }
+        return found;
+    }
+
+    Fakes::FakeProcess& m_process;
+    const std::vector<std::unique_ptr<RunWorker>>& m_workers;
+};
+
+class WorldBeats final : public Cells::BeatPort {
+public:
+    using Directory = std::map<std::string, WorldBeats*>;
+
+    WorldBeats(Fakes::FakeNetwork& network, Fakes::FakeProcess& process, Directory& directory, std::string address)
+        : m_network(network)
+        , m_process(process)
+        , m_directory(directory)
+        , m_address(std::move(address))
+    {
+        m_directory[m_address] = this;
+    }
+
+    void send(const std::string& address, std::string_view text) override
+    {
+        if (m_process.isKilled())
+            return;
+        m_network.send(m_address, address, [this, address, text = std::string(text)] {
+            const auto found = m_directory.find(address);
+            if (found == m_directory.end())
+                return;
+            WorldBeats* const receiver = found->second;
+            receiver->m_process.post([receiver, text] {
+                if (receiver->m_handler)
+                    receiver->m_handler(text);
+            });
+        });
+    }
+    void onReceive(std::function<void(std::string_view)> handler) override { m_handler = std::move(handler); }
+
+private:
+    Fakes::FakeNetwork& m_network;
+    Fakes::FakeProcess& m_process;
+    Directory& m_directory;
+    std::string m_address;
+    std::function<void(std::string_view)> m_handler;
+};
+
+/// One run of an entry host. Kept until the end of the test, also when it was killed.
+struct WorldHost {
+    Fakes::FakeProcess process;
+    std::string address;
+    Cells::HostSettings settings;
+    Cells::CellSettings cellSettings;
+    Fakes::FakePeer peer;
+    WorldBeats beats;
+    RunWorkerPort orders;
+    RunWorkerList workers;
+    Cells::RelayedStore store;
+    Cells::CellKeeper keeper;
+    Cells::JobFront front;
+
+    template <typename World>
+    WorldHost(World& world, Cells::HostSettings hostSettings, uint64_t seed)
+        : process(world.clock, seed)
+        , address(hostSettings.address)
+        , settings(std::move(hostSettings))
+        , peer(world.network, process, world.peers, address)
+        , beats(world.network, process, world.beats, address)
+        , orders(world.clock, world.network, process, world.workerDirectory, address, world.latePerMille)
+        , workers(process, world.workers)
+        , store(process, world.store.client(address, process), peer)
+        , keeper({ process, store, workers, orders, beats }, settings, cellSettings)
+        , front(process, store, peer, keeper, settings)
+    {
+        store.start(keeper.hosts());
+        front.start();
+        keeper.setStoreAnswers(true);
+        keeper.start();
+        noteStore();
+    }
+    void noteStore()
+    {
+        keeper.setStoreAnswers(store.directAnswers());
+        process.schedule(std::chrono::milliseconds(500), [this] { noteStore(); });
+    }
+};
+
+class CellWorld {
+public:
+    explicit CellWorld(uint64_t seed)
+        : clock(seed)
+        , network(clock, seed)
+        , store(clock, network, seed)
+        , m_random(seed)
+    {
+    }
+
+    Fakes::VirtualRuntime clock;
+    Fakes::FakeNetwork network;
+    Fakes::FakeRecordStore store;
+    Fakes::FakePeer::Directory peers;
+    WorldBeats::Directory beats;
+    RunJudge judge;
+    RunWorkerPort::Directory workerDirectory;
+    std::vector<std::unique_ptr<RunWorker>> workers;
+    std::vector<std::unique_ptr<WorldHost>> hosts;
+    uint64_t latePerMille = 0;
+
+    void addWorkers(const std::string& domain, size_t count, int64_t milliCores)
+    {
+        for (size_t index = 0; index < count; ++index) {
+            Cells::WorkerEntry entry;
+            entry.id = Common::WorkerId("w" + std::to_string(workers.size()));
+            entry.address = entry.id.value() + ":1";
+            entry.service = Common::ServiceName("desk");
+            entry.domain = Common::DomainId(domain);
+            entry.rack = Common::RackId("r" + std::to_string(index / 4) + "-" + domain);
+            entry.capacity = Common::Resources { 0, milliCores, 100'000, 0 };
+            workers.push_back(std::make_unique<RunWorker>(clock, judge, entry));
+            workerDirectory[entry.address] = workers.back().get();
+        }
+    }
+    WorldHost& addHost(const std::string& domain, const std::string& name)
+    {
+        Cells::HostSettings settings;
+        settings.id = Common::DaemonId(name + "@" + std::to_string(++m_boots));
+        settings.address = settings.beatAddress = name;
+        settings.domain = Common::DomainId(domain);
+        settings.region = Common::RegionId("east");
+        for (const auto& [address, port] : beats)
+            settings.seeds.push_back(address);
+        hosts.push_back(std::make_unique<WorldHost>(*this, settings, m_random()));
+        return *hosts.back();
+    }
+    /// Kills the host's process and starts another at the same address.
+    WorldHost& restart(size_t index)
+    {
+        WorldHost& old = *hosts[index];
+        old.process.kill();
+        return addHost(old.settings.domain.value(), old.address);
+    }
+    std::vector<WorldHost*> live()
+    {
+        std::vector<WorldHost*> found;
+        for (const auto& host : hosts) {
+            if (!host->process.isKilled())
+                found.push_back(host.get());
+        }
+        return found;
+    }
+
+    static Common::JobId jobId(uint64_t number)
+    {
+        std::string digits = std::to_string(number);
+        return Common::JobId(std::string(16 - digits.size(), '0') + digits);
+    }
+    static Jobs::JobRecord job(uint64_t number, const std::string& payload, uint32_t tasks, uint32_t steps = 1)
+    {
+        Jobs::JobRecord record;
+        record.id = jobId(number);
+        record.terms.route = "cut";
+        record.terms.service = Common::ServiceName("desk");
+        record.terms.maximumAttempts = 2;
+        record.terms.stretch = 2;
+        record.terms.targetDuration = std::chrono::seconds(1);
+        record.spec.payload = payload;
+        for (uint32_t step = 0; step < steps; ++step) {
+            Jobs::StepSpec spec;
+            spec.taskCount = tasks;
+            spec.request = Common::Resources { 0, 1000, 100, 0 };
+            spec.estimate = std::chrono::milliseconds(500);
+            if (step > 0)
+                spec.after = { step - 1 };
+            record.spec.steps.push_back(spec);
+        }
+        return record;
+    }
+    /// Submits at a host; the outcome is written where `outcome` points.
+    void submit(WorldHost& host, Jobs::JobRecord record, std::optional<Common::Result<Common::Done>>& outcome)
+    {
+        judge.submitted[record.id] = record.spec;
+        record.acceptedMilliseconds = clock.wallMilliseconds();
+        host.front.submit(std::move(record), std::chrono::seconds(3),
+            [&outcome](const Common::Result<Common::Done>& done) { outcome = done; });
+    }
+    std::optional<Jobs::JobPhase> phase(WorldHost& host, uint64_t number)
+    {
+        std::optional<Jobs::JobPhase> found;
+        host.front.phase(
+            jobId(number), std::chrono::seconds(2), [&found](const Common::Result<Jobs::JobPhase>& phase) {
+                if (phase)
+                    found = *phase;
+            });
+        // Short of what the state of a final job is kept for, also when many are asked for in turn.
+        clock.advance(std::chrono::milliseconds(200));
+        return found;
+    }
+
+private:
+    std::mt19937_64 m_random;
+    uint64_t m_boots = 0;
+};
+
+} // namespace CellTests
--- /dev/null
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -0,0 +1,325 @@
+// Whole entry hosts: jobs are accepted, run and finished, also when owners, the store or workers fail.
+#include "Cells/CellWorld.h"
+#include "Cells/StoreKeys.h"
+
+#include <doctest/doctest.h>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+using Jobs::JobPhase;
+
+namespace {
+
+using Outcome = std::optional<Common::Result<Common::Done>>;
+
+/// Three hosts, one cell of eight workers.
+struct Fleet : CellWorld {
+    explicit Fleet(uint64_t seed = 1)
+        : CellWorld(seed)
+    {
+        addWorkers("yard", 8, 4000);
+        for (const char* const name : { "a:1", "b:1", "c:1" })
+            addHost("yard", name);
+        clock.advance(8s);
+    }
+    WorldHost* owner()
+    {
+        for (WorldHost* const host : live()) {
+            if (!host->keeper.engines().empty())
+                return host;
+        }
+        return nullptr;
+    }
+    WorldHost& other()
+    {
+        for (WorldHost* const host : live()) {
+            if (host->keeper.engines().empty())
+                return *host;
+        }
+        return *live().front();
+    }
+    size_t owners()
+    {
+        size_t count = 0;
+        for (WorldHost* const host : live())
+            count += host->keeper.engines().size();
+        return count;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a job submitted anywhere is accepted, runs step by step and completes")
+{
+    Fleet fleet;
+    REQUIRE(fleet.owners() == 1);
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:300", 4, 3), outcome);
+    fleet.clock.advance(200ms);
+    REQUIRE(outcome);
+    CHECK(outcome->hasValue());
+    fleet.clock.advance(3s);
+    CHECK(fleet.phase(fleet.other(), 1) == JobPhase::Completed);
+    CHECK(fleet.judge.starts == 12);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("the same id submitted at two hosts stays one job")
+{
+    Fleet fleet;
+    Outcome first;
+    Outcome second;
+    fleet.submit(*fleet.hosts[0], CellWorld::job(1, "run:300", 3), first);
+    fleet.submit(*fleet.hosts[1], CellWorld::job(1, "run:300", 3), second);
+    fleet.clock.advance(3s);
+    REQUIRE((first && second));
+    CHECK((first->hasValue() && second->hasValue()));
+    CHECK(fleet.judge.starts == 3);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("runs survive the death of their owner, and nothing runs twice")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:5000", 8, 2), outcome);
+    fleet.clock.advance(1s);
+    REQUIRE(fleet.judge.starts == 8);
+    fleet.owner()->process.kill();
+    fleet.clock.advance(16s);
+    CHECK(fleet.owners() == 1);
+    CHECK(fleet.judge.starts == 16);
+    CHECK(fleet.phase(*fleet.live().front(), 1) == JobPhase::Completed);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("an owner that was frozen and replaced does no harm when it wakes")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:900", 8, 6), outcome);
+    fleet.clock.advance(500ms);
+    WorldHost* const frozen = fleet.owner();
+    frozen->process.pause();
+    fleet.clock.advance(6s);
+    frozen->process.resume();
+    fleet.clock.advance(12s);
+    CHECK(fleet.owners() == 1);
+    CHECK(fleet.phase(*fleet.live().front(), 1) == JobPhase::Completed);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("an accepted job survives the death of all hosts")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:400", 4, 2), outcome);
+    while (!outcome)
+        fleet.clock.step();
+    REQUIRE(outcome->hasValue());
+    for (const auto& host : fleet.hosts)
+        host->process.kill();
+    fleet.clock.advance(2s);
+    for (const char* const name : { "a:1", "b:1", "c:1" })
+        fleet.addHost("yard", name);
+    fleet.clock.advance(9s);
+    CHECK(fleet.phase(*fleet.live().front(), 1) == JobPhase::Completed);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("known jobs go on while the store is down, and new ones are refused")
+{
+    Fleet fleet;
+    Outcome before;
+    Outcome meanwhile;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:400", 4, 4), before);
+    fleet.clock.advance(200ms);
+    fleet.store.down = true;
+    fleet.submit(fleet.other(), CellWorld::job(2, "run:400", 4), meanwhile);
+    fleet.clock.advance(4s);
+    CHECK(fleet.judge.starts == 16);
+    REQUIRE(meanwhile);
+    CHECK_FALSE(meanwhile->hasValue());
+    CHECK(meanwhile->reason().retryAfter.has_value());
+    fleet.store.down = false;
+    fleet.clock.advance(3s);
+    CHECK(fleet.phase(fleet.other(), 1) == JobPhase::Completed);
+    CHECK_FALSE(fleet.phase(fleet.other(), 2));
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("a host that the store turns away goes on through another one")
+{
+    Fleet fleet;
+    WorldHost* const owner = fleet.owner();
+    fleet.store.turnedAway.insert(owner->address);
+    fleet.clock.advance(200ms);
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:400", 4), outcome);
+    fleet.clock.advance(1500ms);
+    REQUIRE(outcome);
+    CHECK(outcome->hasValue());
+    fleet.clock.advance(3s);
+    CHECK(fleet.phase(fleet.other(), 1) == JobPhase::Completed);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("a worker that starts again has lost its runs, and they run elsewhere once")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:2000", 8), outcome);
+    fleet.clock.advance(1s);
+    fleet.workers[0]->restart();
+    fleet.clock.advance(8s);
+    CHECK(fleet.phase(fleet.other(), 1) == JobPhase::Completed);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("a silent worker's tasks wait until its lease has surely passed")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:60000", 8), outcome);
+    fleet.clock.advance(1s);
+    const size_t stranded = fleet.workers[2]->running();
+    REQUIRE(stranded > 0);
+    for (const auto& host : fleet.hosts) {
+        fleet.network.cut(host->address, fleet.workers[2]->entry().address);
+        fleet.network.cut(fleet.workers[2]->entry().address, host->address);
+    }
+    fleet.clock.advance(3s);
+    CHECK(fleet.judge.starts == 8);
+    fleet.clock.advance(9s);
+    CHECK(fleet.judge.starts == 8 + stranded);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("orders that are carried out late start nothing twice")
+{
+    Fleet fleet(7);
+    fleet.latePerMille = 200;
+    std::vector<Outcome> outcomes(12);
+    for (uint64_t number = 0; number < outcomes.size(); ++number)
+        fleet.submit(fleet.other(), CellWorld::job(number + 1, "run:700", 3, 3), outcomes[number]);
+    fleet.clock.advance(40s);
+    fleet.latePerMille = 0;
+    fleet.clock.advance(20s);
+    for (uint64_t number = 1; number <= outcomes.size(); ++number)
+        CHECK(fleet.phase(fleet.other(), number) == JobPhase::Completed);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("a cancelled job stops and stays cancelled")
+{
+    Fleet fleet;
+    Outcome accepted;
+    Outcome cancelled;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:60000", 8), accepted);
+    fleet.clock.advance(1s);
+    fleet.hosts[2]->front.cancel(
+        CellWorld::jobId(1), 2s, [&](const Common::Result<Common::Done>& done) { cancelled = done; });
+    fleet.clock.advance(1s);
+    REQUIRE(cancelled);
+    CHECK(cancelled->hasValue());
+    for (const auto& worker : fleet.workers)
+        CHECK(worker->running() == 0);
+    fleet.owner()->process.kill();
+    fleet.clock.advance(6s);
+    CHECK(fleet.phase(*fleet.live().front(), 1) == JobPhase::Cancelled);
+    CHECK(fleet.judge.starts == 8);
+}
+
+TEST_CASE("a task that fails everywhere fails its job after as many attempts as the route allows")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "fail:300", 1), outcome);
+    fleet.clock.advance(5s);
+    CHECK(fleet.phase(fleet.other(), 1) == JobPhase::Failed);
+    CHECK(fleet.judge.starts == 2);
+}
+
+TEST_CASE("a failure that is read again by a successor counts once")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "fail:300", 1), outcome);
+    // The first failure has been read and committed; the worker hasn't been told yet.
+    while (fleet.judge.starts < 2)
+        fleet.clock.step();
+    fleet.owner()->process.kill();
+    fleet.clock.advance(1s);
+    CHECK(fleet.judge.starts == 2);
+    fleet.clock.advance(5s);
+    CHECK(fleet.phase(*fleet.live().front(), 1) == JobPhase::Failed);
+    CHECK(fleet.judge.starts <= 3);
+}
+
+TEST_CASE("a draining host hands its cells over without losing a run")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:1500", 8, 3), outcome);
+    fleet.clock.advance(800ms);
+    WorldHost* const leaving = fleet.owner();
+    bool drained = false;
+    leaving->keeper.drain([&] { drained = true; });
+    fleet.clock.advance(1500ms);
+    CHECK(drained);
+    CHECK(fleet.owners() == 1);
+    CHECK(fleet.owner() != leaving);
+    fleet.clock.advance(6s);
+    CHECK(fleet.phase(fleet.other(), 1) == JobPhase::Completed);
+    CHECK(fleet.judge.starts == 24);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("a run that stands still is moved to another worker")
+{
+    Fleet fleet;
+    Outcome outcome;
+    fleet.submit(fleet.other(), CellWorld::job(1, "hang", 1), outcome);
+    fleet.clock.advance(8s);
+    CHECK(fleet.judge.starts >= 2);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("long-running tasks run on and are restarted when their worker dies")
+{
+    Fleet fleet;
+    Outcome outcome;
+    Jobs::JobRecord watch = CellWorld::job(1, "last", 6);
+    watch.spec.steps[0].longRunning = true;
+    fleet.submit(fleet.other(), watch, outcome);
+    fleet.clock.advance(2s);
+    REQUIRE(fleet.judge.starts == 6);
+    fleet.workers[0]->restart();
+    fleet.workers[1]->restart();
+    fleet.clock.advance(4s);
+    size_t running = 0;
+    for (const auto& worker : fleet.workers)
+        running += worker->running();
+    CHECK(running == 6);
+    CHECK(fleet.judge.summary().empty());
+}
+
+TEST_CASE("an unclear submission ends as unknown and may be repeated")
+{
+    Fleet fleet;
+    fleet.store.lostPerMille = 1000;
+    Outcome first;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:300", 2), first);
+    fleet.clock.advance(2500ms);
+    REQUIRE(first);
+    CHECK(first->reason().code == Common::ErrorCode::OutcomeUnknown);
+    fleet.store.lostPerMille = 0;
+    fleet.clock.advance(1s);
+    Outcome second;
+    fleet.submit(fleet.other(), CellWorld::job(1, "run:300", 2), second);
+    fleet.clock.advance(3s);
+    REQUIRE(second);
+    CHECK(second->hasValue());
+    CHECK(fleet.judge.starts == 2);
+    CHECK(fleet.judge.summary().empty());
+}
--- /dev/null
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -0,0 +1,256 @@
+// A worker that keeps tokens, attempts and leases as the platform's workers do.
+#pragma once
+
+#include "Cells/RunJudge.h"
+#include "Cells/WorkerEntry.h"
+#include "Cells/WorkerOrders.h"
+#include "Fakes/VirtualRuntime.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace CellTests {
+
+/// The payload says what a task does: "run:MS", "fail:MS", "last" (until it is stopped) or "hang".
+class RunWorker {
+public:
+    using Answer = Common::Callback<Cells::OrderAnswer>;
+    using ReportAnswer = Common::Callback<Cells::RunReport>;
+
+    RunWorker(Fakes::VirtualRuntime& world, RunJudge& judge, Cells::WorkerEntry entry)
+        : m_world(world)
+        , m_judge(judge)
+        , m_entry(std::move(entry))
+    {
+        begin();
+    }
+
+    const Cells::WorkerEntry& entry() const { return m_entry; }
+    bool up() const { return m_up; }
+    /// Tail latency in milliseconds that its serving tasks report.
+    double tail = 4;
+    uint64_t looks = 0;
+    std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
+
+    void crash()
+    {
+        m_up = false;
+        killAll();
+    }
+    /// Starts again under its id, knowing nothing. Whoever had a connection notices.
+    void restart()
+    {
+        crash();
+        m_world.schedule(std::chrono::milliseconds(700), [this, life = m_life] {
+            if (life == m_life)
+                begin();
+        });
+    }
+    size_t running() const { return m_runs.size(); }
+
+    void start(Cells::FencingToken token, const Cells::RunOrder& order, Common::WorkerTime until, const Answer& answer)
+    {
+        if (!m_up)
+            return;
+        if (token < m_token) {
+            reply(answer, Cells::OrderVerdict::Fenced);
+            return;
+        }
+        m_token = token;
+        if (until <= clock()) {
+            reply(answer, Cells::OrderVerdict::Late);
+            return;
+        }
+        extend(until);
+        const auto run = m_runs.find(order.task);
+        if (run != m_runs.end() && run->second.attempt == order.attempt) {
+            reply(answer, Cells::OrderVerdict::Accepted);
+            return;
+        }
+        if (run != m_runs.end() || order.attempt <= m_highestEnded[order.task]) {
+            reply(answer, Cells::OrderVerdict::OldAttempt);
+            return;
+        }
+        m_judge.started(m_entry.id.value(), order.task, m_entry.capacity);
+        m_runs[order.task] = Run { order.attempt, order.payload, m_world.now() };
+        arm(order);
+        reply(answer, Cells::OrderVerdict::Accepted);
+    }
+    void stop(
+        Cells::FencingToken token, const Jobs::TaskName& task, Common::AttemptNumber attempt, const Answer& answer)
+    {
+        if (!m_up)
+            return;
+        if (token < m_token) {
+            reply(answer, Cells::OrderVerdict::Fenced);
+            return;
+        }
+        m_token = token;
+        m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
+        const auto run = m_runs.find(task);
+        if (run != m_runs.end() && run->second.attempt == attempt) {
+            m_world.schedule(std::chrono::milliseconds(100), [this, task, attempt, life = m_life] {
+                if (life == m_life)
+                    end(task, attempt, Cells::RunEnd::Stopped);
+            });
+        }
+        reply(answer, Cells::OrderVerdict::Accepted);
+    }
+    void pace(const Jobs::TaskName& task, uint32_t percent, const Answer& answer)
+    {
+        if (!m_up)
+            return;
+        paces.emplace_back(task, percent);
+        reply(answer, Cells::OrderVerdict::Accepted);
+    }
+    void hold(const Cells::WorkerOrders::HoldRequest& request, const ReportAnswer& answer)
+    {
+        if (!m_up)
+            return;
+        ++looks;
+        if (request.token < m_token) {
+            answer(Common::Failure { Common::ErrorCode::NotOwner, "", {} });
+            return;
+        }
+        m_token = request.token;
+        if (request.leaseUntil && *request.leaseUntil > clock())
+            extend(*request.leaseUntil);
+        std::erase_if(m_ended, [&](const Cells::EndedTask& end) {
+            const bool forgotten = end.number <= request.acknowledgedThrough;
+            if (forgotten && end.end == Cells::RunEnd::Done)
+                m_judge.noted(end.task);
+            return forgotten;
+        });
+        if (request.wait <= Common::Duration::zero() || !m_ended.empty()) {
+            answer(report());
+            return;
+        }
+        m_waiting.push_back(answer);
+        m_world.schedule(request.wait, [this, life = m_life] {
+            if (life == m_life)
+                answerLooks();
+        });
+    }
+
+private:
+    struct Run {
+        Common::AttemptNumber attempt;
+        std::string payload;
+        Common::MonoTime startedAt;
+    };
+
+    void begin()
+    {
+        m_up = true;
+        ++m_life;
+        m_bornAt = m_world.now();
+        m_entry.bornMilliseconds = m_world.wallMilliseconds() + static_cast<int64_t>(m_life);
+        m_token = {};
+        m_highestEnded.clear();
+        m_ended.clear();
+        m_lastEnd = 0;
+        m_leaseUntil = {};
+    }
+    Common::WorkerTime clock() const
+    {
+        return Common::WorkerTime {
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_world.now() - m_bornAt).count() };
+    }
+    void extend(Common::WorkerTime until)
+    {
+        m_leaseUntil = std::max(m_leaseUntil, until);
+        m_world.schedule(std::chrono::milliseconds(until.milliseconds - clock().milliseconds), [this, life = m_life] {
+            if (life != m_life || clock() < m_leaseUntil)
+                return;
+            const auto runs = m_runs;
+            for (const auto& [task, run] : runs)
+                end(task, run.attempt, Cells::RunEnd::Lapsed);
+        });
+    }
+    void arm(const Cells::RunOrder& order)
+    {
+        const size_t colon = order.payload.find(':');
+        if (colon == std::string::npos)
+            return;
+        const bool fails = order.payload.starts_with("fail");
+        const auto span = std::chrono::milliseconds(std::stoi(order.payload.substr(colon + 1)));
+        m_world.schedule(span, [this, task = order.task, attempt = order.attempt, fails, life = m_life] {
+            if (life == m_life)
+                end(task, attempt, fails ? Cells::RunEnd::Failed : Cells::RunEnd::Done);
+        });
+    }
+    void end(const Jobs::TaskName& task, Common::AttemptNumber attempt, Cells::RunEnd how)
+    {
+        const auto run = m_runs.find(task);
+        if (run == m_runs.end() || run->second.attempt != attempt)
+            return;
+        m_runs.erase(run);
+        m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
+        m_judge.gone(m_entry.id.value(), task);
+        if (how == Cells::RunEnd::Done)
+            m_judge.done(task);
+        m_ended.push_back({ ++m_lastEnd, task, attempt, how, {} });
+        answerLooks();
+    }
+    void killAll()
+    {
+        ++m_life;
+        for (const auto& [task, run] : m_runs)
+            m_judge.gone(m_entry.id.value(), task);
+        m_runs.clear();
+        m_waiting.clear();
+    }
+    Cells::RunReport report() const
+    {
+        Cells::RunReport report;
+        report.clock = clock();
+        report.bornMilliseconds = m_entry.bornMilliseconds;
+        report.ended = m_ended;
+        for (const auto& [task, run] : m_runs) {
+            Cells::RunningTask row { task, run.attempt, {}, percentOf(run), -1 };
+            row.load = run.payload == "last" ? tail : 1000;
+            report.running.push_back(row);
+        }
+        return report;
+    }
+    uint32_t percentOf(const Run& run) const
+    {
+        if (run.payload == "last")
+            return 100;
+        if (run.payload == "hang")
+            return 10;
+        const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(m_world.now() - run.startedAt);
+        const auto whole = std::stoi(run.payload.substr(run.payload.find(':') + 1));
+        return static_cast<uint32_t>(std::min<int64_t>(99, 100 * ran.count() / std::max(whole, 1)));
+    }
+    void answerLooks()
+    {
+        const auto waiting = std::exchange(m_waiting, {});
+        for (const ReportAnswer& answer : waiting)
+            answer(report());
+    }
+    void reply(const Answer& answer, Cells::OrderVerdict verdict) const
+    {
+        answer(Cells::OrderAnswer { verdict, clock() });
+    }
+
+    Fakes::VirtualRuntime& m_world;
+    RunJudge& m_judge;
+    Cells::WorkerEntry m_entry;
+    bool m_up = true;
+    uint64_t m_life = 0;
+    Common::MonoTime m_bornAt;
+    Cells::FencingToken m_token;
+    Common::WorkerTime m_leaseUntil;
+    std::map<Jobs::TaskName, Run> m_runs;
+    std::map<Jobs::TaskName, Common::AttemptNumber> m_highestEnded;
+    std::vector<Cells::EndedTask> m_ended;
+    uint64_t m_lastEnd = 0;
+    std::vector<ReportAnswer> m_waiting;
+};
+
+} // namespace CellTests
--- /dev/null
+++ b/Source/UnitTests/Jobs/JobRecordTest.cpp
@@ -0,0 +1,68 @@
+// Job records survive being written and read; malformed ones fail with a type.
+#include "Jobs/JobRecord.h"
+
+#include <doctest/doctest.h>
+
+using namespace Jobs;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobRecord sample()
+{
+    JobRecord record;
+    record.id = Common::JobId("00000000000000ab");
+    record.terms = { "cut", Common::ServiceName("desk"), 2, 3, 1.5, 600ms };
+    record.spec.payload = "a \"quoted\" payload";
+    StepSpec first;
+    first.taskCount = 3;
+    first.request = { 0, 4600, 9200, 1 };
+    first.estimate = 800ms;
+    first.image = "i1";
+    StepSpec second = first;
+    second.after = { 0 };
+    second.checkpoints = second.backfill = true;
+    second.preferredRack = Common::RackId("r1-3");
+    record.spec.steps = { first, second };
+    record.acceptedMilliseconds = 12345;
+    record.phase = JobPhase::Running;
+    std::vector<TaskProgress> tasks(3);
+    tasks[0].done = true;
+    tasks[2] = TaskProgress { false, 1, 2, 3, "saved" };
+    record.progress[0] = { tasks, std::vector<TaskProgress>(3) };
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("a record is read as it was written")
+{
+    const auto read = JobRecord::decode(sample().encode());
+    REQUIRE(read);
+    CHECK(read->encode() == sample().encode());
+    CHECK(read->spec.steps[1].after == std::vector<uint32_t> { 0 });
+    CHECK(read->spec.steps[1].backfill);
+    const TaskProgress& task = read->progress.at(0)[0][2];
+    CHECK(task.failures == 1);
+    CHECK(task.lastFailedAttempt == 2);
+    CHECK(task.lastAttempt == 3);
+    CHECK(task.checkpoint == "saved");
+    CHECK(read->progress.at(0)[0][0].done);
+}
+
+TEST_CASE("a completed record keeps neither payload nor steps, a cancelled one keeps its steps")
+{
+    JobRecord record = sample();
+    record.phase = JobPhase::Completed;
+    CHECK(JobRecord::decode(record.encode())->spec.steps.empty());
+    record.phase = JobPhase::Cancelled;
+    const auto cancelled = JobRecord::decode(record.encode());
+    CHECK(cancelled->spec.steps.size() == 2);
+    CHECK(cancelled->spec.payload.empty());
+}
+
+TEST_CASE("text that is no record fails with a type")
+{
+    for (const char* const text : { "", "{", "[]", "{}", R"({"id":5})", R"({"id":"a","terms":{}})" })
+        CHECK(JobRecord::decode(text).reason().code == Common::ErrorCode::ProtocolError);
+}
--- /dev/null
+++ b/Source/UnitTests/Policy/TailModelTest.cpp
@@ -0,0 +1,103 @@
+// Learns which images disturb each other, and paces backfill so that callers of the services beside it get their answers
+// in time.
+#include "Policy/BackfillPace.h"
+#include "Policy/TailModel.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <map>
+#include <random>
+
+using namespace Policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A worker as trial days show it: the tail is that of a queue whose utilization swings, plus what backfill adds.
+struct SimulatedWorker {
+    static constexpr double base = 0.22;
+    std::map<std::string, double> factors { { "mild", 0.2 }, { "heavy", 5 } };
+    double load = 0.42;
+
+    double tail(const std::vector<PacedRun>& runs) const
+    {
+        double utilization = load;
+        for (const PacedRun& run : runs)
+            utilization += factors.at(run.image) * run.used;
+        return utilization >= 0.99 ? 20 : base / (1 - utilization);
+    }
+};
+
+std::vector<TailModel::Source> sourcesOf(const std::vector<PacedRun>& runs)
+{
+    std::vector<TailModel::Source> sources;
+    for (const PacedRun& run : runs)
+        sources.push_back({ run.image, run.used });
+    return sources;
+}
+
+} // namespace
+
+TEST_CASE("the factors of a disturbing and of a harmless image are told apart within some reports")
+{
+    TailModel model;
+    SimulatedWorker worker;
+    std::mt19937_64 random(3);
+    for (int report = 0; report < 60; ++report) {
+        worker.load = 0.42 + 0.2 * std::sin(report / 3.0);
+        const bool heavy = random() % 2;
+        const std::vector<PacedRun> runs { { heavy ? "heavy" : "mild", 0.08, 0.08, 100 } };
+        model.observe("service", worker.tail(runs), sourcesOf(runs));
+    }
+    CHECK(model.pressure("heavy", "service") > 2.5);
+    CHECK(model.pressure("mild", "service") < 1.2);
+}
+
+TEST_CASE("with the swings of load and a disturbing image, pacing keeps the service under its target nearly always")
+{
+    TailModel model;
+    SimulatedWorker worker;
+    std::vector<PacedRun> runs { { "heavy", 0.12, 0, 100 }, { "heavy", 0.12, 0, 100 }, { "mild", 0.1, 0, 100 } };
+    int over = 0;
+    double mildWork = 0;
+    constexpr int reports = 240;
+    for (int report = 0; report < reports; ++report) {
+        worker.load = 0.42 * (1 + 0.5 * std::sin(report * 0.31));
+        for (PacedRun& run : runs)
+            run.used = run.demand * run.pace / 100;
+        const double tail = worker.tail(runs);
+        if (report > 20)
+            over += tail > 1 ? 1 : 0;
+        const std::vector<PacedService> services { { "service", tail } };
+        model.observe("service", tail, sourcesOf(runs));
+        const auto paces = paceBackfill(model, services, runs, 0s);
+        for (size_t index = 0; index < runs.size(); ++index)
+            runs[index].pace = paces[index];
+        mildWork += runs[2].pace / 100.0;
+    }
+    CHECK(over <= reports / 20);
+    CHECK(mildWork > 0.8 * reports);
+}
+
+TEST_CASE("when the model is wrong, all backfill is slowed down, then paused")
+{
+    TailModel model;
+    const std::vector<PacedService> services { { "service", 3.0 } };
+    const std::vector<PacedRun> runs { { "unknown", 0.01, 0.01, 80 } };
+    CHECK(paceBackfill(model, services, runs, 1s).front() <= 40);
+    CHECK(paceBackfill(model, services, runs, 2s).front() == 0);
+}
+
+TEST_CASE("a new run is held back by what it would press, not by its size")
+{
+    TailModel model;
+    for (int report = 0; report < 40; ++report) {
+        model.observe("service", 0.38, { { "mild", 0.1 } });
+        model.observe("service", 2.0, { { "heavy", 0.1 } });
+    }
+    const std::vector<PacedService> services { { "service", 0.38 } };
+    CHECK(paceForNewRun(model, services, {}, "mild", 0.2) > 0.9);
+    CHECK(paceForNewRun(model, services, {}, "heavy", 0.2) < 0.5);
+    CHECK(paceForNewRun(model, {}, {}, "heavy", 0.2) == 1);
+}
--- /dev/null
+++ b/Source/UnitTests/Policy/WorkerChoiceTest.cpp
@@ -0,0 +1,67 @@
+// Workers for tasks: never over capacity, backfill where something is left, services of one image together.
+#include "Policy/WorkerChoice.h"
+
+#include <doctest/doctest.h>
+
+using namespace Policy;
+
+namespace {
+
+WorkerOffer offer(int64_t freeMilliCores)
+{
+    WorkerOffer offer;
+    offer.capacity = { 0, 64'000, 256'000, 0 };
+    offer.free = { 0, freeMilliCores, 100'000, 0 };
+    offer.unusedMilliCores = 40'000;
+    return offer;
+}
+
+TaskNeed need(int64_t milliCores, bool backfill = false)
+{
+    TaskNeed need;
+    need.request = { 0, milliCores, 1000, 0 };
+    need.backfill = backfill;
+    return need;
+}
+
+} // namespace
+
+TEST_CASE("a task goes only where it fits")
+{
+    CHECK_FALSE(chooseWorker(need(5000), { offer(4999) }));
+    CHECK(chooseWorker(need(5000), { offer(4999), offer(5000) }) == 1U);
+    TaskNeed large = need(10);
+    large.request.memoryMegabytes = 100'001;
+    CHECK_FALSE(chooseWorker(large, { offer(64'000) }));
+}
+
+TEST_CASE("backfill needs unused processor time, not free capacity")
+{
+    CHECK(chooseWorker(need(7000, true), { offer(0) }) == 0U);
+    WorkerOffer crowded = offer(64'000);
+    crowded.backfillMilliCores = 38'000;
+    CHECK_FALSE(chooseWorker(need(7000, true), { crowded }));
+    CHECK(chooseWorker(need(7000, true), { crowded, offer(0) }) == 1U);
+}
+
+TEST_CASE("backfill that would press a service too far isn't started")
+{
+    WorkerOffer pressed = offer(0);
+    pressed.backfillPace = 0.2;
+    CHECK_FALSE(chooseWorker(need(7000, true), { pressed }));
+    pressed.backfillPace = 0.6;
+    CHECK(chooseWorker(need(7000, true), { pressed, offer(0) }) == 1U);
+}
+
+TEST_CASE("a service prefers workers of its own image, and a step its limit a worker")
+{
+    TaskNeed service = need(5000);
+    service.serves = true;
+    WorkerOffer mixed = offer(50'000);
+    mixed.sameImage = 0;
+    CHECK(chooseWorker(service, { mixed, offer(20'000) }) == 1U);
+    service.maximumPerWorker = 1;
+    WorkerOffer taken = offer(20'000);
+    taken.sameStep = 1;
+    CHECK(chooseWorker(service, { mixed, taken }) == 0U);
+}
