--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -34,6 +34,12 @@
         return names.at(static_cast<size_t>(end));
     }
 
+    /// A task's report before last is of use for so long: two looks.
+    constexpr Common::Duration sampleLifetime = std::chrono::milliseconds(1800);
+    constexpr uint32_t starvedPace = 30;
+    constexpr Common::Duration starvedAfter = std::chrono::milliseconds(1000);
+    constexpr double movedPace = 0.8;
+
     bool worthPacing(uint32_t before, uint32_t after)
     {
         const bool atLimit = after == 0 || after == atWork;
@@ -269,6 +275,7 @@
     }
     for (const auto& [id, worker] : m_workers.all()) {
         moveStuckRuns(*worker);
+        moveStarvedRuns(*worker);
         if (worker->entry().draining)
             evacuate(*worker);
     }
@@ -306,6 +313,7 @@
     if (job && !isFinal(job->phase())) {
         LC_INFO(Jobs, "event=run-ended run=" << runName(run) << " worker=" << worker.id().value()
                                              << " end=" << endName(end.end) << " number=" << end.number);
+        job->noteAttempt(end.task, end.attempt);
         if (isRun(job->find(end.task), worker.id(), end.attempt))
             job->clearRun(end.task);
         if (end.end == RunEnd::Done)
@@ -373,6 +381,8 @@
     if (!occupant->settledAt)
         occupant->settledAt = m_runtime.now();
     LiveTask* const task = job && !isFinal(job->phase()) ? job->find(row.task) : nullptr;
+    if (task)
+        job->noteAttempt(row.task, row.attempt);
     if (!isRun(task, worker.id(), row.attempt)) {
         stopRun(worker, run);
         return;
@@ -557,19 +567,55 @@
     return worker.backfillMilliCores() > 0 && !worker.services().empty();
 }
 
-void CellEngine::learnTails(const CellWorker& worker)
+void CellEngine::learnTails(CellWorker& worker)
 {
     std::map<std::string, double> shares;
     for (const Policy::PacedRun& run : worker.backfillRuns()) {
         if (run.used > 0)
             shares[run.image] += run.used;
     }
-    std::vector<Policy::TailModel::Source> sources;
+    Policy::TailModel::Sample sample;
     for (const auto& [image, share] : shares)
-        sources.push_back({ image, share });
-    for (const Policy::PacedService& service : worker.services()) {
-        if (service.tailRatio >= 0)
-            m_tails.observe(service.image, service.tailRatio, sources);
+        sample.sources.push_back({ image, share });
+    const Common::MonoTime now = m_runtime.now();
+    for (const auto& [run, reported] : worker.occupants()) {
+        if (reported.latencyTarget <= Common::Duration::zero() || !reported.seen || reported.load < 0)
+            continue;
+        Occupant& occupant = *worker.find(run);
+        sample.tailRatio
+            = occupant.load / std::chrono::duration<double, std::milli>(occupant.latencyTarget).count();
+        const bool recent = occupant.sample && now - occupant.sampledAt < sampleLifetime;
+        m_tails.observe(occupant.image, sample, recent ? &*occupant.sample : nullptr);
+        occupant.sample = sample;
+        occupant.sampledAt = now;
+    }
+}
+
+/// Backfill that is slowed down for long gets on better elsewhere, if its progress is saved.
+void CellEngine::moveStarvedRuns(CellWorker& worker)
+{
+    const Common::MonoTime now = m_runtime.now();
+    for (const auto& [run, listed] : worker.occupants()) {
+        Occupant& occupant = *worker.find(run);
+        if (occupant.backfillMilliCores == 0 || occupant.pace >= starvedPace) {
+            occupant.starvedSince.reset();
+            continue;
+        }
+        if (!occupant.starvedSince)
+            occupant.starvedSince = now;
+        LiveJob* const job = occupant.stopping || !occupant.seen ? nullptr : findJob(run.task.job);
+        const LiveTask* const task = job ? job->find(run.task) : nullptr;
+        if (now - *occupant.starvedSince < starvedAfter || !isRun(task, worker.id(), run.attempt)
+            || !job->stepSpec(run.task.step).checkpoints)
+            continue;
+        CellWorker* const better = choose(*job, run.task, *task);
+        if (!better || better == &worker
+            || offerOf(*better, job->stepSpec(run.task.step), run.task).backfillPace < movedPace)
+            continue;
+        LC_INFO(Jobs, "event=run-starved run=" << runName(run) << " worker=" << worker.id().value()
+                                               << " pace=" << occupant.pace << " better=" << better->id().value());
+        stopRun(worker, run);
+        return;
     }
 }
 
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -87,7 +87,8 @@
     void noteOutcome(CellWorker&, const LiveJob&, bool ok);
     void moveStuckRuns(CellWorker&);
     void evacuate(CellWorker&);
-    void learnTails(const CellWorker&);
+    void learnTails(CellWorker&);
+    void moveStarvedRuns(CellWorker&);
     void paceBackfill(CellWorker&);
     bool lookClosely(const CellWorker&) const;
 
@@ -96,6 +97,7 @@
     void place();
     std::vector<Candidate> candidates();
     void placeStep(const Candidate&, std::vector<Candidate>& blocked);
+    void noteBlocked(const LiveJob&, const Jobs::TaskName&);
     void placeGang(const Candidate&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
     CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&);
@@ -134,6 +136,7 @@
     /// Workers that the store's record of the cell names: only these get runs.
     std::set<Common::WorkerId> m_recordedWorkers;
     std::function<void()> m_lost;
+    Common::MonoTime m_blockedNoted;
     bool m_placingSoon = false;
     bool m_releasing = false;
     bool m_closed = false;
--- a/Source/Core/Cells/CellPlacing.cpp
+++ b/Source/Core/Cells/CellPlacing.cpp
@@ -12,6 +12,8 @@
 
     /// After an attempt number was refused as too old, this many are skipped: an earlier owner may have used some.
     constexpr uint32_t skippedAttempts = 4;
+    /// A line about a task that finds no room comes at most this often.
+    constexpr Common::Duration blockedLogInterval = std::chrono::seconds(2);
     constexpr double fullPace = 100;
     constexpr Common::Duration malformedPause = std::chrono::seconds(1);
 
@@ -129,12 +131,29 @@
         CellWorker* const worker = choose(job, name, task);
         if (!worker) {
             blocked.push_back(candidate);
+            noteBlocked(job, name);
             return;
         }
         order(job, name, *worker, Common::AttemptNumber { task.progress.lastAttempt + 1 });
     }
 }
 
+void CellEngine::noteBlocked(const LiveJob& job, const Jobs::TaskName& name)
+{
+    const Common::MonoTime now = m_runtime.now();
+    if (!job.stepSpec(name.step).longRunning || now - m_blockedNoted < blockedLogInterval)
+        return;
+    m_blockedNoted = now;
+    std::string rooms;
+    for (const auto& [id, worker] : m_workers.all()) {
+        const bool usable = worker->listed && !worker->entry().draining && worker->reachable;
+        rooms += (rooms.empty() ? "" : ",") + (usable ? std::to_string(worker->free().milliCores) : std::string("-"));
+    }
+    LC_INFO(Jobs, "event=task-blocked job=" << job.id().value() << " step=" << name.step << " index=" << name.index
+                                            << " cores=" << job.stepSpec(name.step).request.milliCores << " per-worker="
+                                            << job.stepSpec(name.step).maximumPerWorker << " rooms=" << rooms);
+}
+
 /// The members of a gang start together or not at all.
 void CellEngine::placeGang(const Candidate& candidate)
 {
@@ -183,6 +202,7 @@
     } else if (spec.longRunning && spec.latencyTarget > Common::Duration::zero()) {
         offer.sameImage = worker.shareOfImage(spec.image);
     }
+    offer.serves = worker.serves();
     offer.nearData = spec.preferredRack.empty() || spec.preferredRack == entry.rack;
     offer.sameStep = spec.maximumPerWorker > 0 ? countOfStep(worker, name) : 0;
     return offer;
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -11,12 +11,12 @@
     /// worker doesn't report their use while they serve.
     constexpr double servingUseShare = 0.5;
 
-    bool serves(const Occupant& occupant) { return occupant.latencyTarget > Common::Duration::zero(); }
+    bool servesUsers(const Occupant& occupant) { return occupant.latencyTarget > Common::Duration::zero(); }
 
     /// Thousandths of a core that a run which isn't backfill uses.
     int64_t usedMilliCores(const Occupant& occupant)
     {
-        if (serves(occupant))
+        if (servesUsers(occupant))
             return static_cast<int64_t>(static_cast<double>(occupant.held.milliCores) * servingUseShare);
         if (!occupant.seen || occupant.load < 0)
             return occupant.held.milliCores;
@@ -85,7 +85,7 @@
 {
     std::vector<Policy::PacedService> services;
     for (const auto& [run, occupant] : m_occupants) {
-        if (!serves(occupant))
+        if (!servesUsers(occupant))
             continue;
         const double target = std::chrono::duration<double, std::milli>(occupant.latencyTarget).count();
         const bool reported = occupant.seen && occupant.load >= 0;
@@ -111,17 +111,23 @@
     return runs;
 }
 
+bool CellWorker::serves() const
+{
+    return std::any_of(
+        m_occupants.begin(), m_occupants.end(), [](const auto& row) { return servesUsers(row.second); });
+}
+
 double CellWorker::shareOfImage(const std::string& image) const
 {
     size_t serving = 0;
     size_t same = 0;
     for (const auto& [run, occupant] : m_occupants) {
-        if (!serves(occupant))
+        if (!servesUsers(occupant))
             continue;
         ++serving;
         same += occupant.image == image ? 1 : 0;
     }
-    return serving == 0 ? 1 : static_cast<double>(same) / static_cast<double>(serving);
+    return serving == 0 ? 0 : static_cast<double>(same) / static_cast<double>(serving);
 }
 
 } // namespace Cells
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -45,7 +45,8 @@
     /// The services' tasks and the backfill runs there, as their pace is decided by.
     std::vector<Policy::PacedService> services() const;
     std::vector<Policy::PacedRun> backfillRuns() const;
-    /// Share of the serving tasks that are of the image; 1 when none serves.
+    bool serves() const;
+    /// Share of the serving tasks that are of the image; 0 when none serves.
     double shareOfImage(const std::string& image) const;
 
     /// An end that was processed but isn't acknowledged to the worker yet.
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -65,7 +65,7 @@
     if (!newLife)
         return;
     worker->bornMilliseconds = entry.bornMilliseconds;
-    worker->lease().reset();
+    worker->lease().reset(m_settings.longestLease, m_runtime.now());
     worker->reachable = false;
     m_hooks.emptied(*worker, true);
     lookSoon(entry.id);
@@ -154,7 +154,7 @@
     if (report.bornMilliseconds != 0)
         worker.bornMilliseconds = report.bornMilliseconds;
     if (newLife) {
-        worker.lease().reset();
+        worker.lease().reset(m_settings.longestLease, m_runtime.now());
         m_hooks.emptied(worker, true);
     }
     worker.lease().heard(report.clock, m_runtime.now());
--- a/Source/Core/Cells/JobFront.cpp
+++ b/Source/Core/Cells/JobFront.cpp
@@ -21,6 +21,10 @@
     /// One owner gets this long to accept a job; another may still take it within the caller's time.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
     constexpr Common::Duration askTimeout = std::chrono::milliseconds(1000);
+    /// For so long after its start a host waits for cells to get owners, with this left of a caller's time.
+    constexpr Common::Duration startUp = std::chrono::seconds(12);
+    constexpr Common::Duration startUpMargin = std::chrono::milliseconds(1500);
+    constexpr Common::Duration startUpPoll = std::chrono::milliseconds(150);
     constexpr size_t mostTries = 3;
     constexpr Common::Duration retryAfterNoOwner = std::chrono::seconds(1);
     /// Places of jobs that a host remembers; a hundredth of a day's jobs of the largest fleet.
@@ -88,6 +92,7 @@
 
 void JobFront::start()
 {
+    m_startedAt = m_runtime.now();
     m_peers.serve(submitMethod,
         [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveSubmit(params, reply); });
     m_peers.serve(phaseMethod,
@@ -200,8 +205,26 @@
     return cells[*chosen];
 }
 
+bool JobFront::cellsComing() const
+{
+    if (m_runtime.now() - m_startedAt > startUp)
+        return false;
+    const std::vector<CellId> cells = m_keeper.layout().cells();
+    return cells.empty() || std::any_of(cells.begin(), cells.end(), [this](const CellId& cell) {
+        if (const CellEngine* const engine = m_keeper.engine(cell))
+            return engine->load().capacityMilliCores == 0;
+        const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell);
+        return !owner || owner->load.capacityMilliCores == 0;
+    });
+}
+
 void JobFront::tryCell(const std::shared_ptr<Submission>& submission)
 {
+    // The first jobs come at once and would all crowd into the first cell that has an owner.
+    if (cellsComing() && m_runtime.now() + startUpMargin < submission->deadline) {
+        m_runtime.schedule(startUpPoll, m_lifetime.guard([this, submission] { tryCell(submission); }));
+        return;
+    }
     const bool timeLeft = m_runtime.now() < submission->deadline && submission->tried.size() < mostTries;
     const std::optional<CellId> cell = timeLeft ? chooseCell(*submission) : std::nullopt;
     if (!cell) {
--- a/Source/Core/Cells/JobFront.h
+++ b/Source/Core/Cells/JobFront.h
@@ -51,6 +51,8 @@
 
     void tryCell(const std::shared_ptr<Submission>&);
     std::optional<CellId> chooseCell(const Submission&) const;
+    /// Cells that nobody can take a job for yet, shortly after the fleet started.
+    bool cellsComing() const;
     void onSubmitted(const std::shared_ptr<Submission>&, const CellId&, const Common::Result<AcceptOutcome>&);
     void sendSubmission(const CellId&, const Submission&, Common::Callback<AcceptOutcome>);
 
@@ -75,6 +77,7 @@
         int64_t backfill = 0;
     };
     mutable std::map<CellId, Sent> m_sent;
+    Common::MonoTime m_startedAt;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -95,6 +95,12 @@
         after.begin(), after.end(), [&](uint32_t earlier) { return occurrence.steps.at(earlier).complete(); });
 }
 
+void LiveJob::noteAttempt(const Jobs::TaskName& name, Common::AttemptNumber attempt)
+{
+    if (LiveTask* const task = find(name))
+        task->progress.lastAttempt = std::max(task->progress.lastAttempt, attempt.value);
+}
+
 void LiveJob::beginRun(const Jobs::TaskName& name, TaskRun run)
 {
     LiveStep* const step = stepOf(name);
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -36,6 +36,8 @@
     bool startable(const LiveOccurrence&, uint32_t step) const;
     bool anyTaskStarted() const { return m_begun; }
 
+    /// The attempt number was used; later runs get higher ones.
+    void noteAttempt(const Jobs::TaskName&, Common::AttemptNumber);
     /// A run is ordered. The task must be waiting.
     void beginRun(const Jobs::TaskName&, TaskRun);
     /// A run that an earlier owner started, or that was given up too early, is there.
--- a/Source/Core/Cells/WorkerLease.cpp
+++ b/Source/Core/Cells/WorkerLease.cpp
@@ -23,10 +23,13 @@
     m_heardAt = now;
 }
 
-void WorkerLease::reset()
+void WorkerLease::reset(Common::Duration longestLease, Common::MonoTime now)
 {
     m_clock.reset();
     m_grantedUntil = {};
+    m_notBefore = now
+        + Common::Duration(
+            static_cast<Common::Duration::rep>(static_cast<double>(longestLease.count()) * (1 + clockSlack)));
 }
 
 Common::WorkerTime WorkerLease::clockAt(Common::MonoTime now) const
@@ -43,6 +46,8 @@
 
 bool WorkerLease::passed(Common::MonoTime now) const
 {
+    if (now < m_notBefore)
+        return false;
     if (!m_clock)
         return m_grantedUntil == Common::WorkerTime {};
     const double atLeast = static_cast<double>((now - m_heardAt).count()) * (1 - clockSlack);
--- a/Source/Core/Cells/WorkerLease.h
+++ b/Source/Core/Cells/WorkerLease.h
@@ -15,8 +15,9 @@
 
     /// The worker told its clock in an answer that arrived now.
     void heard(Common::WorkerTime clock, Common::MonoTime now);
-    /// Another life of the worker: its clock began anew and nothing was granted to it.
-    void reset();
+    /// Another life of the worker: its clock began anew. Orders for the life before may have reached it and given it
+    /// the longest lease that workers allow.
+    void reset(Common::Duration longestLease, Common::MonoTime now);
 
     bool clockKnown() const { return m_clock.has_value(); }
     /// The worker's clock as it should be now; needs a known clock.
@@ -30,6 +31,8 @@
     std::optional<Common::WorkerTime> m_clock;
     Common::MonoTime m_heardAt;
     Common::WorkerTime m_grantedUntil;
+    /// Not passed before then, whatever the worker's clock tells.
+    Common::MonoTime m_notBefore;
 };
 
 } // namespace Cells
--- a/Source/Core/Policy/BackfillPace.h
+++ b/Source/Core/Policy/BackfillPace.h
@@ -28,8 +28,9 @@
     uint32_t pace = 100;
 };
 
-/// Utilization up to which backfill may press a service: its tail is then at about five sixths of the target.
-constexpr double pressedUtilization = 0.73;
+/// Utilization up to which backfill may press a service: its tail is then at two thirds of the target. The rest is for the
+/// swings of its load until the next report.
+constexpr double pressedUtilization = 0.67;
 
 /// Utilization by the task's own users, as far as the last report tells.
 double ownLoad(const TailModel&, const PacedService&, const std::vector<PacedRun>&);
--- a/Source/Core/Policy/TailModel.cpp
+++ b/Source/Core/Policy/TailModel.cpp
@@ -1,7 +1,8 @@
-// Diagonal Kalman filter over pairs of images.
+// Diagonal Kalman filter over pairs of images, from levels and from changes.
 #include "Policy/TailModel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Policy {
 
@@ -14,8 +15,11 @@
     constexpr double highestPressure = 20;
     /// A factor never becomes so sure that a change isn't seen.
     constexpr double smallestVariance = 0.2;
-    /// Variance of a service's load over its swings, in utilization.
+    /// Variance of a service's load over its swings, and from one report to the next, in utilization.
     constexpr double loadVariance = 0.025;
+    constexpr double changeVariance = 0.005;
+    /// Reported tails fade over a second or so: after a spike they say nothing of what runs beside the service now.
+    constexpr double spikeRatio = 1.2;
     constexpr double priorBaseRatio = 0.22;
     constexpr double priorLoad = 0.42;
     constexpr double loadWeight = 0.03;
@@ -23,6 +27,8 @@
     /// Beyond this ratio the queue is saturated and its length says nothing about the utilization but that it is over 1.
     constexpr double saturatedRatio = 2.5;
     constexpr double saturatedUtilization = 1.1;
+    /// Changes of a share below this are noise.
+    constexpr double smallestChange = 0.01;
     /// Less than this isn't told from the service's own load.
     constexpr double noticeablePressure = 0.03;
 
@@ -63,27 +69,60 @@
 
 double TailModel::usualLoad(const std::string& service) const { return serviceOf(service).load; }
 
-void TailModel::observe(const std::string& service, double tailRatio, const std::vector<Source>& sources)
+void TailModel::observe(const std::string& service, const Sample& sample, const Sample* previous)
 {
     Service& known = m_services.try_emplace(service, priorService()).first->second;
-    if (tailRatio > 0 && tailRatio < known.baseRatio)
-        known.baseRatio += baseWeight * (tailRatio - known.baseRatio);
-    const double seen = utilization(service, tailRatio);
-    const double pressed = pressure(sources, service);
+    if (sample.tailRatio > 0 && sample.tailRatio < known.baseRatio)
+        known.baseRatio += baseWeight * (sample.tailRatio - known.baseRatio);
+    const bool fading = previous && previous->tailRatio > spikeRatio && sample.tailRatio < previous->tailRatio;
+    if (fading)
+        return;
+    learnLevel(service, sample);
+    if (previous)
+        learnChange(service, sample, *previous);
+}
+
+void TailModel::learnLevel(const std::string& service, const Sample& sample)
+{
+    Service& known = m_services.at(service);
+    const double seen = utilization(service, sample.tailRatio);
+    const double pressed = pressure(sample.sources, service);
     if (pressed < noticeablePressure && seen < 1)
         known.load += loadWeight * (seen - known.load);
-    if (sources.empty())
-        return;
     const double expected = known.load + pressed;
     // A saturated queue tells only that the utilization was higher than what was expected.
-    if (tailRatio > saturatedRatio && expected >= saturatedUtilization)
+    const bool tellsNothing = sample.tailRatio > saturatedRatio && expected >= saturatedUtilization;
+    if (!sample.sources.empty() && !tellsNothing)
+        learnFactors(service, seen - expected, sample.sources, loadVariance);
+}
+
+void TailModel::learnChange(const std::string& service, const Sample& sample, const Sample& previous)
+{
+    std::map<std::string, double> changes;
+    for (const Source& source : sample.sources)
+        changes[source.image] += source.share;
+    for (const Source& source : previous.sources)
+        changes[source.image] -= source.share;
+    std::vector<Source> sources;
+    double expected = 0;
+    for (const auto& [image, change] : changes) {
+        if (std::abs(change) < smallestChange)
+            continue;
+        sources.push_back({ image, change });
+        expected += change * pressure(image, service);
+    }
+    if (sources.empty())
         return;
-    learnFactors(service, seen - expected, sources);
+    const double seen = utilization(service, sample.tailRatio) - utilization(service, previous.tailRatio);
+    const bool tellsNothing = sample.tailRatio > saturatedRatio && expected >= seen;
+    if (!tellsNothing)
+        learnFactors(service, seen - expected, sources, changeVariance);
 }
 
-void TailModel::learnFactors(const std::string& service, double surprise, const std::vector<Source>& sources)
+void TailModel::learnFactors(
+    const std::string& service, double surprise, const std::vector<Source>& sources, double noise)
 {
-    double variance = loadVariance;
+    double variance = noise;
     for (const Source& source : sources) {
         const Factor& factor = m_factors.try_emplace(Pair(source.image, service), priorFactor()).first->second;
         variance += factor.variance * source.share * source.share;
--- a/Source/Core/Policy/TailModel.h
+++ b/Source/Core/Policy/TailModel.h
@@ -19,8 +19,15 @@
         double share = 0;
     };
 
-    /// A report: the tail latency as a share of its target, and what ran beside it in that time.
-    void observe(const std::string& service, double tailRatio, const std::vector<Source>&);
+    /// One report of a service's task: its tail latency as a share of its target, and what ran beside it in that time.
+    struct Sample {
+        double tailRatio = 0;
+        std::vector<Source> sources;
+    };
+
+    /// `previous`: the report before of the same task, if there was one within the last seconds. What has changed in
+    /// between tells more than the sample alone, since each task's own load swings.
+    void observe(const std::string& service, const Sample&, const Sample* previous);
 
     /// Utilization that a tail ratio stands for, 0 to 1.
     double utilization(const std::string& service, double tailRatio) const;
@@ -47,7 +54,9 @@
     static Factor priorFactor();
     static Service priorService();
     const Service& serviceOf(const std::string&) const;
-    void learnFactors(const std::string& service, double surprise, const std::vector<Source>&);
+    void learnLevel(const std::string& service, const Sample&);
+    void learnChange(const std::string& service, const Sample&, const Sample& previous);
+    void learnFactors(const std::string& service, double surprise, const std::vector<Source>&, double noise);
 
     std::map<Pair, Factor> m_factors;
     std::map<std::string, Service> m_services;
--- a/Source/Core/Policy/WorkerChoice.cpp
+++ b/Source/Core/Policy/WorkerChoice.cpp
@@ -11,13 +11,19 @@
     /// what already runs there.
     constexpr double smallestBackfillShare = 0.7;
     /// Slower than this a backfill run isn't started: it would hold memory and end too late all the same.
-    constexpr double smallestStartPace = 0.35;
-    /// Penalties in shares of a worker's room.
+    constexpr double smallestStartPace = 0.25;
+    /// Scores in shares of a worker's room.
     constexpr double farFromData = 2;
     constexpr double avoidedWorker = 1.5;
-    constexpr double slowStart = 1;
-    /// Services of one image are kept together, so that backfill which disturbs one image finds workers without it.
-    constexpr double otherImages = 1.2;
+    constexpr double slowStart = 1.5;
+    /// Services are packed, those of one image together, so that other workers stay free for backfill that would
+    /// disturb them.
+    constexpr double servingWorker = 1;
+    constexpr double ownImage = 0.7;
+    /// What is short takes the room beside services first, and leaves workers without them to backfill.
+    constexpr double besideServices = 0.3;
+    /// Backfill that disturbs nothing goes beside services.
+    constexpr double harmlessBesideServices = 0.25;
 
     double share(int64_t part, int64_t whole)
     {
@@ -27,13 +33,16 @@
     double backfillScore(const TaskNeed& need, const WorkerOffer& offer)
     {
         const int64_t left = offer.unusedMilliCores - offer.backfillMilliCores - need.request.milliCores;
-        return share(left, offer.capacity.milliCores) - slowStart * (1 - offer.backfillPace);
+        const double harmless = offer.serves && offer.backfillPace >= 1 ? harmlessBesideServices : 0;
+        return share(left, offer.capacity.milliCores) - slowStart * (1 - offer.backfillPace) + harmless;
     }
 
     double regularScore(const TaskNeed& need, const WorkerOffer& offer)
     {
         const double room = share(offer.free.milliCores - need.request.milliCores, offer.capacity.milliCores);
-        return need.serves ? room - otherImages * (1 - offer.sameImage) : room;
+        if (!need.serves)
+            return (offer.serves ? besideServices : 0) - room;
+        return (offer.serves ? servingWorker + ownImage * offer.sameImage : 0) - room;
     }
 
     double score(const TaskNeed& need, const WorkerOffer& offer)
--- a/Source/Core/Policy/WorkerOffer.h
+++ b/Source/Core/Policy/WorkerOffer.h
@@ -16,8 +16,10 @@
     int64_t backfillMilliCores = 0;
     /// Pace, 0 to 1, at which the task as backfill would press no service there too far.
     double backfillPace = 1;
-    /// Share of the serving tasks there that are of the task's own image; 1 when none serves.
-    double sameImage = 1;
+    /// Long-running tasks that serve users run there.
+    bool serves = false;
+    /// Share of them that are of the task's own image.
+    double sameImage = 0;
     /// It is on the rack that holds the data, or no rack does.
     bool nearData = true;
     /// The task's last run failed or stood still there.
--- a/Source/UnitTests/Policy/TailModelTest.cpp
+++ b/Source/UnitTests/Policy/TailModelTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 #include <map>
+#include <optional>
 #include <random>
 
 using namespace Policy;
@@ -44,11 +45,14 @@
     TailModel model;
     SimulatedWorker worker;
     std::mt19937_64 random(3);
+    std::optional<TailModel::Sample> previous;
     for (int report = 0; report < 60; ++report) {
         worker.load = 0.42 + 0.2 * std::sin(report / 3.0);
         const bool heavy = random() % 2;
         const std::vector<PacedRun> runs { { heavy ? "heavy" : "mild", 0.08, 0.08, 100 } };
-        model.observe("service", worker.tail(runs), sourcesOf(runs));
+        const TailModel::Sample sample { worker.tail(runs), sourcesOf(runs) };
+        model.observe("service", sample, previous ? &*previous : nullptr);
+        previous = sample;
     }
     CHECK(model.pressure("heavy", "service") > 2.5);
     CHECK(model.pressure("mild", "service") < 1.2);
@@ -61,6 +65,7 @@
     std::vector<PacedRun> runs { { "heavy", 0.12, 0, 100 }, { "heavy", 0.12, 0, 100 }, { "mild", 0.1, 0, 100 } };
     int over = 0;
     double mildWork = 0;
+    std::optional<TailModel::Sample> previous;
     constexpr int reports = 240;
     for (int report = 0; report < reports; ++report) {
         worker.load = 0.42 * (1 + 0.5 * std::sin(report * 0.31));
@@ -70,7 +75,9 @@
         if (report > 20)
             over += tail > 1 ? 1 : 0;
         const std::vector<PacedService> services { { "service", tail } };
-        model.observe("service", tail, sourcesOf(runs));
+        const TailModel::Sample sample { tail, sourcesOf(runs) };
+        model.observe("service", sample, previous ? &*previous : nullptr);
+        previous = sample;
         const auto paces = paceBackfill(model, services, runs, 0s);
         for (size_t index = 0; index < runs.size(); ++index)
             runs[index].pace = paces[index];
@@ -93,8 +100,8 @@
 {
     TailModel model;
     for (int report = 0; report < 40; ++report) {
-        model.observe("service", 0.38, { { "mild", 0.1 } });
-        model.observe("service", 2.0, { { "heavy", 0.1 } });
+        model.observe("service", { 0.38, { { "mild", 0.1 } } }, nullptr);
+        model.observe("service", { 2.0, { { "heavy", 0.1 } } }, nullptr);
     }
     const std::vector<PacedService> services { { "service", 0.38 } };
     CHECK(paceForNewRun(model, services, {}, "mild", 0.2) > 0.9);
