--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -13,6 +13,8 @@
 
     /// Expected place, place and record.
     constexpr size_t entriesOfAccept = 3;
+    /// Expected record of the other cell, that record and ours.
+    constexpr size_t entriesOfGift = 3;
     /// Expected record of the cell, and the cell's workers.
     constexpr size_t reservedEntries = 2;
 
@@ -89,6 +91,20 @@
     gather(m_settings.urgentGather);
 }
 
+void CellCommitter::giveAway(
+    const Common::JobId& job, const CellId& other, std::string text, Common::Callback<bool> done)
+{
+    m_gifts[job] = Gift { other, std::move(text), std::move(done) };
+    gather(m_settings.urgentGather);
+}
+
+void CellCommitter::answerGift(const Common::JobId& job, bool given)
+{
+    auto gift = m_gifts.extract(job);
+    if (!gift.empty())
+        gift.mapped().callback(given);
+}
+
 void CellCommitter::forget(const Common::JobId& job)
 {
     m_forgotten.push_back(job);
@@ -118,6 +134,7 @@
         return;
     const auto accepts = std::exchange(m_accepts, {});
     const auto changes = std::exchange(m_changes, {});
+    m_gifts.clear();
     const auto batch = std::exchange(m_batch, {});
     for (const auto& [job, accept] : accepts) {
         if (!accept.callback)
@@ -139,7 +156,7 @@
 
 bool CellCommitter::idle() const
 {
-    return m_accepts.empty() && m_changes.empty() && m_forgotten.empty() && !m_workers;
+    return m_accepts.empty() && m_changes.empty() && m_gifts.empty() && m_forgotten.empty() && !m_workers;
 }
 
 void CellCommitter::gather(Common::Duration delay)
@@ -199,9 +216,21 @@
         m_batch.accepts.push_back(job);
         room -= entriesOfAccept;
     }
+    for (const auto& [job, gift] : m_gifts) {
+        const auto snapshot = room < entriesOfGift ? std::nullopt : m_hooks.snapshot(job);
+        if (!snapshot)
+            break;
+        transaction.expected.emplace_back(StoreKeys::job(gift.cell, job), Common::StoreRevision {});
+        transaction.puts.push_back({ StoreKeys::job(gift.cell, job), gift.text, {} });
+        transaction.puts.push_back({ StoreKeys::job(m_cell, job), snapshot->text, {} });
+        m_batch.gifts.push_back(job);
+        m_batch.snapshots.emplace(job, snapshot->changes);
+        room -= entriesOfGift;
+    }
     while (room > 0 && !m_changes.empty()) {
         auto change = m_changes.extract(m_changes.begin());
-        if (const auto snapshot = m_hooks.snapshot(change.key())) {
+        const bool written = m_batch.snapshots.contains(change.key());
+        if (const auto snapshot = written ? std::nullopt : m_hooks.snapshot(change.key())) {
             transaction.puts.push_back({ StoreKeys::job(m_cell, change.key()), snapshot->text, {} });
             m_batch.snapshots.emplace(change.key(), snapshot->changes);
             --room;
@@ -265,6 +294,8 @@
         m_hooks.committed(job, changes);
     for (const Common::JobId& job : batch.accepts)
         answer(job, AcceptOutcome(Accepted {}));
+    for (const Common::JobId& job : batch.gifts)
+        answerGift(job, true);
     for (const auto& [job, change] : batch.changes) {
         for (const auto& callback : change.callbacks)
             callback(Common::Done {});
@@ -283,8 +314,13 @@
     for (const auto& value : conflict.current) {
         if (value.revision.value == 0 || &value == cell)
             continue;
-        // The only other keys that transactions expect are places of jobs.
+        // The other keys that transactions expect are places of jobs and records of given tasks.
         const Common::JobId job(value.key.substr(value.key.rfind('/') + 1));
+        if (const auto gift = m_gifts.find(job); gift != m_gifts.end() && value.key == StoreKeys::job(gift->second.cell, job)) {
+            // Ours, when the answer to the write was lost.
+            answerGift(job, value.value == gift->second.text);
+            continue;
+        }
         if (value.value == m_cell.value())
             answer(job, AcceptOutcome(Accepted {}));
         else
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -47,6 +47,9 @@
     void changed(const Common::JobId&);
     /// The job has changed and somebody waits. `done` is called when the change is durable, or with the failure.
     void changedUrgently(const Common::JobId&, Common::Callback<Common::Done> done);
+    /// The job has given tasks to another cell: its own record and that cell's are written together. False: the other
+    /// cell has a record of the job already, and nothing was written.
+    void giveAway(const Common::JobId&, const CellId& other, std::string text, Common::Callback<bool> done);
     /// Removes the records of a job that nobody asks for any more.
     void forget(const Common::JobId&);
     /// Replaces the record of the cell's workers.
@@ -72,7 +75,14 @@
     struct Change {
         std::vector<Common::Callback<Common::Done>> callbacks;
     };
+    /// Tasks on their way to another cell.
+    struct Gift {
+        CellId cell;
+        std::string text;
+        Common::Callback<bool> callback;
+    };
     struct Batch {
+        std::vector<Common::JobId> gifts;
         std::vector<Common::JobId> accepts;
         std::map<Common::JobId, Change> changes;
         std::map<Common::JobId, uint64_t> snapshots;
@@ -94,6 +104,7 @@
     void lose();
     void expireAccepts();
     void answer(const Common::JobId&, Common::Result<AcceptOutcome>);
+    void answerGift(const Common::JobId&, bool given);
     void finishRelease();
     bool idle() const;
 
@@ -106,6 +117,7 @@
     Hooks m_hooks;
     std::map<Common::JobId, Accept> m_accepts;
     std::map<Common::JobId, Change> m_changes;
+    std::map<Common::JobId, Gift> m_gifts;
     std::vector<Common::JobId> m_forgotten;
     std::optional<std::string> m_workers;
     std::function<void()> m_workersWritten;
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -26,6 +26,10 @@
     /// Smaller changes of pace aren't worth an order; a slow-down matters more.
     constexpr uint32_t smallestRise = 12;
     constexpr uint32_t smallestSlowDown = 6;
+    /// Share of the unused processor time beside services that backfill of any kind can count on.
+    constexpr double besideServicesShare = 0.25;
+    /// Rooms of single workers that beats tell of.
+    constexpr size_t toldRooms = 8;
     constexpr int64_t microsecondsPerSecond = 1'000'000;
 
     const char* endName(RunEnd end)
@@ -39,6 +43,10 @@
     constexpr uint32_t starvedPace = 30;
     constexpr Common::Duration starvedAfter = std::chrono::milliseconds(1000);
     constexpr double movedPace = 0.8;
+    /// For the room of an image: a run of this share of a worker would have to work at this pace.
+    constexpr double usualBackfillShare = 0.1;
+    constexpr double goodPace = 0.7;
+    constexpr Common::Duration tailLogInterval = std::chrono::seconds(10);
 
     bool worthPacing(uint32_t before, uint32_t after)
     {
@@ -55,7 +63,7 @@
 } // namespace
 
 CellEngine::CellEngine(Scheduler::Runtime& runtime, RecordStore& store, WorkerOrders& orders, CellId id,
-    const CellSettings& settings, Inheritance inheritance, std::function<void()> lost)
+    const CellSettings& settings, Inheritance inheritance, Neighbours neighbours, std::function<void()> lost)
     : m_runtime(runtime)
     , m_id(std::move(id))
     , m_token(inheritance.record.token)
@@ -96,9 +104,10 @@
               .lookClosely = [this](const CellWorker& worker) { return lookClosely(worker); },
           })
     , m_lost(std::move(lost))
+    , m_neighbours(std::move(neighbours))
 {
     for (Jobs::JobRecord& record : inheritance.jobs)
-        addJob(std::move(record), true);
+        tellParts(addJob(std::move(record), true));
     for (const WorkerEntry& worker : inheritance.workers) {
         m_inheritedWorkers.insert(worker.id);
         m_workers.add(worker, false);
@@ -155,7 +164,43 @@
     return *(m_jobs[id] = std::move(job));
 }
 
-void CellEngine::submit(Jobs::JobRecord record, Common::Callback<AcceptOutcome> callback)
+int64_t CellEngine::promisedMilliCores() const
+{
+    int64_t promised = 0;
+    for (const auto& [id, record] : m_submitted) {
+        for (const Jobs::StepSpec& step : record.spec.steps)
+            promised += step.longRunning ? step.taskCount * step.request.milliCores : 0;
+    }
+    for (const auto& [id, job] : m_jobs) {
+        for (const auto& [index, occurrence] : job->occurrences()) {
+            for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const Jobs::StepSpec& spec = job->stepSpec(step);
+                promised += spec.longRunning ? occurrence.steps[step].waitingCount * spec.request.milliCores : 0;
+            }
+        }
+    }
+    return promised;
+}
+
+bool CellEngine::fits(const Jobs::JobSpec& spec) const
+{
+    std::vector<int64_t> rooms;
+    int64_t capacity = 0;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!worker->listed || worker->entry().draining || !worker->reachable)
+            continue;
+        rooms.push_back(worker->free().milliCores);
+        capacity += worker->entry().capacity.milliCores;
+    }
+    const int64_t promised = promisedMilliCores();
+    return std::all_of(spec.steps.begin(), spec.steps.end(), [&](const Jobs::StepSpec& step) {
+        return !step.longRunning
+            || Policy::serviceFits(
+                rooms, capacity, promised, { step.taskCount, step.request.milliCores, step.maximumPerWorker });
+    });
+}
+
+void CellEngine::submit(Jobs::JobRecord record, Fit fit, Common::Callback<AcceptOutcome> callback)
 {
     if (m_closed || m_releasing) {
         callback(Common::Failure { Common::ErrorCode::NotOwner, "the cell is being handed over", std::nullopt });
@@ -166,6 +211,10 @@
         callback(AcceptOutcome(Accepted {}));
         return;
     }
+    if (fit == Fit::Required && !m_submissions.contains(id) && !fits(record.spec)) {
+        callback(Common::Failure { Common::ErrorCode::WorkerFull, "the cell has no room for the job", std::nullopt });
+        return;
+    }
     auto& waiting = m_submissions[id];
     waiting.push_back(std::move(callback));
     if (waiting.size() > 1)
@@ -192,7 +241,7 @@
 std::optional<Jobs::JobPhase> CellEngine::phase(const Common::JobId& id) const
 {
     const auto found = m_jobs.find(id);
-    if (found == m_jobs.end())
+    if (found == m_jobs.end() || found->second->isPart())
         return std::nullopt;
     const LiveJob& job = *found->second;
     // What isn't durable could still be taken back by a successor.
@@ -204,30 +253,66 @@
 void CellEngine::cancel(const Common::JobId& id, Common::Callback<Common::Done> callback)
 {
     LiveJob* const job = findJob(id);
-    if (!job) {
+    if (!job || job->isPart()) {
         const bool unclear = m_submitted.contains(id);
         callback(Common::Failure { unclear ? Common::ErrorCode::StoreUnavailable : Common::ErrorCode::UnknownJob,
             "the job isn't in this cell", std::nullopt });
         return;
     }
-    if (isFinal(job->phase())) {
-        if (job->durable())
+    cancelKnown(*job, std::move(callback));
+}
+
+void CellEngine::cancelPart(const Common::JobId& id, Common::Callback<Common::Done> callback)
+{
+    LiveJob* const job = findJob(id);
+    if (job && job->isPart())
+        cancelKnown(*job, std::move(callback));
+    else
+        callback(Common::Failure { Common::ErrorCode::UnknownJob, "the cell has no part of the job", std::nullopt });
+}
+
+void CellEngine::cancelKnown(LiveJob& job, Common::Callback<Common::Done> callback)
+{
+    const Common::JobId id = job.id();
+    if (isFinal(job.phase())) {
+        if (job.durable())
             callback(Common::Done {});
         else
             m_committer.changedUrgently(id, std::move(callback));
         return;
     }
     LC_INFO(Jobs, "event=job-cancelled job=" << id.value() << " cell=" << m_id.value());
-    finishJob(*job, Jobs::JobPhase::Cancelled, std::move(callback));
+    finishJob(job, Jobs::JobPhase::Cancelled, std::move(callback));
 }
 
 void CellEngine::finishJob(LiveJob& job, Jobs::JobPhase phase, Common::Callback<Common::Done> callback)
 {
     job.finish(phase, m_runtime.wallMilliseconds());
     stopRunsOf(job.id());
+    tellParts(job);
     m_committer.changedUrgently(job.id(), std::move(callback));
 }
 
+void CellEngine::receive(Jobs::JobRecord record)
+{
+    if (m_closed || m_jobs.contains(record.id))
+        return;
+    LC_INFO(Jobs, "event=tasks-received job=" << record.id.value() << " cell=" << m_id.value());
+    addJob(std::move(record), false);
+}
+
+/// The owners of other cells that have tasks of the job hear that they have, or that it was cancelled. What a lost message
+/// or an earlier owner left out is told again by each new owner.
+void CellEngine::tellParts(const LiveJob& job)
+{
+    for (const std::string& cell : job.parts()) {
+        if (job.phase() == Jobs::JobPhase::Cancelled)
+            m_neighbours.cancel(CellId(cell), job.id(), [] { });
+        else if (job.recovered())
+            m_neighbours.remind(CellId(cell), job.id());
+    }
+}
+
 void CellEngine::changed(LiveJob& job) { m_committer.changed(job.id()); }
 
 void CellEngine::release(std::function<void()> done)
@@ -279,6 +364,10 @@
         if (worker->entry().draining)
             evacuate(*worker);
     }
+    if (m_runtime.now() - m_tailsNoted >= tailLogInterval && !m_tails.backfillImages().empty()) {
+        m_tailsNoted = m_runtime.now();
+        LC_INFO(Jobs, "event=tail-model cell=" << m_id.value() << " pressures=" << m_tails.summary());
+    }
     placeSoon();
 }
 
@@ -584,11 +673,13 @@
         Occupant& occupant = *worker.find(run);
         sample.tailRatio
             = occupant.load / std::chrono::duration<double, std::milli>(occupant.latencyTarget).count();
-        const bool recent = occupant.sample && now - occupant.sampledAt < sampleLifetime;
+        const bool recent
+            = occupant.sample && !worker.pacedSinceReport && now - occupant.sampledAt < sampleLifetime;
         m_tails.observe(occupant.image, sample, recent ? &*occupant.sample : nullptr);
         occupant.sample = sample;
         occupant.sampledAt = now;
     }
+    worker.pacedSinceReport = false;
 }
 
 /// Backfill that is slowed down for long gets on better elsewhere, if its progress is saved.
@@ -648,6 +739,7 @@
     LC_INFO(Worker, "event=backfill-paced worker=" << worker.id().value() << " runs=" << changes.size() << " of="
                                                    << runs.size() << " first=" << changes.front().second
                                                    << " over-target=" << over);
+    worker.pacedSinceReport = true;
     for (const auto& [run, pace] : changes)
         m_workers.pace(worker, run, pace);
 }
@@ -660,18 +752,42 @@
             continue;
         load.capacityMilliCores += worker->entry().capacity.milliCores;
         load.freeMilliCores += worker->free().milliCores;
-        load.backfillMilliCores += worker->unusedMilliCores() - worker->backfillMilliCores();
-    }
+        const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
+        load.backfillMilliCores
+            += worker->serves() ? static_cast<int64_t>(besideServicesShare * static_cast<double>(unused)) : unused;
+        worker->addServing(load.serving);
+        load.rooms.push_back(worker->free().milliCores);
+    }
+    std::sort(load.rooms.rbegin(), load.rooms.rend());
+    if (load.rooms.size() > toldRooms)
+        load.rooms.resize(toldRooms);
+    addBackfillRooms(load);
     for (const auto& [id, job] : m_jobs) {
         if (isFinal(job->phase()))
             continue;
-        if (!job->anyTaskStarted() && !job->spec().scheduled())
+        if (!job->anyTaskStarted() && !job->isPart() && !job->spec().scheduled())
             ++load.pending[job->terms().route];
         addWaiting(*job, load);
     }
     return load;
 }
 
+void CellEngine::addBackfillRooms(CellLoad& load) const
+{
+    for (const std::string& image : m_tails.backfillImages()) {
+        int64_t room = 0;
+        for (const auto& [id, worker] : m_workers.all()) {
+            if (!worker->listed || worker->entry().draining || !worker->reachable)
+                continue;
+            const double pace = Policy::paceForNewRun(
+                m_tails, worker->services(), worker->backfillRuns(), image, usualBackfillShare);
+            const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
+            room += pace >= goodPace ? std::max<int64_t>(unused, 0) : 0;
+        }
+        load.backfillRooms.emplace(image, room);
+    }
+}
+
 void CellEngine::addWaiting(const LiveJob& job, CellLoad& load)
 {
     for (const auto& [index, occurrence] : job.occurrences()) {
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -14,6 +14,7 @@
 #include "Common/Result.h"
 #include "Jobs/JobRecord.h"
 #include "Policy/BackfillPace.h"
+#include "Policy/ServiceFit.h"
 #include "Policy/StartOrder.h"
 #include "Policy/TailModel.h"
 #include "Policy/WorkerHealth.h"
@@ -43,7 +44,19 @@
         std::vector<WorkerEntry> workers;
     };
 
-    CellEngine(Scheduler::Runtime&, RecordStore&, WorkerOrders&, CellId, const CellSettings&, Inheritance,
+    /// How the engine reaches the owners of other cells.
+    struct Neighbours {
+        /// A cell with a worker that has the room, if there is one.
+        std::function<std::optional<CellId>(const CellId& self, const Common::Resources&)> withRoom;
+        /// Tells the owner of the cell of tasks that it was given; done when it has heard.
+        std::function<void(const CellId&, const Jobs::JobRecord&, std::function<void()> done)> give;
+        /// Has it read the record of such tasks, which an earlier owner may not have told it of.
+        std::function<void(const CellId&, const Common::JobId&)> remind;
+        /// Tells it that the job was cancelled.
+        std::function<void(const CellId&, const Common::JobId&, std::function<void()> done)> cancel;
+    };
+
+    CellEngine(Scheduler::Runtime&, RecordStore&, WorkerOrders&, CellId, const CellSettings&, Inheritance, Neighbours,
         std::function<void()> lost);
     ~CellEngine();
 
@@ -54,13 +67,22 @@
     void listWorker(const WorkerEntry&);
     void unlistWorker(const Common::WorkerId&);
 
+    enum class Fit {
+        Any,
+        /// Long-running tasks must find room at once: otherwise WorkerFull, and the job isn't accepted here.
+        Required,
+    };
     /// Accepts the job once it is durable.
-    void submit(Jobs::JobRecord, Common::Callback<AcceptOutcome>);
+    void submit(Jobs::JobRecord, Fit, Common::Callback<AcceptOutcome>);
     /// Nothing when the cell doesn't have the job.
     std::optional<Jobs::JobPhase> phase(const Common::JobId&) const;
     /// Done once the cancellation is durable, or the job was final already. UnknownJob when it isn't here.
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
     CellLoad load() const;
+    /// Cancels what this cell has of a job of another one.
+    void cancelPart(const Common::JobId&, Common::Callback<Common::Done>);
+    /// Another cell gave tasks of a job to this one; the record is durable.
+    void receive(Jobs::JobRecord);
 
     /// Starts nothing more, writes what is left and marks the cell as released.
     void release(std::function<void()> done);
@@ -97,7 +119,9 @@
     void place();
     std::vector<Candidate> candidates();
     void placeStep(const Candidate&, std::vector<Candidate>& blocked);
-    void noteBlocked(const LiveJob&, const Jobs::TaskName&);
+    void noteBlocked(LiveJob&, const Candidate&, const Jobs::TaskName&);
+    void giveAway(LiveJob&, const Candidate&);
+    void tellParts(const LiveJob&);
     void placeGang(const Candidate&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
     CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&);
@@ -110,10 +134,15 @@
     LiveJob* findJob(const Common::JobId&);
     LiveJob& addJob(Jobs::JobRecord, bool recovered);
     void finishJob(LiveJob&, Jobs::JobPhase, Common::Callback<Common::Done>);
+    void cancelKnown(LiveJob&, Common::Callback<Common::Done>);
     void stopRun(CellWorker&, const RunKey&);
     void stopRunsOf(const Common::JobId&);
     void changed(LiveJob&);
     void writeWorkers();
+    /// What long-running tasks that wait, or are about to be accepted, will hold.
+    int64_t promisedMilliCores() const;
+    bool fits(const Jobs::JobSpec&) const;
+    void addBackfillRooms(CellLoad&) const;
     static void addWaiting(const LiveJob&, CellLoad&);
     void sweep();
     void lose();
@@ -136,6 +165,10 @@
     /// Workers that the store's record of the cell names: only these get runs.
     std::set<Common::WorkerId> m_recordedWorkers;
     std::function<void()> m_lost;
+    Neighbours m_neighbours;
+    /// Since when long-running tasks of a job have found no room.
+    std::map<Common::JobId, Common::MonoTime> m_blockedSince;
+    Common::MonoTime m_tailsNoted;
     Common::MonoTime m_blockedNoted;
     bool m_placingSoon = false;
     bool m_releasing = false;
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -416,7 +416,7 @@
     const size_t jobs = inheritance.jobs.size();
     const FencingToken token = inheritance.record.token;
     auto engine = std::make_unique<CellEngine>(m_ports.runtime, m_ports.store, m_ports.orders, cell, m_cellSettings,
-        std::move(inheritance), m_lifetime.guard([this, cell] {
+        std::move(inheritance), neighbours(), m_lifetime.guard([this, cell] {
             m_owners.erase(cell);
             forgetEngine(cell);
         }));
@@ -432,6 +432,79 @@
         listWorker(entry);
 }
 
+CellEngine::Neighbours CellKeeper::neighbours()
+{
+    return CellEngine::Neighbours {
+        .withRoom = [this](const CellId& self, const Common::Resources& request) { return withRoom(self, request); },
+        .give = [this](const CellId& cell, const Jobs::JobRecord& part,
+                    std::function<void()> done) { tellOwner(cell, part, false, std::move(done)); },
+        .remind =
+            [this](const CellId& cell, const Common::JobId& job) {
+                m_ports.store.get(StoreKeys::job(cell, job), Freshness::Linearizable,
+                    m_lifetime.guard([this, cell](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+                        const auto part = found && *found ? Jobs::JobRecord::decode((*found)->value)
+                                                          : Jobs::JobRecord::decode("");
+                        if (part && !isFinal(part->phase))
+                            tellOwner(cell, *part, false, [] { });
+                    }));
+            },
+        .cancel =
+            [this](const CellId& cell, const Common::JobId& job, std::function<void()> done) {
+                Jobs::JobRecord part;
+                part.id = job;
+                tellOwner(cell, part, true, std::move(done));
+            },
+    };
+}
+
+std::optional<CellId> CellKeeper::withRoom(const CellId& self, const Common::Resources& request) const
+{
+    std::optional<CellId> best;
+    int64_t largest = 0;
+    for (const CellId& cell : m_layout.cells()) {
+        if (cell == self)
+            continue;
+        const auto own = m_engines.find(cell);
+        const Owner* const other = own == m_engines.end() ? liveOwner(cell) : nullptr;
+        if (own == m_engines.end() && !other)
+            continue;
+        const CellLoad load = other ? other->load : own->second->load();
+        const int64_t room = load.rooms.empty() ? 0 : load.rooms.front();
+        if (room >= request.milliCores && room > largest) {
+            best = cell;
+            largest = room;
+        }
+    }
+    return best;
+}
+
+/// Repeated until the owner, whoever it is by then, has heard.
+void CellKeeper::tellOwner(
+    const CellId& cell, const Jobs::JobRecord& part, bool cancelled, std::function<void()> done)
+{
+    const auto again = m_lifetime.guard([this, cell, part, cancelled, done] { tellOwner(cell, part, cancelled, done); });
+    if (CellEngine* const own = engine(cell)) {
+        if (!cancelled)
+            own->receive(part);
+        else
+            own->cancelPart(part.id, [](const Common::Result<Common::Done>&) { });
+        done();
+        return;
+    }
+    const Owner* const owner = liveOwner(cell);
+    if (!owner || !m_messenger) {
+        m_ports.runtime.schedule(storeRetry, again);
+        return;
+    }
+    m_messenger(owner->address, cell, part, cancelled,
+        m_lifetime.guard([this, again, done](const Common::Result<Common::Done>& heard) {
+            if (heard)
+                done();
+            else
+                m_ports.runtime.schedule(storeRetry, again);
+        }));
+}
+
 void CellKeeper::listWorkers()
 {
     m_watchingList = true;
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -66,6 +66,10 @@
     /// Whether the store answered this host lately.
     void setStoreAnswers(bool answers) { m_storeAnswers = answers; }
     /// Called for each beat of another host.
+    /// Carries a message to the owner of a cell; `done` when it was heard. Set by whoever can call other hosts.
+    using Messenger = std::function<void(const std::string& address, const CellId&, const Jobs::JobRecord&, bool cancelled,
+        Common::Callback<Common::Done>)>;
+    void setMessenger(Messenger messenger) { m_messenger = std::move(messenger); }
     void onHostBeat(std::function<void(const HostBeat&)> hook) { m_onBeat = std::move(hook); }
 
 private:
@@ -89,6 +93,9 @@
     void inherit(const CellId&, CellRecord, Common::StoreRevision fence);
     void own(const CellId&, CellEngine::Inheritance);
     void endClaim(const CellId&, const char* reason);
+    CellEngine::Neighbours neighbours();
+    std::optional<CellId> withRoom(const CellId& self, const Common::Resources&) const;
+    void tellOwner(const CellId&, const Jobs::JobRecord&, bool cancelled, std::function<void()> done);
     void releaseCell(const CellId&, std::function<void()> done);
     void forgetEngine(const CellId&);
     void listWorkers();
@@ -120,6 +127,7 @@
     bool m_storeAnswers = false;
     bool m_draining = false;
     std::function<void(const HostBeat&)> m_onBeat;
+    Messenger m_messenger;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/Core/Cells/CellPlacing.cpp
+++ b/Source/Core/Cells/CellPlacing.cpp
@@ -14,6 +14,8 @@
     constexpr uint32_t skippedAttempts = 4;
     /// A line about a task that finds no room comes at most this often.
     constexpr Common::Duration blockedLogInterval = std::chrono::seconds(2);
+    /// A long-running task that finds no room is offered to another cell after this long, and then again.
+    constexpr Common::Duration giveAwayAfter = std::chrono::milliseconds(500);
     constexpr double fullPace = 100;
     constexpr Common::Duration malformedPause = std::chrono::seconds(1);
 
@@ -131,17 +133,25 @@
         CellWorker* const worker = choose(job, name, task);
         if (!worker) {
             blocked.push_back(candidate);
-            noteBlocked(job, name);
+            noteBlocked(job, candidate, name);
             return;
         }
         order(job, name, *worker, Common::AttemptNumber { task.progress.lastAttempt + 1 });
     }
 }
 
-void CellEngine::noteBlocked(const LiveJob& job, const Jobs::TaskName& name)
+void CellEngine::noteBlocked(LiveJob& job, const Candidate& candidate, const Jobs::TaskName& name)
 {
     const Common::MonoTime now = m_runtime.now();
-    if (!job.stepSpec(name.step).longRunning || now - m_blockedNoted < blockedLogInterval)
+    if (!job.stepSpec(name.step).longRunning)
+        return;
+    const Common::MonoTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
+    if (now - since >= giveAwayAfter) {
+        m_blockedSince.erase(job.id());
+        giveAway(job, candidate);
+        return;
+    }
+    if (now - m_blockedNoted < blockedLogInterval)
         return;
     m_blockedNoted = now;
     std::string rooms;
@@ -154,6 +164,36 @@
                                             << job.stepSpec(name.step).maximumPerWorker << " rooms=" << rooms);
 }
 
+/// Long-running tasks that find no room here may run in another cell: they don't depend on each other.
+void CellEngine::giveAway(LiveJob& job, const Candidate& candidate)
+{
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    const std::optional<CellId> other = m_neighbours.withRoom(m_id, spec.request);
+    if (!other || job.isPart() || job.parts().contains(other->value()))
+        return;
+    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    std::vector<uint32_t> tasks;
+    for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].waiting())
+            tasks.push_back(index);
+    }
+    LC_INFO(Jobs, "event=tasks-given job=" << job.id().value() << " tasks=" << tasks.size() << " from=" << m_id.value()
+                                           << " to=" << other->value());
+    const Jobs::JobRecord part
+        = job.giveAway(candidate.occurrence, candidate.step, tasks, m_id.value(), other->value());
+    m_committer.giveAway(job.id(), *other, part.encode(),
+        m_lifetime.guard([this, id = job.id(), other = *other, part](const Common::Result<bool>& given) {
+            if (given && *given) {
+                m_neighbours.give(other, part, [] { });
+                return;
+            }
+            if (LiveJob* const kept = findJob(id); kept && !isFinal(kept->phase())) {
+                kept->takeBack(other.value());
+                changed(*kept);
+            }
+        }));
+}
+
 /// The members of a gang start together or not at all.
 void CellEngine::placeGang(const Candidate& candidate)
 {
@@ -243,6 +283,7 @@
         : static_cast<uint32_t>(fullPace);
     LC_INFO(Jobs, "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token="
                                            << m_token.value << " image=" << spec.image << " pace=" << pace);
+    m_blockedSince.erase(name.job);
     worker.occupy(run, occupantOf(spec));
     job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
     m_health.recordStart(worker.id(), now);
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -117,6 +117,14 @@
         m_occupants.begin(), m_occupants.end(), [](const auto& row) { return servesUsers(row.second); });
 }
 
+void CellWorker::addServing(std::map<std::string, int64_t>& byImage) const
+{
+    for (const auto& [run, occupant] : m_occupants) {
+        if (servesUsers(occupant))
+            byImage[occupant.image] += occupant.held.milliCores;
+    }
+}
+
 double CellWorker::shareOfImage(const std::string& image) const
 {
     size_t serving = 0;
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -46,6 +46,8 @@
     std::vector<Policy::PacedService> services() const;
     std::vector<Policy::PacedRun> backfillRuns() const;
     bool serves() const;
+    /// Adds what services hold, by image, in thousandths of a core.
+    void addServing(std::map<std::string, int64_t>&) const;
     /// Share of the serving tasks that are of the image; 0 when none serves.
     double shareOfImage(const std::string& image) const;
 
@@ -74,6 +76,8 @@
     Common::MonoTime lastHeard;
     /// When a draining worker was first seen to be that.
     Common::MonoTime drainingSince;
+    /// The pace of some backfill run was changed since the last report.
+    bool pacedSinceReport = false;
     /// Since when some service has been over its target without a break.
     std::optional<Common::MonoTime> overTargetSince;
 
--- a/Source/Core/Cells/HostBeat.cpp
+++ b/Source/Core/Cells/HostBeat.cpp
@@ -16,7 +16,7 @@
             pending[route] = count;
         return Json::array({ owned.cell.value(), owned.token.value, owned.load.capacityMilliCores,
             owned.load.freeMilliCores, owned.load.backfillMilliCores, owned.load.waitingRegular,
-            owned.load.waitingBackfill, std::move(pending) });
+            owned.load.waitingBackfill, owned.load.serving, owned.load.backfillRooms, owned.load.rooms, std::move(pending) });
     }
 
     HostBeat::OwnedCell cellFromJson(const Json& row)
@@ -29,7 +29,10 @@
         owned.load.backfillMilliCores = row.at(4).get<int64_t>();
         owned.load.waitingRegular = row.at(5).get<int64_t>();
         owned.load.waitingBackfill = row.at(6).get<int64_t>();
-        owned.load.pending = row.at(7).get<std::map<std::string, uint32_t>>();
+        owned.load.serving = row.at(7).get<std::map<std::string, int64_t>>();
+        owned.load.backfillRooms = row.at(8).get<std::map<std::string, int64_t>>();
+        owned.load.rooms = row.at(9).get<std::vector<int64_t>>();
+        owned.load.pending = row.at(10).get<std::map<std::string, uint32_t>>();
         return owned;
     }
 
--- a/Source/Core/Cells/JobFront.cpp
+++ b/Source/Core/Cells/JobFront.cpp
@@ -2,12 +2,14 @@
 #include "Cells/JobFront.h"
 
 #include "Cells/StoreKeys.h"
+#include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Policy/CellChoice.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace Cells {
 
@@ -18,6 +20,7 @@
     constexpr const char* submitMethod = "job.submit";
     constexpr const char* phaseMethod = "job.phase";
     constexpr const char* cancelMethod = "job.cancel";
+    constexpr const char* partMethod = "job.part";
     /// One owner gets this long to accept a job; another may still take it within the caller's time.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
     constexpr Common::Duration askTimeout = std::chrono::milliseconds(1000);
@@ -49,10 +52,27 @@
         for (const Jobs::StepSpec& step : spec.steps) {
             int64_t& kind = step.backfill ? demand.backfill : demand.regular;
             kind = std::max(kind, step.request.milliCores * step.taskCount);
+            demand.serves = demand.serves || (step.longRunning && step.latencyTarget > Common::Duration::zero());
         }
         return demand;
     }
 
+    /// The image of the first step that has one.
+    std::string imageOf(const Jobs::JobSpec& spec)
+    {
+        for (const Jobs::StepSpec& step : spec.steps) {
+            if (!step.image.empty())
+                return step.image;
+        }
+        return {};
+    }
+
+    int64_t valueOr(const std::map<std::string, int64_t>& values, const std::string& key, int64_t fallback)
+    {
+        const auto found = values.find(key);
+        return found == values.end() ? fallback : found->second;
+    }
+
     Common::Result<AcceptOutcome> acceptFromJson(const Json& answer)
     {
         if (answer.contains("elsewhere"))
@@ -93,6 +113,19 @@
 void JobFront::start()
 {
     m_startedAt = m_runtime.now();
+    m_keeper.setMessenger([this](const std::string& address, const CellId& cell, const Jobs::JobRecord& part,
+                              bool cancelled, Common::Callback<Common::Done> heard) {
+        const Json params { { "cell", cell.value() }, { "job", part.id.value() }, { "cancelled", cancelled },
+            { "part", cancelled ? std::string {} : part.encode() } };
+        m_peers.call(address, partMethod, params, askTimeout, [heard](const Common::Result<Json>& answer) {
+            if (answer)
+                heard(Common::Done {});
+            else
+                heard(answer.reason());
+        });
+    });
+    m_peers.serve(partMethod,
+        [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePart(params, reply); });
     m_peers.serve(submitMethod,
         [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveSubmit(params, reply); });
     m_peers.serve(phaseMethod,
@@ -115,7 +148,8 @@
         reply(record.reason());
         return;
     }
-    engine->submit(std::move(*record), [reply](const Common::Result<AcceptOutcome>& outcome) {
+    const auto fit = params.value("fit", false) ? CellEngine::Fit::Required : CellEngine::Fit::Any;
+    engine->submit(std::move(*record), fit, [reply](const Common::Result<AcceptOutcome>& outcome) {
         if (!outcome) {
             reply(outcome.reason());
             return;
@@ -157,6 +191,33 @@
         });
 }
 
+/// Tasks of a job that another cell has given to one of ours, or their cancellation.
+void JobFront::servePart(const Json& params, const Scheduler::PeerPort::Reply& reply)
+{
+    CellEngine* const engine = m_keeper.engine(CellId(params.value("cell", std::string {})));
+    if (!engine) {
+        reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
+        return;
+    }
+    if (!params.value("cancelled", false)) {
+        auto part = Jobs::JobRecord::decode(params.value("part", std::string {}));
+        if (!part) {
+            reply(part.reason());
+            return;
+        }
+        engine->receive(std::move(*part));
+        reply(Json::object());
+        return;
+    }
+    engine->cancelPart(Common::JobId(params.value("job", std::string {})), [reply](const Common::Result<Common::Done>& done) {
+        const bool settled = done || done.reason().code == Common::ErrorCode::UnknownJob;
+        if (settled)
+            reply(Json::object());
+        else
+            reply(done.reason());
+    });
+}
+
 // Submissions.
 
 void JobFront::submit(Jobs::JobRecord record, Common::Duration timeout, Common::Callback<Common::Done> callback)
@@ -176,11 +237,21 @@
     const auto offer = [&](const CellId& cell, const CellLoad& load, Common::MonoTime heardAt) {
         Sent& sent = m_sent[cell];
         if (sent.loadHeardAt != heardAt)
-            sent = Sent { heardAt, 0, 0 };
+            sent = Sent { heardAt, 0, 0, {} };
         Policy::CellOffer row;
         row.capacity = load.capacityMilliCores;
         row.free = load.freeMilliCores - sent.regular;
         row.backfill = load.backfillMilliCores - sent.backfill;
+        if (submission.demand.serves) {
+            const std::string image = imageOf(submission.record.spec);
+            row.sameImage = valueOr(load.serving, image, 0) + valueOr(sent.serving, image, 0);
+            row.tieBreak = static_cast<double>(Common::rendezvousWeight(image, cell.value()))
+                / static_cast<double>(std::numeric_limits<uint64_t>::max());
+        } else if (submission.demand.backfill > 0) {
+            row.imageRoom = valueOr(load.backfillRooms, imageOf(submission.record.spec), -1);
+            if (row.imageRoom >= 0)
+                row.imageRoom = std::max<int64_t>(row.imageRoom - sent.backfill, 0);
+        }
         row.waitingRegular = load.waitingRegular;
         row.waitingBackfill = load.waitingBackfill;
         const Common::DomainId domain = m_keeper.layout().domainOf(cell);
@@ -202,6 +273,8 @@
         return std::nullopt;
     m_sent[cells[*chosen]].regular += submission.demand.regular;
     m_sent[cells[*chosen]].backfill += submission.demand.backfill;
+    if (submission.demand.serves)
+        m_sent[cells[*chosen]].serving[imageOf(submission.record.spec)] += submission.demand.regular;
     return cells[*chosen];
 }
 
@@ -244,15 +317,23 @@
         }));
 }
 
+/// The last cell that is tried takes the job in any case.
+CellEngine::Fit JobFront::fitOf(const Submission& submission) const
+{
+    const size_t reachable = std::min(mostTries, m_keeper.servedCells());
+    return submission.tried.size() < reachable ? CellEngine::Fit::Required : CellEngine::Fit::Any;
+}
+
 void JobFront::sendSubmission(
     const CellId& cell, const Submission& submission, Common::Callback<AcceptOutcome> callback)
 {
     if (CellEngine* const engine = m_keeper.engine(cell)) {
-        engine->submit(submission.record, std::move(callback));
+        engine->submit(submission.record, fitOf(submission), std::move(callback));
         return;
     }
     const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell);
-    const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission.record) } };
+    const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission.record) },
+        { "fit", fitOf(submission) == CellEngine::Fit::Required } };
     m_peers.call(owner->address, submitMethod, params,
         std::min(submitTimeout, submission.deadline - m_runtime.now()),
         [callback = std::move(callback)](const Common::Result<Json>& answer) {
@@ -274,7 +355,7 @@
         return;
     }
     const Common::ErrorCode code = outcome.reason().code;
-    LC_WARN(Jobs, "event=submission-failed job=" << job.value() << " cell=" << cell.value()
+    LC_INFO(Jobs, "event=submission-failed job=" << job.value() << " cell=" << cell.value()
                                                  << " reason=" << Common::errorName(code));
     if (mayHaveHappened(code))
         submission->unclear = true;
--- a/Source/Core/Cells/JobFront.h
+++ b/Source/Core/Cells/JobFront.h
@@ -47,6 +47,7 @@
 
     void serveSubmit(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void servePhase(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
+    void servePart(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void serveCancel(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
 
     void tryCell(const std::shared_ptr<Submission>&);
@@ -54,6 +55,7 @@
     /// Cells that nobody can take a job for yet, shortly after the fleet started.
     bool cellsComing() const;
     void onSubmitted(const std::shared_ptr<Submission>&, const CellId&, const Common::Result<AcceptOutcome>&);
+    CellEngine::Fit fitOf(const Submission&) const;
     void sendSubmission(const CellId&, const Submission&, Common::Callback<AcceptOutcome>);
 
     /// Finds the cell of a job; nothing inside the result when there is no such job.
@@ -75,6 +77,7 @@
         Common::MonoTime loadHeardAt;
         int64_t regular = 0;
         int64_t backfill = 0;
+        std::map<std::string, int64_t> serving;
     };
     mutable std::map<CellId, Sent> m_sent;
     Common::MonoTime m_startedAt;
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -20,10 +20,8 @@
         const size_t known = std::min(step.tasks.size(), progress.size());
         for (size_t index = 0; index < known; ++index) {
             step.tasks[index].progress = progress[index];
-            if (progress[index].done) {
-                ++step.doneCount;
-                --step.waitingCount;
-            }
+            step.doneCount += progress[index].done ? 1 : 0;
+            step.waitingCount -= step.tasks[index].waiting() ? 0 : 1;
         }
     }
 
@@ -125,7 +123,7 @@
     if (!step || name.index >= step->tasks.size() || !step->tasks[name.index].run)
         return;
     step->tasks[name.index].run.reset();
-    if (!step->tasks[name.index].progress.done)
+    if (step->tasks[name.index].waiting())
         ++step->waitingCount;
 }
 
@@ -212,6 +210,45 @@
     ++m_changes;
 }
 
+Jobs::JobRecord LiveJob::giveAway(uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks,
+    const std::string& ownCell, const std::string& otherCell)
+{
+    Jobs::JobRecord part = toRecord();
+    part.isPart = true;
+    part.parts.clear();
+    for (auto& [index, steps] : part.progress) {
+        for (auto& row : steps) {
+            for (Jobs::TaskProgress& task : row)
+                task.elsewhere = ownCell;
+        }
+    }
+    LiveStep& given = m_occurrences.at(occurrence).steps.at(step);
+    for (const uint32_t index : tasks) {
+        part.progress.at(occurrence).at(step).at(index) = given.tasks[index].progress;
+        given.tasks[index].progress.elsewhere = otherCell;
+        --given.waitingCount;
+    }
+    m_record.parts.insert(otherCell);
+    ++m_changes;
+    return part;
+}
+
+void LiveJob::takeBack(const std::string& otherCell)
+{
+    for (auto& [index, occurrence] : m_occurrences) {
+        for (LiveStep& step : occurrence.steps) {
+            for (LiveTask& task : step.tasks) {
+                if (task.progress.elsewhere != otherCell)
+                    continue;
+                task.progress.elsewhere.clear();
+                ++step.waitingCount;
+            }
+        }
+    }
+    m_record.parts.erase(otherCell);
+    ++m_changes;
+}
+
 Common::Duration LiveJob::chainFrom(const LiveOccurrence* occurrence, uint32_t step) const
 {
     // Steps come after earlier ones only, so one pass from the last to the first finds every chain.
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -8,6 +8,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace Cells {
 
@@ -24,6 +28,8 @@
     Jobs::JobPhase phase() const { return m_record.phase; }
     int64_t finishedMilliseconds() const { return m_record.finishedMilliseconds; }
     bool recovered() const { return m_recovered; }
+    bool isPart() const { return m_record.isPart; }
+    const std::set<std::string>& parts() const { return m_record.parts; }
     const std::map<uint32_t, LiveOccurrence>& occurrences() const { return m_occurrences; }
     std::map<uint32_t, LiveOccurrence>& occurrences() { return m_occurrences; }
 
@@ -53,6 +59,12 @@
     /// All occurrences have ended well.
     bool complete() const;
 
+    /// Gives waiting tasks of a long-running step to another cell, and yields the record that this cell keeps of them.
+    Jobs::JobRecord giveAway(uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks,
+        const std::string& ownCell, const std::string& otherCell);
+    /// The other cell hasn't got them after all.
+    void takeBack(const std::string& otherCell);
+
     /// The longest chain of estimated work that an occurrence still has before it.
     Common::Duration remainingChain(const LiveOccurrence&) const;
     /// The longest chain of a whole occurrence.
--- a/Source/Core/Cells/LiveTask.h
+++ b/Source/Core/Cells/LiveTask.h
@@ -16,7 +16,7 @@
     /// Worker on which the last run failed or stood still; another one is preferred.
     Common::WorkerId avoid;
 
-    bool waiting() const { return !progress.done && !run; }
+    bool waiting() const { return !progress.done && !run && progress.elsewhere.empty(); }
 };
 
 } // namespace Cells
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -91,7 +91,7 @@
             flags.push_back(task.done ? '1' : '0');
             if (!task.done && !task.untouched())
                 rows.push_back(Json::array(
-                    { index, task.failures, task.lastFailedAttempt, task.lastAttempt, task.checkpoint }));
+                    { index, task.failures, task.lastFailedAttempt, task.lastAttempt, task.checkpoint, task.elsewhere }));
         }
         return Json::array({ std::move(flags), std::move(rows) });
     }
@@ -108,6 +108,7 @@
             task.lastFailedAttempt = row.at(2).get<uint32_t>();
             task.lastAttempt = row.at(3).get<uint32_t>();
             task.checkpoint = row.at(4).get<std::string>();
+            task.elsewhere = row.at(5).get<std::string>();
         }
         return tasks;
     }
@@ -144,6 +145,8 @@
         record.finishedMilliseconds = object.value("finished", int64_t { 0 });
         const auto phase = phaseFromName(object.at("phase").get<std::string>());
         record.phase = phase.value_or(JobPhase::Queued);
+        record.parts = object.value("parts", std::set<std::string> {});
+        record.isPart = object.value("isPart", false);
         record.finishedOccurrences = object.value("finishedOccurrences", std::set<uint32_t> {});
         for (const Json& row : object.value("progress", Json::array())) {
             JobRecord::OccurrenceProgress steps;
@@ -192,6 +195,8 @@
     Json object = submissionToJson(kept);
     object["phase"] = phaseName(phase);
     putUnlessDefault(object, "finished", finishedMilliseconds);
+    putUnlessDefault(object, "parts", parts);
+    putUnlessDefault(object, "isPart", isPart);
     if (!isFinal(phase)) {
         putUnlessDefault(object, "finishedOccurrences", finishedOccurrences);
         if (!progress.empty())
--- a/Source/Core/Jobs/JobRecord.h
+++ b/Source/Core/Jobs/JobRecord.h
@@ -30,6 +30,10 @@
     /// Wall clock of the owner when the job became final, in milliseconds; 0 before.
     int64_t finishedMilliseconds = 0;
     JobPhase phase = JobPhase::Queued;
+    /// Cells that have taken over some of the long-running tasks, each with a record of its own.
+    std::set<std::string> parts;
+    /// Whether this is such a record: the job is accepted, shown and cancelled by another cell.
+    bool isPart = false;
     std::set<uint32_t> finishedOccurrences;
     /// Occurrences that have begun and aren't finished.
     std::map<uint32_t, OccurrenceProgress> progress;
--- a/Source/Core/Jobs/TaskProgress.h
+++ b/Source/Core/Jobs/TaskProgress.h
@@ -17,7 +17,13 @@
     /// Where the next run resumes; empty: at the beginning.
     std::string checkpoint;
 
-    bool untouched() const { return !done && failures == 0 && lastAttempt == 0 && checkpoint.empty(); }
+    /// The cell that has taken the task over; empty: the one that keeps this record.
+    std::string elsewhere;
+
+    bool untouched() const
+    {
+        return !done && failures == 0 && lastAttempt == 0 && checkpoint.empty() && elsewhere.empty();
+    }
 };
 
 } // namespace Jobs
--- a/Source/Core/Policy/CellChoice.cpp
+++ b/Source/Core/Policy/CellChoice.cpp
@@ -14,16 +14,27 @@
     /// Waiting work weighs more than room that is taken: it delays everything behind it.
     constexpr double waitingWeight = 1.5;
 
+    /// A cell with less room than this many times a service's demand isn't tried first.
+    constexpr double serviceMargin = 1.1;
+
+    constexpr double tieWeight = 0.1;
+
     double crowding(const JobDemand& demand, const CellOffer& offer)
     {
         const auto capacity = static_cast<double>(std::max<int64_t>(offer.capacity, 1));
         double crowded = 0;
+        if (demand.serves) {
+            const bool full = static_cast<double>(offer.free) < serviceMargin * static_cast<double>(demand.regular);
+            return (full ? 1 : 0) - static_cast<double>(offer.sameImage) / capacity - tieWeight * offer.tieBreak
+                + (offer.nearData ? 0 : farFromData);
+        }
         if (demand.regular > 0) {
             const auto taken = static_cast<double>(offer.capacity - offer.free + demand.regular);
             crowded += (taken + waitingWeight * static_cast<double>(offer.waitingRegular)) / capacity;
         }
         if (demand.backfill > 0) {
-            const auto taken = static_cast<double>(offer.capacity - offer.backfill + demand.backfill);
+            const int64_t room = offer.imageRoom >= 0 ? offer.imageRoom : offer.backfill;
+            const auto taken = static_cast<double>(offer.capacity - room + demand.backfill);
             crowded += (taken + waitingWeight * static_cast<double>(offer.waitingBackfill)) / capacity;
         }
         if (!offer.sameRegion)
--- a/Source/Core/Policy/CellChoice.h
+++ b/Source/Core/Policy/CellChoice.h
@@ -14,6 +14,12 @@
     int64_t backfill = 0;
     int64_t waitingRegular = 0;
     int64_t waitingBackfill = 0;
+    /// Held by services of the job's image.
+    int64_t sameImage = 0;
+    /// What backfill of the job's image could use without pressing a service too far; negative: not known.
+    int64_t imageRoom = -1;
+    /// Breaks ties alike on all hosts, 0 to 1.
+    double tieBreak = 0;
     /// The job's data lies there, or nowhere in particular.
     bool nearData = true;
     bool sameDomain = false;
@@ -24,9 +30,12 @@
 struct JobDemand {
     int64_t regular = 0;
     int64_t backfill = 0;
+    /// Its tasks serve users for long.
+    bool serves = false;
 };
 
-/// The index of the cell with the most room for its size; nothing when no cell has workers.
+/// The index of the cell with the most room for its size; nothing when no cell has workers. Services go where most of their
+/// image are already, as long as there is room: backfill that disturbs one image finds workers without it elsewhere.
 std::optional<size_t> chooseCell(const JobDemand&, const std::vector<CellOffer>&);
 
 } // namespace Policy
--- a/Source/Core/Policy/TailModel.cpp
+++ b/Source/Core/Policy/TailModel.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iomanip>
+#include <sstream>
 
 namespace Policy {
 
@@ -67,6 +69,23 @@
     return sum;
 }
 
+std::set<std::string> TailModel::backfillImages() const
+{
+    std::set<std::string> images;
+    for (const auto& [pair, factor] : m_factors)
+        images.insert(pair.first);
+    return images;
+}
+
+std::string TailModel::summary() const
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1);
+    for (const auto& [pair, factor] : m_factors)
+        text << (text.tellp() > 0 ? "," : "") << pair.first << "/" << pair.second << ":" << factor.value;
+    return text.str();
+}
+
 double TailModel::usualLoad(const std::string& service) const { return serviceOf(service).load; }
 
 void TailModel::observe(const std::string& service, const Sample& sample, const Sample* previous)
@@ -89,10 +108,10 @@
     const double pressed = pressure(sample.sources, service);
     if (pressed < noticeablePressure && seen < 1)
         known.load += loadWeight * (seen - known.load);
+    // Backfill works when the service's own load is low and is slowed down when it is high, so that low levels say
+    // little of what it adds. A missed target does.
     const double expected = known.load + pressed;
-    // A saturated queue tells only that the utilization was higher than what was expected.
-    const bool tellsNothing = sample.tailRatio > saturatedRatio && expected >= saturatedUtilization;
-    if (!sample.sources.empty() && !tellsNothing)
+    if (!sample.sources.empty() && sample.tailRatio > 1 && seen > expected)
         learnFactors(service, seen - expected, sample.sources, loadVariance);
 }
 
--- a/Source/Core/Policy/TailModel.h
+++ b/Source/Core/Policy/TailModel.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,8 +26,9 @@
         std::vector<Source> sources;
     };
 
-    /// `previous`: the report before of the same task, if there was one within the last seconds. What has changed in
-    /// between tells more than the sample alone, since each task's own load swings.
+    /// `previous`: the report before of the same task, if there was one within the last seconds and no backfill was
+    /// slowed down or let on since: that follows the service's own load, which would be taken for its effect. What has
+    /// changed in between tells more than the sample alone, since each task's own load swings.
     void observe(const std::string& service, const Sample&, const Sample* previous);
 
     /// Utilization that a tail ratio stands for, 0 to 1.
@@ -35,6 +37,10 @@
     double pressure(const std::string& backfill, const std::string& service) const;
     /// What the sources add together.
     double pressure(const std::vector<Source>&, const std::string& service) const;
+    /// Images of backfill that were seen beside services.
+    std::set<std::string> backfillImages() const;
+    /// "backfill/service:factor, ..." for logs.
+    std::string summary() const;
     /// Utilization by the service's own users, as usual.
     double usualLoad(const std::string& service) const;
 
--- a/Source/Core/Policy/WorkerChoice.cpp
+++ b/Source/Core/Policy/WorkerChoice.cpp
@@ -16,10 +16,11 @@
     constexpr double farFromData = 2;
     constexpr double avoidedWorker = 1.5;
     constexpr double slowStart = 1.5;
-    /// Services are packed, those of one image together, so that other workers stay free for backfill that would
-    /// disturb them.
-    constexpr double servingWorker = 1;
-    constexpr double ownImage = 0.7;
+    /// Services of one image are kept together, since backfill that one image can't bear may do no harm to another: a
+    /// worker with that image alone is best, then one without services, then one with other images too.
+    constexpr double pureWorker = 1;
+    constexpr double emptyWorker = 0.3;
+    constexpr double foreignWorker = -0.7;
     /// What is short takes the room beside services first, and leaves workers without them to backfill.
     constexpr double besideServices = 0.3;
     /// Backfill that disturbs nothing goes beside services.
@@ -42,7 +43,9 @@
         const double room = share(offer.free.milliCores - need.request.milliCores, offer.capacity.milliCores);
         if (!need.serves)
             return (offer.serves ? besideServices : 0) - room;
-        return (offer.serves ? servingWorker + ownImage * offer.sameImage : 0) - room;
+        const double company
+            = offer.serves ? foreignWorker + (pureWorker - foreignWorker) * offer.sameImage : emptyWorker;
+        return company - room;
     }
 
     double score(const TaskNeed& need, const WorkerOffer& offer)
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -342,3 +342,39 @@
     CHECK(fleet.phase(*fleet.live().front(), 1) == JobPhase::Failed);
     CHECK(fleet.judge.starts == 2);
 }
+
+TEST_CASE("long-running tasks that find no room in their cell run in another one, and are cancelled there too")
+{
+    CellWorld world(3);
+    world.addWorkers("yard", 2, 4000);
+    world.addWorkers("shed", 2, 4000);
+    for (const char* const name : { "a:1", "b:1" })
+        world.addHost(name[0] == 'a' ? "yard" : "shed", name);
+    world.clock.advance(8s);
+    Outcome outcome;
+    Jobs::JobRecord watch = CellWorld::job(1, "last", 12);
+    watch.spec.steps[0].longRunning = true;
+    world.submit(*world.hosts[0], watch, outcome);
+    world.clock.advance(3s);
+    const auto running = [&] {
+        size_t count = 0;
+        for (const auto& worker : world.workers)
+            count += worker->running();
+        return count;
+    };
+    CHECK(running() == 12);
+    // A takeover of both cells keeps the tasks where they are.
+    world.restart(0);
+    world.restart(1);
+    world.clock.advance(6s);
+    CHECK(running() == 12);
+    CHECK(world.judge.starts == 12);
+    std::optional<Common::Result<Common::Done>> cancelled;
+    world.live().front()->front.cancel(
+        CellWorld::jobId(1), 2s, [&](const Common::Result<Common::Done>& done) { cancelled = done; });
+    world.clock.advance(2s);
+    REQUIRE(cancelled);
+    CHECK(cancelled->hasValue());
+    CHECK(running() == 0);
+    CHECK(world.judge.summary() == "");
+}
--- a/Source/UnitTests/Policy/TailModelTest.cpp
+++ b/Source/UnitTests/Policy/TailModelTest.cpp
@@ -48,8 +48,9 @@
     std::optional<TailModel::Sample> previous;
     for (int report = 0; report < 60; ++report) {
         worker.load = 0.42 + 0.2 * std::sin(report / 3.0);
-        const bool heavy = random() % 2;
-        const std::vector<PacedRun> runs { { heavy ? "heavy" : "mild", 0.08, 0.08, 100 } };
+        std::vector<PacedRun> runs;
+        if (const uint64_t kind = random() % 3; kind > 0)
+            runs.push_back({ kind == 1 ? "heavy" : "mild", 0.08, 0.08, 100 });
         const TailModel::Sample sample { worker.tail(runs), sourcesOf(runs) };
         model.observe("service", sample, previous ? &*previous : nullptr);
         previous = sample;
@@ -99,9 +100,10 @@
 TEST_CASE("a new run is held back by what it would press, not by its size")
 {
     TailModel model;
+    const TailModel::Sample alone { 0.38, {} };
     for (int report = 0; report < 40; ++report) {
-        model.observe("service", { 0.38, { { "mild", 0.1 } } }, nullptr);
-        model.observe("service", { 2.0, { { "heavy", 0.1 } } }, nullptr);
+        model.observe("service", { 0.38, { { "mild", 0.1 } } }, &alone);
+        model.observe("service", { 2.0, { { "heavy", 0.1 } } }, &alone);
     }
     const std::vector<PacedService> services { { "service", 0.38 } };
     CHECK(paceForNewRun(model, services, {}, "mild", 0.2) > 0.9);
