--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -40,6 +40,8 @@
 
     /// A task's report before last is of use for so long: two looks.
     constexpr Common::Duration sampleLifetime = std::chrono::milliseconds(1800);
+    /// From this pace on a run counts as not slowed down.
+    constexpr uint32_t steadyPace = 90;
     constexpr uint32_t starvedPace = 30;
     constexpr Common::Duration starvedAfter = std::chrono::milliseconds(1000);
     constexpr double movedPace = 0.8;
@@ -658,14 +660,18 @@
 
 void CellEngine::learnTails(CellWorker& worker)
 {
-    std::map<std::string, double> shares;
+    std::map<std::string, Policy::TailModel::Source> byImage;
     for (const Policy::PacedRun& run : worker.backfillRuns()) {
-        if (run.used > 0)
-            shares[run.image] += run.used;
+        if (run.used <= 0)
+            continue;
+        Policy::TailModel::Source& source = byImage.try_emplace(run.image, Policy::TailModel::Source { run.image, 0, true })
+                                                .first->second;
+        source.share += run.used;
+        source.fullPace = source.fullPace && run.pace >= steadyPace && !worker.pacedSinceReport;
     }
     Policy::TailModel::Sample sample;
-    for (const auto& [image, share] : shares)
-        sample.sources.push_back({ image, share });
+    for (const auto& [image, source] : byImage)
+        sample.sources.push_back(source);
     const Common::MonoTime now = m_runtime.now();
     for (const auto& [run, reported] : worker.occupants()) {
         if (reported.latencyTarget <= Common::Duration::zero() || !reported.seen || reported.load < 0)
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -84,6 +84,13 @@
     /// Another cell gave tasks of a job to this one; the record is durable.
     void receive(Jobs::JobRecord);
 
+    /// What was learned of images that disturb each other, for other cells, and from them.
+    std::vector<Policy::TailModel::Belief> beliefs(size_t most) const { return m_tails.beliefs(most); }
+    void adopt(const CellId& other, const std::vector<Policy::TailModel::Belief>& beliefs)
+    {
+        m_tails.adopt(other.value(), beliefs);
+    }
+
     /// Starts nothing more, writes what is left and marks the cell as released.
     void release(std::function<void()> done);
 
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -21,6 +21,9 @@
     constexpr Common::Duration introduction = std::chrono::seconds(2);
     /// For this long beats say that a cell was released.
     constexpr Common::Duration releaseNews = std::chrono::seconds(2);
+    /// What was learned of images is told every few beats, and at most this many pairs.
+    constexpr uint64_t beatsPerBeliefs = 4;
+    constexpr size_t toldBeliefs = 60;
     /// Beats name at most this many other hosts.
     constexpr size_t namedHosts = 8;
 
@@ -140,9 +143,11 @@
     message.draining = m_draining;
     message.storeAnswers = m_storeAnswers;
     message.configVersion = m_configVersion;
+    const bool tellBeliefs = ++m_beatCount % beatsPerBeliefs == 0;
     for (const auto& [cell, engine] : m_engines) {
         if (!m_releasing.contains(cell))
-            message.cells.push_back({ cell, engine->token(), engine->load() });
+            message.cells.push_back({ cell, engine->token(), engine->load(),
+                tellBeliefs ? engine->beliefs(toldBeliefs) : std::vector<Policy::TailModel::Belief> {} });
     }
     for (const auto& [cell, since] : m_released)
         message.released.push_back(cell);
@@ -170,6 +175,10 @@
         if (owned.token < owner.token)
             continue;
         owner = Owner { beat->id, beat->address, owned.token, std::move(owned.load), now, false };
+        if (!owned.beliefs.empty()) {
+            for (const auto& [cell, engine] : m_engines)
+                engine->adopt(owned.cell, owned.beliefs);
+        }
     }
     for (const CellId& cell : beat->released) {
         const auto owner = m_owners.find(cell);
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -119,6 +119,7 @@
     std::map<Common::WorkerId, WorkerEntry> m_listed;
     Common::StoreRevision m_listRevision;
     size_t m_workersAtLayout = 0;
+    uint64_t m_beatCount = 0;
     bool m_watchingList = false;
     bool m_listKnown = false;
     Common::MonoTime m_startedAt;
--- a/Source/Core/Cells/HostBeat.h
+++ b/Source/Core/Cells/HostBeat.h
@@ -5,6 +5,7 @@
 #include "Cells/CellLoad.h"
 #include "Common/Ids.h"
 #include "Common/Result.h"
+#include "Policy/TailModel.h"
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,8 @@
         CellId cell;
         FencingToken token;
         CellLoad load;
+        /// Told now and then only.
+        std::vector<Policy::TailModel::Belief> beliefs;
     };
 
     Common::DaemonId id;
--- a/Source/Core/Policy/BackfillPace.cpp
+++ b/Source/Core/Policy/BackfillPace.cpp
@@ -15,16 +15,19 @@
     constexpr double newRunShare = 0.85;
     /// Paces rise at most by this much a report.
     constexpr uint32_t riseStep = 30;
-    /// When a service stays over its target all runs are halved, then paused: an impact must not last four seconds.
+    /// When a service stays over its target, runs that may press it are halved, then paused: an impact must not last four
+    /// seconds.
     constexpr Common::Duration halvedAfter = std::chrono::milliseconds(900);
-    constexpr Common::Duration pausedAfter = std::chrono::milliseconds(1900);
+    constexpr Common::Duration pausedAfter = std::chrono::milliseconds(1500);
+    /// Also runs that the model takes for harmless.
+    constexpr Common::Duration allPausedAfter = std::chrono::milliseconds(2400);
     constexpr size_t passes = 2;
 
     std::vector<TailModel::Source> usedBy(const std::vector<PacedRun>& runs)
     {
         std::vector<TailModel::Source> sources;
         for (const PacedRun& run : runs)
-            sources.push_back({ run.image, run.used });
+            sources.push_back({ run.image, run.used, false });
         return sources;
     }
 
@@ -75,9 +78,12 @@
     for (size_t index = 0; index < runs.size(); ++index) {
         auto percent = static_cast<uint32_t>(paces[index] * fullPace);
         percent = std::min(percent, runs[index].pace + riseStep);
-        if (overTargetFor >= pausedAfter)
+        const bool suspect = std::any_of(services.begin(), services.end(), [&](const PacedService& service) {
+            return service.tailRatio > 1 && model.pressure(runs[index].image, service.image) > 0;
+        });
+        if (overTargetFor >= allPausedAfter || (suspect && overTargetFor >= pausedAfter))
             percent = 0;
-        else if (overTargetFor >= halvedAfter)
+        else if (suspect && overTargetFor >= halvedAfter)
             percent = std::min(percent, runs[index].pace / 2);
         percents.push_back(percent);
     }
--- a/Source/Core/Policy/TailModel.cpp
+++ b/Source/Core/Policy/TailModel.cpp
@@ -15,6 +15,8 @@
     constexpr double priorPressure = 3;
     constexpr double priorVariance = 6;
     constexpr double highestPressure = 20;
+    /// Pairs disturb each other strongly or hardly at all; less than this is the noise of the estimate.
+    constexpr double harmlessPressure = 1.6;
     /// A factor never becomes so sure that a change isn't seen.
     constexpr double smallestVariance = 0.2;
     /// Variance of a service's load over its swings, and from one report to the next, in utilization.
@@ -55,10 +57,53 @@
     return tailRatio <= base ? 0 : 1 - base / tailRatio;
 }
 
+/// Own and adopted estimates, weighted by how sure they are. All begin with the same prior, which counts once.
+TailModel::Factor TailModel::combined(const Pair& pair) const
+{
+    const auto own = m_factors.find(pair);
+    const auto told = m_adopted.find(pair);
+    if (told == m_adopted.end())
+        return own == m_factors.end() ? priorFactor() : own->second;
+    double precision = 1 / priorVariance;
+    double sum = priorPressure / priorVariance;
+    const auto add = [&](const Factor& factor) {
+        const double gained = 1 / factor.variance - 1 / priorVariance;
+        if (gained <= 0)
+            return;
+        precision += gained;
+        sum += factor.value / factor.variance - priorPressure / priorVariance;
+    };
+    if (own != m_factors.end())
+        add(own->second);
+    for (const auto& [source, factor] : told->second)
+        add(factor);
+    return Factor { std::clamp(sum / precision, 0.0, highestPressure), 1 / precision };
+}
+
+std::vector<TailModel::Belief> TailModel::beliefs(size_t most) const
+{
+    std::vector<Belief> rows;
+    for (const auto& [pair, factor] : m_factors)
+        rows.push_back({ pair.first, pair.second, factor.value, factor.variance });
+    std::sort(rows.begin(), rows.end(), [](const Belief& a, const Belief& b) { return a.variance < b.variance; });
+    if (rows.size() > most)
+        rows.resize(most);
+    return rows;
+}
+
+void TailModel::adopt(const std::string& source, const std::vector<Belief>& beliefs)
+{
+    for (const Belief& belief : beliefs) {
+        if (belief.variance > 0)
+            m_adopted[Pair(belief.backfill, belief.service)].insert_or_assign(
+                source, Factor { belief.pressure, belief.variance });
+    }
+}
+
 double TailModel::pressure(const std::string& backfill, const std::string& service) const
 {
-    const auto found = m_factors.find(Pair(backfill, service));
-    return found == m_factors.end() ? priorPressure : found->second.value;
+    const double value = combined(Pair(backfill, service)).value;
+    return value < harmlessPressure ? 0 : value;
 }
 
 double TailModel::pressure(const std::vector<Source>& sources, const std::string& service) const
@@ -74,6 +119,8 @@
     std::set<std::string> images;
     for (const auto& [pair, factor] : m_factors)
         images.insert(pair.first);
+    for (const auto& [pair, told] : m_adopted)
+        images.insert(pair.first);
     return images;
 }
 
@@ -81,8 +128,10 @@
 {
     std::ostringstream text;
     text << std::fixed << std::setprecision(1);
-    for (const auto& [pair, factor] : m_factors)
+    for (const auto& [pair, own] : m_factors) {
+        const Factor factor = combined(pair);
         text << (text.tellp() > 0 ? "," : "") << pair.first << "/" << pair.second << ":" << factor.value;
+    }
     return text.str();
 }
 
@@ -108,11 +157,18 @@
     const double pressed = pressure(sample.sources, service);
     if (pressed < noticeablePressure && seen < 1)
         known.load += loadWeight * (seen - known.load);
-    // Backfill works when the service's own load is low and is slowed down when it is high, so that low levels say
-    // little of what it adds. A missed target does.
     const double expected = known.load + pressed;
-    if (!sample.sources.empty() && sample.tailRatio > 1 && seen > expected)
-        learnFactors(service, seen - expected, sample.sources, loadVariance);
+    const bool missed = sample.tailRatio > 1 && seen > expected;
+    // A saturated queue tells only that the utilization was higher than what was expected.
+    if (sample.tailRatio > saturatedRatio && expected >= saturatedUtilization)
+        return;
+    std::vector<Source> telling;
+    for (const Source& source : sample.sources) {
+        if (source.fullPace || missed)
+            telling.push_back(source);
+    }
+    if (!telling.empty())
+        learnFactors(service, seen - expected, telling, loadVariance);
 }
 
 void TailModel::learnChange(const std::string& service, const Sample& sample, const Sample& previous)
@@ -127,7 +183,7 @@
     for (const auto& [image, change] : changes) {
         if (std::abs(change) < smallestChange)
             continue;
-        sources.push_back({ image, change });
+        sources.push_back({ image, change, false });
         expected += change * pressure(image, service);
     }
     if (sources.empty())
--- a/Source/Core/Policy/TailModel.h
+++ b/Source/Core/Policy/TailModel.h
@@ -18,6 +18,16 @@
     struct Source {
         std::string image;
         double share = 0;
+        /// It works at full pace. A slowed-down source follows the services' own load, which would be taken for its
+        /// effect.
+        bool fullPace = false;
+    };
+    /// What was learned of one pair.
+    struct Belief {
+        std::string backfill;
+        std::string service;
+        double pressure = 0;
+        double variance = 0;
     };
 
     /// One report of a service's task: its tail latency as a share of its target, and what ran beside it in that time.
@@ -41,6 +51,10 @@
     std::set<std::string> backfillImages() const;
     /// "backfill/service:factor, ..." for logs.
     std::string summary() const;
+    /// What this model has learned by itself, the surest first, at most that many.
+    std::vector<Belief> beliefs(size_t most) const;
+    /// What another model has learned; replaces what it told before.
+    void adopt(const std::string& source, const std::vector<Belief>&);
     /// Utilization by the service's own users, as usual.
     double usualLoad(const std::string& service) const;
 
@@ -57,6 +71,7 @@
     };
     using Pair = std::pair<std::string, std::string>;
 
+    Factor combined(const Pair&) const;
     static Factor priorFactor();
     static Service priorService();
     const Service& serviceOf(const std::string&) const;
@@ -65,6 +80,8 @@
     void learnFactors(const std::string& service, double surprise, const std::vector<Source>&, double noise);
 
     std::map<Pair, Factor> m_factors;
+    /// By pair and by who told.
+    std::map<Pair, std::map<std::string, Factor>> m_adopted;
     std::map<std::string, Service> m_services;
 };
 
--- a/Source/UnitTests/Policy/TailModelTest.cpp
+++ b/Source/UnitTests/Policy/TailModelTest.cpp
@@ -34,7 +34,7 @@
 {
     std::vector<TailModel::Source> sources;
     for (const PacedRun& run : runs)
-        sources.push_back({ run.image, run.used });
+        sources.push_back({ run.image, run.used, run.pace == 100 });
     return sources;
 }
 
@@ -102,8 +102,8 @@
     TailModel model;
     const TailModel::Sample alone { 0.38, {} };
     for (int report = 0; report < 40; ++report) {
-        model.observe("service", { 0.38, { { "mild", 0.1 } } }, &alone);
-        model.observe("service", { 2.0, { { "heavy", 0.1 } } }, &alone);
+        model.observe("service", { 0.38, { { "mild", 0.1, true } } }, &alone);
+        model.observe("service", { 2.0, { { "heavy", 0.1, true } } }, &alone);
     }
     const std::vector<PacedService> services { { "service", 0.38 } };
     CHECK(paceForNewRun(model, services, {}, "mild", 0.2) > 0.9);
