--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -720,8 +720,9 @@
 {
     const Common::MonoTime now = m_runtime.now();
     const std::vector<Policy::PacedService> services = worker.services();
+    const double limit = worker.overTargetSince ? Policy::relievedTail : Policy::crowdedTail;
     const bool over = std::any_of(services.begin(), services.end(),
-        [](const Policy::PacedService& service) { return service.tailRatio > 1; });
+        [limit](const Policy::PacedService& service) { return service.tailRatio > limit; });
     if (!over)
         worker.overTargetSince.reset();
     else if (!worker.overTargetSince)
--- a/Source/Core/Policy/BackfillPace.cpp
+++ b/Source/Core/Policy/BackfillPace.cpp
@@ -17,10 +17,10 @@
     constexpr uint32_t riseStep = 30;
     /// When a service stays over its target, runs that may press it are halved, then paused: an impact must not last four
     /// seconds.
-    constexpr Common::Duration halvedAfter = std::chrono::milliseconds(900);
-    constexpr Common::Duration pausedAfter = std::chrono::milliseconds(1500);
+    constexpr Common::Duration halvedAfter = std::chrono::milliseconds(400);
+    constexpr Common::Duration pausedAfter = std::chrono::milliseconds(1100);
     /// Also runs that the model takes for harmless.
-    constexpr Common::Duration allPausedAfter = std::chrono::milliseconds(2400);
+    constexpr Common::Duration allPausedAfter = std::chrono::milliseconds(1700);
     constexpr size_t passes = 2;
 
     std::vector<TailModel::Source> usedBy(const std::vector<PacedRun>& runs)
@@ -77,9 +77,10 @@
     std::vector<uint32_t> percents;
     for (size_t index = 0; index < runs.size(); ++index) {
         auto percent = static_cast<uint32_t>(paces[index] * fullPace);
-        percent = std::min(percent, runs[index].pace + riseStep);
+        const bool crowded = overTargetFor > Common::Duration::zero();
+        percent = std::min(percent, runs[index].pace + (crowded ? 0 : riseStep));
         const bool suspect = std::any_of(services.begin(), services.end(), [&](const PacedService& service) {
-            return service.tailRatio > 1 && model.pressure(runs[index].image, service.image) > 0;
+            return service.tailRatio > crowdedTail && model.pressure(runs[index].image, service.image) > 0;
         });
         if (overTargetFor >= allPausedAfter || (suspect && overTargetFor >= pausedAfter))
             percent = 0;
@@ -95,6 +96,8 @@
 {
     double pace = 1;
     for (const PacedService& service : services) {
+        if (service.tailRatio > crowdedTail)
+            return 0;
         double pressed = 0;
         for (const PacedRun& run : runs)
             pressed += model.pressure(run.image, service.image) * run.demand * run.pace / fullPace;
--- a/Source/Core/Policy/BackfillPace.h
+++ b/Source/Core/Policy/BackfillPace.h
@@ -32,11 +32,16 @@
 /// swings of its load until the next report.
 constexpr double pressedUtilization = 0.67;
 
+/// A service whose tail latency is above this share of its target counts as over it: reports are rough and late.
+constexpr double crowdedTail = 0.95;
+/// It counts so until its tail latency is below this share.
+constexpr double relievedTail = 0.85;
+
 /// Utilization by the task's own users, as far as the last report tells.
 double ownLoad(const TailModel&, const PacedService&, const std::vector<PacedRun>&);
 
 /// The paces, in percent, at which no service is pressed too far: runs that press a service more are slowed down more.
-/// `overTargetFor`: how long some service on the worker has been over its target without a break; when the model has it
+/// `overTargetFor`: how long some service on the worker has counted as over its target; when the model has it
 /// wrong all runs are slowed down, and paused before the disturbance lasts.
 std::vector<uint32_t> paceBackfill(const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&,
     Common::Duration overTargetFor);
