--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -42,7 +42,7 @@
     constexpr Common::Duration sampleLifetime = std::chrono::milliseconds(1800);
     /// From this pace on a run counts as not slowed down.
     constexpr uint32_t steadyPace = 90;
-    constexpr uint32_t starvedPace = 30;
+    constexpr uint32_t starvedPace = 50;
     constexpr Common::Duration starvedAfter = std::chrono::milliseconds(1000);
     constexpr double movedPace = 0.8;
     /// For the room of an image: a run of this share of a worker would have to work at this pace.
