Count failures by attempt, in whatever order they are read

Ruled out: a lost commit (the store was down; the ends were listed by their workers).

Measured: the new case failed first; a job of two attempts failed after ends 4 and 3.

--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -167,21 +167,20 @@
     if (!task || task->progress.done)
         return false;
     const auto counted
-        = [attempt](const LiveTask& other) { return other.progress.lastFailedAttempt >= attempt.value; };
+        = [attempt](const LiveTask& other) { return other.progress.failedAttempts.contains(attempt.value); };
     const std::vector<LiveTask>& members = stepOf(name)->tasks;
     const bool known
         = stepSpec(name.step).gang ? std::any_of(members.begin(), members.end(), counted) : counted(*task);
     if (known)
         return false;
-    task->progress.lastFailedAttempt = attempt.value;
-    ++task->progress.failures;
+    task->progress.failedAttempts.insert(attempt.value);
     ++m_changes;
     const bool limited = m_record.terms.maximumAttempts > 0 && !stepSpec(name.step).longRunning;
-    uint32_t failures = task->progress.failures;
+    size_t failures = task->progress.failedAttempts.size();
     if (stepSpec(name.step).gang) {
         failures = 0;
         for (const LiveTask& member : members)
-            failures += member.progress.failures;
+            failures += member.progress.failedAttempts.size();
     }
     return limited && failures >= m_record.terms.maximumAttempts;
 }
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -91,7 +91,7 @@
             flags.push_back(task.done ? '1' : '0');
             if (!task.done && !task.untouched())
                 rows.push_back(Json::array(
-                    { index, task.failures, task.lastFailedAttempt, task.lastAttempt, task.checkpoint, task.elsewhere }));
+                    { index, task.failedAttempts, task.lastAttempt, task.checkpoint, task.elsewhere }));
         }
         return Json::array({ std::move(flags), std::move(rows) });
     }
@@ -104,11 +104,10 @@
             tasks[index].done = flags[index] == '1';
         for (const Json& row : pair.at(1)) {
             TaskProgress& task = tasks.at(row.at(0).get<size_t>());
-            task.failures = row.at(1).get<uint32_t>();
-            task.lastFailedAttempt = row.at(2).get<uint32_t>();
-            task.lastAttempt = row.at(3).get<uint32_t>();
-            task.checkpoint = row.at(4).get<std::string>();
-            task.elsewhere = row.at(5).get<std::string>();
+            task.failedAttempts = row.at(1).get<std::set<uint32_t>>();
+            task.lastAttempt = row.at(2).get<uint32_t>();
+            task.checkpoint = row.at(3).get<std::string>();
+            task.elsewhere = row.at(4).get<std::string>();
         }
         return tasks;
     }
--- a/Source/Core/Jobs/TaskProgress.h
+++ b/Source/Core/Jobs/TaskProgress.h
@@ -2,16 +2,15 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace Jobs {
 
 struct TaskProgress {
     bool done = false;
-    /// Runs that ended as failed.
-    uint32_t failures = 0;
-    /// The newest attempt that was counted as failed; an end that is read a second time isn't counted again.
-    uint32_t lastFailedAttempt = 0;
+    /// The attempts that ended as failed. A successor reads ends again, in any order, and each counts once.
+    std::set<uint32_t> failedAttempts;
     /// Highest attempt number that is known to have been used.
     uint32_t lastAttempt = 0;
     /// Where the next run resumes; empty: at the beginning.
@@ -22,7 +21,7 @@
 
     bool untouched() const
     {
-        return !done && failures == 0 && lastAttempt == 0 && checkpoint.empty() && elsewhere.empty();
+        return !done && failedAttempts.empty() && lastAttempt == 0 && checkpoint.empty() && elsewhere.empty();
     }
 };
 
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -404,3 +404,13 @@
     CHECK(running == 8);
     CHECK(fleet.judge.summary().empty());
 }
+
+TEST_CASE("failures that a successor reads in any order count once each")
+{
+    Cells::LiveJob job(CellWorld::job(1, "fail:100", 1), true, Common::MonoTime {}, 0);
+    job.openDue(Common::MonoTime {}, 0);
+    const Jobs::TaskName task { CellWorld::jobId(1), 0, 0, 0 };
+    CHECK_FALSE(job.markFailed(task, Common::AttemptNumber { 4 }));
+    CHECK_FALSE(job.markFailed(task, Common::AttemptNumber { 4 }));
+    CHECK(job.markFailed(task, Common::AttemptNumber { 3 }));
+}
--- a/Source/UnitTests/Jobs/JobRecordTest.cpp
+++ b/Source/UnitTests/Jobs/JobRecordTest.cpp
@@ -28,7 +28,7 @@
     record.phase = JobPhase::Running;
     std::vector<TaskProgress> tasks(3);
     tasks[0].done = true;
-    tasks[2] = TaskProgress { false, 1, 2, 3, "saved" };
+    tasks[2] = TaskProgress { false, { 1, 2 }, 3, "saved", {} };
     record.progress[0] = { tasks, std::vector<TaskProgress>(3) };
     return record;
 }
@@ -43,8 +43,7 @@
     CHECK(read->spec.steps[1].after == std::vector<uint32_t> { 0 });
     CHECK(read->spec.steps[1].backfill);
     const TaskProgress& task = read->progress.at(0)[0][2];
-    CHECK(task.failures == 1);
-    CHECK(task.lastFailedAttempt == 2);
+    CHECK(task.failedAttempts == std::set<uint32_t> { 1, 2 });
     CHECK(task.lastAttempt == 3);
     CHECK(task.checkpoint == "saved");
     CHECK(read->progress.at(0)[0][0].done);
