--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -146,7 +146,8 @@
     const auto refuse = [](const std::map<Common::JobId, Change>& waiting) {
         for (const auto& [job, change] : waiting) {
             for (const auto& callback : change.callbacks)
-                callback(failure(Common::ErrorCode::OutcomeUnknown, "the cell was lost before the write was confirmed"));
+                callback(
+                    failure(Common::ErrorCode::OutcomeUnknown, "the cell was lost before the write was confirmed"));
         }
     };
     refuse(changes);
@@ -252,9 +253,9 @@
 {
     if (!outcome) {
         const bool unclear = !nothingWasDone(outcome.reason().code);
-        LC_WARN(Store, "event=commit-failed cell=" << m_cell.value() << " reason="
-                                                   << Common::errorName(outcome.reason().code) << " jobs="
-                                                   << m_batch.accepts.size() + m_batch.changes.size());
+        LC_WARN(Store,
+            "event=commit-failed cell=" << m_cell.value() << " reason=" << Common::errorName(outcome.reason().code)
+                                        << " jobs=" << m_batch.accepts.size() + m_batch.changes.size());
         m_failing = true;
         if (unclear) {
             m_needsRewrite = true;
@@ -316,7 +317,8 @@
             continue;
         // The other keys that transactions expect are places of jobs and records of given tasks.
         const Common::JobId job(value.key.substr(value.key.rfind('/') + 1));
-        if (const auto gift = m_gifts.find(job); gift != m_gifts.end() && value.key == StoreKeys::job(gift->second.cell, job)) {
+        if (const auto gift = m_gifts.find(job);
+            gift != m_gifts.end() && value.key == StoreKeys::job(gift->second.cell, job)) {
             // Ours, when the answer to the write was lost.
             answerGift(job, value.value == gift->second.text);
             continue;
@@ -391,12 +393,11 @@
     RecordTransaction transaction;
     transaction.expected.emplace_back(StoreKeys::cell(m_cell), m_fence);
     transaction.puts.push_back({ StoreKeys::cell(m_cell), rewritten.encode(), {} });
-    m_store.commit(
-        std::move(transaction), m_lifetime.guard([this](const Common::Result<TransactionOutcome>& outcome) {
-            m_busy = false;
-            if (!m_stopped)
-                onRewritten(outcome);
-        }));
+    m_store.commit(std::move(transaction), m_lifetime.guard([this](const Common::Result<TransactionOutcome>& outcome) {
+        m_busy = false;
+        if (!m_stopped)
+            onRewritten(outcome);
+    }));
 }
 
 void CellCommitter::onRewritten(Common::Result<TransactionOutcome> outcome)
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -18,8 +18,8 @@
 
 namespace Cells {
 
-/// Every transaction expects the cell's record as this owner last wrote it. When the fate of one is unclear the record is
-/// rewritten first: after that the lost transaction can't be carried out any more, and its changes are written anew.
+/// Every transaction expects the cell's record as this owner last wrote it. When the fate of one is unclear the record
+/// is rewritten first: after that the lost transaction can't be carried out any more, and its changes are written anew.
 /// Invariant: at most one transaction is under way.
 class CellCommitter {
 public:
@@ -38,10 +38,11 @@
         std::function<void()> lost;
     };
 
-    CellCommitter(Scheduler::Runtime&, RecordStore&, CellId, CellRecord, Common::StoreRevision, CommitterSettings, Hooks);
+    CellCommitter(
+        Scheduler::Runtime&, RecordStore&, CellId, CellRecord, Common::StoreRevision, CommitterSettings, Hooks);
 
-    /// Writes the job's first record, unless a job of that id is there. Failures: StoreUnavailable and NotOwner mean that
-    /// it was not written and will not be; OutcomeUnknown that it may have been.
+    /// Writes the job's first record, unless a job of that id is there. Failures: StoreUnavailable and NotOwner mean
+    /// that it was not written and will not be; OutcomeUnknown that it may have been.
     void accept(const Common::JobId&, std::string text, Common::Callback<AcceptOutcome>);
     /// The job has changed; it is written soon.
     void changed(const Common::JobId&);
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -159,8 +159,7 @@
 LiveJob& CellEngine::addJob(Jobs::JobRecord record, bool recovered)
 {
     const Common::JobId id = record.id;
-    auto job = std::make_unique<LiveJob>(
-        std::move(record), recovered, m_runtime.now(), m_runtime.wallMilliseconds());
+    auto job = std::make_unique<LiveJob>(std::move(record), recovered, m_runtime.now(), m_runtime.wallMilliseconds());
     job->committed(job->changes());
     // Runs of an earlier owner can be adopted only where their occurrence is open.
     job->openDue(m_runtime.now(), m_runtime.wallMilliseconds());
@@ -229,10 +228,11 @@
         const auto callbacks = m_submissions.extract(id);
         if (!outcome && outcome.reason().code == Common::ErrorCode::OutcomeUnknown) {
             LC_WARN(Jobs, "event=submission-unclear job=" << id.value() << " cell=" << m_id.value());
-        } else if (auto submitted = m_submitted.extract(id); !submitted.empty() && outcome
-                   && std::holds_alternative<Accepted>(*outcome)) {
-            LC_INFO(Jobs, "event=job-accepted job=" << id.value() << " cell=" << m_id.value()
-                                                    << " route=" << submitted.mapped().terms.route);
+        } else if (auto submitted = m_submitted.extract(id);
+                   !submitted.empty() && outcome && std::holds_alternative<Accepted>(*outcome)) {
+            LC_INFO(Jobs,
+                "event=job-accepted job=" << id.value() << " cell=" << m_id.value()
+                                          << " route=" << submitted.mapped().terms.route);
             addJob(std::move(submitted.mapped()), false);
         }
         if (callbacks.empty())
@@ -305,13 +305,13 @@
     addJob(std::move(record), false);
 }
 
-/// The owners of other cells that have tasks of the job hear that they have, or that it was cancelled. What a lost message
-/// or an earlier owner left out is told again by each new owner.
-void CellEngine::tellParts(const LiveJob& job)
+/// The owners of other cells that have tasks of the job hear that they have, or that it was cancelled. What a lost
+/// message or an earlier owner left out is told again by each new owner.
+void CellEngine::tellParts(const LiveJob& job) const
 {
     for (const std::string& cell : job.parts()) {
         if (job.phase() == Jobs::JobPhase::Cancelled)
-            m_neighbours.cancel(CellId(cell), job.id(), [] { });
+            m_neighbours.cancel(CellId(cell), job.id(), [] {});
         else if (job.recovered())
             m_neighbours.remind(CellId(cell), job.id());
     }
@@ -343,8 +343,7 @@
 {
     const auto& workers = m_workers.all();
     return std::any_of(workers.begin(), workers.end(), [this](const auto& row) {
-        return !row.second->heardFrom && m_inheritedWorkers.contains(row.first)
-            && !m_workers.surelyEmpty(*row.second);
+        return !row.second->heardFrom && m_inheritedWorkers.contains(row.first) && !m_workers.surelyEmpty(*row.second);
     });
 }
 
@@ -382,8 +381,9 @@
     if (report.unreadable > 0)
         LC_WARN(Worker, "event=unreadable-rows worker=" << worker.id().value() << " rows=" << report.unreadable);
     if (!worker.heardFrom) {
-        LC_INFO(Worker, "event=worker-ready worker=" << worker.id().value() << " cell=" << m_id.value() << " runs="
-                                                     << report.running.size() << " ends=" << report.ended.size());
+        LC_INFO(Worker,
+            "event=worker-ready worker=" << worker.id().value() << " cell=" << m_id.value()
+                                         << " runs=" << report.running.size() << " ends=" << report.ended.size());
     }
     for (const EndedTask& end : report.ended) {
         if (end.number > worker.processedThrough)
@@ -404,8 +404,9 @@
     worker.vacate(run);
     LiveJob* const job = findJob(end.task.job);
     if (job && !isFinal(job->phase())) {
-        LC_INFO(Jobs, "event=run-ended run=" << runName(run) << " worker=" << worker.id().value()
-                                             << " end=" << endName(end.end) << " number=" << end.number);
+        LC_INFO(Jobs,
+            "event=run-ended run=" << runName(run) << " worker=" << worker.id().value() << " end=" << endName(end.end)
+                                   << " number=" << end.number);
         job->noteAttempt(end.task, end.attempt);
         if (isRun(job->find(end.task), worker.id(), end.attempt))
             job->clearRun(end.task);
@@ -506,8 +507,9 @@
         occupant.held = worker.entry().capacity;
     worker.occupy(run, std::move(occupant));
     LiveTask* const task = known && !isFinal(job->phase()) ? job->find(row.task) : nullptr;
-    LC_INFO(Jobs, "event=run-adopted run=" << runName(run) << " worker=" << worker.id().value()
-                                           << " wanted=" << (task && task->waiting()));
+    LC_INFO(Jobs,
+        "event=run-adopted run=" << runName(run) << " worker=" << worker.id().value()
+                                 << " wanted=" << (task && task->waiting()));
     if (!task || !task->waiting())
         return;
     const Common::MonoTime now = m_runtime.now();
@@ -546,8 +548,9 @@
     std::vector<RunKey> doubtful;
     for (const auto& [run, occupant] : worker.occupants())
         (newLife && !occupant.seen ? doubtful : gone).push_back(run);
-    LC_WARN(Worker, "event=" << (newLife ? "worker-reborn" : "worker-lease-passed") << " worker="
-                             << worker.id().value() << " lost=" << gone.size());
+    LC_WARN(Worker,
+        "event=" << (newLife ? "worker-reborn" : "worker-lease-passed") << " worker=" << worker.id().value()
+                 << " lost=" << gone.size());
     for (const RunKey& run : gone)
         dropRun(worker, run);
     // Orders for runs that the life before never listed may have been, or may still be, carried out by the new one.
@@ -666,8 +669,8 @@
     for (const Policy::PacedRun& run : worker.backfillRuns()) {
         if (run.used <= 0)
             continue;
-        Policy::TailModel::Source& source = byImage.try_emplace(run.image, Policy::TailModel::Source { run.image, 0, true })
-                                                .first->second;
+        Policy::TailModel::Source& source
+            = byImage.try_emplace(run.image, Policy::TailModel::Source { run.image, 0, true }).first->second;
         source.share += run.used;
         source.fullPace = source.fullPace && run.pace >= steadyPace && !worker.pacedSinceReport;
     }
@@ -679,10 +682,8 @@
         if (reported.latencyTarget <= Common::Duration::zero() || !reported.seen || reported.load < 0)
             continue;
         Occupant& occupant = *worker.find(run);
-        sample.tailRatio
-            = occupant.load / std::chrono::duration<double, std::milli>(occupant.latencyTarget).count();
-        const bool recent
-            = occupant.sample && !worker.pacedSinceReport && now - occupant.sampledAt < sampleLifetime;
+        sample.tailRatio = occupant.load / std::chrono::duration<double, std::milli>(occupant.latencyTarget).count();
+        const bool recent = occupant.sample && !worker.pacedSinceReport && now - occupant.sampledAt < sampleLifetime;
         m_tails.observe(occupant.image, sample, recent ? &*occupant.sample : nullptr);
         occupant.sample = sample;
         occupant.sampledAt = now;
@@ -711,8 +712,9 @@
         if (!better || better == &worker
             || offerOf(*better, job->stepSpec(run.task.step), run.task).backfillPace < movedPace)
             continue;
-        LC_INFO(Jobs, "event=run-starved run=" << runName(run) << " worker=" << worker.id().value()
-                                               << " pace=" << occupant.pace << " better=" << better->id().value());
+        LC_INFO(Jobs,
+            "event=run-starved run=" << runName(run) << " worker=" << worker.id().value() << " pace=" << occupant.pace
+                                     << " better=" << better->id().value());
         stopRun(worker, run);
         return;
     }
@@ -745,9 +747,9 @@
     }
     if (changes.empty())
         return;
-    LC_INFO(Worker, "event=backfill-paced worker=" << worker.id().value() << " runs=" << changes.size() << " of="
-                                                   << runs.size() << " first=" << changes.front().second
-                                                   << " over-target=" << over);
+    LC_INFO(Worker,
+        "event=backfill-paced worker=" << worker.id().value() << " runs=" << changes.size() << " of=" << runs.size()
+                                       << " first=" << changes.front().second << " over-target=" << over);
     worker.pacedSinceReport = true;
     for (const auto& [run, pace] : changes)
         m_workers.pace(worker, run, pace);
@@ -788,8 +790,8 @@
         for (const auto& [id, worker] : m_workers.all()) {
             if (!worker->listed || worker->entry().draining || !worker->reachable)
                 continue;
-            const double pace = Policy::paceForNewRun(
-                m_tails, worker->services(), worker->backfillRuns(), image, usualBackfillShare);
+            const double pace
+                = Policy::paceForNewRun(m_tails, worker->services(), worker->backfillRuns(), image, usualBackfillShare);
             const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
             room += pace >= goodPace ? std::max<int64_t>(unused, 0) : 0;
         }
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -130,7 +130,7 @@
     void placeStep(const Candidate&, std::vector<Candidate>& blocked);
     void noteBlocked(LiveJob&, const Candidate&, const Jobs::TaskName&);
     void giveAway(LiveJob&, const Candidate&);
-    void tellParts(const LiveJob&);
+    void tellParts(const LiveJob&) const;
     void placeGang(const Candidate&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
     CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&);
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -269,7 +269,8 @@
     const Common::MonoTime since = m_ownerlessSince.try_emplace(cell, now).first->second;
     std::vector<Common::DaemonId> hosts;
     const std::vector<size_t> order = rank(cell, hosts);
-    const auto own = std::find_if(order.begin(), order.end(), [&](size_t index) { return hosts[index] == m_settings.id; });
+    const auto own
+        = std::find_if(order.begin(), order.end(), [&](size_t index) { return hosts[index] == m_settings.id; });
     const auto place = own - order.begin();
     if (now - since >= place * m_settings.claimStagger)
         claim(cell);
@@ -291,7 +292,7 @@
         return;
     LC_INFO(Jobs, "event=cell-hand-over cell=" << cell.value() << " to=" << hosts[order.front()].value());
     m_betterOwnerSince.erase(cell);
-    releaseCell(cell, [] { });
+    releaseCell(cell, [] {});
 }
 
 void CellKeeper::releaseCell(const CellId& cell, std::function<void()> done)
@@ -315,7 +316,7 @@
     if (engine.empty())
         return;
     std::shared_ptr<CellEngine> ending = std::move(engine.mapped());
-    m_ports.runtime.schedule(Common::Duration::zero(), [ending] { });
+    m_ports.runtime.schedule(Common::Duration::zero(), [ending] {});
 }
 
 void CellKeeper::claim(const CellId& cell)
@@ -377,13 +378,12 @@
         return true;
     // Another process at its address has taken its place.
     const std::vector<const HostBeat*> hosts = m_directory.live(m_ports.runtime.now());
-    return std::any_of(hosts.begin(), hosts.end(), [&](const HostBeat* host) {
-        return host->address == record.address && host->id != record.owner;
-    });
+    return std::any_of(hosts.begin(), hosts.end(),
+        [&](const HostBeat* host) { return host->address == record.address && host->id != record.owner; });
 }
 
 void CellKeeper::writeClaim(
-    const CellId& cell, CellRecord record, Common::StoreRevision expected, bool formerOwnerGone)
+    const CellId& cell, const CellRecord& record, Common::StoreRevision expected, bool formerOwnerGone)
 {
     RecordTransaction transaction;
     transaction.expected.emplace_back(StoreKeys::cell(cell), expected);
@@ -399,7 +399,7 @@
 }
 
 void CellKeeper::inherit(
-    const CellId& cell, CellRecord record, Common::StoreRevision fence, bool formerOwnerGone)
+    const CellId& cell, const CellRecord& record, Common::StoreRevision fence, bool formerOwnerGone)
 {
     LC_INFO(Jobs, "event=cell-claimed cell=" << cell.value() << " token=" << record.token.value);
     m_ports.store.list(StoreKeys::jobs(cell), Freshness::Linearizable,
@@ -460,22 +460,22 @@
     return CellEngine::Neighbours {
         .withRoom = [this](const CellId& self, const Common::Resources& request) { return withRoom(self, request); },
         .give = [this](const CellId& cell, const Jobs::JobRecord& part,
-                    std::function<void()> done) { tellOwner(cell, part, false, std::move(done)); },
+                    std::function<void()> done) { tellOwner(cell, part, false, done); },
         .remind =
             [this](const CellId& cell, const Common::JobId& job) {
                 m_ports.store.get(StoreKeys::job(cell, job), Freshness::Linearizable,
                     m_lifetime.guard([this, cell](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
-                        const auto part = found && *found ? Jobs::JobRecord::decode((*found)->value)
-                                                          : Jobs::JobRecord::decode("");
+                        const auto part
+                            = found && *found ? Jobs::JobRecord::decode((*found)->value) : Jobs::JobRecord::decode("");
                         if (part && !isFinal(part->phase))
-                            tellOwner(cell, *part, false, [] { });
+                            tellOwner(cell, *part, false, [] {});
                     }));
             },
         .cancel =
             [this](const CellId& cell, const Common::JobId& job, std::function<void()> done) {
                 Jobs::JobRecord part;
                 part.id = job;
-                tellOwner(cell, part, true, std::move(done));
+                tellOwner(cell, part, true, done);
             },
     };
 }
@@ -503,14 +503,15 @@
 
 /// Repeated until the owner, whoever it is by then, has heard.
 void CellKeeper::tellOwner(
-    const CellId& cell, const Jobs::JobRecord& part, bool cancelled, std::function<void()> done)
+    const CellId& cell, const Jobs::JobRecord& part, bool cancelled, const std::function<void()>& done)
 {
-    const auto again = m_lifetime.guard([this, cell, part, cancelled, done] { tellOwner(cell, part, cancelled, done); });
+    const auto again
+        = m_lifetime.guard([this, cell, part, cancelled, done] { tellOwner(cell, part, cancelled, done); });
     if (CellEngine* const own = engine(cell)) {
         if (!cancelled)
             own->receive(part);
         else
-            own->cancelPart(part.id, [](const Common::Result<Common::Done>&) { });
+            own->cancelPart(part.id, [](const Common::Result<Common::Done>&) {});
         done();
         return;
     }
@@ -562,13 +563,12 @@
             if (changes)
                 onWorkers(*changes);
             const bool historyLost = !changes && changes.reason().code == Common::ErrorCode::HistoryLost;
-            m_ports.runtime.schedule(
-                changes ? m_settings.listPause : storeRetry, m_lifetime.guard([this, historyLost] {
-                    if (historyLost)
-                        listWorkers();
-                    else
-                        watchWorkers();
-                }));
+            m_ports.runtime.schedule(changes ? m_settings.listPause : storeRetry, m_lifetime.guard([this, historyLost] {
+                if (historyLost)
+                    listWorkers();
+                else
+                    watchWorkers();
+            }));
         }));
 }
 
@@ -599,7 +599,7 @@
         owner->listWorker(entry);
 }
 
-void CellKeeper::drain(std::function<void()> done)
+void CellKeeper::drain(const std::function<void()>& done)
 {
     m_draining = true;
     beat();
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -49,7 +49,7 @@
 
     void start();
     /// Hands all cells over; takes none any more.
-    void drain(std::function<void()> done);
+    void drain(const std::function<void()>& done);
 
     const CellLayout& layout() const { return m_layout; }
     /// The cell's engine, when this host owns it.
@@ -67,8 +67,8 @@
     void setStoreAnswers(bool answers) { m_storeAnswers = answers; }
     /// Called for each beat of another host.
     /// Carries a message to the owner of a cell; `done` when it was heard. Set by whoever can call other hosts.
-    using Messenger = std::function<void(const std::string& address, const CellId&, const Jobs::JobRecord&, bool cancelled,
-        Common::Callback<Common::Done>)>;
+    using Messenger = std::function<void(const std::string& address, const CellId&, const Jobs::JobRecord&,
+        bool cancelled, Common::Callback<Common::Done>)>;
     void setMessenger(Messenger messenger) { m_messenger = std::move(messenger); }
     void onHostBeat(std::function<void(const HostBeat&)> hook) { m_onBeat = std::move(hook); }
 
@@ -89,14 +89,14 @@
     void considerHandOver(const CellId&);
     void claim(const CellId&);
     void onRecord(const CellId&, const std::optional<Scheduler::StoreValue>&);
-    void writeClaim(const CellId&, CellRecord, Common::StoreRevision expected, bool formerOwnerGone);
-    void inherit(const CellId&, CellRecord, Common::StoreRevision fence, bool formerOwnerGone);
+    void writeClaim(const CellId&, const CellRecord&, Common::StoreRevision expected, bool formerOwnerGone);
+    void inherit(const CellId&, const CellRecord&, Common::StoreRevision fence, bool formerOwnerGone);
     bool surelyGone(const CellRecord&) const;
     void own(const CellId&, CellEngine::Inheritance);
     void endClaim(const CellId&, const char* reason);
     CellEngine::Neighbours neighbours();
     std::optional<CellId> withRoom(const CellId& self, const Common::Resources&) const;
-    void tellOwner(const CellId&, const Jobs::JobRecord&, bool cancelled, std::function<void()> done);
+    void tellOwner(const CellId&, const Jobs::JobRecord&, bool cancelled, const std::function<void()>& done);
     void releaseCell(const CellId&, std::function<void()> done);
     void forgetEngine(const CellId&);
     void listWorkers();
--- a/Source/Core/Cells/CellPlacing.cpp
+++ b/Source/Core/Cells/CellPlacing.cpp
@@ -47,8 +47,8 @@
     {
         // Backfill finds room by what its image disturbs.
         const bool sameKind = blocked.backfill == spec.backfill && (!spec.backfill || blocked.image == spec.image);
-        return sameKind && blocked.requiredLabel == spec.requiredLabel
-            && blocked.maximumPerWorker == 0 && Common::fits(blocked.request, spec.request);
+        return sameKind && blocked.requiredLabel == spec.requiredLabel && blocked.maximumPerWorker == 0
+            && Common::fits(blocked.request, spec.request);
     }
 
 } // namespace
@@ -161,9 +161,10 @@
         const bool usable = worker->listed && !worker->entry().draining && worker->reachable;
         rooms += (rooms.empty() ? "" : ",") + (usable ? std::to_string(worker->free().milliCores) : std::string("-"));
     }
-    LC_INFO(Jobs, "event=task-blocked job=" << job.id().value() << " step=" << name.step << " index=" << name.index
-                                            << " cores=" << job.stepSpec(name.step).request.milliCores << " per-worker="
-                                            << job.stepSpec(name.step).maximumPerWorker << " rooms=" << rooms);
+    LC_INFO(Jobs,
+        "event=task-blocked job=" << job.id().value() << " step=" << name.step << " index=" << name.index
+                                  << " cores=" << job.stepSpec(name.step).request.milliCores
+                                  << " per-worker=" << job.stepSpec(name.step).maximumPerWorker << " rooms=" << rooms);
 }
 
 /// Long-running tasks that find no room here may run in another cell: they don't depend on each other.
@@ -179,14 +180,15 @@
         if (step.tasks[index].waiting())
             tasks.push_back(index);
     }
-    LC_INFO(Jobs, "event=tasks-given job=" << job.id().value() << " tasks=" << tasks.size() << " from=" << m_id.value()
-                                           << " to=" << other->value());
+    LC_INFO(Jobs,
+        "event=tasks-given job=" << job.id().value() << " tasks=" << tasks.size() << " from=" << m_id.value()
+                                 << " to=" << other->value());
     const Jobs::JobRecord part
         = job.giveAway(candidate.occurrence, candidate.step, tasks, m_id.value(), other->value());
     m_committer.giveAway(job.id(), *other, part.encode(),
         m_lifetime.guard([this, id = job.id(), other = *other, part](const Common::Result<bool>& given) {
             if (given && *given) {
-                m_neighbours.give(other, part, [] { });
+                m_neighbours.give(other, part, [] {});
                 return;
             }
             if (LiveJob* const kept = findJob(id); kept && !isFinal(kept->phase())) {
@@ -280,11 +282,11 @@
     const RunOrder order { name, attempt, job.spec().payload, task.progress.checkpoint, {} };
     const Jobs::StepSpec& spec = job.stepSpec(name.step);
     // Told once the worker has accepted the run.
-    const uint32_t pace = spec.backfill
-        ? static_cast<uint32_t>(fullPace * offerOf(worker, spec, name).backfillPace)
-        : static_cast<uint32_t>(fullPace);
-    LC_INFO(Jobs, "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token="
-                                           << m_token.value << " image=" << spec.image << " pace=" << pace);
+    const uint32_t pace = spec.backfill ? static_cast<uint32_t>(fullPace * offerOf(worker, spec, name).backfillPace)
+                                        : static_cast<uint32_t>(fullPace);
+    LC_INFO(Jobs,
+        "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << m_token.value
+                                 << " image=" << spec.image << " pace=" << pace);
     m_blockedSince.erase(name.job);
     worker.occupy(run, occupantOf(spec));
     job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
@@ -321,7 +323,9 @@
             m_workers.lookSoon(id);
         return;
     }
-    LC_INFO(Jobs, "event=run-refused run=" << runName(run) << " worker=" << id.value() << " verdict=" << static_cast<int>(verdict));
+    LC_INFO(Jobs,
+        "event=run-refused run=" << runName(run) << " worker=" << id.value()
+                                 << " verdict=" << static_cast<int>(verdict));
     if (verdict == OrderVerdict::NoRoom || verdict == OrderVerdict::Unhealthy)
         worker->closedUntil = now + m_settings.refusalPause;
     if (task && verdict == OrderVerdict::Malformed)
--- a/Source/Core/Cells/CellRecord.cpp
+++ b/Source/Core/Cells/CellRecord.cpp
@@ -7,9 +7,10 @@
 
 std::string CellRecord::encode() const
 {
-    return nlohmann::json { { "owner", owner.value() }, { "address", address }, { "token", token.value },
-        { "rewrites", rewrites }, { "released", released } }
-        .dump();
+    return nlohmann::json {
+        { "owner", owner.value() }, { "address", address }, { "token", token.value }, { "rewrites", rewrites },
+        { "released", released }
+    }.dump();
 }
 
 Common::Result<CellRecord> CellRecord::decode(std::string_view text)
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -113,8 +113,7 @@
 
 bool CellWorker::serves() const
 {
-    return std::any_of(
-        m_occupants.begin(), m_occupants.end(), [](const auto& row) { return servesUsers(row.second); });
+    return std::any_of(m_occupants.begin(), m_occupants.end(), [](const auto& row) { return servesUsers(row.second); });
 }
 
 void CellWorker::addServing(std::map<std::string, int64_t>& byImage) const
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -119,8 +119,7 @@
             [this, id, askedAt](const Common::Result<RunReport>& report) { onLook(id, askedAt, report); }));
 }
 
-void CellWorkers::onLook(
-    const Common::WorkerId& id, Common::MonoTime askedAt, const Common::Result<RunReport>& report)
+void CellWorkers::onLook(const Common::WorkerId& id, Common::MonoTime askedAt, const Common::Result<RunReport>& report)
 {
     CellWorker* const worker = find(id);
     if (m_closed || !worker)
@@ -170,8 +169,9 @@
     state.pause = std::clamp(2 * state.pause, m_settings.firstLookPause, m_settings.longestLookPause);
     worker.reachable = false;
     if (!std::exchange(state.saidSilent, true)) {
-        LC_WARN(Worker, "event=worker-silent worker=" << worker.id().value() << " runs=" << worker.occupants().size()
-                                                      << " reason=" << Common::errorName(reason.code));
+        LC_WARN(Worker,
+            "event=worker-silent worker=" << worker.id().value() << " runs=" << worker.occupants().size()
+                                          << " reason=" << Common::errorName(reason.code));
     }
     if (surelyEmpty(worker) && !worker.occupants().empty())
         m_hooks.emptied(worker, false);
@@ -204,7 +204,7 @@
     return worker.occupants().empty() ? m_settings.idleLook : Common::Duration::zero();
 }
 
-void CellWorkers::start(CellWorker& worker, const RunOrder& order, std::function<void(OrderAnswer)> answered)
+void CellWorkers::start(CellWorker& worker, const RunOrder& order, const std::function<void(OrderAnswer)>& answered)
 {
     startOnce(worker.id(), order, answered);
     // An idle worker's next look may be far away.
@@ -248,7 +248,7 @@
         }));
 }
 
-void CellWorkers::stop(CellWorker& worker, const RunKey& run, std::function<void(OrderAnswer)> answered)
+void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
 {
     if (Occupant* const occupant = worker.find(run))
         occupant->stopping = true;
@@ -266,8 +266,8 @@
             if (m_closed || !find(id))
                 return;
             if (!answer) {
-                m_runtime.schedule(
-                    m_settings.orderRetry, m_lifetime.guard([this, id, run, answered] { stopOnce(id, run, answered); }));
+                m_runtime.schedule(m_settings.orderRetry,
+                    m_lifetime.guard([this, id, run, answered] { stopOnce(id, run, answered); }));
                 return;
             }
             if (answer->verdict == OrderVerdict::Fenced) {
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -25,8 +25,8 @@
     struct Hooks {
         /// A report; it was asked for at that time.
         std::function<void(CellWorker&, const RunReport&, Common::MonoTime askedAt)> report;
-        /// Nothing that was there before runs any more: a new life, or its lease has surely passed. In a new life orders
-        /// without an answer are kept.
+        /// Nothing that was there before runs any more: a new life, or its lease has surely passed. In a new life
+        /// orders without an answer are kept.
         std::function<void(CellWorker&, bool newLife)> emptied;
         /// A newer owner has given orders.
         std::function<void()> fenced;
@@ -53,9 +53,9 @@
     const std::map<Common::WorkerId, std::unique_ptr<CellWorker>>& all() const { return m_workers; }
 
     /// Starts a run and repeats the order until it has an answer, as long as the run occupies the worker.
-    void start(CellWorker&, const RunOrder&, std::function<void(OrderAnswer)>);
+    void start(CellWorker&, const RunOrder&, const std::function<void(OrderAnswer)>&);
     /// Stops a run; repeated like a start.
-    void stop(CellWorker&, const RunKey&, std::function<void(OrderAnswer)>);
+    void stop(CellWorker&, const RunKey&, const std::function<void(OrderAnswer)>&);
     void pace(CellWorker&, const RunKey&, uint32_t percent);
     /// Look at the worker again soon.
     void lookSoon(const Common::WorkerId&);
--- a/Source/Core/Cells/ConfigFollower.cpp
+++ b/Source/Core/Cells/ConfigFollower.cpp
@@ -77,8 +77,9 @@
     }
     if (m_current && decoded->version <= m_current->version)
         return;
-    LC_INFO(Config, "event=config-in-force version=" << decoded->version << " routes=" << decoded->routes.size()
-                                                     << " source=" << source);
+    LC_INFO(Config,
+        "event=config-in-force version=" << decoded->version << " routes=" << decoded->routes.size()
+                                         << " source=" << source);
     m_current = std::make_shared<const ServingConfig>(*decoded);
     m_text = text;
     if (m_onChange)
--- a/Source/Core/Cells/HostBeat.cpp
+++ b/Source/Core/Cells/HostBeat.cpp
@@ -21,11 +21,13 @@
             pending[route] = count;
         Json beliefs = Json::array();
         for (const Policy::TailModel::Belief& belief : owned.beliefs)
-            beliefs.push_back(Json::array({ belief.backfill, belief.service, std::round(belief.pressure * roundedTo) / roundedTo,
-                std::round(belief.variance * roundedTo) / roundedTo }));
+            beliefs.push_back(
+                Json::array({ belief.backfill, belief.service, std::round(belief.pressure * roundedTo) / roundedTo,
+                    std::round(belief.variance * roundedTo) / roundedTo }));
         return Json::array({ owned.cell.value(), owned.token.value, owned.load.capacityMilliCores,
             owned.load.freeMilliCores, owned.load.backfillMilliCores, owned.load.waitingRegular,
-            owned.load.waitingBackfill, owned.load.serving, owned.load.backfillRooms, owned.load.rooms, std::move(pending), std::move(beliefs) });
+            owned.load.waitingBackfill, owned.load.serving, owned.load.backfillRooms, owned.load.rooms,
+            std::move(pending), std::move(beliefs) });
     }
 
     HostBeat::OwnedCell cellFromJson(const Json& row)
@@ -58,11 +60,12 @@
     Json releasedIds = Json::array();
     for (const CellId& cell : released)
         releasedIds.push_back(cell.value());
-    return Json { { "id", id.value() }, { "addr", address }, { "beat", beatAddress }, { "domain", domain.value() },
+    return Json {
+        { "id", id.value() }, { "addr", address }, { "beat", beatAddress }, { "domain", domain.value() },
         { "region", region.value() }, { "weight", weight }, { "started", startedMilliseconds },
         { "draining", draining }, { "store", storeAnswers }, { "config", configVersion },
-        { "cells", std::move(cellRows) }, { "released", std::move(releasedIds) }, { "others", others } }
-        .dump();
+        { "cells", std::move(cellRows) }, { "released", std::move(releasedIds) }, { "others", others }
+    }.dump();
 }
 
 Common::Result<HostBeat> HostBeat::decode(std::string_view text)
--- a/Source/Core/Cells/JobFront.cpp
+++ b/Source/Core/Cells/JobFront.cpp
@@ -114,7 +114,7 @@
 {
     m_startedAt = m_runtime.now();
     m_keeper.setMessenger([this](const std::string& address, const CellId& cell, const Jobs::JobRecord& part,
-                              bool cancelled, Common::Callback<Common::Done> heard) {
+                              bool cancelled, const Common::Callback<Common::Done>& heard) {
         const Json params { { "cell", cell.value() }, { "job", part.id.value() }, { "cancelled", cancelled },
             { "part", cancelled ? std::string {} : part.encode() } };
         m_peers.call(address, partMethod, params, askTimeout, [heard](const Common::Result<Json>& answer) {
@@ -124,8 +124,8 @@
                 heard(answer.reason());
         });
     });
-    m_peers.serve(partMethod,
-        [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePart(params, reply); });
+    m_peers.serve(
+        partMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePart(params, reply); });
     m_peers.serve(submitMethod,
         [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveSubmit(params, reply); });
     m_peers.serve(phaseMethod,
@@ -209,13 +209,14 @@
         reply(Json::object());
         return;
     }
-    engine->cancelPart(Common::JobId(params.value("job", std::string {})), [reply](const Common::Result<Common::Done>& done) {
-        const bool settled = done || done.reason().code == Common::ErrorCode::UnknownJob;
-        if (settled)
-            reply(Json::object());
-        else
-            reply(done.reason());
-    });
+    engine->cancelPart(
+        Common::JobId(params.value("job", std::string {})), [reply](const Common::Result<Common::Done>& done) {
+            const bool settled = done || done.reason().code == Common::ErrorCode::UnknownJob;
+            if (settled)
+                reply(Json::object());
+            else
+                reply(done.reason());
+        });
 }
 
 // Submissions.
@@ -334,8 +335,7 @@
     const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell);
     const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission.record) },
         { "fit", fitOf(submission) == CellEngine::Fit::Required } };
-    m_peers.call(owner->address, submitMethod, params,
-        std::min(submitTimeout, submission.deadline - m_runtime.now()),
+    m_peers.call(owner->address, submitMethod, params, std::min(submitTimeout, submission.deadline - m_runtime.now()),
         [callback = std::move(callback)](const Common::Result<Json>& answer) {
             if (!answer)
                 callback(answer.reason());
@@ -344,8 +344,8 @@
         });
 }
 
-void JobFront::onSubmitted(const std::shared_ptr<Submission>& submission, const CellId& cell,
-    const Common::Result<AcceptOutcome>& outcome)
+void JobFront::onSubmitted(
+    const std::shared_ptr<Submission>& submission, const CellId& cell, const Common::Result<AcceptOutcome>& outcome)
 {
     const Common::JobId& job = submission->record.id;
     if (outcome) {
@@ -355,8 +355,9 @@
         return;
     }
     const Common::ErrorCode code = outcome.reason().code;
-    LC_INFO(Jobs, "event=submission-failed job=" << job.value() << " cell=" << cell.value()
-                                                 << " reason=" << Common::errorName(code));
+    LC_INFO(Jobs,
+        "event=submission-failed job=" << job.value() << " cell=" << cell.value()
+                                       << " reason=" << Common::errorName(code));
     if (mayHaveHappened(code))
         submission->unclear = true;
     // The place in the store keeps a second cell from taking a job that the first one has written.
@@ -445,8 +446,7 @@
     const Json params { { "cell", cell.value() }, { "job", lookup->job.value() } };
     m_peers.call(owner->address, phaseMethod, params, std::min(askTimeout, lookup->timeout),
         m_lifetime.guard([this, cell, lookup](const Common::Result<Json>& answer) {
-            const auto phase
-                = answer ? Jobs::phaseFromName(answer->value("phase", std::string {})) : std::nullopt;
+            const auto phase = answer ? Jobs::phaseFromName(answer->value("phase", std::string {})) : std::nullopt;
             if (phase)
                 lookup->callback(*phase);
             else
@@ -479,8 +479,8 @@
 
 void JobFront::cancel(const Common::JobId& job, Common::Duration timeout, Common::Callback<Common::Done> callback)
 {
-    locate(job,
-        m_lifetime.guard([this, job, timeout, callback = std::move(callback)](const Common::Result<Place>& place) {
+    locate(
+        job, m_lifetime.guard([this, job, timeout, callback = std::move(callback)](const Common::Result<Place>& place) {
             if (!place)
                 callback(place.reason());
             else if (!*place)
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -169,8 +169,7 @@
     const auto counted
         = [attempt](const LiveTask& other) { return other.progress.failedAttempts.contains(attempt.value); };
     const std::vector<LiveTask>& members = stepOf(name)->tasks;
-    const bool known
-        = stepSpec(name.step).gang ? std::any_of(members.begin(), members.end(), counted) : counted(*task);
+    const bool known = stepSpec(name.step).gang ? std::any_of(members.begin(), members.end(), counted) : counted(*task);
     if (known)
         return false;
     task->progress.failedAttempts.insert(attempt.value);
--- a/Source/Core/Cells/Occupant.h
+++ b/Source/Core/Cells/Occupant.h
@@ -44,8 +44,8 @@
     bool unclear = false;
     /// An order to stop it is under way or was carried out.
     bool stopping = false;
-    /// When the worker had answered the last order about the run. A report that was asked for after that and doesn't list
-    /// the run shows that it is gone.
+    /// When the worker had answered the last order about the run. A report that was asked for after that and doesn't
+    /// list the run shows that it is gone.
     std::optional<Common::MonoTime> settledAt;
 };
 
--- a/Source/Core/Cells/RelayedStore.cpp
+++ b/Source/Core/Cells/RelayedStore.cpp
@@ -230,12 +230,11 @@
     if (avoidDirect() && relay(callback))
         return;
     m_direct.get(key, freshness,
-        m_lifetime.guard(
-            [this, relay, callback](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
-                note(found.hasValue());
-                if (found || !relay(callback))
-                    callback(found);
-            }));
+        m_lifetime.guard([this, relay, callback](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+            note(found.hasValue());
+            if (found || !relay(callback))
+                callback(found);
+        }));
 }
 
 void RelayedStore::list(const std::string& prefix, Freshness freshness, Common::Callback<RecordListing> callback)
@@ -251,11 +250,12 @@
     };
     if (avoidDirect() && relay(callback))
         return;
-    m_direct.list(prefix, freshness, m_lifetime.guard([this, relay, callback](const Common::Result<RecordListing>& listing) {
-        note(listing.hasValue());
-        if (listing || !relay(callback))
-            callback(listing);
-    }));
+    m_direct.list(
+        prefix, freshness, m_lifetime.guard([this, relay, callback](const Common::Result<RecordListing>& listing) {
+            note(listing.hasValue());
+            if (listing || !relay(callback))
+                callback(listing);
+        }));
 }
 
 void RelayedStore::watch(const std::string& prefix, Common::StoreRevision since, Common::Duration wait,
--- a/Source/Core/Cells/WorkerOrders.h
+++ b/Source/Core/Cells/WorkerOrders.h
@@ -32,8 +32,8 @@
         Common::Callback<OrderAnswer>)
         = 0;
     /// Ends a run. One that isn't there can't start any more.
-    virtual void stop(const WorkerTarget&, FencingToken, const Jobs::TaskName&, Common::AttemptNumber,
-        Common::Callback<OrderAnswer>)
+    virtual void stop(
+        const WorkerTarget&, FencingToken, const Jobs::TaskName&, Common::AttemptNumber, Common::Callback<OrderAnswer>)
         = 0;
     /// Lets a run work at that share of its speed, 0 to 100.
     virtual void pace(const WorkerTarget&, FencingToken, const Jobs::TaskName&, Common::AttemptNumber, uint32_t percent,
--- a/Source/Core/Common/BoundedLog.h
+++ b/Source/Core/Common/BoundedLog.h
@@ -12,8 +12,8 @@
 namespace spi = log4cxx::spi; // NOLINT: the library's name
 using log4cxx::AppenderSkeleton;
 
-/// Lines are gathered and written when the reader takes them. While it doesn't, at most `capacity` bytes are kept; further
-/// lines are dropped and their number is told once there is room again.
+/// Lines are gathered and written when the reader takes them. While it doesn't, at most `capacity` bytes are kept;
+/// further lines are dropped and their number is told once there is room again.
 class BoundedLog final : public log4cxx::AppenderSkeleton {
 public:
     DECLARE_LOG4CXX_OBJECT(BoundedLog)
--- a/Source/Core/Config/EntrySettings.cpp
+++ b/Source/Core/Config/EntrySettings.cpp
@@ -20,8 +20,8 @@
         table.name("id", &Settings::hostName, "The host's name.", Presence::Required);
         table.name("domain", &Settings::domain, "The failure domain that the host stands in.", Presence::Required);
         table.name("region", &Settings::region, "The region that the host stands in.", Presence::Required);
-        table.address("listen.calls", AddressRule {}, &Settings::callsAddress, "Where callers submit jobs.",
-            Presence::Required);
+        table.address(
+            "listen.calls", AddressRule {}, &Settings::callsAddress, "Where callers submit jobs.", Presence::Required);
         table.address("listen.readiness", AddressRule {}, &Settings::readinessAddress,
             "Where a balancer asks whether the host takes calls.", Presence::Required);
         table.address("listen.peers", AddressRule {}, &Settings::peersAddress,
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -90,8 +90,8 @@
             const TaskProgress& task = tasks[index];
             flags.push_back(task.done ? '1' : '0');
             if (!task.done && !task.untouched())
-                rows.push_back(Json::array(
-                    { index, task.failedAttempts, task.lastAttempt, task.checkpoint, task.elsewhere }));
+                rows.push_back(
+                    Json::array({ index, task.failedAttempts, task.lastAttempt, task.checkpoint, task.elsewhere }));
         }
         return Json::array({ std::move(flags), std::move(rows) });
     }
--- a/Source/Core/Peer/DatagramBeats.cpp
+++ b/Source/Core/Peer/DatagramBeats.cpp
@@ -36,8 +36,8 @@
 
     void receive()
     {
-        socket.async_receive_from(asio::buffer(buffer), sender,
-            [self = shared_from_this()](const asio::error_code& error, size_t length) {
+        socket.async_receive_from(
+            asio::buffer(buffer), sender, [self = shared_from_this()](const asio::error_code& error, size_t length) {
                 if (error == asio::error::operation_aborted)
                     return;
                 if (!error && self->handler)
--- a/Source/Core/Policy/BackfillPace.cpp
+++ b/Source/Core/Policy/BackfillPace.cpp
@@ -15,8 +15,8 @@
     constexpr double newRunShare = 0.85;
     /// Paces rise at most by this much a report.
     constexpr uint32_t riseStep = 30;
-    /// When a service stays over its target, runs that may press it are halved, then paused: an impact must not last four
-    /// seconds.
+    /// When a service stays over its target, runs that may press it are halved, then paused: an impact must not last
+    /// four seconds.
     constexpr Common::Duration halvedAfter = std::chrono::milliseconds(400);
     constexpr Common::Duration pausedAfter = std::chrono::milliseconds(1100);
     /// Also runs that the model takes for harmless.
@@ -26,14 +26,15 @@
     std::vector<TailModel::Source> usedBy(const std::vector<PacedRun>& runs)
     {
         std::vector<TailModel::Source> sources;
+        sources.reserve(runs.size());
         for (const PacedRun& run : runs)
             sources.push_back({ run.image, run.used, false });
         return sources;
     }
 
     /// Slows the runs down that press the service most until it bears the rest.
-    void relieve(const TailModel& model, const PacedService& service, double bearable, const std::vector<PacedRun>& runs,
-        std::vector<double>& paces)
+    void relieve(const TailModel& model, const PacedService& service, double bearable,
+        const std::vector<PacedRun>& runs, std::vector<double>& paces)
     {
         std::vector<std::pair<double, size_t>> byFactor;
         double pressed = 0;
--- a/Source/Core/Policy/BackfillPace.h
+++ b/Source/Core/Policy/BackfillPace.h
@@ -28,8 +28,8 @@
     uint32_t pace = 100;
 };
 
-/// Utilization up to which backfill may press a service: its tail is then at two thirds of the target. The rest is for the
-/// swings of its load until the next report.
+/// Utilization up to which backfill may press a service: its tail is then at two thirds of the target. The rest is for
+/// the swings of its load until the next report.
 constexpr double pressedUtilization = 0.67;
 
 /// A service whose tail latency is above this share of its target counts as over it: reports are rough and late.
@@ -43,8 +43,8 @@
 /// The paces, in percent, at which no service is pressed too far: runs that press a service more are slowed down more.
 /// `overTargetFor`: how long some service on the worker has counted as over its target; when the model has it
 /// wrong all runs are slowed down, and paused before the disturbance lasts.
-std::vector<uint32_t> paceBackfill(const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&,
-    Common::Duration overTargetFor);
+std::vector<uint32_t> paceBackfill(
+    const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&, Common::Duration overTargetFor);
 
 /// The pace, 0 to 1, at which one more run would press no service too far.
 double paceForNewRun(const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&,
--- a/Source/Core/Policy/CellChoice.h
+++ b/Source/Core/Policy/CellChoice.h
@@ -34,8 +34,9 @@
     bool serves = false;
 };
 
-/// The index of the cell with the most room for its size; nothing when no cell has workers. Services go where most of their
-/// image are already, as long as there is room: backfill that disturbs one image finds workers without it elsewhere.
+/// The index of the cell with the most room for its size; nothing when no cell has workers. Services go where most of
+/// their image are already, as long as there is room: backfill that disturbs one image finds workers without it
+/// elsewhere.
 std::optional<size_t> chooseCell(const JobDemand&, const std::vector<CellOffer>&);
 
 } // namespace Policy
--- a/Source/Core/Policy/ServiceFit.cpp
+++ b/Source/Core/Policy/ServiceFit.cpp
@@ -13,8 +13,7 @@
 
 } // namespace
 
-bool serviceFits(
-    const std::vector<int64_t>& rooms, int64_t capacity, int64_t promised, const ServiceDemand& demand)
+bool serviceFits(const std::vector<int64_t>& rooms, int64_t capacity, int64_t promised, const ServiceDemand& demand)
 {
     const int64_t free = std::accumulate(rooms.begin(), rooms.end(), int64_t { 0 });
     const auto kept = static_cast<int64_t>(reserve * static_cast<double>(capacity));
--- a/Source/Core/Policy/ServiceFit.h
+++ b/Source/Core/Policy/ServiceFit.h
@@ -1,5 +1,5 @@
-// Whether a long-running step finds room in a cell. The load it answers: services that fill most of a fleet, with tasks that
-// must be apart.
+// Whether a long-running step finds room in a cell. The load it answers: services that fill most of a fleet, with tasks
+// that must be apart.
 #pragma once
 
 #include <cstdint>
--- a/Source/Core/Policy/TailModel.cpp
+++ b/Source/Core/Policy/TailModel.cpp
@@ -28,7 +28,8 @@
     constexpr double priorLoad = 0.42;
     constexpr double loadWeight = 0.03;
     constexpr double baseWeight = 0.3;
-    /// Beyond this ratio the queue is saturated and its length says nothing about the utilization but that it is over 1.
+    /// Beyond this ratio the queue is saturated and its length says nothing about the utilization but that it is
+    /// over 1.
     constexpr double saturatedRatio = 2.5;
     constexpr double saturatedUtilization = 1.1;
     /// Changes of a share below this are noise.
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -124,8 +124,8 @@
         , front(loop, store, peers, keeper, host)
         , api(loop, front, config, metrics)
         , callServer(loop, serverLimits(maximumBodyBytes),
-              [this](Http::Request request, const Http::Server::Responder& respond) {
-                  api.serve(std::move(request), respond);
+              [this](const Http::Request& request, const Http::Server::Responder& respond) {
+                  api.serve(request, respond);
               })
         , readinessServer(loop, serverLimits(maximumBodyBytes),
               [this](const Http::Request& request, const Http::Server::Responder& respond) {
@@ -170,8 +170,7 @@
             respond(metricsAnswer(request));
             return;
         }
-        peers.handle(
-            request.body, [respond](std::string body) { respond(Http::jsonResponse(200, std::move(body))); });
+        peers.handle(request.body, [respond](std::string body) { respond(Http::jsonResponse(200, std::move(body))); });
     }
 
     void updateMetrics();
@@ -213,8 +212,9 @@
     keeper.setStoreAnswers(store.directAnswers());
     if (ready() != saidReady) {
         saidReady = ready();
-        LC_INFO(Core, "event=" << (saidReady ? "ready" : "not-ready") << " config=" << (config.current() != nullptr)
-                               << " cells=" << keeper.servedCells());
+        LC_INFO(Core,
+            "event=" << (saidReady ? "ready" : "not-ready") << " config=" << (config.current() != nullptr)
+                     << " cells=" << keeper.servedCells());
     }
     metrics.gauge("lavendercart_owned_cells", "Cells that this host owns")
         .Set(static_cast<double>(keeper.engines().size()));
@@ -280,9 +280,9 @@
             return port.reason();
         return Common::Done {};
     };
-    for (const auto& outcome : { listen(parts.callServer, m_settings.callsAddress),
-             listen(parts.readinessServer, m_settings.readinessAddress),
-             listen(parts.peerServer, m_settings.peersAddress), parts.beats.listen(parts.host.beatAddress) }) {
+    for (const auto& outcome :
+        { listen(parts.callServer, m_settings.callsAddress), listen(parts.readinessServer, m_settings.readinessAddress),
+            listen(parts.peerServer, m_settings.peersAddress), parts.beats.listen(parts.host.beatAddress) }) {
         if (!outcome)
             return outcome.reason();
     }
@@ -302,8 +302,9 @@
     parts.keeper.start();
     parts.updateMetrics();
     parts.flushLog();
-    LC_INFO(Core, "event=started host=" << parts.host.id.value() << " domain=" << m_settings.domain.value()
-                                        << " weight=" << parts.host.weight);
+    LC_INFO(Core,
+        "event=started host=" << parts.host.id.value() << " domain=" << m_settings.domain.value()
+                              << " weight=" << parts.host.weight);
     return Common::Done {};
 }
 
--- a/Source/LavendercartEntry/JobApi.cpp
+++ b/Source/LavendercartEntry/JobApi.cpp
@@ -32,8 +32,8 @@
     int64_t configVersion = -1;
 };
 
-JobApi::JobApi(Scheduler::Runtime& runtime, Cells::JobFront& front, Cells::ConfigFollower& config,
-    Common::Metrics& metrics)
+JobApi::JobApi(
+    Scheduler::Runtime& runtime, Cells::JobFront& front, Cells::ConfigFollower& config, Common::Metrics& metrics)
     : m_runtime(runtime)
     , m_front(front)
     , m_config(config)
@@ -45,7 +45,7 @@
 {
 }
 
-void JobApi::serve(Http::Request request, const Http::Server::Responder& respond)
+void JobApi::serve(const Http::Request& request, const Http::Server::Responder& respond)
 {
     ++m_underWay;
     auto call = std::make_shared<Call>();
@@ -77,35 +77,33 @@
 
 void JobApi::dispatch(const std::shared_ptr<Call>& call, Platform::JobCall&& read, const Cells::JobRoute& route)
 {
-    std::visit(Overloaded {
-                   [&](Platform::SubmitCall& submission) { submit(call, std::move(submission), route); },
-                   [&](const Platform::PhaseCall& asked) {
-                       m_front.phase(
-                           asked.job, call->patience, [this, call](const Common::Result<Jobs::JobPhase>& phase) {
-                               if (phase)
-                                   answer(call, Platform::phaseAnswer(*phase), "state");
-                               else
-                                   fail(call, phase.reason());
-                           });
-                   },
-                   [&](const Platform::CancelCall& cancelled) {
-                       m_front.cancel(
-                           cancelled.job, call->patience, [this, call](const Common::Result<Common::Done>& done) {
-                               if (done)
-                                   answer(call, Platform::acceptedAnswer(), "cancelled");
-                               else
-                                   fail(call, done.reason());
-                           });
-                   },
-                   [&](const Platform::PendingCall&) {
-                       answer(call, Platform::pendingAnswer(m_front.pending(route.terms.route)), "pending");
-                   },
-               },
+    std::visit(
+        Overloaded {
+            [&](Platform::SubmitCall& submission) { submit(call, std::move(submission), route); },
+            [&](const Platform::PhaseCall& asked) {
+                m_front.phase(asked.job, call->patience, [this, call](const Common::Result<Jobs::JobPhase>& phase) {
+                    if (phase)
+                        answer(call, Platform::phaseAnswer(*phase), "state");
+                    else
+                        fail(call, phase.reason());
+                });
+            },
+            [&](const Platform::CancelCall& cancelled) {
+                m_front.cancel(cancelled.job, call->patience, [this, call](const Common::Result<Common::Done>& done) {
+                    if (done)
+                        answer(call, Platform::acceptedAnswer(), "cancelled");
+                    else
+                        fail(call, done.reason());
+                });
+            },
+            [&](const Platform::PendingCall&) {
+                answer(call, Platform::pendingAnswer(m_front.pending(route.terms.route)), "pending");
+            },
+        },
         read);
 }
 
-void JobApi::submit(
-    const std::shared_ptr<Call>& call, Platform::SubmitCall&& submission, const Cells::JobRoute& route)
+void JobApi::submit(const std::shared_ptr<Call>& call, Platform::SubmitCall&& submission, const Cells::JobRoute& route)
 {
     Jobs::JobRecord record;
     record.id = submission.job;
@@ -130,10 +128,10 @@
     // Reading a state decides nothing and is by far the most frequent call.
     const bool plainRead = call->method == "GET" && response.status < 400;
     if (!plainRead) {
-        LC_INFO(Requests, "event=call-answered method=" << call->method << " job=" << call->job << " route="
-                                                        << call->route << " config=" << call->configVersion
-                                                        << " status=" << response.status << " outcome=" << outcome
-                                                        << " took-us=" << took.count());
+        LC_INFO(Requests,
+            "event=call-answered method=" << call->method << " job=" << call->job << " route=" << call->route
+                                          << " config=" << call->configVersion << " status=" << response.status
+                                          << " outcome=" << outcome << " took-us=" << took.count());
     }
     call->respond(std::move(response));
 }
--- a/Source/LavendercartEntry/JobApi.h
+++ b/Source/LavendercartEntry/JobApi.h
@@ -17,7 +17,7 @@
 public:
     JobApi(Scheduler::Runtime&, Cells::JobFront&, Cells::ConfigFollower&, Common::Metrics&);
 
-    void serve(Http::Request, const Http::Server::Responder&);
+    void serve(const Http::Request&, const Http::Server::Responder&);
     /// Calls that have no answer yet.
     size_t underWay() const { return m_underWay; }
 
--- a/Source/UnitTests/Cells/CellScheduleTest.cpp
+++ b/Source/UnitTests/Cells/CellScheduleTest.cpp
@@ -57,8 +57,9 @@
     /// With LC_SEED and LC_LOG set: what happens, with the virtual time.
     void traceTime()
     {
-        LC_INFO(Core, "event=time virtual-ms=" << clock.wallMilliseconds() << " starts=" << judge.starts
-                                               << " faults=" << judge.faults.size());
+        LC_INFO(Core,
+            "event=time virtual-ms=" << clock.wallMilliseconds() << " starts=" << judge.starts
+                                     << " faults=" << judge.faults.size());
         clock.schedule(100ms, [this] { traceTime(); });
     }
     void strike()
@@ -89,8 +90,8 @@
         case 4:
             store.lostPerMille = 200;
             store.latePerMille = 200;
-            clock.schedule(std::chrono::milliseconds(500 + pick(4000)),
-                [this] { store.lostPerMille = store.latePerMille = 0; });
+            clock.schedule(
+                std::chrono::milliseconds(500 + pick(4000)), [this] { store.lostPerMille = store.latePerMille = 0; });
             break;
         case 5:
             workers[pick(workers.size())]->restart();
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -231,11 +231,10 @@
     std::optional<Jobs::JobPhase> phase(WorldHost& host, uint64_t number)
     {
         std::optional<Jobs::JobPhase> found;
-        host.front.phase(
-            jobId(number), std::chrono::seconds(2), [&found](const Common::Result<Jobs::JobPhase>& phase) {
-                if (phase)
-                    found = *phase;
-            });
+        host.front.phase(jobId(number), std::chrono::seconds(2), [&found](const Common::Result<Jobs::JobPhase>& phase) {
+            if (phase)
+                found = *phase;
+        });
         // Short of what the state of a final job is kept for, also when many are asked for in turn.
         clock.advance(std::chrono::milliseconds(200));
         return found;
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -158,7 +158,8 @@
     Common::WorkerTime clock() const
     {
         return Common::WorkerTime {
-            std::chrono::duration_cast<std::chrono::milliseconds>(m_world.now() - m_bornAt).count() };
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_world.now() - m_bornAt).count()
+        };
     }
     void extend(Common::WorkerTime until)
     {
--- a/Source/UnitTests/Cells/RunWorkerPort.h
+++ b/Source/UnitTests/Cells/RunWorkerPort.h
@@ -31,9 +31,8 @@
     {
         send<Cells::OrderAnswer>(
             target, orderTimeout,
-            [token, order, until](RunWorker& worker, const RunWorker::Answer& answer) {
-                worker.start(token, order, until, answer);
-            },
+            [token, order, until](
+                RunWorker& worker, const RunWorker::Answer& answer) { worker.start(token, order, until, answer); },
             std::move(done));
     }
     void stop(const Cells::WorkerTarget& target, Cells::FencingToken token, const Jobs::TaskName& task,
@@ -50,17 +49,15 @@
     {
         send<Cells::OrderAnswer>(
             target, orderTimeout,
-            [task, percent](
-                RunWorker& worker, const RunWorker::Answer& answer) { worker.pace(task, percent, answer); },
+            [task, percent](RunWorker& worker, const RunWorker::Answer& answer) { worker.pace(task, percent, answer); },
             std::move(done));
     }
-    void hold(const Cells::WorkerTarget& target, const HoldRequest& request,
-        Common::Callback<Cells::RunReport> done) override
+    void hold(
+        const Cells::WorkerTarget& target, const HoldRequest& request, Common::Callback<Cells::RunReport> done) override
     {
         send<Cells::RunReport>(
             target, orderTimeout + request.wait,
-            [request](
-                RunWorker& worker, const RunWorker::ReportAnswer& answer) { worker.hold(request, answer); },
+            [request](RunWorker& worker, const RunWorker::ReportAnswer& answer) { worker.hold(request, answer); },
             std::move(done));
     }
 
@@ -81,7 +78,7 @@
                 return;
             }
             const auto delay = std::chrono::milliseconds(1000 + m_process.random()() % 4000);
-            m_world.schedule(delay, [worker, serve] { serve(*worker, [](const Common::Result<T>&) { }); });
+            m_world.schedule(delay, [worker, serve] { serve(*worker, [](const Common::Result<T>&) {}); });
         };
         Fakes::callOver<T>(m_network, m_process, m_from, target.address, timeout, deliver, std::move(done),
             Fakes::Delivery::AtMostOnce);
--- a/Source/UnitTests/Fakes/FakeRecordStore.h
+++ b/Source/UnitTests/Fakes/FakeRecordStore.h
@@ -116,18 +116,19 @@
             }
             const bool late = m_store.happens(m_store.latePerMille);
             const bool lost = late || m_store.happens(m_store.lostPerMille);
-            const auto serve = [this, transaction, late, lost](const Common::Callback<Cells::TransactionOutcome>& answer) {
-                if (late) {
-                    const auto delay = std::chrono::milliseconds(1000 + m_store.m_random() % 4000);
-                    m_store.m_world.schedule(delay, [this, transaction] { m_store.apply(transaction); });
-                    return;
-                }
-                const Cells::TransactionOutcome outcome = m_store.apply(transaction);
-                if (!lost)
-                    answer(outcome);
-            };
-            callOver<Cells::TransactionOutcome>(m_store.m_network, m_process, m_from, address, timeout, serve,
-                std::move(done), Delivery::AtMostOnce);
+            const auto serve
+                = [this, transaction, late, lost](const Common::Callback<Cells::TransactionOutcome>& answer) {
+                      if (late) {
+                          const auto delay = std::chrono::milliseconds(1000 + m_store.m_random() % 4000);
+                          m_store.m_world.schedule(delay, [this, transaction] { m_store.apply(transaction); });
+                          return;
+                      }
+                      const Cells::TransactionOutcome outcome = m_store.apply(transaction);
+                      if (!lost)
+                          answer(outcome);
+                  };
+            callOver<Cells::TransactionOutcome>(
+                m_store.m_network, m_process, m_from, address, timeout, serve, std::move(done), Delivery::AtMostOnce);
         }
 
     private:
@@ -135,8 +136,9 @@
 
         template <typename T> void refuse(Common::Callback<T> done)
         {
-            m_process.schedule(std::chrono::milliseconds(2),
-                [done] { done(Common::Failure { Common::ErrorCode::StoreUnavailable, "", {} }); });
+            m_process.schedule(std::chrono::milliseconds(2), [done] {
+                done(Common::Failure { Common::ErrorCode::StoreUnavailable, "", {} });
+            });
         }
         template <typename T> void call(std::function<T()> read, Common::Callback<T> done)
         {
--- a/Source/UnitTests/Policy/TailModelTest.cpp
+++ b/Source/UnitTests/Policy/TailModelTest.cpp
@@ -1,7 +1,7 @@
-// Learns which images disturb each other, and paces backfill so that callers of the services beside it get their answers
-// in time.
-#include "Policy/BackfillPace.h"
+// Learns which images disturb each other, and paces backfill so that callers of the services beside it get their
+// answers in time.
 #include "Policy/TailModel.h"
+#include "Policy/BackfillPace.h"
 
 #include <doctest/doctest.h>
 
@@ -33,6 +33,7 @@
 std::vector<TailModel::Source> sourcesOf(const std::vector<PacedRun>& runs)
 {
     std::vector<TailModel::Source> sources;
+    sources.reserve(runs.size());
     for (const PacedRun& run : runs)
         sources.push_back({ run.image, run.used, run.pace == 100 });
     return sources;
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -7,9 +7,9 @@
 build=${BUILD_DIR:-build}
 [ -f "$build/compile_commands.json" ] || cmake -S . -B "$build" -G Ninja >/dev/null
 files=("$@")
-[ ${#files[@]} -gt 0 ] || mapfile -t files < <(git ls-files --cached --others --exclude-standard 'Source/*.cpp')
+[ ${#files[@]} -gt 0 ] || mapfile -t files < <(git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'platform/*.cpp')
 mkdir -p "$build/lint"
-headers=$(git ls-files --cached --others --exclude-standard 'Source/*.h' .clang-tidy | xargs cat | sha256sum | cut -c1-16)
+headers=$(git ls-files --cached --others --exclude-standard 'Source/*.h' 'platform/*.h' .clang-tidy | xargs cat | sha256sum | cut -c1-16)
 check_one() {
     local stamp
     stamp="$2/lint/$(cat "$1" | sha256sum | cut -c1-16)-$3"
