Keep workers that left out of a successor's way

Ruled out: taking a refused connection for death (links that refuse look the same).

Change: workers that neither take work nor hold any leave the record; the wait is cut short when the former owner's host answers as another process; a cell isn't handed over while it waits for a worker.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -137,6 +137,12 @@
     nlohmann::json rows = nlohmann::json::array();
     std::set<Common::WorkerId> ids;
     for (const auto& [id, worker] : m_workers.all()) {
+        // Where nothing runs and nothing will be started, a successor has nothing to wait for.
+        const bool takesWork = worker->listed && !worker->entry().draining;
+        const bool mayRunTasks
+            = !worker->occupants().empty() || (!worker->heardFrom && m_inheritedWorkers.contains(id));
+        if (!takesWork && !mayRunTasks)
+            continue;
         rows.push_back(nlohmann::json::array({ id.value(), worker->entry().address }));
         ids.insert(id);
     }
@@ -367,6 +373,7 @@
         if (worker->entry().draining)
             evacuate(*worker);
     }
+    writeWorkers();
     if (m_runtime.now() - m_tailsNoted >= tailLogInterval && !m_tails.backfillImages().empty()) {
         m_tailsNoted = m_runtime.now();
         LC_INFO(Jobs, "event=tail-model cell=" << m_id.value() << " pressures=" << m_tails.summary());
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -93,6 +93,11 @@
         m_tails.adopt(other.value(), beliefs);
     }
 
+    /// Each worker on which an earlier owner's runs may be was heard, or can't run anything any more.
+    bool settled() const { return !unheardWorkers(); }
+    /// The owner before can't grant leases any more: another process runs in its place.
+    void formerOwnerGone() { m_workers.endInheritedAuthority(); }
+
     /// Starts nothing more, writes what is left and marks the cell as released.
     void release(std::function<void()> done);
 
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -185,6 +185,12 @@
         if (owner != m_owners.end() && owner->second.id == beat->id)
             owner->second.released = true;
     }
+    for (auto former = m_formerOwners.begin(); former != m_formerOwners.end();) {
+        const bool replaced = former->second.address == beat->address && former->second.owner != beat->id;
+        if (CellEngine* const own = replaced ? engine(former->first) : nullptr)
+            own->formerOwnerGone();
+        former = replaced ? m_formerOwners.erase(former) : std::next(former);
+    }
     if (m_onBeat)
         m_onBeat(*beat);
     m_directory.heard(std::move(*beat), now);
@@ -278,7 +284,8 @@
 
 void CellKeeper::considerHandOver(const CellId& cell)
 {
-    if (m_releasing.contains(cell))
+    // A successor would have to wait for silent workers anew.
+    if (m_releasing.contains(cell) || !m_engines.at(cell)->settled())
         return;
     const Common::MonoTime now = m_ports.runtime.now();
     std::vector<Common::DaemonId> hosts;
@@ -346,6 +353,7 @@
         return;
     }
     if (!found) {
+        m_formerOwners.erase(cell);
         writeClaim(cell, CellRecord { m_settings.id, m_settings.address, FencingToken { 1 }, 0, false }, {}, true);
         return;
     }
@@ -366,6 +374,7 @@
         endClaim(cell, "another host has it");
         return;
     }
+    m_formerOwners[cell] = *record;
     writeClaim(cell,
         CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false },
         found->revision, surelyGone(*record));
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -112,6 +112,8 @@
     std::map<CellId, Owner> m_owners;
     std::map<CellId, std::unique_ptr<CellEngine>> m_engines;
     std::map<CellId, Claim> m_claims;
+    /// Who owned our cells before, while that process may still live.
+    std::map<CellId, CellRecord> m_formerOwners;
     /// Since when a cell has had no owner, and since when another host has been the first choice for one of ours.
     std::map<CellId, Common::MonoTime> m_ownerlessSince;
     std::map<CellId, Common::MonoTime> m_betterOwnerSince;
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -29,14 +29,24 @@
     , m_token(token)
     , m_settings(settings)
     , m_hooks(std::move(hooks))
-    , m_inheritedLeasesEnd(runtime.now() + inheritedAuthority
-          + Common::Duration(static_cast<Common::Duration::rep>(
-              static_cast<double>(settings.runLease.count()) * (1 + WorkerLease::clockSlack))))
+    , m_inheritedLeasesEnd(runtime.now() + inheritedAuthority + longestInherited())
 {
 }
 
 CellWorkers::~CellWorkers() = default;
 
+/// A run lease on the slowest clock.
+Common::Duration CellWorkers::longestInherited() const
+{
+    return Common::Duration(static_cast<Common::Duration::rep>(
+        static_cast<double>(m_settings.runLease.count()) * (1 + WorkerLease::clockSlack)));
+}
+
+void CellWorkers::endInheritedAuthority()
+{
+    m_inheritedLeasesEnd = std::min(m_inheritedLeasesEnd, m_runtime.now() + longestInherited());
+}
+
 CellWorkers::Link& CellWorkers::link(const CellWorker& worker) { return m_links[worker.id()]; }
 
 CellWorker* CellWorkers::find(const Common::WorkerId& id)
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -61,6 +61,8 @@
     void lookSoon(const Common::WorkerId&);
     /// Whether neither a run of ours nor one of an earlier owner can be on the silent worker any more.
     bool surelyEmpty(const CellWorker&) const;
+    /// An earlier owner grants nothing any more from now on.
+    void endInheritedAuthority();
     /// Nothing is sent any more.
     void close();
 
@@ -75,6 +77,7 @@
     void onSilence(CellWorker&, const Common::Failure&);
     Common::Duration nextLook(const CellWorker&) const;
     bool dropIfGone(CellWorker&);
+    Common::Duration longestInherited() const;
     void startOnce(const Common::WorkerId&, const RunOrder&, const std::function<void(OrderAnswer)>&);
     void stopOnce(const Common::WorkerId&, const RunKey&, const std::function<void(OrderAnswer)>&);
 
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -414,3 +414,40 @@
     CHECK_FALSE(job.markFailed(task, Common::AttemptNumber { 4 }));
     CHECK(job.markFailed(task, Common::AttemptNumber { 3 }));
 }
+
+TEST_CASE("a worker that left with nothing on it holds no successor up")
+{
+    Fleet fleet;
+    Outcome outcome;
+    Jobs::JobRecord watch = CellWorld::job(1, "last", 4);
+    watch.spec.steps[0].longRunning = true;
+    fleet.submit(fleet.other(), watch, outcome);
+    fleet.clock.advance(2s);
+    const auto idle = std::find_if(
+        fleet.workers.begin(), fleet.workers.end(), [](const auto& worker) { return worker->running() == 0; });
+    REQUIRE(idle != fleet.workers.end());
+    (*idle)->crash();
+    fleet.clock.advance(4s);
+    const auto record = fleet.store.value(Cells::StoreKeys::cellWorkers(Cells::CellId("yard-0")));
+    REQUIRE(record);
+    CHECK(record->find("\"" + (*idle)->entry().id.value() + "\"") == std::string::npos);
+    // One that dies with its owner is waited for as long as the former owner may still grant it leases; that ends when
+    // another process runs in the owner's place.
+    const auto busy = std::find_if(
+        fleet.workers.begin(), fleet.workers.end(), [](const auto& worker) { return worker->running() > 0; });
+    WorldHost* const dead = fleet.owner();
+    const std::string address = dead->address;
+    // Without a hand-over to the returning host, which would begin the wait anew.
+    for (const auto& host : fleet.hosts)
+        host->settings.handOverAfter = 60s;
+    dead->process.kill();
+    (*busy)->crash();
+    fleet.clock.advance(4s);
+    fleet.addHost("yard", address);
+    fleet.clock.advance(8s);
+    size_t running = 0;
+    for (const auto& worker : fleet.workers)
+        running += worker->running();
+    CHECK(running == 4);
+    CHECK(fleet.judge.summary().empty());
+}
