Answer submissions at once while the store is away

Change: a write that failed or is unclear is the last try; while writes are failing a submission is refused after 250 ms. Ruled out: a lost commit callback (the owner's log shows the failed commit and the rewrite).

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -67,7 +67,7 @@
         known->second.since = m_runtime.now();
     }
     gather(m_settings.urgentGather);
-    m_runtime.schedule(m_settings.acceptPatience, m_lifetime.guard([this] { expireAccepts(); }));
+    m_runtime.schedule(patience(), m_lifetime.guard([this] { expireAccepts(); }));
 }
 
 void CellCommitter::changed(const Common::JobId& job)
@@ -359,6 +359,11 @@
     gather(m_pause);
 }
 
+Common::Duration CellCommitter::patience() const
+{
+    return m_failing ? m_settings.failingPatience : m_settings.acceptPatience;
+}
+
 void CellCommitter::expireAccepts()
 {
     const Common::MonoTime now = m_runtime.now();
@@ -374,7 +379,7 @@
                     failure(Common::ErrorCode::OutcomeUnknown, "the store's answer to the write was lost"));
             continue;
         }
-        if (now - accept.since >= m_settings.acceptPatience)
+        if (now - accept.since >= patience())
             refused.push_back(job);
     }
     for (const Common::JobId& job : refused) {
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -104,6 +104,8 @@
     void confirm();
     void lose();
     void expireAccepts();
+    /// How long a submission may wait to be written.
+    Common::Duration patience() const;
     void answer(const Common::JobId&, Common::Result<AcceptOutcome>);
     void answerGift(const Common::JobId&, bool given);
     void finishRelease();
--- a/Source/Core/Cells/CommitterSettings.h
+++ b/Source/Core/Cells/CommitterSettings.h
@@ -13,8 +13,11 @@
     /// Pause after a call that did nothing; doubles up to `longestPause`.
     Common::Duration firstPause = std::chrono::milliseconds(100);
     Common::Duration longestPause = std::chrono::seconds(1);
-    /// A submission that could not be written for this long is refused: its caller can still go elsewhere.
+    /// A submission that could not be written for this long is refused, so that its caller can come back within its
+    /// time: a third of the usual three seconds.
     Common::Duration acceptPatience = std::chrono::milliseconds(900);
+    /// The same while writes are failing already.
+    Common::Duration failingPatience = std::chrono::milliseconds(250);
     /// A caller hears "unknown" when the fate of its write isn't known after this long.
     Common::Duration unclearPatience = std::chrono::milliseconds(400);
     /// How often ownership is confirmed when nothing else is written.
--- a/Source/Core/Cells/JobFront.cpp
+++ b/Source/Core/Cells/JobFront.cpp
@@ -360,13 +360,19 @@
                                        << " reason=" << Common::errorName(code));
     if (mayHaveHappened(code))
         submission->unclear = true;
-    // The place in the store keeps a second cell from taking a job that the first one has written.
-    const bool refused = code == Common::ErrorCode::Overloaded || code == Common::ErrorCode::DeadlineUnreachable
-        || code == Common::ErrorCode::JobFitsNoWorker;
+    // The owner has tried to write: another one would meet the same store, and the caller can come back sooner.
+    const bool storeFailed = code == Common::ErrorCode::StoreUnavailable || code == Common::ErrorCode::OutcomeUnknown;
+    if (storeFailed && submission->unclear) {
+        submission->callback(failure(Common::ErrorCode::OutcomeUnknown, "the store's answer to the write was lost"));
+        return;
+    }
+    const bool refused = storeFailed || code == Common::ErrorCode::Overloaded
+        || code == Common::ErrorCode::DeadlineUnreachable || code == Common::ErrorCode::JobFitsNoWorker;
     if (refused && !submission->unclear) {
         submission->callback(outcome.reason());
         return;
     }
+    // The place in the store keeps a second cell from taking a job that the first one has written.
     tryCell(submission);
 }
 
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -451,3 +451,30 @@
     CHECK(running == 4);
     CHECK(fleet.judge.summary().empty());
 }
+
+TEST_CASE("while the store is away callers get their final answers at once")
+{
+    Fleet fleet;
+    fleet.store.down = true;
+    Outcome first;
+    fleet.submit(*fleet.owner(), CellWorld::job(1, "run:300", 1), first);
+    fleet.clock.advance(1000ms);
+    REQUIRE(first);
+    CHECK(first->reason().code == Common::ErrorCode::StoreUnavailable);
+    // Writes are known to fail now.
+    Outcome second;
+    fleet.submit(fleet.other(), CellWorld::job(2, "run:300", 1), second);
+    fleet.clock.advance(400ms);
+    REQUIRE(second);
+    CHECK(second->reason().code == Common::ErrorCode::StoreUnavailable);
+    CHECK(second->reason().retryAfter.has_value());
+    fleet.store.down = false;
+    fleet.store.lostPerMille = 1000;
+    fleet.clock.advance(3s);
+    Outcome unclear;
+    fleet.submit(*fleet.owner(), CellWorld::job(3, "run:300", 1), unclear);
+    fleet.clock.advance(1200ms);
+    REQUIRE(unclear);
+    CHECK(unclear->reason().code == Common::ErrorCode::OutcomeUnknown);
+    CHECK(fleet.judge.starts == 0);
+}
