--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -18,12 +18,6 @@
     /// Expected record of the cell, and the cell's workers.
     constexpr size_t reservedEntries = 2;
 
-    bool nothingWasDone(Common::ErrorCode code)
-    {
-        return code == Common::ErrorCode::ConnectFailed || code == Common::ErrorCode::StoreUnavailable
-            || code == Common::ErrorCode::QuotaExceeded;
-    }
-
     const Scheduler::StoreValue* findKey(const Conflict& conflict, const std::string& key)
     {
         const auto found = std::find_if(conflict.current.begin(), conflict.current.end(),
--- a/Source/Core/Cells/RecordStore.h
+++ b/Source/Core/Cells/RecordStore.h
@@ -20,8 +20,9 @@
     Stale,
 };
 
-/// Failures: ConnectFailed and StoreUnavailable mean that nothing was done; Timeout and ConnectionLost that a write may
-/// have been done, or may be done seconds later if its conditions still hold. No call is repeated by itself.
+/// Failures: ConnectFailed, StoreUnavailable and QuotaExceeded mean that nothing was done; Timeout and ConnectionLost
+/// that a write may have been done, or may be done seconds later if its conditions still hold. No call is repeated by
+/// itself.
 class RecordStore {
 public:
     virtual ~RecordStore() = default;
@@ -40,4 +41,11 @@
     static constexpr size_t maximumEntries = 32;
 };
 
+/// Whether a call that ended with this failure surely did nothing, so that it may be sent again.
+inline bool nothingWasDone(Common::ErrorCode code)
+{
+    return code == Common::ErrorCode::ConnectFailed || code == Common::ErrorCode::StoreUnavailable
+        || code == Common::ErrorCode::QuotaExceeded;
+}
+
 } // namespace Cells
--- a/Source/Core/Cells/RelayedStore.cpp
+++ b/Source/Core/Cells/RelayedStore.cpp
@@ -20,12 +20,6 @@
     /// For so long after a failure calls go to a helper first; then the store is tried again.
     constexpr Common::Duration avoidance = std::chrono::milliseconds(1000);
 
-    bool nothingWasDone(Common::ErrorCode code)
-    {
-        return code == Common::ErrorCode::ConnectFailed || code == Common::ErrorCode::StoreUnavailable
-            || code == Common::ErrorCode::QuotaExceeded;
-    }
-
     Json valueToJson(const Scheduler::StoreValue& value)
     {
         return Json::array({ value.key, value.value, value.revision.value });
--- a/Source/Core/Config/SettingRule.cpp
+++ b/Source/Core/Config/SettingRule.cpp
@@ -1,6 +1,7 @@
 // Checks of single values.
 #include "Config/SettingRule.h"
 
+#include "Common/Overloaded.h"
 #include "Config/DurationText.h"
 #include "Config/JsonDocument.h"
 #include "Config/NearestName.h"
@@ -18,10 +19,7 @@
     constexpr unsigned highestOctet = 255;
     constexpr size_t octetsOfAddress = 4;
 
-    template <typename... Visitors> struct Overloaded : Visitors... {
-        using Visitors::operator()...;
-    };
-    template <typename... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
+    using Common::Overloaded;
 
     std::optional<unsigned> parseNumber(std::string_view text, unsigned highest)
     {
--- a/Source/LavendercartEntry/JobApi.cpp
+++ b/Source/LavendercartEntry/JobApi.cpp
@@ -2,6 +2,7 @@
 #include "LavendercartEntry/JobApi.h"
 
 #include "Common/Log.h"
+#include "Common/Overloaded.h"
 
 #include <variant>
 
@@ -15,11 +16,6 @@
     constexpr Common::Duration answerTime = std::chrono::milliseconds(60);
     constexpr Common::Duration retryAfterNoConfig = std::chrono::seconds(1);
 
-    template <typename... Visitors> struct Overloaded : Visitors... {
-        using Visitors::operator()...;
-    };
-    template <typename... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 } // namespace
 
 struct JobApi::Call {
--- a/Source/UnitTests/Policy/TailModelTest.cpp
+++ b/Source/UnitTests/Policy/TailModelTest.cpp
@@ -111,3 +111,12 @@
     CHECK(paceForNewRun(model, services, {}, "heavy", 0.2) < 0.5);
     CHECK(paceForNewRun(model, {}, {}, "heavy", 0.2) == 1);
 }
+
+TEST_CASE("beside a service near its target nothing starts that may press it, and no pace rises")
+{
+    const TailModel model;
+    const std::vector<PacedService> services { { "service", 0.97 } };
+    const std::vector<PacedRun> runs { { "unknown", 0.01, 0.01, 30 } };
+    CHECK(paceForNewRun(model, services, {}, "unknown", 0.01) == 0);
+    CHECK(paceBackfill(model, services, runs, 100ms).front() <= 30);
+}
