--- a/Source/LavendercartEntry/JobApi.cpp
+++ b/Source/LavendercartEntry/JobApi.cpp
@@ -74,7 +74,7 @@
 void JobApi::dispatch(const std::shared_ptr<Call>& call, Platform::JobCall&& read, const Cells::JobRoute& route)
 {
     std::visit(
-        Overloaded {
+        Common::Overloaded {
             [&](Platform::SubmitCall& submission) { submit(call, std::move(submission), route); },
             [&](const Platform::PhaseCall& asked) {
                 m_front.phase(asked.job, call->patience, [this, call](const Common::Result<Jobs::JobPhase>& phase) {
