Tell the health of workers what ended well, too

Cause: found on reading the diff: only failures were recorded, so the usual failure rate was too high and an ejected worker was never readmitted: it went on getting one trial every two seconds.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -417,11 +417,13 @@
         job->noteAttempt(end.task, end.attempt);
         if (isRun(job->find(end.task), worker.id(), end.attempt))
             job->clearRun(end.task);
-        if (end.end == RunEnd::Done)
+        if (end.end == RunEnd::Done) {
+            noteOutcome(worker, *job, true);
             onDone(*job, end);
-        else if (end.end == RunEnd::Failed)
+        }
+        if (end.end == RunEnd::Failed)
             onFailed(*job, worker, end);
-        else
+        else if (end.end != RunEnd::Done)
             job->saveCheckpoint(end.task, end.checkpoint);
         if (!job->durable())
             changed(*job);
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -478,3 +478,27 @@
     CHECK(unclear->reason().code == Common::ErrorCode::OutcomeUnknown);
     CHECK(fleet.judge.starts == 0);
 }
+
+TEST_CASE("a worker that failed all for a while gets its share of work again")
+{
+    Fleet fleet;
+    // Packing would leave most workers idle.
+    std::vector<Outcome> outcomes(120);
+    fleet.workers[0]->failsAll = true;
+    const auto submitSome = [&](size_t from, size_t to) {
+        for (size_t number = from; number < to; ++number) {
+            Jobs::JobRecord job = CellWorld::job(number + 1, "run:700", 8);
+            job.terms.maximumAttempts = 0;
+            job.spec.steps[0].maximumPerWorker = 1;
+            fleet.submit(fleet.other(), job, outcomes[number]);
+            fleet.clock.advance(400ms);
+        }
+    };
+    submitSome(0, 30);
+    fleet.workers[0]->failsAll = false;
+    submitSome(30, 90);
+    const uint64_t before = fleet.workers[0]->starts;
+    submitSome(90, 120);
+    CHECK(fleet.workers[0]->starts - before >= 20);
+    CHECK(fleet.judge.summary().empty());
+}
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -34,6 +34,9 @@
     /// Tail latency in milliseconds that its serving tasks report.
     double tail = 4;
     uint64_t looks = 0;
+    uint64_t starts = 0;
+    /// Whatever it starts fails.
+    bool failsAll = false;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
 
     void crash()
@@ -75,6 +78,7 @@
             reply(answer, Cells::OrderVerdict::OldAttempt);
             return;
         }
+        ++starts;
         m_judge.started(m_entry.id.value(), order.task, m_entry.capacity);
         m_runs[order.task] = Run { order.attempt, order.payload, m_world.now() };
         arm(order);
@@ -177,7 +181,7 @@
         const size_t colon = order.payload.find(':');
         if (colon == std::string::npos)
             return;
-        const bool fails = order.payload.starts_with("fail");
+        const bool fails = failsAll || order.payload.starts_with("fail");
         const auto span = std::chrono::milliseconds(std::stoi(order.payload.substr(colon + 1)));
         m_world.schedule(span, [this, task = order.task, attempt = order.attempt, fails, life = m_life] {
             if (life == m_life)
