--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -469,7 +469,7 @@
     return CellEngine::Neighbours {
         .withRoom = [this](const CellId& self, const Common::Resources& request) { return withRoom(self, request); },
         .give = [this](const CellId& cell, const Jobs::JobRecord& part,
-                    std::function<void()> done) { tellOwner(cell, part, false, done); },
+                    const std::function<void()>& done) { tellOwner(cell, part, false, done); },
         .remind =
             [this](const CellId& cell, const Common::JobId& job) {
                 m_ports.store.get(StoreKeys::job(cell, job), Freshness::Linearizable,
@@ -481,7 +481,7 @@
                     }));
             },
         .cancel =
-            [this](const CellId& cell, const Common::JobId& job, std::function<void()> done) {
+            [this](const CellId& cell, const Common::JobId& job, const std::function<void()>& done) {
                 Jobs::JobRecord part;
                 part.id = job;
                 tellOwner(cell, part, true, done);
