Let tasks that were given to another cell go on from there

A given task whose worker died in a full cell waited for good, and tasks of the same shape behind a blocked one were never offered elsewhere.

Change: a gift is a record of its own (TaskGift), written with the giver's record and removed with the receiver's, and numbered, so that reading it again changes nothing. Any cell may give, also back. A cancelled part is kept as a record, whichever message comes first. As many tasks are given as the other cell has room for, and each blocked service is looked at, not just the first.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -13,7 +13,7 @@
 
     /// Expected place, place and record.
     constexpr size_t entriesOfAccept = 3;
-    /// Expected record of the other cell, that record and ours.
+    /// Expected gift, the gift and the giver's record.
     constexpr size_t entriesOfGift = 3;
     /// Expected record of the cell, and the cell's workers.
     constexpr size_t reservedEntries = 2;
@@ -85,13 +85,20 @@
     gather(m_settings.urgentGather);
 }
 
-void CellCommitter::giveAway(
-    const Common::JobId& job, const CellId& other, std::string text, Common::Callback<bool> done)
+void CellCommitter::giveAway(const Common::JobId& job, std::string key, std::string text, Common::Callback<bool> done)
 {
-    m_gifts[job] = Gift { other, std::move(text), std::move(done) };
+    m_gifts[job] = Gift { std::move(key), std::move(text), std::move(done) };
     gather(m_settings.urgentGather);
 }
 
+void CellCommitter::received(const Common::JobId& job, std::string key)
+{
+    if (m_stopped)
+        return;
+    m_changes[job].received.insert(std::move(key));
+    gather(m_settings.lazyGather);
+}
+
 void CellCommitter::answerGift(const Common::JobId& job, bool given)
 {
     auto gift = m_gifts.extract(job);
@@ -99,9 +106,9 @@
         gift.mapped().callback(given);
 }
 
-void CellCommitter::forget(const Common::JobId& job)
+void CellCommitter::forget(const Common::JobId& job, bool place)
 {
-    m_forgotten.push_back(job);
+    m_forgotten.push_back({ job, place });
     gather(m_settings.lazyGather);
 }
 
@@ -215,14 +222,14 @@
         const auto snapshot = room < entriesOfGift ? std::nullopt : m_hooks.snapshot(job);
         if (!snapshot)
             break;
-        transaction.expected.emplace_back(StoreKeys::job(gift.cell, job), Common::StoreRevision {});
-        transaction.puts.push_back({ StoreKeys::job(gift.cell, job), gift.text, {} });
+        transaction.expected.emplace_back(gift.key, Common::StoreRevision {});
+        transaction.puts.push_back({ gift.key, gift.text, {} });
         transaction.puts.push_back({ StoreKeys::job(m_cell, job), snapshot->text, {} });
         m_batch.gifts.push_back(job);
         m_batch.snapshots.emplace(job, snapshot->changes);
         room -= entriesOfGift;
     }
-    while (room > 0 && !m_changes.empty()) {
+    while (!m_changes.empty() && room > m_changes.begin()->second.received.size()) {
         auto change = m_changes.extract(m_changes.begin());
         const bool written = m_batch.snapshots.contains(change.key());
         if (const auto snapshot = written ? std::nullopt : m_hooks.snapshot(change.key())) {
@@ -230,14 +237,18 @@
             m_batch.snapshots.emplace(change.key(), snapshot->changes);
             --room;
         }
+        for (const std::string& gift : change.mapped().received)
+            transaction.removals.push_back(gift);
+        room -= change.mapped().received.size();
         m_batch.changes.insert(std::move(change));
     }
     while (room > 1 && !m_forgotten.empty()) {
-        const Common::JobId job = m_forgotten.back();
+        const Forgotten forgotten = m_forgotten.back();
         m_forgotten.pop_back();
-        transaction.removals.push_back(StoreKeys::jobPlace(job));
-        transaction.removals.push_back(StoreKeys::job(m_cell, job));
-        m_batch.forgotten.push_back(job);
+        if (forgotten.place)
+            transaction.removals.push_back(StoreKeys::jobPlace(forgotten.job));
+        transaction.removals.push_back(StoreKeys::job(m_cell, forgotten.job));
+        m_batch.forgotten.push_back(forgotten);
         room -= 2;
     }
     return transaction;
@@ -309,14 +320,15 @@
     for (const auto& value : conflict.current) {
         if (value.revision.value == 0 || &value == cell)
             continue;
-        // The other keys that transactions expect are places of jobs and records of given tasks.
-        const Common::JobId job(value.key.substr(value.key.rfind('/') + 1));
-        if (const auto gift = m_gifts.find(job);
-            gift != m_gifts.end() && value.key == StoreKeys::job(gift->second.cell, job)) {
+        // The other keys that transactions expect are places of jobs and gifts.
+        const auto gift = std::find_if(
+            m_gifts.begin(), m_gifts.end(), [&](const auto& row) { return row.second.key == value.key; });
+        if (gift != m_gifts.end()) {
             // Ours, when the answer to the write was lost.
-            answerGift(job, value.value == gift->second.text);
+            answerGift(gift->first, value.value == gift->second.text);
             continue;
         }
+        const Common::JobId job(value.key.substr(value.key.rfind('/') + 1));
         if (value.value == m_cell.value())
             answer(job, AcceptOutcome(Accepted {}));
         else
@@ -343,6 +355,7 @@
         auto& callbacks = m_changes[job].callbacks;
         callbacks.insert(callbacks.end(), std::make_move_iterator(change.callbacks.begin()),
             std::make_move_iterator(change.callbacks.end()));
+        m_changes[job].received.merge(change.received);
     }
     m_forgotten.insert(m_forgotten.end(), batch.forgotten.begin(), batch.forgotten.end());
 }
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,11 +49,13 @@
     void changed(const Common::JobId&);
     /// The job has changed and somebody waits. `done` is called when the change is durable, or with the failure.
     void changedUrgently(const Common::JobId&, Common::Callback<Common::Done> done);
-    /// The job has given tasks to another cell: its own record and that cell's are written together. False: the other
-    /// cell has a record of the job already, and nothing was written.
-    void giveAway(const Common::JobId&, const CellId& other, std::string text, Common::Callback<bool> done);
-    /// Removes the records of a job that nobody asks for any more.
-    void forget(const Common::JobId&);
+    /// The job has given tasks to another cell: its own record and the gift are written together. False: there is another
+    /// gift under that key, and nothing was written.
+    void giveAway(const Common::JobId&, std::string key, std::string text, Common::Callback<bool> done);
+    /// The job has taken over what lies under the key: its own record is written and the gift removed, together.
+    void received(const Common::JobId&, std::string key);
+    /// Removes the record of a job that nobody asks for any more; `place`: also that of its place.
+    void forget(const Common::JobId&, bool place);
     /// Replaces the record of the cell's workers.
     void setWorkers(std::string text, std::function<void()> written);
     /// Writes what is left, then marks the cell as released. `done` is called also when that fails.
@@ -75,19 +78,25 @@
     };
     struct Change {
         std::vector<Common::Callback<Common::Done>> callbacks;
+        /// Keys of gifts that the job's record has taken in.
+        std::set<std::string> received;
     };
     /// Tasks on their way to another cell.
     struct Gift {
-        CellId cell;
+        std::string key;
         std::string text;
         Common::Callback<bool> callback;
     };
+    struct Forgotten {
+        Common::JobId job;
+        bool place = true;
+    };
     struct Batch {
         std::vector<Common::JobId> gifts;
         std::vector<Common::JobId> accepts;
         std::map<Common::JobId, Change> changes;
         std::map<Common::JobId, uint64_t> snapshots;
-        std::vector<Common::JobId> forgotten;
+        std::vector<Forgotten> forgotten;
         std::optional<std::string> workers;
     };
 
@@ -121,7 +130,7 @@
     std::map<Common::JobId, Accept> m_accepts;
     std::map<Common::JobId, Change> m_changes;
     std::map<Common::JobId, Gift> m_gifts;
-    std::vector<Common::JobId> m_forgotten;
+    std::vector<Forgotten> m_forgotten;
     std::optional<std::string> m_workers;
     std::function<void()> m_workersWritten;
     Batch m_batch;
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -112,6 +112,8 @@
 {
     for (Jobs::JobRecord& record : inheritance.jobs)
         tellParts(addJob(std::move(record), true));
+    for (const TaskGift& gift : inheritance.gifts)
+        receive(gift);
     for (const WorkerEntry& worker : inheritance.workers) {
         m_inheritedWorkers.insert(worker.id);
         m_workers.add(worker, false);
@@ -272,13 +274,32 @@
     cancelKnown(*job, std::move(callback));
 }
 
-void CellEngine::cancelPart(const Common::JobId& id, Common::Callback<Common::Done> callback)
+void CellEngine::hear(const PartNews& news, const Common::Callback<Common::Done>& callback)
 {
-    LiveJob* const job = findJob(id);
-    if (job && job->isPart())
-        cancelKnown(*job, std::move(callback));
+    if (m_closed || m_releasing) {
+        callback(Common::Failure { Common::ErrorCode::NotOwner, "the cell is being handed over", std::nullopt });
+        return;
+    }
+    if (const auto* const gift = std::get_if<TaskGift>(&news)) {
+        receive(*gift);
+        callback(Common::Done {});
+        return;
+    }
+    cancelPart(std::get<Jobs::JobRecord>(news), callback);
+}
+
+void CellEngine::cancelPart(const Jobs::JobRecord& part, const Common::Callback<Common::Done>& callback)
+{
+    LiveJob* const known = findJob(part.id);
+    if (known && !known->isPart()) {
+        // Tasks of its own job that came back; this cell is the one that has cancelled it.
+        callback(Common::Done {});
+        return;
+    }
+    if (known)
+        cancelKnown(*known, callback);
     else
-        callback(Common::Failure { Common::ErrorCode::UnknownJob, "the cell has no part of the job", std::nullopt });
+        m_committer.changedUrgently(addJob(part, false).id(), callback);
 }
 
 void CellEngine::cancelKnown(LiveJob& job, Common::Callback<Common::Done> callback)
@@ -303,12 +324,17 @@
     m_committer.changedUrgently(job.id(), std::move(callback));
 }
 
-void CellEngine::receive(Jobs::JobRecord record)
+void CellEngine::receive(const TaskGift& gift)
 {
-    if (m_closed || m_jobs.contains(record.id))
-        return;
-    LC_INFO(Jobs, "event=tasks-received job=" << record.id.value() << " cell=" << m_id.value());
-    addJob(std::move(record), false);
+    LC_INFO(Jobs,
+        "event=tasks-received job=" << gift.part.id.value() << " cell=" << m_id.value() << " from=" << gift.from.value()
+                                    << " gift=" << gift.number);
+    if (LiveJob* const known = findJob(gift.part.id))
+        known->receive(gift);
+    else
+        addJob(gift.part, false);
+    m_committer.received(gift.part.id, gift.key());
+    placeSoon();
 }
 
 /// The owners of other cells that have tasks of the job hear that they have, or that it was cancelled. What a lost
@@ -317,7 +343,7 @@
 {
     for (const std::string& cell : job.parts()) {
         if (job.phase() == Jobs::JobPhase::Cancelled)
-            m_neighbours.cancel(CellId(cell), job.id(), [] {});
+            m_neighbours.cancel(CellId(cell), job.cancelledPart());
         else if (job.recovered())
             m_neighbours.remind(CellId(cell), job.id());
     }
@@ -364,7 +390,7 @@
         const LiveJob& job = *row->second;
         const bool old = isFinal(job.phase()) && job.durable() && now - job.finishedMilliseconds() > retention;
         if (old)
-            m_committer.forget(job.id());
+            m_committer.forget(job.id(), !job.isPart());
         row = old ? m_jobs.erase(row) : std::next(row);
     }
     for (const auto& [id, worker] : m_workers.all()) {
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -8,6 +8,7 @@
 #include "Cells/CellSettings.h"
 #include "Cells/CellWorkers.h"
 #include "Cells/LiveJob.h"
+#include "Cells/TaskGift.h"
 #include "Cells/WorkerChanges.h"
 #include "Common/Ids.h"
 #include "Common/Lifetime.h"
@@ -27,6 +28,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace Cells {
@@ -40,6 +43,8 @@
         CellRecord record;
         Common::StoreRevision fence;
         std::vector<Jobs::JobRecord> jobs;
+        /// Tasks that the cell was given and hasn't taken over yet.
+        std::vector<TaskGift> gifts;
         /// The owner before has surely stopped: it released the cell, or another process runs in its place.
         bool formerOwnerGone = false;
         /// Workers on which tasks of the cell may run.
@@ -48,14 +53,14 @@
 
     /// How the engine reaches the owners of other cells.
     struct Neighbours {
-        /// A cell with a worker that has the room, if there is one.
-        std::function<std::optional<CellId>(const CellId& self, const Common::Resources&)> withRoom;
-        /// Tells the owner of the cell of tasks that it was given; done when it has heard.
-        std::function<void(const CellId&, const Jobs::JobRecord&, std::function<void()> done)> give;
-        /// Has it read the record of such tasks, which an earlier owner may not have told it of.
+        /// How many tasks of that size each other cell has room for.
+        std::function<std::map<CellId, size_t>(const CellId& self, const Common::Resources&)> rooms;
+        /// Tells the owner of the other cell of a gift that is durable, until it has heard.
+        std::function<void(const TaskGift&)> give;
+        /// Has it read the cell's gifts of the job, which an earlier owner of the giver may not have told it of.
         std::function<void(const CellId&, const Common::JobId&)> remind;
-        /// Tells it that the job was cancelled.
-        std::function<void(const CellId&, const Common::JobId&, std::function<void()> done)> cancel;
+        /// Tells it that the job was cancelled, by the cancelled part's record, until it has heard.
+        std::function<void(const CellId&, const Jobs::JobRecord&)> cancel;
     };
 
     CellEngine(Scheduler::Runtime&, RecordStore&, WorkerOrders&, CellId, const CellSettings&, Inheritance, Neighbours,
@@ -81,10 +86,10 @@
     /// Done once the cancellation is durable, or the job was final already. UnknownJob when it isn't here.
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
     CellLoad load() const;
-    /// Cancels what this cell has of a job of another one.
-    void cancelPart(const Common::JobId&, Common::Callback<Common::Done>);
-    /// Another cell gave tasks of a job to this one; the record is durable.
-    void receive(Jobs::JobRecord);
+    /// Durable tasks that this cell was given of a job of another one, or the record of its cancelled part, which may come
+    /// before the tasks. Done when it was taken in; heard again, it changes nothing.
+    using PartNews = std::variant<TaskGift, Jobs::JobRecord>;
+    void hear(const PartNews&, const Common::Callback<Common::Done>&);
 
     /// What was learned of images that disturb each other, for other cells, and from them.
     std::vector<Policy::TailModel::Belief> beliefs(size_t most) const { return m_tails.beliefs(most); }
@@ -133,8 +138,11 @@
     void place();
     std::vector<Candidate> candidates();
     void placeStep(const Candidate&, std::vector<Candidate>& blocked);
-    void noteBlocked(LiveJob&, const Candidate&, const Jobs::TaskName&);
+    void noteBlocked(LiveJob&, const Candidate&);
     void giveAway(LiveJob&, const Candidate&);
+    void receive(const TaskGift&);
+    void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
+    std::optional<std::pair<CellId, size_t>> roomElsewhere(const Common::Resources&);
     void tellParts(const LiveJob&) const;
     void placeGang(const Candidate&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
@@ -180,6 +188,12 @@
     std::set<Common::WorkerId> m_recordedWorkers;
     std::function<void()> m_lost;
     Neighbours m_neighbours;
+    struct Given {
+        Common::MonoTime at;
+        size_t tasks = 0;
+    };
+    /// Tasks that were given to a cell and that its beats may not show yet.
+    std::map<CellId, Given> m_given;
     /// Since when long-running tasks of a job have found no room.
     std::map<Common::JobId, Common::MonoTime> m_blockedSince;
     Common::MonoTime m_tailsNoted;
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -16,6 +16,8 @@
     constexpr Common::Duration blockedLogInterval = std::chrono::seconds(2);
     /// A long-running task that finds no room is offered to another cell after this long, and then again.
     constexpr Common::Duration giveAwayAfter = std::chrono::milliseconds(500);
+    /// Two beats of the owner that was given tasks, and the slack between them.
+    constexpr Common::Duration giftsUnseenFor = std::chrono::milliseconds(1500);
     constexpr double fullPace = 100;
     constexpr Common::Duration malformedPause = std::chrono::seconds(1);
 
@@ -119,8 +121,10 @@
     const bool hopeless = std::any_of(blocked.begin(), blocked.end(), [&](const Candidate& other) {
         return other.job->terms().service == job.terms().service && sameShape(other.job->stepSpec(other.step), spec);
     });
-    if (hopeless)
+    if (hopeless) {
+        noteBlocked(job, candidate);
         return;
+    }
     if (spec.gang) {
         placeGang(candidate);
         return;
@@ -135,17 +139,18 @@
         CellWorker* const worker = choose(job, name, task);
         if (!worker) {
             blocked.push_back(candidate);
-            noteBlocked(job, candidate, name);
+            noteBlocked(job, candidate);
             return;
         }
         order(job, name, *worker, Common::AttemptNumber { task.progress.lastAttempt + 1 });
     }
 }
 
-void CellEngine::noteBlocked(LiveJob& job, const Candidate& candidate, const Jobs::TaskName& name)
+void CellEngine::noteBlocked(LiveJob& job, const Candidate& candidate)
 {
     const Common::MonoTime now = m_runtime.now();
-    if (!job.stepSpec(name.step).longRunning)
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    if (!spec.longRunning)
         return;
     const Common::MonoTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
     if (now - since >= giveAwayAfter) {
@@ -162,37 +167,53 @@
         rooms += (rooms.empty() ? "" : ",") + (usable ? std::to_string(worker->free().milliCores) : std::string("-"));
     }
     LC_INFO(Jobs,
-        "event=task-blocked job=" << job.id().value() << " step=" << name.step << " index=" << name.index
-                                  << " cores=" << job.stepSpec(name.step).request.milliCores
-                                  << " per-worker=" << job.stepSpec(name.step).maximumPerWorker << " rooms=" << rooms);
+        "event=task-blocked job=" << job.id().value() << " step=" << candidate.step
+                                  << " cores=" << spec.request.milliCores
+                                  << " per-worker=" << spec.maximumPerWorker << " rooms=" << rooms);
+}
+
+std::optional<std::pair<CellId, size_t>> CellEngine::roomElsewhere(const Common::Resources& request)
+{
+    const Common::MonoTime now = m_runtime.now();
+    std::erase_if(m_given, [now](const auto& row) { return now - row.second.at > giftsUnseenFor; });
+    std::optional<std::pair<CellId, size_t>> best;
+    for (const auto& [cell, room] : m_neighbours.rooms(m_id, request)) {
+        const auto given = m_given.find(cell);
+        const size_t taken = given == m_given.end() ? 0 : given->second.tasks;
+        if (room > taken && (!best || room - taken > best->second))
+            best.emplace(cell, room - taken);
+    }
+    return best;
 }
 
 /// Long-running tasks that find no room here may run in another cell: they don't depend on each other.
 void CellEngine::giveAway(LiveJob& job, const Candidate& candidate)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    const std::optional<CellId> other = m_neighbours.withRoom(m_id, spec.request);
-    if (!other || job.isPart() || job.parts().contains(other->value()))
+    const auto other = roomElsewhere(spec.request);
+    if (!other)
         return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     std::vector<uint32_t> tasks;
-    for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+    for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < other->second; ++index) {
         if (step.tasks[index].waiting())
             tasks.push_back(index);
     }
+    Given& given = m_given[other->first];
+    given.at = m_runtime.now();
+    given.tasks += tasks.size();
+    const TaskGift gift = job.giveAway(candidate.occurrence, candidate.step, tasks, m_id, other->first);
     LC_INFO(Jobs,
         "event=tasks-given job=" << job.id().value() << " tasks=" << tasks.size() << " from=" << m_id.value()
-                                 << " to=" << other->value());
-    const Jobs::JobRecord part
-        = job.giveAway(candidate.occurrence, candidate.step, tasks, m_id.value(), other->value());
-    m_committer.giveAway(job.id(), *other, part.encode(),
-        m_lifetime.guard([this, id = job.id(), other = *other, part](const Common::Result<bool>& given) {
-            if (given && *given) {
-                m_neighbours.give(other, part, [] {});
+                                 << " to=" << gift.to.value() << " gift=" << gift.number);
+    m_committer.giveAway(
+        job.id(), gift.key(), gift.encode(), m_lifetime.guard([this, gift](const Common::Result<bool>& done) {
+            if (done && *done) {
+                m_neighbours.give(gift);
                 return;
             }
-            if (LiveJob* const kept = findJob(id); kept && !isFinal(kept->phase())) {
-                kept->takeBack(other.value());
+            if (LiveJob* const kept = findJob(gift.part.id); kept && !isFinal(kept->phase())) {
+                kept->takeBack(gift);
                 changed(*kept);
             }
         }));
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -45,6 +45,15 @@
         return workers;
     }
 
+    std::optional<TaskGift> readGift(const Scheduler::StoreValue& record)
+    {
+        auto gift = TaskGift::decode(record.value);
+        if (gift)
+            return std::move(*gift);
+        LC_ERROR(Store, "event=unreadable-record key=" << record.key << " reason=" << gift.reason().detail);
+        return std::nullopt;
+    }
+
 } // namespace
 
 /// A takeover under way.
@@ -417,8 +426,13 @@
                 endClaim(cell, "the jobs can't be read");
                 return;
             }
-            CellEngine::Inheritance inheritance { record, fence, {}, formerOwnerGone, {} };
+            CellEngine::Inheritance inheritance { record, fence, {}, {}, formerOwnerGone, {} };
             for (const Scheduler::StoreValue& value : jobs->records) {
+                if (StoreKeys::isGift(value.key)) {
+                    if (auto gift = readGift(value))
+                        inheritance.gifts.push_back(std::move(*gift));
+                    continue;
+                }
                 auto job = Jobs::JobRecord::decode(value.value);
                 if (job)
                     inheritance.jobs.push_back(std::move(*job));
@@ -467,75 +481,62 @@
 CellEngine::Neighbours CellKeeper::neighbours()
 {
     return CellEngine::Neighbours {
-        .withRoom = [this](const CellId& self, const Common::Resources& request) { return withRoom(self, request); },
-        .give = [this](const CellId& cell, const Jobs::JobRecord& part,
-                    const std::function<void()>& done) { tellOwner(cell, part, false, done); },
-        .remind =
-            [this](const CellId& cell, const Common::JobId& job) {
-                m_ports.store.get(StoreKeys::job(cell, job), Freshness::Linearizable,
-                    m_lifetime.guard([this, cell](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
-                        const auto part
-                            = found && *found ? Jobs::JobRecord::decode((*found)->value) : Jobs::JobRecord::decode("");
-                        if (part && !isFinal(part->phase))
-                            tellOwner(cell, *part, false, [] {});
-                    }));
-            },
-        .cancel =
-            [this](const CellId& cell, const Common::JobId& job, const std::function<void()>& done) {
-                Jobs::JobRecord part;
-                part.id = job;
-                tellOwner(cell, part, true, done);
-            },
+        .rooms = [this](const CellId& self, const Common::Resources& request) { return rooms(self, request); },
+        .give = [this](const TaskGift& gift) { tellOwner(gift.to, gift); },
+        .remind = [this](const CellId& cell, const Common::JobId& job) { remind(cell, job); },
+        .cancel = [this](const CellId& cell, const Jobs::JobRecord& part) { tellOwner(cell, part); },
     };
 }
 
-std::optional<CellId> CellKeeper::withRoom(const CellId& self, const Common::Resources& request) const
+void CellKeeper::remind(const CellId& cell, const Common::JobId& job)
+{
+    m_ports.store.list(StoreKeys::job(cell, job) + StoreKeys::giftMark, Freshness::Linearizable,
+        m_lifetime.guard([this, cell, job](const Common::Result<RecordListing>& found) {
+            if (!found) {
+                LC_WARN(Store,
+                    "event=gifts-unread cell=" << cell.value() << " job=" << job.value()
+                                               << " reason=" << Common::errorName(found.reason().code));
+                m_ports.runtime.schedule(storeRetry, m_lifetime.guard([this, cell, job] { remind(cell, job); }));
+                return;
+            }
+            for (const Scheduler::StoreValue& value : found->records) {
+                if (const auto gift = readGift(value))
+                    tellOwner(cell, *gift);
+            }
+        }));
+}
+
+std::map<CellId, size_t> CellKeeper::rooms(const CellId& self, const Common::Resources& request) const
 {
-    std::optional<CellId> best;
-    int64_t largest = 0;
+    std::map<CellId, size_t> found;
     for (const CellId& cell : m_layout.cells()) {
-        if (cell == self)
-            continue;
         const auto own = m_engines.find(cell);
         const Owner* const other = own == m_engines.end() ? liveOwner(cell) : nullptr;
-        if (own == m_engines.end() && !other)
+        if (cell == self || (own == m_engines.end() && !other))
             continue;
         const CellLoad load = other ? other->load : own->second->load();
-        const int64_t room = load.rooms.empty() ? 0 : load.rooms.front();
-        if (room >= request.milliCores && room > largest) {
-            best = cell;
-            largest = room;
-        }
+        size_t& room = found[cell];
+        for (const int64_t free : load.rooms)
+            room += static_cast<size_t>(std::max<int64_t>(free, 0) / std::max<int64_t>(request.milliCores, 1));
     }
-    return best;
+    return found;
 }
 
 /// Repeated until the owner, whoever it is by then, has heard.
-void CellKeeper::tellOwner(
-    const CellId& cell, const Jobs::JobRecord& part, bool cancelled, const std::function<void()>& done)
-{
-    const auto again
-        = m_lifetime.guard([this, cell, part, cancelled, done] { tellOwner(cell, part, cancelled, done); });
-    if (CellEngine* const own = engine(cell)) {
-        if (!cancelled)
-            own->receive(part);
-        else
-            own->cancelPart(part.id, [](const Common::Result<Common::Done>&) {});
-        done();
-        return;
-    }
+void CellKeeper::tellOwner(const CellId& cell, const PartNews& news)
+{
+    const auto again = m_lifetime.guard([this, cell, news] { tellOwner(cell, news); });
+    const auto onHeard = m_lifetime.guard([this, again](const Common::Result<Common::Done>& heard) {
+        if (!heard)
+            m_ports.runtime.schedule(storeRetry, again);
+    });
     const Owner* const owner = liveOwner(cell);
-    if (!owner || !m_messenger) {
+    if (CellEngine* const own = engine(cell))
+        own->hear(news, onHeard);
+    else if (owner && m_messenger)
+        m_messenger(owner->address, cell, news, onHeard);
+    else
         m_ports.runtime.schedule(storeRetry, again);
-        return;
-    }
-    m_messenger(owner->address, cell, part, cancelled,
-        m_lifetime.guard([this, again, done](const Common::Result<Common::Done>& heard) {
-            if (heard)
-                done();
-            else
-                m_ports.runtime.schedule(storeRetry, again);
-        }));
 }
 
 void CellKeeper::listWorkers()
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -65,11 +65,12 @@
     void setConfigVersion(int64_t version) { m_configVersion = version; }
     /// Whether the store answered this host lately.
     void setStoreAnswers(bool answers) { m_storeAnswers = answers; }
-    /// Called for each beat of another host.
-    /// Carries a message to the owner of a cell; `done` when it was heard. Set by whoever can call other hosts.
-    using Messenger = std::function<void(const std::string& address, const CellId&, const Jobs::JobRecord&,
-        bool cancelled, Common::Callback<Common::Done>)>;
+    using PartNews = CellEngine::PartNews;
+    /// Carries news to the owner of a cell; Done when it was heard. Set by whoever can call other hosts.
+    using Messenger = std::function<void(
+        const std::string& address, const CellId&, const PartNews&, Common::Callback<Common::Done>)>;
     void setMessenger(Messenger messenger) { m_messenger = std::move(messenger); }
+    /// Called for each beat of another host.
     void onHostBeat(std::function<void(const HostBeat&)> hook) { m_onBeat = std::move(hook); }
 
 private:
@@ -95,8 +96,9 @@
     void own(const CellId&, CellEngine::Inheritance);
     void endClaim(const CellId&, const char* reason);
     CellEngine::Neighbours neighbours();
-    std::optional<CellId> withRoom(const CellId& self, const Common::Resources&) const;
-    void tellOwner(const CellId&, const Jobs::JobRecord&, bool cancelled, const std::function<void()>& done);
+    std::map<CellId, size_t> rooms(const CellId& self, const Common::Resources&) const;
+    void tellOwner(const CellId&, const PartNews&);
+    void remind(const CellId&, const Common::JobId&);
     void releaseCell(const CellId&, std::function<void()> done);
     void forgetEngine(const CellId&);
     void listWorkers();
--- a/Source/Core/Cells/JobFront.cpp
+++ b/Source/Core/Cells/JobFront.cpp
@@ -113,10 +113,13 @@
 void JobFront::start()
 {
     m_startedAt = m_runtime.now();
-    m_keeper.setMessenger([this](const std::string& address, const CellId& cell, const Jobs::JobRecord& part,
-                              bool cancelled, const Common::Callback<Common::Done>& heard) {
-        const Json params { { "cell", cell.value() }, { "job", part.id.value() }, { "cancelled", cancelled },
-            { "part", cancelled ? std::string {} : part.encode() } };
+    m_keeper.setMessenger([this](const std::string& address, const CellId& cell, const CellEngine::PartNews& news,
+                              const Common::Callback<Common::Done>& heard) {
+        Json params { { "cell", cell.value() } };
+        if (const auto* const gift = std::get_if<TaskGift>(&news))
+            params["gift"] = gift->encode();
+        else
+            params["cancelled"] = std::get<Jobs::JobRecord>(news).encode();
         m_peers.call(address, partMethod, params, askTimeout, [heard](const Common::Result<Json>& answer) {
             if (answer)
                 heard(Common::Done {});
@@ -199,24 +202,23 @@
         reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
         return;
     }
-    if (!params.value("cancelled", false)) {
-        auto part = Jobs::JobRecord::decode(params.value("part", std::string {}));
-        if (!part) {
-            reply(part.reason());
-            return;
-        }
-        engine->receive(std::move(*part));
-        reply(Json::object());
+    const auto heard = [reply](const Common::Result<Common::Done>& done) {
+        if (done)
+            reply(Json::object());
+        else
+            reply(done.reason());
+    };
+    if (params.contains("gift")) {
+        if (const auto gift = TaskGift::decode(params.value("gift", std::string {})))
+            engine->hear(*gift, heard);
+        else
+            reply(gift.reason());
         return;
     }
-    engine->cancelPart(
-        Common::JobId(params.value("job", std::string {})), [reply](const Common::Result<Common::Done>& done) {
-            const bool settled = done || done.reason().code == Common::ErrorCode::UnknownJob;
-            if (settled)
-                reply(Json::object());
-            else
-                reply(done.reason());
-        });
+    if (const auto part = Jobs::JobRecord::decode(params.value("cancelled", std::string {})))
+        engine->hear(*part, heard);
+    else
+        reply(part.reason());
 }
 
 // Submissions.
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -208,45 +208,82 @@
     ++m_changes;
 }
 
-Jobs::JobRecord LiveJob::giveAway(uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks,
-    const std::string& ownCell, const std::string& otherCell)
+TaskGift LiveJob::giveAway(
+    uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from, const CellId& to)
 {
-    Jobs::JobRecord part = toRecord();
-    part.isPart = true;
-    part.parts.clear();
-    for (auto& [index, steps] : part.progress) {
+    TaskGift gift { from, to, ++m_record.giftsMade, toRecord() };
+    gift.part.isPart = true;
+    gift.part.parts.clear();
+    gift.part.giftsMade = 0;
+    gift.part.giftsReceived = { { from.value(), gift.number } };
+    for (auto& [index, steps] : gift.part.progress) {
         for (auto& row : steps) {
             for (Jobs::TaskProgress& task : row)
-                task.elsewhere = ownCell;
+                task.elsewhere = from.value();
         }
     }
     LiveStep& given = m_occurrences.at(occurrence).steps.at(step);
     for (const uint32_t index : tasks) {
-        part.progress.at(occurrence).at(step).at(index) = given.tasks[index].progress;
-        given.tasks[index].progress.elsewhere = otherCell;
+        gift.part.progress.at(occurrence).at(step).at(index) = given.tasks[index].progress;
+        given.tasks[index].progress.elsewhere = to.value();
         --given.waitingCount;
     }
-    m_record.parts.insert(otherCell);
+    m_record.parts.insert(to.value());
     ++m_changes;
-    return part;
+    return gift;
 }
 
-void LiveJob::takeBack(const std::string& otherCell)
+template <typename Change> void LiveJob::forEachGiven(const TaskGift& gift, const Change& change)
 {
-    for (auto& [index, occurrence] : m_occurrences) {
-        for (LiveStep& step : occurrence.steps) {
-            for (LiveTask& task : step.tasks) {
-                if (task.progress.elsewhere != otherCell)
-                    continue;
-                task.progress.elsewhere.clear();
-                ++step.waitingCount;
+    for (const auto& [occurrence, steps] : gift.part.progress) {
+        for (uint32_t step = 0; step < steps.size(); ++step) {
+            for (uint32_t index = 0; index < steps[step].size(); ++index) {
+                LiveTask* const task = find(Jobs::TaskName { id(), occurrence, step, index });
+                if (task && steps[step][index].elsewhere.empty())
+                    change(*task, steps[step][index], m_occurrences.at(occurrence).steps[step]);
             }
         }
     }
-    m_record.parts.erase(otherCell);
+}
+
+void LiveJob::takeBack(const TaskGift& gift)
+{
+    forEachGiven(gift, [&](LiveTask& task, const Jobs::TaskProgress&, LiveStep& step) {
+        if (task.progress.elsewhere != gift.to.value())
+            return;
+        task.progress.elsewhere.clear();
+        ++step.waitingCount;
+    });
     ++m_changes;
 }
 
+void LiveJob::receive(const TaskGift& gift)
+{
+    uint32_t& received = m_record.giftsReceived[gift.from.value()];
+    ++m_changes;
+    if (received >= gift.number)
+        return;
+    received = gift.number;
+    forEachGiven(gift, [](LiveTask& task, const Jobs::TaskProgress& given, LiveStep& step) {
+        if (task.progress.elsewhere.empty() || task.progress.done)
+            return;
+        const uint32_t lastAttempt = std::max(task.progress.lastAttempt, given.lastAttempt);
+        task.progress = given;
+        task.progress.lastAttempt = lastAttempt;
+        ++step.waitingCount;
+    });
+}
+
+Jobs::JobRecord LiveJob::cancelledPart() const
+{
+    Jobs::JobRecord part = m_record;
+    part.isPart = true;
+    part.parts.clear();
+    part.giftsReceived.clear();
+    part.giftsMade = 0;
+    return part;
+}
+
 Common::Duration LiveJob::chainFrom(const LiveOccurrence* occurrence, uint32_t step) const
 {
     // Steps come after earlier ones only, so one pass from the last to the first finds every chain.
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Cells/LiveOccurrence.h"
+#include "Cells/TaskGift.h"
 #include "Common/Units.h"
 #include "Jobs/JobRecord.h"
 #include "Jobs/TaskName.h"
@@ -59,11 +60,15 @@
     /// All occurrences have ended well.
     bool complete() const;
 
-    /// Gives waiting tasks of a long-running step to another cell, and yields the record that this cell keeps of them.
-    Jobs::JobRecord giveAway(uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks,
-        const std::string& ownCell, const std::string& otherCell);
+    /// Lets go of waiting tasks of a long-running step for the sake of another cell.
+    TaskGift giveAway(uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from,
+        const CellId& to);
     /// The other cell hasn't got them after all.
-    void takeBack(const std::string& otherCell);
+    void takeBack(const TaskGift&);
+    /// Takes the tasks over, unless that gift or a later one of its giver was received before.
+    void receive(const TaskGift&);
+    /// The record of a cancelled job for a cell that was given tasks of it, or will be.
+    Jobs::JobRecord cancelledPart() const;
 
     /// The longest chain of estimated work that an occurrence still has before it.
     Common::Duration remainingChain(const LiveOccurrence&) const;
@@ -84,6 +89,7 @@
 private:
     LiveOccurrence open(uint32_t occurrence, Common::MonoTime now, int64_t wallMilliseconds) const;
     LiveStep* stepOf(const Jobs::TaskName&);
+    template <typename Change> void forEachGiven(const TaskGift&, const Change&);
     void closeFinished(uint32_t occurrence);
     Common::Duration chainFrom(const LiveOccurrence*, uint32_t step) const;
 
--- a/Source/Core/Cells/StoreKeys.h
+++ b/Source/Core/Cells/StoreKeys.h
@@ -4,6 +4,7 @@
 #include "Cells/CellId.h"
 #include "Common/Ids.h"
 
+#include <cstdint>
 #include <string>
 
 namespace Cells::StoreKeys {
@@ -19,5 +20,12 @@
 inline std::string jobPlace(const Common::JobId& id) { return "lavendercart/place/" + id.value(); }
 inline std::string jobs(const CellId& id) { return "lavendercart/job/" + id.value() + "/"; }
 inline std::string job(const CellId& cell, const Common::JobId& id) { return jobs(cell) + id.value(); }
+inline constexpr const char* giftMark = "/from/";
+/// Tasks of the job that the cell `to` is given. Listed with its jobs.
+inline std::string gift(const CellId& to, const Common::JobId& id, const CellId& from, uint32_t number)
+{
+    return job(to, id) + giftMark + from.value() + "/" + std::to_string(number);
+}
+inline bool isGift(const std::string& key) { return key.find(giftMark) != std::string::npos; }
 
 } // namespace Cells::StoreKeys
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -146,6 +146,8 @@
         record.phase = phase.value_or(JobPhase::Queued);
         record.parts = object.value("parts", std::set<std::string> {});
         record.isPart = object.value("isPart", false);
+        record.giftsMade = object.value("giftsMade", 0U);
+        record.giftsReceived = object.value("giftsReceived", std::map<std::string, uint32_t> {});
         record.finishedOccurrences = object.value("finishedOccurrences", std::set<uint32_t> {});
         for (const Json& row : object.value("progress", Json::array())) {
             JobRecord::OccurrenceProgress steps;
@@ -196,6 +198,8 @@
     putUnlessDefault(object, "finished", finishedMilliseconds);
     putUnlessDefault(object, "parts", parts);
     putUnlessDefault(object, "isPart", isPart);
+    putUnlessDefault(object, "giftsMade", giftsMade);
+    putUnlessDefault(object, "giftsReceived", giftsReceived);
     if (!isFinal(phase)) {
         putUnlessDefault(object, "finishedOccurrences", finishedOccurrences);
         if (!progress.empty())
--- a/Source/Core/Jobs/JobRecord.h
+++ b/Source/Core/Jobs/JobRecord.h
@@ -34,6 +34,10 @@
     std::set<std::string> parts;
     /// Whether this is such a record: the job is accepted, shown and cancelled by another cell.
     bool isPart = false;
+    /// Times that tasks were given to other cells; numbers the gifts.
+    uint32_t giftsMade = 0;
+    /// The last gift of tasks that came from each cell. One that is read again changes nothing.
+    std::map<std::string, uint32_t> giftsReceived;
     std::set<uint32_t> finishedOccurrences;
     /// Occurrences that have begun and aren't finished.
     std::map<uint32_t, OccurrenceProgress> progress;
--- a/Source/Core/Ledger/IntentService.cpp
+++ b/Source/Core/Ledger/IntentService.cpp
@@ -19,9 +19,9 @@
 
     constexpr Common::Duration pruneInterval = std::chrono::seconds(10);
 
-    Common::Failure notOwner()
+    Common::Failure notOwner(Common::Duration retryAfter)
     {
-        return Common::Failure { Common::ErrorCode::NotOwner, "the request's shard is owned elsewhere" };
+        return Common::Failure { Common::ErrorCode::NotOwner, "the request's shard is owned elsewhere", retryAfter };
     }
 
 } // namespace
@@ -49,7 +49,7 @@
     {
         LedgerShard* const shard = m_owners.owned(m_owners.shardOf(request.value()));
         if (shard == nullptr) {
-            done(notOwner());
+            done(notOwner(m_settings.storeRetryAfter));
             return;
         }
         const auto run = m_runs.find(request);
@@ -210,7 +210,7 @@
         if (!result) {
             m_runs.erase(found);
             for (const Waiter& waiter : waiters)
-                waiter.done(notOwner());
+                waiter.done(notOwner(m_settings.storeRetryAfter));
             return;
         }
         if (waiters.empty()) {
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -184,6 +184,14 @@
         old.process.kill();
         return addHost(old.settings.domain.value(), old.address);
     }
+    /// Runs on all workers.
+    size_t running() const
+    {
+        size_t count = 0;
+        for (const auto& worker : workers)
+            count += worker->running();
+        return count;
+    }
     std::vector<WorldHost*> live()
     {
         std::vector<WorldHost*> found;
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -299,10 +299,7 @@
     fleet.workers[0]->restart();
     fleet.workers[1]->restart();
     fleet.clock.advance(4s);
-    size_t running = 0;
-    for (const auto& worker : fleet.workers)
-        running += worker->running();
-    CHECK(running == 6);
+    CHECK(fleet.running() == 6);
     CHECK(fleet.judge.summary().empty());
 }
 
@@ -356,18 +353,12 @@
     watch.spec.steps[0].longRunning = true;
     world.submit(*world.hosts[0], watch, outcome);
     world.clock.advance(3s);
-    const auto running = [&] {
-        size_t count = 0;
-        for (const auto& worker : world.workers)
-            count += worker->running();
-        return count;
-    };
-    CHECK(running() == 12);
+    CHECK(world.running() == 12);
     // A takeover of both cells keeps the tasks where they are.
     world.restart(0);
     world.restart(1);
     world.clock.advance(6s);
-    CHECK(running() == 12);
+    CHECK(world.running() == 12);
     CHECK(world.judge.starts == 12);
     std::optional<Common::Result<Common::Done>> cancelled;
     world.live().front()->front.cancel(
@@ -375,10 +366,122 @@
     world.clock.advance(2s);
     REQUIRE(cancelled);
     CHECK(cancelled->hasValue());
-    CHECK(running() == 0);
+    CHECK(world.running() == 0);
     CHECK(world.judge.summary() == "");
 }
 
+TEST_CASE("tasks that were given to a cell go on to another one, and back, when their workers die")
+{
+    CellWorld world(4);
+    for (const char* const domain : { "yard", "shed", "barn" })
+        world.addWorkers(domain, 1, 4000);
+    for (const char* const domain : { "yard", "shed", "barn" })
+        world.addHost(domain, std::string(domain) + ":1");
+    world.clock.advance(8s);
+    Outcome outcome;
+    Jobs::JobRecord watch = CellWorld::job(1, "last", 6);
+    watch.spec.steps[0].longRunning = true;
+    world.submit(*world.hosts[0], watch, outcome);
+    world.clock.advance(3s);
+    REQUIRE(world.running() == 6);
+    const auto holding = [&](size_t tasks) {
+        return std::find_if(world.workers.begin(), world.workers.end(), [tasks](const auto& worker) {
+            return worker->up() && worker->running() == tasks;
+        })->get();
+    };
+    const auto dies = [&](CellTests::RunWorker& worker, size_t left) {
+        worker.crash();
+        world.clock.advance(10s);
+        CHECK(world.running() == left);
+    };
+    // The two that were given go on to the free cell, and from there back to one that had given or had them.
+    CellTests::RunWorker* const second = holding(2);
+    CellTests::RunWorker* const third = holding(0);
+    dies(*second, 6);
+    REQUIRE(third->running() == 2);
+    second->restart();
+    world.clock.advance(2s);
+    dies(*third, 6);
+    CHECK(second->running() == 2);
+    // Owners that know of it from the store alone change nothing.
+    for (size_t index = 0; index < 3; ++index)
+        world.restart(index);
+    world.clock.advance(6s);
+    CHECK(world.running() == 6);
+    Outcome cancelled;
+    world.live().front()->front.cancel(
+        CellWorld::jobId(1), 2s, [&](const Common::Result<Common::Done>& done) { cancelled = done; });
+    world.clock.advance(2s);
+    REQUIRE(cancelled);
+    CHECK(cancelled->hasValue());
+    CHECK(world.running() == 0);
+    CHECK(world.judge.summary() == "");
+}
+
+TEST_CASE("services that lose their workers all move at once to where there is room")
+{
+    CellWorld world(5);
+    for (const char* const domain : { "yard", "shed" }) {
+        world.addWorkers(domain, 1, 16000);
+        world.addHost(domain, std::string(domain) + ":1");
+    }
+    world.clock.advance(8s);
+    std::vector<Outcome> outcomes(12);
+    for (size_t number = 0; number < outcomes.size(); ++number) {
+        Jobs::JobRecord watch = CellWorld::job(number + 1, "last", 1);
+        watch.spec.steps[0].longRunning = true;
+        world.submit(*world.hosts[0], watch, outcomes[number]);
+    }
+    world.clock.advance(2s);
+    REQUIRE(world.running() == 12);
+    CellTests::RunWorker& fuller
+        = *world.workers[world.workers[0]->running() > world.workers[1]->running() ? 0 : 1];
+    const size_t lost = fuller.running();
+    REQUIRE(lost >= 5);
+    fuller.crash();
+    while (world.running() == 12 - lost)
+        world.clock.advance(100ms);
+    world.clock.advance(1s);
+    CHECK(world.running() == 12);
+    CHECK(world.judge.summary() == "");
+}
+
+TEST_CASE("a cancellation reaches tasks that are on their way to another cell")
+{
+    for (uint64_t seed = 1; seed <= 12; ++seed) {
+        CAPTURE(seed);
+        CellWorld world(seed);
+        for (const char* const domain : { "yard", "shed" }) {
+            world.addWorkers(domain, 1, 4000);
+            world.addHost(domain, std::string(domain) + ":1");
+        }
+        world.clock.advance(8s);
+        Outcome outcome;
+        Jobs::JobRecord watch = CellWorld::job(1, "last", 6);
+        watch.spec.steps[0].longRunning = true;
+        world.submit(*world.hosts[0], watch, outcome);
+        while (world.store.countWithPrefix("lavendercart/job/") < 2)
+            world.clock.advance(1ms);
+        world.network.cut("yard:1", "shed:1");
+        world.network.cut("shed:1", "yard:1");
+        world.clock.advance(std::chrono::milliseconds(200 + seed * 17));
+        Outcome cancelled;
+        for (WorldHost* const host : world.live()) {
+            for (const auto& [id, engine] : host->keeper.engines())
+                engine->cancel(CellWorld::jobId(1), [&](const Common::Result<Common::Done>& done) {
+                    if (done)
+                        cancelled = done;
+                });
+        }
+        world.clock.advance(std::chrono::milliseconds(seed * 100));
+        REQUIRE(cancelled);
+        world.network.heal();
+        world.clock.advance(5s);
+        CHECK(world.running() == 0);
+        CHECK(world.judge.summary() == "");
+    }
+}
+
 TEST_CASE("after a restart of all hosts a dead worker holds others' tasks up no longer than its lease")
 {
     Fleet fleet;
--- a/Source/UnitTests/Ledger/IntentServiceTest.cpp
+++ b/Source/UnitTests/Ledger/IntentServiceTest.cpp
@@ -43,7 +43,7 @@
             CHECK(++*answers == 1);
             ++told;
             if (!verdict) {
-                lastFailure = verdict.reason().code;
+                lastFailure = verdict.reason();
                 return;
             }
             last = *verdict;
@@ -81,7 +81,7 @@
     int asked = 0;
     int told = 0;
     std::optional<IntentService::Verdict> last;
-    std::optional<Common::ErrorCode> lastFailure;
+    std::optional<Common::Failure> lastFailure;
 };
 
 struct World {
@@ -136,7 +136,7 @@
     daemon.request("r", 2);
     world.runtime.advance(world.settings.acceptTimeout);
     REQUIRE(daemon.lastFailure);
-    CHECK(*daemon.lastFailure == Common::ErrorCode::StoreUnavailable);
+    CHECK(daemon.lastFailure->code == Common::ErrorCode::StoreUnavailable);
     world.store.faults.down = false;
     world.runtime.advance(5s);
     CHECK(world.journal.empty());
@@ -145,6 +145,16 @@
     CHECK(world.journal["r"] == 1);
 }
 
+TEST_CASE("who asks a daemon that doesn't own the shard hears when to come back")
+{
+    World world;
+    Daemon& daemon = world.add("a");
+    daemon.request("r", 2);
+    REQUIRE(daemon.lastFailure);
+    CHECK(daemon.lastFailure->code == Common::ErrorCode::NotOwner);
+    CHECK(daemon.lastFailure->retryAfter == world.settings.storeRetryAfter);
+}
+
 TEST_CASE("an intent whose commit outlived its caller is removed")
 {
     World world;
@@ -154,7 +164,8 @@
     world.store.faults.minimumLatency = world.store.faults.maximumLatency = 3s;
     daemon.request("r", 2);
     world.runtime.advance(1s);
-    CHECK(daemon.lastFailure == Common::ErrorCode::StoreUnavailable);
+    REQUIRE(daemon.lastFailure);
+    CHECK(daemon.lastFailure->code == Common::ErrorCode::StoreUnavailable);
     world.store.faults = {};
     world.runtime.advance(10s);
     daemon.request("r", 2);
