Pass tasks that fit nowhere on with a growing pause

Change: room counts each worker once where a step spreads; the pause before the next gift doubles up to 4 s.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -53,8 +53,8 @@
 
     /// How the engine reaches the owners of other cells.
     struct Neighbours {
-        /// How many tasks of that size each other cell has room for.
-        std::function<std::map<CellId, size_t>(const CellId& self, const Common::Resources&)> rooms;
+        /// How many tasks of the step each other cell has room for.
+        std::function<std::map<CellId, size_t>(const CellId& self, const Jobs::StepSpec&)> rooms;
         /// Tells the owner of the other cell of a gift that is durable, until it has heard.
         std::function<void(const TaskGift&)> give;
         /// Has it read the cell's gifts of the job, which an earlier owner of the giver may not have told it of.
@@ -142,7 +142,7 @@
     void giveAway(LiveJob&, const Candidate&);
     void receive(const TaskGift&);
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
-    std::optional<std::pair<CellId, size_t>> roomElsewhere(const Common::Resources&);
+    std::optional<std::pair<CellId, size_t>> roomElsewhere(const Jobs::StepSpec&);
     void tellParts(const LiveJob&) const;
     void placeGang(const Candidate&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -14,8 +14,10 @@
     constexpr uint32_t skippedAttempts = 4;
     /// A line about a task that finds no room comes at most this often.
     constexpr Common::Duration blockedLogInterval = std::chrono::seconds(2);
-    /// A long-running task that finds no room is offered to another cell after this long, and then again.
+    /// A long-running task that finds no room is offered to another cell after this long. Doubles with each time that the
+    /// cell has given tasks of the job away, so that what fits nowhere isn't passed round, up to 4 s.
     constexpr Common::Duration giveAwayAfter = std::chrono::milliseconds(500);
+    constexpr uint32_t mostDoublings = 3;
     /// Two beats of the owner that was given tasks, and the slack between them.
     constexpr Common::Duration giftsUnseenFor = std::chrono::milliseconds(1500);
     constexpr double fullPace = 100;
@@ -153,7 +155,7 @@
     if (!spec.longRunning)
         return;
     const Common::MonoTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
-    if (now - since >= giveAwayAfter) {
+    if (now - since >= giveAwayAfter * (1 << std::min(job.giftsMade(), mostDoublings))) {
         m_blockedSince.erase(job.id());
         giveAway(job, candidate);
         return;
@@ -172,12 +174,12 @@
                                   << " per-worker=" << spec.maximumPerWorker << " rooms=" << rooms);
 }
 
-std::optional<std::pair<CellId, size_t>> CellEngine::roomElsewhere(const Common::Resources& request)
+std::optional<std::pair<CellId, size_t>> CellEngine::roomElsewhere(const Jobs::StepSpec& spec)
 {
     const Common::MonoTime now = m_runtime.now();
     std::erase_if(m_given, [now](const auto& row) { return now - row.second.at > giftsUnseenFor; });
     std::optional<std::pair<CellId, size_t>> best;
-    for (const auto& [cell, room] : m_neighbours.rooms(m_id, request)) {
+    for (const auto& [cell, room] : m_neighbours.rooms(m_id, spec)) {
         const auto given = m_given.find(cell);
         const size_t taken = given == m_given.end() ? 0 : given->second.tasks;
         if (room > taken && (!best || room - taken > best->second))
@@ -190,7 +192,7 @@
 void CellEngine::giveAway(LiveJob& job, const Candidate& candidate)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    const auto other = roomElsewhere(spec.request);
+    const auto other = roomElsewhere(spec);
     if (!other)
         return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -481,7 +481,7 @@
 CellEngine::Neighbours CellKeeper::neighbours()
 {
     return CellEngine::Neighbours {
-        .rooms = [this](const CellId& self, const Common::Resources& request) { return rooms(self, request); },
+        .rooms = [this](const CellId& self, const Jobs::StepSpec& spec) { return rooms(self, spec); },
         .give = [this](const TaskGift& gift) { tellOwner(gift.to, gift); },
         .remind = [this](const CellId& cell, const Common::JobId& job) { remind(cell, job); },
         .cancel = [this](const CellId& cell, const Jobs::JobRecord& part) { tellOwner(cell, part); },
@@ -506,7 +506,7 @@
         }));
 }
 
-std::map<CellId, size_t> CellKeeper::rooms(const CellId& self, const Common::Resources& request) const
+std::map<CellId, size_t> CellKeeper::rooms(const CellId& self, const Jobs::StepSpec& spec) const
 {
     std::map<CellId, size_t> found;
     for (const CellId& cell : m_layout.cells()) {
@@ -516,8 +516,11 @@
             continue;
         const CellLoad load = other ? other->load : own->second->load();
         size_t& room = found[cell];
-        for (const int64_t free : load.rooms)
-            room += static_cast<size_t>(std::max<int64_t>(free, 0) / std::max<int64_t>(request.milliCores, 1));
+        for (const int64_t free : load.rooms) {
+            const int64_t fitting = std::max<int64_t>(free, 0) / std::max<int64_t>(spec.request.milliCores, 1);
+            const auto count = static_cast<size_t>(fitting);
+            room += spec.maximumPerWorker > 0 ? std::min<size_t>(count, spec.maximumPerWorker) : count;
+        }
     }
     return found;
 }
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -31,6 +31,7 @@
     bool recovered() const { return m_recovered; }
     bool isPart() const { return m_record.isPart; }
     const std::set<std::string>& parts() const { return m_record.parts; }
+    uint32_t giftsMade() const { return m_record.giftsMade; }
     const std::map<uint32_t, LiveOccurrence>& occurrences() const { return m_occurrences; }
     std::map<uint32_t, LiveOccurrence>& occurrences() { return m_occurrences; }
 
