Learn by least squares which images disturb each other, and keep what was learned

Four reasons, each seen in the logs: - one variance a pair: what one image did was laid to all that ran beside it; - tails rise and fade over about a second, shares were those of the moment; skipping slowed-down reports then left only those from before an effect shows; - a worker that a successor knows from the record alone has no capacity yet, and shares of it of 1,500 and more spoiled the model after every takeover; - a takeover began with nothing.

Change: recursive least squares with the whole covariance, one filter a service's image (TailModel); shares averaged over the time in which tails fade (SmoothedShares); nothing is learned of a worker whose capacity isn't known; beliefs lie in the store, written together with what is written anyway, and a successor goes on from them; cells keep each other's.

Tests: TailModelTest "isn't laid to the others" (new), the older cases unchanged but for the call's form; CellWorldTest "a successor learns" (fails without the mend of the capacity: 0.01 where over 1 is asked).

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -15,8 +15,8 @@
     constexpr size_t entriesOfAccept = 3;
     /// Expected gift, the gift and the giver's record.
     constexpr size_t entriesOfGift = 3;
-    /// Expected record of the cell, and the cell's workers.
-    constexpr size_t reservedEntries = 2;
+    /// Expected record of the cell, the cell's workers and beliefs.
+    constexpr size_t reservedEntries = 3;
 
     const Scheduler::StoreValue* findKey(const Conflict& conflict, const std::string& key)
     {
@@ -209,6 +209,10 @@
         transaction.puts.push_back({ StoreKeys::cellWorkers(m_cell), *m_workers, {} });
         m_batch.workers = m_workers;
     }
+    if (m_beliefs) {
+        transaction.puts.push_back({ StoreKeys::beliefs(m_cell), *m_beliefs, {} });
+        m_batch.beliefs = m_beliefs;
+    }
     for (const auto& [job, accept] : m_accepts) {
         if (room < entriesOfAccept)
             break;
@@ -296,6 +300,8 @@
         m_workers.reset();
         std::exchange(m_workersWritten, nullptr)();
     }
+    if (batch.beliefs && batch.beliefs == m_beliefs)
+        m_beliefs.reset();
     for (const auto& [job, changes] : batch.snapshots)
         m_hooks.committed(job, changes);
     for (const Common::JobId& job : batch.accepts)
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -49,8 +49,8 @@
     void changed(const Common::JobId&);
     /// The job has changed and somebody waits. `done` is called when the change is durable, or with the failure.
     void changedUrgently(const Common::JobId&, Common::Callback<Common::Done> done);
-    /// The job has given tasks to another cell: its own record and the gift are written together. False: there is another
-    /// gift under that key, and nothing was written.
+    /// The job has given tasks to another cell: its own record and the gift are written together. False: there is
+    /// another gift under that key, and nothing was written.
     void giveAway(const Common::JobId&, std::string key, std::string text, Common::Callback<bool> done);
     /// The job has taken over what lies under the key: its own record is written and the gift removed, together.
     void received(const Common::JobId&, std::string key);
@@ -58,6 +58,8 @@
     void forget(const Common::JobId&, bool place);
     /// Replaces the record of the cell's workers.
     void setWorkers(std::string text, std::function<void()> written);
+    /// Has the cell's beliefs written together with whatever is written next.
+    void setBeliefs(std::string text) { m_beliefs = std::move(text); }
     /// Writes what is left, then marks the cell as released. `done` is called also when that fails.
     void release(std::function<void()> done);
     /// Nothing is written any more; who waits hears NotOwner.
@@ -98,6 +100,7 @@
         std::map<Common::JobId, uint64_t> snapshots;
         std::vector<Forgotten> forgotten;
         std::optional<std::string> workers;
+        std::optional<std::string> beliefs;
     };
 
     void gather(Common::Duration);
@@ -133,6 +136,7 @@
     std::vector<Forgotten> m_forgotten;
     std::optional<std::string> m_workers;
     std::function<void()> m_workersWritten;
+    std::optional<std::string> m_beliefs;
     Batch m_batch;
     std::function<void()> m_released;
     std::optional<Scheduler::TimerId> m_flushTimer;
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -1,6 +1,7 @@
 // Jobs, reports and the life of one cell.
 #include "Cells/CellEngine.h"
 
+#include "Cells/BeliefCodec.h"
 #include "Common/Log.h"
 
 #include <nlohmann/json.hpp>
@@ -38,17 +39,15 @@
         return names.at(static_cast<size_t>(end));
     }
 
-    /// A task's report before last is of use for so long: two looks.
-    constexpr Common::Duration sampleLifetime = std::chrono::milliseconds(1800);
-    /// From this pace on a run counts as not slowed down.
-    constexpr uint32_t steadyPace = 90;
     constexpr uint32_t starvedPace = 50;
     constexpr Common::Duration starvedAfter = std::chrono::milliseconds(1000);
     constexpr double movedPace = 0.8;
     /// For the room of an image: a run of this share of a worker would have to work at this pace.
     constexpr double usualBackfillShare = 0.1;
     constexpr double goodPace = 0.7;
-    constexpr Common::Duration tailLogInterval = std::chrono::seconds(10);
+    /// Between lines about what was learned; it is also kept for a successor that often.
+    constexpr Common::Duration tailLogInterval = std::chrono::seconds(5);
+    constexpr size_t keptBeliefs = 200;
 
     bool worthPacing(uint32_t before, uint32_t after)
     {
@@ -110,6 +109,7 @@
     , m_lost(std::move(lost))
     , m_neighbours(std::move(neighbours))
 {
+    m_tails.inherit(inheritance.beliefs);
     for (Jobs::JobRecord& record : inheritance.jobs)
         tellParts(addJob(std::move(record), true));
     for (const TaskGift& gift : inheritance.gifts)
@@ -403,6 +403,7 @@
     if (m_runtime.now() - m_tailsNoted >= tailLogInterval && !m_tails.backfillImages().empty()) {
         m_tailsNoted = m_runtime.now();
         LC_INFO(Jobs, "event=tail-model cell=" << m_id.value() << " pressures=" << m_tails.summary());
+        m_committer.setBeliefs(beliefsToJson(m_tails.beliefs(keptBeliefs)).dump());
     }
     placeSoon();
 }
@@ -700,30 +701,18 @@
 
 void CellEngine::learnTails(CellWorker& worker)
 {
-    std::map<std::string, Policy::TailModel::Source> byImage;
-    for (const Policy::PacedRun& run : worker.backfillRuns()) {
-        if (run.used <= 0)
-            continue;
-        Policy::TailModel::Source& source
-            = byImage.try_emplace(run.image, Policy::TailModel::Source { run.image, 0, true }).first->second;
-        source.share += run.used;
-        source.fullPace = source.fullPace && run.pace >= steadyPace && !worker.pacedSinceReport;
-    }
+    // A worker that only the record names so far: its capacity isn't known, and no share of it.
+    if (worker.entry().capacity.milliCores == 0)
+        return;
+    worker.lately.update(worker.backfillRuns(), m_runtime.now());
     Policy::TailModel::Sample sample;
-    for (const auto& [image, source] : byImage)
-        sample.sources.push_back(source);
-    const Common::MonoTime now = m_runtime.now();
-    for (const auto& [run, reported] : worker.occupants()) {
-        if (reported.latencyTarget <= Common::Duration::zero() || !reported.seen || reported.load < 0)
+    sample.sources = worker.lately.sources();
+    for (const auto& [run, occupant] : worker.occupants()) {
+        if (occupant.latencyTarget <= Common::Duration::zero() || !occupant.seen || occupant.load < 0)
             continue;
-        Occupant& occupant = *worker.find(run);
         sample.tailRatio = occupant.load / std::chrono::duration<double, std::milli>(occupant.latencyTarget).count();
-        const bool recent = occupant.sample && !worker.pacedSinceReport && now - occupant.sampledAt < sampleLifetime;
-        m_tails.observe(occupant.image, sample, recent ? &*occupant.sample : nullptr);
-        occupant.sample = sample;
-        occupant.sampledAt = now;
+        m_tails.observe(occupant.image, sample);
     }
-    worker.pacedSinceReport = false;
 }
 
 /// Backfill that is slowed down for long gets on better elsewhere, if its progress is saved.
@@ -758,9 +747,9 @@
 void CellEngine::paceBackfill(CellWorker& worker)
 {
     const Common::MonoTime now = m_runtime.now();
-    const std::vector<Policy::PacedService> services = worker.services();
+    const Policy::Company company = worker.company();
     const double limit = worker.overTargetSince ? Policy::relievedTail : Policy::crowdedTail;
-    const bool over = std::any_of(services.begin(), services.end(),
+    const bool over = std::any_of(company.services.begin(), company.services.end(),
         [limit](const Policy::PacedService& service) { return service.tailRatio > limit; });
     if (!over)
         worker.overTargetSince.reset();
@@ -768,9 +757,8 @@
         worker.overTargetSince = now;
     if (worker.backfillMilliCores() == 0)
         return;
-    const std::vector<Policy::PacedRun> runs = worker.backfillRuns();
     const std::vector<uint32_t> paces = Policy::paceBackfill(
-        m_tails, services, runs, worker.overTargetSince ? now - *worker.overTargetSince : Common::Duration::zero());
+        m_tails, company, worker.overTargetSince ? now - *worker.overTargetSince : Common::Duration::zero());
     std::vector<std::pair<RunKey, uint32_t>> changes;
     size_t index = 0;
     for (const auto& [run, occupant] : worker.occupants()) {
@@ -783,9 +771,9 @@
     if (changes.empty())
         return;
     LC_INFO(Worker,
-        "event=backfill-paced worker=" << worker.id().value() << " runs=" << changes.size() << " of=" << runs.size()
-                                       << " first=" << changes.front().second << " over-target=" << over);
-    worker.pacedSinceReport = true;
+        "event=backfill-paced worker=" << worker.id().value() << " runs=" << changes.size()
+                                       << " of=" << company.runs.size() << " first=" << changes.front().second
+                                       << " over-target=" << over);
     for (const auto& [run, pace] : changes)
         m_workers.pace(worker, run, pace);
 }
@@ -825,8 +813,7 @@
         for (const auto& [id, worker] : m_workers.all()) {
             if (!worker->listed || worker->entry().draining || !worker->reachable)
                 continue;
-            const double pace
-                = Policy::paceForNewRun(m_tails, worker->services(), worker->backfillRuns(), image, usualBackfillShare);
+            const double pace = Policy::paceForNewRun(m_tails, worker->company(), image, usualBackfillShare);
             const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
             room += pace >= goodPace ? std::max<int64_t>(unused, 0) : 0;
         }
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -49,6 +49,8 @@
         bool formerOwnerGone = false;
         /// Workers on which tasks of the cell may run.
         std::vector<WorkerEntry> workers;
+        /// What earlier owners learned of images that disturb each other.
+        std::vector<Policy::TailModel::Belief> beliefs;
     };
 
     /// How the engine reaches the owners of other cells.
@@ -86,8 +88,8 @@
     /// Done once the cancellation is durable, or the job was final already. UnknownJob when it isn't here.
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
     CellLoad load() const;
-    /// Durable tasks that this cell was given of a job of another one, or the record of its cancelled part, which may come
-    /// before the tasks. Done when it was taken in; heard again, it changes nothing.
+    /// Durable tasks that this cell was given of a job of another one, or the record of its cancelled part, which may
+    /// come before the tasks. Done when it was taken in; heard again, it changes nothing.
     using PartNews = std::variant<TaskGift, Jobs::JobRecord>;
     void hear(const PartNews&, const Common::Callback<Common::Done>&);
 
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -14,8 +14,8 @@
     constexpr uint32_t skippedAttempts = 4;
     /// A line about a task that finds no room comes at most this often.
     constexpr Common::Duration blockedLogInterval = std::chrono::seconds(2);
-    /// A long-running task that finds no room is offered to another cell after this long. Doubles with each time that the
-    /// cell has given tasks of the job away, so that what fits nowhere isn't passed round, up to 4 s.
+    /// A long-running task that finds no room is offered to another cell after this long. Doubles with each time that
+    /// the cell has given tasks of the job away, so that what fits nowhere isn't passed round, up to 4 s.
     constexpr Common::Duration giveAwayAfter = std::chrono::milliseconds(500);
     constexpr uint32_t mostDoublings = 3;
     /// Two beats of the owner that was given tasks, and the slack between them.
@@ -170,8 +170,8 @@
     }
     LC_INFO(Jobs,
         "event=task-blocked job=" << job.id().value() << " step=" << candidate.step
-                                  << " cores=" << spec.request.milliCores
-                                  << " per-worker=" << spec.maximumPerWorker << " rooms=" << rooms);
+                                  << " cores=" << spec.request.milliCores << " per-worker=" << spec.maximumPerWorker
+                                  << " rooms=" << rooms);
 }
 
 std::optional<std::pair<CellId, size_t>> CellEngine::roomElsewhere(const Jobs::StepSpec& spec)
@@ -264,8 +264,7 @@
     if (spec.backfill) {
         const double demand = static_cast<double>(spec.request.milliCores)
             / static_cast<double>(std::max<int64_t>(entry.capacity.milliCores, 1));
-        offer.backfillPace
-            = Policy::paceForNewRun(m_tails, worker.services(), worker.backfillRuns(), spec.image, demand);
+        offer.backfillPace = Policy::paceForNewRun(m_tails, worker.company(), spec.image, demand);
     } else if (spec.longRunning && spec.latencyTarget > Common::Duration::zero()) {
         offer.sameImage = worker.shareOfImage(spec.image);
     }
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -1,6 +1,7 @@
 // Claims, releases and beats.
 #include "Cells/CellKeeper.h"
 
+#include "Cells/BeliefCodec.h"
 #include "Cells/StoreKeys.h"
 #include "Common/Log.h"
 #include "Policy/OwnerChoice.h"
@@ -45,6 +46,16 @@
         return workers;
     }
 
+    std::vector<Policy::TailModel::Belief> readBeliefs(const Scheduler::StoreValue& record)
+    {
+        try {
+            return beliefsFromJson(nlohmann::json::parse(record.value));
+        } catch (const nlohmann::json::exception& error) {
+            LC_ERROR(Store, "event=unreadable-record key=" << record.key << " reason=" << error.what());
+            return {};
+        }
+    }
+
     std::optional<TaskGift> readGift(const Scheduler::StoreValue& record)
     {
         auto gift = TaskGift::decode(record.value);
@@ -184,10 +195,11 @@
         if (owned.token < owner.token)
             continue;
         owner = Owner { beat->id, beat->address, owned.token, std::move(owned.load), now, false };
-        if (!owned.beliefs.empty()) {
-            for (const auto& [cell, engine] : m_engines)
-                engine->adopt(owned.cell, owned.beliefs);
-        }
+        if (owned.beliefs.empty())
+            continue;
+        for (const auto& [cell, engine] : m_engines)
+            engine->adopt(owned.cell, owned.beliefs);
+        m_beliefs[owned.cell] = std::move(owned.beliefs);
     }
     for (const CellId& cell : beat->released) {
         const auto owner = m_owners.find(cell);
@@ -426,8 +438,12 @@
                 endClaim(cell, "the jobs can't be read");
                 return;
             }
-            CellEngine::Inheritance inheritance { record, fence, {}, {}, formerOwnerGone, {} };
+            CellEngine::Inheritance inheritance { record, fence, {}, {}, formerOwnerGone, {}, {} };
             for (const Scheduler::StoreValue& value : jobs->records) {
+                if (value.key == StoreKeys::beliefs(cell)) {
+                    inheritance.beliefs = readBeliefs(value);
+                    continue;
+                }
                 if (StoreKeys::isGift(value.key)) {
                     if (auto gift = readGift(value))
                         inheritance.gifts.push_back(std::move(*gift));
@@ -467,6 +483,10 @@
             forgetEngine(cell);
         }));
     LC_INFO(Jobs, "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs);
+    for (const auto& [other, beliefs] : m_beliefs) {
+        if (other != cell)
+            engine->adopt(other, beliefs);
+    }
     m_engines[cell] = std::move(engine);
     m_owners.erase(cell);
     beat();
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -119,6 +119,8 @@
     /// Since when a cell has had no owner, and since when another host has been the first choice for one of ours.
     std::map<CellId, Common::MonoTime> m_ownerlessSince;
     std::map<CellId, Common::MonoTime> m_betterOwnerSince;
+    /// What the owners of other cells have learned, for cells that are taken over.
+    std::map<CellId, std::vector<Policy::TailModel::Belief>> m_beliefs;
     std::set<CellId> m_releasing;
     std::map<CellId, Common::MonoTime> m_released;
     std::map<Common::WorkerId, WorkerEntry> m_listed;
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -7,6 +7,7 @@
 #include "Common/Resources.h"
 #include "Common/Units.h"
 #include "Policy/BackfillPace.h"
+#include "Policy/SmoothedShares.h"
 
 #include <cstdint>
 #include <deque>
@@ -42,9 +43,10 @@
     /// Processor time that the other runs leave unused, as far as is known, in thousandths of a core.
     int64_t unusedMilliCores() const;
     int64_t backfillMilliCores() const { return m_backfillMilliCores; }
-    /// The services' tasks and the backfill runs there, as their pace is decided by.
     std::vector<Policy::PacedService> services() const;
     std::vector<Policy::PacedRun> backfillRuns() const;
+    /// The services' tasks and the backfill runs there, as their pace is decided by.
+    Policy::Company company() const { return { services(), backfillRuns(), lately.sources() }; }
     bool serves() const;
     /// Adds what services hold, by image, in thousandths of a core.
     void addServing(std::map<std::string, int64_t>&) const;
@@ -76,8 +78,8 @@
     Common::MonoTime lastHeard;
     /// When a draining worker was first seen to be that.
     Common::MonoTime drainingSince;
-    /// The pace of some backfill run was changed since the last report.
-    bool pacedSinceReport = false;
+    /// What backfill has used, as of the last report.
+    Policy::SmoothedShares lately;
     /// Since when some service has been over its target without a break.
     std::optional<Common::MonoTime> overTargetSince;
 
--- a/Source/Core/Cells/HostBeat.cpp
+++ b/Source/Core/Cells/HostBeat.cpp
@@ -1,9 +1,9 @@
 // JSON form of beats, short enough for one datagram.
 #include "Cells/HostBeat.h"
 
-#include <nlohmann/json.hpp>
+#include "Cells/BeliefCodec.h"
 
-#include <cmath>
+#include <nlohmann/json.hpp>
 
 namespace Cells {
 
@@ -11,23 +11,15 @@
 
     using Json = nlohmann::json;
 
-    /// Beliefs are told to a hundredth.
-    constexpr double roundedTo = 100;
-
     Json cellToJson(const HostBeat::OwnedCell& owned)
     {
         Json pending = Json::object();
         for (const auto& [route, count] : owned.load.pending)
             pending[route] = count;
-        Json beliefs = Json::array();
-        for (const Policy::TailModel::Belief& belief : owned.beliefs)
-            beliefs.push_back(
-                Json::array({ belief.backfill, belief.service, std::round(belief.pressure * roundedTo) / roundedTo,
-                    std::round(belief.variance * roundedTo) / roundedTo }));
         return Json::array({ owned.cell.value(), owned.token.value, owned.load.capacityMilliCores,
             owned.load.freeMilliCores, owned.load.backfillMilliCores, owned.load.waitingRegular,
             owned.load.waitingBackfill, owned.load.serving, owned.load.backfillRooms, owned.load.rooms,
-            std::move(pending), std::move(beliefs) });
+            std::move(pending), beliefsToJson(owned.beliefs) });
     }
 
     HostBeat::OwnedCell cellFromJson(const Json& row)
@@ -44,9 +36,7 @@
         owned.load.backfillRooms = row.at(8).get<std::map<std::string, int64_t>>();
         owned.load.rooms = row.at(9).get<std::vector<int64_t>>();
         owned.load.pending = row.at(10).get<std::map<std::string, uint32_t>>();
-        for (const Json& belief : row.at(11))
-            owned.beliefs.push_back({ belief.at(0).get<std::string>(), belief.at(1).get<std::string>(),
-                belief.at(2).get<double>(), belief.at(3).get<double>() });
+        owned.beliefs = beliefsFromJson(row.at(11));
         return owned;
     }
 
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -62,8 +62,8 @@
     bool complete() const;
 
     /// Lets go of waiting tasks of a long-running step for the sake of another cell.
-    TaskGift giveAway(uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from,
-        const CellId& to);
+    TaskGift giveAway(
+        uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from, const CellId& to);
     /// The other cell hasn't got them after all.
     void takeBack(const TaskGift&);
     /// Takes the tasks over, unless that gift or a later one of its giver was received before.
--- a/Source/Core/Cells/Occupant.h
+++ b/Source/Core/Cells/Occupant.h
@@ -5,7 +5,6 @@
 #include "Common/Units.h"
 #include "Jobs/StepSpec.h"
 #include "Jobs/TaskName.h"
-#include "Policy/TailModel.h"
 
 #include <compare>
 #include <cstdint>
@@ -31,9 +30,6 @@
     /// Last figure of the worker; see RunningTask::load.
     double load = -1;
     std::string image;
-    /// The last report of a run that serves, and when it came.
-    std::optional<Policy::TailModel::Sample> sample;
-    Common::MonoTime sampledAt;
     /// Share of its speed that the run was told to keep to.
     uint32_t pace = 100;
     /// Since when a backfill run has been slowed down so far that it hardly gets on.
--- a/Source/Core/Cells/StoreKeys.h
+++ b/Source/Core/Cells/StoreKeys.h
@@ -20,6 +20,8 @@
 inline std::string jobPlace(const Common::JobId& id) { return "lavendercart/place/" + id.value(); }
 inline std::string jobs(const CellId& id) { return "lavendercart/job/" + id.value() + "/"; }
 inline std::string job(const CellId& cell, const Common::JobId& id) { return jobs(cell) + id.value(); }
+/// What was learned of images that disturb each other. Listed with the cell's jobs.
+inline std::string beliefs(const CellId& id) { return jobs(id) + "beliefs"; }
 inline constexpr const char* giftMark = "/from/";
 /// Tasks of the job that the cell `to` is given. Listed with its jobs.
 inline std::string gift(const CellId& to, const Common::JobId& id, const CellId& from, uint32_t number)
--- a/Source/Core/Cells/TaskGift.h
+++ b/Source/Core/Cells/TaskGift.h
@@ -18,7 +18,8 @@
     CellId to;
     /// Counts the gifts of the job by this giver.
     uint32_t number = 0;
-    /// The record with which a cell begins that has none of the job yet. Tasks that aren't `elsewhere` are the given ones.
+    /// The record with which a cell begins that has none of the job yet. Tasks that aren't `elsewhere` are the given
+    /// ones.
     Jobs::JobRecord part;
 
     std::string key() const;
--- a/Source/Core/Policy/BackfillPace.cpp
+++ b/Source/Core/Policy/BackfillPace.cpp
@@ -23,15 +23,6 @@
     constexpr Common::Duration allPausedAfter = std::chrono::milliseconds(1700);
     constexpr size_t passes = 2;
 
-    std::vector<TailModel::Source> usedBy(const std::vector<PacedRun>& runs)
-    {
-        std::vector<TailModel::Source> sources;
-        sources.reserve(runs.size());
-        for (const PacedRun& run : runs)
-            sources.push_back({ run.image, run.used, false });
-        return sources;
-    }
-
     /// Slows the runs down that press the service most until it bears the rest.
     void relieve(const TailModel& model, const PacedService& service, double bearable,
         const std::vector<PacedRun>& runs, std::vector<double>& paces)
@@ -56,7 +47,7 @@
 
 } // namespace
 
-double ownLoad(const TailModel& model, const PacedService& service, const std::vector<PacedRun>& runs)
+double ownLoad(const TailModel& model, const PacedService& service, const std::vector<TailModel::Source>& lately)
 {
     const double usual = model.usualLoad(service.image);
     if (service.tailRatio < 0)
@@ -64,25 +55,27 @@
     const double seen = model.utilization(service.image, service.tailRatio);
     if (seen >= 1)
         return usual;
-    return std::max(seen - model.pressure(usedBy(runs), service.image), usual / 2);
+    return std::max(seen - model.pressure(lately, service.image), usual / 2);
 }
 
-std::vector<uint32_t> paceBackfill(const TailModel& model, const std::vector<PacedService>& services,
-    const std::vector<PacedRun>& runs, Common::Duration overTargetFor)
+std::vector<uint32_t> paceBackfill(const TailModel& model, const Company& company, Common::Duration overTargetFor)
 {
+    const auto& [services, runs, lately] = company;
     std::vector<double> paces(runs.size(), 1);
     for (size_t pass = 0; pass < passes; ++pass) {
         for (const PacedService& service : services)
-            relieve(model, service, pressedUtilization - loadMargin - ownLoad(model, service, runs), runs, paces);
+            relieve(model, service, pressedUtilization - loadMargin - ownLoad(model, service, lately), runs, paces);
     }
     std::vector<uint32_t> percents;
     for (size_t index = 0; index < runs.size(); ++index) {
         auto percent = static_cast<uint32_t>(paces[index] * fullPace);
         const bool crowded = overTargetFor > Common::Duration::zero();
         percent = std::min(percent, runs[index].pace + (crowded ? 0 : riseStep));
-        const bool suspect = std::any_of(services.begin(), services.end(), [&](const PacedService& service) {
-            return service.tailRatio > crowdedTail && model.pressure(runs[index].image, service.image) > 0;
-        });
+        const std::string& image = runs[index].image;
+        const bool suspect
+            = std::any_of(company.services.begin(), company.services.end(), [&](const PacedService& service) {
+                  return service.tailRatio > crowdedTail && model.pressure(image, service.image) > 0;
+              });
         if (overTargetFor >= allPausedAfter || (suspect && overTargetFor >= pausedAfter))
             percent = 0;
         else if (suspect && overTargetFor >= halvedAfter)
@@ -92,15 +85,14 @@
     return percents;
 }
 
-double paceForNewRun(const TailModel& model, const std::vector<PacedService>& services,
-    const std::vector<PacedRun>& runs, const std::string& image, double demand)
+double paceForNewRun(const TailModel& model, const Company& company, const std::string& image, double demand)
 {
     double pace = 1;
-    for (const PacedService& service : services) {
+    for (const PacedService& service : company.services) {
         double pressed = 0;
-        for (const PacedRun& run : runs)
+        for (const PacedRun& run : company.runs)
             pressed += model.pressure(run.image, service.image) * run.demand * run.pace / fullPace;
-        const double load = std::max(ownLoad(model, service, runs), model.usualLoad(service.image));
+        const double load = std::max(ownLoad(model, service, company.lately), model.usualLoad(service.image));
         const double bearable = newRunShare * (pressedUtilization - load) - pressed;
         const double added = model.pressure(image, service.image) * demand;
         if (added > 0 && service.tailRatio > crowdedTail)
--- a/Source/Core/Policy/BackfillPace.h
+++ b/Source/Core/Policy/BackfillPace.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Common/Units.h"
+#include "Policy/PacedRun.h"
 #include "Policy/TailModel.h"
 
 #include <cstdint>
@@ -18,16 +19,6 @@
     double tailRatio = -1;
 };
 
-/// A backfill run on the worker.
-struct PacedRun {
-    std::string image;
-    /// Share of the worker's processor that it would like to have, 0 to 1.
-    double demand = 0;
-    /// Share of the worker's processor that it was last seen to use.
-    double used = 0;
-    uint32_t pace = 100;
-};
-
 /// Utilization up to which backfill may press a service: its tail is then at two thirds of the target. The rest is for
 /// the swings of its load until the next report.
 constexpr double pressedUtilization = 0.67;
@@ -37,17 +28,23 @@
 /// It counts so until its tail latency is below this share.
 constexpr double relievedTail = 0.85;
 
+/// What runs beside a worker's services.
+struct Company {
+    std::vector<PacedService> services;
+    std::vector<PacedRun> runs;
+    /// What backfill has used lately, see SmoothedShares: the cause of the reported tails.
+    std::vector<TailModel::Source> lately;
+};
+
 /// Utilization by the task's own users, as far as the last report tells.
-double ownLoad(const TailModel&, const PacedService&, const std::vector<PacedRun>&);
+double ownLoad(const TailModel&, const PacedService&, const std::vector<TailModel::Source>& lately);
 
 /// The paces, in percent, at which no service is pressed too far: runs that press a service more are slowed down more.
 /// `overTargetFor`: how long some service on the worker has counted as over its target; when the model has it
 /// wrong all runs are slowed down, and paused before the disturbance lasts.
-std::vector<uint32_t> paceBackfill(
-    const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&, Common::Duration overTargetFor);
+std::vector<uint32_t> paceBackfill(const TailModel&, const Company&, Common::Duration overTargetFor);
 
 /// The pace, 0 to 1, at which one more run would press no service too far.
-double paceForNewRun(const TailModel&, const std::vector<PacedService>&, const std::vector<PacedRun>&,
-    const std::string& image, double demand);
+double paceForNewRun(const TailModel&, const Company&, const std::string& image, double demand);
 
 } // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/SmoothedShares.cpp
@@ -0,0 +1,40 @@
+// Exponential averages, one an image.
+#include "Policy/SmoothedShares.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace Policy {
+
+namespace {
+
+    /// Time in which a reported tail fades to about a third, as trial days show it.
+    constexpr double fadingSeconds = 1;
+    /// Smaller shares are forgotten.
+    constexpr double smallestShare = 1e-4;
+
+} // namespace
+
+void SmoothedShares::update(const std::vector<PacedRun>& runs, Common::MonoTime now)
+{
+    const double passed = std::chrono::duration<double>(now - m_updatedAt).count();
+    const double weight = m_begun ? 1 - std::exp(-passed / fadingSeconds) : 1;
+    m_begun = true;
+    m_updatedAt = now;
+    for (auto& [image, share] : m_shares)
+        share *= 1 - weight;
+    for (const PacedRun& run : runs)
+        m_shares[run.image] += weight * run.used;
+    std::erase_if(m_shares, [](const auto& row) { return row.second < smallestShare; });
+}
+
+std::vector<TailModel::Source> SmoothedShares::sources() const
+{
+    std::vector<TailModel::Source> sources;
+    sources.reserve(m_shares.size());
+    for (const auto& [image, share] : m_shares)
+        sources.push_back({ image, share });
+    return sources;
+}
+
+} // namespace Policy
--- a/Source/Core/Policy/TailModel.cpp
+++ b/Source/Core/Policy/TailModel.cpp
@@ -1,51 +1,92 @@
-// Diagonal Kalman filter over pairs of images, from levels and from changes.
+// Recursive least squares, one filter a service's image.
 #include "Policy/TailModel.h"
 
 #include <algorithm>
 #include <cmath>
 #include <iomanip>
+#include <numeric>
 #include <sstream>
 
 namespace Policy {
 
 namespace {
 
-    /// Before anything is known a pair is taken for disturbing, which lets a task or so on a worker through to learn
-    /// from. The spread covers pairs that don't disturb at all.
-    constexpr double priorPressure = 2.2;
-    constexpr double priorVariance = 6;
+    /// Before anything is known a pair is taken for half disturbing: one task or two on a worker get through to learn
+    /// from. The spread covers pairs that don't disturb at all, and those that saturate a service.
+    constexpr double priorPressure = 0.8;
+    constexpr double priorVariance = 4;
     constexpr double highestPressure = 20;
     /// Pairs disturb each other strongly or hardly at all; less than this is the noise of the estimate.
-    constexpr double harmlessPressure = 1.6;
-    /// A factor never becomes so sure that a change isn't seen.
-    constexpr double smallestVariance = 0.2;
-    /// Variance of a service's load over its swings, and from one report to the next, in utilization.
-    constexpr double loadVariance = 0.025;
-    constexpr double changeVariance = 0.005;
-    /// Reported tails fade over a second or so: after a spike they say nothing of what runs beside the service now.
-    constexpr double spikeRatio = 1.2;
+    constexpr double harmlessPressure = 0.6;
+    /// A pair that disturbs is taken for this many standard deviations worse than its estimate.
+    constexpr double caution = 0.4;
+    /// Variances grow with each report, so that a change is still seen after many: some thousand reports are
+    /// remembered. The own load must not follow its swings, or it takes in what backfill does.
+    constexpr double factorDrift = 4e-7;
+    constexpr double loadDrift = 4e-9;
+    /// Beliefs of an earlier owner are at least this unsure: they come without their covariances.
+    constexpr double inheritedVariance = 0.1;
+    /// Variance of a report around the model, in utilization: the swing of the own load, the same for some reports in
+    /// turn.
+    constexpr double reportVariance = 0.1;
     constexpr double priorBaseRatio = 0.22;
     constexpr double priorLoad = 0.42;
-    constexpr double loadWeight = 0.03;
+    constexpr double priorLoadVariance = 0.01;
     constexpr double baseWeight = 0.3;
-    /// Beyond this ratio the queue is saturated and its length says nothing about the utilization but that it is
-    /// over 1.
+    /// Beyond this ratio the queue is saturated, and its length says little of how far.
     constexpr double saturatedRatio = 2.5;
-    constexpr double saturatedUtilization = 1.1;
-    /// Changes of a share below this are noise.
-    constexpr double smallestChange = 0.01;
-    /// Less than this isn't told from the service's own load.
-    constexpr double noticeablePressure = 0.03;
+    constexpr double saturatedUtilization = 1.5;
 
 } // namespace
 
-TailModel::Factor TailModel::priorFactor() { return Factor { priorPressure, priorVariance }; }
+TailModel::Service::Service()
+    : baseRatio(priorBaseRatio)
+    , values { priorLoad }
+    , covariance { priorLoadVariance }
+{
+}
+
+size_t TailModel::Service::indexOf(const std::string& image)
+{
+    const auto found = std::find(images.begin(), images.end(), image);
+    if (found != images.end())
+        return static_cast<size_t>(found - images.begin()) + 1;
+    const size_t before = size();
+    std::vector<double> grown((before + 1) * (before + 1), 0);
+    for (size_t row = 0; row < before; ++row)
+        std::copy_n(&covariance[row * before], before, &grown[row * (before + 1)]);
+    grown.back() = priorVariance;
+    covariance = std::move(grown);
+    images.push_back(image);
+    values.push_back(priorPressure);
+    return before;
+}
 
-TailModel::Service TailModel::priorService() { return Service { priorBaseRatio, priorLoad }; }
+/// `weights`: by how much each value adds to what was seen.
+void TailModel::Service::learn(const std::vector<double>& weights, double seen, double noise)
+{
+    const size_t count = size();
+    std::vector<double> projected(count, 0);
+    for (size_t row = 0; row < count; ++row) {
+        for (size_t column = 0; column < count; ++column)
+            projected[row] += at(row, column) * weights[column];
+    }
+    const double variance = noise + std::inner_product(weights.begin(), weights.end(), projected.begin(), 0.0);
+    const double surprise = seen - std::inner_product(weights.begin(), weights.end(), values.begin(), 0.0);
+    for (size_t row = 0; row < count; ++row)
+        values[row] += projected[row] / variance * surprise;
+    for (size_t row = 0; row < count; ++row) {
+        for (size_t column = 0; column < count; ++column)
+            at(row, column) -= projected[row] * projected[column] / variance;
+        const bool isLoad = row == 0;
+        at(row, row)
+            = std::min(isLoad ? priorLoadVariance : priorVariance, at(row, row) + (isLoad ? loadDrift : factorDrift));
+    }
+}
 
 const TailModel::Service& TailModel::serviceOf(const std::string& service) const
 {
-    static const Service prior = priorService();
+    static const Service prior;
     const auto found = m_services.find(service);
     return found == m_services.end() ? prior : found->second;
 }
@@ -58,13 +99,19 @@
     return tailRatio <= base ? 0 : 1 - base / tailRatio;
 }
 
+std::optional<TailModel::Factor> TailModel::own(const Pair& pair) const
+{
+    const Service& service = serviceOf(pair.second);
+    const auto found = std::find(service.images.begin(), service.images.end(), pair.first);
+    if (found == service.images.end())
+        return std::nullopt;
+    const size_t index = static_cast<size_t>(found - service.images.begin()) + 1;
+    return Factor { service.values[index], service.at(index, index) };
+}
+
 /// Own and adopted estimates, weighted by how sure they are. All begin with the same prior, which counts once.
 TailModel::Factor TailModel::combined(const Pair& pair) const
 {
-    const auto own = m_factors.find(pair);
-    const auto told = m_adopted.find(pair);
-    if (told == m_adopted.end())
-        return own == m_factors.end() ? priorFactor() : own->second;
     double precision = 1 / priorVariance;
     double sum = priorPressure / priorVariance;
     const auto add = [&](const Factor& factor) {
@@ -74,24 +121,39 @@
         precision += gained;
         sum += factor.value / factor.variance - priorPressure / priorVariance;
     };
-    if (own != m_factors.end())
-        add(own->second);
-    for (const auto& [source, factor] : told->second)
-        add(factor);
+    if (const auto learned = own(pair))
+        add(*learned);
+    if (const auto told = m_adopted.find(pair); told != m_adopted.end()) {
+        for (const auto& [source, factor] : told->second)
+            add(factor);
+    }
     return Factor { std::clamp(sum / precision, 0.0, highestPressure), 1 / precision };
 }
 
 std::vector<TailModel::Belief> TailModel::beliefs(size_t most) const
 {
     std::vector<Belief> rows;
-    for (const auto& [pair, factor] : m_factors)
-        rows.push_back({ pair.first, pair.second, factor.value, factor.variance });
+    for (const auto& [name, service] : m_services) {
+        for (size_t index = 0; index < service.images.size(); ++index)
+            rows.push_back(
+                { service.images[index], name, service.values[index + 1], service.at(index + 1, index + 1) });
+    }
     std::sort(rows.begin(), rows.end(), [](const Belief& a, const Belief& b) { return a.variance < b.variance; });
     if (rows.size() > most)
         rows.resize(most);
     return rows;
 }
 
+void TailModel::inherit(const std::vector<Belief>& beliefs)
+{
+    for (const Belief& belief : beliefs) {
+        Service& service = m_services.try_emplace(belief.service).first->second;
+        const size_t index = service.indexOf(belief.backfill);
+        service.values[index] = belief.pressure;
+        service.at(index, index) = std::clamp(belief.variance, inheritedVariance, priorVariance);
+    }
+}
+
 void TailModel::adopt(const std::string& source, const std::vector<Belief>& beliefs)
 {
     for (const Belief& belief : beliefs) {
@@ -103,8 +165,8 @@
 
 double TailModel::pressure(const std::string& backfill, const std::string& service) const
 {
-    const double value = combined(Pair(backfill, service)).value;
-    return value < harmlessPressure ? 0 : value;
+    const Factor factor = combined(Pair(backfill, service));
+    return factor.value < harmlessPressure ? 0 : factor.value + caution * std::sqrt(factor.variance);
 }
 
 double TailModel::pressure(const std::vector<Source>& sources, const std::string& service) const
@@ -118,8 +180,8 @@
 std::set<std::string> TailModel::backfillImages() const
 {
     std::set<std::string> images;
-    for (const auto& [pair, factor] : m_factors)
-        images.insert(pair.first);
+    for (const auto& [name, service] : m_services)
+        images.insert(service.images.begin(), service.images.end());
     for (const auto& [pair, told] : m_adopted)
         images.insert(pair.first);
     return images;
@@ -129,86 +191,30 @@
 {
     std::ostringstream text;
     text << std::fixed << std::setprecision(1);
-    for (const auto& [pair, own] : m_factors) {
-        const Factor factor = combined(pair);
-        text << (text.tellp() > 0 ? "," : "") << pair.first << "/" << pair.second << ":" << factor.value;
+    for (const auto& [name, service] : m_services) {
+        text << (text.tellp() > 0 ? "," : "") << name << ":" << service.values.front();
+        for (const std::string& image : service.images)
+            text << "," << image << "/" << name << ":" << combined(Pair(image, name)).value;
     }
     return text.str();
 }
 
-double TailModel::usualLoad(const std::string& service) const { return serviceOf(service).load; }
+double TailModel::usualLoad(const std::string& service) const { return serviceOf(service).values.front(); }
 
-void TailModel::observe(const std::string& service, const Sample& sample, const Sample* previous)
+void TailModel::observe(const std::string& name, const Sample& sample)
 {
-    Service& known = m_services.try_emplace(service, priorService()).first->second;
-    if (sample.tailRatio > 0 && sample.tailRatio < known.baseRatio)
-        known.baseRatio += baseWeight * (sample.tailRatio - known.baseRatio);
-    const bool fading = previous && previous->tailRatio > spikeRatio && sample.tailRatio < previous->tailRatio;
-    if (fading)
+    Service& service = m_services.try_emplace(name).first->second;
+    if (sample.tailRatio <= 0)
         return;
-    learnLevel(service, sample);
-    if (previous)
-        learnChange(service, sample, *previous);
-}
-
-void TailModel::learnLevel(const std::string& service, const Sample& sample)
-{
-    Service& known = m_services.at(service);
-    const double seen = utilization(service, sample.tailRatio);
-    const double pressed = pressure(sample.sources, service);
-    if (pressed < noticeablePressure && seen < 1)
-        known.load += loadWeight * (seen - known.load);
-    const double expected = known.load + pressed;
-    const bool missed = sample.tailRatio > 1 && seen > expected;
-    // A saturated queue tells only that the utilization was higher than what was expected.
-    if (sample.tailRatio > saturatedRatio && expected >= saturatedUtilization)
-        return;
-    std::vector<Source> telling;
-    for (const Source& source : sample.sources) {
-        if (source.fullPace || missed)
-            telling.push_back(source);
-    }
-    if (!telling.empty())
-        learnFactors(service, seen - expected, telling, loadVariance);
-}
-
-void TailModel::learnChange(const std::string& service, const Sample& sample, const Sample& previous)
-{
-    std::map<std::string, double> changes;
+    if (sample.tailRatio < service.baseRatio)
+        service.baseRatio += baseWeight * (sample.tailRatio - service.baseRatio);
     for (const Source& source : sample.sources)
-        changes[source.image] += source.share;
-    for (const Source& source : previous.sources)
-        changes[source.image] -= source.share;
-    std::vector<Source> sources;
-    double expected = 0;
-    for (const auto& [image, change] : changes) {
-        if (std::abs(change) < smallestChange)
-            continue;
-        sources.push_back({ image, change, false });
-        expected += change * pressure(image, service);
-    }
-    if (sources.empty())
-        return;
-    const double seen = utilization(service, sample.tailRatio) - utilization(service, previous.tailRatio);
-    const bool tellsNothing = sample.tailRatio > saturatedRatio && expected >= seen;
-    if (!tellsNothing)
-        learnFactors(service, seen - expected, sources, changeVariance);
-}
-
-void TailModel::learnFactors(
-    const std::string& service, double surprise, const std::vector<Source>& sources, double noise)
-{
-    double variance = noise;
-    for (const Source& source : sources) {
-        const Factor& factor = m_factors.try_emplace(Pair(source.image, service), priorFactor()).first->second;
-        variance += factor.variance * source.share * source.share;
-    }
-    for (const Source& source : sources) {
-        Factor& factor = m_factors.at(Pair(source.image, service));
-        const double gain = factor.variance * source.share / variance;
-        factor.value = std::clamp(factor.value + gain * surprise, 0.0, highestPressure);
-        factor.variance = std::max(smallestVariance, factor.variance * (1 - gain * source.share));
-    }
+        service.indexOf(source.image);
+    std::vector<double> weights(service.size(), 0);
+    weights.front() = 1;
+    for (const Source& source : sample.sources)
+        weights[service.indexOf(source.image)] += source.share;
+    service.learn(weights, utilization(name, sample.tailRatio), reportVariance);
 }
 
 } // namespace Policy
--- a/Source/Core/Policy/TailModel.h
+++ b/Source/Core/Policy/TailModel.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,16 +12,15 @@
 namespace Policy {
 
 /// A service's tail latency grows like that of a queue: base / (1 - utilization). What backfill beside it uses of the
-/// worker's processor adds to the utilization, by a factor that depends on both images and is learned from reports.
+/// worker's processor adds to the utilization, by a factor that depends on both images and is learned from reports: by
+/// least squares over the service's own load and all images that ran beside it, so that what one of them does isn't
+/// laid to another.
 class TailModel {
 public:
     /// What backfill of one image uses of a worker's processor, 0 to 1.
     struct Source {
         std::string image;
         double share = 0;
-        /// It works at full pace. A slowed-down source follows the services' own load, which would be taken for its
-        /// effect.
-        bool fullPace = false;
     };
     /// What was learned of one pair.
     struct Belief {
@@ -30,20 +30,18 @@
         double variance = 0;
     };
 
-    /// One report of a service's task: its tail latency as a share of its target, and what ran beside it in that time.
+    /// One report of a service's task: its tail latency as a share of its target, and what ran beside it lately,
+    /// averaged over the time in which tails rise and fade.
     struct Sample {
         double tailRatio = 0;
         std::vector<Source> sources;
     };
 
-    /// `previous`: the report before of the same task, if there was one within the last seconds and no backfill was
-    /// slowed down or let on since: that follows the service's own load, which would be taken for its effect. What has
-    /// changed in between tells more than the sample alone, since each task's own load swings.
-    void observe(const std::string& service, const Sample&, const Sample* previous);
+    void observe(const std::string& service, const Sample&);
 
     /// Utilization that a tail ratio stands for, 0 to 1.
     double utilization(const std::string& service, double tailRatio) const;
-    /// What one whole processor of that backfill would add to the service's utilization.
+    /// What one whole processor of that backfill would add to the service's utilization; 0 for a harmless pair.
     double pressure(const std::string& backfill, const std::string& service) const;
     /// What the sources add together.
     double pressure(const std::vector<Source>&, const std::string& service) const;
@@ -53,6 +51,8 @@
     std::string summary() const;
     /// What this model has learned by itself, the surest first, at most that many.
     std::vector<Belief> beliefs(size_t most) const;
+    /// Goes on from what an earlier owner's model had learned.
+    void inherit(const std::vector<Belief>&);
     /// What another model has learned; replaces what it told before.
     void adopt(const std::string& source, const std::vector<Belief>&);
     /// Utilization by the service's own users, as usual.
@@ -64,22 +64,28 @@
         double value;
         double variance;
     };
+    /// Estimates of the own load and of the factor of each image, with their covariance.
+    /// Invariant: `values` has one entry more than `images`, the own load first; `covariance` is square, row by row.
     struct Service {
         /// Smallest tail ratio that is usual: that of an idle service.
         double baseRatio;
-        double load;
+        std::vector<std::string> images;
+        std::vector<double> values;
+        std::vector<double> covariance;
+
+        Service();
+        size_t size() const { return values.size(); }
+        double& at(size_t row, size_t column) { return covariance[row * size() + column]; }
+        double at(size_t row, size_t column) const { return covariance[row * size() + column]; }
+        size_t indexOf(const std::string& image);
+        void learn(const std::vector<double>& weights, double seen, double noise);
     };
     using Pair = std::pair<std::string, std::string>;
 
+    std::optional<Factor> own(const Pair&) const;
     Factor combined(const Pair&) const;
-    static Factor priorFactor();
-    static Service priorService();
     const Service& serviceOf(const std::string&) const;
-    void learnLevel(const std::string& service, const Sample&);
-    void learnChange(const std::string& service, const Sample&, const Sample& previous);
-    void learnFactors(const std::string& service, double surprise, const std::vector<Source>&, double noise);
 
-    std::map<Pair, Factor> m_factors;
     /// By pair and by who told.
     std::map<Pair, std::map<std::string, Factor>> m_adopted;
     std::map<std::string, Service> m_services;
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -434,8 +434,7 @@
     }
     world.clock.advance(2s);
     REQUIRE(world.running() == 12);
-    CellTests::RunWorker& fuller
-        = *world.workers[world.workers[0]->running() > world.workers[1]->running() ? 0 : 1];
+    CellTests::RunWorker& fuller = *world.workers[world.workers[0]->running() > world.workers[1]->running() ? 0 : 1];
     const size_t lost = fuller.running();
     REQUIRE(lost >= 5);
     fuller.crash();
@@ -482,6 +481,48 @@
     }
 }
 
+TEST_CASE("a successor learns which images disturb each other, and goes on from what was learned before")
+{
+    Fleet fleet;
+    Outcome served;
+    Jobs::JobRecord service = CellWorld::job(1, "last", 8);
+    service.spec.steps[0].longRunning = true;
+    service.spec.steps[0].maximumPerWorker = 1;
+    service.spec.steps[0].latencyTarget = 20ms;
+    service.spec.steps[0].image = "service";
+    fleet.submit(fleet.other(), service, served);
+    Outcome filled;
+    Jobs::JobRecord backfill = CellWorld::job(2, "run:60000", 4);
+    backfill.spec.steps[0].backfill = true;
+    backfill.spec.steps[0].image = "batch";
+    fleet.submit(fleet.other(), backfill, filled);
+    const auto belief = [&]() -> std::optional<Policy::TailModel::Belief> {
+        WorldHost* const owner = fleet.owner();
+        for (const auto& known :
+            owner ? owner->keeper.engines().begin()->second->beliefs(10) : std::vector<Policy::TailModel::Belief> {}) {
+            if (known.backfill == "batch" && known.service == "service")
+                return known;
+        }
+        return std::nullopt;
+    };
+    fleet.clock.advance(10s);
+    REQUIRE(belief());
+    CHECK(belief()->pressure < 0.8);
+    const double variance = belief()->variance;
+    for (WorldHost* const host : fleet.live())
+        host->process.kill();
+    for (const char* const name : { "d:1", "e:1" })
+        fleet.addHost("yard", name);
+    fleet.clock.advance(4s);
+    REQUIRE(belief());
+    CHECK(belief()->variance < 2 * variance + 0.2);
+    // Now it does disturb, and the new owner notices.
+    for (const auto& worker : fleet.workers)
+        worker->tail = worker->running() > 1 ? 60 : 8;
+    fleet.clock.advance(20s);
+    CHECK(belief()->pressure > 1);
+}
+
 TEST_CASE("after a restart of all hosts a dead worker holds others' tasks up no longer than its lease")
 {
     Fleet fleet;
--- a/Source/UnitTests/Policy/TailModelTest.cpp
+++ b/Source/UnitTests/Policy/TailModelTest.cpp
@@ -7,7 +7,6 @@
 
 #include <cmath>
 #include <map>
-#include <optional>
 #include <random>
 
 using namespace Policy;
@@ -35,7 +34,7 @@
     std::vector<TailModel::Source> sources;
     sources.reserve(runs.size());
     for (const PacedRun& run : runs)
-        sources.push_back({ run.image, run.used, run.pace == 100 });
+        sources.push_back({ run.image, run.used });
     return sources;
 }
 
@@ -46,20 +45,40 @@
     TailModel model;
     SimulatedWorker worker;
     std::mt19937_64 random(3);
-    std::optional<TailModel::Sample> previous;
     for (int report = 0; report < 60; ++report) {
         worker.load = 0.42 + 0.2 * std::sin(report / 3.0);
         std::vector<PacedRun> runs;
         if (const uint64_t kind = random() % 3; kind > 0)
             runs.push_back({ kind == 1 ? "heavy" : "mild", 0.08, 0.08, 100 });
-        const TailModel::Sample sample { worker.tail(runs), sourcesOf(runs) };
-        model.observe("service", sample, previous ? &*previous : nullptr);
-        previous = sample;
+        model.observe("service", { worker.tail(runs), sourcesOf(runs) });
     }
     CHECK(model.pressure("heavy", "service") > 2.5);
     CHECK(model.pressure("mild", "service") < 1.2);
 }
 
+TEST_CASE("what one of several images beside a service does isn't laid to the others")
+{
+    TailModel model;
+    SimulatedWorker worker;
+    worker.factors = { { "a", 0 }, { "b", 0 }, { "c", 0 }, { "heavy", 2.5 } };
+    std::mt19937_64 random(11);
+    constexpr int reports = 600;
+    for (int report = 0; report < reports; ++report) {
+        worker.load = 0.42 * (1 + 0.5 * std::sin(report * 0.31));
+        std::vector<PacedRun> runs;
+        for (const char* const image : { "a", "b", "c", "heavy" }) {
+            if (random() % 2 == 0)
+                runs.push_back({ image, 0.11, 0.11, 100 });
+        }
+        model.observe("service", { worker.tail(runs), sourcesOf(runs) });
+    }
+    CHECK(model.pressure("heavy", "service") > 1.2);
+    for (const char* const harmless : { "a", "b", "c" }) {
+        CAPTURE(harmless);
+        CHECK(model.pressure(harmless, "service") == 0);
+    }
+}
+
 TEST_CASE("with the swings of load and a disturbing image, pacing keeps the service under its target nearly always")
 {
     TailModel model;
@@ -67,7 +86,6 @@
     std::vector<PacedRun> runs { { "heavy", 0.12, 0, 100 }, { "heavy", 0.12, 0, 100 }, { "mild", 0.1, 0, 100 } };
     int over = 0;
     double mildWork = 0;
-    std::optional<TailModel::Sample> previous;
     constexpr int reports = 240;
     for (int report = 0; report < reports; ++report) {
         worker.load = 0.42 * (1 + 0.5 * std::sin(report * 0.31));
@@ -77,10 +95,8 @@
         if (report > 20)
             over += tail > 1 ? 1 : 0;
         const std::vector<PacedService> services { { "service", tail } };
-        const TailModel::Sample sample { tail, sourcesOf(runs) };
-        model.observe("service", sample, previous ? &*previous : nullptr);
-        previous = sample;
-        const auto paces = paceBackfill(model, services, runs, 0s);
+        model.observe("service", { tail, sourcesOf(runs) });
+        const auto paces = paceBackfill(model, { services, runs, sourcesOf(runs) }, 0s);
         for (size_t index = 0; index < runs.size(); ++index)
             runs[index].pace = paces[index];
         mildWork += runs[2].pace / 100.0;
@@ -94,22 +110,21 @@
     TailModel model;
     const std::vector<PacedService> services { { "service", 3.0 } };
     const std::vector<PacedRun> runs { { "unknown", 0.01, 0.01, 80 } };
-    CHECK(paceBackfill(model, services, runs, 1s).front() <= 40);
-    CHECK(paceBackfill(model, services, runs, 2s).front() == 0);
+    CHECK(paceBackfill(model, { services, runs, sourcesOf(runs) }, 1s).front() <= 40);
+    CHECK(paceBackfill(model, { services, runs, sourcesOf(runs) }, 2s).front() == 0);
 }
 
 TEST_CASE("a new run is held back by what it would press, not by its size")
 {
     TailModel model;
-    const TailModel::Sample alone { 0.38, {} };
     for (int report = 0; report < 40; ++report) {
-        model.observe("service", { 0.38, { { "mild", 0.1, true } } }, &alone);
-        model.observe("service", { 2.0, { { "heavy", 0.1, true } } }, &alone);
+        model.observe("service", { 0.38, { { "mild", 0.1 } } });
+        model.observe("service", { 2.0, { { "heavy", 0.1 } } });
     }
     const std::vector<PacedService> services { { "service", 0.38 } };
-    CHECK(paceForNewRun(model, services, {}, "mild", 0.2) > 0.9);
-    CHECK(paceForNewRun(model, services, {}, "heavy", 0.2) < 0.5);
-    CHECK(paceForNewRun(model, {}, {}, "heavy", 0.2) == 1);
+    CHECK(paceForNewRun(model, { services, {}, {} }, "mild", 0.2) > 0.9);
+    CHECK(paceForNewRun(model, { services, {}, {} }, "heavy", 0.2) < 0.5);
+    CHECK(paceForNewRun(model, {}, "heavy", 0.2) == 1);
 }
 
 TEST_CASE("beside a service near its target nothing starts that may press it, and no pace rises")
@@ -117,6 +132,6 @@
     const TailModel model;
     const std::vector<PacedService> services { { "service", 0.97 } };
     const std::vector<PacedRun> runs { { "unknown", 0.01, 0.01, 30 } };
-    CHECK(paceForNewRun(model, services, {}, "unknown", 0.01) == 0);
-    CHECK(paceBackfill(model, services, runs, 100ms).front() <= 30);
+    CHECK(paceForNewRun(model, { services, {}, {} }, "unknown", 0.01) == 0);
+    CHECK(paceBackfill(model, { services, runs, sourcesOf(runs) }, 100ms).front() <= 30);
 }
