Spread cells over hosts by what they can carry

Change: the order of owners is decided for all cells together; who has its share by weight comes after those that have less (Policy::spreadOwners). Computed once a tick.

Test: OwnerChoiceTest, 200 fleets of six hosts and three cells (with the hash alone a host is first for two of them in many).

--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -222,6 +222,7 @@
     m_ports.runtime.schedule(m_settings.tickInterval, m_lifetime.guard([this] { tick(); }));
     if (m_draining)
         return;
+    rankOwners();
     for (const CellId& cell : m_layout.cells()) {
         if (m_engines.contains(cell))
             considerHandOver(cell);
@@ -265,23 +266,36 @@
     return {};
 }
 
-std::vector<size_t> CellKeeper::rank(const CellId& cell, std::vector<Common::DaemonId>& hosts) const
+void CellKeeper::rankOwners()
 {
-    const Common::DomainId domain = m_layout.domainOf(cell);
-    std::vector<Policy::OwnerCandidate> candidates;
-    const Common::RegionId regionOfCell = regionOf(domain);
-    // The name without the boot: a host that restarts gets the same cells again.
-    const auto add = [&](const Common::DaemonId& id, const std::string& address, const Common::DomainId& hostDomain,
-                         const Common::RegionId& region, int64_t weight, bool storeAnswers) {
-        hosts.push_back(id);
-        candidates.push_back({ address, weight, hostDomain == domain, region == regionOfCell, storeAnswers });
-    };
-    add(m_settings.id, m_settings.address, m_settings.domain, m_settings.region, m_settings.weight, m_storeAnswers);
-    for (const HostBeat* const host : m_directory.live(m_ports.runtime.now())) {
+    m_ranks.clear();
+    const std::vector<const HostBeat*> live = m_directory.live(m_ports.runtime.now());
+    std::vector<Common::DaemonId> hosts { m_settings.id };
+    for (const HostBeat* const host : live) {
         if (!host->draining)
-            add(host->id, host->address, host->domain, host->region, host->weight, host->storeAnswers);
+            hosts.push_back(host->id);
+    }
+    std::vector<Policy::OwnedCandidates> cells;
+    for (const CellId& cell : m_layout.cells()) {
+        const Common::DomainId domain = m_layout.domainOf(cell);
+        const Common::RegionId regionOfCell = regionOf(domain);
+        Policy::OwnedCandidates row { cell.value(), {} };
+        // The name without the boot: a host that restarts gets the same cells again.
+        row.hosts.push_back({ m_settings.address, m_settings.weight, m_settings.domain == domain,
+            m_settings.region == regionOfCell, m_storeAnswers });
+        for (const HostBeat* const host : live) {
+            if (!host->draining)
+                row.hosts.push_back({ host->address, host->weight, host->domain == domain, host->region == regionOfCell,
+                    host->storeAnswers });
+        }
+        cells.push_back(std::move(row));
+    }
+    const std::vector<std::vector<size_t>> orders = Policy::spreadOwners(cells);
+    for (size_t index = 0; index < cells.size(); ++index) {
+        std::vector<Common::DaemonId>& ranked = m_ranks[CellId(cells[index].cell)];
+        for (const size_t host : orders[index])
+            ranked.push_back(hosts[host]);
     }
-    return Policy::rankOwners(cell.value(), candidates);
 }
 
 bool CellKeeper::ownerless(const CellId& cell) const { return liveOwner(cell) == nullptr; }
@@ -294,11 +308,8 @@
         return;
     }
     const Common::MonoTime since = m_ownerlessSince.try_emplace(cell, now).first->second;
-    std::vector<Common::DaemonId> hosts;
-    const std::vector<size_t> order = rank(cell, hosts);
-    const auto own
-        = std::find_if(order.begin(), order.end(), [&](size_t index) { return hosts[index] == m_settings.id; });
-    const auto place = own - order.begin();
+    const std::vector<Common::DaemonId>& ranked = m_ranks.at(cell);
+    const auto place = std::find(ranked.begin(), ranked.end(), m_settings.id) - ranked.begin();
     if (now - since >= place * m_settings.claimStagger)
         claim(cell);
 }
@@ -309,16 +320,15 @@
     if (m_releasing.contains(cell) || !m_engines.at(cell)->settled())
         return;
     const Common::MonoTime now = m_ports.runtime.now();
-    std::vector<Common::DaemonId> hosts;
-    const std::vector<size_t> order = rank(cell, hosts);
-    if (hosts[order.front()] == m_settings.id) {
+    const Common::DaemonId& first = m_ranks.at(cell).front();
+    if (first == m_settings.id) {
         m_betterOwnerSince.erase(cell);
         return;
     }
     const Common::MonoTime since = m_betterOwnerSince.try_emplace(cell, now).first->second;
     if (now - since < m_settings.handOverAfter || !m_releasing.empty())
         return;
-    LC_INFO(Jobs, "event=cell-hand-over cell=" << cell.value() << " to=" << hosts[order.front()].value());
+    LC_INFO(Jobs, "event=cell-hand-over cell=" << cell.value() << " to=" << first.value());
     m_betterOwnerSince.erase(cell);
     releaseCell(cell, [] {});
 }
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -85,7 +85,7 @@
     void onBeat(std::string_view text);
     void tick();
     bool ownerless(const CellId&) const;
-    std::vector<size_t> rank(const CellId&, std::vector<Common::DaemonId>& hosts) const;
+    void rankOwners();
     void considerClaim(const CellId&);
     void considerHandOver(const CellId&);
     void claim(const CellId&);
@@ -114,6 +114,8 @@
     std::map<CellId, Owner> m_owners;
     std::map<CellId, std::unique_ptr<CellEngine>> m_engines;
     std::map<CellId, Claim> m_claims;
+    /// For each cell the hosts that should own it, the best first; as of the last tick.
+    std::map<CellId, std::vector<Common::DaemonId>> m_ranks;
     /// Who owned our cells before, while that process may still live.
     std::map<CellId, CellRecord> m_formerOwners;
     /// Since when a cell has had no owner, and since when another host has been the first choice for one of ours.
--- a/Source/Core/Policy/OwnerChoice.cpp
+++ b/Source/Core/Policy/OwnerChoice.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <limits>
 #include <numeric>
+#include <utility>
 
 namespace Policy {
 
@@ -48,4 +49,29 @@
     return order;
 }
 
+std::vector<std::vector<size_t>> spreadOwners(const std::vector<OwnedCandidates>& cells)
+{
+    std::vector<std::vector<size_t>> ranks;
+    if (cells.empty())
+        return ranks;
+    const std::vector<OwnerCandidate>& hosts = cells.front().hosts;
+    const bool anyStore = std::any_of(hosts.begin(), hosts.end(), [](const auto& host) { return host.storeAnswers; });
+    const auto weightOf = [anyStore](const OwnerCandidate& host) {
+        return anyStore && !host.storeAnswers ? 0.0 : static_cast<double>(std::max<int64_t>(host.weight, 1));
+    };
+    const double total = std::accumulate(
+        hosts.begin(), hosts.end(), 0.0, [&](double sum, const OwnerCandidate& host) { return sum + weightOf(host); });
+    std::vector<double> left;
+    left.reserve(hosts.size());
+    for (const OwnerCandidate& host : hosts)
+        left.push_back(std::ceil(static_cast<double>(cells.size()) * weightOf(host) / total));
+    for (const OwnedCandidates& cell : cells) {
+        std::vector<size_t> order = rankOwners(cell.cell, cell.hosts);
+        std::stable_partition(order.begin(), order.end(), [&](size_t host) { return left[host] > 0; });
+        left[order.front()] -= 1;
+        ranks.push_back(std::move(order));
+    }
+    return ranks;
+}
+
 } // namespace Policy
--- a/Source/Core/Policy/OwnerChoice.h
+++ b/Source/Core/Policy/OwnerChoice.h
@@ -22,4 +22,15 @@
 /// cells that it gains or loses. Hosts of the cell's own domain and region go first.
 std::vector<size_t> rankOwners(std::string_view cell, const std::vector<OwnerCandidate>&);
 
+/// A cell and the hosts as they stand to it: the same hosts in the same order for each cell.
+struct OwnedCandidates {
+    std::string cell;
+    std::vector<OwnerCandidate> hosts;
+};
+
+/// The same for all cells together: the best of each cell comes first, unless it has its share of the cells before it,
+/// by what it can carry. The load it answers: a small host that chance makes the first choice for several cells, and
+/// that answers all of their callers late.
+std::vector<std::vector<size_t>> spreadOwners(const std::vector<OwnedCandidates>&);
+
 } // namespace Policy
--- /dev/null
+++ b/Source/UnitTests/Policy/OwnerChoiceTest.cpp
@@ -0,0 +1,81 @@
+// Owners of cells: near ones first, and no small host with more than its share.
+#include "Policy/OwnerChoice.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace Policy;
+
+namespace {
+
+/// Three domains with two hosts each, and a cell in each domain; `salt` changes where chance puts them.
+std::vector<OwnedCandidates> smallFleet(int salt)
+{
+    const std::vector<std::string> domains { "yard", "shed", "loft" };
+    std::vector<OwnedCandidates> cells;
+    for (const std::string& domain : domains) {
+        OwnedCandidates row { domain + "-0", {} };
+        for (int host = 0; host < 6; ++host)
+            row.hosts.push_back({ "10.0." + std::to_string(salt) + "." + std::to_string(host) + ":7000", 100,
+                domains[static_cast<size_t>(host) / 2] == domain, true, true });
+        cells.push_back(std::move(row));
+    }
+    return cells;
+}
+
+} // namespace
+
+TEST_CASE("no host is the first choice for two cells while others have none")
+{
+    for (int salt = 0; salt < 200; ++salt) {
+        CAPTURE(salt);
+        std::map<size_t, int> owned;
+        for (const std::vector<size_t>& order : spreadOwners(smallFleet(salt)))
+            CHECK(++owned[order.front()] == 1);
+    }
+}
+
+TEST_CASE("shares follow what hosts can carry, and hosts that the store turns away get none")
+{
+    std::vector<OwnedCandidates> cells;
+    for (int cell = 0; cell < 12; ++cell) {
+        OwnedCandidates row { "cell-" + std::to_string(cell), {} };
+        row.hosts.push_back({ "small:1", 100, true, true, true });
+        row.hosts.push_back({ "large:1", 500, true, true, true });
+        row.hosts.push_back({ "away:1", 500, true, true, false });
+        cells.push_back(std::move(row));
+    }
+    std::map<size_t, int> owned;
+    for (const std::vector<size_t>& order : spreadOwners(cells)) {
+        CHECK(order.size() == 3);
+        ++owned[order.front()];
+    }
+    CHECK(owned[0] <= 2);
+    CHECK(owned[1] >= 10);
+    CHECK(owned[2] == 0);
+    for (OwnedCandidates& cell : cells) {
+        for (OwnerCandidate& host : cell.hosts)
+            host.storeAnswers = false;
+    }
+    CHECK(spreadOwners(cells).size() == cells.size());
+}
+
+TEST_CASE("a host that goes moves few cells of the others")
+{
+    std::vector<OwnedCandidates> cells;
+    for (int cell = 0; cell < 40; ++cell) {
+        OwnedCandidates row { "cell-" + std::to_string(cell), {} };
+        for (int host = 0; host < 10; ++host)
+            row.hosts.push_back({ "host" + std::to_string(host) + ":1", 100, true, true, true });
+        cells.push_back(std::move(row));
+    }
+    const auto before = spreadOwners(cells);
+    for (OwnedCandidates& cell : cells)
+        cell.hosts.pop_back();
+    const auto after = spreadOwners(cells);
+    int moved = 0;
+    for (size_t cell = 0; cell < cells.size(); ++cell)
+        moved += before[cell].front() != 9 && before[cell].front() != after[cell].front() ? 1 : 0;
+    CHECK(moved <= 10);
+}
