Give tasks of a job away one gift at a time

While the store is away for over a second after a worker's lease has passed, a service's tasks are offered to two cells in turn; the second gift replaced the first, whose tasks were let go of and never arrived.

Change: no second gift of a job while one is under way.

--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -50,8 +50,9 @@
     /// The job has changed and somebody waits. `done` is called when the change is durable, or with the failure.
     void changedUrgently(const Common::JobId&, Common::Callback<Common::Done> done);
     /// The job has given tasks to another cell: its own record and the gift are written together. False: there is
-    /// another gift under that key, and nothing was written.
+    /// another gift under that key, and nothing was written. One gift of a job at a time: its record lets go of all.
     void giveAway(const Common::JobId&, std::string key, std::string text, Common::Callback<bool> done);
+    bool giving(const Common::JobId& job) const { return m_gifts.contains(job); }
     /// The job has taken over what lies under the key: its own record is written and the gift removed, together.
     void received(const Common::JobId&, std::string key);
     /// Removes the record of a job that nobody asks for any more; `place`: also that of its place.
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -319,6 +319,7 @@
 void CellEngine::finishJob(LiveJob& job, Jobs::JobPhase phase, Common::Callback<Common::Done> callback)
 {
     job.finish(phase, m_runtime.wallMilliseconds());
+    m_blockedSince.erase(job.id());
     stopRunsOf(job.id());
     tellParts(job);
     m_committer.changedUrgently(job.id(), std::move(callback));
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -152,7 +152,8 @@
 {
     const Common::MonoTime now = m_runtime.now();
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    if (!spec.longRunning)
+    // Occurrences of a scheduled job come due in each cell that has the job.
+    if (!spec.longRunning || job.spec().scheduled() || m_committer.giving(job.id()))
         return;
     const Common::MonoTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
     if (now - since >= giveAwayAfter * (1 << std::min(job.giftsMade(), mostDoublings))) {
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -445,6 +445,36 @@
     CHECK(world.judge.summary() == "");
 }
 
+TEST_CASE("tasks that are given to two cells while the store is away all get there")
+{
+    CellWorld world(6);
+    world.addWorkers("yard", 1, 4000);
+    world.addWorkers("shed", 1, 2000);
+    world.addWorkers("barn", 1, 2000);
+    for (const char* const domain : { "yard", "shed", "barn" })
+        world.addHost(domain, std::string(domain) + ":1");
+    world.clock.advance(8s);
+    Outcome outcome;
+    Jobs::JobRecord watch = CellWorld::job(1, "last", 3);
+    watch.spec.steps[0].longRunning = true;
+    watch.spec.steps[0].request.milliCores = 1100;
+    world.submit(*world.hosts[0], watch, outcome);
+    world.clock.advance(2s);
+    REQUIRE(world.workers[0]->running() == 3);
+    world.workers[0]->crash();
+    world.clock.advance(3500ms);
+    // The lease passes at 6 s; each of the other cells has room for one task then, and a third stays.
+    world.store.down = true;
+    world.clock.advance(8500ms);
+    world.store.down = false;
+    world.clock.advance(8s);
+    CHECK(world.running() == 2);
+    world.workers[0]->restart();
+    world.clock.advance(4s);
+    CHECK(world.running() == 3);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("a cancellation reaches tasks that are on their way to another cell")
 {
     for (uint64_t seed = 1; seed <= 12; ++seed) {
