Write the common set-up of process tests and of services once

Cause: planned_stop_test.py, kill_test.py and outage_test.py had the same set-up by copy, nine cases of CellWorldTest built the same service and two the same cancellation.

Change: FleetTest in fixtures.py; CellWorld::service and CellWorld::cancel. The checks are the same ones.

--- a/Source/UnitTests/Cells/CellScheduleTest.cpp
+++ b/Source/UnitTests/Cells/CellScheduleTest.cpp
@@ -57,10 +57,9 @@
     }
     void submitService(uint32_t tasks)
     {
-        Jobs::JobRecord service = job(++jobs, "last", tasks);
-        service.spec.steps[0].longRunning = true;
+        ++jobs;
         if (WorldHost* const host = anyHost())
-            submit(*host, service, outcomes[jobs]);
+            submit(*host, service(jobs, tasks), outcomes[jobs]);
     }
     /// A worker dies, and the store is away when its lease has passed and its tasks look for room.
     void killWorkerBeforeOutage()
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -228,6 +228,22 @@
         }
         return record;
     }
+    /// Long-running tasks of a thousand millicores.
+    static Jobs::JobRecord service(uint64_t number, uint32_t tasks)
+    {
+        Jobs::JobRecord record = job(number, "last", tasks);
+        record.spec.steps[0].longRunning = true;
+        return record;
+    }
+    /// Whether the cancellation was durable within two seconds.
+    bool cancel(uint64_t number)
+    {
+        bool cancelled = false;
+        live().front()->front.cancel(jobId(number), std::chrono::seconds(2),
+            [&cancelled](const Common::Result<Common::Done>& done) { cancelled = done.hasValue(); });
+        clock.advance(std::chrono::seconds(2));
+        return cancelled;
+    }
     /// Submits at a host; the outcome is written where `outcome` points.
     void submit(WorldHost& host, Jobs::JobRecord record, std::optional<Common::Result<Common::Done>>& outcome)
     {
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -291,9 +291,7 @@
 {
     Fleet fleet;
     Outcome outcome;
-    Jobs::JobRecord watch = CellWorld::job(1, "last", 6);
-    watch.spec.steps[0].longRunning = true;
-    fleet.submit(fleet.other(), watch, outcome);
+    fleet.submit(fleet.other(), CellWorld::service(1, 6), outcome);
     fleet.clock.advance(2s);
     REQUIRE(fleet.judge.starts == 6);
     fleet.workers[0]->restart();
@@ -349,9 +347,7 @@
         world.addHost(name[0] == 'a' ? "yard" : "shed", name);
     world.clock.advance(8s);
     Outcome outcome;
-    Jobs::JobRecord watch = CellWorld::job(1, "last", 12);
-    watch.spec.steps[0].longRunning = true;
-    world.submit(*world.hosts[0], watch, outcome);
+    world.submit(*world.hosts[0], CellWorld::service(1, 12), outcome);
     world.clock.advance(3s);
     CHECK(world.running() == 12);
     // A takeover of both cells keeps the tasks where they are.
@@ -360,12 +356,7 @@
     world.clock.advance(6s);
     CHECK(world.running() == 12);
     CHECK(world.judge.starts == 12);
-    std::optional<Common::Result<Common::Done>> cancelled;
-    world.live().front()->front.cancel(
-        CellWorld::jobId(1), 2s, [&](const Common::Result<Common::Done>& done) { cancelled = done; });
-    world.clock.advance(2s);
-    REQUIRE(cancelled);
-    CHECK(cancelled->hasValue());
+    CHECK(world.cancel(1));
     CHECK(world.running() == 0);
     CHECK(world.judge.summary() == "");
 }
@@ -379,9 +370,7 @@
         world.addHost(domain, std::string(domain) + ":1");
     world.clock.advance(8s);
     Outcome outcome;
-    Jobs::JobRecord watch = CellWorld::job(1, "last", 6);
-    watch.spec.steps[0].longRunning = true;
-    world.submit(*world.hosts[0], watch, outcome);
+    world.submit(*world.hosts[0], CellWorld::service(1, 6), outcome);
     world.clock.advance(3s);
     REQUIRE(world.running() == 6);
     const auto holding = [&](size_t tasks) {
@@ -408,12 +397,7 @@
         world.restart(index);
     world.clock.advance(6s);
     CHECK(world.running() == 6);
-    Outcome cancelled;
-    world.live().front()->front.cancel(
-        CellWorld::jobId(1), 2s, [&](const Common::Result<Common::Done>& done) { cancelled = done; });
-    world.clock.advance(2s);
-    REQUIRE(cancelled);
-    CHECK(cancelled->hasValue());
+    CHECK(world.cancel(1));
     CHECK(world.running() == 0);
     CHECK(world.judge.summary() == "");
 }
@@ -428,9 +412,7 @@
     world.clock.advance(8s);
     std::vector<Outcome> outcomes(12);
     for (size_t number = 0; number < outcomes.size(); ++number) {
-        Jobs::JobRecord watch = CellWorld::job(number + 1, "last", 1);
-        watch.spec.steps[0].longRunning = true;
-        world.submit(*world.hosts[0], watch, outcomes[number]);
+        world.submit(*world.hosts[0], CellWorld::service(number + 1, 1), outcomes[number]);
     }
     world.clock.advance(2s);
     REQUIRE(world.running() == 12);
@@ -455,8 +437,7 @@
         world.addHost(domain, std::string(domain) + ":1");
     world.clock.advance(8s);
     Outcome outcome;
-    Jobs::JobRecord watch = CellWorld::job(1, "last", 3);
-    watch.spec.steps[0].longRunning = true;
+    Jobs::JobRecord watch = CellWorld::service(1, 3);
     watch.spec.steps[0].request.milliCores = 1100;
     world.submit(*world.hosts[0], watch, outcome);
     world.clock.advance(2s);
@@ -486,9 +467,7 @@
         }
         world.clock.advance(8s);
         Outcome outcome;
-        Jobs::JobRecord watch = CellWorld::job(1, "last", 6);
-        watch.spec.steps[0].longRunning = true;
-        world.submit(*world.hosts[0], watch, outcome);
+        world.submit(*world.hosts[0], CellWorld::service(1, 6), outcome);
         while (world.store.countWithPrefix("lavendercart/job/") < 2)
             world.clock.advance(1ms);
         world.network.cut("yard:1", "shed:1");
@@ -515,8 +494,7 @@
 {
     Fleet fleet;
     Outcome served;
-    Jobs::JobRecord service = CellWorld::job(1, "last", 8);
-    service.spec.steps[0].longRunning = true;
+    Jobs::JobRecord service = CellWorld::service(1, 8);
     service.spec.steps[0].maximumPerWorker = 1;
     service.spec.steps[0].latencyTarget = 20ms;
     service.spec.steps[0].image = "service";
@@ -557,9 +535,7 @@
 {
     Fleet fleet;
     Outcome outcome;
-    Jobs::JobRecord watch = CellWorld::job(1, "last", 8);
-    watch.spec.steps[0].longRunning = true;
-    fleet.submit(fleet.other(), watch, outcome);
+    fleet.submit(fleet.other(), CellWorld::service(1, 8), outcome);
     fleet.clock.advance(2s);
     REQUIRE(fleet.judge.starts == 8);
     for (const auto& host : fleet.hosts)
@@ -593,9 +569,7 @@
 {
     Fleet fleet;
     Outcome outcome;
-    Jobs::JobRecord watch = CellWorld::job(1, "last", 4);
-    watch.spec.steps[0].longRunning = true;
-    fleet.submit(fleet.other(), watch, outcome);
+    fleet.submit(fleet.other(), CellWorld::service(1, 4), outcome);
     fleet.clock.advance(2s);
     const auto idle = std::find_if(
         fleet.workers.begin(), fleet.workers.end(), [](const auto& worker) { return worker->running() == 0; });
--- a/Source/UnitTests/Process/fixtures.py
+++ b/Source/UnitTests/Process/fixtures.py
@@ -3,6 +3,7 @@
 import pathlib
 import sys
 import threading
+import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.insert(0, str(ROOT / "Tools"))
@@ -34,6 +35,23 @@
     return body
 
 
+class FleetTest(unittest.TestCase):
+    """A fleet of its own for each case: two daemons and two workers a domain, configured, all workers owned."""
+
+    def setUp(self):
+        self.fleet = fleets.Fleet(daemons_per_domain=2, workers_per_domain=2)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.close)
+        self.fleet.apply_config(CONFIG)
+        self.fleet.wait_all_owned()
+
+    def assert_promises(self):
+        self.assertEqual(judge.faults(self.fleet), [])
+
+    def owner_with_workers(self):
+        return next(d for d in self.fleet.daemons.values() if d.alive and d.owned_workers())
+
+
 class Load:
     """Callers in threads, each with its own ids; keeps every reply. Stops when told, joins all threads."""
 
--- a/Source/UnitTests/Process/kill_test.py
+++ b/Source/UnitTests/Process/kill_test.py
@@ -2,23 +2,10 @@
 
 import unittest
 
-from fixtures import CONFIG, Load, fleets, job, judge, submit_until_accepted, wait_jobs_ended
+from fixtures import FleetTest, Load, fleets, job, judge, submit_until_accepted, wait_jobs_ended
 
 
-class KillTest(unittest.TestCase):
-    def setUp(self):
-        self.fleet = fleets.Fleet(daemons_per_domain=2, workers_per_domain=2)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.close)
-        self.fleet.apply_config(CONFIG)
-        self.fleet.wait_all_owned()
-
-    def assert_promises(self):
-        self.assertEqual(judge.faults(self.fleet), [])
-
-    def owner_with_workers(self):
-        return next(d for d in self.fleet.daemons.values() if d.alive and d.owned_workers())
-
+class KillTest(FleetTest):
     def test_killed_daemon_loses_no_job_and_doubles_none(self):
         ids = [submit_until_accepted(self.fleet, job(f"plan-{i}", run_ms=1500)) for i in range(24)]
         with Load(self.fleet, "previews") as previews, Load(self.fleet, "orders", callers=4) as orders:
--- a/Source/UnitTests/Process/outage_test.py
+++ b/Source/UnitTests/Process/outage_test.py
@@ -2,17 +2,10 @@
 
 import unittest
 
-from fixtures import CONFIG, Load, fleets, job, judge, submit_until_accepted, wait_jobs_ended
+from fixtures import FleetTest, Load, fleets, job, judge, submit_until_accepted, wait_jobs_ended
 
 
-class OutageTest(unittest.TestCase):
-    def setUp(self):
-        self.fleet = fleets.Fleet(daemons_per_domain=2, workers_per_domain=2)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.close)
-        self.fleet.apply_config(CONFIG)
-        self.fleet.wait_all_owned()
-
+class OutageTest(FleetTest):
     def test_store_down_and_a_daemon_killed_meanwhile(self):
         ids = [submit_until_accepted(self.fleet, job(f"plan-{i}", run_ms=4000)) for i in range(12)]
         self.fleet.store.faults(down=True)
--- a/Source/UnitTests/Process/planned_stop_test.py
+++ b/Source/UnitTests/Process/planned_stop_test.py
@@ -3,23 +3,10 @@
 import signal
 import unittest
 
-from fixtures import CONFIG, Load, fleets, job, judge, submit_until_accepted, wait_jobs_ended
+from fixtures import FleetTest, Load, fleets, job, judge, submit_until_accepted, wait_jobs_ended
 
 
-class PlannedStopTest(unittest.TestCase):
-    def setUp(self):
-        self.fleet = fleets.Fleet(daemons_per_domain=2, workers_per_domain=2)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.close)
-        self.fleet.apply_config(CONFIG)
-        self.fleet.wait_all_owned()
-
-    def assert_promises(self):
-        self.assertEqual(judge.faults(self.fleet), [])
-
-    def owner_with_workers(self):
-        return next(d for d in self.fleet.daemons.values() if d.alive and d.owned_workers())
-
+class PlannedStopTest(FleetTest):
     def test_planned_stop_cuts_no_request_short(self):
         ids = [submit_until_accepted(self.fleet, job(f"plan-{i}", run_ms=2000)) for i in range(12)]
         victim = self.owner_with_workers()
