Refuse a request that comes back from where it was passed on

Change: a request that was passed on, of an id that this daemon has passed on itself, is answered "not run" with a time to come back, so that the daemon that holds the intent goes on looking. Callers' repeats join as before.

--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -109,6 +109,12 @@
         callback(NotRun { { ErrorCode::DuplicateId, "the request id is in use for another service" } });
         return true;
     }
+    // It came back from where this daemon had passed it on, and would wait for itself.
+    if (request.hops > 0 && known->second->stage == Stage::Forwarded) {
+        callback(
+            NotRun { { ErrorCode::NoWorker, "this daemon has passed the request on itself", m_settings.retryAfter } });
+        return true;
+    }
     known->second->waiters.push_back(std::move(callback));
     return true;
 }
--- a/Source/UnitTests/Dispatch/RequestServiceTest.cpp
+++ b/Source/UnitTests/Dispatch/RequestServiceTest.cpp
@@ -293,6 +293,29 @@
     CHECK(world.peers.forwards[0].request.hops == 1);
 }
 
+TEST_CASE("a request that comes back from where it was passed on doesn't wait for itself")
+{
+    RequestWorld world(1, 0);
+    Scheduler::PeerInfo other;
+    other.id = Common::DaemonId("d2");
+    other.address = "d2";
+    other.totalSlots = 8;
+    world.members.seePeers({ other });
+    world.submit("previews", "p");
+    REQUIRE(world.peers.forwards.size() == 1);
+    Dispatch::IncomingRequest back = world.peers.forwards[0].request;
+    std::optional<Dispatch::RequestOutcome> heard;
+    ++back.hops;
+    world.requests.submit(back, [&heard](const Dispatch::RequestOutcome& outcome) { heard = outcome; });
+    REQUIRE(heard);
+    REQUIRE(std::holds_alternative<Dispatch::NotRun>(*heard));
+    CHECK(std::get<Dispatch::NotRun>(*heard).reason.retryAfter);
+    // The caller's own copy still ends with what the other daemon answers.
+    CHECK(world.outcomes.empty());
+    world.submit("previews", "p");
+    CHECK(world.peers.forwards.size() == 1);
+}
+
 TEST_CASE("the bodies kept are bounded, whatever the callers do")
 {
     RequestWorld world(1, 1);
