Name what shares a worker, and keep one class a header

Cause: reading the change as a newcomer: `Company` and `OwnedCandidates` don't say what they hold, OwnerChoice.h and BackfillPace.h held two classes each, and rankOwners() was public with spreadOwners() as its only caller.

Change: Colocation, CellCandidates; a header each for these, OwnerCandidate and PacedService; rankOwners() is internal.

Measured: no behaviour is changed; PolicyTests and CellsTests pass.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -748,9 +748,9 @@
 void CellEngine::paceBackfill(CellWorker& worker)
 {
     const Common::MonoTime now = m_runtime.now();
-    const Policy::Company company = worker.company();
+    const Policy::Colocation colocation = worker.colocation();
     const double limit = worker.overTargetSince ? Policy::relievedTail : Policy::crowdedTail;
-    const bool over = std::any_of(company.services.begin(), company.services.end(),
+    const bool over = std::any_of(colocation.services.begin(), colocation.services.end(),
         [limit](const Policy::PacedService& service) { return service.tailRatio > limit; });
     if (!over)
         worker.overTargetSince.reset();
@@ -759,7 +759,7 @@
     if (worker.backfillMilliCores() == 0)
         return;
     const std::vector<uint32_t> paces = Policy::paceBackfill(
-        m_tails, company, worker.overTargetSince ? now - *worker.overTargetSince : Common::Duration::zero());
+        m_tails, colocation, worker.overTargetSince ? now - *worker.overTargetSince : Common::Duration::zero());
     std::vector<std::pair<RunKey, uint32_t>> changes;
     size_t index = 0;
     for (const auto& [run, occupant] : worker.occupants()) {
@@ -773,7 +773,7 @@
         return;
     LC_INFO(Worker,
         "event=backfill-paced worker=" << worker.id().value() << " runs=" << changes.size()
-                                       << " of=" << company.runs.size() << " first=" << changes.front().second
+                                       << " of=" << colocation.runs.size() << " first=" << changes.front().second
                                        << " over-target=" << over);
     for (const auto& [run, pace] : changes)
         m_workers.pace(worker, run, pace);
@@ -814,7 +814,7 @@
         for (const auto& [id, worker] : m_workers.all()) {
             if (!worker->listed || worker->entry().draining || !worker->reachable)
                 continue;
-            const double pace = Policy::paceForNewRun(m_tails, worker->company(), image, usualBackfillShare);
+            const double pace = Policy::paceForNewRun(m_tails, worker->colocation(), image, usualBackfillShare);
             const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
             room += pace >= goodPace ? std::max<int64_t>(unused, 0) : 0;
         }
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -265,7 +265,7 @@
     if (spec.backfill) {
         const double demand = static_cast<double>(spec.request.milliCores)
             / static_cast<double>(std::max<int64_t>(entry.capacity.milliCores, 1));
-        offer.backfillPace = Policy::paceForNewRun(m_tails, worker.company(), spec.image, demand);
+        offer.backfillPace = Policy::paceForNewRun(m_tails, worker.colocation(), spec.image, demand);
     } else if (spec.longRunning && spec.latencyTarget > Common::Duration::zero()) {
         offer.sameImage = worker.shareOfImage(spec.image);
     }
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -275,11 +275,11 @@
         if (!host->draining)
             hosts.push_back(host->id);
     }
-    std::vector<Policy::OwnedCandidates> cells;
+    std::vector<Policy::CellCandidates> cells;
     for (const CellId& cell : m_layout.cells()) {
         const Common::DomainId domain = m_layout.domainOf(cell);
         const Common::RegionId regionOfCell = regionOf(domain);
-        Policy::OwnedCandidates row { cell.value(), {} };
+        Policy::CellCandidates row { cell.value(), {} };
         // The name without the boot: a host that restarts gets the same cells again.
         row.hosts.push_back({ m_settings.address, m_settings.weight, m_settings.domain == domain,
             m_settings.region == regionOfCell, m_storeAnswers });
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -46,7 +46,7 @@
     std::vector<Policy::PacedService> services() const;
     std::vector<Policy::PacedRun> backfillRuns() const;
     /// The services' tasks and the backfill runs there, as their pace is decided by.
-    Policy::Company company() const { return { services(), backfillRuns(), lately.sources() }; }
+    Policy::Colocation colocation() const { return { services(), backfillRuns(), lately.sources() }; }
     bool serves() const;
     /// Adds what services hold, by image, in thousandths of a core.
     void addServing(std::map<std::string, int64_t>&) const;
--- a/Source/Core/Policy/BackfillPace.cpp
+++ b/Source/Core/Policy/BackfillPace.cpp
@@ -58,9 +58,9 @@
     return std::max(seen - model.pressure(lately, service.image), usual / 2);
 }
 
-std::vector<uint32_t> paceBackfill(const TailModel& model, const Company& company, Common::Duration overTargetFor)
+std::vector<uint32_t> paceBackfill(const TailModel& model, const Colocation& colocation, Common::Duration overTargetFor)
 {
-    const auto& [services, runs, lately] = company;
+    const auto& [services, runs, lately] = colocation;
     std::vector<double> paces(runs.size(), 1);
     for (size_t pass = 0; pass < passes; ++pass) {
         for (const PacedService& service : services)
@@ -73,7 +73,7 @@
         percent = std::min(percent, runs[index].pace + (crowded ? 0 : riseStep));
         const std::string& image = runs[index].image;
         const bool suspect
-            = std::any_of(company.services.begin(), company.services.end(), [&](const PacedService& service) {
+            = std::any_of(colocation.services.begin(), colocation.services.end(), [&](const PacedService& service) {
                   return service.tailRatio > crowdedTail && model.pressure(image, service.image) > 0;
               });
         if (overTargetFor >= allPausedAfter || (suspect && overTargetFor >= pausedAfter))
@@ -85,14 +85,14 @@
     return percents;
 }
 
-double paceForNewRun(const TailModel& model, const Company& company, const std::string& image, double demand)
+double paceForNewRun(const TailModel& model, const Colocation& colocation, const std::string& image, double demand)
 {
     double pace = 1;
-    for (const PacedService& service : company.services) {
+    for (const PacedService& service : colocation.services) {
         double pressed = 0;
-        for (const PacedRun& run : company.runs)
+        for (const PacedRun& run : colocation.runs)
             pressed += model.pressure(run.image, service.image) * run.demand * run.pace / fullPace;
-        const double load = std::max(ownLoad(model, service, company.lately), model.usualLoad(service.image));
+        const double load = std::max(ownLoad(model, service, colocation.lately), model.usualLoad(service.image));
         const double bearable = newRunShare * (pressedUtilization - load) - pressed;
         const double added = model.pressure(image, service.image) * demand;
         if (added > 0 && service.tailRatio > crowdedTail)
--- a/Source/Core/Policy/BackfillPace.h
+++ b/Source/Core/Policy/BackfillPace.h
@@ -3,7 +3,8 @@
 #pragma once
 
 #include "Common/Units.h"
-#include "Policy/PacedRun.h"
+#include "Policy/Colocation.h"
+#include "Policy/PacedService.h"
 #include "Policy/TailModel.h"
 
 #include <cstdint>
@@ -12,13 +13,6 @@
 
 namespace Policy {
 
-/// A service's task on the worker.
-struct PacedService {
-    std::string image;
-    /// Last reported tail latency over its target; negative: not reported yet.
-    double tailRatio = -1;
-};
-
 /// Utilization up to which backfill may press a service: its tail is then at some 70 % of the target. The rest is for
 /// the swings of its load until the next report.
 constexpr double pressedUtilization = 0.69;
@@ -28,23 +22,15 @@
 /// It counts so until its tail latency is below this share.
 constexpr double relievedTail = 0.85;
 
-/// What runs beside a worker's services.
-struct Company {
-    std::vector<PacedService> services;
-    std::vector<PacedRun> runs;
-    /// What backfill has used lately, see SmoothedShares: the cause of the reported tails.
-    std::vector<TailModel::Source> lately;
-};
-
 /// Utilization by the task's own users, as far as the last report tells.
 double ownLoad(const TailModel&, const PacedService&, const std::vector<TailModel::Source>& lately);
 
 /// The paces, in percent, at which no service is pressed too far: runs that press a service more are slowed down more.
 /// `overTargetFor`: how long some service on the worker has counted as over its target; when the model has it
 /// wrong all runs are slowed down, and paused before the disturbance lasts.
-std::vector<uint32_t> paceBackfill(const TailModel&, const Company&, Common::Duration overTargetFor);
+std::vector<uint32_t> paceBackfill(const TailModel&, const Colocation&, Common::Duration overTargetFor);
 
 /// The pace, 0 to 1, at which one more run would press no service too far.
-double paceForNewRun(const TailModel&, const Company&, const std::string& image, double demand);
+double paceForNewRun(const TailModel&, const Colocation&, const std::string& image, double demand);
 
 } // namespace Policy
--- a/Source/Core/Policy/OwnerChoice.cpp
+++ b/Source/Core/Policy/OwnerChoice.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <limits>
 #include <numeric>
+#include <string_view>
 #include <utility>
 
 namespace Policy {
@@ -33,23 +34,24 @@
         return -weight / std::log(uniform);
     }
 
-} // namespace
+    /// Each cell by itself, the best first.
+    std::vector<size_t> rankOwners(std::string_view cell, const std::vector<OwnerCandidate>& candidates)
+    {
+        std::vector<double> scores;
+        scores.reserve(candidates.size());
+        for (const OwnerCandidate& candidate : candidates)
+            scores.push_back(score(cell, candidate));
+        std::vector<size_t> order(candidates.size());
+        std::iota(order.begin(), order.end(), size_t { 0 });
+        std::sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+            return scores[a] != scores[b] ? scores[a] > scores[b] : candidates[a].host < candidates[b].host;
+        });
+        return order;
+    }
 
-std::vector<size_t> rankOwners(std::string_view cell, const std::vector<OwnerCandidate>& candidates)
-{
-    std::vector<double> scores;
-    scores.reserve(candidates.size());
-    for (const OwnerCandidate& candidate : candidates)
-        scores.push_back(score(cell, candidate));
-    std::vector<size_t> order(candidates.size());
-    std::iota(order.begin(), order.end(), size_t { 0 });
-    std::sort(order.begin(), order.end(), [&](size_t a, size_t b) {
-        return scores[a] != scores[b] ? scores[a] > scores[b] : candidates[a].host < candidates[b].host;
-    });
-    return order;
-}
+} // namespace
 
-std::vector<std::vector<size_t>> spreadOwners(const std::vector<OwnedCandidates>& cells)
+std::vector<std::vector<size_t>> spreadOwners(const std::vector<CellCandidates>& cells)
 {
     std::vector<std::vector<size_t>> ranks;
     if (cells.empty())
@@ -65,7 +67,7 @@
     left.reserve(hosts.size());
     for (const OwnerCandidate& host : hosts)
         left.push_back(std::ceil(static_cast<double>(cells.size()) * weightOf(host) / total));
-    for (const OwnedCandidates& cell : cells) {
+    for (const CellCandidates& cell : cells) {
         std::vector<size_t> order = rankOwners(cell.cell, cell.hosts);
         std::stable_partition(order.begin(), order.end(), [&](size_t host) { return left[host] > 0; });
         left[order.front()] -= 1;
--- a/Source/UnitTests/Policy/OwnerChoiceTest.cpp
+++ b/Source/UnitTests/Policy/OwnerChoiceTest.cpp
@@ -10,12 +10,12 @@
 namespace {
 
 /// Three domains with two hosts each, and a cell in each domain; `salt` changes where chance puts them.
-std::vector<OwnedCandidates> smallFleet(int salt)
+std::vector<CellCandidates> smallFleet(int salt)
 {
     const std::vector<std::string> domains { "yard", "shed", "loft" };
-    std::vector<OwnedCandidates> cells;
+    std::vector<CellCandidates> cells;
     for (const std::string& domain : domains) {
-        OwnedCandidates row { domain + "-0", {} };
+        CellCandidates row { domain + "-0", {} };
         for (int host = 0; host < 6; ++host)
             row.hosts.push_back({ "10.0." + std::to_string(salt) + "." + std::to_string(host) + ":7000", 100,
                 domains[static_cast<size_t>(host) / 2] == domain, true, true });
@@ -40,9 +40,9 @@
 {
     for (int salt = 0; salt < 100; ++salt) {
         CAPTURE(salt);
-        std::vector<OwnedCandidates> cells;
+        std::vector<CellCandidates> cells;
         for (int cell = 0; cell < 12; ++cell) {
-            OwnedCandidates row { "cell-" + std::to_string(salt) + "-" + std::to_string(cell), {} };
+            CellCandidates row { "cell-" + std::to_string(salt) + "-" + std::to_string(cell), {} };
             row.hosts.push_back({ "small:1", 100, true, true, true });
             row.hosts.push_back({ "large:1", 500, true, true, true });
             row.hosts.push_back({ "away:1", 500, true, true, false });
@@ -55,7 +55,7 @@
         CHECK(owned[1] >= 10);
         CHECK(owned[2] == 0);
         // Nobody is served by the store: the shares go by what they can carry.
-        for (OwnedCandidates& cell : cells) {
+        for (CellCandidates& cell : cells) {
             for (OwnerCandidate& host : cell.hosts)
                 host.storeAnswers = false;
         }
@@ -70,15 +70,15 @@
 
 TEST_CASE("a host that goes moves few cells of the others")
 {
-    std::vector<OwnedCandidates> cells;
+    std::vector<CellCandidates> cells;
     for (int cell = 0; cell < 40; ++cell) {
-        OwnedCandidates row { "cell-" + std::to_string(cell), {} };
+        CellCandidates row { "cell-" + std::to_string(cell), {} };
         for (int host = 0; host < 10; ++host)
             row.hosts.push_back({ "host" + std::to_string(host) + ":1", 100, true, true, true });
         cells.push_back(std::move(row));
     }
     const auto before = spreadOwners(cells);
-    for (OwnedCandidates& cell : cells)
+    for (CellCandidates& cell : cells)
         cell.hosts.pop_back();
     const auto after = spreadOwners(cells);
     int moved = 0;
