Don't take a pause shorter than one run for a standstill

A queue that had waited for 50 ms told its rate, before any run of 150 ms could have ended.

Change: while nothing has left a waiting queue, the rate is that of a dispatch that comes now: 1 over the time since the last one. So a pause counts for more the longer it lasts, and a standstill still refuses.

Ruled out: a longer shortest measure (the same fault with longer runs); no rate until the first dispatch (a queue that nothing leaves would take everybody in until their deadlines).

Measured: AdmissionQueueTest plays both loads; the first case failed before (four admissions refused).

--- a/Source/Core/Policy/DrainRate.cpp
+++ b/Source/Core/Policy/DrainRate.cpp
@@ -1,6 +1,7 @@
 // The decaying counts behind the drain rate.
 #include "Policy/DrainRate.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace Policy {
@@ -27,8 +28,10 @@
 {
     advance(now);
     // A request that found nothing before it tells nothing of the rate.
-    if (m_backlogged && m_backloggedSeconds > 0)
+    if (m_backlogged && m_backloggedSeconds > 0) {
         m_dispatches += 1;
+        m_quietSeconds = 0;
+    }
 }
 
 void DrainRate::undoDispatch()
@@ -45,7 +48,10 @@
     const double seconds = m_backloggedSeconds + waiting;
     if (seconds < shortestMeasureSeconds)
         return std::nullopt;
-    return m_dispatches / seconds;
+    if (m_dispatches >= 1)
+        return m_dispatches / seconds;
+    // The next dispatch may come now, so that a pause shorter than one run isn't taken for a standstill.
+    return std::max(m_dispatches / seconds, 1 / std::max(m_quietSeconds + waiting, shortestMeasureSeconds));
 }
 
 void DrainRate::advance(Common::MonoTime now)
@@ -56,6 +62,7 @@
         if (passed > longestUnused) {
             m_dispatches = 0;
             m_backloggedSeconds = 0;
+            m_quietSeconds = 0;
         }
         return;
     }
@@ -65,6 +72,7 @@
     const double kept = std::exp(-seconds / windowSeconds);
     m_dispatches *= kept;
     m_backloggedSeconds = m_backloggedSeconds * kept + seconds;
+    m_quietSeconds += seconds;
 }
 
 } // namespace Policy
--- a/Source/Core/Policy/DrainRate.h
+++ b/Source/Core/Policy/DrainRate.h
@@ -27,6 +27,8 @@
     /// Both decay alike while backlogged, so that their ratio is the recent rate.
     double m_dispatches = 0;
     double m_backloggedSeconds = 0;
+    /// Backlogged time since the last dispatch; doesn't decay.
+    double m_quietSeconds = 0;
 };
 
 } // namespace Policy
--- a/Source/UnitTests/Policy/AdmissionQueueTest.cpp
+++ b/Source/UnitTests/Policy/AdmissionQueueTest.cpp
@@ -187,6 +187,27 @@
     CHECK(bench.admits(bench.request()));
 }
 
+TEST_CASE("a queue that has waited for less than one run refuses nobody for its rate")
+{
+    Bench bench;
+    // All workers are busy with runs of 150 ms; none can have ended yet.
+    REQUIRE(bench.admits(bench.request(4s)));
+    for (const auto waited : { 60ms, 90ms, 120ms, 145ms }) {
+        bench.now = MonoTime { 1h } + waited;
+        CHECK(bench.admits(bench.request(4s)));
+    }
+}
+
+TEST_CASE("a queue that nothing leaves is believed to be slower the longer that lasts")
+{
+    Bench bench;
+    REQUIRE(bench.admits(bench.request(4s)));
+    bench.now += 100ms;
+    CHECK(bench.admits(bench.request(800ms)));
+    bench.now += 800ms;
+    CHECK(bench.refusal(bench.request(800ms)) == ErrorCode::DeadlineUnreachable);
+}
+
 TEST_CASE("a few very long runs do not speak for all")
 {
     Bench bench;
