Refuse at once what a daemon without workers can't pass on, and go on passing on what it can

And a daemon without workers stopped passing on what waits there after three peers had refused.

Change: a passed-on request at its last hop is refused with NoWorker by a daemon that owns no worker, so that who passed it on goes on looking; what waits at a daemon without workers is offered to peers on each tick, however often it was refused. RequestService::mayPassOn says which.

--- a/Source/Core/Dispatch/RequestService.cpp
+++ b/Source/Core/Dispatch/RequestService.cpp
@@ -227,15 +227,20 @@
         enqueue(active);
 }
 
-std::optional<Scheduler::PeerInfo> RequestService::choosePeer(const ActiveRequest& active)
+bool RequestService::mayPassOn(const ActiveRequest& active, Tries tries) const
 {
     // The way to the owner of the id's ledger was one hop already.
     const int maximumHops = m_settings.maximumHops + (active.ownsIntent ? 1 : 0);
+    const bool triedEnough = active.forwardsTried >= m_settings.maximumForwards && !m_draining && tries == Tries::Few;
+    return active.request.hops < maximumHops && !triedEnough;
+}
+
+std::optional<Scheduler::PeerInfo> RequestService::choosePeer(const ActiveRequest& active, Tries tries)
+{
+    if (!mayPassOn(active, tries))
+        return std::nullopt;
     // A daemon that is about to stop, or owns no worker, would rather have its requests wait elsewhere.
     const bool noWaitingHere = m_draining || m_parts.placement.totalSlots() == 0;
-    const bool triedEnough = active.forwardsTried >= m_settings.maximumForwards && !m_draining;
-    if (active.request.hops >= maximumHops || triedEnough)
-        return std::nullopt;
     const Common::MonoTime now = m_context.runtime.now();
     Scheduler::PeerInfo self = m_parts.membership.self();
     self.freeSlots = 0;
@@ -279,7 +284,7 @@
 
 bool RequestService::forwardToPeer(const ActivePointer& active)
 {
-    const auto peer = choosePeer(*active);
+    const auto peer = choosePeer(*active, Tries::Few);
     if (!peer)
         return false;
     forwardTo(active, peer->id, peer->address, false);
@@ -341,6 +346,14 @@
 
 void RequestService::enqueue(const ActivePointer& active)
 {
+    // Nothing here will ever run it, and it can't go on from here: who passed it on may know of others.
+    const bool stranded = active->request.hops > 0 && m_parts.placement.totalSlots() == 0;
+    if (stranded && !mayPassOn(*active, Tries::Any)) {
+        finish(active,
+            NotRun { { ErrorCode::NoWorker, "this daemon has no workers and may not pass the request on",
+                m_settings.retryAfter } });
+        return;
+    }
     active->stage = Stage::Queued;
     const Policy::AdmissionQueue::Offer offer = m_parts.queue.offer(toQueued(*active), m_context.runtime.now());
     if (const auto* const refused = std::get_if<Policy::AdmissionQueue::Refused>(&offer)) {
@@ -574,13 +587,15 @@
 {
     if (m_parts.placement.freeSlots() > 0 || m_parts.queue.empty())
         return;
+    // Without workers nothing that waits here would ever run.
+    const Tries tries = m_parts.placement.totalSlots() == 0 ? Tries::Any : Tries::Few;
     std::vector<ActivePointer> queued;
     for (const auto& [id, active] : m_active) {
         if (active->stage == Stage::Queued)
             queued.push_back(active);
     }
     for (const ActivePointer& active : queued) {
-        const auto peer = choosePeer(*active);
+        const auto peer = choosePeer(*active, tries);
         // Where there is none for this one, there is hardly one for the rest: they keep their places.
         if (!peer)
             return;
--- a/Source/Core/Dispatch/RequestService.h
+++ b/Source/Core/Dispatch/RequestService.h
@@ -88,8 +88,15 @@
     bool askOwnerAgain(const ActivePointer&);
     void onIntent(const ActivePointer&, const Common::Result<Ledger::IntentService::Verdict>&);
     void route(const ActivePointer&);
+    /// Whether a request may be passed on after as many peers as were tried.
+    enum class Tries {
+        /// A few only: the request may as well wait here.
+        Few,
+        Any,
+    };
+    bool mayPassOn(const ActiveRequest&, Tries) const;
     /// The peer to pass the request on to, if there is one; takes its bytes from the link's budget.
-    std::optional<Scheduler::PeerInfo> choosePeer(const ActiveRequest&);
+    std::optional<Scheduler::PeerInfo> choosePeer(const ActiveRequest&, Tries);
     bool forwardToPeer(const ActivePointer&);
     void forwardTo(const ActivePointer&, const Common::DaemonId&, const std::string& address, bool toOwner);
     void onForwarded(
--- a/Source/UnitTests/Dispatch/RequestServiceTest.cpp
+++ b/Source/UnitTests/Dispatch/RequestServiceTest.cpp
@@ -293,6 +293,51 @@
     CHECK(world.peers.forwards[0].request.hops == 1);
 }
 
+TEST_CASE("a daemon without workers refuses at once what it may not pass on")
+{
+    RequestWorld world(1, 0);
+    Scheduler::PeerInfo busy;
+    busy.id = Common::DaemonId("d2");
+    busy.address = "d2";
+    busy.totalSlots = 8;
+    world.members.seePeers({ busy });
+    Dispatch::IncomingRequest request;
+    request.id = Common::RequestId("passed on twice");
+    request.service = Common::ServiceName("previews");
+    request.hops = Dispatch::RequestServiceSettings {}.maximumHops;
+    world.requests.submit(std::move(request),
+        [&world](const Dispatch::RequestOutcome& outcome) { world.outcomes.emplace_back("p", outcome); });
+    REQUIRE(world.outcomes.size() == 1);
+    CHECK(world.lastNotRun() == ErrorCode::NoWorker);
+    CHECK(std::get<Dispatch::NotRun>(world.last()).reason.retryAfter);
+}
+
+TEST_CASE("a daemon without workers goes on passing on what waits, however often it was refused")
+{
+    RequestWorld world(1, 0);
+    std::vector<Scheduler::PeerInfo> busy;
+    for (const char* const name : { "d2", "d3", "d4", "d5" }) {
+        Scheduler::PeerInfo peer;
+        peer.id = Common::DaemonId(name);
+        peer.address = name;
+        peer.totalSlots = 8;
+        busy.push_back(peer);
+    }
+    world.members.seePeers(busy);
+    world.submit("previews", "p");
+    const Dispatch::RequestOutcome full = Dispatch::NotRun { { ErrorCode::Overloaded, "scripted" } };
+    const auto few = static_cast<size_t>(Dispatch::RequestServiceSettings {}.maximumForwards);
+    for (size_t tried = 0; tried < few; ++tried) {
+        REQUIRE(world.peers.forwards.size() == tried + 1);
+        world.peers.forwards[tried].callback(full);
+    }
+    REQUIRE(world.outcomes.empty());
+    world.requests.tick();
+    REQUIRE(world.peers.forwards.size() == few + 1);
+    world.peers.forwards.back().callback(Dispatch::Answered { "text/plain", "in the end" });
+    CHECK(world.lastAnswer() == "in the end");
+}
+
 TEST_CASE("a request that comes back from where it was passed on doesn't wait for itself")
 {
     RequestWorld world(1, 0);
