Let many hosts find each other, and don't take a cell from an owner that wasn't heard yet

A beat named the first eight hosts by name, so that with 43 hosts and three seeds most never heard of each other (14 of 41 after two seconds in the new test), and each took cells from owners that it had not heard of. Owners that follow each other that fast showed a second fault: a successor took tasks that the cell had been given for new, although its predecessor had started them before that was durable.

Change: beats name hosts by turns, 24 at first and 8 later. An owner that is known from the record only is told of this host and has as long to answer as a known one may be silent. Jobs that begin with a gift wait for workers that weren't heard, like recovered ones.

Ruled out: a list of hosts in the store (priced, and beats must work while it is away).

Measured: HostDiscoveryTest, three cases, and the new case of CellWorldTest failed before ("runs on w1 and on w2").

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -332,8 +332,8 @@
                                     << " gift=" << gift.number);
     if (LiveJob* const known = findJob(gift.part.id))
         known->receive(gift);
-    else
-        addJob(gift.part, false);
+    else // An earlier owner may have received it too and started its tasks before that was durable.
+        addJob(gift.part, true);
     m_committer.received(gift.part.id, gift.key());
     placeSoon();
 }
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -25,8 +25,9 @@
     /// What was learned of images is told every few beats, and at most this many pairs.
     constexpr uint64_t beatsPerBeliefs = 4;
     constexpr size_t toldBeliefs = 60;
-    /// Beats name at most this many other hosts.
+    /// Beats name some other hosts by turns; more of them at first, so that hosts that were told of a few find all.
     constexpr size_t namedHosts = 8;
+    constexpr size_t namedAtFirst = 24;
 
     std::vector<WorkerEntry> readWorkers(const std::optional<Scheduler::StoreValue>& record)
     {
@@ -86,6 +87,8 @@
 {
     m_startedAt = m_ports.runtime.now();
     m_startedWall = m_ports.runtime.wallMilliseconds();
+    // Seeds begin at different places, so that together they soon name all.
+    m_nextNamed = m_ports.runtime.random()() % namedAtFirst;
     m_ports.beats.onReceive([this](std::string_view text) { onBeat(text); });
     readLayout();
     beatRegularly();
@@ -141,8 +144,7 @@
 
 void CellKeeper::beatRegularly()
 {
-    const bool introducing = m_ports.runtime.now() - m_startedAt < introduction;
-    m_ports.runtime.schedule(introducing ? m_settings.firstBeatInterval : m_settings.beatInterval,
+    m_ports.runtime.schedule(introducing() ? m_settings.firstBeatInterval : m_settings.beatInterval,
         m_lifetime.guard([this] { beatRegularly(); }));
     beat();
 }
@@ -171,15 +173,25 @@
     }
     for (const auto& [cell, since] : m_released)
         message.released.push_back(cell);
-    for (const HostBeat* const other : m_directory.live(now)) {
-        if (message.others.size() < namedHosts)
-            message.others.push_back(other->beatAddress);
-    }
+    message.others = namesByTurns();
     const std::string text = message.encode();
     for (const std::string& address : m_directory.beatAddresses())
         m_ports.beats.send(address, text);
 }
 
+bool CellKeeper::introducing() const { return m_ports.runtime.now() - m_startedAt < introduction; }
+
+std::vector<std::string> CellKeeper::namesByTurns()
+{
+    const std::vector<const HostBeat*> live = m_directory.live(m_ports.runtime.now());
+    const size_t count = std::min(live.size(), introducing() ? namedAtFirst : namedHosts);
+    std::vector<std::string> names;
+    for (size_t index = 0; index < count; ++index)
+        names.push_back(live[(m_nextNamed + index) % live.size()]->beatAddress);
+    m_nextNamed += count;
+    return names;
+}
+
 void CellKeeper::onBeat(std::string_view text)
 {
     Common::Result<HostBeat> beat = HostBeat::decode(text);
@@ -405,12 +417,32 @@
         endClaim(cell, "another host has it");
         return;
     }
+    if (mayBeUnheard(cell, *record)) {
+        endClaim(cell, "its owner may not have been heard yet");
+        return;
+    }
     m_formerOwners[cell] = *record;
     writeClaim(cell,
         CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false },
         found->revision, surelyGone(*record));
 }
 
+/// Whether the owner may be alive and only unknown here: hosts that have just started don't know all others. It is told
+/// of this host, and has as long to answer as a known one may be silent.
+bool CellKeeper::mayBeUnheard(const CellId& cell, const CellRecord& record)
+{
+    if (surelyGone(record) || m_directory.find(record.owner))
+        return false;
+    const Common::MonoTime now = m_ports.runtime.now();
+    UnheardOwner& unheard = m_unheardOwners[cell];
+    if (unheard.token != record.token)
+        unheard = UnheardOwner { record.token, now };
+    // All hosts hear beats at the same port.
+    const std::string host = record.address.substr(0, record.address.rfind(':'));
+    m_directory.introduce(host + m_settings.beatAddress.substr(m_settings.beatAddress.rfind(':')), now);
+    return now - unheard.since < m_settings.hostSilence;
+}
+
 /// Whether the process that the record names can't give orders any more.
 bool CellKeeper::surelyGone(const CellRecord& record) const
 {
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -75,6 +75,11 @@
 
 private:
     struct Claim;
+    /// An owner that this host knows from the cell's record only.
+    struct UnheardOwner {
+        FencingToken token;
+        Common::MonoTime since;
+    };
 
     void readLayout();
     void createLayout();
@@ -82,6 +87,8 @@
     void useLayout(CellLayout);
     void beatRegularly();
     void beat();
+    bool introducing() const;
+    std::vector<std::string> namesByTurns();
     void onBeat(std::string_view text);
     void tick();
     bool ownerless(const CellId&) const;
@@ -92,6 +99,7 @@
     void onRecord(const CellId&, const std::optional<Scheduler::StoreValue>&);
     void writeClaim(const CellId&, const CellRecord&, Common::StoreRevision expected, bool formerOwnerGone);
     void inherit(const CellId&, const CellRecord&, Common::StoreRevision fence, bool formerOwnerGone);
+    bool mayBeUnheard(const CellId&, const CellRecord&);
     bool surelyGone(const CellRecord&) const;
     void own(const CellId&, CellEngine::Inheritance);
     void endClaim(const CellId&, const char* reason);
@@ -123,12 +131,15 @@
     std::map<CellId, Common::MonoTime> m_betterOwnerSince;
     /// What the owners of other cells have learned, for cells that are taken over.
     std::map<CellId, std::vector<Policy::TailModel::Belief>> m_beliefs;
+    std::map<CellId, UnheardOwner> m_unheardOwners;
     std::set<CellId> m_releasing;
     std::map<CellId, Common::MonoTime> m_released;
     std::map<Common::WorkerId, WorkerEntry> m_listed;
     Common::StoreRevision m_listRevision;
     size_t m_workersAtLayout = 0;
     uint64_t m_beatCount = 0;
+    /// Where the next beat goes on naming live hosts.
+    size_t m_nextNamed = 0;
     bool m_watchingList = false;
     bool m_listKnown = false;
     Common::MonoTime m_startedAt;
--- a/Source/Core/Cells/HostDirectory.cpp
+++ b/Source/Core/Cells/HostDirectory.cpp
@@ -32,11 +32,13 @@
         row = m_hosts.erase(row);
     }
     for (const std::string& address : beat.others)
-        m_rumoured[address] = now;
+        introduce(address, now);
     const Common::DaemonId id = beat.id;
     m_hosts[id] = Row { std::move(beat), now };
 }
 
+void HostDirectory::introduce(const std::string& beatAddress, Common::MonoTime now) { m_rumoured[beatAddress] = now; }
+
 void HostDirectory::expire(Common::MonoTime now)
 {
     std::erase_if(m_hosts, [now](const auto& row) { return now - row.second.heardAt > forgetAfter; });
--- a/Source/Core/Cells/HostDirectory.h
+++ b/Source/Core/Cells/HostDirectory.h
@@ -19,6 +19,8 @@
     explicit HostDirectory(const HostSettings&);
 
     void heard(HostBeat, Common::MonoTime now);
+    /// Somebody told of a host that hears beats there.
+    void introduce(const std::string& beatAddress, Common::MonoTime now);
     /// Drops hosts that were silent for long.
     void expire(Common::MonoTime now);
 
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -150,6 +150,8 @@
     std::vector<std::unique_ptr<RunWorker>> workers;
     std::vector<std::unique_ptr<WorldHost>> hosts;
     uint64_t latePerMille = 0;
+    /// Hosts that a new host is told of at its start.
+    size_t mostSeeds = SIZE_MAX;
 
     void addWorkers(const std::string& domain, size_t count, int64_t milliCores)
     {
@@ -172,8 +174,10 @@
         settings.address = settings.beatAddress = name;
         settings.domain = Common::DomainId(domain);
         settings.region = Common::RegionId("east");
-        for (const auto& [address, port] : beats)
-            settings.seeds.push_back(address);
+        for (const auto& [address, port] : beats) {
+            if (settings.seeds.size() < mostSeeds)
+                settings.seeds.push_back(address);
+        }
         hosts.push_back(std::make_unique<WorldHost>(*this, settings, m_random()));
         return *hosts.back();
     }
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -456,6 +456,54 @@
     CHECK(world.judge.summary() == "");
 }
 
+TEST_CASE("a successor waits for the workers on which its predecessor may have started tasks that the cell was given")
+{
+    CellWorld world(7);
+    world.addWorkers("yard", 1, 4000);
+    world.addWorkers("shed", 2, 4000);
+    world.addHost("yard", "a:1");
+    for (const char* const name : { "b:1", "c:1" })
+        world.addHost("shed", name);
+    world.clock.advance(8s);
+    REQUIRE(world.live()[1]->keeper.servedCells() == 2);
+    const auto inShed = [&world] { return world.workers[1]->running() + world.workers[2]->running(); };
+    // Straight to the cell that can't hold all of it.
+    Jobs::JobRecord service = CellWorld::service(1, 6);
+    world.judge.submitted[service.id] = service.spec;
+    world.hosts[0]
+        ->keeper.engine(Cells::CellId("yard-0"))
+        ->submit(service, Cells::CellEngine::Fit::Any, [](const Common::Result<Cells::AcceptOutcome>&) {});
+    const std::string gifts
+        = Cells::StoreKeys::job(Cells::CellId("shed-0"), CellWorld::jobId(1)) + Cells::StoreKeys::giftMark;
+    const auto waitFor = [&world](const std::function<bool()>& condition) {
+        const Common::MonoTime end = world.clock.now() + 5s;
+        while (!condition() && world.clock.now() < end)
+            world.clock.step();
+        REQUIRE(condition());
+    };
+    waitFor([&] { return world.store.countWithPrefix(gifts) > 0; });
+    // The gift is durable; that its tasks were taken over will not be.
+    world.store.down = true;
+    waitFor([&] { return inShed() == 2; });
+    CellTests::RunWorker& busy = *world.workers[world.workers[1]->running() > 0 ? 1 : 2];
+    REQUIRE(busy.running() == 2);
+    for (WorldHost* const host : world.live()) {
+        if (host->keeper.engine(Cells::CellId("shed-0")))
+            host->process.kill();
+    }
+    for (WorldHost* const host : world.live()) {
+        world.network.cut(host->address, busy.entry().address);
+        world.network.cut(busy.entry().address, host->address);
+    }
+    world.store.down = false;
+    world.clock.advance(5s);
+    CHECK(world.judge.summary() == "");
+    world.network.heal();
+    world.clock.advance(5s);
+    CHECK(world.running() == 6);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("a cancellation reaches tasks that are on their way to another cell")
 {
     for (uint64_t seed = 1; seed <= 12; ++seed) {
--- /dev/null
+++ b/Source/UnitTests/Cells/HostDiscoveryTest.cpp
@@ -0,0 +1,69 @@
+// Many hosts that are told of a few others find all the rest, and own each cell once.
+#include "Cells/CellWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct LargeFleet : CellWorld {
+    explicit LargeFleet(size_t hostsPerDomain)
+        : CellWorld(11)
+    {
+        mostSeeds = 3;
+        for (const char* const domain : { "barn", "shed", "yard" })
+            addWorkers(domain, 24, 4000);
+        // By turns, so that those that begin with other seeds than the first ones are among all domains.
+        for (size_t index = 0; index < hostsPerDomain; ++index) {
+            for (const char* const domain : { "barn", "shed", "yard" })
+                addHost(domain, domain + std::to_string(index) + ":1");
+        }
+    }
+    uint64_t highestToken() const
+    {
+        uint64_t highest = 0;
+        for (const auto& host : hosts) {
+            for (const auto& [cell, engine] : host->keeper.engines())
+                highest = std::max(highest, engine->token().value);
+        }
+        return highest;
+    }
+};
+
+} // namespace
+
+TEST_CASE("forty hosts with three seeds hear each other within two seconds")
+{
+    LargeFleet fleet(14);
+    fleet.clock.advance(2s);
+    for (const auto& host : fleet.hosts) {
+        CAPTURE(host->address);
+        CHECK(host->keeper.hosts().live(host->process.now()).size() == fleet.hosts.size() - 1);
+    }
+}
+
+TEST_CASE("cells of a large fleet don't change hands while nothing happens")
+{
+    LargeFleet fleet(14);
+    fleet.clock.advance(14s);
+    size_t owned = 0;
+    for (const auto& host : fleet.hosts)
+        owned += host->keeper.engines().size();
+    CHECK(owned == 3);
+    // One more when the best owner wasn't heard yet.
+    CHECK(fleet.highestToken() <= 2);
+}
+
+TEST_CASE("a host that hasn't heard a cell's owner yet doesn't take the cell from it")
+{
+    LargeFleet fleet(2);
+    fleet.clock.advance(8s);
+    const uint64_t before = fleet.highestToken();
+    fleet.mostSeeds = 0;
+    WorldHost& stranger = fleet.addHost("barn", "stranger:1");
+    fleet.clock.advance(5s);
+    CHECK(stranger.keeper.hosts().live(stranger.process.now()).size() == 6);
+    CHECK(fleet.highestToken() == before);
+}
