Choose cells by service, label and rack; start gangs whole and on one rack

By reading: a job went to the cell with the most room, whether or not it has workers of the job's service or with the label that a step needs, or the rack that holds its data; and stayed there for ever. Members of a gang went to any racks, and when one of them was refused the others waited for it in vain (GANG).

Change: cells tell capacity by service and by label (a rack is one); CellLoad::capacityFor, placesFor and hasRack are the one copy of what a cell can carry of a step. A job that no worker may run is refused at once. GangPlaces takes the fullest rack with room for all, waits for one as long as that pays (workers.spreadSlowdown, from the platform's bounds), and lets go of one rack after that; a member that is refused ends the attempt of the others; all resume from the checkpoint that any has told last. "task-blocked" is logged for all steps.

Ruled out: a list of racks by host (the workers' own labels say it); waiting without end for a rack.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -49,6 +49,18 @@
     constexpr Common::Duration tailLogInterval = std::chrono::seconds(5);
     constexpr size_t keptBeliefs = 200;
 
+    void addCapacity(const WorkerEntry& entry, CellLoad& load)
+    {
+        const int64_t milliCores = entry.capacity.milliCores;
+        load.capacityMilliCores += milliCores;
+        load.services[entry.service.value()] += milliCores;
+        std::set<std::string> labels(entry.labels.begin(), entry.labels.end());
+        if (!entry.rack.empty())
+            labels.insert(entry.rack.value());
+        for (const std::string& label : labels)
+            load.labels[label] += milliCores;
+    }
+
     bool worthPacing(uint32_t before, uint32_t after)
     {
         const bool atLimit = after == 0 || after == atWork;
@@ -449,6 +461,8 @@
             noteOutcome(worker, *job, true);
             onDone(*job, end);
         }
+        if (end.end != RunEnd::Done)
+            breakGang(*job, run, GangMembers::NotSeen);
         if (end.end == RunEnd::Failed)
             onFailed(*job, worker, end);
         else if (end.end != RunEnd::Done)
@@ -529,7 +543,7 @@
     current.percent = row.percent;
     // Kept for a worker that falls silent; written with the job's next change.
     if (!row.checkpoint.empty())
-        task->progress.checkpoint = row.checkpoint;
+        job->noteCheckpoint(row.task, row.checkpoint);
 }
 
 /// A run that this owner has no account of: an earlier owner started it, or it was given up too early.
@@ -785,7 +799,7 @@
     for (const auto& [id, worker] : m_workers.all()) {
         if (!worker->listed || worker->entry().draining || !worker->reachable)
             continue;
-        load.capacityMilliCores += worker->entry().capacity.milliCores;
+        addCapacity(worker->entry(), load);
         load.freeMilliCores += worker->free().milliCores;
         const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
         load.backfillMilliCores
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -15,6 +15,7 @@
 #include "Common/Result.h"
 #include "Jobs/JobRecord.h"
 #include "Policy/BackfillPace.h"
+#include "Policy/GangPlaces.h"
 #include "Policy/ServiceFit.h"
 #include "Policy/StartOrder.h"
 #include "Policy/TailModel.h"
@@ -55,8 +56,9 @@
 
     /// How the engine reaches the owners of other cells.
     struct Neighbours {
-        /// How many tasks of the step each other cell has room for.
-        std::function<std::map<CellId, size_t>(const CellId& self, const Jobs::StepSpec&)> rooms;
+        /// How many tasks of the step, of a job of the service, each other cell has room for.
+        std::function<std::map<CellId, size_t>(const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&)>
+            rooms;
         /// Tells the owner of the other cell of a gift that is durable, until it has heard.
         std::function<void(const TaskGift&)> give;
         /// Has it read the cell's gifts of the job, which an earlier owner of the giver may not have told it of.
@@ -144,11 +146,21 @@
     void giveAway(LiveJob&, const Candidate&);
     void receive(const TaskGift&);
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
-    std::optional<std::pair<CellId, size_t>> roomElsewhere(const Jobs::StepSpec&);
+    std::optional<std::pair<CellId, size_t>> roomElsewhere(const Common::ServiceName&, const Jobs::StepSpec&);
     void tellParts(const LiveJob&) const;
     void placeGang(const Candidate&);
+    void startGang(const Candidate&, const Common::RackId&);
+    std::vector<Policy::GangOffer> gangOffers(const LiveJob&, const Candidate&);
+    enum class GangMembers {
+        All,
+        /// Whose start hasn't been reported: those that were end by themselves when one of them has ended.
+        NotSeen,
+    };
+    void breakGang(LiveJob&, const RunKey& missing, GangMembers);
+    bool mayRunOn(const CellWorker&, const LiveJob&, const Jobs::StepSpec&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
-    CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&);
+    /// `rack`: only workers on it; empty: on any.
+    CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&, const Common::RackId& rack = {});
     void order(LiveJob&, const Jobs::TaskName&, CellWorker&, Common::AttemptNumber);
     void onOrderAnswer(const Common::WorkerId&, const RunKey&, OrderVerdict);
     bool mayGrant() const;
--- /dev/null
+++ b/Source/Core/Cells/CellEngineGangs.cpp
@@ -0,0 +1,120 @@
+// The part of a cell's owner that starts and ends gangs.
+#include "Cells/CellEngine.h"
+
+#include "Common/Log.h"
+#include "Policy/GangPlaces.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    /// How many times the request fits into what there is, up to `most`.
+    size_t timesFitting(const Common::Resources& request, Common::Resources room, size_t most)
+    {
+        size_t count = 0;
+        while (count < most && Common::fits(request, room)) {
+            room -= request;
+            ++count;
+        }
+        return count;
+    }
+
+} // namespace
+
+std::vector<Policy::GangOffer> CellEngine::gangOffers(const LiveJob& job, const Candidate& candidate)
+{
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    const Occupant member = occupantOf(spec);
+    const size_t members = spec.taskCount;
+    std::vector<Policy::GangOffer> offers;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!mayRunOn(*worker, job, spec))
+            continue;
+        const size_t most = spec.maximumPerWorker > 0 ? std::min<size_t>(spec.maximumPerWorker, members) : members;
+        Policy::GangOffer offer;
+        offer.rack = worker->entry().rack.value();
+        offer.places = timesFitting(member.held, worker->free(), most);
+        offer.placesWhenEmpty = timesFitting(member.held, worker->entry().capacity, most);
+        offers.push_back(std::move(offer));
+    }
+    return offers;
+}
+
+/// The members of a gang start together or not at all.
+void CellEngine::placeGang(const Candidate& candidate)
+{
+    LiveJob& job = *candidate.job;
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    if (step.waitingCount != step.tasks.size())
+        return;
+    const Common::MonoTime now = m_runtime.now();
+    if (std::any_of(step.tasks.begin(), step.tasks.end(), [now](const LiveTask& task) { return task.notBefore > now; }))
+        return;
+    if (!step.waitingSince)
+        step.waitingSince = now;
+    // On several racks the gang would take longer by about this much.
+    const auto worthWaiting = Common::Duration(static_cast<Common::Duration::rep>(
+        static_cast<double>(spec.estimate.count()) * (m_settings.spreadSlowdown - 1)));
+    const Policy::GangNeed need { step.tasks.size(), spec.sameRack, now - *step.waitingSince < worthWaiting };
+    const Policy::GangPlaces places = Policy::chooseGangPlaces(need, gangOffers(job, candidate));
+    if (std::holds_alternative<Policy::NotNow>(places)) {
+        noteBlocked(job, candidate);
+        return;
+    }
+    const auto* const onRack = std::get_if<Policy::OnRack>(&places);
+    startGang(candidate, onRack ? Common::RackId(onRack->rack) : Common::RackId {});
+}
+
+void CellEngine::startGang(const Candidate& candidate, const Common::RackId& rack)
+{
+    LiveJob& job = *candidate.job;
+    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    uint32_t lastAttempt = 0;
+    for (const LiveTask& task : step.tasks)
+        lastAttempt = std::max(lastAttempt, task.progress.lastAttempt);
+    // Room is taken member by member, so that each choice sees those before it.
+    std::vector<std::pair<Jobs::TaskName, CellWorker*>> places;
+    const Common::AttemptNumber attempt { lastAttempt + 1 };
+    for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
+        CellWorker* const worker = choose(job, name, step.tasks[index], rack);
+        if (!worker) {
+            for (const auto& [placed, holder] : places)
+                holder->vacate(RunKey { placed, attempt });
+            noteBlocked(job, candidate);
+            return;
+        }
+        worker->occupy(RunKey { name, attempt }, occupantOf(job.stepSpec(candidate.step)));
+        places.emplace_back(name, worker);
+    }
+    LC_INFO(Jobs,
+        "event=gang-started job=" << job.id().value() << " step=" << candidate.step << " members=" << places.size()
+                                  << " attempt=" << attempt.value << " rack=" << rack.value());
+    step.waitingSince.reset();
+    for (const auto& [name, worker] : places)
+        order(job, name, *worker, attempt);
+}
+
+/// A member that doesn't run leaves the others waiting for it in vain.
+void CellEngine::breakGang(LiveJob& job, const RunKey& missing, GangMembers members)
+{
+    if (isFinal(job.phase()) || missing.task.step >= job.spec().steps.size() || !job.stepSpec(missing.task.step).gang)
+        return;
+    Jobs::TaskName name = missing.task;
+    for (uint32_t index = 0; index < job.stepSpec(name.step).taskCount; ++index) {
+        name.index = index;
+        const LiveTask* const task = job.find(name);
+        if (index == missing.task.index || !task || !task->run || task->run->attempt != missing.attempt)
+            continue;
+        CellWorker* const worker = m_workers.find(task->run->worker);
+        const RunKey run { name, missing.attempt };
+        const Occupant* const occupant = worker ? worker->find(run) : nullptr;
+        if (occupant && (members == GangMembers::All || !occupant->seen))
+            stopRun(*worker, run);
+    }
+}
+
+} // namespace Cells
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -153,13 +153,14 @@
     const Common::MonoTime now = m_runtime.now();
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
     // Occurrences of a scheduled job come due in each cell that has the job.
-    if (!spec.longRunning || job.spec().scheduled() || m_committer.giving(job.id()))
-        return;
-    const Common::MonoTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
-    if (now - since >= giveAwayAfter * (1 << std::min(job.giftsMade(), mostDoublings))) {
-        m_blockedSince.erase(job.id());
-        giveAway(job, candidate);
-        return;
+    const bool movable = spec.longRunning && !job.spec().scheduled() && !m_committer.giving(job.id());
+    if (movable) {
+        const Common::MonoTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
+        if (now - since >= giveAwayAfter * (1 << std::min(job.giftsMade(), mostDoublings))) {
+            m_blockedSince.erase(job.id());
+            giveAway(job, candidate);
+            return;
+        }
     }
     if (now - m_blockedNoted < blockedLogInterval)
         return;
@@ -175,12 +176,13 @@
                                   << " rooms=" << rooms);
 }
 
-std::optional<std::pair<CellId, size_t>> CellEngine::roomElsewhere(const Jobs::StepSpec& spec)
+std::optional<std::pair<CellId, size_t>> CellEngine::roomElsewhere(
+    const Common::ServiceName& service, const Jobs::StepSpec& spec)
 {
     const Common::MonoTime now = m_runtime.now();
     std::erase_if(m_given, [now](const auto& row) { return now - row.second.at > giftsUnseenFor; });
     std::optional<std::pair<CellId, size_t>> best;
-    for (const auto& [cell, room] : m_neighbours.rooms(m_id, spec)) {
+    for (const auto& [cell, room] : m_neighbours.rooms(m_id, service, spec)) {
         const auto given = m_given.find(cell);
         const size_t taken = given == m_given.end() ? 0 : given->second.tasks;
         if (room > taken && (!best || room - taken > best->second))
@@ -193,7 +195,7 @@
 void CellEngine::giveAway(LiveJob& job, const Candidate& candidate)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    const auto other = roomElsewhere(spec);
+    const auto other = roomElsewhere(job.terms().service, spec);
     if (!other)
         return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
@@ -222,37 +224,6 @@
         }));
 }
 
-/// The members of a gang start together or not at all.
-void CellEngine::placeGang(const Candidate& candidate)
-{
-    LiveJob& job = *candidate.job;
-    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
-    if (step.waitingCount != step.tasks.size())
-        return;
-    uint32_t lastAttempt = 0;
-    for (const LiveTask& task : step.tasks) {
-        if (task.notBefore > m_runtime.now())
-            return;
-        lastAttempt = std::max(lastAttempt, task.progress.lastAttempt);
-    }
-    // Room is taken member by member, so that each choice sees those before it.
-    std::vector<std::pair<Jobs::TaskName, CellWorker*>> places;
-    const Common::AttemptNumber attempt { lastAttempt + 1 };
-    for (uint32_t index = 0; index < step.tasks.size(); ++index) {
-        const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
-        CellWorker* const worker = choose(job, name, step.tasks[index]);
-        if (!worker) {
-            for (const auto& [placed, holder] : places)
-                holder->vacate(RunKey { placed, attempt });
-            return;
-        }
-        worker->occupy(RunKey { name, attempt }, occupantOf(job.stepSpec(candidate.step)));
-        places.emplace_back(name, worker);
-    }
-    for (const auto& [name, worker] : places)
-        order(job, name, *worker, attempt);
-}
-
 Policy::WorkerOffer CellEngine::offerOf(
     const CellWorker& worker, const Jobs::StepSpec& spec, const Jobs::TaskName& name) const
 {
@@ -275,18 +246,24 @@
     return offer;
 }
 
-CellWorker* CellEngine::choose(const LiveJob& job, const Jobs::TaskName& name, const LiveTask& task)
+bool CellEngine::mayRunOn(const CellWorker& worker, const LiveJob& job, const Jobs::StepSpec& spec)
 {
     const Common::MonoTime now = m_runtime.now();
+    const WorkerEntry& entry = worker.entry();
+    const bool usable = worker.listed && !entry.draining && worker.reachable && worker.heardFrom
+        && worker.closedUntil <= now && m_recordedWorkers.contains(worker.id());
+    return usable && entry.service == job.terms().service && hasLabel(entry, spec.requiredLabel)
+        && m_health.admits(worker.id(), now);
+}
+
+CellWorker* CellEngine::choose(
+    const LiveJob& job, const Jobs::TaskName& name, const LiveTask& task, const Common::RackId& rack)
+{
     const Jobs::StepSpec& spec = job.stepSpec(name.step);
     std::vector<CellWorker*> workers;
     std::vector<Policy::WorkerOffer> offers;
     for (const auto& [id, worker] : m_workers.all()) {
-        const WorkerEntry& entry = worker->entry();
-        const bool usable = worker->listed && !entry.draining && worker->reachable && worker->heardFrom
-            && worker->closedUntil <= now && m_recordedWorkers.contains(id);
-        if (!usable || entry.service != job.terms().service || !hasLabel(entry, spec.requiredLabel)
-            || !m_health.admits(id, now))
+        if (!mayRunOn(*worker, job, spec) || (!rack.empty() && worker->entry().rack != rack))
             continue;
         Policy::WorkerOffer offer = offerOf(*worker, spec, name);
         offer.avoided = task.avoid == id;
@@ -342,8 +319,11 @@
             if (task->run->phase == RunPhase::Ordered)
                 task->run->phase = RunPhase::Running;
         }
-        if (verdict == OrderVerdict::OldAttempt)
+        if (verdict == OrderVerdict::OldAttempt) {
             m_workers.lookSoon(id);
+            if (job)
+                breakGang(*job, run, GangMembers::All);
+        }
         return;
     }
     LC_INFO(Jobs,
@@ -353,6 +333,8 @@
         worker->closedUntil = now + m_settings.refusalPause;
     if (task && verdict == OrderVerdict::Malformed)
         task->notBefore = now + malformedPause;
+    if (job)
+        breakGang(*job, run, GangMembers::All);
     // An earlier copy of the order may still be carried out; a stop makes that impossible.
     if (occupant->unclear && verdict != OrderVerdict::Late) {
         stopRun(*worker, run);
--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -543,7 +543,8 @@
 CellEngine::Neighbours CellKeeper::neighbours()
 {
     return CellEngine::Neighbours {
-        .rooms = [this](const CellId& self, const Jobs::StepSpec& spec) { return rooms(self, spec); },
+        .rooms = [this](const CellId& self, const Common::ServiceName& service,
+                     const Jobs::StepSpec& spec) { return rooms(self, service, spec); },
         .give = [this](const TaskGift& gift) { tellOwner(gift.to, gift); },
         .remind = [this](const CellId& cell, const Common::JobId& job) { remind(cell, job); },
         .cancel = [this](const CellId& cell, const Jobs::JobRecord& part) { tellOwner(cell, part); },
@@ -568,7 +569,8 @@
         }));
 }
 
-std::map<CellId, size_t> CellKeeper::rooms(const CellId& self, const Jobs::StepSpec& spec) const
+std::map<CellId, size_t> CellKeeper::rooms(
+    const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec) const
 {
     std::map<CellId, size_t> found;
     for (const CellId& cell : m_layout.cells()) {
@@ -576,13 +578,7 @@
         const Owner* const other = own == m_engines.end() ? liveOwner(cell) : nullptr;
         if (cell == self || (own == m_engines.end() && !other))
             continue;
-        const CellLoad load = other ? other->load : own->second->load();
-        size_t& room = found[cell];
-        for (const int64_t free : load.rooms) {
-            const int64_t fitting = std::max<int64_t>(free, 0) / std::max<int64_t>(spec.request.milliCores, 1);
-            const auto count = static_cast<size_t>(fitting);
-            room += spec.maximumPerWorker > 0 ? std::min<size_t>(count, spec.maximumPerWorker) : count;
-        }
+        found[cell] = (other ? other->load : own->second->load()).placesFor(service, spec);
     }
     return found;
 }
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -104,7 +104,7 @@
     void own(const CellId&, CellEngine::Inheritance);
     void endClaim(const CellId&, const char* reason);
     CellEngine::Neighbours neighbours();
-    std::map<CellId, size_t> rooms(const CellId& self, const Jobs::StepSpec&) const;
+    std::map<CellId, size_t> rooms(const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&) const;
     void tellOwner(const CellId&, const PartNews&);
     void remind(const CellId&, const Common::JobId&);
     void releaseCell(const CellId&, std::function<void()> done);
--- /dev/null
+++ b/Source/Core/Cells/CellLoad.cpp
@@ -0,0 +1,36 @@
+// What a cell can carry of a step.
+#include "Cells/CellLoad.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+int64_t CellLoad::capacityFor(const Common::ServiceName& service, const Jobs::StepSpec& spec) const
+{
+    if (services.empty())
+        return capacityMilliCores;
+    const auto ofService = services.find(service.value());
+    if (ofService == services.end())
+        return 0;
+    if (spec.requiredLabel.empty())
+        return ofService->second;
+    const auto ofLabel = labels.find(spec.requiredLabel);
+    return ofLabel == labels.end() ? 0 : std::min(ofService->second, ofLabel->second);
+}
+
+size_t CellLoad::placesFor(const Common::ServiceName& service, const Jobs::StepSpec& spec) const
+{
+    if (capacityFor(service, spec) <= 0)
+        return 0;
+    size_t places = 0;
+    for (const int64_t free : rooms) {
+        const auto count
+            = static_cast<size_t>(std::max<int64_t>(free, 0) / std::max<int64_t>(spec.request.milliCores, 1));
+        places += spec.maximumPerWorker > 0 ? std::min<size_t>(count, spec.maximumPerWorker) : count;
+    }
+    return places;
+}
+
+bool CellLoad::hasRack(const Common::RackId& rack) const { return services.empty() || labels.contains(rack.value()); }
+
+} // namespace Cells
--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -37,6 +37,8 @@
     Common::Duration placingGather = std::chrono::milliseconds(2);
     /// How long the state of a final job can be asked for.
     Common::Duration statusRetention = std::chrono::seconds(120);
+    /// How many times as long a gang takes on several racks, where it is made for one.
+    double spreadSlowdown = 2;
     /// Scheduled occurrences never start before their due time by this host's wall clock plus this.
     Common::Duration dueMargin = std::chrono::milliseconds(20);
 };
--- a/Source/Core/Cells/HostBeat.cpp
+++ b/Source/Core/Cells/HostBeat.cpp
@@ -19,7 +19,7 @@
         return Json::array({ owned.cell.value(), owned.token.value, owned.load.capacityMilliCores,
             owned.load.freeMilliCores, owned.load.backfillMilliCores, owned.load.waitingRegular,
             owned.load.waitingBackfill, owned.load.serving, owned.load.backfillRooms, owned.load.rooms,
-            std::move(pending), beliefsToJson(owned.beliefs) });
+            std::move(pending), beliefsToJson(owned.beliefs), owned.load.services, owned.load.labels });
     }
 
     HostBeat::OwnedCell cellFromJson(const Json& row)
@@ -37,6 +37,11 @@
         owned.load.rooms = row.at(9).get<std::vector<int64_t>>();
         owned.load.pending = row.at(10).get<std::map<std::string, uint32_t>>();
         owned.beliefs = beliefsFromJson(row.at(11));
+        // Hosts of an earlier version don't send what follows.
+        if (row.size() > 13) {
+            owned.load.services = row.at(12).get<std::map<std::string, int64_t>>();
+            owned.load.labels = row.at(13).get<std::map<std::string, int64_t>>();
+        }
         return owned;
     }
 
--- a/Source/Core/Cells/JobFront.cpp
+++ b/Source/Core/Cells/JobFront.cpp
@@ -73,6 +73,32 @@
         return found == values.end() ? fallback : found->second;
     }
 
+    /// Thousandths of a core of the workers on which all steps of the job may run, at most.
+    int64_t suitable(const CellLoad& load, const Jobs::JobRecord& job)
+    {
+        int64_t least = load.capacityMilliCores;
+        for (const Jobs::StepSpec& step : job.spec.steps)
+            least = std::min(least, load.capacityFor(job.terms.service, step));
+        return least;
+    }
+
+    /// Share of the job's work whose data lies on racks that the cell doesn't have.
+    double farShare(const CellLoad& load, const Jobs::JobSpec& spec)
+    {
+        double whole = 0;
+        double far = 0;
+        for (const Jobs::StepSpec& step : spec.steps) {
+            const double work = static_cast<double>(step.taskCount) * static_cast<double>(step.estimate.count())
+                * static_cast<double>(step.request.milliCores);
+            whole += work;
+            if (!step.preferredRack.empty() && !load.hasRack(step.preferredRack))
+                far += work;
+        }
+        return whole > 0 ? far / whole : 0;
+    }
+
+    int64_t partOf(int64_t whole, double share) { return static_cast<int64_t>(static_cast<double>(whole) * share); }
+
     Common::Result<AcceptOutcome> acceptFromJson(const Json& answer)
     {
         if (answer.contains("elsewhere"))
@@ -242,9 +268,12 @@
         if (sent.loadHeardAt != heardAt)
             sent = Sent { heardAt, 0, 0, {} };
         Policy::CellOffer row;
-        row.capacity = load.capacityMilliCores;
-        row.free = load.freeMilliCores - sent.regular;
-        row.backfill = load.backfillMilliCores - sent.backfill;
+        row.capacity = suitable(load, submission.record);
+        const double share
+            = static_cast<double>(row.capacity) / static_cast<double>(std::max<int64_t>(load.capacityMilliCores, 1));
+        row.free = partOf(load.freeMilliCores, share) - sent.regular;
+        row.backfill = partOf(load.backfillMilliCores, share) - sent.backfill;
+        row.farShare = farShare(load, submission.record.spec);
         if (submission.demand.serves) {
             const std::string image = imageOf(submission.record.spec);
             row.sameImage = valueOr(load.serving, image, 0) + valueOr(sent.serving, image, 0);
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -184,17 +184,25 @@
     return limited && failures >= m_record.terms.maximumAttempts;
 }
 
-void LiveJob::saveCheckpoint(const Jobs::TaskName& name, const std::string& checkpoint)
+void LiveJob::noteCheckpoint(const Jobs::TaskName& name, const std::string& checkpoint)
 {
     LiveTask* const task = find(name);
-    if (!task || task->progress.done || checkpoint.empty() || task->progress.checkpoint == checkpoint)
+    if (!task || task->progress.done)
         return;
     task->progress.checkpoint = checkpoint;
     // Any member's checkpoint is valid for the whole gang, and all must resume from the same one.
-    if (stepSpec(name.step).gang) {
-        for (LiveTask& member : stepOf(name)->tasks)
-            member.progress.checkpoint = checkpoint;
-    }
+    if (!stepSpec(name.step).gang)
+        return;
+    for (LiveTask& member : stepOf(name)->tasks)
+        member.progress.checkpoint = checkpoint;
+}
+
+void LiveJob::saveCheckpoint(const Jobs::TaskName& name, const std::string& checkpoint)
+{
+    const LiveTask* const task = find(name);
+    if (!task || task->progress.done || checkpoint.empty() || task->progress.checkpoint == checkpoint)
+        return;
+    noteCheckpoint(name, checkpoint);
     ++m_changes;
 }
 
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -56,6 +56,9 @@
     bool markDone(const Jobs::TaskName&);
     /// One run failed. True when the job has failed with it.
     bool markFailed(const Jobs::TaskName&, Common::AttemptNumber);
+    /// Progress that a run reported as saved. Not worth a write by itself.
+    void noteCheckpoint(const Jobs::TaskName&, const std::string& checkpoint);
+    /// The same of a run that has ended.
     void saveCheckpoint(const Jobs::TaskName&, const std::string& checkpoint);
     void finish(Jobs::JobPhase, int64_t wallMilliseconds);
     /// All occurrences have ended well.
--- a/Source/Core/Cells/LiveStep.h
+++ b/Source/Core/Cells/LiveStep.h
@@ -4,6 +4,7 @@
 #include "Cells/LiveTask.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Cells {
@@ -13,6 +14,8 @@
     std::vector<LiveTask> tasks;
     uint32_t doneCount = 0;
     uint32_t waitingCount = 0;
+    /// Since when a gang has waited for room.
+    std::optional<Common::MonoTime> waitingSince;
 
     bool complete() const { return doneCount == tasks.size(); }
 };
--- a/Source/Core/Config/EntrySettings.cpp
+++ b/Source/Core/Config/EntrySettings.cpp
@@ -39,6 +39,8 @@
             "How many times as fast as a usual core that is.");
         table.duration("workers.longestLease", DurationRule { 1s, 5min }, &Settings::longestRunLease,
             "The longest lease that workers grant to runs.");
+        table.number("workers.spreadSlowdown", NumberRule { 1, 1000, "" }, &Settings::spreadSlowdown,
+            "How many times as long tasks that belong on one rack take on several.");
         table.duration("stop.grace", DurationRule { 1s, 1h }, &Settings::stopGrace,
             "From the signal to stop until the process is killed.");
         table.textChoice("log.level", ChoiceRule { { "debug", "info", "warn", "error" } }, &Settings::logLevel,
--- a/Source/Core/Config/EntrySettings.h
+++ b/Source/Core/Config/EntrySettings.h
@@ -30,6 +30,8 @@
     double processorShare = 1;
     double processorSpeed = 1;
     Common::Duration longestRunLease = std::chrono::seconds(10);
+    /// How many times as long tasks that belong on one rack take on several.
+    double spreadSlowdown = 2;
     /// From the signal to stop until the process is killed.
     Common::Duration stopGrace = std::chrono::seconds(6);
     std::string logLevel = "info";
--- a/Source/Core/Policy/CellChoice.cpp
+++ b/Source/Core/Policy/CellChoice.cpp
@@ -26,7 +26,7 @@
         if (demand.serves) {
             const bool full = static_cast<double>(offer.free) < serviceMargin * static_cast<double>(demand.regular);
             return (full ? 1 : 0) - static_cast<double>(offer.sameImage) / capacity - tieWeight * offer.tieBreak
-                + (offer.nearData ? 0 : farFromData);
+                + farFromData * offer.farShare;
         }
         if (demand.regular > 0) {
             const auto taken = static_cast<double>(offer.capacity - offer.free + demand.regular);
@@ -41,7 +41,7 @@
             crowded += otherRegion;
         else if (!offer.sameDomain)
             crowded += otherDomain;
-        return crowded + (offer.nearData ? 0 : farFromData);
+        return crowded + farFromData * offer.farShare;
     }
 
 } // namespace
--- a/Source/Core/Policy/CellChoice.h
+++ b/Source/Core/Policy/CellChoice.h
@@ -9,6 +9,7 @@
 
 /// A cell that could take the job. Amounts in thousandths of a core, or those times seconds of waiting work.
 struct CellOffer {
+    /// Of the workers on which all steps of the job may run.
     int64_t capacity = 0;
     int64_t free = 0;
     int64_t backfill = 0;
@@ -20,8 +21,8 @@
     int64_t imageRoom = -1;
     /// Breaks ties alike on all hosts, 0 to 1.
     double tieBreak = 0;
-    /// The job's data lies there, or nowhere in particular.
-    bool nearData = true;
+    /// Share of the job's work whose data lies on racks of other cells.
+    double farShare = 0;
     bool sameDomain = false;
     bool sameRegion = false;
 };
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -99,6 +99,7 @@
     {
         Cells::CellSettings cells;
         cells.longestLease = settings.longestRunLease;
+        cells.spreadSlowdown = settings.spreadSlowdown;
         return cells;
     }
 
--- /dev/null
+++ b/Source/UnitTests/Cells/CellLoadTest.cpp
@@ -0,0 +1,134 @@
+// What a cell tells of itself: which steps may run there, and how many of their tasks; also in the words of the version
+// before.
+#include "Cells/CellWorld.h"
+#include "Cells/HostBeat.h"
+
+#include <nlohmann/json.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+using Jobs::JobPhase;
+
+namespace {
+
+const Common::ServiceName desk("desk");
+
+Cells::CellLoad twoServices()
+{
+    Cells::CellLoad load;
+    load.capacityMilliCores = 12'000;
+    load.services = { { "desk", 8000 }, { "kiln", 4000 } };
+    load.labels = { { "fast", 4000 }, { "r1-yard", 8000 } };
+    load.rooms = { 3500, 2000, 900 };
+    return load;
+}
+
+Jobs::StepSpec step(const std::string& label = {})
+{
+    Jobs::StepSpec spec;
+    spec.request.milliCores = 1000;
+    spec.requiredLabel = label;
+    return spec;
+}
+
+/// Two domains with a cell each; the workers of the second have a label and racks of their own.
+struct TwoYards : CellWorld {
+    TwoYards()
+        : CellWorld(3)
+    {
+        addWorkers("yard", 8, 4000);
+        addWorkers("shed", 8, 4000, { "fast" });
+        for (const char* const name : { "a:1", "b:1" })
+            addHost("yard", name);
+        for (const char* const name : { "c:1", "d:1" })
+            addHost("shed", name);
+        clock.advance(9s);
+    }
+    /// Whether all tasks of the job were started on workers of the domain.
+    bool ranIn(const std::string& domain, uint64_t number, uint32_t tasks)
+    {
+        for (uint32_t index = 0; index < tasks; ++index) {
+            const auto worker = judge.startedOn.find({ jobId(number), 0, 0, index });
+            if (worker == judge.startedOn.end()
+                || workerDirectory.at(worker->second + ":1")->entry().domain.value() != domain)
+                return false;
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a cell has places only for steps of its services and labels")
+{
+    const Cells::CellLoad load = twoServices();
+    CHECK(load.capacityFor(desk, step()) == 8000);
+    CHECK(load.capacityFor(desk, step("fast")) == 4000);
+    CHECK(load.capacityFor(desk, step("slow")) == 0);
+    CHECK(load.capacityFor(Common::ServiceName("forge"), step()) == 0);
+    CHECK(load.placesFor(desk, step()) == 5);
+    CHECK(load.placesFor(desk, step("slow")) == 0);
+    Jobs::StepSpec spread = step();
+    spread.maximumPerWorker = 1;
+    CHECK(load.placesFor(desk, spread) == 2);
+    CHECK(load.hasRack(Common::RackId("r1-yard")));
+    CHECK_FALSE(load.hasRack(Common::RackId("r2-yard")));
+}
+
+TEST_CASE("beats of a host of the version before are read, and tell nothing against its cells")
+{
+    Cells::HostBeat beat;
+    beat.id = Common::DaemonId("a@1");
+    beat.cells.push_back({ Cells::CellId("yard-0"), Cells::FencingToken { 3 }, twoServices(), {} });
+    const auto same = Cells::HostBeat::decode(beat.encode());
+    REQUIRE(same);
+    CHECK(same->cells.at(0).load.services == beat.cells[0].load.services);
+    CHECK(same->cells.at(0).load.labels == beat.cells[0].load.labels);
+    nlohmann::json old = nlohmann::json::parse(beat.encode());
+    old["cells"][0].erase(13);
+    old["cells"][0].erase(12);
+    const auto earlier = Cells::HostBeat::decode(old.dump());
+    REQUIRE(earlier);
+    CHECK(earlier->cells.at(0).load.capacityFor(desk, step("fast")) == 12'000);
+    CHECK(earlier->cells.at(0).load.hasRack(Common::RackId("r9-yard")));
+}
+
+TEST_CASE("a job goes to the cell whose workers have its label, wherever it was submitted")
+{
+    TwoYards world;
+    std::optional<Common::Result<Common::Done>> outcome;
+    Jobs::JobRecord job = CellWorld::job(1, "run:300", 4);
+    job.spec.steps[0].requiredLabel = "fast";
+    world.submit(*world.hosts[0], job, outcome);
+    world.clock.advance(3s);
+    CHECK(world.phase(*world.hosts[0], 1) == JobPhase::Completed);
+    CHECK(world.judge.summary().empty());
+}
+
+TEST_CASE("a job that no worker may run is refused at once, with a time to come back")
+{
+    TwoYards world;
+    std::optional<Common::Result<Common::Done>> outcome;
+    Jobs::JobRecord job = CellWorld::job(1, "run:300", 4);
+    job.spec.steps[0].requiredLabel = "gilded";
+    world.submit(*world.hosts[0], job, outcome);
+    world.clock.advance(50ms);
+    REQUIRE(outcome);
+    REQUIRE_FALSE(outcome->hasValue());
+    CHECK(outcome->reason().retryAfter);
+    CHECK(world.judge.starts == 0);
+}
+
+TEST_CASE("a job goes to the cell that holds its data")
+{
+    TwoYards world;
+    std::optional<Common::Result<Common::Done>> outcome;
+    Jobs::JobRecord job = CellWorld::job(1, "run:300", 4);
+    job.spec.steps[0].preferredRack = Common::RackId("r0-shed");
+    world.submit(*world.hosts[0], job, outcome);
+    world.clock.advance(3s);
+    CHECK(world.ranIn("shed", 1, 4));
+    CHECK(world.phase(*world.hosts[0], 1) == JobPhase::Completed);
+}
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -153,13 +153,15 @@
     /// Hosts that a new host is told of at its start.
     size_t mostSeeds = SIZE_MAX;
 
-    void addWorkers(const std::string& domain, size_t count, int64_t milliCores)
+    void addWorkers(const std::string& domain, size_t count, int64_t milliCores,
+        const std::vector<std::string>& labels = {}, const std::string& service = "desk")
     {
         for (size_t index = 0; index < count; ++index) {
             Cells::WorkerEntry entry;
             entry.id = Common::WorkerId("w" + std::to_string(workers.size()));
             entry.address = entry.id.value() + ":1";
-            entry.service = Common::ServiceName("desk");
+            entry.service = Common::ServiceName(service);
+            entry.labels = labels;
             entry.domain = Common::DomainId(domain);
             entry.rack = Common::RackId("r" + std::to_string(index / 4) + "-" + domain);
             entry.capacity = Common::Resources { 0, milliCores, 100'000, 0 };
--- a/Source/UnitTests/Cells/RunJudge.h
+++ b/Source/UnitTests/Cells/RunJudge.h
@@ -20,6 +20,8 @@
     std::map<Common::JobId, Jobs::JobSpec> submitted;
     std::set<Common::JobId> cancelled;
     uint64_t starts = 0;
+    /// The worker of each task's last start.
+    std::map<Jobs::TaskName, std::string> startedOn;
 
     void started(const std::string& worker, const Jobs::TaskName& task, const Common::Resources& capacity)
     {
@@ -40,6 +42,8 @@
             }
         }
         m_running[task] = worker;
+        startedOn[task] = worker;
+        noteGang(task, job->second.steps.at(task.step));
         Common::Resources& used = m_used[worker];
         used += counted(task);
         if (!Common::fits(used, capacity))
@@ -50,6 +54,17 @@
         m_running.erase(task);
         m_used[worker] -= counted(task);
     }
+    /// Called when the task of a gang has waited for the others as long as a worker lets it.
+    void waitedForGang(const Jobs::TaskName& task, Common::AttemptNumber attempt)
+    {
+        if (!m_wholeGangs.contains(stepOf(task)))
+            faults.push_back(text(task) + " waited in vain for its gang, attempt " + std::to_string(attempt.value));
+    }
+    bool isGang(const Jobs::TaskName& task) const
+    {
+        const auto job = submitted.find(task.job);
+        return job != submitted.end() && job->second.steps.at(task.step).gang;
+    }
     void done(const Jobs::TaskName& task) { m_done.insert(task); }
     void noted(const Jobs::TaskName& task) { m_notedDone.insert(task); }
     bool wasDone(const Jobs::TaskName& task) const { return m_done.contains(task); }
@@ -69,6 +84,24 @@
         return task.job.value() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
             + std::to_string(task.index);
     }
+    static Jobs::TaskName stepOf(Jobs::TaskName task)
+    {
+        task.index = 0;
+        return task;
+    }
+    void noteGang(const Jobs::TaskName& task, const Jobs::StepSpec& spec)
+    {
+        if (!spec.gang)
+            return;
+        Jobs::TaskName member = task;
+        bool whole = true;
+        for (member.index = 0; member.index < spec.taskCount; ++member.index)
+            whole = whole && m_running.contains(member);
+        if (whole)
+            m_wholeGangs.insert(stepOf(task));
+        else
+            m_wholeGangs.erase(stepOf(task));
+    }
     Common::Resources counted(const Jobs::TaskName& task) const
     {
         const auto job = submitted.find(task.job);
@@ -83,6 +116,8 @@
 
     std::map<Jobs::TaskName, std::string> m_running;
     std::map<std::string, Common::Resources> m_used;
+    /// First members of the gangs that were there as a whole.
+    std::set<Jobs::TaskName> m_wholeGangs;
     std::set<Jobs::TaskName> m_done;
     std::set<Jobs::TaskName> m_notedDone;
 };
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -37,6 +37,8 @@
     uint64_t starts = 0;
     /// Whatever it starts fails.
     bool failsAll = false;
+    /// Whatever it is told to start it has no room for.
+    bool refusesStarts = false;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
 
     void crash()
@@ -78,6 +80,10 @@
             reply(answer, Cells::OrderVerdict::OldAttempt);
             return;
         }
+        if (refusesStarts) {
+            reply(answer, Cells::OrderVerdict::NoRoom);
+            return;
+        }
         ++starts;
         m_judge.started(m_entry.id.value(), order.task, m_entry.capacity);
         m_runs[order.task] = Run { order.attempt, order.payload, m_world.now() };
@@ -141,6 +147,9 @@
     }
 
 private:
+    /// How long a member of a gang waits for the others.
+    static constexpr Common::Duration gangPatience = std::chrono::seconds(3);
+
     struct Run {
         Common::AttemptNumber attempt;
         std::string payload;
@@ -176,8 +185,20 @@
                 end(task, run.attempt, Cells::RunEnd::Lapsed);
         });
     }
+    /// A member that waited too long for the others ends.
+    void awaitGang(const Cells::RunOrder& order)
+    {
+        m_world.schedule(gangPatience, [this, task = order.task, attempt = order.attempt, life = m_life] {
+            const auto run = m_runs.find(task);
+            if (life != m_life || run == m_runs.end() || run->second.attempt != attempt)
+                return;
+            m_judge.waitedForGang(task, attempt);
+        });
+    }
     void arm(const Cells::RunOrder& order)
     {
+        if (m_judge.isGang(order.task))
+            awaitGang(order);
         const size_t colon = order.payload.find(':');
         if (colon == std::string::npos)
             return;
