--- a/Source/UnitTests/Http/ClientFaultsTest.cpp
+++ b/Source/UnitTests/Http/ClientFaultsTest.cpp
@@ -6,6 +6,9 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <vector>
+
 using Common::ErrorCode;
 using Fakes::RawServer;
 using Fakes::runUntil;
@@ -162,3 +165,29 @@
     REQUIRE(sendAndWait(loop, client, server.address(), "x", longTimeout));
     CHECK_FALSE(called);
 }
+
+TEST_CASE("A client holds more connections than the oldest interfaces for waiting could")
+{
+    constexpr size_t wanted = 1100;
+    Http::EventLoop loop;
+    std::vector<std::unique_ptr<RawServer>> servers;
+    size_t asked = 0;
+    for (size_t index = 0; index < 50; ++index) {
+        servers.push_back(std::make_unique<RawServer>(loop, [&asked](RawServer::Connection& connection) {
+            ++asked;
+            connection.write(wholeAnswer);
+        }));
+    }
+    Http::Client::Limits limits;
+    limits.maximumConnectionsPerAddress = wanted;
+    Http::Client client(loop, limits);
+    size_t answered = 0;
+    for (size_t index = 0; index < wanted; ++index) {
+        Http::Request request;
+        request.target = "/look";
+        client.send(servers[index % servers.size()]->address(), std::move(request), longTimeout,
+            [&answered](const Common::Result<Http::Response>& response) { answered += response ? 1 : 0; });
+    }
+    REQUIRE(runUntil(loop, [&] { return answered == wanted; }));
+    CHECK(asked == wanted);
+}
