Don't send a submission to an owner that has just been taken for dead

The cell was chosen while its owner was heard; at the second look, a moment later on a slow host, the owner had been silent for two seconds. It can happen on any site; slow hosts with many beats to read make it likely.

Change: such a submission goes to another cell or is refused, like one whose owner can't be reached.

Measured: the new case of CellWorldTest crashed before and passes, 20 seeds, with a process whose clock moves on while it works.

--- a/Source/Core/Cells/JobFront.cpp
+++ b/Source/Core/Cells/JobFront.cpp
@@ -364,6 +364,11 @@
         return;
     }
     const CellKeeper::Owner* const owner = m_keeper.liveOwner(cell);
+    if (!owner) {
+        // Silent for too long since the cell was chosen: the clock goes on meanwhile.
+        callback(failure(Common::ErrorCode::PeerUnavailable, "the cell's owner isn't heard any more"));
+        return;
+    }
     const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission.record) },
         { "fit", fitOf(submission) == CellEngine::Fit::Required } };
     m_peers.call(owner->address, submitMethod, params, std::min(submitTimeout, submission.deadline - m_runtime.now()),
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -127,6 +127,27 @@
     CHECK(fleet.judge.summary().empty());
 }
 
+TEST_CASE("a submission isn't hurt by an owner that is taken for dead while it is handled")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Fleet fleet(seed);
+        WorldHost& front = fleet.other();
+        fleet.owner()->process.kill();
+        fleet.clock.advance(1200ms);
+        front.process.slowness = 1ms;
+        std::vector<Outcome> outcomes(100);
+        for (size_t number = 0; number < outcomes.size(); ++number) {
+            fleet.submit(front, CellWorld::job(number + 1, "run:100", 1), outcomes[number]);
+            fleet.clock.advance(1ms);
+        }
+        fleet.clock.advance(5s);
+        CHECK(
+            std::all_of(outcomes.begin(), outcomes.end(), [](const Outcome& outcome) { return outcome.has_value(); }));
+        CHECK(fleet.judge.summary().empty());
+    }
+}
+
 TEST_CASE("known jobs go on while the store is down, and new ones are refused")
 {
     Fleet fleet;
--- a/Source/UnitTests/Fakes/FakeProcess.h
+++ b/Source/UnitTests/Fakes/FakeProcess.h
@@ -20,7 +20,14 @@
     {
     }
 
-    Common::MonoTime now() const override { return m_world.now(); }
+    /// By how much the process's clock has moved on between two looks at it, as on a slow host.
+    Common::Duration slowness {};
+
+    Common::MonoTime now() const override
+    {
+        m_ahead += slowness;
+        return m_world.now() + m_ahead;
+    }
     int64_t wallMilliseconds() const override { return m_world.wallMilliseconds(); }
     Scheduler::TimerId schedule(Common::Duration delay, std::function<void()> action) override
     {
@@ -68,6 +75,7 @@
 private:
     VirtualRuntime& m_world;
     std::mt19937_64 m_random;
+    mutable Common::Duration m_ahead {};
     uint64_t m_lastTimer = 0;
     std::set<uint64_t> m_timers;
     std::deque<std::function<void()>> m_waiting;
