Don't wait out the authority of an owner that says that it has lost the cell

An owner was frozen for four seconds, and workers that were leaving went meanwhile, with tasks on them. Its successor waited for those workers until the frozen owner's authority (9 s) and one run lease (6 s) had passed: 15.4 s, although that owner had woken and lost the cell ten seconds before.

Change: beats also name the cells that a host is taking over or releasing. A former owner whose own beat names the cell neither as its own nor among those can't grant leases any more, like one that another process has replaced; one run lease is waited for from then on.

Ruled out: taking a worker that isn't listed any more for empty (entries lapse while the store is away, and workers run on behind a cut).

Measured: the new case of CellWorldTest failed before (not settled 11 s after the freeze began).

--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -171,6 +171,9 @@
             message.cells.push_back({ cell, engine->token(), engine->load(),
                 tellBeliefs ? engine->beliefs(toldBeliefs) : std::vector<Policy::TailModel::Belief> {} });
     }
+    message.changing.assign(m_releasing.begin(), m_releasing.end());
+    for (const auto& [cell, pending] : m_claims)
+        message.changing.push_back(cell);
     for (const auto& [cell, since] : m_released)
         message.released.push_back(cell);
     message.others = namesByTurns();
@@ -219,7 +222,9 @@
             owner->second.released = true;
     }
     for (auto former = m_formerOwners.begin(); former != m_formerOwners.end();) {
-        const bool replaced = former->second.address == beat->address && former->second.owner != beat->id;
+        // Another process runs in its place, or it has heard that it isn't the owner any more.
+        const bool replaced
+            = former->second.owner == beat->id ? !beat->holds(former->first) : former->second.address == beat->address;
         if (CellEngine* const own = replaced ? engine(former->first) : nullptr)
             own->formerOwnerGone();
         former = replaced ? m_formerOwners.erase(former) : std::next(former);
--- a/Source/Core/Cells/HostBeat.cpp
+++ b/Source/Core/Cells/HostBeat.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Cells {
 
 namespace {
@@ -47,19 +49,29 @@
 
 } // namespace
 
+bool HostBeat::holds(const CellId& cell) const
+{
+    return std::any_of(cells.begin(), cells.end(), [&](const OwnedCell& owned) { return owned.cell == cell; })
+        || std::find(changing.begin(), changing.end(), cell) != changing.end();
+}
+
 std::string HostBeat::encode() const
 {
     Json cellRows = Json::array();
     for (const OwnedCell& owned : cells)
         cellRows.push_back(cellToJson(owned));
-    Json releasedIds = Json::array();
-    for (const CellId& cell : released)
-        releasedIds.push_back(cell.value());
+    const auto idsOf = [](const std::vector<CellId>& ids) {
+        Json rows = Json::array();
+        for (const CellId& cell : ids)
+            rows.push_back(cell.value());
+        return rows;
+    };
     return Json {
         { "id", id.value() }, { "addr", address }, { "beat", beatAddress }, { "domain", domain.value() },
         { "region", region.value() }, { "weight", weight }, { "started", startedMilliseconds },
         { "draining", draining }, { "store", storeAnswers }, { "config", configVersion },
-        { "cells", std::move(cellRows) }, { "released", std::move(releasedIds) }, { "others", others }
+        { "cells", std::move(cellRows) }, { "released", idsOf(released) }, { "others", others },
+        { "changing", idsOf(changing) }
     }.dump();
 }
 
@@ -82,6 +94,8 @@
             beat.cells.push_back(cellFromJson(row));
         for (const Json& cell : object.value("released", Json::array()))
             beat.released.emplace_back(cell.get<std::string>());
+        for (const Json& cell : object.value("changing", Json::array()))
+            beat.changing.emplace_back(cell.get<std::string>());
         beat.others = object.value("others", std::vector<std::string> {});
         return beat;
     } catch (const Json::exception& error) {
--- a/Source/Core/Cells/HostBeat.h
+++ b/Source/Core/Cells/HostBeat.h
@@ -39,11 +39,16 @@
     bool storeAnswers = false;
     int64_t configVersion = -1;
     std::vector<OwnedCell> cells;
+    /// Cells that it is taking over or releasing: it doesn't count as their owner, but may grant leases there.
+    std::vector<CellId> changing;
     /// Cells that it has released since; whoever should have them may take over at once.
     std::vector<CellId> released;
     /// Beat addresses of other hosts that it hears.
     std::vector<std::string> others;
 
+    /// Whether the host may still grant leases to the cell's workers.
+    bool holds(const CellId&) const;
+
     std::string encode() const;
     static Common::Result<HostBeat> decode(std::string_view text);
 };
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -218,6 +218,30 @@
     CHECK(fleet.judge.summary().empty());
 }
 
+TEST_CASE("a successor needn't wait out the authority of an owner that says that it has lost the cell")
+{
+    Fleet fleet;
+    Outcome outcome;
+    Jobs::JobRecord service = CellWorld::service(1, 8);
+    service.spec.steps[0].maximumPerWorker = 1;
+    fleet.submit(fleet.other(), service, outcome);
+    fleet.clock.advance(1s);
+    REQUIRE(fleet.running() == 8);
+    WorldHost* const frozen = fleet.owner();
+    frozen->process.pause();
+    fleet.clock.advance(500ms);
+    // Gone with its task, so that the successor can't ask it; its tasks fit elsewhere.
+    fleet.workers[0]->crash();
+    fleet.clock.advance(3500ms);
+    REQUIRE(fleet.owner() != frozen);
+    frozen->process.resume();
+    // A lease that the frozen owner may have granted last, and the time in which it hears that it was replaced.
+    fleet.clock.advance(7s);
+    CHECK(fleet.owners() == 1);
+    CHECK(fleet.owner()->keeper.engines().begin()->second->settled());
+    CHECK(fleet.judge.summary().empty());
+}
+
 TEST_CASE("orders that are carried out late start nothing twice")
 {
     Fleet fleet(7);
