Give what gangs need and what workers offer them a header each

Cause: reading the change as a newcomer: GangPlaces.h held the need, the offer and the answer.

Change: GangNeed.h and GangOffer.h; the alternatives of the answer stay beside it.

--- /dev/null
+++ b/Source/Core/Policy/GangNeed.h
@@ -0,0 +1,16 @@
+// What a gang needs to start.
+#pragma once
+
+#include <cstddef>
+
+namespace Policy {
+
+struct GangNeed {
+    size_t members = 0;
+    /// They get on well only while all of them are on one rack.
+    bool oneRack = false;
+    /// A rack with room for all of them is still worth waiting for.
+    bool patient = false;
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Source/Core/Policy/GangOffer.h
@@ -0,0 +1,16 @@
+// What one worker has to offer to a gang.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace Policy {
+
+struct GangOffer {
+    std::string rack;
+    /// Members that it has room for now, and that it would have room for if nothing else ran there.
+    size_t places = 0;
+    size_t placesWhenEmpty = 0;
+};
+
+} // namespace Policy
--- a/Source/Core/Policy/GangPlaces.h
+++ b/Source/Core/Policy/GangPlaces.h
@@ -2,29 +2,16 @@
 // fleet whose racks are never free at once.
 #pragma once
 
-#include <cstddef>
+#include "Policy/GangNeed.h"
+#include "Policy/GangOffer.h"
+
 #include <string>
 #include <variant>
 #include <vector>
 
 namespace Policy {
 
-/// One worker on which members may run.
-struct GangOffer {
-    std::string rack;
-    /// Members that it has room for now, and that it would have room for if nothing else ran there.
-    size_t places = 0;
-    size_t placesWhenEmpty = 0;
-};
-
-struct GangNeed {
-    size_t members = 0;
-    /// They get on well only while all of them are on one rack.
-    bool oneRack = false;
-    /// A rack with room for all of them is still worth waiting for.
-    bool patient = false;
-};
-
+/// Where the members go: to one rack, wherever there is room, or nowhere yet.
 struct OnRack {
     std::string rack;
 };
