Refuse a reservation of a task that was started already

Releases that come late were held off before by the note that the start was sent; the copy wiped that note out. A task that was adopted from an earlier owner has no note at all and had the same hole.

Change: a task that has room here is reserved again only while its start hasn't been sent.

Ruled out: counting copies at the network (peers' calls may be repeated; the plane has to bear it).

--- a/Source/Core/Dispatch/TaskPlaneService.cpp
+++ b/Source/Core/Dispatch/TaskPlaneService.cpp
@@ -193,6 +193,11 @@
 {
     if (m_parts.placement.workerCount() > 0 && !m_parts.placement.fitsAnywhere(spec.declared))
         return Failure { ErrorCode::JobFitsNoWorker, "no worker, even an empty one, could hold the task" };
+    const auto placed = m_placed.find(spec.task);
+    const bool onlyReserved = placed != m_placed.end() && !placed->second.startSent;
+    // A copy of the call that was under way for long: a reservation could be released, and the task may run.
+    if (m_parts.placement.workerOf(spec.task) && !onlyReserved)
+        return Failure { ErrorCode::DuplicateId, "the task was started already" };
     const Result<Place> place = m_parts.pool.place(spec.task, placementOf(spec));
     if (!place)
         return place.reason();
