Write the fleet of cell tests and the busy peer of request tests once

Cause: reading the change: GangTest had a copy of CellWorldTest's fleet, four cases of RequestServiceTest the same peer by copy, and a comment stood behind an else.

Change: Cells/Fleet.h; busyPeer(); the reason why given tasks count as started stands in a named constant.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -342,10 +342,12 @@
     LC_INFO(Jobs,
         "event=tasks-received job=" << gift.part.id.value() << " cell=" << m_id.value() << " from=" << gift.from.value()
                                     << " gift=" << gift.number);
+    // An earlier owner may have received it too and started its tasks before that was durable.
+    constexpr bool mayHaveStarted = true;
     if (LiveJob* const known = findJob(gift.part.id))
         known->receive(gift);
-    else // An earlier owner may have received it too and started its tasks before that was durable.
-        addJob(gift.part, true);
+    else
+        addJob(gift.part, mayHaveStarted);
     m_committer.received(gift.part.id, gift.key());
     placeSoon();
 }
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -1,5 +1,5 @@
 // Whole entry hosts: jobs are accepted, run and finished, also when owners, the store or workers fail.
-#include "Cells/CellWorld.h"
+#include "Cells/Fleet.h"
 #include "Cells/StoreKeys.h"
 
 #include <doctest/doctest.h>
@@ -8,47 +8,6 @@
 using namespace std::chrono_literals;
 using Jobs::JobPhase;
 
-namespace {
-
-using Outcome = std::optional<Common::Result<Common::Done>>;
-
-/// Three hosts, one cell of eight workers.
-struct Fleet : CellWorld {
-    explicit Fleet(uint64_t seed = 1)
-        : CellWorld(seed)
-    {
-        addWorkers("yard", 8, 4000);
-        for (const char* const name : { "a:1", "b:1", "c:1" })
-            addHost("yard", name);
-        clock.advance(8s);
-    }
-    WorldHost* owner()
-    {
-        for (WorldHost* const host : live()) {
-            if (!host->keeper.engines().empty())
-                return host;
-        }
-        return nullptr;
-    }
-    WorldHost& other()
-    {
-        for (WorldHost* const host : live()) {
-            if (host->keeper.engines().empty())
-                return *host;
-        }
-        return *live().front();
-    }
-    size_t owners()
-    {
-        size_t count = 0;
-        for (WorldHost* const host : live())
-            count += host->keeper.engines().size();
-        return count;
-    }
-};
-
-} // namespace
-
 TEST_CASE("a job submitted anywhere is accepted, runs step by step and completes")
 {
     Fleet fleet;
--- a/Source/UnitTests/Cells/GangTest.cpp
+++ b/Source/UnitTests/Cells/GangTest.cpp
@@ -1,5 +1,5 @@
 // Gangs start whole, on one rack where they belong on one, and resume from one checkpoint.
-#include "Cells/CellWorld.h"
+#include "Cells/Fleet.h"
 
 #include <doctest/doctest.h>
 
@@ -11,18 +11,8 @@
 
 namespace {
 
-using Outcome = std::optional<Common::Result<Common::Done>>;
-
-/// One cell of eight workers on two racks, for two tasks of two cores each.
-struct Fleet : CellWorld {
-    Fleet()
-        : CellWorld(1)
-    {
-        addWorkers("yard", 8, 4000);
-        for (const char* const name : { "a:1", "b:1", "c:1" })
-            addHost("yard", name);
-        clock.advance(8s);
-    }
+/// The workers stand on two racks; each has room for two tasks of two cores.
+struct GangFleet : Fleet {
     static Jobs::JobRecord gang(uint64_t number, uint32_t members, int64_t milliCores, bool oneRack)
     {
         Jobs::JobRecord record = job(number, "run:4000", members);
@@ -47,10 +37,10 @@
 
 TEST_CASE("when one member of a gang is refused, the others don't wait for it")
 {
-    Fleet fleet;
+    GangFleet fleet;
     fleet.workers[0]->refusesStarts = true;
     Outcome outcome;
-    fleet.submit(*fleet.hosts[0], Fleet::gang(1, 7, 3000, false), outcome);
+    fleet.submit(*fleet.hosts[0], GangFleet::gang(1, 7, 3000, false), outcome);
     fleet.clock.advance(12s);
     CHECK(fleet.judge.summary().empty());
     CHECK(fleet.phase(*fleet.live().front(), 1) == JobPhase::Completed);
@@ -58,7 +48,7 @@
 
 TEST_CASE("a gang that belongs on one rack starts on one")
 {
-    Fleet fleet;
+    GangFleet fleet;
     Outcome first;
     Jobs::JobRecord filler = CellWorld::service(1, 6);
     filler.spec.steps[0].request.milliCores = 2000;
@@ -67,7 +57,7 @@
     fleet.clock.advance(1s);
     REQUIRE(fleet.running() == 6);
     Outcome outcome;
-    fleet.submit(*fleet.hosts[0], Fleet::gang(2, 4, 2000, true), outcome);
+    fleet.submit(*fleet.hosts[0], GangFleet::gang(2, 4, 2000, true), outcome);
     fleet.clock.advance(1s);
     CHECK(fleet.racksOf(2, 4) == std::set<std::string> { "r1-yard" });
     fleet.clock.advance(5s);
@@ -77,7 +67,7 @@
 
 TEST_CASE("all members of a gang resume from the checkpoint that any of them has told last")
 {
-    Cells::LiveJob job(Fleet::gang(1, 3, 1000, false), false, Common::MonoTime {}, 0);
+    Cells::LiveJob job(GangFleet::gang(1, 3, 1000, false), false, Common::MonoTime {}, 0);
     job.openDue(Common::MonoTime {}, 0);
     job.noteCheckpoint({ job.id(), 0, 0, 1 }, "first");
     job.noteCheckpoint({ job.id(), 0, 0, 2 }, "second");
--- a/Source/UnitTests/Dispatch/RequestServiceTest.cpp
+++ b/Source/UnitTests/Dispatch/RequestServiceTest.cpp
@@ -10,6 +10,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+/// A daemon with workers, none of which has room by its last summary.
+Scheduler::PeerInfo busyPeer(const std::string& name)
+{
+    Scheduler::PeerInfo peer;
+    peer.id = Common::DaemonId(name);
+    peer.address = name;
+    peer.totalSlots = 8;
+    return peer;
+}
+
+} // namespace
+
 TEST_CASE("answers go to their own requests, in whatever order they come")
 {
     RequestWorld world;
@@ -280,11 +294,7 @@
 TEST_CASE("a daemon without workers lets requests wait at a peer that has some, even busy ones")
 {
     RequestWorld world(1, 0);
-    Scheduler::PeerInfo busy;
-    busy.id = Common::DaemonId("d2");
-    busy.address = "d2";
-    busy.totalSlots = 8;
-    world.members.seePeers({ busy });
+    world.members.seePeers({ busyPeer("d2") });
     for (const char* id : { "a", "b", "c" })
         world.submit("previews", id);
     CHECK(world.outcomes.empty());
@@ -296,11 +306,7 @@
 TEST_CASE("a daemon without workers refuses at once what it may not pass on")
 {
     RequestWorld world(1, 0);
-    Scheduler::PeerInfo busy;
-    busy.id = Common::DaemonId("d2");
-    busy.address = "d2";
-    busy.totalSlots = 8;
-    world.members.seePeers({ busy });
+    world.members.seePeers({ busyPeer("d2") });
     Dispatch::IncomingRequest request;
     request.id = Common::RequestId("passed on twice");
     request.service = Common::ServiceName("previews");
@@ -315,15 +321,7 @@
 TEST_CASE("a daemon without workers goes on passing on what waits, however often it was refused")
 {
     RequestWorld world(1, 0);
-    std::vector<Scheduler::PeerInfo> busy;
-    for (const char* const name : { "d2", "d3", "d4", "d5" }) {
-        Scheduler::PeerInfo peer;
-        peer.id = Common::DaemonId(name);
-        peer.address = name;
-        peer.totalSlots = 8;
-        busy.push_back(peer);
-    }
-    world.members.seePeers(busy);
+    world.members.seePeers({ busyPeer("d2"), busyPeer("d3"), busyPeer("d4"), busyPeer("d5") });
     world.submit("previews", "p");
     const Dispatch::RequestOutcome full = Dispatch::NotRun { { ErrorCode::Overloaded, "scripted" } };
     const auto few = static_cast<size_t>(Dispatch::RequestServiceSettings {}.maximumForwards);
@@ -341,11 +339,7 @@
 TEST_CASE("a request that comes back from where it was passed on doesn't wait for itself")
 {
     RequestWorld world(1, 0);
-    Scheduler::PeerInfo other;
-    other.id = Common::DaemonId("d2");
-    other.address = "d2";
-    other.totalSlots = 8;
-    world.members.seePeers({ other });
+    world.members.seePeers({ busyPeer("d2") });
     world.submit("previews", "p");
     REQUIRE(world.peers.forwards.size() == 1);
     Dispatch::IncomingRequest back = world.peers.forwards[0].request;
