Take nothing for granted from a beat that doesn't name the cells that change hands

Cause: reading the change: a host of the version before names no cells that it is releasing, and was taken for one that can't grant leases there any more, while it still may. Services and labels of such hosts were read with care, this wasn't.

Change: HostBeat::changing is absent for them, and holds() says yes.

Hosts of one version behave as before.

--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -171,9 +171,9 @@
             message.cells.push_back({ cell, engine->token(), engine->load(),
                 tellBeliefs ? engine->beliefs(toldBeliefs) : std::vector<Policy::TailModel::Belief> {} });
     }
-    message.changing.assign(m_releasing.begin(), m_releasing.end());
+    message.changing.emplace(m_releasing.begin(), m_releasing.end());
     for (const auto& [cell, pending] : m_claims)
-        message.changing.push_back(cell);
+        message.changing->push_back(cell);
     for (const auto& [cell, since] : m_released)
         message.released.push_back(cell);
     message.others = namesByTurns();
--- a/Source/Core/Cells/HostBeat.cpp
+++ b/Source/Core/Cells/HostBeat.cpp
@@ -51,8 +51,10 @@
 
 bool HostBeat::holds(const CellId& cell) const
 {
+    if (!changing)
+        return true;
     return std::any_of(cells.begin(), cells.end(), [&](const OwnedCell& owned) { return owned.cell == cell; })
-        || std::find(changing.begin(), changing.end(), cell) != changing.end();
+        || std::find(changing->begin(), changing->end(), cell) != changing->end();
 }
 
 std::string HostBeat::encode() const
@@ -71,7 +73,7 @@
         { "region", region.value() }, { "weight", weight }, { "started", startedMilliseconds },
         { "draining", draining }, { "store", storeAnswers }, { "config", configVersion },
         { "cells", std::move(cellRows) }, { "released", idsOf(released) }, { "others", others },
-        { "changing", idsOf(changing) }
+        { "changing", idsOf(changing.value_or(std::vector<CellId> {})) }
     }.dump();
 }
 
@@ -94,8 +96,11 @@
             beat.cells.push_back(cellFromJson(row));
         for (const Json& cell : object.value("released", Json::array()))
             beat.released.emplace_back(cell.get<std::string>());
-        for (const Json& cell : object.value("changing", Json::array()))
-            beat.changing.emplace_back(cell.get<std::string>());
+        if (object.contains("changing")) {
+            beat.changing.emplace();
+            for (const Json& cell : object.at("changing"))
+                beat.changing->emplace_back(cell.get<std::string>());
+        }
         beat.others = object.value("others", std::vector<std::string> {});
         return beat;
     } catch (const Json::exception& error) {
--- a/Source/Core/Cells/HostBeat.h
+++ b/Source/Core/Cells/HostBeat.h
@@ -8,6 +8,7 @@
 #include "Policy/TailModel.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,8 +40,9 @@
     bool storeAnswers = false;
     int64_t configVersion = -1;
     std::vector<OwnedCell> cells;
-    /// Cells that it is taking over or releasing: it doesn't count as their owner, but may grant leases there.
-    std::vector<CellId> changing;
+    /// Cells that it is taking over or releasing: it doesn't count as their owner, but may grant leases there. Nothing
+    /// when it doesn't tell, as a host of an earlier version.
+    std::optional<std::vector<CellId>> changing;
     /// Cells that it has released since; whoever should have them may take over at once.
     std::vector<CellId> released;
     /// Beat addresses of other hosts that it hears.
--- a/Source/UnitTests/Cells/CellLoadTest.cpp
+++ b/Source/UnitTests/Cells/CellLoadTest.cpp
@@ -87,12 +87,17 @@
     CHECK(same->cells.at(0).load.services == beat.cells[0].load.services);
     CHECK(same->cells.at(0).load.labels == beat.cells[0].load.labels);
     nlohmann::json old = nlohmann::json::parse(beat.encode());
+    old.erase("changing");
     old["cells"][0].erase(13);
     old["cells"][0].erase(12);
     const auto earlier = Cells::HostBeat::decode(old.dump());
     REQUIRE(earlier);
     CHECK(earlier->cells.at(0).load.capacityFor(desk, step("fast")) == 12'000);
     CHECK(earlier->cells.at(0).load.hasRack(Common::RackId("r9-yard")));
+    // It may be releasing a cell without saying so.
+    CHECK(earlier->holds(Cells::CellId("yard-9")));
+    CHECK_FALSE(same->holds(Cells::CellId("yard-9")));
+    CHECK(same->holds(Cells::CellId("yard-0")));
 }
 
 TEST_CASE("a job goes to the cell whose workers have its label, wherever it was submitted")
