Don't forget a former owner before there is an engine to tell

The former owner's beat came while the cell was being taken over; it was crossed off, and there was no engine yet that could be told.

Change: it is crossed off when an engine has heard it; the next beat says it again.

--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -225,9 +225,11 @@
         // Another process runs in its place, or it has heard that it isn't the owner any more.
         const bool replaced
             = former->second.owner == beat->id ? !beat->holds(former->first) : former->second.address == beat->address;
-        if (CellEngine* const own = replaced ? engine(former->first) : nullptr)
+        // While the cell is being taken over there is nobody to tell yet; the next beat says it again.
+        CellEngine* const own = replaced ? engine(former->first) : nullptr;
+        if (own)
             own->formerOwnerGone();
-        former = replaced ? m_formerOwners.erase(former) : std::next(former);
+        former = own ? m_formerOwners.erase(former) : std::next(former);
     }
     if (m_onBeat)
         m_onBeat(*beat);
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -201,6 +201,41 @@
     CHECK(fleet.judge.summary().empty());
 }
 
+TEST_CASE("a successor hears that its predecessor has lost the cell also while it takes it over")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Fleet fleet(seed);
+        Outcome outcome;
+        Jobs::JobRecord service = CellWorld::service(1, 8);
+        service.spec.steps[0].maximumPerWorker = 1;
+        fleet.submit(fleet.other(), service, outcome);
+        fleet.clock.advance(1s);
+        REQUIRE(fleet.running() == 8);
+        WorldHost* const frozen = fleet.owner();
+        const std::string key = Cells::StoreKeys::cell(Cells::CellId("yard-0"));
+        const std::string record = *fleet.store.value(key);
+        frozen->process.pause();
+        fleet.clock.advance(500ms);
+        fleet.workers[0]->crash();
+        const Common::MonoTime end = fleet.clock.now() + 6s;
+        while (*fleet.store.value(key) == record && fleet.clock.now() < end)
+            fleet.clock.step();
+        REQUIRE(*fleet.store.value(key) != record);
+        // The takeover takes longer than the predecessor needs to find out.
+        fleet.network.setMaximumDelay(400ms);
+        frozen->process.resume();
+        Outcome other;
+        fleet.submit(*frozen, CellWorld::job(2, "run:100", 1), other);
+        fleet.clock.advance(2s);
+        fleet.network.heal();
+        fleet.clock.advance(8s);
+        REQUIRE(fleet.owners() == 1);
+        CHECK(fleet.owner()->keeper.engines().begin()->second->settled());
+        CHECK(fleet.judge.summary().empty());
+    }
+}
+
 TEST_CASE("orders that are carried out late start nothing twice")
 {
     Fleet fleet(7);
