A host that stood still listens before it takes others for dead

Change: a host whose own ticks came more than a second late claims nothing until it has listened for as long as a host may be silent.

--- a/Source/Core/Cells/CellKeeper.cpp
+++ b/Source/Core/Cells/CellKeeper.cpp
@@ -18,6 +18,8 @@
     /// A first layout is written once the list of workers has stopped growing, or after this long.
     constexpr Common::Duration layoutPatience = std::chrono::seconds(5);
     constexpr Common::Duration layoutRetry = std::chrono::milliseconds(600);
+    /// A host whose ticks come later than this has missed beats: half of what others may be silent for.
+    constexpr Common::Duration longestStall = std::chrono::seconds(1);
     /// Beats begin fast.
     constexpr Common::Duration introduction = std::chrono::seconds(2);
     /// For this long beats say that a cell was released.
@@ -86,6 +88,7 @@
 void CellKeeper::start()
 {
     m_startedAt = m_ports.runtime.now();
+    m_lastTick = m_startedAt;
     m_startedWall = m_ports.runtime.wallMilliseconds();
     // Seeds begin at different places, so that together they soon name all.
     m_nextNamed = m_ports.runtime.random()() % namedAtFirst;
@@ -239,6 +242,7 @@
 void CellKeeper::tick()
 {
     m_ports.runtime.schedule(m_settings.tickInterval, m_lifetime.guard([this] { tick(); }));
+    noteAbsence();
     if (m_draining)
         return;
     rankOwners();
@@ -250,6 +254,16 @@
     }
 }
 
+/// A host that stood still itself hasn't heard the others, which says nothing of them until it has listened again.
+void CellKeeper::noteAbsence()
+{
+    const Common::MonoTime now = m_ports.runtime.now();
+    if (now - std::exchange(m_lastTick, now) > m_settings.tickInterval + longestStall) {
+        LC_WARN(Core, "event=stood-still");
+        m_wokeAt = now;
+    }
+}
+
 const CellKeeper::Owner* CellKeeper::liveOwner(const CellId& cell) const
 {
     const auto owner = m_owners.find(cell);
@@ -322,7 +336,9 @@
 void CellKeeper::considerClaim(const CellId& cell)
 {
     const Common::MonoTime now = m_ports.runtime.now();
-    if (!ownerless(cell) || now - m_startedAt < m_settings.startGrace) {
+    const bool listened
+        = now - m_startedAt >= m_settings.startGrace && (!m_wokeAt || now - *m_wokeAt >= m_settings.hostSilence);
+    if (!ownerless(cell) || !listened) {
         m_ownerlessSince.erase(cell);
         return;
     }
--- a/Source/Core/Cells/CellKeeper.h
+++ b/Source/Core/Cells/CellKeeper.h
@@ -91,6 +91,7 @@
     std::vector<std::string> namesByTurns();
     void onBeat(std::string_view text);
     void tick();
+    void noteAbsence();
     bool ownerless(const CellId&) const;
     void rankOwners();
     void considerClaim(const CellId&);
@@ -143,6 +144,9 @@
     bool m_watchingList = false;
     bool m_listKnown = false;
     Common::MonoTime m_startedAt;
+    Common::MonoTime m_lastTick;
+    /// When the host last woke after it had stood still.
+    std::optional<Common::MonoTime> m_wokeAt;
     int64_t m_startedWall = 0;
     int64_t m_configVersion = -1;
     bool m_storeAnswers = false;
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -201,6 +201,24 @@
     CHECK(fleet.judge.summary().empty());
 }
 
+TEST_CASE("a host that wakes takes no cell from an owner that it only couldn't hear")
+{
+    Fleet fleet;
+    WorldHost* const owner = fleet.owner();
+    WorldHost& sleeper = fleet.other();
+    const std::string record = *fleet.store.value(Cells::StoreKeys::cell(Cells::CellId("yard-0")));
+    sleeper.process.pause();
+    // What is sent to a frozen host is read after its timers have run, or lost.
+    for (WorldHost* const host : fleet.live())
+        fleet.network.cut(host->address, sleeper.address);
+    fleet.clock.advance(4s);
+    fleet.network.heal();
+    sleeper.process.resume();
+    fleet.clock.advance(4s);
+    CHECK(fleet.owner() == owner);
+    CHECK(*fleet.store.value(Cells::StoreKeys::cell(Cells::CellId("yard-0"))) == record);
+}
+
 TEST_CASE("a successor hears that its predecessor has lost the cell also while it takes it over")
 {
     for (uint64_t seed = 1; seed <= 20; ++seed) {
