Measure where the entry process's time goes, and log who is considered idle

Added: lavendercart_loop_lag_seconds and event=loop-late, lavendercart_work_seconds_total by kind and event=work-times every five seconds, lavendercart_call_seconds{call="cancel"}, event=worker-considered-idle, event=part-cancelled, event=part-message-unanswered, after-ms at event=worker-silent, recovered at event=run-ordered. No decision changes.

Ruled out: the thread's processor clock, which is a system call at each scope.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -3,6 +3,7 @@
 
 #include "Cells/StoreKeys.h"
 #include "Common/Log.h"
+#include "Common/WorkTimes.h"
 
 #include <algorithm>
 #include <utility>
@@ -180,6 +181,7 @@
 {
     if (m_busy || m_stopped)
         return;
+    const Common::WorkTimes::Scope work(Common::WorkKind::Commits);
     if (m_needsRewrite) {
         rewriteRecord();
         return;
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -3,6 +3,7 @@
 
 #include "Cells/PressureEstimateCodec.h"
 #include "Common/Log.h"
+#include "Common/WorkTimes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -316,6 +317,8 @@
         callback(Common::Done {});
         return;
     }
+    LC_INFO(Jobs,
+        "event=part-cancelled job=" << part.id.value() << " cell=" << m_id.value() << " known=" << (known != nullptr));
     if (known)
         cancelLocalJob(*known, callback);
     else
@@ -438,6 +441,7 @@
 
 void CellEngine::onReport(CellWorker& worker, const RunReport& report, Common::MonotonicTime askedAt)
 {
+    const Common::WorkTimes::Scope work(Common::WorkKind::WorkerReports);
     if (report.unreadable > 0)
         LC_WARN(Worker, "event=unreadable-rows worker=" << worker.id().value() << " rows=" << report.unreadable);
     if (!worker.contacted) {
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -2,6 +2,7 @@
 #include "Cells/CellEngine.h"
 
 #include "Common/Log.h"
+#include "Common/WorkTimes.h"
 #include "Policy/WorkerChoice.h"
 
 #include <algorithm>
@@ -74,6 +75,7 @@
 {
     if (m_closed || m_releasing || !mayGrant())
         return;
+    const Common::WorkTimes::Scope work(Common::WorkKind::Placement);
     std::vector<Candidate> ranked = candidates();
     std::sort(ranked.begin(), ranked.end(), [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
     std::vector<Candidate> blocked;
@@ -292,7 +294,7 @@
                                         : static_cast<uint32_t>(fullPace);
     LC_INFO(Jobs,
         "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << m_token.value
-                                 << " image=" << spec.image << " pace=" << pace);
+                                 << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace);
     m_blockedSince.erase(name.job);
     worker.addAllocation(run, allocationFor(spec));
     job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -4,6 +4,7 @@
 #include "Cells/PressureEstimateCodec.h"
 #include "Cells/StoreKeys.h"
 #include "Common/Log.h"
+#include "Common/WorkTimes.h"
 #include "Policy/OwnerChoice.h"
 
 #include <nlohmann/json.hpp>
@@ -155,6 +156,7 @@
 
 void CellOwnership::sendHeartbeat()
 {
+    const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsSent);
     const Common::MonotonicTime now = m_ports.runtime.now();
     m_directory.expire(now);
     std::erase_if(m_releasedAt, [now](const auto& row) { return now - row.second > releaseAnnouncementPeriod; });
@@ -203,6 +205,7 @@
 
 void CellOwnership::onHeartbeat(std::string_view text)
 {
+    const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsReceived);
     Common::Result<HostHeartbeat> heartbeat = HostHeartbeat::decode(text);
     if (!heartbeat) {
         LC_WARN(Peer, "event=unreadable-heartbeat reason=" << heartbeat.reason().detail);
@@ -248,6 +251,7 @@
     detectStall();
     if (m_draining)
         return;
+    const Common::WorkTimes::Scope work(Common::WorkKind::OwnerChoice);
     rankOwners();
     for (const CellId& cell : m_layout.cells()) {
         if (m_engines.contains(cell))
@@ -616,9 +620,13 @@
 void CellOwnership::notifyOwner(const CellId& cell, const PartMessage& message)
 {
     const auto again = m_lifetime.guard([this, cell, message] { notifyOwner(cell, message); });
-    const auto onAnswer = m_lifetime.guard([this, again](const Common::Result<Common::Done>& answer) {
-        if (!answer)
-            m_ports.runtime.schedule(storeRetryPause, again);
+    const auto onAnswer = m_lifetime.guard([this, cell, again](const Common::Result<Common::Done>& answer) {
+        if (answer)
+            return;
+        LC_WARN(Peer,
+            "event=part-message-unanswered cell=" << cell.value()
+                                                  << " reason=" << Common::errorName(answer.reason().code));
+        m_ports.runtime.schedule(storeRetryPause, again);
     });
     const Owner* const owner = liveOwner(cell);
     if (CellEngine* const own = engine(cell))
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -20,6 +20,7 @@
     Common::MonotonicTime timerDue;
     Common::Duration retryPause {};
     bool silenceLogged = false;
+    bool idleLogged = false;
 };
 
 CellWorkers::CellWorkers(Scheduler::Runtime& runtime, WorkerOrders& orders, FencingToken token,
@@ -143,7 +144,7 @@
     if (report)
         onReport(*worker, *report, askedAt);
     else
-        onPollFailure(*worker, report.reason());
+        onPollFailure(*worker, report.reason(), askedAt);
     if (m_closed || dropIfGone(*worker))
         return;
     schedulePoll(id, report ? nextPollDelay(*worker) : link(*worker).retryPause);
@@ -174,7 +175,7 @@
     worker.contacted = true;
 }
 
-void CellWorkers::onPollFailure(CellWorker& worker, const Common::Failure& reason)
+void CellWorkers::onPollFailure(CellWorker& worker, const Common::Failure& reason, Common::MonotonicTime askedAt)
 {
     Link& state = link(worker);
     state.retryPause
@@ -183,7 +184,13 @@
     if (!std::exchange(state.silenceLogged, true)) {
         LC_WARN(Worker,
             "event=worker-silent worker=" << worker.id().value() << " runs=" << worker.allocations().size()
-                                          << " reason=" << Common::errorName(reason.code));
+                                          << " reason=" << Common::errorName(reason.code) << " after-ms="
+                                          << (m_runtime.now() - askedAt) / std::chrono::milliseconds(1));
+    }
+    if (!worker.contacted && isProvablyIdle(worker) && !std::exchange(state.idleLogged, true)) {
+        LC_WARN(Worker,
+            "event=worker-considered-idle worker=" << worker.id().value() << " listed=" << worker.listed
+                                                   << " token=" << m_token.value);
     }
     if (isProvablyIdle(worker) && !worker.allocations().empty())
         m_hooks.runsCleared(worker, false);
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -80,7 +80,7 @@
     void schedulePoll(const Common::WorkerId&, Common::Duration);
     void onPollAnswer(const Common::WorkerId&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
-    void onPollFailure(CellWorker&, const Common::Failure&);
+    void onPollFailure(CellWorker&, const Common::Failure&, Common::MonotonicTime askedAt);
     Common::Duration nextPollDelay(const CellWorker&) const;
     bool dropIfGone(CellWorker&);
     Common::Duration longestInheritedLease() const;
--- a/Source/Core/Http/EventLoop.cpp
+++ b/Source/Core/Http/EventLoop.cpp
@@ -6,8 +6,10 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <ctime>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Http {
@@ -18,6 +20,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work { context.get_executor() };
     std::mt19937_64 random { std::random_device {}() };
     uint64_t lastTimer = 0;
+    Common::Duration longestLag {};
     /// Holds exactly the timers that have neither fired nor been cancelled.
     std::unordered_map<uint64_t, asio::steady_timer> timers;
     std::vector<std::unique_ptr<asio::signal_set>> signals;
@@ -25,8 +28,13 @@
     void fire(uint64_t id, const std::function<void()>& action)
     {
         // The handler of a cancelled timer may already be queued.
-        if (timers.erase(id) == 1)
-            action();
+        const auto timer = timers.find(id);
+        if (timer == timers.end())
+            return;
+        const auto lag = std::chrono::steady_clock::now() - timer->second.expiry();
+        longestLag = std::max(longestLag, std::chrono::duration_cast<Common::Duration>(lag));
+        timers.erase(timer);
+        action();
     }
 
     void awaitSignal(asio::signal_set& set, const std::function<void(int)>& action)
@@ -67,6 +75,8 @@
     m_impl->signals.push_back(std::move(set));
 }
 
+Common::Duration EventLoop::takeLongestLag() { return std::exchange(m_impl->longestLag, Common::Duration::zero()); }
+
 Common::MonotonicTime EventLoop::now() const
 {
     const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
--- a/Source/Core/Http/EventLoop.h
+++ b/Source/Core/Http/EventLoop.h
@@ -23,6 +23,9 @@
     /// Calls `action` on the loop with the number of the signal, each time one of `signals` arrives.
     void onSignals(std::initializer_list<int> signals, std::function<void(int)> action);
 
+    /// Longest time by which a timer has fired late since the last call.
+    Common::Duration takeLongestLag();
+
     Common::MonotonicTime now() const override;
     Common::MonotonicTime suspendAwareNow() const override;
     int64_t wallMilliseconds() const override;
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -7,6 +7,7 @@
 #include "Cells/RelayedStore.h"
 #include "Common/Log.h"
 #include "Common/Metrics.h"
+#include "Common/WorkTimes.h"
 #include "Http/Address.h"
 #include "Http/Client.h"
 #include "Http/ErrorBody.h"
@@ -20,10 +21,13 @@
 #include "platform/WorkerCalls.h"
 #include "platform/WorkerRegistry.h"
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <iterator>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace Entry {
 
@@ -47,6 +51,11 @@
     constexpr Common::Duration balancerDelay = std::chrono::milliseconds(3000);
     constexpr Common::Duration stopPoll = std::chrono::milliseconds(50);
     constexpr Common::Duration metricsInterval = std::chrono::seconds(1);
+    /// Timers that fire later than this are logged: calls to workers and hosts time out after some hundred
+    /// milliseconds, also if their answers have arrived meanwhile.
+    constexpr Common::Duration reportedLag = std::chrono::milliseconds(150);
+    /// Time between log lines about where the loop's time goes.
+    constexpr Common::Duration workLogInterval = std::chrono::seconds(5);
     /// Longest time that a log line stays buffered.
     constexpr Common::Duration logInterval = std::chrono::milliseconds(250);
     constexpr const char* readinessPath = "/v1/ready";
@@ -141,7 +150,13 @@
               [this](const Http::Request& request, const Http::Server::Responder& respond) {
                   respond(metricsAnswer(request));
               })
+        , loopLag(metrics.latencyHistogram("lavendercart_loop_lag_seconds", "Longest delay of a timer in each second"))
     {
+        for (size_t kind = 0; kind < Common::WorkTimes::kinds; ++kind) {
+            const std::string name(Common::workKindName(static_cast<Common::WorkKind>(kind)));
+            workSeconds.push_back(&metrics.counter(
+                "lavendercart_work_seconds_total", "Time of the event loop by kind of work", { { "work", name } }));
+        }
     }
 
     bool ready() const { return !stopping && config.current() && cellOwnership.servedCells() > 0; }
@@ -172,10 +187,12 @@
             respond(metricsAnswer(request));
             return;
         }
+        const Common::WorkTimes::Scope work(Common::WorkKind::PeerCalls);
         peers.handle(request.body, [respond](std::string body) { respond(Http::jsonResponse(200, std::move(body))); });
     }
 
     void updateMetrics();
+    void updateWorkMetrics();
     void flushLog();
     void stop(Common::Duration grace);
     void finish(Common::MonotonicTime notBefore, Common::MonotonicTime deadline);
@@ -206,6 +223,13 @@
     bool stopping = false;
     bool handedOver = false;
     bool reportedReady = false;
+    prometheus::Histogram& loopLag;
+    /// By kind of work.
+    std::vector<prometheus::Counter*> workSeconds;
+    /// Totals of WorkTimes at the last update of the metrics and at the last log line.
+    std::array<Common::Duration, Common::WorkTimes::kinds> countedWork {};
+    std::array<Common::Duration, Common::WorkTimes::kinds> loggedWork {};
+    Common::MonotonicTime workLoggedAt;
 };
 
 void EntryProcess::Components::updateMetrics()
@@ -221,6 +245,33 @@
     metrics.gauge("lavendercart_owned_cells", "Cells that this host owns")
         .Set(static_cast<double>(cellOwnership.engines().size()));
     metrics.gauge("lavendercart_ready", "Whether the host takes calls").Set(ready() ? 1 : 0);
+    updateWorkMetrics();
+}
+
+void EntryProcess::Components::updateWorkMetrics()
+{
+    const Common::Duration lag = loop.takeLongestLag();
+    loopLag.Observe(std::chrono::duration<double>(lag).count());
+    if (lag >= reportedLag)
+        LC_WARN(Core, "event=loop-late longest-ms=" << lag / std::chrono::milliseconds(1));
+    const Common::WorkTimes& times = Common::WorkTimes::ofThisThread();
+    for (size_t index = 0; index < Common::WorkTimes::kinds; ++index) {
+        const auto kind = static_cast<Common::WorkKind>(index);
+        const Common::Duration total = times.total(kind);
+        const Common::Duration added = total - std::exchange(countedWork.at(index), total);
+        workSeconds.at(index)->Increment(std::chrono::duration<double>(added).count());
+    }
+    if (loop.now() - workLoggedAt < workLogInterval)
+        return;
+    workLoggedAt = loop.now();
+    std::string fields;
+    for (size_t index = 0; index < Common::WorkTimes::kinds; ++index) {
+        const Common::Duration total = countedWork.at(index);
+        const Common::Duration added = total - std::exchange(loggedWork.at(index), total);
+        fields += " " + std::string(Common::workKindName(static_cast<Common::WorkKind>(index)))
+            + "-us=" + std::to_string(added.count());
+    }
+    LC_INFO(Core, "event=work-times" << fields);
 }
 
 void EntryProcess::Components::flushLog()
--- a/Source/LavendercartEntry/JobApi.cpp
+++ b/Source/LavendercartEntry/JobApi.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/Log.h"
 #include "Common/Overloaded.h"
+#include "Common/WorkTimes.h"
 
 #include <variant>
 
@@ -36,6 +37,8 @@
     , m_metrics(metrics)
     , m_submitSeconds(metrics.latencyHistogram(
           "lavendercart_call_seconds", "Time from a caller's call to its answer", { { "call", "submit" } }))
+    , m_cancelSeconds(metrics.latencyHistogram(
+          "lavendercart_call_seconds", "Time from a caller's call to its answer", { { "call", "cancel" } }))
     , m_otherSeconds(metrics.latencyHistogram(
           "lavendercart_call_seconds", "Time from a caller's call to its answer", { { "call", "other" } }))
 {
@@ -43,6 +46,7 @@
 
 void JobApi::serve(const Http::Request& request, const Http::Server::Responder& respond)
 {
+    const Common::WorkTimes::Scope work(Common::WorkKind::CallerCalls);
     ++m_underWay;
     auto call = std::make_shared<Call>();
     call->respond = respond;
@@ -119,8 +123,7 @@
 {
     --m_underWay;
     const Common::Duration took = m_runtime.now() - call->arrivedAt;
-    const bool submission = call->method == "POST";
-    (submission ? m_submitSeconds : m_otherSeconds).Observe(std::chrono::duration<double>(took).count());
+    secondsOf(call->method).Observe(std::chrono::duration<double>(took).count());
     m_metrics.counter("lavendercart_calls_total", "Callers' calls by outcome", { { "outcome", outcome } }).Increment();
     // Successful reads change nothing and are by far the most frequent calls, so they are not logged.
     const bool isSuccessfulRead = call->method == "GET" && response.status < 400;
@@ -133,6 +136,13 @@
     call->respond(std::move(response));
 }
 
+prometheus::Histogram& JobApi::secondsOf(const std::string& method) const
+{
+    if (method == "POST")
+        return m_submitSeconds;
+    return method == "DELETE" ? m_cancelSeconds : m_otherSeconds;
+}
+
 void JobApi::fail(const std::shared_ptr<Call>& call, const Common::Failure& failure)
 {
     answer(call, Platform::failureAnswer(failure), std::string(Common::errorName(failure.code)).c_str());
--- a/Source/LavendercartEntry/JobApi.h
+++ b/Source/LavendercartEntry/JobApi.h
@@ -28,6 +28,7 @@
     void dispatch(const std::shared_ptr<Call>&, Platform::JobCall&&, const Cells::JobRoute&);
     void submit(const std::shared_ptr<Call>&, Platform::SubmitCall&&, const Cells::JobRoute&);
     void answer(const std::shared_ptr<Call>&, Http::Response, const char* outcome);
+    prometheus::Histogram& secondsOf(const std::string& method) const;
     void fail(const std::shared_ptr<Call>&, const Common::Failure&);
 
     Scheduler::Runtime& m_runtime;
@@ -35,6 +36,7 @@
     Cells::ConfigFollower& m_config;
     Common::Metrics& m_metrics;
     prometheus::Histogram& m_submitSeconds;
+    prometheus::Histogram& m_cancelSeconds;
     prometheus::Histogram& m_otherSeconds;
     size_t m_underWay = 0;
 };
