Rank a host that is too small for a cell first for none

Callers of some cells got their answers late or not at all (SHORT); the owners were hosts of 0.069 cores.

Cause: the share of the cells for which a host may rank first was rounded up, so that a host whose share is 0.15 of a cell could own one. Near hosts are preferred, and a failure domain has two hosts of 0.5 cores and four to seven of 0.069, so that about a quarter of the cells went to small hosts. A cell can't be divided: a cell of 20 workers takes 0.05 to 0.15 cores.

Change: the shares are the whole numbers in proportion to the weights whose sum is the smallest that covers all cells. A small host gets a share only when the larger ones can't cover the cells in proportion, as when most of them have failed.

Test: Policy.OwnerChoiceTest "a host that is too small for a cell ranks first for none while larger hosts can take them all". Ruled out: a fixed least weight for owners, which would leave cells without an owner after the loss of the large hosts.

--- a/Source/Core/Policy/OwnerChoice.cpp
+++ b/Source/Core/Policy/OwnerChoice.cpp
@@ -19,6 +19,9 @@
     constexpr double sameRegionFactor = 5;
     /// A host without access to the store can't commit; it should own a cell only when no other host can.
     constexpr double noStoreFactor = 0.001;
+    /// Steps of the search for the shares; they narrow a range of cells per weight to a millionth.
+    constexpr int bisections = 20;
+    constexpr double roundingSlack = 1e-3;
 
     double score(std::string_view cell, const OwnerCandidate& candidate)
     {
@@ -49,6 +52,31 @@
         return order;
     }
 
+    /// Number of cells that each host may rank first for: whole numbers in proportion to the weights whose sum is the
+    /// smallest that covers all cells. The share of a host that is too small for a cell is 0 as long as the others
+    /// cover all cells.
+    std::vector<size_t> sharesOf(const std::vector<double>& weights, size_t cells)
+    {
+        const auto sharesAt = [&](double cellsPerWeight) {
+            std::vector<size_t> shares;
+            for (const double weight : weights)
+                shares.push_back(static_cast<size_t>(cellsPerWeight * weight + roundingSlack));
+            return shares;
+        };
+        const auto covers = [&](double cellsPerWeight) {
+            const std::vector<size_t> shares = sharesAt(cellsPerWeight);
+            return std::accumulate(shares.begin(), shares.end(), size_t { 0 }) >= cells;
+        };
+        // The heaviest host alone covers all cells at the upper bound.
+        double low = 0;
+        double high = static_cast<double>(cells) / *std::max_element(weights.begin(), weights.end());
+        for (int halving = 0; halving < bisections; ++halving) {
+            const double middle = (low + high) / 2;
+            (covers(middle) ? high : low) = middle;
+        }
+        return sharesAt(high);
+    }
+
 } // namespace
 
 std::vector<std::vector<size_t>> rankCellOwners(const std::vector<CellCandidates>& cells)
@@ -61,16 +89,15 @@
     const auto weightOf = [anyStore](const OwnerCandidate& host) {
         return anyStore && !host.storeAvailable ? 0.0 : static_cast<double>(std::max<int64_t>(host.weight, 1));
     };
-    const double total = std::accumulate(
-        hosts.begin(), hosts.end(), 0.0, [&](double sum, const OwnerCandidate& host) { return sum + weightOf(host); });
-    std::vector<double> left;
-    left.reserve(hosts.size());
+    std::vector<double> weights;
+    weights.reserve(hosts.size());
     for (const OwnerCandidate& host : hosts)
-        left.push_back(std::ceil(static_cast<double>(cells.size()) * weightOf(host) / total));
+        weights.push_back(weightOf(host));
+    std::vector<size_t> left = sharesOf(weights, cells.size());
     for (const CellCandidates& cell : cells) {
         std::vector<size_t> order = rankOwners(cell.cell, cell.hosts);
         std::stable_partition(order.begin(), order.end(), [&](size_t host) { return left[host] > 0; });
-        left[order.front()] -= 1;
+        --left[order.front()];
         ranks.push_back(std::move(order));
     }
     return ranks;
--- a/Source/Core/Policy/OwnerChoice.h
+++ b/Source/Core/Policy/OwnerChoice.h
@@ -10,8 +10,9 @@
 
 /// For each cell, the indices of its candidates, best first. Weighted rendezvous hashing: when a host joins or leaves,
 /// few cells move except those that it gains or loses. Hosts in the cell's domain and region are preferred. A host that
-/// already ranks first for its share of the cells, by weight, comes after the hosts that don't. Without this, a small
-/// host could by chance rank first for several cells and answer all of their callers late.
+/// already ranks first for its share of the cells, by weight, comes after the hosts that don't. A cell can't be
+/// divided, so a host whose share is below one cell ranks first for none while larger hosts can take them all: it would
+/// answer all callers of the cell late.
 std::vector<std::vector<size_t>> rankCellOwners(const std::vector<CellCandidates>&);
 
 } // namespace Policy
--- a/Source/UnitTests/Policy/OwnerChoiceTest.cpp
+++ b/Source/UnitTests/Policy/OwnerChoiceTest.cpp
@@ -86,3 +86,33 @@
         moved += before[cell].front() != 9 && before[cell].front() != after[cell].front() ? 1 : 0;
     CHECK(moved <= 10);
 }
+
+TEST_CASE("a host that is too small for a cell ranks first for none while larger hosts can take them all")
+{
+    for (int salt = 0; salt < 100; ++salt) {
+        CAPTURE(salt);
+        std::vector<CellCandidates> cells;
+        for (int cell = 0; cell < 18; ++cell) {
+            CellCandidates row { "cell-" + std::to_string(salt) + "-" + std::to_string(cell), {} };
+            for (int host = 0; host < 43; ++host) {
+                const int64_t weight = host < 12 ? 500 : 69;
+                row.hosts.push_back({ "host" + std::to_string(host) + ":1", weight, host % 6 == cell % 6, true, true });
+            }
+            cells.push_back(std::move(row));
+        }
+        std::map<size_t, int> owned;
+        for (const std::vector<size_t>& order : rankCellOwners(cells))
+            ++owned[order.front()];
+        for (const auto& [host, count] : owned) {
+            CHECK(host < 12);
+            CHECK(count <= 2);
+        }
+        // Without the large hosts the small ones share the cells.
+        for (CellCandidates& cell : cells)
+            cell.hosts.erase(cell.hosts.begin(), cell.hosts.begin() + 12);
+        owned.clear();
+        for (const std::vector<size_t>& order : rankCellOwners(cells))
+            ++owned[order.front()];
+        CHECK(owned.size() == 18);
+    }
+}
