Ask an owner before its cell is taken over for missing heartbeats

Cause: a host took the cells of every owner whose heartbeats it hadn't received for two seconds, as proof that the owner had died. Heartbeats are datagrams: a host that is late loses those of all others, and then all owners look dead to it. The check for a stalled process sees single delays of over a second, not a loop that is late all the time.

Change: before it replaces an owner that isn't known to have stopped, a host calls it. An owner that answers keeps its cell; one that doesn't is replaced, unless this host was itself late meanwhile and may have read the answer after the timeout. A takeover takes at most 0.6 s longer; one from a killed process, whose address refuses connections, no longer.

Ruled out: a lease key of each owner in the store (its loss proves nothing while the store is away), and a longer timeout (a host that is deaf for good still claims everything).

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -21,6 +21,10 @@
     constexpr Common::Duration layoutRetryPause = std::chrono::milliseconds(600);
     /// A host whose tick is later than this has missed heartbeats: half of the default host timeout.
     constexpr Common::Duration maximumTickDelay = std::chrono::seconds(1);
+    /// A host whose tick is later than this may have read answers after their timeouts.
+    constexpr Common::Duration tolerableLag = std::chrono::milliseconds(250);
+    /// An owner whose heartbeats don't arrive has this long to answer a call before it is replaced.
+    constexpr Common::Duration ownerProbeTimeout = std::chrono::milliseconds(600);
     /// Time after the start during which heartbeats are sent faster and list more addresses.
     constexpr Common::Duration discoveryPeriod = std::chrono::seconds(2);
     /// How long heartbeats announce that a cell was released.
@@ -266,7 +270,10 @@
 void CellOwnership::detectStall()
 {
     const Common::MonotonicTime now = m_ports.runtime.now();
-    if (now - std::exchange(m_lastTick, now) > m_settings.tickInterval + maximumTickDelay) {
+    const Common::Duration delay = now - std::exchange(m_lastTick, now) - m_settings.tickInterval;
+    if (delay > tolerableLag)
+        m_lateAt = now;
+    if (delay > maximumTickDelay) {
         LC_WARN(Core, "event=stood-still");
         m_resumedAt = now;
     }
@@ -452,10 +459,61 @@
         endClaim(cell, "the recorded owner may be alive but not yet discovered");
         return;
     }
-    m_formerOwners[cell] = *record;
+    if (m_ownerProbe && !isProvablyStopped(*record))
+        probeOwner(cell, *record, found->revision);
+    else
+        replaceOwner(cell, *record, found->revision, isProvablyStopped(*record));
+}
+
+/// Asks an owner whose heartbeats don't arrive. Heartbeats are datagrams: a host that is late loses those of all
+/// others, and would otherwise take the cells of owners that are well.
+void CellOwnership::probeOwner(const CellId& cell, const CellRecord& record, Common::StoreRevision revision)
+{
+    const Common::MonotonicTime askedAt = m_ports.runtime.now();
+    m_ownerProbe(record.address, cell, ownerProbeTimeout,
+        m_lifetime.guard([this, cell, record, revision, askedAt](const Common::Result<ProbeAnswer>& answer) {
+            onProbed(cell, record, revision, askedAt, answer);
+        }));
+}
+
+void CellOwnership::onProbed(const CellId& cell, const CellRecord& record, Common::StoreRevision revision,
+    Common::MonotonicTime askedAt, const Common::Result<ProbeAnswer>& answer)
+{
+    if (answer && answer->process == record.owner && answer->ownsCell) {
+        Owner& owner = m_owners[cell];
+        if (owner.token != record.token)
+            owner = Owner { record.owner, record.address, record.token, {}, {}, false };
+        owner.lastHeartbeatAt = m_ports.runtime.now();
+        endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
+        return;
+    }
+    // The answer may have arrived before the timeout and been read after it.
+    if (!answer && wasLateSince(askedAt)) {
+        endClaim(cell, "this host is too late to tell whether the owner answers");
+        return;
+    }
+    LC_INFO(Jobs,
+        "event=owner-unanswered cell=" << cell.value() << " owner=" << record.owner.value() << " reason="
+                                       << (answer ? "not-owner" : Common::errorName(answer.reason().code)));
+    replaceOwner(cell, record, revision, answer && answer->process != record.owner);
+}
+
+bool CellOwnership::wasLateSince(Common::MonotonicTime since) const
+{
+    return m_lateAt >= since || m_ports.runtime.now() - m_lastTick > m_settings.tickInterval + tolerableLag;
+}
+
+void CellOwnership::replaceOwner(
+    const CellId& cell, const CellRecord& record, Common::StoreRevision revision, bool formerOwnerStopped)
+{
+    if (m_draining) {
+        endClaim(cell, "draining");
+        return;
+    }
+    m_formerOwners[cell] = record;
     writeClaim(cell,
-        CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false },
-        found->revision, isProvablyStopped(*record));
+        CellRecord { m_settings.id, m_settings.address, FencingToken { record.token.value + 1 }, 0, false }, revision,
+        formerOwnerStopped);
 }
 
 /// Whether the recorded owner may be alive but not yet discovered: a host that has just started doesn't know all
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -72,6 +72,16 @@
     using Messenger = std::function<void(
         const std::string& address, const CellId&, const PartMessage&, Common::Callback<Common::Done>)>;
     void setMessenger(Messenger messenger) { m_messenger = std::move(messenger); }
+    /// What the process at an owner's address says about a cell.
+    struct ProbeAnswer {
+        /// Host and boot of the process.
+        Common::DaemonId process;
+        bool ownsCell = false;
+    };
+    /// Asks the process at `address` whether it owns the cell. JobGateway sets it.
+    using OwnerProbe = std::function<void(
+        const std::string& address, const CellId&, Common::Duration timeout, Common::Callback<ProbeAnswer>)>;
+    void setOwnerProbe(OwnerProbe probe) { m_ownerProbe = std::move(probe); }
     /// Calls the hook for each readable heartbeat received.
     void onHostHeartbeat(std::function<void(const HostHeartbeat&)> hook) { m_onHeartbeat = std::move(hook); }
 
@@ -103,6 +113,11 @@
     void writeClaim(const CellId&, const CellRecord&, Common::StoreRevision expected, bool formerOwnerStopped);
     void readCell(const CellId&, const CellRecord&, Common::StoreRevision fence, bool formerOwnerStopped);
     bool mayOwnerBeAlive(const CellId&, const CellRecord&);
+    void probeOwner(const CellId&, const CellRecord&, Common::StoreRevision);
+    void onProbed(const CellId&, const CellRecord&, Common::StoreRevision, Common::MonotonicTime askedAt,
+        const Common::Result<ProbeAnswer>&);
+    void replaceOwner(const CellId&, const CellRecord&, Common::StoreRevision, bool formerOwnerStopped);
+    bool wasLateSince(Common::MonotonicTime) const;
     bool isProvablyStopped(const CellRecord&) const;
     void takeOwnership(const CellId&, CellEngine::RecoveredCell);
     void endClaim(const CellId&, const char* reason);
@@ -147,6 +162,8 @@
     bool m_listKnown = false;
     Common::MonotonicTime m_startedAt;
     Common::MonotonicTime m_lastTick;
+    /// When a tick was last so late that this process may have read answers after their timeouts.
+    Common::MonotonicTime m_lateAt;
     /// When this process last resumed after a stall; empty when it never stalled.
     std::optional<Common::MonotonicTime> m_resumedAt;
     int64_t m_startedAtMilliseconds = 0;
@@ -155,6 +172,7 @@
     bool m_draining = false;
     std::function<void(const HostHeartbeat&)> m_onHeartbeat;
     Messenger m_messenger;
+    OwnerProbe m_ownerProbe;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -21,6 +21,7 @@
     constexpr const char* phaseMethod = "job.phase";
     constexpr const char* cancelMethod = "job.cancel";
     constexpr const char* partMethod = "job.part";
+    constexpr const char* ownerMethod = "cell.owner";
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
     constexpr Common::Duration callTimeout = std::chrono::milliseconds(1000);
@@ -156,6 +157,21 @@
                     onHandled(answer.reason());
             });
         });
+    m_cellOwnership.setOwnerProbe([this](const std::string& address, const CellId& cell, Common::Duration timeout,
+                                      Common::Callback<CellOwnership::ProbeAnswer> callback) {
+        m_peers.call(address, ownerMethod, Json { { "cell", cell.value() } }, timeout,
+            [callback = std::move(callback)](const Common::Result<Json>& answer) {
+                if (!answer)
+                    callback(answer.reason());
+                else
+                    callback(CellOwnership::ProbeAnswer {
+                        Common::DaemonId(answer->value("process", std::string {})), answer->value("owns", false) });
+            });
+    });
+    m_peers.serve(ownerMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
+        const bool owns = m_cellOwnership.engine(CellId(params.value("cell", std::string {}))) != nullptr;
+        reply(Json { { "process", m_settings.id.value() }, { "owns", owns } });
+    });
     m_peers.serve(
         partMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePart(params, reply); });
     m_peers.serve(submitMethod,
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -75,13 +75,16 @@
                 return;
             WorldHeartbeats* const receiver = found->second;
             receiver->m_process.post([receiver, text] {
-                if (receiver->m_handler)
+                if (receiver->m_handler && !receiver->dropsAll)
                     receiver->m_handler(text);
             });
         });
     }
     void onReceive(std::function<void(std::string_view)> handler) override { m_handler = std::move(handler); }
 
+    /// Received heartbeats are lost, as when the socket's buffer is full because the process is late.
+    bool dropsAll = false;
+
 private:
     Fakes::FakeNetwork& m_network;
     Fakes::FakeProcess& m_process;
