Don't take a worker for idle whose answers this host reads too late

Callers got the work of a task done twice (TWICE): a task was started again, 9.3 s after its run had ended done on a worker that was up all the time.

Cause: a worker counted as idle once all leases on it had passed without an answer. That proves that nothing runs there, not that nothing has ended there: the worker keeps the ends of its runs and reports them when it is asked. An owner that is late, or a successor that is, reads all answers after their timeouts, takes the worker for silent and empty after a lease (6.1 s, after a hand-over 6.1 s as well), and starts its tasks again.

Reproduced with virtual clock and fakes instead: an owner, and a successor, that run for a moment only between stalls of 2.3 s.

Change: a worker counts as idle only if, besides, the platform has removed it from its list or it has left three polls unanswered while this process was in time. A process that is late all the time waits rather than runs something twice.

Tests: Cells.SlowHostTest "an owner that reads workers' answers too late starts no task again that has ended there" (failed before: 10 starts of 6 tasks) and "a successor that ..." (8 starts). The fakes' process can fire due timers before it reads what arrived, as the HTTP client does. Ruled out: waiting for ever for listed workers (one that is cut off from this host only would hold its tasks; the existing test of an unreachable worker requires their restart).

--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -25,7 +25,7 @@
     Common::Duration pollPauseAfterEnd = std::chrono::milliseconds(180);
     /// Time between polls of workers without runs; these keep track of the workers' clocks.
     Common::Duration idlePollInterval = std::chrono::seconds(5);
-    /// A request times out when its answer takes longer than the requested wait plus this.
+    /// A request has timed out when its answer takes longer than the requested wait plus this.
     Common::Duration answerTimeout = std::chrono::milliseconds(700);
     /// Pause after the first failed poll; doubles up to `longestPollRetryPause`.
     Common::Duration firstPollRetryPause = std::chrono::milliseconds(100);
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -70,6 +70,8 @@
 
     /// Listed by the platform; a draining worker is listed too.
     bool listed = true;
+    /// The platform has removed it from its list since this owner took the cell over. Excludes `listed`.
+    bool unlisted = false;
     /// Whether it answered the last poll.
     bool reachable = false;
     /// Whether this owner has received a report from it since the takeover.
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+    /// Number of polls that a worker must leave unanswered in time before it counts as silent.
+    constexpr uint32_t silentPolls = 3;
+    /// A poll that fails later than this after its timeout says nothing about the worker: this process was late, and
+    /// the answer may have arrived in time.
+    constexpr Common::Duration tolerableLag = std::chrono::milliseconds(250);
+
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
 } // namespace
@@ -19,6 +25,10 @@
     std::optional<Scheduler::TimerId> timer;
     Common::MonotonicTime timerDue;
     Common::Duration retryPause {};
+    /// Longest time that the open poll may take.
+    Common::Duration pollTimeout {};
+    /// Polls since the worker's last report that failed while this process was in time.
+    uint32_t unansweredPolls = 0;
     bool silenceLogged = false;
     bool idleLogged = false;
 };
@@ -73,6 +83,7 @@
         worker->drainingSince = m_runtime.now();
     worker->update(entry);
     worker->listed = listed;
+    worker->unlisted = false;
     if (!rebooted)
         return;
     worker->startedAtMilliseconds = entry.startedAtMilliseconds;
@@ -84,8 +95,11 @@
 
 void CellWorkers::unlist(const Common::WorkerId& id)
 {
-    if (CellWorker* const worker = find(id))
-        worker->listed = false;
+    CellWorker* const worker = find(id);
+    if (!worker)
+        return;
+    worker->listed = false;
+    worker->unlisted = true;
 }
 
 void CellWorkers::pollSoon(const Common::WorkerId& id) { schedulePoll(id, Common::Duration::zero()); }
@@ -124,6 +138,7 @@
     if (occupied && worker->reachable && worker->pendingEnds.empty())
         request.wait = m_hooks.shouldPollFrequently(*worker) ? m_settings.frequentPollWait : m_settings.pollWait;
     link(*worker).polling = true;
+    link(*worker).pollTimeout = m_settings.answerTimeout + request.wait;
     const Common::MonotonicTime askedAt = m_runtime.now();
     m_orders.pollRuns(targetOf(*worker), request,
         m_lifetime.guard(
@@ -157,6 +172,7 @@
         LC_INFO(Worker, "event=worker-heard worker=" << worker.id().value());
     state.silenceLogged = false;
     state.retryPause = {};
+    state.unansweredPolls = 0;
     const bool rebooted = report.startedAtMilliseconds != 0 && worker.startedAtMilliseconds != 0
         && report.startedAtMilliseconds != worker.startedAtMilliseconds;
     // A delayed answer from before the reboot says nothing about the current state.
@@ -181,6 +197,8 @@
     state.retryPause
         = std::clamp(2 * state.retryPause, m_settings.firstPollRetryPause, m_settings.longestPollRetryPause);
     worker.reachable = false;
+    if (m_runtime.now() - askedAt <= state.pollTimeout + tolerableLag)
+        ++state.unansweredPolls;
     if (!std::exchange(state.silenceLogged, true)) {
         LC_WARN(Worker,
             "event=worker-silent worker=" << worker.id().value() << " runs=" << worker.allocations().size()
@@ -200,7 +218,11 @@
 {
     if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
         return false;
-    return worker.lease().hasExpired(m_runtime.now());
+    if (!worker.lease().hasExpired(m_runtime.now()))
+        return false;
+    // Nothing runs there any more, but runs may have ended well before, and a worker that lives reports them.
+    const auto found = m_links.find(worker.id());
+    return worker.unlisted || (found != m_links.end() && found->second.unansweredPolls >= silentPolls);
 }
 
 bool CellWorkers::dropIfGone(CellWorker& worker)
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -65,7 +65,8 @@
     /// Polls the worker now, unless a poll is open.
     void pollSoon(const Common::WorkerId&);
     /// Whether neither a run of this owner nor one of an earlier owner can be on the unreachable worker: all leases
-    /// have expired.
+    /// have expired, and the worker is gone from the platform's list or leaves polls unanswered. A process that is late
+    /// can't tell the latter.
     bool isProvablyIdle(const CellWorker&) const;
     /// Called when earlier owners can't grant leases any more.
     void endInheritedAuthority();
--- a/Source/UnitTests/Cells/SlowHostTest.cpp
+++ b/Source/UnitTests/Cells/SlowHostTest.cpp
@@ -10,6 +10,19 @@
 
 namespace {
 
+/// Lets the process run for a moment only after each stall, too short for an answer to arrive in it.
+void stallRepeatedly(CellWorld& world, WorldHost& host, Common::Duration stall, Common::Duration total)
+{
+    host.process.timersFirst = true;
+    const Common::MonotonicTime end = world.clock.now() + total;
+    while (world.clock.now() < end) {
+        host.process.pause();
+        world.clock.advance(stall);
+        host.process.resume();
+        world.clock.advance(1ms);
+    }
+}
+
 Cells::FencingToken tokenOf(const WorldHost& owner) { return owner.cellOwnership.engines().begin()->second->token(); }
 
 } // namespace
@@ -35,3 +48,45 @@
     fleet.clock.advance(8s);
     CHECK(fleet.owners() == 1);
 }
+
+TEST_CASE("an owner that reads workers' answers too late starts no task again that has ended there")
+{
+    CellWorld world(1);
+    world.addWorkers("yard", 3, 4000);
+    WorldHost& owner = world.addHost("yard", "a:1");
+    world.clock.advance(8s);
+    Outcome outcome;
+    world.submit(owner, CellWorld::job(1, "run:1200", 6), outcome);
+    world.clock.advance(600ms);
+    REQUIRE(world.judge.starts == 6);
+    stallRepeatedly(world, owner, 2300ms, 14s);
+    world.clock.advance(5s);
+    CHECK(world.judge.starts == 6);
+    CHECK(world.phase(owner, 1) == Jobs::JobPhase::Completed);
+    CHECK(world.judge.summary() == "");
+}
+
+TEST_CASE("a successor that reads workers' answers too late starts no task again that has ended there")
+{
+    CellWorld world(1);
+    world.addWorkers("yard", 3, 4000);
+    WorldHost& first = world.addHost("yard", "a:1");
+    world.clock.advance(8s);
+    Outcome outcome;
+    world.submit(first, CellWorld::job(1, "run:1200", 6), outcome);
+    world.clock.advance(600ms);
+    REQUIRE(world.judge.starts == 6);
+    first.process.kill();
+    // The process that replaces it at the same address knows that no lease of its predecessor is renewed.
+    WorldHost& successor = world.addHost("yard", "a:1");
+    for (const auto& worker : world.workers)
+        world.network.cut(successor.address, worker->entry().address);
+    while (successor.cellOwnership.engines().empty())
+        world.clock.advance(10ms);
+    world.network.heal();
+    stallRepeatedly(world, successor, 2300ms, 16s);
+    world.clock.advance(5s);
+    CHECK(world.judge.starts == 6);
+    CHECK(world.phase(successor, 1) == Jobs::JobPhase::Completed);
+    CHECK(world.judge.summary() == "");
+}
--- a/Source/UnitTests/Fakes/FakeProcess.h
+++ b/Source/UnitTests/Fakes/FakeProcess.h
@@ -22,6 +22,9 @@
 
     /// Time added to the process's clock at every read, to simulate a slow host.
     Common::Duration advancePerRead {};
+    /// On resume, timers that are due run before what arrived meanwhile, as in an event loop that checks its timers
+    /// before it reads its sockets.
+    bool timersFirst = false;
 
     Common::MonotonicTime now() const override
     {
@@ -34,7 +37,7 @@
         const uint64_t id = ++m_lastTimer;
         m_timers.insert(id);
         m_runtime.schedule(delay, [this, id, action = std::move(action)] {
-            post([this, id, action] {
+            run(timersFirst ? m_deferredTimers : m_deferredEvents, [this, id, action] {
                 if (m_timers.erase(id))
                     action();
             });
@@ -45,40 +48,46 @@
     std::mt19937_64& random() override { return m_random; }
 
     /// Runs `action` as an event of this process: now, on resume, or not at all once the process is killed.
-    void post(const std::function<void()>& action)
-    {
-        if (m_killed)
-            return;
-        if (m_paused)
-            m_deferredActions.push_back(action);
-        else
-            action();
-    }
+    void post(const std::function<void()>& action) { run(m_deferredEvents, action); }
     void kill()
     {
         m_killed = true;
-        m_deferredActions.clear();
+        m_deferredTimers.clear();
+        m_deferredEvents.clear();
     }
     void pause() { m_paused = true; }
     void resume()
     {
         m_paused = false;
-        while (!m_paused && !m_deferredActions.empty()) {
-            const std::function<void()> action = std::move(m_deferredActions.front());
-            m_deferredActions.pop_front();
-            action();
+        for (std::deque<std::function<void()>>* const deferred : { &m_deferredTimers, &m_deferredEvents }) {
+            while (!m_paused && !deferred->empty()) {
+                const std::function<void()> action = std::move(deferred->front());
+                deferred->pop_front();
+                action();
+            }
         }
     }
     bool isKilled() const { return m_killed; }
     bool isPaused() const { return m_paused; }
 
 private:
+    void run(std::deque<std::function<void()>>& deferred, const std::function<void()>& action)
+    {
+        if (m_killed)
+            return;
+        if (m_paused)
+            deferred.push_back(action);
+        else
+            action();
+    }
+
     VirtualRuntime& m_runtime;
     std::mt19937_64 m_random;
     mutable Common::Duration m_clockOffset {};
     uint64_t m_lastTimer = 0;
     std::set<uint64_t> m_timers;
-    std::deque<std::function<void()>> m_deferredActions;
+    std::deque<std::function<void()>> m_deferredTimers;
+    std::deque<std::function<void()>> m_deferredEvents;
     bool m_paused = false;
     bool m_killed = false;
 };
