Cancel parts of a job in other cells only once the cancellation is durable

Callers lost tasks of long-running jobs that they had not cancelled, as far as anybody knew (LOST): part of the job's tasks didn't run any more while the job was shown as running.

Cause: the owner of a job told the owners of the cells with transferred tasks of a cancellation before it had written it. When it lost its cell before the commit, the parts were cancelled for good and the job wasn't.

Change: the parts are told when the commit is confirmed.

Ruled out: reviving cancelled parts, which can't be told from those of a durable cancellation.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -344,8 +344,15 @@
     job.finish(phase, m_runtime.wallMilliseconds());
     m_blockedSince.erase(job.id());
     stopRunsOf(job.id());
-    notifyParts(job);
-    m_committer.markChangedUrgently(job.id(), std::move(callback));
+    m_committer.markChangedUrgently(
+        job.id(), [this, id = job.id(), callback = std::move(callback)](const Common::Result<Common::Done>& done) {
+            // A successor that doesn't know of the cancellation lets the job go on, so the parts must go on too.
+            const LiveJob* const durable = done ? findJob(id) : nullptr;
+            if (durable)
+                notifyParts(*durable);
+            if (callback)
+                callback(done);
+        });
 }
 
 void CellEngine::receiveTransfer(const TaskTransfer& transfer)
--- /dev/null
+++ b/Source/UnitTests/Cells/CancellationTest.cpp
@@ -0,0 +1,61 @@
+// Tests of cancellations of jobs whose tasks run in several cells.
+#include "Cells/Fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two cells with a host each; a service of the first one runs in both.
+struct DividedService : CellWorld {
+    Outcome submitted;
+
+    explicit DividedService(uint64_t seed)
+        : CellWorld(seed)
+    {
+        addWorkers("yard", 1, 4000);
+        addWorkers("shed", 1, 4000);
+        for (const char* const domain : { "yard", "shed" })
+            addHost(domain, std::string(domain) + ":1");
+        clock.advance(8s);
+        submit(*hosts[0], service(1, 6), submitted);
+        clock.advance(3s);
+    }
+    /// The host that owns the cell of the job.
+    WorldHost& home()
+    {
+        for (WorldHost* const host : live()) {
+            for (const auto& [cell, engine] : host->cellOwnership.engines()) {
+                if (engine->phase(jobId(1)))
+                    return *host;
+            }
+        }
+        return *hosts[0];
+    }
+};
+
+} // namespace
+
+TEST_CASE("a cancellation that isn't durable stops no tasks of the job for good in other cells")
+{
+    DividedService world(3);
+    REQUIRE(world.running() == 6);
+    WorldHost& home = world.home();
+    const size_t index = &home == world.hosts[0].get() ? 0 : 1;
+    world.store.down = true;
+    Outcome cancelled;
+    home.front.cancel(
+        CellWorld::jobId(1), 3s, [&cancelled](const Common::Result<Common::Done>& done) { cancelled = done; });
+    world.clock.advance(500ms);
+    CHECK_FALSE(cancelled);
+    // The owner dies before the store is back: nobody knows of the cancellation any more.
+    world.hosts[index]->process.kill();
+    world.store.down = false;
+    world.addHost(home.settings.domain.value(), home.address);
+    world.clock.advance(15s);
+    CHECK(world.phase(*world.live().front(), 1) == Jobs::JobPhase::Running);
+    CHECK(world.running() == 6);
+    CHECK(world.judge.summary() == "");
+}
