Acknowledge a cancellation when all cells with tasks of the job have it

Cause: a cancellation was acknowledged when it was durable in the job's own cell. Tasks that had been transferred to other cells ran on until the owners of those had been told, which takes as long as such an owner is away or late, and nothing said so to the caller.

In the fakes, with the link between two owners cut, the caller has its acknowledgement while the tasks in the other cell run.

Change: the acknowledgement waits for the owners of the cells with parts of the job. A caller whose time is over gets outcome-unknown and repeats the call, which waits for the same confirmations; a new owner asks for them anew.

Test: Cells.CancellationTest "a cancellation isn't acknowledged while the job's tasks run on in a cell that hasn't heard of it" (failed before). Not covered: tasks whose worker doesn't answer the stop order.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -372,16 +372,43 @@
 
 /// Notifies the owners of peer cells that hold tasks of the job of its cancellation, or asks them to check their
 /// transfers. Each new owner repeats this, in case a message was lost or the former owner stopped before sending it.
-void CellEngine::notifyParts(const LiveJob& job) const
-{
-    for (const std::string& cell : job.partCells()) {
-        if (job.phase() == Jobs::JobPhase::Cancelled)
-            m_peerCells.cancel(CellId(cell), job.cancelledPart());
-        else if (job.recovered())
-            m_peerCells.requestTransferCheck(CellId(cell), job.id());
+void CellEngine::notifyParts(const LiveJob& job)
+{
+    const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled;
+    for (const std::string& name : job.partCells()) {
+        const CellId cell(name);
+        if (cancelled && m_partCancellations[job.id()].cells.insert(cell).second) {
+            m_peerCells.cancel(cell, job.cancelledPart(),
+                m_lifetime.guard([this, id = job.id(), cell] { onPartCancelled(id, cell); }));
+        } else if (!cancelled && job.recovered()) {
+            m_peerCells.requestTransferCheck(cell, job.id());
+        }
     }
 }
 
+void CellEngine::onPartCancelled(const Common::JobId& id, const CellId& cell)
+{
+    const auto pending = m_partCancellations.find(id);
+    if (pending == m_partCancellations.end())
+        return;
+    pending->second.cells.erase(cell);
+    if (!pending->second.cells.empty())
+        return;
+    const auto callbacks = std::move(pending->second.callbacks);
+    m_partCancellations.erase(pending);
+    for (const auto& callback : callbacks)
+        callback(Common::Done {});
+}
+
+void CellEngine::awaitPartsCancelled(const Common::JobId& id, Common::Callback<Common::Done> callback)
+{
+    const auto pending = m_partCancellations.find(id);
+    if (pending == m_partCancellations.end())
+        callback(Common::Done {});
+    else
+        pending->second.callbacks.push_back(std::move(callback));
+}
+
 void CellEngine::markChanged(LiveJob& job) { m_committer.markChanged(job.id()); }
 
 void CellEngine::release(std::function<void()> done)
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -66,8 +66,9 @@
         /// Asks the peer cell's owner to read its transfers of the job from the store: an earlier owner of the sending
         /// cell may not have sent them.
         std::function<void(const CellId&, const Common::JobId&)> requestTransferCheck;
-        /// Sends the record of the cancelled part to the peer cell's owner; retried until it is acknowledged.
-        std::function<void(const CellId&, const Jobs::JobRecord&)> cancel;
+        /// Sends the record of the cancelled part to the peer cell's owner; retried until it is acknowledged, which
+        /// `handled` reports.
+        std::function<void(const CellId&, const Jobs::JobRecord&, std::function<void()> handled)> cancel;
     };
 
     /// `lost` is called once, when the engine learns that it no longer owns the cell.
@@ -97,6 +98,8 @@
     /// Answers once the cancellation is durable, or the final phase that the job had already. Errors: UnknownJob if the
     /// cell doesn't have the job or holds only a part of it; StoreUnavailable while its submission is in progress.
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
+    /// Answers once the cancellation is durable in all cells that hold tasks of the cancelled job.
+    void awaitPartsCancelled(const Common::JobId&, Common::Callback<Common::Done>);
     /// Load of the cell as its heartbeats report it.
     CellLoad load() const;
     /// Tasks of another cell's job that were transferred here durably, or the record of the cancelled part of such a
@@ -161,7 +164,8 @@
     void receiveTransfer(const TaskTransfer&);
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
     std::optional<std::pair<CellId, size_t>> findCellWithCapacity(const Common::ServiceName&, const Jobs::StepSpec&);
-    void notifyParts(const LiveJob&) const;
+    void notifyParts(const LiveJob&);
+    void onPartCancelled(const Common::JobId&, const CellId&);
     void placeGang(const Candidate&);
     void startGang(const Candidate&, const Common::RackId&);
     std::vector<Policy::GangOffer> gangOffers(const LiveJob&, const Candidate&);
@@ -224,6 +228,12 @@
     };
     /// Tasks transferred to a peer cell that its heartbeats may not account for yet.
     std::map<CellId, RecentTransfer> m_recentTransfers;
+    /// Cancellations of parts that peer cells haven't acknowledged, and who waits for them, by job.
+    struct PartCancellations {
+        std::set<CellId> cells;
+        std::vector<Common::Callback<Common::Done>> callbacks;
+    };
+    std::map<Common::JobId, PartCancellations> m_partCancellations;
     /// When long-running tasks of a job first found no room.
     std::map<Common::JobId, Common::MonotonicTime> m_blockedSince;
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -637,7 +637,8 @@
         .sendTransfer = [this](const TaskTransfer& transfer) { notifyOwner(transfer.to, transfer); },
         .requestTransferCheck
         = [this](const CellId& cell, const Common::JobId& job) { requestTransferCheck(cell, job); },
-        .cancel = [this](const CellId& cell, const Jobs::JobRecord& part) { notifyOwner(cell, part); },
+        .cancel = [this](const CellId& cell, const Jobs::JobRecord& part,
+                      const std::function<void()>& handled) { notifyOwner(cell, part, handled); },
     };
 }
 
@@ -674,13 +675,16 @@
     return found;
 }
 
-/// Retries until the cell's owner at that time has handled the message.
-void CellOwnership::notifyOwner(const CellId& cell, const PartMessage& message)
+/// Retries until the cell's owner at that time has handled the message, then calls `handled`.
+void CellOwnership::notifyOwner(const CellId& cell, const PartMessage& message, const std::function<void()>& handled)
 {
-    const auto again = m_lifetime.guard([this, cell, message] { notifyOwner(cell, message); });
-    const auto onAnswer = m_lifetime.guard([this, cell, again](const Common::Result<Common::Done>& answer) {
-        if (answer)
+    const auto again = m_lifetime.guard([this, cell, message, handled] { notifyOwner(cell, message, handled); });
+    const auto onAnswer = m_lifetime.guard([this, cell, again, handled](const Common::Result<Common::Done>& answer) {
+        if (answer) {
+            if (handled)
+                handled();
             return;
+        }
         LC_WARN(Peer,
             "event=part-message-unanswered cell=" << cell.value()
                                                   << " reason=" << Common::errorName(answer.reason().code));
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -123,7 +123,7 @@
     void endClaim(const CellId&, const char* reason);
     CellEngine::PeerCells peerCells();
     std::map<CellId, size_t> taskSlots(const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&) const;
-    void notifyOwner(const CellId&, const PartMessage&);
+    void notifyOwner(const CellId&, const PartMessage&, const std::function<void()>& handled = {});
     void requestTransferCheck(const CellId&, const Common::JobId&);
     void releaseCell(const CellId&, std::function<void()> done);
     void removeEngine(const CellId&);
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Cells {
 
@@ -24,6 +25,8 @@
     constexpr const char* ownerMethod = "cell.owner";
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
+    /// Time for other cells to confirm a cancellation, within the timeout of the call that asks for it.
+    constexpr Common::Duration partConfirmationTimeout = std::chrono::milliseconds(2500);
     constexpr Common::Duration callTimeout = std::chrono::milliseconds(1000);
     /// During this period after its start a host holds submissions back until all cells have owners and capacity, but
     /// only while more than the margin is left before the caller's deadline.
@@ -230,8 +233,8 @@
         reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
         return;
     }
-    engine->cancel(
-        Common::JobId(params.value("job", std::string {})), [reply](const Common::Result<Common::Done>& outcome) {
+    cancelOwned(*engine, engine->id(), Common::JobId(params.value("job", std::string {})), partConfirmationTimeout,
+        [reply](const Common::Result<Common::Done>& outcome) {
             if (outcome)
                 reply(Json::object());
             else
@@ -557,7 +560,7 @@
     const CellId& cell, const Common::JobId& job, Common::Duration timeout, Common::Callback<Common::Done> callback)
 {
     if (CellEngine* const engine = m_cellOwnership.engine(cell)) {
-        engine->cancel(job, std::move(callback));
+        cancelOwned(*engine, cell, job, timeout, callback);
         return;
     }
     const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(cell);
@@ -577,6 +580,29 @@
         });
 }
 
+/// Cancels a job of a cell of this host and answers when the owners of the cells with parts of it have confirmed.
+void JobGateway::cancelOwned(CellEngine& engine, const CellId& cell, const Common::JobId& job, Common::Duration timeout,
+    const Common::Callback<Common::Done>& callback)
+{
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [callback, answered](const Common::Result<Common::Done>& outcome) {
+        if (!std::exchange(*answered, true))
+            callback(outcome);
+    };
+    m_runtime.schedule(timeout, m_lifetime.guard([answer] {
+        answer(failure(Common::ErrorCode::OutcomeUnknown, "a cell with tasks of the job hasn't confirmed in time"));
+    }));
+    engine.cancel(job, m_lifetime.guard([this, cell, job, answer](const Common::Result<Common::Done>& durable) {
+        CellEngine* const owner = m_cellOwnership.engine(cell);
+        if (durable && owner)
+            owner->awaitPartsCancelled(job, answer);
+        else if (durable)
+            answer(failure(Common::ErrorCode::OutcomeUnknown, "the cell was handed over during the cancellation"));
+        else
+            answer(durable);
+    }));
+}
+
 uint32_t JobGateway::pending(const std::string& route) const
 {
     uint32_t count = 0;
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -37,8 +37,9 @@
     void submit(Jobs::JobRecord, Common::Duration timeout, Common::Callback<Common::Done>);
     /// UnknownJob: there is no such job, or its record has expired. Other failures: the phase can't be determined now.
     void phase(const Common::JobId&, Common::Duration timeout, Common::Callback<Jobs::JobPhase>);
-    /// Done once the cancellation is durable. UnknownJob: there is no such job. PeerUnavailable: the job's cell has no
-    /// live owner now.
+    /// Done once the cancellation is durable in all cells that hold tasks of the job. OutcomeUnknown: some of them
+    /// haven't confirmed it in time; the cancellation goes on. UnknownJob: there is no such job. PeerUnavailable: the
+    /// job's cell has no live owner now.
     void cancel(const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
     /// Number of accepted jobs of the route of which no task has started, over all cells with a live owner.
     uint32_t pending(const std::string& route) const;
@@ -67,6 +68,8 @@
     void phaseAt(const CellId&, const std::shared_ptr<Lookup>&);
     void phaseFromStore(const CellId&, const std::shared_ptr<Lookup>&);
     void cancelAt(const CellId&, const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
+    void cancelOwned(CellEngine&, const CellId&, const Common::JobId&, Common::Duration timeout,
+        const Common::Callback<Common::Done>&);
     void cacheLocation(const Common::JobId&, const CellId&);
 
     Scheduler::Runtime& m_runtime;
--- a/Source/UnitTests/Cells/CancellationTest.cpp
+++ b/Source/UnitTests/Cells/CancellationTest.cpp
@@ -34,10 +34,42 @@
         }
         return *hosts[0];
     }
+    void setLink(bool connected)
+    {
+        network.heal();
+        if (connected)
+            return;
+        network.cut("yard:1", "shed:1");
+        network.cut("shed:1", "yard:1");
+    }
 };
 
 } // namespace
 
+TEST_CASE("a cancellation isn't acknowledged while the job's tasks run on in a cell that hasn't heard of it")
+{
+    DividedService world(3);
+    REQUIRE(world.running() == 6);
+    WorldHost& home = world.home();
+    world.setLink(false);
+    Outcome first;
+    home.front.cancel(CellWorld::jobId(1), 3s, [&first](const Common::Result<Common::Done>& done) { first = done; });
+    world.clock.advance(1500ms);
+    const size_t runningOn = world.running();
+    CHECK(runningOn > 0);
+    CHECK((!first || !first->hasValue()));
+    world.setLink(true);
+    world.clock.advance(5s);
+    Outcome repeated;
+    home.front.cancel(
+        CellWorld::jobId(1), 3s, [&repeated](const Common::Result<Common::Done>& done) { repeated = done; });
+    world.clock.advance(1s);
+    REQUIRE(repeated);
+    CHECK(repeated->hasValue());
+    CHECK(world.running() == 0);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("a cancellation that isn't durable stops no tasks of the job for good in other cells")
 {
     DividedService world(3);
