Count the lease of an earlier owner on a worker that falls silent after its first report

If the worker was silent from then on, and the successor might not grant because the store hadn't confirmed it, the worker counted as idle at once, with the runs of the earlier owner under a lease of up to six seconds.

Change: with a worker's first report the successor assumes a whole lease. Not reproduced: no test failed before; the window is that between a report and the next poll, and a successor without authority starts nothing.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -185,6 +185,9 @@
         m_hooks.runsCleared(worker, true);
     }
     worker.lease().synchronizeClock(report.clock, m_runtime.now());
+    // An earlier owner may have renewed the lease just before.
+    if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
+        worker.lease().grant(m_settings.runLease, m_runtime.now());
     worker.reachable = true;
     worker.lastReportAt = m_runtime.now();
     m_hooks.report(worker, report, askedAt);
