Keep a worker in the cell's record until its ends are durable

Found by reading for the cause of TWICE elsewhere: a worker that is draining, or not listed yet, was left out of the record of workers as soon as it had no runs, although the ends that it had reported might not be written. A successor doesn't wait for a worker that is not in the record, and would start the tasks of these ends again.

Change: it stays in the record while ends wait for their commit. Not reproduced: no test failed before, because a transaction that changes the record of workers carries the first 29 changed jobs as well.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -158,11 +158,11 @@
     nlohmann::json rows = nlohmann::json::array();
     std::set<Common::WorkerId> ids;
     for (const auto& [id, worker] : m_workers.all()) {
-        // A successor needn't wait for a worker that has no runs and gets none.
+        // A successor needn't wait for a worker that has no runs and gets none, and whose ends are durable.
         const bool takesWork = worker->listed && !worker->entry().draining;
-        const bool mayRunTasks
-            = !worker->allocations().empty() || (!worker->contacted && m_inheritedWorkers.contains(id));
-        if (!takesWork && !mayRunTasks)
+        const bool mayHoldRuns = !worker->allocations().empty() || !worker->pendingEnds.empty()
+            || (!worker->contacted && m_inheritedWorkers.contains(id));
+        if (!takesWork && !mayHoldRuns)
             continue;
         rows.push_back(nlohmann::json::array({ id.value(), worker->entry().address }));
         ids.insert(id);
