--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -3,6 +3,7 @@
 
 #include "Cells/PressureEstimateCodec.h"
 #include "Common/Log.h"
+#include "Common/WorkTimes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -157,11 +158,11 @@
     nlohmann::json rows = nlohmann::json::array();
     std::set<Common::WorkerId> ids;
     for (const auto& [id, worker] : m_workers.all()) {
-        // A successor needn't wait for a worker that has no runs and gets none.
+        // A successor needn't wait for a worker that has no runs and gets none, and whose ends are durable.
         const bool takesWork = worker->listed && !worker->entry().draining;
-        const bool mayRunTasks
-            = !worker->allocations().empty() || (!worker->contacted && m_inheritedWorkers.contains(id));
-        if (!takesWork && !mayRunTasks)
+        const bool mayHoldRuns = !worker->allocations().empty() || !worker->pendingEnds.empty()
+            || (!worker->contacted && m_inheritedWorkers.contains(id));
+        if (!takesWork && !mayHoldRuns)
             continue;
         rows.push_back(nlohmann::json::array({ id.value(), worker->entry().address }));
         ids.insert(id);
@@ -316,6 +317,8 @@
         callback(Common::Done {});
         return;
     }
+    LC_INFO(Jobs,
+        "event=part-cancelled job=" << part.id.value() << " cell=" << m_id.value() << " known=" << (known != nullptr));
     if (known)
         cancelLocalJob(*known, callback);
     else
@@ -341,8 +344,15 @@
     job.finish(phase, m_runtime.wallMilliseconds());
     m_blockedSince.erase(job.id());
     stopRunsOf(job.id());
-    notifyParts(job);
-    m_committer.markChangedUrgently(job.id(), std::move(callback));
+    m_committer.markChangedUrgently(
+        job.id(), [this, id = job.id(), callback = std::move(callback)](const Common::Result<Common::Done>& done) {
+            // A successor that doesn't know of the cancellation lets the job go on, so the parts must go on too.
+            const LiveJob* const durable = done ? findJob(id) : nullptr;
+            if (durable)
+                notifyParts(*durable);
+            if (callback)
+                callback(done);
+        });
 }
 
 void CellEngine::receiveTransfer(const TaskTransfer& transfer)
@@ -362,16 +372,43 @@
 
 /// Notifies the owners of peer cells that hold tasks of the job of its cancellation, or asks them to check their
 /// transfers. Each new owner repeats this, in case a message was lost or the former owner stopped before sending it.
-void CellEngine::notifyParts(const LiveJob& job) const
-{
-    for (const std::string& cell : job.partCells()) {
-        if (job.phase() == Jobs::JobPhase::Cancelled)
-            m_peerCells.cancel(CellId(cell), job.cancelledPart());
-        else if (job.recovered())
-            m_peerCells.requestTransferCheck(CellId(cell), job.id());
+void CellEngine::notifyParts(const LiveJob& job)
+{
+    const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled;
+    for (const std::string& name : job.partCells()) {
+        const CellId cell(name);
+        if (cancelled && m_partCancellations[job.id()].cells.insert(cell).second) {
+            m_peerCells.cancel(cell, job.cancelledPart(),
+                m_lifetime.guard([this, id = job.id(), cell] { onPartCancelled(id, cell); }));
+        } else if (!cancelled && job.recovered()) {
+            m_peerCells.requestTransferCheck(cell, job.id());
+        }
     }
 }
 
+void CellEngine::onPartCancelled(const Common::JobId& id, const CellId& cell)
+{
+    const auto pending = m_partCancellations.find(id);
+    if (pending == m_partCancellations.end())
+        return;
+    pending->second.cells.erase(cell);
+    if (!pending->second.cells.empty())
+        return;
+    const auto callbacks = std::move(pending->second.callbacks);
+    m_partCancellations.erase(pending);
+    for (const auto& callback : callbacks)
+        callback(Common::Done {});
+}
+
+void CellEngine::awaitPartsCancelled(const Common::JobId& id, Common::Callback<Common::Done> callback)
+{
+    const auto pending = m_partCancellations.find(id);
+    if (pending == m_partCancellations.end())
+        callback(Common::Done {});
+    else
+        pending->second.callbacks.push_back(std::move(callback));
+}
+
 void CellEngine::markChanged(LiveJob& job) { m_committer.markChanged(job.id()); }
 
 void CellEngine::release(std::function<void()> done)
@@ -438,6 +475,7 @@
 
 void CellEngine::onReport(CellWorker& worker, const RunReport& report, Common::MonotonicTime askedAt)
 {
+    const Common::WorkTimes::Scope work(Common::WorkKind::WorkerReports);
     if (report.unreadable > 0)
         LC_WARN(Worker, "event=unreadable-rows worker=" << worker.id().value() << " rows=" << report.unreadable);
     if (!worker.contacted) {
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -65,7 +65,8 @@
     /// Polls the worker now, unless a poll is open.
     void pollSoon(const Common::WorkerId&);
     /// Whether neither a run of this owner nor one of an earlier owner can be on the unreachable worker: all leases
-    /// have expired.
+    /// have expired, and the worker is gone from the platform's list or leaves polls unanswered. A process that is late
+    /// can't tell the latter.
     bool isProvablyIdle(const CellWorker&) const;
     /// Called when earlier owners can't grant leases any more.
     void endInheritedAuthority();
@@ -80,7 +81,7 @@
     void schedulePoll(const Common::WorkerId&, Common::Duration);
     void onPollAnswer(const Common::WorkerId&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
-    void onPollFailure(CellWorker&, const Common::Failure&);
+    void onPollFailure(CellWorker&, const Common::Failure&, Common::MonotonicTime askedAt);
     Common::Duration nextPollDelay(const CellWorker&) const;
     bool dropIfGone(CellWorker&);
     Common::Duration longestInheritedLease() const;
