Don't decode heartbeats that repeat what is known

Change: the text of a heartbeat of a host that neither owns nor changes cells is compared with its last one before it is decoded. The list of addresses in it changes with every fourth heartbeat instead of every one, outside the discovery period. Ranks are computed when the live hosts, their weights or their access to the store have changed.

Ruled out: heartbeats at longer intervals, which would delay takeovers.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -36,6 +36,8 @@
     /// that start with a few seeds find all others.
     constexpr size_t addressesPerHeartbeat = 8;
     constexpr size_t addressesPerDiscoveryHeartbeat = 24;
+    /// The list changes with every n-th heartbeat, so that the others are alike and needn't be decoded.
+    constexpr uint64_t heartbeatsPerAddresses = 4;
 
     std::vector<WorkerEntry> readWorkers(const std::optional<Scheduler::StoreValue>& record)
     {
@@ -203,19 +205,28 @@
     std::vector<std::string> addresses;
     for (size_t index = 0; index < count; ++index)
         addresses.push_back(live[(m_nextAddressIndex + index) % live.size()]->heartbeatAddress);
-    m_nextAddressIndex += count;
+    if (isDiscoveringHosts() || m_heartbeatCount % heartbeatsPerAddresses == 0)
+        m_nextAddressIndex += count;
     return addresses;
 }
 
 void CellOwnership::onHeartbeat(std::string_view text)
 {
     const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsReceived);
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    // Most hosts own no cells, and most of their heartbeats are alike.
+    const HostHeartbeat* const repeated
+        = m_formerOwners.empty() ? m_directory.recordRepeatedHeartbeat(text, now) : nullptr;
+    if (repeated) {
+        if (m_onHeartbeat)
+            m_onHeartbeat(*repeated);
+        return;
+    }
     Common::Result<HostHeartbeat> heartbeat = HostHeartbeat::decode(text);
     if (!heartbeat) {
         LC_WARN(Peer, "event=unreadable-heartbeat reason=" << heartbeat.reason().detail);
         return;
     }
-    const Common::MonotonicTime now = m_ports.runtime.now();
     if (!m_directory.isAlive(heartbeat->id, now))
         LC_INFO(Peer, "event=host-discovered host=" << heartbeat->id.value() << " address=" << heartbeat->address);
     for (HostHeartbeat::OwnedCell& owned : heartbeat->cells) {
@@ -246,7 +257,7 @@
     }
     if (m_onHeartbeat)
         m_onHeartbeat(*heartbeat);
-    m_directory.recordHeartbeat(std::move(*heartbeat), now);
+    m_directory.recordHeartbeat(std::move(*heartbeat), text, now);
 }
 
 void CellOwnership::tick()
@@ -314,10 +325,25 @@
     return {};
 }
 
+/// Everything that the ranks depend on, besides the layout and this host's own settings.
+std::string CellOwnership::rankInputs(const std::vector<const HostHeartbeat*>& live) const
+{
+    std::string inputs = std::to_string(m_layout.cells().size()) + (m_storeAvailable ? "+" : "-");
+    for (const HostHeartbeat* const host : live) {
+        if (!host->draining)
+            inputs += host->id.value() + "," + std::to_string(host->weight) + (host->storeAvailable ? "+" : "-");
+    }
+    return inputs;
+}
+
 void CellOwnership::rankOwners()
 {
-    m_ranks.clear();
     const std::vector<const HostHeartbeat*> live = m_directory.liveHosts(m_ports.runtime.now());
+    const std::string inputs = rankInputs(live);
+    if (inputs == m_rankInputs)
+        return;
+    m_rankInputs = inputs;
+    m_ranks.clear();
     std::vector<Common::DaemonId> hosts { m_settings.id };
     for (const HostHeartbeat* const host : live) {
         if (!host->draining)
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -106,6 +106,7 @@
     void detectStall();
     bool isOwnerless(const CellId&) const;
     void rankOwners();
+    std::string rankInputs(const std::vector<const HostHeartbeat*>& live) const;
     void considerClaim(const CellId&);
     void considerHandOver(const CellId&);
     void claim(const CellId&);
@@ -140,8 +141,10 @@
     std::map<CellId, Owner> m_owners;
     std::map<CellId, std::unique_ptr<CellEngine>> m_engines;
     std::map<CellId, Claim> m_claims;
-    /// For each cell the hosts that may own it, the preferred first; updated by each tick.
+    /// For each cell the hosts that may own it, the preferred first.
     std::map<CellId, std::vector<Common::DaemonId>> m_ranks;
+    /// What the ranks were computed from.
+    std::string m_rankInputs;
     /// Previous owners of this host's cells, until they are known to have stopped.
     std::map<CellId, CellRecord> m_formerOwners;
     /// Since when a cell has had no owner, and since when another host has been preferred for a cell of this host.
--- a/Source/Core/Cells/HostDirectory.cpp
+++ b/Source/Core/Cells/HostDirectory.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-void HostDirectory::recordHeartbeat(HostHeartbeat heartbeat, Common::MonotonicTime now)
+void HostDirectory::recordHeartbeat(HostHeartbeat heartbeat, std::string_view text, Common::MonotonicTime now)
 {
     if (heartbeat.id == m_settings.id || m_replaced.contains(heartbeat.id))
         return;
@@ -34,7 +34,22 @@
     for (const std::string& address : heartbeat.knownAddresses)
         learnAddress(address, now);
     const Common::DaemonId id = heartbeat.id;
-    m_hosts[id] = Row { std::move(heartbeat), now };
+    const bool changesCells = !heartbeat.cells.empty() || !heartbeat.released.empty() || !heartbeat.transitioningCells
+        || !heartbeat.transitioningCells->empty();
+    m_hosts[id] = Row { std::move(heartbeat), now, changesCells ? std::string() : std::string(text) };
+}
+
+const HostHeartbeat* HostDirectory::recordRepeatedHeartbeat(std::string_view text, Common::MonotonicTime now)
+{
+    for (auto& [id, row] : m_hosts) {
+        if (row.text.empty() || row.text != text || !isAlive(row, now))
+            continue;
+        row.lastHeartbeatAt = now;
+        for (const std::string& address : row.heartbeat.knownAddresses)
+            learnAddress(address, now);
+        return &row.heartbeat;
+    }
+    return nullptr;
 }
 
 void HostDirectory::learnAddress(const std::string& heartbeatAddress, Common::MonotonicTime now)
@@ -52,7 +67,12 @@
 bool HostDirectory::isAlive(const Common::DaemonId& id, Common::MonotonicTime now) const
 {
     const auto row = m_hosts.find(id);
-    return row != m_hosts.end() && now - row->second.lastHeartbeatAt < m_settings.hostTimeout;
+    return row != m_hosts.end() && isAlive(row->second, now);
+}
+
+bool HostDirectory::isAlive(const Row& row, Common::MonotonicTime now) const
+{
+    return now - row.lastHeartbeatAt < m_settings.hostTimeout;
 }
 
 bool HostDirectory::isReplaced(const Common::DaemonId& id) const { return m_replaced.contains(id); }
@@ -67,7 +87,7 @@
 {
     std::vector<const HostHeartbeat*> hosts;
     for (const auto& [id, row] : m_hosts) {
-        if (now - row.lastHeartbeatAt < m_settings.hostTimeout)
+        if (isAlive(row, now))
             hosts.push_back(&row.heartbeat);
     }
     return hosts;
--- a/Source/Core/Cells/HostDirectory.h
+++ b/Source/Core/Cells/HostDirectory.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Cells {
@@ -18,7 +19,11 @@
 public:
     explicit HostDirectory(const HostSettings&);
 
-    void recordHeartbeat(HostHeartbeat, Common::MonotonicTime now);
+    /// `text` is the heartbeat as it was received.
+    void recordHeartbeat(HostHeartbeat, std::string_view text, Common::MonotonicTime now);
+    /// Records a heartbeat whose text equals the last one of a live host that neither owns nor changes cells, without
+    /// decoding it. Returns that host's heartbeat; null for any other text, which must be decoded and recorded.
+    const HostHeartbeat* recordRepeatedHeartbeat(std::string_view text, Common::MonotonicTime now);
     /// Another host or a cell record mentions a host that receives heartbeats at this address.
     void learnAddress(const std::string& heartbeatAddress, Common::MonotonicTime now);
     /// Drops hosts and addresses without a recent heartbeat or mention.
@@ -36,8 +41,12 @@
     struct Row {
         HostHeartbeat heartbeat;
         Common::MonotonicTime lastHeartbeatAt;
+        /// The heartbeat as it was received; empty if the host owns or changes cells.
+        std::string text;
     };
 
+    bool isAlive(const Row&, Common::MonotonicTime now) const;
+
     const HostSettings& m_settings;
     std::map<Common::DaemonId, Row> m_hosts;
     std::map<Common::DaemonId, Common::MonotonicTime> m_replaced;
