--- a/Source/Core/Policy/OwnerChoice.cpp
+++ b/Source/Core/Policy/OwnerChoice.cpp
@@ -59,6 +59,7 @@
     {
         const auto sharesAt = [&](double cellsPerWeight) {
             std::vector<size_t> shares;
+            shares.reserve(weights.size());
             for (const double weight : weights)
                 shares.push_back(static_cast<size_t>(cellsPerWeight * weight + roundingSlack));
             return shares;
