Take a cell from an owner that answers calls but can't act

Found in the review of the probe: an owner that releases its cell and can't write that, or whose authority has ended, answered that it owns the cell, and nobody took over: before the probe the cell moved after two seconds. The other way round, a claimant that still reads the cell answered that it doesn't own it, and was replaced at once.

Change: an owner holds the cell if it isn't releasing it and may grant leases; a claimant holds it from the moment its claim is written. Besides: a host of an earlier release, which doesn't know the call, is judged by its heartbeats; a host that is late notices it from 100 ms on, and one that stays late replaces an owner after five probes without an answer, since otherwise nobody would when all hosts are late; the authority of a new owner counts from the moment its claim was sent, not from when the cell had been read.

Ruled out: only a refused connection as proof of death (a host without power refuses nothing).

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 CellCommitter::CellCommitter(Scheduler::Runtime& runtime, RecordStore& store, CellId cell, CellRecord record,
-    Common::StoreRevision fence, CommitterSettings settings, Hooks hooks)
+    Common::StoreRevision fence, Common::MonotonicTime confirmedAt, CommitterSettings settings, Hooks hooks)
     : m_runtime(runtime)
     , m_store(store)
     , m_cell(std::move(cell))
@@ -42,7 +42,7 @@
     , m_fence(fence)
     , m_settings(settings)
     , m_hooks(std::move(hooks))
-    , m_confirmedAt(runtime.suspendAwareNow())
+    , m_confirmedAt(confirmedAt)
 {
     m_runtime.schedule(m_settings.confirmInterval, m_lifetime.guard([this] { confirm(); }));
 }
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -39,8 +39,9 @@
         std::function<void()> lost;
     };
 
-    CellCommitter(
-        Scheduler::Runtime&, RecordStore&, CellId, CellRecord, Common::StoreRevision, CommitterSettings, Hooks);
+    /// `confirmedAt`: see confirmedAt(); that of the claim.
+    CellCommitter(Scheduler::Runtime&, RecordStore&, CellId, CellRecord, Common::StoreRevision,
+        Common::MonotonicTime confirmedAt, CommitterSettings, Hooks);
 
     /// Writes the job's first record unless a job with that id exists. Failures: StoreUnavailable and NotOwner mean
     /// that it was not written and will not be; OutcomeUnknown means that it may have been.
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -88,7 +88,8 @@
     , m_id(std::move(id))
     , m_token(recoveredCell.record.token)
     , m_settings(settings)
-    , m_committer(runtime, store, m_id, recoveredCell.record, recoveredCell.fence, settings.commits,
+    , m_committer(runtime, store, m_id, recoveredCell.record, recoveredCell.fence, recoveredCell.confirmedAt,
+          settings.commits,
           CellCommitter::Hooks {
               .snapshot = [this](const Common::JobId& job) -> std::optional<CellCommitter::Snapshot> {
                   const LiveJob* const live = findJob(job);
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -52,6 +52,8 @@
         bool formerOwnerStopped = false;
         /// Workers on which runs of earlier owners may still be.
         std::vector<WorkerEntry> workers;
+        /// When the call by which the store confirmed the claim was sent, on the clock that includes suspended time.
+        Common::MonotonicTime confirmedAt;
         /// What earlier owners learned about the interference of backfill images with services.
         std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimates;
     };
@@ -121,6 +123,8 @@
 
     /// Whether each worker that may hold runs of an earlier owner has reported or is provably idle.
     bool hasContactedInheritedWorkers() const { return !hasUncontactedWorkers(); }
+    /// Whether the store has confirmed the ownership recently enough to start runs.
+    bool mayGrantLeases() const { return mayGrant(); }
     /// Called when the former owner can't grant leases any more because another process runs in its place.
     void formerOwnerStopped() { m_workers.endInheritedAuthority(); }
 
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -22,7 +22,10 @@
     /// A host whose tick is later than this has missed heartbeats: half of the default host timeout.
     constexpr Common::Duration maximumTickDelay = std::chrono::seconds(1);
     /// A host whose tick is later than this may have read answers after their timeouts.
-    constexpr Common::Duration tolerableLag = std::chrono::milliseconds(250);
+    constexpr Common::Duration tolerableLag = std::chrono::milliseconds(100);
+    /// A host that stays late replaces an owner after this many probes without an answer: otherwise nobody would when
+    /// all hosts are late.
+    constexpr uint32_t maximumLateProbes = 5;
     /// An owner whose heartbeats don't arrive has this long to answer a call before it is replaced.
     constexpr Common::Duration ownerProbeTimeout = std::chrono::milliseconds(600);
     /// Time after the start during which heartbeats are sent faster and list more addresses.
@@ -81,6 +84,10 @@
 /// A takeover in progress.
 struct CellOwnership::Claim {
     Common::MonotonicTime since;
+    /// Whether the cell's record names this host.
+    bool written = false;
+    /// When the call that confirmed the ownership was sent, on the clock that includes suspended time.
+    Common::MonotonicTime confirmedAt;
 };
 
 CellOwnership::CellOwnership(Ports ports, const HostSettings& settings, const CellSettings& cellSettings)
@@ -435,7 +442,7 @@
 
 void CellOwnership::claim(const CellId& cell)
 {
-    m_claims.emplace(cell, Claim { m_ports.runtime.now() });
+    m_claims.emplace(cell, Claim { m_ports.runtime.now(), false, m_ports.runtime.suspendAwareNow() });
     m_ports.store.get(StoreKeys::cell(cell), Freshness::Linearizable,
         m_lifetime.guard([this, cell](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
             if (!found)
@@ -505,7 +512,7 @@
 void CellOwnership::onProbed(const CellId& cell, const CellRecord& record, Common::StoreRevision revision,
     Common::MonotonicTime askedAt, const Common::Result<ProbeAnswer>& answer)
 {
-    if (answer && answer->process == record.owner && answer->ownsCell) {
+    if (answer && answer->process == record.owner && answer->holdsCell) {
         Owner& owner = m_owners[cell];
         if (owner.token != record.token)
             owner = Owner { record.owner, record.address, record.token, {}, {}, false };
@@ -513,17 +520,35 @@
         endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
         return;
     }
-    // The answer may have arrived before the timeout and been read after it.
-    if (!answer && wasLateSince(askedAt)) {
-        endClaim(cell, "this host is too late to tell whether the owner answers");
+    if (!answer && !isProofOfDeath(cell, record, answer.reason(), askedAt)) {
+        endClaim(cell, "the owner may be well");
         return;
     }
+    m_lateProbes.erase(cell);
     LC_INFO(Jobs,
         "event=owner-unanswered cell=" << cell.value() << " owner=" << record.owner.value() << " reason="
                                        << (answer ? "not-owner" : Common::errorName(answer.reason().code)));
     replaceOwner(cell, record, revision, answer && answer->process != record.owner);
 }
 
+bool CellOwnership::isProofOfDeath(
+    const CellId& cell, const CellRecord& record, const Common::Failure& reason, Common::MonotonicTime askedAt)
+{
+    // A host of an earlier release answers that it doesn't know the call. Its heartbeats tell what it owns.
+    if (reason.code == Common::ErrorCode::ProtocolError)
+        return m_directory.isAlive(record.owner, m_ports.runtime.now());
+    // The answer may have arrived before the timeout and been read after it.
+    return !wasLateSince(askedAt) || ++m_lateProbes[cell] >= maximumLateProbes;
+}
+
+bool CellOwnership::holds(const CellId& cell) const
+{
+    if (const auto pending = m_claims.find(cell); pending != m_claims.end())
+        return pending->second.written;
+    const auto own = m_engines.find(cell);
+    return own != m_engines.end() && !m_releasing.contains(cell) && own->second->mayGrantLeases();
+}
+
 bool CellOwnership::wasLateSince(Common::MonotonicTime since) const
 {
     return m_lateAt >= since || m_ports.runtime.now() - m_lastTick > m_settings.tickInterval + tolerableLag;
@@ -572,6 +597,7 @@
 void CellOwnership::writeClaim(
     const CellId& cell, const CellRecord& record, Common::StoreRevision expected, bool formerOwnerStopped)
 {
+    m_claims.at(cell).confirmedAt = m_ports.runtime.suspendAwareNow();
     RecordTransaction transaction;
     transaction.expected.emplace_back(StoreKeys::cell(cell), expected);
     transaction.puts.push_back({ StoreKeys::cell(cell), record.encode(), {} });
@@ -588,6 +614,7 @@
 void CellOwnership::readCell(
     const CellId& cell, const CellRecord& record, Common::StoreRevision fence, bool formerOwnerStopped)
 {
+    m_claims.at(cell).written = true;
     LC_INFO(Jobs, "event=cell-claimed cell=" << cell.value() << " token=" << record.token.value);
     m_ports.store.list(StoreKeys::jobs(cell), Freshness::Linearizable,
         m_lifetime.guard([this, cell, record, fence, formerOwnerStopped](const Common::Result<RecordListing>& jobs) {
@@ -595,7 +622,7 @@
                 endClaim(cell, "the job records can't be read");
                 return;
             }
-            CellEngine::RecoveredCell recoveredCell { record, fence, {}, {}, formerOwnerStopped, {}, {} };
+            CellEngine::RecoveredCell recoveredCell { record, fence, {}, {}, formerOwnerStopped, {}, {}, {} };
             for (const Scheduler::StoreValue& value : jobs->records) {
                 if (value.key == StoreKeys::pressureEstimates(cell)) {
                     recoveredCell.pressureEstimates = readPressureEstimates(value);
@@ -627,6 +654,7 @@
 
 void CellOwnership::takeOwnership(const CellId& cell, CellEngine::RecoveredCell recoveredCell)
 {
+    recoveredCell.confirmedAt = m_claims.at(cell).confirmedAt;
     m_claims.erase(cell);
     if (m_draining)
         return;
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -72,13 +72,16 @@
     using Messenger = std::function<void(
         const std::string& address, const CellId&, const PartMessage&, Common::Callback<Common::Done>)>;
     void setMessenger(Messenger messenger) { m_messenger = std::move(messenger); }
+    /// Whether this host has the cell in its hands: it owns the cell and may act, or its claim is written.
+    bool holds(const CellId&) const;
     /// What the process at an owner's address says about a cell.
     struct ProbeAnswer {
         /// Host and boot of the process.
         Common::DaemonId process;
-        bool ownsCell = false;
+        /// See holds().
+        bool holdsCell = false;
     };
-    /// Asks the process at `address` whether it owns the cell. JobGateway sets it.
+    /// Asks the process at `address` whether it holds the cell. JobGateway sets it.
     using OwnerProbe = std::function<void(
         const std::string& address, const CellId&, Common::Duration timeout, Common::Callback<ProbeAnswer>)>;
     void setOwnerProbe(OwnerProbe probe) { m_ownerProbe = std::move(probe); }
@@ -118,6 +121,7 @@
     void onProbed(const CellId&, const CellRecord&, Common::StoreRevision, Common::MonotonicTime askedAt,
         const Common::Result<ProbeAnswer>&);
     void replaceOwner(const CellId&, const CellRecord&, Common::StoreRevision, bool formerOwnerStopped);
+    bool isProofOfDeath(const CellId&, const CellRecord&, const Common::Failure&, Common::MonotonicTime askedAt);
     bool wasLateSince(Common::MonotonicTime) const;
     bool isProvablyStopped(const CellRecord&) const;
     void takeOwnership(const CellId&, CellEngine::RecoveredCell);
@@ -153,6 +157,8 @@
     /// Pressure estimates of other cells, passed to cells that this host takes over.
     std::map<CellId, std::vector<Policy::TailLatencyModel::PressureEstimate>> m_pressureEstimates;
     std::map<CellId, UnconfirmedOwner> m_unconfirmedOwners;
+    /// Probes in a row that failed while this host was late.
+    std::map<CellId, uint32_t> m_lateProbes;
     std::set<CellId> m_releasing;
     std::map<CellId, Common::MonotonicTime> m_releasedAt;
     std::map<Common::WorkerId, WorkerEntry> m_listedWorkers;
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -168,12 +168,12 @@
                     callback(answer.reason());
                 else
                     callback(CellOwnership::ProbeAnswer {
-                        Common::DaemonId(answer->value("process", std::string {})), answer->value("owns", false) });
+                        Common::DaemonId(answer->value("process", std::string {})), answer->value("holds", false) });
             });
     });
     m_peers.serve(ownerMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
-        const bool owns = m_cellOwnership.engine(CellId(params.value("cell", std::string {}))) != nullptr;
-        reply(Json { { "process", m_settings.id.value() }, { "owns", owns } });
+        const bool holds = m_cellOwnership.holds(CellId(params.value("cell", std::string {})));
+        reply(Json { { "process", m_settings.id.value() }, { "holds", holds } });
     });
     m_peers.serve(
         partMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePart(params, reply); });
