Acknowledge a cancellation when nothing of the job runs any more

Cause: a durable cancellation was taken for one that is carried out. Stop orders may be unanswered, and a successor doesn't know what runs on workers that haven't reported to it.

Change: the acknowledgement waits until no worker of the cell has a run of the job, inherited workers have reported, and the cells with parts of the job say the same of theirs. A part's cell that hears of the cancellation again answers for itself only, since tasks may have been transferred in a circle. Callers whose time is over get outcome-unknown at once, as before.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace Cells {
@@ -320,10 +321,18 @@
     }
     LC_INFO(Jobs,
         "event=part-cancelled job=" << part.id.value() << " cell=" << m_id.value() << " known=" << (known != nullptr));
-    if (known)
-        cancelLocalJob(*known, callback);
-    else
+    if (known) {
+        // A repeated message waits for this cell only: tasks may have been transferred in a circle.
+        const StopScope scope = isFinal(known->phase()) ? StopScope::ThisCell : StopScope::AllCells;
+        cancelLocalJob(*known, [this, id = part.id, scope, callback](const Common::Result<Common::Done>& durable) {
+            if (durable)
+                awaitStopped(id, scope, callback);
+            else
+                callback(durable);
+        });
+    } else {
         m_committer.markChangedUrgently(addJob(part, false).id(), callback);
+    }
 }
 
 void CellEngine::cancelLocalJob(LiveJob& job, Common::Callback<Common::Done> callback)
@@ -378,7 +387,7 @@
     const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled;
     for (const std::string& name : job.partCells()) {
         const CellId cell(name);
-        if (cancelled && m_partCancellations[job.id()].cells.insert(cell).second) {
+        if (cancelled && m_partCancellations[job.id()].insert(cell).second) {
             m_peerCells.cancel(cell, job.cancelledPart(),
                 m_lifetime.guard([this, id = job.id(), cell] { onPartCancelled(id, cell); }));
         } else if (!cancelled && job.recovered()) {
@@ -392,22 +401,54 @@
     const auto pending = m_partCancellations.find(id);
     if (pending == m_partCancellations.end())
         return;
-    pending->second.cells.erase(cell);
-    if (!pending->second.cells.empty())
-        return;
-    const auto callbacks = std::move(pending->second.callbacks);
-    m_partCancellations.erase(pending);
-    for (const auto& callback : callbacks)
-        callback(Common::Done {});
+    pending->second.erase(cell);
+    if (pending->second.empty())
+        m_partCancellations.erase(pending);
+    answerStopWaiters();
 }
 
-void CellEngine::awaitPartsCancelled(const Common::JobId& id, Common::Callback<Common::Done> callback)
+void CellEngine::awaitStopped(const Common::JobId& id, StopScope scope, Common::Callback<Common::Done> callback)
 {
-    const auto pending = m_partCancellations.find(id);
-    if (pending == m_partCancellations.end())
-        callback(Common::Done {});
+    if (mayRun(id, scope))
+        m_stopWaiters.push_back({ id, scope, std::move(callback) });
     else
-        pending->second.callbacks.push_back(std::move(callback));
+        callback(Common::Done {});
+}
+
+/// Whether a task of the cancelled job may run, here or in a cell that hasn't acknowledged the cancellation.
+bool CellEngine::mayRun(const Common::JobId& id, StopScope scope) const
+{
+    if (scope == StopScope::AllCells && m_partCancellations.contains(id))
+        return true;
+    const auto job = m_jobs.find(id);
+    if (job != m_jobs.end() && job->second->recovered() && hasUncontactedWorkers())
+        return true;
+    const auto& workers = m_workers.all();
+    return std::any_of(workers.begin(), workers.end(), [&id](const auto& row) {
+        const auto& allocations = row.second->allocations();
+        return std::any_of(
+            allocations.begin(), allocations.end(), [&id](const auto& run) { return run.first.task.job == id; });
+    });
+}
+
+void CellEngine::answerStopWaiters()
+{
+    std::vector<StopWaiter> waiting;
+    for (StopWaiter& waiter : std::exchange(m_stopWaiters, {})) {
+        if (mayRun(waiter.job, waiter.scope))
+            waiting.push_back(std::move(waiter));
+        else
+            waiter.callback(Common::Done {});
+    }
+    m_stopWaiters.insert(
+        m_stopWaiters.end(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
+}
+
+void CellEngine::refuseStopWaiters()
+{
+    for (const StopWaiter& waiter : std::exchange(m_stopWaiters, {}))
+        waiter.callback(
+            Common::Failure { Common::ErrorCode::NotOwner, "the cell was handed over or lost", std::nullopt });
 }
 
 void CellEngine::markChanged(LiveJob& job) { m_committer.markChanged(job.id()); }
@@ -415,7 +456,10 @@
 void CellEngine::release(std::function<void()> done)
 {
     m_releasing = true;
-    m_committer.release(std::move(done));
+    m_committer.release([this, done = std::move(done)] {
+        refuseStopWaiters();
+        done();
+    });
 }
 
 void CellEngine::stopAfterLoss()
@@ -424,6 +468,7 @@
         return;
     m_workers.close();
     m_committer.stop();
+    refuseStopWaiters();
     m_lost();
 }
 
@@ -462,6 +507,7 @@
             evacuate(*worker);
     }
     writeWorkers();
+    answerStopWaiters();
     if (m_runtime.now() - m_pressureEstimatesLoggedAt >= pressureEstimateInterval
         && !m_tails.backfillImages().empty()) {
         m_pressureEstimatesLoggedAt = m_runtime.now();
@@ -493,6 +539,7 @@
     removeAbsentRuns(worker, report, askedAt);
     updateTailModel(worker);
     paceBackfill(worker);
+    answerStopWaiters();
     schedulePlacement();
 }
 
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -100,8 +100,14 @@
     /// Answers once the cancellation is durable, or the final phase that the job had already. Errors: UnknownJob if the
     /// cell doesn't have the job or holds only a part of it; StoreUnavailable while its submission is in progress.
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
-    /// Answers once the cancellation is durable in all cells that hold tasks of the cancelled job.
-    void awaitPartsCancelled(const Common::JobId&, Common::Callback<Common::Done>);
+    enum class StopScope {
+        ThisCell,
+        /// Also the cells to which tasks of the job were transferred from here.
+        AllCells,
+    };
+    /// Answers once nothing of the cancelled job runs any more as far as the workers can say. Errors: NotOwner when the
+    /// cell is released or lost meanwhile.
+    void awaitStopped(const Common::JobId&, StopScope, Common::Callback<Common::Done>);
     /// Load of the cell as its heartbeats report it.
     CellLoad load() const;
     /// Tasks of another cell's job that were transferred here durably, or the record of the cancelled part of such a
@@ -170,6 +176,9 @@
     std::optional<std::pair<CellId, size_t>> findCellWithCapacity(const Common::ServiceName&, const Jobs::StepSpec&);
     void notifyParts(const LiveJob&);
     void onPartCancelled(const Common::JobId&, const CellId&);
+    bool mayRun(const Common::JobId&, StopScope) const;
+    void answerStopWaiters();
+    void refuseStopWaiters();
     void placeGang(const Candidate&);
     void startGang(const Candidate&, const Common::RackId&);
     std::vector<Policy::GangOffer> gangOffers(const LiveJob&, const Candidate&);
@@ -232,12 +241,14 @@
     };
     /// Tasks transferred to a peer cell that its heartbeats may not account for yet.
     std::map<CellId, RecentTransfer> m_recentTransfers;
-    /// Cancellations of parts that peer cells haven't acknowledged, and who waits for them, by job.
-    struct PartCancellations {
-        std::set<CellId> cells;
-        std::vector<Common::Callback<Common::Done>> callbacks;
+    /// Peer cells that haven't acknowledged the cancellation of their parts, by job.
+    std::map<Common::JobId, std::set<CellId>> m_partCancellations;
+    struct StopWaiter {
+        Common::JobId job;
+        StopScope scope = StopScope::ThisCell;
+        Common::Callback<Common::Done> callback;
     };
-    std::map<Common::JobId, PartCancellations> m_partCancellations;
+    std::vector<StopWaiter> m_stopWaiters;
     /// When long-running tasks of a job first found no room.
     std::map<Common::JobId, Common::MonotonicTime> m_blockedSince;
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -25,8 +25,8 @@
     constexpr const char* ownerMethod = "cell.owner";
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
-    /// Time for other cells to confirm a cancellation, within the timeout of the call that asks for it.
-    constexpr Common::Duration partConfirmationTimeout = std::chrono::milliseconds(2500);
+    /// Time for the job's tasks to stop, within the timeout of the call that asks for the cancellation.
+    constexpr Common::Duration stopTimeout = std::chrono::milliseconds(2500);
     constexpr Common::Duration callTimeout = std::chrono::milliseconds(1000);
     /// During this period after its start a host holds submissions back until all cells have owners and capacity, but
     /// only while more than the margin is left before the caller's deadline.
@@ -233,7 +233,7 @@
         reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
         return;
     }
-    cancelOwned(*engine, engine->id(), Common::JobId(params.value("job", std::string {})), partConfirmationTimeout,
+    cancelOwned(*engine, engine->id(), Common::JobId(params.value("job", std::string {})), stopTimeout,
         [reply](const Common::Result<Common::Done>& outcome) {
             if (outcome)
                 reply(Json::object());
@@ -580,7 +580,7 @@
         });
 }
 
-/// Cancels a job of a cell of this host and answers when the owners of the cells with parts of it have confirmed.
+/// Cancels a job of a cell of this host and answers when nothing of it runs any more.
 void JobGateway::cancelOwned(CellEngine& engine, const CellId& cell, const Common::JobId& job, Common::Duration timeout,
     const Common::Callback<Common::Done>& callback)
 {
@@ -590,12 +590,12 @@
             callback(outcome);
     };
     m_runtime.schedule(timeout, m_lifetime.guard([answer] {
-        answer(failure(Common::ErrorCode::OutcomeUnknown, "a cell with tasks of the job hasn't confirmed in time"));
+        answer(failure(Common::ErrorCode::OutcomeUnknown, "tasks of the job may still run"));
     }));
     engine.cancel(job, m_lifetime.guard([this, cell, job, answer](const Common::Result<Common::Done>& durable) {
         CellEngine* const owner = m_cellOwnership.engine(cell);
         if (durable && owner)
-            owner->awaitPartsCancelled(job, answer);
+            owner->awaitStopped(job, CellEngine::StopScope::AllCells, answer);
         else if (durable)
             answer(failure(Common::ErrorCode::OutcomeUnknown, "the cell was handed over during the cancellation"));
         else
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -37,9 +37,9 @@
     void submit(Jobs::JobRecord, Common::Duration timeout, Common::Callback<Common::Done>);
     /// UnknownJob: there is no such job, or its record has expired. Other failures: the phase can't be determined now.
     void phase(const Common::JobId&, Common::Duration timeout, Common::Callback<Jobs::JobPhase>);
-    /// Done once the cancellation is durable in all cells that hold tasks of the job. OutcomeUnknown: some of them
-    /// haven't confirmed it in time; the cancellation goes on. UnknownJob: there is no such job. PeerUnavailable: the
-    /// job's cell has no live owner now.
+    /// Done once the cancellation is durable and nothing of the job runs any more. OutcomeUnknown: some of its tasks
+    /// haven't been confirmed to have stopped in time; the cancellation goes on. UnknownJob: there is no such job.
+    /// PeerUnavailable: the job's cell has no live owner now.
     void cancel(const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
     /// Number of accepted jobs of the route of which no task has started, over all cells with a live owner.
     uint32_t pending(const std::string& route) const;
