Treat inherited workers that the platform doesn't list as unlisted

Found in the review: a worker that had left the platform's list before a takeover was never marked as unlisted by the successor. If the successor is late all the time, it never finds the worker idle, and the cell's recovered jobs wait.

Change: after each complete listing all other workers of the cells count as unlisted.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -154,6 +154,14 @@
 
 void CellEngine::unlistWorker(const Common::WorkerId& id) { m_workers.unlist(id); }
 
+void CellEngine::unlistOthers(const std::map<Common::WorkerId, WorkerEntry>& listed)
+{
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!listed.contains(id))
+            m_workers.unlist(id);
+    }
+}
+
 /// The record of workers must be durable before the first run is started on a new worker.
 void CellEngine::writeWorkers()
 {
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -85,6 +85,8 @@
     void listWorker(const WorkerEntry&);
     /// Marks a worker as no longer listed by the platform; it gets no new runs.
     void unlistWorker(const Common::WorkerId&);
+    /// Does the same for all workers but those of a complete list.
+    void unlistOthers(const std::map<Common::WorkerId, WorkerEntry>& listed);
 
     enum class Fit {
         Any,
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -772,6 +772,8 @@
         // All entries are reported again: a cell may have been taken over since the last listing.
         std::erase_if(m_listedWorkers, [&](const auto& row) { return present.contains(row.first); });
         onWorkers(changes);
+        for (const auto& [cell, engine] : m_engines)
+            engine->unlistOthers(m_listedWorkers);
         watchWorkers();
     }));
 }
