Repeat a stop order that an unhealthy worker refused

Found in the review: any answer to a stop order settled it, also one by which the worker says that it has done nothing, and the run went on under a renewed lease. Now such a stop is sent again like one without an answer. Not reproduced; whether the platform's workers refuse stops isn't known.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -309,7 +309,8 @@
         m_lifetime.guard([this, id, run, answered](const Common::Result<OrderAnswer>& answer) {
             if (m_closed || !find(id))
                 return;
-            if (!answer) {
+            // An unhealthy worker has done nothing.
+            if (!answer || answer->verdict == OrderVerdict::Unhealthy) {
                 m_runtime.schedule(m_settings.orderRetry,
                     m_lifetime.guard([this, id, run, answered] { sendStop(id, run, answered); }));
                 return;
