Stop parts of a failed job in other cells

Found in the review: only a cancellation was passed on to the cells with transferred tasks. A job that fails after long-running tasks of it were transferred left them running for ever. Not reproduced; the users' jobs have no step of that kind beside others.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -392,7 +392,7 @@
 /// transfers. Each new owner repeats this, in case a message was lost or the former owner stopped before sending it.
 void CellEngine::notifyParts(const LiveJob& job)
 {
-    const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled;
+    const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled || job.phase() == Jobs::JobPhase::Failed;
     for (const std::string& name : job.partCells()) {
         const CellId cell(name);
         if (cancelled && m_partCancellations[job.id()].insert(cell).second) {
