Judge stuck runs by the worker's last report

Cause: a run was stuck if it had made no progress until now, but progress is known from reports, and an owner that is late hasn't read them. Now the time of the worker's last report counts.

Test: Cells.SlowHostTest "runs aren't taken for stuck because their owner was late" (failed before: 14 starts of 6 tasks).

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -776,7 +776,6 @@
 {
     if (!worker.reachable)
         return;
-    const Common::MonotonicTime now = m_runtime.now();
     std::vector<RunKey> stuck;
     for (const auto& [run, allocation] : worker.allocations()) {
         LiveJob* const job = allocation.stopping || !allocation.reportedRunning ? nullptr : findJob(run.task.job);
@@ -786,7 +785,8 @@
         const bool longRunning = job->stepSpec(run.task.step).longRunning;
         if (longRunning && task->run->percent >= fullPercent)
             continue;
-        if (now - task->run->progressedAt > (longRunning ? startUpTimeout : stuckTimeout))
+        // The last report counts, not the present time: this host may be late in reading the next one.
+        if (worker.lastReportAt - task->run->progressedAt > (longRunning ? startUpTimeout : stuckTimeout))
             stuck.push_back(run);
     }
     for (const RunKey& run : stuck) {
--- a/Source/UnitTests/Cells/CancellationTest.cpp
+++ b/Source/UnitTests/Cells/CancellationTest.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace CellTests;
 using namespace std::chrono_literals;
 
@@ -91,3 +93,34 @@
     CHECK(world.running() == 6);
     CHECK(world.judge.summary() == "");
 }
+
+TEST_CASE("a cancellation isn't acknowledged by a successor that hasn't heard of all workers yet")
+{
+    Fleet fleet;
+    Outcome submitted;
+    fleet.submit(fleet.other(), CellWorld::service(1, 8), submitted);
+    fleet.clock.advance(2s);
+    REQUIRE(fleet.running() == 8);
+    const auto busy = std::find_if(
+        fleet.workers.begin(), fleet.workers.end(), [](const auto& worker) { return worker->running() > 0; });
+    REQUIRE(busy != fleet.workers.end());
+    fleet.owner()->process.kill();
+    for (WorldHost* const host : fleet.live()) {
+        fleet.network.cut(host->address, (*busy)->entry().address);
+        fleet.network.cut((*busy)->entry().address, host->address);
+    }
+    while (!fleet.owner())
+        fleet.clock.advance(50ms);
+    fleet.clock.advance(300ms);
+    Outcome cancelled;
+    fleet.owner()->front.cancel(
+        CellWorld::jobId(1), 3s, [&cancelled](const Common::Result<Common::Done>& done) { cancelled = done; });
+    fleet.clock.advance(1s);
+    REQUIRE((*busy)->running() > 0);
+    CHECK((!cancelled || !cancelled->hasValue()));
+    fleet.network.heal();
+    fleet.clock.advance(4s);
+    CHECK(fleet.cancel(1));
+    CHECK(fleet.running() == 0);
+    CHECK(fleet.judge.summary() == "");
+}
--- a/Source/UnitTests/Cells/SlowHostTest.cpp
+++ b/Source/UnitTests/Cells/SlowHostTest.cpp
@@ -90,3 +90,25 @@
     CHECK(world.phase(successor, 1) == Jobs::JobPhase::Completed);
     CHECK(world.judge.summary() == "");
 }
+
+TEST_CASE("runs aren't taken for stuck because their owner was late")
+{
+    CellWorld world(1);
+    world.addWorkers("yard", 3, 4000);
+    WorldHost& owner = world.addHost("yard", "a:1");
+    world.clock.advance(8s);
+    Outcome outcome;
+    world.submit(owner, CellWorld::job(1, "run:20000", 6), outcome);
+    world.clock.advance(2s);
+    REQUIRE(world.running() == 6);
+    owner.process.timersFirst = true;
+    for (int stall = 0; stall < 3; ++stall) {
+        owner.process.pause();
+        world.clock.advance(3s);
+        owner.process.resume();
+        world.clock.advance(1500ms);
+    }
+    CHECK(world.running() == 6);
+    CHECK(world.judge.starts == 6);
+    CHECK(world.judge.summary() == "");
+}
