Keep the sum of adopted estimates per pair of images

Cause: each call built a pair of strings, looked it up in a map of pairs, searched the service's images one by one and added up the estimates of every other cell. It runs several times for each worker at each offer. backfillImages copied the image of each pair into a new set at every load report.

Change: a service keeps an entry per backfill image with the image's position in its filter and the sum of the adopted estimates. The sum is formed anew over all sources when one is adopted; nothing is copied or added up in a look-up. The images are kept in a set.

Results: equal up to rounding, because the adopted estimates are now summed before the own one is added.

Ruled out: subtracting the replaced estimate from the sum, which accumulates rounding errors; a cache of the combined factor, which each report about the service would invalidate; interned image ids, which need a look-up by text too as long as callers name images by text.

Tests: "pressures combine the prior, own estimates and the last adopted ones of each source after any sequence" passes with the old model too; it fails without the reset of the sum, without the replacement of a source's estimate, without the adopted sum and without the set of images. "a service known only from other models has no estimates of this model" fails without the check in summary. All 69 Policy tests pass.

--- a/Source/Core/Policy/TailLatencyModel.cpp
+++ b/Source/Core/Policy/TailLatencyModel.cpp
@@ -47,11 +47,33 @@
 {
 }
 
-size_t TailLatencyModel::Service::indexOf(const std::string& image)
+TailLatencyModel::Evidence TailLatencyModel::Evidence::of(const Factor& factor)
+{
+    // All estimates start from the same prior, which is counted once.
+    const double gained = 1 / factor.variance - 1 / priorVariance;
+    if (gained <= 0)
+        return {};
+    return { gained, factor.value / factor.variance - priorPressure / priorVariance };
+}
+
+TailLatencyModel::Evidence& TailLatencyModel::Evidence::operator+=(const Evidence& other)
+{
+    precision += other.precision;
+    weightedValue += other.weightedValue;
+    return *this;
+}
+
+void TailLatencyModel::Pairing::adopt(const std::string& source, const Evidence& evidence)
+{
+    adopted.insert_or_assign(source, evidence);
+    // Summed up anew, because rounding errors would accumulate if the replaced evidence were subtracted.
+    adoptedSum = {};
+    for (const auto& [name, part] : adopted)
+        adoptedSum += part;
+}
+
+size_t TailLatencyModel::Service::addImage(const std::string& image)
 {
-    const auto found = std::find(images.begin(), images.end(), image);
-    if (found != images.end())
-        return static_cast<size_t>(found - images.begin()) + 1;
     const size_t before = size();
     std::vector<double> grown((before + 1) * (before + 1), 0);
     for (size_t row = 0; row < before; ++row)
@@ -100,35 +122,41 @@
     return tailRatio <= base ? 0 : 1 - base / tailRatio;
 }
 
-std::optional<TailLatencyModel::Factor> TailLatencyModel::ownEstimate(const Pair& pair) const
-{
-    const Service& service = serviceOf(pair.second);
-    const auto found = std::find(service.images.begin(), service.images.end(), pair.first);
-    if (found == service.images.end())
-        return std::nullopt;
-    const size_t index = static_cast<size_t>(found - service.images.begin()) + 1;
-    return Factor { service.values[index], service.at(index, index) };
-}
-
-/// Combines own and adopted estimates, weighted by precision. All start from the same prior, which is counted once.
-TailLatencyModel::Factor TailLatencyModel::combinedEstimate(const Pair& pair) const
-{
-    double precision = 1 / priorVariance;
-    double sum = priorPressure / priorVariance;
-    const auto add = [&](const Factor& factor) {
-        const double gained = 1 / factor.variance - 1 / priorVariance;
-        if (gained <= 0)
-            return;
-        precision += gained;
-        sum += factor.value / factor.variance - priorPressure / priorVariance;
-    };
-    if (const auto learned = ownEstimate(pair))
-        add(*learned);
-    if (const auto adopted = m_adopted.find(pair); adopted != m_adopted.end()) {
-        for (const auto& [source, factor] : adopted->second)
-            add(factor);
+TailLatencyModel::Service& TailLatencyModel::learnedService(const std::string& name)
+{
+    Service& service = m_services.try_emplace(name).first->second;
+    service.learned = true;
+    return service;
+}
+
+TailLatencyModel::Pairing& TailLatencyModel::pairingOf(Service& service, const std::string& backfill)
+{
+    const auto [found, added] = service.pairings.try_emplace(backfill);
+    if (added)
+        m_backfillImages.insert(backfill);
+    return found->second;
+}
+
+size_t TailLatencyModel::learnedIndex(Service& service, const std::string& backfill)
+{
+    Pairing& pairing = pairingOf(service, backfill);
+    if (pairing.index == 0)
+        pairing.index = service.addImage(backfill);
+    return pairing.index;
+}
+
+/// Combines own and adopted estimates, weighted by precision.
+TailLatencyModel::Factor TailLatencyModel::combinedEstimate(const Service& service, const std::string& backfill)
+{
+    Evidence evidence { 1 / priorVariance, priorPressure / priorVariance };
+    if (const auto found = service.pairings.find(backfill); found != service.pairings.end()) {
+        const Pairing& pairing = found->second;
+        if (pairing.index > 0)
+            evidence += Evidence::of({ service.values[pairing.index], service.at(pairing.index, pairing.index) });
+        evidence += pairing.adoptedSum;
     }
-    return Factor { std::clamp(sum / precision, 0.0, highestPressure), 1 / precision };
+    return Factor { std::clamp(evidence.weightedValue / evidence.precision, 0.0, highestPressure),
+        1 / evidence.precision };
 }
 
 std::vector<TailLatencyModel::PressureEstimate> TailLatencyModel::pressureEstimates(size_t maximumCount) const
@@ -149,8 +177,8 @@
 void TailLatencyModel::inherit(const std::vector<PressureEstimate>& pressureEstimates)
 {
     for (const PressureEstimate& estimate : pressureEstimates) {
-        Service& service = m_services.try_emplace(estimate.service).first->second;
-        const size_t index = service.indexOf(estimate.backfill);
+        Service& service = learnedService(estimate.service);
+        const size_t index = learnedIndex(service, estimate.backfill);
         service.values[index] = estimate.pressure;
         service.at(index, index) = std::clamp(estimate.variance, inheritedVariance, priorVariance);
     }
@@ -160,43 +188,41 @@
 {
     for (const PressureEstimate& estimate : pressureEstimates) {
         if (estimate.variance > 0)
-            m_adopted[Pair(estimate.backfill, estimate.service)].insert_or_assign(
-                source, Factor { estimate.pressure, estimate.variance });
+            pairingOf(m_services.try_emplace(estimate.service).first->second, estimate.backfill)
+                .adopt(source, Evidence::of({ estimate.pressure, estimate.variance }));
     }
 }
 
-double TailLatencyModel::pressure(const std::string& backfill, const std::string& service) const
+double TailLatencyModel::pressure(const Service& service, const std::string& backfill)
 {
-    const Factor factor = combinedEstimate(Pair(backfill, service));
+    const Factor factor = combinedEstimate(service, backfill);
     return factor.value < harmlessPressure ? 0 : factor.value + caution * std::sqrt(factor.variance);
 }
 
+double TailLatencyModel::pressure(const std::string& backfill, const std::string& service) const
+{
+    return pressure(serviceOf(service), backfill);
+}
+
 double TailLatencyModel::pressure(const std::vector<BackfillShare>& backfillShares, const std::string& service) const
 {
+    const Service& learned = serviceOf(service);
     double sum = 0;
     for (const BackfillShare& source : backfillShares)
-        sum += source.share * pressure(source.image, service);
+        sum += source.share * pressure(learned, source.image);
     return sum;
 }
 
-std::set<std::string> TailLatencyModel::backfillImages() const
-{
-    std::set<std::string> images;
-    for (const auto& [name, service] : m_services)
-        images.insert(service.images.begin(), service.images.end());
-    for (const auto& [pair, adopted] : m_adopted)
-        images.insert(pair.first);
-    return images;
-}
-
 std::string TailLatencyModel::summary() const
 {
     std::ostringstream text;
     text << std::fixed << std::setprecision(1);
     for (const auto& [name, service] : m_services) {
+        if (!service.learned)
+            continue;
         text << (text.tellp() > 0 ? "," : "") << name << ":" << service.values.front();
         for (const std::string& image : service.images)
-            text << "," << image << "/" << name << ":" << combinedEstimate(Pair(image, name)).value;
+            text << "," << image << "/" << name << ":" << combinedEstimate(service, image).value;
     }
     return text.str();
 }
@@ -205,17 +231,17 @@
 
 void TailLatencyModel::observe(const std::string& name, const Sample& sample)
 {
-    Service& service = m_services.try_emplace(name).first->second;
+    Service& service = learnedService(name);
     if (sample.tailRatio <= 0)
         return;
     if (sample.tailRatio < service.baseRatio)
         service.baseRatio += baseWeight * (sample.tailRatio - service.baseRatio);
     for (const BackfillShare& source : sample.backfillShares)
-        service.indexOf(source.image);
+        learnedIndex(service, source.image);
     std::vector<double> weights(service.size(), 0);
     weights.front() = 1;
     for (const BackfillShare& source : sample.backfillShares)
-        weights[service.indexOf(source.image)] += source.share;
+        weights[learnedIndex(service, source.image)] += source.share;
     service.learn(weights, utilization(name, sample.tailRatio), reportVariance);
 }
 
--- a/Source/Core/Policy/TailLatencyModel.h
+++ b/Source/Core/Policy/TailLatencyModel.h
@@ -3,10 +3,9 @@
 #pragma once
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
-#include <utility>
+#include <unordered_map>
 #include <vector>
 
 namespace Policy {
@@ -48,7 +47,7 @@
     /// What all these shares of backfill together add to the service's utilization.
     double pressure(const std::vector<BackfillShare>&, const std::string& service) const;
     /// Images of backfill with an estimate, learned, inherited or adopted.
-    std::set<std::string> backfillImages() const;
+    const std::set<std::string>& backfillImages() const { return m_backfillImages; }
     /// "backfill/service:factor, ..." for logs.
     std::string summary() const;
     /// The estimates that this model learned or inherited, lowest variance first, at most `maximumCount`.
@@ -66,32 +65,59 @@
         double value;
         double variance;
     };
+    /// What estimates of one pair add to the prior: their precision, and their values weighted by precision.
+    struct Evidence {
+        double precision = 0;
+        double weightedValue = 0;
+
+        static Evidence of(const Factor&);
+        Evidence& operator+=(const Evidence&);
+    };
+    /// What is known about the backfill of one image beside a service.
+    struct Pairing {
+        /// Position in the service's `values`; 0 while this model has no estimate of its own.
+        size_t index = 0;
+        /// By source.
+        std::map<std::string, Evidence> adopted;
+        /// Invariant: the sum of `adopted`.
+        Evidence adoptedSum;
+
+        void adopt(const std::string& source, const Evidence&);
+    };
     /// Estimates of the service's own load and of the factor of each image, with their covariance.
     /// Invariant: `values` has one entry more than `images`, the service's own load first; `covariance` is square, row
-    /// by row.
+    /// by row; `pairings` has an entry with its position for each of `images`.
     struct Service {
+        /// Whether this model has learned or inherited anything; otherwise it has only adopted estimates.
+        bool learned = false;
         /// Usual tail ratio of an idle service.
         double baseRatio;
         std::vector<std::string> images;
         std::vector<double> values;
         std::vector<double> covariance;
+        /// By image of the backfill.
+        std::unordered_map<std::string, Pairing> pairings;
 
         Service();
         size_t size() const { return values.size(); }
         double& at(size_t row, size_t column) { return covariance[row * size() + column]; }
         double at(size_t row, size_t column) const { return covariance[row * size() + column]; }
-        size_t indexOf(const std::string& image);
+        size_t addImage(const std::string&);
         void learn(const std::vector<double>& weights, double observed, double noise);
     };
-    using Pair = std::pair<std::string, std::string>;
 
-    std::optional<Factor> ownEstimate(const Pair&) const;
-    Factor combinedEstimate(const Pair&) const;
+    static Factor combinedEstimate(const Service&, const std::string& backfill);
+    static double pressure(const Service&, const std::string& backfill);
     const Service& serviceOf(const std::string&) const;
+    /// The entry of a service that this model learns about.
+    Service& learnedService(const std::string&);
+    Pairing& pairingOf(Service&, const std::string& backfill);
+    /// Position of the backfill's image in the service's `values`; added if it isn't there yet.
+    size_t learnedIndex(Service&, const std::string& backfill);
 
-    /// By pair, then by source.
-    std::map<Pair, std::map<std::string, Factor>> m_adopted;
     std::map<std::string, Service> m_services;
+    /// Invariant: the images of the pairings of all services.
+    std::set<std::string> m_backfillImages;
 };
 
 } // namespace Policy
--- a/Source/UnitTests/Policy/TailLatencyModelTest.cpp
+++ b/Source/UnitTests/Policy/TailLatencyModelTest.cpp
@@ -5,9 +5,15 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace Policy;
 using namespace std::chrono_literals;
@@ -38,6 +44,46 @@
     return backfillShares;
 }
 
+/// The pressure of a pair, computed directly from the model's own estimates and all adopted ones.
+class ReferencePressure {
+public:
+    void adopt(const std::string& source, const TailLatencyModel::PressureEstimate& estimate)
+    {
+        if (estimate.variance > 0)
+            m_adopted[{ estimate.backfill, estimate.service }][source] = estimate;
+    }
+
+    double pressure(const TailLatencyModel& model, const std::string& backfill, const std::string& service) const
+    {
+        constexpr double priorPressure = 0.8;
+        constexpr double priorVariance = 4;
+        std::vector<TailLatencyModel::PressureEstimate> estimates;
+        for (const auto& estimate : model.pressureEstimates(std::numeric_limits<size_t>::max())) {
+            if (estimate.backfill == backfill && estimate.service == service)
+                estimates.push_back(estimate);
+        }
+        if (const auto found = m_adopted.find({ backfill, service }); found != m_adopted.end()) {
+            for (const auto& [source, estimate] : found->second)
+                estimates.push_back(estimate);
+        }
+        double precision = 1 / priorVariance;
+        double weighted = priorPressure / priorVariance;
+        for (const auto& estimate : estimates) {
+            const double gained = 1 / estimate.variance - 1 / priorVariance;
+            if (gained <= 0)
+                continue;
+            precision += gained;
+            weighted += estimate.pressure / estimate.variance - priorPressure / priorVariance;
+        }
+        const double value = std::clamp(weighted / precision, 0.0, 20.0);
+        return value < 0.6 ? 0 : value + 0.4 * std::sqrt(1 / precision);
+    }
+
+private:
+    /// By backfill and service, then by source.
+    std::map<std::pair<std::string, std::string>, std::map<std::string, TailLatencyModel::PressureEstimate>> m_adopted;
+};
+
 } // namespace
 
 TEST_CASE("the model distinguishes a disturbing from a harmless image within 60 reports")
@@ -135,3 +181,70 @@
     CHECK(paceForNewRun(model, { services, {}, {} }, "unknown", 0.01) == 0);
     CHECK(paceBackfill(model, { services, runs, backfillSharesOf(runs) }, 100ms).front() <= 30);
 }
+
+TEST_CASE("pressures combine the prior, own estimates and the last adopted ones of each source after any sequence")
+{
+    const std::vector<std::string> backfills { "a", "b", "c", "d", "e" };
+    const std::vector<std::string> services { "s", "t", "u", "v" };
+    std::mt19937_64 random(17);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const auto pick = [&](const std::vector<std::string>& names) { return names[random() % names.size()]; };
+    const auto estimate = [&]() -> TailLatencyModel::PressureEstimate {
+        // Some variances are invalid and some above that of the prior.
+        return { pick(backfills), pick(services), uniform(random) * 6 - 1, uniform(random) * 6 - 0.5 };
+    };
+
+    TailLatencyModel model;
+    ReferencePressure reference;
+    std::set<std::string> known;
+    for (int step = 0; step < 4000; ++step) {
+        switch (random() % 8) {
+        case 0: {
+            const auto inherited = estimate();
+            model.inherit({ inherited });
+            known.insert(inherited.backfill);
+            break;
+        }
+        case 1:
+        case 2: {
+            const std::string source = "cell-" + std::to_string(random() % 18);
+            const std::vector<TailLatencyModel::PressureEstimate> adopted { estimate(), estimate() };
+            model.adopt(source, adopted);
+            for (const auto& one : adopted) {
+                reference.adopt(source, one);
+                if (one.variance > 0)
+                    known.insert(one.backfill);
+            }
+            break;
+        }
+        default: {
+            TailLatencyModel::Sample sample { uniform(random) * 1.5 - 0.1, {} };
+            const std::string first = pick(backfills);
+            const std::string second = pick(backfills);
+            sample.backfillShares = { { first, uniform(random) * 0.2 }, { second, uniform(random) * 0.2 } };
+            model.observe(pick(services), sample);
+            if (sample.tailRatio > 0)
+                known.insert({ first, second });
+        }
+        }
+        CAPTURE(step);
+        const std::string backfill = pick(backfills);
+        const std::string service = pick(services);
+        const double expected = reference.pressure(model, backfill, service);
+        REQUIRE(model.pressure(backfill, service) == doctest::Approx(expected).epsilon(1e-9));
+        REQUIRE(model.pressure({ { backfill, 0.5 } }, service) == doctest::Approx(expected / 2).epsilon(1e-9));
+        REQUIRE(model.backfillImages() == known);
+    }
+    CHECK(model.pressure("unknown", "s") == doctest::Approx(reference.pressure(model, "unknown", "s")));
+    CHECK(model.pressure("a", "unknown") == doctest::Approx(reference.pressure(model, "a", "unknown")));
+}
+
+TEST_CASE("a service known only from other models has no estimates of this model")
+{
+    TailLatencyModel model;
+    model.adopt("cell", { { "backfill", "service", 5, 0.01 } });
+    CHECK(model.pressure("backfill", "service") > 4);
+    CHECK(model.pressureEstimates(10).empty());
+    CHECK(model.summary().empty());
+    CHECK(model.usualLoad("service") == model.usualLoad("unknown"));
+}
