Add the pacing of backfill to DecisionBenchmark

Change: benchmarks of one pressure look-up, of the pace of a new run and of the paces of all runs on a worker, with estimates of 18 cells for 10 backfill x 8 service images. They have no bound; the machine was too busy to set one.

--- a/Source/Benchmarks/DecisionBenchmark.cpp
+++ b/Source/Benchmarks/DecisionBenchmark.cpp
@@ -1,8 +1,11 @@
-// Benchmark: processor time of admission, routing and placement alone, at 50, 510 and 5,100 workers. Fails when
-// placement exceeds the processor budget of the control plane or grows faster than the logarithm of the worker count.
+// Benchmark: processor time of admission, routing and placement alone, at 50, 510 and 5,100 workers, and of the model
+// that paces backfill. Fails when placement exceeds the processor budget of the control plane or grows faster than the
+// logarithm of the worker count.
 #include "Policy/AdmissionQueue.h"
+#include "Policy/BackfillPace.h"
 #include "Policy/Placement.h"
 #include "Policy/Router.h"
+#include "Policy/TailLatencyModel.h"
 
 #include <benchmark/benchmark.h>
 
@@ -148,6 +151,79 @@
 }
 BENCHMARK(route)->Name("routing/choose")->Arg(50)->Arg(510)->Arg(5100);
 
+/// A model with its own estimates of ten backfill images beside eight service images, and those of 18 other cells.
+struct LearnedTails {
+    std::vector<std::string> backfills;
+    std::vector<std::string> services;
+    TailLatencyModel model;
+
+    LearnedTails()
+    {
+        for (int i = 0; i < 10; ++i)
+            backfills.push_back("registry/backfill-" + std::to_string(i));
+        for (int i = 0; i < 8; ++i)
+            services.push_back("registry/service-" + std::to_string(i));
+        std::mt19937_64 random(1);
+        std::uniform_real_distribution<double> uniform(0, 1);
+        for (int cell = 0; cell < 18; ++cell) {
+            for (const std::string& backfill : backfills) {
+                for (const std::string& service : services)
+                    model.adopt("cell-" + std::to_string(cell),
+                        { { backfill, service, 5 * uniform(random), 0.01 + uniform(random) } });
+            }
+        }
+        for (int i = 0; i < 2000; ++i)
+            model.observe(services[random() % services.size()],
+                { 0.2 + uniform(random),
+                    { { backfills[random() % backfills.size()], 0.2 * uniform(random) },
+                        { backfills[random() % backfills.size()], 0.2 * uniform(random) } } });
+    }
+    /// A worker with three services and four backfill runs.
+    Colocation colocation() const
+    {
+        Colocation colocation;
+        for (size_t i = 0; i < 3; ++i)
+            colocation.services.push_back({ services[i], 0.3 + 0.1 * static_cast<double>(i) });
+        for (size_t i = 0; i < 4; ++i) {
+            colocation.runs.push_back({ backfills[i], 0.1, 0.1, 100 });
+            colocation.recentBackfill.push_back({ backfills[i], 0.1 });
+        }
+        return colocation;
+    }
+};
+
+void pressure(benchmark::State& state)
+{
+    const LearnedTails tails;
+    size_t number = 0;
+    for (auto _ : state) {
+        ++number;
+        benchmark::DoNotOptimize(tails.model.pressure(
+            tails.backfills[number % tails.backfills.size()], tails.services[number % tails.services.size()]));
+    }
+}
+BENCHMARK(pressure)->Name("backfill/pressure");
+
+void paceNewRun(benchmark::State& state)
+{
+    const LearnedTails tails;
+    const Colocation colocation = tails.colocation();
+    size_t number = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(
+            paceForNewRun(tails.model, colocation, tails.backfills[++number % tails.backfills.size()], 0.1));
+}
+BENCHMARK(paceNewRun)->Name("backfill/pace-of-new-run");
+
+void paceRuns(benchmark::State& state)
+{
+    const LearnedTails tails;
+    const Colocation colocation = tails.colocation();
+    for (auto _ : state)
+        benchmark::DoNotOptimize(paceBackfill(tails.model, colocation, Duration::zero()));
+}
+BENCHMARK(paceRuns)->Name("backfill/pace-of-runs");
+
 /// Records the medians of processor time, which are checked against the bounds.
 class MedianReporter : public benchmark::ConsoleReporter {
 public:
