Compute the limits of a worker's services once for all images and passes

Cause: paceBackfill computed each service's own load and the pressure of each run anew in both passes, and a third time for services over their target. addBackfillCapacity copied a worker's services and runs for each image and computed what the services have to spare each time. paceForNewRun computed that for pairs that don't disturb each other too.

Ruled out: keeping what a worker's services have to spare between offers, because each report about a service, each change of pace and each adopted estimate changes it.

The effect on a host's processor time was not measured.

Tests: "the pace of a new run is limited by each service on its own, whichever images are asked about with it" compares with a recomputation; it fails if what one service has to spare is used for the next.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -878,17 +878,21 @@
 
 void CellEngine::addBackfillCapacity(CellLoad& load) const
 {
-    for (const std::string& image : m_tails.backfillImages()) {
-        int64_t room = 0;
-        for (const auto& [id, worker] : m_workers.all()) {
-            if (!worker->listed || worker->entry().draining || !worker->reachable)
-                continue;
-            const double pace = Policy::paceForNewRun(m_tails, worker->colocation(), image, usualBackfillShare);
-            const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
-            room += pace >= acceptablePace ? std::max<int64_t>(unused, 0) : 0;
-        }
-        load.backfillCapacity.emplace(image, room);
+    const std::vector<std::string> images(m_tails.backfillImages().begin(), m_tails.backfillImages().end());
+    std::vector<int64_t> room(images.size(), 0);
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!worker->listed || worker->entry().draining || !worker->reachable)
+            continue;
+        const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
+        if (unused <= 0)
+            continue;
+        const std::vector<double> paces
+            = Policy::pacesForNewRuns(m_tails, worker->colocation(), images, usualBackfillShare);
+        for (size_t index = 0; index < images.size(); ++index)
+            room[index] += paces[index] >= acceptablePace ? unused : 0;
     }
+    for (size_t index = 0; index < images.size(); ++index)
+        load.backfillCapacity.emplace(images[index], room[index]);
 }
 
 void CellEngine::addWaiting(const LiveJob& job, CellLoad& load)
--- a/Source/Core/Policy/BackfillPace.h
+++ b/Source/Core/Policy/BackfillPace.h
@@ -8,6 +8,7 @@
 #include "Policy/TailLatencyModel.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -36,5 +37,8 @@
 /// The pace, 0 to 1, at which one more run would keep every service within its limit. `demand` is the share of the
 /// worker's processor that it could use, 0 to 1.
 double paceForNewRun(const TailLatencyModel&, const Colocation&, const std::string& image, double demand);
+/// The same for one new run of each image alone.
+std::vector<double> pacesForNewRuns(
+    const TailLatencyModel&, const Colocation&, std::span<const std::string> images, double demand);
 
 } // namespace Policy
--- a/Source/UnitTests/Policy/TailLatencyModelTest.cpp
+++ b/Source/UnitTests/Policy/TailLatencyModelTest.cpp
@@ -44,6 +44,26 @@
     return backfillShares;
 }
 
+/// The pace of a new run, computed service by service from the model's pressures.
+double expectedPace(
+    const TailLatencyModel& model, const Colocation& colocation, const std::string& image, double demand)
+{
+    double pace = 1;
+    for (const PacedService& service : colocation.services) {
+        const double load
+            = std::max(ownLoad(model, service, colocation.recentBackfill), model.usualLoad(service.image));
+        double present = 0;
+        for (const PacedRun& run : colocation.runs)
+            present += model.pressure(run.image, service.image) * run.demand * run.pace / 100;
+        const double added = model.pressure(image, service.image) * demand;
+        if (added > 0 && service.tailRatio > overTargetTailRatio)
+            pace = 0;
+        else if (added > 0)
+            pace = std::min(pace, std::max(0.0, 0.85 * (maximumServiceUtilization - load) - present) / added);
+    }
+    return pace;
+}
+
 /// The pressure of a pair, computed directly from the model's own estimates and all adopted ones.
 class ReferencePressure {
 public:
@@ -182,6 +202,41 @@
     CHECK(paceBackfill(model, { services, runs, backfillSharesOf(runs) }, 100ms).front() <= 30);
 }
 
+TEST_CASE("the pace of a new run is limited by each service on its own, whichever images are asked about with it")
+{
+    const std::vector<std::string> images { "harmless", "mild", "heavy", "unknown" };
+    TailLatencyModel model;
+    for (const char* const service : { "s", "t", "u" })
+        model.adopt("cell", { { "harmless", service, 0, 0.01 }, { "mild", service, 1, 0.01 } });
+    model.adopt("cell", { { "heavy", "s", 4, 0.01 }, { "heavy", "t", 0, 0.01 }, { "heavy", "u", 2, 0.01 } });
+    std::mt19937_64 random(5);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    constexpr double demand = 0.02;
+    int paused = 0;
+    int slowed = 0;
+    int unlimited = 0;
+    for (int round = 0; round < 500; ++round) {
+        Colocation colocation { { { "s", uniform(random) }, { "t", uniform(random) }, { "u", uniform(random) } }, {},
+            { { "mild", 0.1 * uniform(random) } } };
+        for (const std::string& image : images)
+            colocation.runs.push_back({ image, demand * uniform(random), 0, static_cast<uint32_t>(random() % 101) });
+        const std::vector<double> paces = pacesForNewRuns(model, colocation, images, demand);
+        REQUIRE(paces.size() == images.size());
+        for (size_t index = 0; index < images.size(); ++index) {
+            CAPTURE(images[index]);
+            REQUIRE(paces[index] == paceForNewRun(model, colocation, images[index], demand));
+            REQUIRE(paces[index] == doctest::Approx(expectedPace(model, colocation, images[index], demand)));
+        }
+        CHECK(paces.front() == 1);
+        const double heavy = paces[2];
+        ++(heavy == 0 ? paused : heavy < 1 ? slowed : unlimited);
+    }
+    CHECK(paused > 10);
+    CHECK(slowed > 10);
+    CHECK(unlimited > 10);
+    CHECK(pacesForNewRuns(model, {}, {}, demand).empty());
+}
+
 TEST_CASE("pressures combine the prior, own estimates and the last adopted ones of each source after any sequence")
 {
     const std::vector<std::string> backfills { "a", "b", "c", "d", "e" };
