Read a socket before its request times out in a late HTTP client

Callers saw Timeout for requests whose answers had arrived in time, and the connection was closed, whenever the event loop stood for longer than the timeout, as on a host with a small processor quota. The process took its own lateness for the peer's silence, dropped the idle connections to it as well and opened new ones.

Cause: CURLOPT_TIMEOUT_MS. curl checks it before it reads the socket, also when it is called for an event of that socket.

Change: curl gets no timeouts. The client keeps an ordered set of the times at which transfers are due, with one timer, which is left alone as long as the earliest entry isn't earlier. A due transfer is driven by curl_multi_socket_action() until its socket is empty; only if its time is over then, it ends, with the same codes as before. An answer that is incomplete when the loop is late by more than 20 ms gets 200 ms once, because what doesn't fit into the socket's buffer is sent only when the loop reads again. Time counts from curl's first work on a transfer, as it did with curl's timeouts.

Besides: a transfer whose time is over isn't sent any more, neither from the queue nor on a connection that is established too late (ConnectFailed, as nothing was sent), and no callback is called after one has destroyed the client.

Why it works: whether an answer has arrived is read from the socket, not inferred from the order of timers and events. Ruled out: a grace for every late timer. On a throttled host the grace timer and more socket events than one pass of the loop takes are due together, and an answer over 16 KiB takes several passes.

No system call or timer is added to a request that ends in time; the timers of curl's handles and that of each waiting transfer are gone. A timeout costs an ioctl and curl's poll.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -1,4 +1,6 @@
 // Drives curl's multi interface with the event loop: Asio waits for curl's sockets and timers.
+// Timeouts are kept here rather than by curl, which checks them before it reads a socket: when the loop is late, it
+// would discard answers that have arrived. A transfer times out only after its socket has been read.
 #include "Http/Client.h"
 
 #include "Http/EventLoop.h"
@@ -9,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -16,7 +19,9 @@
 #include <charconv>
 #include <deque>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Http {
@@ -35,6 +40,14 @@
     constexpr int keepAliveIntervalSeconds = 2;
     constexpr int keepAliveProbes = 3;
     constexpr unsigned unacknowledgedTimeoutMilliseconds = 10'000;
+    constexpr std::chrono::milliseconds minimumTimeout { 1 };
+    /// Timers fire late by more than this only if the loop was blocked or the process had no processor.
+    constexpr std::chrono::milliseconds punctualLag { 20 };
+    /// Granted once to an answer that is incomplete when a late loop finds its time over. Longer than the periods in
+    /// which processor quotas are counted.
+    constexpr std::chrono::milliseconds lateAnswerGrace { 200 };
+    /// Bounds the time for which one connection keeps the loop at a timeout. curl reads 16 KiB at a time.
+    constexpr int maximumFinalReads = 512;
 
     struct CurlProcess {
         CurlProcess() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -63,17 +76,40 @@
         Common::Callback<Response> callback;
         /// Null while the transfer waits for a free connection.
         EasyHandle easy;
+        /// The socket that curl last used for it.
+        curl_socket_t socket = CURL_SOCKET_BAD;
+        Common::MonotonicTime activatedAt;
         Common::MonotonicTime deadline;
-        Scheduler::TimerId waitTimer;
+        /// Applies until the transfer is started.
+        Common::MonotonicTime connectDeadline;
+        /// The time of its entry in Impl::due, which is not later than limit().
+        Common::MonotonicTime dueAt;
         size_t maximumAnswerBytes = 0;
         /// Set when curl is about to write the request. A request is never written twice: curl would repeat one whose
         /// reused connection turns out to be closed, and the work could run twice.
         bool started = false;
         bool answerBegun = false;
+        /// Set when curl has first worked on the transfer, which may be long after its activation if the loop is late.
+        bool begun = false;
+        bool graceUsed = false;
+
+        Common::MonotonicTime limit() const
+        {
+            return easy && !started ? std::min(connectDeadline, deadline) : deadline;
+        }
+
+        /// Its time runs from here, so that a late start counts against neither the server nor the request.
+        void begin(Common::MonotonicTime now)
+        {
+            if (std::exchange(begun, true))
+                return;
+            deadline += now - activatedAt;
+            connectDeadline += now - activatedAt;
+        }
     };
 
-    /// The transfers of one address. curl's own limit of connections is not used, since it applies no timeout to
-    /// transfers that wait.
+    /// The transfers of one address. curl's own limit of connections is not used, so that transfers that wait can be
+    /// told from those that connect.
     struct AddressQueue {
         long active = 0;
         /// Oldest first; may hold ids of transfers that have ended.
@@ -169,14 +205,13 @@
         return line.size();
     }
 
-    /// curl calls this each time it is about to write the request.
-    int onBeforeRequest(void* user, char*, char*, int, int)
+    /// Bytes that have arrived at a socket and were not read yet.
+    int unreadBytes(curl_socket_t fd)
     {
-        auto& transfer = *static_cast<Transfer*>(user);
-        if (transfer.started)
-            return CURL_PREREQFUNC_ABORT;
-        transfer.started = true;
-        return CURL_PREREQFUNC_OK;
+        int bytes = 0;
+        if (fd == CURL_SOCKET_BAD || ::ioctl(fd, FIONREAD, &bytes) != 0)
+            return 0;
+        return bytes;
     }
 
     Common::ErrorCode errorCode(CURLcode code, const Transfer& transfer)
@@ -240,6 +275,7 @@
     Impl(EventLoop& eventLoop, Limits clientLimits)
         : loop(eventLoop)
         , limits(clientLimits)
+        , dueTimer(eventLoop.context())
     {
         static const CurlProcess process;
         for (size_t i = 0; i < shardCount; ++i)
@@ -249,11 +285,7 @@
     Impl& operator=(const Impl&) = delete;
     ~Impl()
     {
-        for (const auto& [id, transfer] : transfers) {
-            if (transfer->easy)
-                curl_multi_remove_handle(shardFor(transfer->address).multi, transfer->easy.get());
-        }
-        transfers.clear();
+        abandonAll();
         // Handles call back into this object until they are destroyed.
         spareHandles.clear();
         shards.clear();
@@ -268,9 +300,14 @@
     std::unordered_map<CURL*, uint64_t> byHandle;
     /// Every socket that curl has open.
     std::unordered_map<curl_socket_t, std::unique_ptr<Socket>> sockets;
-    /// Holds an entry for each address with a transfer.
+    /// Holds an entry for each address with an active transfer.
     std::unordered_map<std::string, AddressQueue> queues;
     std::vector<EasyHandle> spareHandles;
+    /// When to check the limit of each transfer: exactly one entry for each, at its dueAt.
+    std::set<std::pair<Common::MonotonicTime, uint64_t>> due;
+    asio::steady_timer dueTimer;
+    /// When the armed timer fires, which is not later than the first entry of `due`.
+    std::optional<Common::MonotonicTime> dueTimerArmedFor;
 
     std::unique_ptr<Shard> makeShard()
     {
@@ -301,6 +338,7 @@
         if (fd == CURL_SOCKET_BAD)
             return CURL_SOCKET_BAD;
         setKeepAlive(fd);
+        transfer.begin(impl->loop.now());
         impl->sockets.emplace(fd, std::make_unique<Socket>(impl->loop.context(), fd, transfer.address));
         return fd;
     }
@@ -312,17 +350,26 @@
         return 0;
     }
 
-    static int onSocket(CURL*, curl_socket_t fd, int what, void* user, void*)
+    static int onSocket(CURL* easy, curl_socket_t fd, int what, void* user, void*)
     {
         Impl& impl = static_cast<Shard*>(user)->impl;
         const auto found = impl.sockets.find(fd);
         if (found == impl.sockets.end())
             return 0;
         found->second->wanted = what;
+        if (what != CURL_POLL_REMOVE)
+            impl.noteSocket(easy, fd);
         impl.watch(*found->second);
         return 0;
     }
 
+    void noteSocket(CURL* easy, curl_socket_t fd)
+    {
+        const auto known = byHandle.find(easy);
+        if (known != byHandle.end())
+            transfers.at(known->second)->socket = fd;
+    }
+
     void watch(Socket& socket)
     {
         const bool wantsRead = socket.wanted == CURL_POLL_IN || socket.wanted == CURL_POLL_INOUT;
@@ -418,6 +465,88 @@
         finishCompleted(shard);
     }
 
+    // ---- Timeouts ----
+
+    /// Makes the transfer due at its limit.
+    void updateDue(Transfer& transfer)
+    {
+        due.erase({ transfer.dueAt, transfer.id });
+        transfer.dueAt = transfer.limit();
+        due.emplace(transfer.dueAt, transfer.id);
+        armDueTimer();
+    }
+
+    /// Most transfers end long before they are due, so the timer is left alone when they do.
+    void armDueTimer()
+    {
+        if (due.empty() || (dueTimerArmedFor && *dueTimerArmedFor <= due.begin()->first))
+            return;
+        dueTimerArmedFor = due.begin()->first;
+        dueTimer.expires_after(std::max(*dueTimerArmedFor - loop.now(), Common::Duration::zero()));
+        dueTimer.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+            const auto self = weak.lock();
+            if (self && !error)
+                self->dueTimerFired();
+        });
+    }
+
+    void dueTimerFired()
+    {
+        dueTimerArmedFor.reset();
+        const auto now = loop.now();
+        // Callbacks may start or cancel transfers, or destroy the client. New entries are later than `now`.
+        while (!due.empty() && due.begin()->first <= now)
+            checkLimit(due.begin()->second, now);
+        armDueTimer();
+    }
+
+    /// Ends a transfer whose time is over, or sets when it is due next.
+    void checkLimit(uint64_t id, Common::MonotonicTime now)
+    {
+        Transfer& transfer = *transfers.at(id);
+        if (transfer.limit() <= now) {
+            if (!transfer.easy) {
+                failUnsent(id, "no free connection in time");
+                return;
+            }
+            readArrived(id);
+            if (!transfers.contains(id))
+                return;
+            if (transfer.limit() <= now && !grantGrace(transfer, now)) {
+                endTransfer(id, CURLE_OPERATION_TIMEDOUT);
+                return;
+            }
+        }
+        updateDue(transfer);
+    }
+
+    /// Makes curl process what the socket has received, or the established connection, which may end the transfer.
+    void readArrived(uint64_t id)
+    {
+        for (int i = 0; i < maximumFinalReads; ++i) {
+            const Transfer& transfer = *transfers.at(id);
+            const bool unread = unreadBytes(transfer.socket) > 0;
+            Shard& shard = shardFor(transfer.address);
+            int running = 0;
+            // Without events, curl polls the socket itself. A transfer without a socket waits for curl's timer.
+            curl_multi_socket_action(
+                shard.multi, transfer.socket == CURL_SOCKET_BAD ? CURL_SOCKET_TIMEOUT : transfer.socket, 0, &running);
+            finishCompleted(shard);
+            // The last pass reads the end of the stream.
+            if (!unread || !transfers.contains(id))
+                return;
+        }
+    }
+
+    /// More of an answer than fits into the socket's buffer is sent only once the loop reads again.
+    static bool grantGrace(Transfer& transfer, Common::MonotonicTime now)
+    {
+        if (!transfer.answerBegun || now - transfer.limit() < punctualLag || std::exchange(transfer.graceUsed, true))
+            return false;
+        transfer.deadline = now + lateAnswerGrace;
+        return true;
+    }
+
     // ---- Transfers ----
 
     EasyHandle takeHandle()
@@ -455,6 +584,7 @@
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeader);
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeRequest);
+        // curl applies no timeouts except its default for connecting, 300 s.
         return handle;
     }
 
@@ -482,13 +612,18 @@
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     }
 
-    void setTimeouts(CURL* easy, Common::Duration timeout) const
+    /// curl calls this each time it is about to write the request.
+    static int onBeforeRequest(void* user, char*, char*, int, int)
     {
-        const auto total
-            = std::max(std::chrono::ceil<std::chrono::milliseconds>(timeout), std::chrono::milliseconds(1));
-        const auto connect = std::min(std::chrono::ceil<std::chrono::milliseconds>(limits.connectTimeout), total);
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(total.count()));
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect.count()));
+        auto& transfer = *static_cast<Transfer*>(user);
+        const Impl* impl = nullptr;
+        curl_easy_getinfo(transfer.easy.get(), CURLINFO_PRIVATE, &impl);
+        const auto now = impl->loop.now();
+        transfer.begin(now);
+        if (transfer.started || transfer.deadline <= now)
+            return CURL_PREREQFUNC_ABORT;
+        transfer.started = true;
+        return CURL_PREREQFUNC_OK;
     }
 
     uint64_t start(
@@ -500,25 +635,28 @@
         transfer.address = address;
         transfer.request = std::move(request);
         transfer.callback = std::move(callback);
-        transfer.deadline = loop.now() + timeout;
+        const auto now = loop.now();
+        transfer.deadline = now + std::max<Common::Duration>(timeout, minimumTimeout);
         transfer.maximumAnswerBytes = limits.maximumAnswerBytes;
         transfers.emplace(transfer.id, std::move(owned));
         AddressQueue& queue = queues[address];
         if (queue.active < limits.maximumConnectionsPerAddress)
-            activate(transfer, queue);
+            activate(transfer, queue, now);
         else
-            enqueue(transfer, queue, timeout);
+            queue.waiting.push_back(transfer.id);
+        updateDue(transfer);
         return transfer.id;
     }
 
-    void activate(Transfer& transfer, AddressQueue& queue)
+    void activate(Transfer& transfer, AddressQueue& queue, Common::MonotonicTime now)
     {
         ++queue.active;
+        transfer.activatedAt = now;
+        transfer.connectDeadline = now + std::max<Common::Duration>(limits.connectTimeout, minimumTimeout);
         transfer.headers = buildHeaders(transfer.request);
         transfer.easy = takeHandle();
         CURL* const easy = transfer.easy.get();
         setRequestOptions(easy, transfer);
-        setTimeouts(easy, transfer.deadline - loop.now());
         byHandle.emplace(easy, transfer.id);
         const CURLMcode added = curl_multi_add_handle(shardFor(transfer.address).multi, easy);
         if (added == CURLM_OK)
@@ -529,15 +667,6 @@
         });
     }
 
-    void enqueue(Transfer& transfer, AddressQueue& queue, Common::Duration timeout)
-    {
-        queue.waiting.push_back(transfer.id);
-        transfer.waitTimer = loop.schedule(timeout, [weak = weak_from_this(), id = transfer.id] {
-            if (const auto impl = weak.lock())
-                impl->failUnsent(id, "no free connection in time");
-        });
-    }
-
     /// Ends a transfer with ConnectFailed, since nothing of it was sent.
     void failUnsent(uint64_t id, const char* why)
     {
@@ -556,7 +685,7 @@
             return nullptr;
         std::unique_ptr<Transfer> transfer = std::move(found->second);
         transfers.erase(found);
-        loop.cancel(transfer->waitTimer);
+        due.erase({ transfer->dueAt, id });
         if (transfer->easy) {
             byHandle.erase(transfer->easy.get());
             curl_multi_remove_handle(shardFor(transfer->address).multi, transfer->easy.get());
@@ -570,19 +699,38 @@
     void activateWaiting(const std::string& address)
     {
         const auto found = queues.find(address);
+        if (found == queues.end())
+            return;
         AddressQueue& queue = found->second;
         while (!queue.waiting.empty() && queue.active < limits.maximumConnectionsPerAddress) {
             const auto next = transfers.find(queue.waiting.front());
             queue.waiting.pop_front();
             if (next == transfers.end())
                 continue;
-            loop.cancel(next->second->waitTimer);
-            activate(*next->second, queue);
+            // Not sent any more if its time is over; the due timer ends it.
+            const auto now = loop.now();
+            if (next->second->deadline <= now)
+                continue;
+            activate(*next->second, queue, now);
+            updateDue(*next->second);
         }
         if (queue.active == 0)
             queues.erase(found);
     }
 
+    /// Removes all transfers without calling their callbacks.
+    void abandonAll()
+    {
+        for (const auto& [id, transfer] : transfers) {
+            if (transfer->easy)
+                curl_multi_remove_handle(shardFor(transfer->address).multi, transfer->easy.get());
+        }
+        byHandle.clear();
+        queues.clear();
+        due.clear();
+        transfers.clear();
+    }
+
     void finishCompleted(Shard& shard)
     {
         // Callbacks may start or cancel transfers, or destroy the client.
@@ -601,12 +749,22 @@
             return;
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-        const auto transfer = removeTransfer(known->second);
-        if (code == CURLE_OK) {
-            transfer->response.status = static_cast<int>(status);
-            transfer->callback(std::move(transfer->response));
+        if (code != CURLE_OK) {
+            endTransfer(known->second, code);
             return;
         }
+        const auto transfer = removeTransfer(known->second);
+        transfer->response.status = static_cast<int>(status);
+        transfer->callback(std::move(transfer->response));
+    }
+
+    /// Ends a transfer with a failure.
+    void endTransfer(uint64_t id, CURLcode code)
+    {
+        const auto transfer = removeTransfer(id);
+        // onBeforeRequest() aborts a transfer that is not started only if its time is over.
+        if (code == CURLE_ABORTED_BY_CALLBACK && !transfer->started)
+            code = CURLE_OPERATION_TIMEDOUT;
         const Common::ErrorCode error = errorCode(code, *transfer);
         // The fault that keeps this connection from being answered may affect the idle ones as well.
         if (error == Common::ErrorCode::Timeout)
@@ -621,7 +779,7 @@
 {
 }
 
-Client::~Client() = default;
+Client::~Client() { m_impl->abandonAll(); }
 
 uint64_t Client::send(
     const std::string& address, Request request, Common::Duration timeout, Common::Callback<Response> callback)
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -31,7 +31,8 @@
 
     /// Sends a request to "IP:port" and returns its id. The callback is called once, on the loop, never from within
     /// this call. `timeout` includes the wait for a free connection. After a timeout the connection is closed, so that
-    /// a connection that does not answer is used only once.
+    /// a connection that does not answer is used only once. When the loop is late, what has arrived is processed before
+    /// a request times out, and an answer that is incomplete gets a short grace.
     uint64_t send(const std::string& address, Request, Common::Duration timeout, Common::Callback<Response>);
     /// Cancels a request, so that its callback is not called. Has no effect if the request has ended.
     void abandon(uint64_t);
