Forget sockets that curl closes before they are connected

Callers got ConnectFailed at once for a request to a healthy server, after an earlier connection had timed out or its request was abandoned while it was being established. Found by a test of the connect timeout of waiting requests.

Cause: curl 7.88 closes a socket that isn't connected yet with close(), without the close callback (strace: close() of the descriptor without the EPOLL_CTL_DEL of Asio's). The client kept its entry. The next socket had the same number, emplace() found the old entry and dropped the new one, whose destructor closed the new socket, and connect() got EBADF. Besides, the old entry counted as idle, so that dropIdle() would shut down, and the client's destructor closed, whatever descriptor had the number by then.

Change: a transfer notes the socket that was opened for it until a request can be written on it. When the transfer ends before, or opens another one, the client releases the descriptor without closing it.

Why it works: curl calls the close callback for connected sockets only, and CURLOPT_PREREQFUNCTION is called first thing on a connected one. If curl calls back anyway, as for a refused connection here, the entry is gone and nothing happens. An entry is identified by the transfer that it was opened for, since the number may be in use again. Ruled out: asking with fcntl() whether the number is open, since another thread may have it by then.

Tests: Http.ClientFaultsTest "A connection can be opened after one that failed or was abandoned while it was being established" (before: ConnectFailed after a connect timeout and after abandon(), not after a refusal), "A client closes no descriptor that another part has opened after a connect timeout" (before: one of eight was closed) and "The connect timeout applies to a request that has waited for a free connection" (before: the second of three failed at once, 0.40 s together instead of 0.60 s).

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -78,6 +78,8 @@
         EasyHandle easy;
         /// The socket that curl last used for it.
         curl_socket_t socket = CURL_SOCKET_BAD;
+        /// A socket that was opened for it and on which no request could be written yet.
+        curl_socket_t connecting = CURL_SOCKET_BAD;
         Common::MonotonicTime activatedAt;
         Common::MonotonicTime deadline;
         /// Applies until the transfer is started.
@@ -118,14 +120,16 @@
 
     /// A socket that curl opened and Asio watches.
     struct Socket {
-        Socket(asio::io_context& context, curl_socket_t fd, std::string address)
+        Socket(asio::io_context& context, curl_socket_t fd, const Transfer& transfer)
             : descriptor(context, fd)
-            , address(std::move(address))
+            , address(transfer.address)
+            , openedFor(transfer.id)
         {
         }
 
         asio::posix::stream_descriptor descriptor;
         std::string address;
+        uint64_t openedFor;
         /// CURL_POLL_*; CURL_POLL_REMOVE means that the connection is idle in curl's pool.
         int wanted = CURL_POLL_NONE;
         bool readPending = false;
@@ -339,7 +343,10 @@
             return CURL_SOCKET_BAD;
         setKeepAlive(fd);
         transfer.begin(impl->loop.now());
-        impl->sockets.emplace(fd, std::make_unique<Socket>(impl->loop.context(), fd, transfer.address));
+        impl->forgetConnecting(transfer);
+        impl->forgetSocket(fd);
+        transfer.connecting = fd;
+        impl->sockets.emplace(fd, std::make_unique<Socket>(impl->loop.context(), fd, transfer));
         return fd;
     }
 
@@ -350,6 +357,26 @@
         return 0;
     }
 
+    /// curl 7.88 closes a socket that is not connected yet without calling closeSocket().
+    void forgetConnecting(Transfer& transfer)
+    {
+        const curl_socket_t fd = std::exchange(transfer.connecting, CURL_SOCKET_BAD);
+        const auto found = sockets.find(fd);
+        // The descriptor number may belong to a newer socket by now.
+        if (found != sockets.end() && found->second->openedFor == transfer.id)
+            forgetSocket(fd);
+    }
+
+    /// Removes a socket that curl has closed, if there is one of this number.
+    void forgetSocket(curl_socket_t fd)
+    {
+        const auto found = sockets.find(fd);
+        if (found == sockets.end())
+            return;
+        found->second->descriptor.release();
+        sockets.erase(found);
+    }
+
     static int onSocket(CURL* easy, curl_socket_t fd, int what, void* user, void*)
     {
         Impl& impl = static_cast<Shard*>(user)->impl;
@@ -620,6 +647,7 @@
         curl_easy_getinfo(transfer.easy.get(), CURLINFO_PRIVATE, &impl);
         const auto now = impl->loop.now();
         transfer.begin(now);
+        transfer.connecting = CURL_SOCKET_BAD;
         if (transfer.started || transfer.deadline <= now)
             return CURL_PREREQFUNC_ABORT;
         transfer.started = true;
@@ -689,6 +717,7 @@
         if (transfer->easy) {
             byHandle.erase(transfer->easy.get());
             curl_multi_remove_handle(shardFor(transfer->address).multi, transfer->easy.get());
+            forgetConnecting(*transfer);
             recycleHandle(std::move(transfer->easy));
             --queues[transfer->address].active;
         }
@@ -722,8 +751,10 @@
     void abandonAll()
     {
         for (const auto& [id, transfer] : transfers) {
-            if (transfer->easy)
-                curl_multi_remove_handle(shardFor(transfer->address).multi, transfer->easy.get());
+            if (!transfer->easy)
+                continue;
+            curl_multi_remove_handle(shardFor(transfer->address).multi, transfer->easy.get());
+            forgetConnecting(*transfer);
         }
         byHandle.clear();
         queues.clear();
--- a/Source/UnitTests/Http/ClientFaultsTest.cpp
+++ b/Source/UnitTests/Http/ClientFaultsTest.cpp
@@ -5,6 +5,7 @@
 #include "Http/RawServer.h"
 
 #include <doctest/doctest.h>
+#include <fcntl.h>
 
 #include <memory>
 #include <optional>
@@ -35,6 +36,12 @@
     return *answer;
 }
 
+std::string closedAddress(Http::EventLoop& loop)
+{
+    const RawServer gone(loop, [](RawServer::Connection&) {});
+    return gone.address();
+}
+
 /// Makes the loop late, as on a host whose processor quota is used up.
 void blockLoop(Common::Duration time) { std::this_thread::sleep_for(time); }
 
@@ -153,17 +160,49 @@
 TEST_CASE("A request to a closed port is reported as not connected")
 {
     Http::EventLoop loop;
-    std::string address;
-    {
-        const RawServer gone(loop, [](RawServer::Connection&) {});
-        address = gone.address();
-    }
     Http::Client client(loop, {});
-    const auto answer = sendAndWait(loop, client, address, "x", longTimeout);
+    const auto answer = sendAndWait(loop, client, closedAddress(loop), "x", longTimeout);
     REQUIRE_FALSE(answer);
     CHECK(answer.reason().code == ErrorCode::ConnectFailed);
 }
 
+TEST_CASE("A connection can be opened after one that failed or was abandoned while it was being established")
+{
+    enum class End { Refused, TimedOut, Abandoned };
+    for (const End end : { End::Refused, End::TimedOut, End::Abandoned }) {
+        Http::EventLoop loop;
+        RawServer server(loop, [](RawServer::Connection& connection) { connection.write(wholeAnswer); });
+        const SaturatedServer saturated(loop);
+        Http::Client client(loop, { .connectTimeout = milliseconds(200) });
+        if (end == End::Abandoned) {
+            const uint64_t id = client.send(saturated.address(), {}, longTimeout, [](const auto&) { FAIL("called"); });
+            bool connecting = false;
+            loop.schedule(milliseconds(50), [&] { connecting = true; });
+            REQUIRE(runUntil(loop, [&] { return connecting; }));
+            client.abandon(id);
+        } else {
+            const std::string address = end == End::Refused ? closedAddress(loop) : saturated.address();
+            REQUIRE_FALSE(sendAndWait(loop, client, address, "x", longTimeout));
+        }
+        CHECK(sendAndWait(loop, client, server.address(), "x", longTimeout));
+    }
+}
+
+TEST_CASE("A client closes no descriptor that another part has opened after a connect timeout")
+{
+    Http::EventLoop loop;
+    const SaturatedServer server(loop);
+    std::vector<asio::ip::tcp::socket> others;
+    {
+        Http::Client client(loop, { .connectTimeout = milliseconds(200) });
+        REQUIRE_FALSE(sendAndWait(loop, client, server.address(), "x", longTimeout));
+        for (int i = 0; i < 8; ++i)
+            others.emplace_back(loop.context(), asio::ip::tcp::v4());
+    }
+    for (auto& other : others)
+        CHECK(::fcntl(other.native_handle(), F_GETFD) != -1);
+}
+
 TEST_CASE("After a timeout neither its connection nor idle ones to the same server are reused")
 {
     Http::EventLoop loop;
@@ -418,6 +457,26 @@
     }
 }
 
+TEST_CASE("The connect timeout applies to a request that has waited for a free connection")
+{
+    constexpr milliseconds connectTimeout { 200 };
+    Http::EventLoop loop;
+    const SaturatedServer server(loop);
+    Http::Client client(loop, { .maximumConnectionsPerAddress = 1, .connectTimeout = connectTimeout });
+    int failed = 0;
+    const auto began = loop.now();
+    for (int i = 0; i < 3; ++i) {
+        client.send(server.address(), {}, longTimeout, [&](const auto& result) {
+            REQUIRE_FALSE(result);
+            CHECK(result.reason().code == ErrorCode::ConnectFailed);
+            ++failed;
+        });
+    }
+    REQUIRE(runUntil(loop, [&] { return failed == 3; }));
+    CHECK(loop.now() - began >= 3 * connectTimeout);
+    CHECK(loop.now() - began < longTimeout / 2);
+}
+
 TEST_CASE("No callback is called after one has destroyed the client")
 {
     constexpr milliseconds timeout { 300 };
