--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace Cells {
@@ -88,7 +89,8 @@
     , m_id(std::move(id))
     , m_token(recoveredCell.record.token)
     , m_settings(settings)
-    , m_committer(runtime, store, m_id, recoveredCell.record, recoveredCell.fence, settings.commits,
+    , m_committer(runtime, store, m_id, recoveredCell.record, recoveredCell.fence, recoveredCell.confirmedAt,
+          settings.commits,
           CellCommitter::Hooks {
               .snapshot = [this](const Common::JobId& job) -> std::optional<CellCommitter::Snapshot> {
                   const LiveJob* const live = findJob(job);
@@ -152,6 +154,14 @@
 
 void CellEngine::unlistWorker(const Common::WorkerId& id) { m_workers.unlist(id); }
 
+void CellEngine::unlistOthers(const std::map<Common::WorkerId, WorkerEntry>& listed)
+{
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!listed.contains(id))
+            m_workers.unlist(id);
+    }
+}
+
 /// The record of workers must be durable before the first run is started on a new worker.
 void CellEngine::writeWorkers()
 {
@@ -319,10 +329,18 @@
     }
     LC_INFO(Jobs,
         "event=part-cancelled job=" << part.id.value() << " cell=" << m_id.value() << " known=" << (known != nullptr));
-    if (known)
-        cancelLocalJob(*known, callback);
-    else
+    if (known) {
+        // A repeated message waits for this cell only: tasks may have been transferred in a circle.
+        const StopScope scope = isFinal(known->phase()) ? StopScope::ThisCell : StopScope::AllCells;
+        cancelLocalJob(*known, [this, id = part.id, scope, callback](const Common::Result<Common::Done>& durable) {
+            if (durable)
+                awaitStopped(id, scope, callback);
+            else
+                callback(durable);
+        });
+    } else {
         m_committer.markChangedUrgently(addJob(part, false).id(), callback);
+    }
 }
 
 void CellEngine::cancelLocalJob(LiveJob& job, Common::Callback<Common::Done> callback)
@@ -374,10 +392,10 @@
 /// transfers. Each new owner repeats this, in case a message was lost or the former owner stopped before sending it.
 void CellEngine::notifyParts(const LiveJob& job)
 {
-    const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled;
+    const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled || job.phase() == Jobs::JobPhase::Failed;
     for (const std::string& name : job.partCells()) {
         const CellId cell(name);
-        if (cancelled && m_partCancellations[job.id()].cells.insert(cell).second) {
+        if (cancelled && m_partCancellations[job.id()].insert(cell).second) {
             m_peerCells.cancel(cell, job.cancelledPart(),
                 m_lifetime.guard([this, id = job.id(), cell] { onPartCancelled(id, cell); }));
         } else if (!cancelled && job.recovered()) {
@@ -391,22 +409,54 @@
     const auto pending = m_partCancellations.find(id);
     if (pending == m_partCancellations.end())
         return;
-    pending->second.cells.erase(cell);
-    if (!pending->second.cells.empty())
-        return;
-    const auto callbacks = std::move(pending->second.callbacks);
-    m_partCancellations.erase(pending);
-    for (const auto& callback : callbacks)
-        callback(Common::Done {});
+    pending->second.erase(cell);
+    if (pending->second.empty())
+        m_partCancellations.erase(pending);
+    answerStopWaiters();
 }
 
-void CellEngine::awaitPartsCancelled(const Common::JobId& id, Common::Callback<Common::Done> callback)
+void CellEngine::awaitStopped(const Common::JobId& id, StopScope scope, Common::Callback<Common::Done> callback)
 {
-    const auto pending = m_partCancellations.find(id);
-    if (pending == m_partCancellations.end())
-        callback(Common::Done {});
+    if (mayRun(id, scope))
+        m_stopWaiters.push_back({ id, scope, std::move(callback) });
     else
-        pending->second.callbacks.push_back(std::move(callback));
+        callback(Common::Done {});
+}
+
+/// Whether a task of the cancelled job may run, here or in a cell that hasn't acknowledged the cancellation.
+bool CellEngine::mayRun(const Common::JobId& id, StopScope scope) const
+{
+    if (scope == StopScope::AllCells && m_partCancellations.contains(id))
+        return true;
+    const auto job = m_jobs.find(id);
+    if (job != m_jobs.end() && job->second->recovered() && hasUncontactedWorkers())
+        return true;
+    const auto& workers = m_workers.all();
+    return std::any_of(workers.begin(), workers.end(), [&id](const auto& row) {
+        const auto& allocations = row.second->allocations();
+        return std::any_of(
+            allocations.begin(), allocations.end(), [&id](const auto& run) { return run.first.task.job == id; });
+    });
+}
+
+void CellEngine::answerStopWaiters()
+{
+    std::vector<StopWaiter> waiting;
+    for (StopWaiter& waiter : std::exchange(m_stopWaiters, {})) {
+        if (mayRun(waiter.job, waiter.scope))
+            waiting.push_back(std::move(waiter));
+        else
+            waiter.callback(Common::Done {});
+    }
+    m_stopWaiters.insert(
+        m_stopWaiters.end(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
+}
+
+void CellEngine::refuseStopWaiters()
+{
+    for (const StopWaiter& waiter : std::exchange(m_stopWaiters, {}))
+        waiter.callback(
+            Common::Failure { Common::ErrorCode::NotOwner, "the cell was handed over or lost", std::nullopt });
 }
 
 void CellEngine::markChanged(LiveJob& job) { m_committer.markChanged(job.id()); }
@@ -414,7 +464,10 @@
 void CellEngine::release(std::function<void()> done)
 {
     m_releasing = true;
-    m_committer.release(std::move(done));
+    m_committer.release([this, done = std::move(done)] {
+        refuseStopWaiters();
+        done();
+    });
 }
 
 void CellEngine::stopAfterLoss()
@@ -423,6 +476,7 @@
         return;
     m_workers.close();
     m_committer.stop();
+    refuseStopWaiters();
     m_lost();
 }
 
@@ -461,6 +515,7 @@
             evacuate(*worker);
     }
     writeWorkers();
+    answerStopWaiters();
     if (m_runtime.now() - m_pressureEstimatesLoggedAt >= pressureEstimateInterval
         && !m_tails.backfillImages().empty()) {
         m_pressureEstimatesLoggedAt = m_runtime.now();
@@ -492,6 +547,7 @@
     removeAbsentRuns(worker, report, askedAt);
     updateTailModel(worker);
     paceBackfill(worker);
+    answerStopWaiters();
     schedulePlacement();
 }
 
@@ -720,7 +776,6 @@
 {
     if (!worker.reachable)
         return;
-    const Common::MonotonicTime now = m_runtime.now();
     std::vector<RunKey> stuck;
     for (const auto& [run, allocation] : worker.allocations()) {
         LiveJob* const job = allocation.stopping || !allocation.reportedRunning ? nullptr : findJob(run.task.job);
@@ -730,7 +785,8 @@
         const bool longRunning = job->stepSpec(run.task.step).longRunning;
         if (longRunning && task->run->percent >= fullPercent)
             continue;
-        if (now - task->run->progressedAt > (longRunning ? startUpTimeout : stuckTimeout))
+        // The last report counts, not the present time: this host may be late in reading the next one.
+        if (worker.lastReportAt - task->run->progressedAt > (longRunning ? startUpTimeout : stuckTimeout))
             stuck.push_back(run);
     }
     for (const RunKey& run : stuck) {
@@ -878,17 +934,21 @@
 
 void CellEngine::addBackfillCapacity(CellLoad& load) const
 {
-    for (const std::string& image : m_tails.backfillImages()) {
-        int64_t room = 0;
-        for (const auto& [id, worker] : m_workers.all()) {
-            if (!worker->listed || worker->entry().draining || !worker->reachable)
-                continue;
-            const double pace = Policy::paceForNewRun(m_tails, worker->colocation(), image, usualBackfillShare);
-            const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
-            room += pace >= acceptablePace ? std::max<int64_t>(unused, 0) : 0;
-        }
-        load.backfillCapacity.emplace(image, room);
+    const std::vector<std::string> images(m_tails.backfillImages().begin(), m_tails.backfillImages().end());
+    std::vector<int64_t> room(images.size(), 0);
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!worker->listed || worker->entry().draining || !worker->reachable)
+            continue;
+        const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
+        if (unused <= 0)
+            continue;
+        const std::vector<double> paces
+            = Policy::pacesForNewRuns(m_tails, worker->colocation(), images, usualBackfillShare);
+        for (size_t index = 0; index < images.size(); ++index)
+            room[index] += paces[index] >= acceptablePace ? unused : 0;
     }
+    for (size_t index = 0; index < images.size(); ++index)
+        load.backfillCapacity.emplace(images[index], room[index]);
 }
 
 void CellEngine::addWaiting(const LiveJob& job, CellLoad& load)
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -52,6 +52,8 @@
         bool formerOwnerStopped = false;
         /// Workers on which runs of earlier owners may still be.
         std::vector<WorkerEntry> workers;
+        /// When the call by which the store confirmed the claim was sent, on the clock that includes suspended time.
+        Common::MonotonicTime confirmedAt;
         /// What earlier owners learned about the interference of backfill images with services.
         std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimates;
     };
@@ -83,6 +85,8 @@
     void listWorker(const WorkerEntry&);
     /// Marks a worker as no longer listed by the platform; it gets no new runs.
     void unlistWorker(const Common::WorkerId&);
+    /// Does the same for all workers but those of a complete list.
+    void unlistOthers(const std::map<Common::WorkerId, WorkerEntry>& listed);
 
     enum class Fit {
         Any,
@@ -98,8 +102,14 @@
     /// Answers once the cancellation is durable, or the final phase that the job had already. Errors: UnknownJob if the
     /// cell doesn't have the job or holds only a part of it; StoreUnavailable while its submission is in progress.
     void cancel(const Common::JobId&, Common::Callback<Common::Done>);
-    /// Answers once the cancellation is durable in all cells that hold tasks of the cancelled job.
-    void awaitPartsCancelled(const Common::JobId&, Common::Callback<Common::Done>);
+    enum class StopScope {
+        ThisCell,
+        /// Also the cells to which tasks of the job were transferred from here.
+        AllCells,
+    };
+    /// Answers once nothing of the cancelled job runs any more as far as the workers can say. Errors: NotOwner when the
+    /// cell is released or lost meanwhile.
+    void awaitStopped(const Common::JobId&, StopScope, Common::Callback<Common::Done>);
     /// Load of the cell as its heartbeats report it.
     CellLoad load() const;
     /// Tasks of another cell's job that were transferred here durably, or the record of the cancelled part of such a
@@ -121,6 +131,8 @@
 
     /// Whether each worker that may hold runs of an earlier owner has reported or is provably idle.
     bool hasContactedInheritedWorkers() const { return !hasUncontactedWorkers(); }
+    /// Whether the store has confirmed the ownership recently enough to start runs.
+    bool mayGrantLeases() const { return mayGrant(); }
     /// Called when the former owner can't grant leases any more because another process runs in its place.
     void formerOwnerStopped() { m_workers.endInheritedAuthority(); }
 
@@ -166,6 +178,9 @@
     std::optional<std::pair<CellId, size_t>> findCellWithCapacity(const Common::ServiceName&, const Jobs::StepSpec&);
     void notifyParts(const LiveJob&);
     void onPartCancelled(const Common::JobId&, const CellId&);
+    bool mayRun(const Common::JobId&, StopScope) const;
+    void answerStopWaiters();
+    void refuseStopWaiters();
     void placeGang(const Candidate&);
     void startGang(const Candidate&, const Common::RackId&);
     std::vector<Policy::GangOffer> gangOffers(const LiveJob&, const Candidate&);
@@ -228,12 +243,14 @@
     };
     /// Tasks transferred to a peer cell that its heartbeats may not account for yet.
     std::map<CellId, RecentTransfer> m_recentTransfers;
-    /// Cancellations of parts that peer cells haven't acknowledged, and who waits for them, by job.
-    struct PartCancellations {
-        std::set<CellId> cells;
-        std::vector<Common::Callback<Common::Done>> callbacks;
+    /// Peer cells that haven't acknowledged the cancellation of their parts, by job.
+    std::map<Common::JobId, std::set<CellId>> m_partCancellations;
+    struct StopWaiter {
+        Common::JobId job;
+        StopScope scope = StopScope::ThisCell;
+        Common::Callback<Common::Done> callback;
     };
-    std::map<Common::JobId, PartCancellations> m_partCancellations;
+    std::vector<StopWaiter> m_stopWaiters;
     /// When long-running tasks of a job first found no room.
     std::map<Common::JobId, Common::MonotonicTime> m_blockedSince;
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -22,7 +22,10 @@
     /// A host whose tick is later than this has missed heartbeats: half of the default host timeout.
     constexpr Common::Duration maximumTickDelay = std::chrono::seconds(1);
     /// A host whose tick is later than this may have read answers after their timeouts.
-    constexpr Common::Duration tolerableLag = std::chrono::milliseconds(250);
+    constexpr Common::Duration tolerableLag = std::chrono::milliseconds(100);
+    /// A host that stays late replaces an owner after this many probes without an answer: otherwise nobody would when
+    /// all hosts are late.
+    constexpr uint32_t maximumLateProbes = 5;
     /// An owner whose heartbeats don't arrive has this long to answer a call before it is replaced.
     constexpr Common::Duration ownerProbeTimeout = std::chrono::milliseconds(600);
     /// Time after the start during which heartbeats are sent faster and list more addresses.
@@ -36,6 +39,8 @@
     /// that start with a few seeds find all others.
     constexpr size_t addressesPerHeartbeat = 8;
     constexpr size_t addressesPerDiscoveryHeartbeat = 24;
+    /// The list changes with every n-th heartbeat, so that the others are alike and needn't be decoded.
+    constexpr uint64_t heartbeatsPerAddresses = 4;
 
     std::vector<WorkerEntry> readWorkers(const std::optional<Scheduler::StoreValue>& record)
     {
@@ -79,6 +84,10 @@
 /// A takeover in progress.
 struct CellOwnership::Claim {
     Common::MonotonicTime since;
+    /// Whether the cell's record names this host.
+    bool written = false;
+    /// When the call that confirmed the ownership was sent, on the clock that includes suspended time.
+    Common::MonotonicTime confirmedAt;
 };
 
 CellOwnership::CellOwnership(Ports ports, const HostSettings& settings, const CellSettings& cellSettings)
@@ -203,19 +212,28 @@
     std::vector<std::string> addresses;
     for (size_t index = 0; index < count; ++index)
         addresses.push_back(live[(m_nextAddressIndex + index) % live.size()]->heartbeatAddress);
-    m_nextAddressIndex += count;
+    if (isDiscoveringHosts() || m_heartbeatCount % heartbeatsPerAddresses == 0)
+        m_nextAddressIndex += count;
     return addresses;
 }
 
 void CellOwnership::onHeartbeat(std::string_view text)
 {
     const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsReceived);
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    // Most hosts own no cells, and most of their heartbeats are alike.
+    const HostHeartbeat* const repeated
+        = m_formerOwners.empty() ? m_directory.recordRepeatedHeartbeat(text, now) : nullptr;
+    if (repeated) {
+        if (m_onHeartbeat)
+            m_onHeartbeat(*repeated);
+        return;
+    }
     Common::Result<HostHeartbeat> heartbeat = HostHeartbeat::decode(text);
     if (!heartbeat) {
         LC_WARN(Peer, "event=unreadable-heartbeat reason=" << heartbeat.reason().detail);
         return;
     }
-    const Common::MonotonicTime now = m_ports.runtime.now();
     if (!m_directory.isAlive(heartbeat->id, now))
         LC_INFO(Peer, "event=host-discovered host=" << heartbeat->id.value() << " address=" << heartbeat->address);
     for (HostHeartbeat::OwnedCell& owned : heartbeat->cells) {
@@ -246,7 +264,7 @@
     }
     if (m_onHeartbeat)
         m_onHeartbeat(*heartbeat);
-    m_directory.recordHeartbeat(std::move(*heartbeat), now);
+    m_directory.recordHeartbeat(std::move(*heartbeat), text, now);
 }
 
 void CellOwnership::tick()
@@ -314,10 +332,25 @@
     return {};
 }
 
+/// Everything that the ranks depend on, besides the layout and this host's own settings.
+std::string CellOwnership::rankInputs(const std::vector<const HostHeartbeat*>& live) const
+{
+    std::string inputs = std::to_string(m_layout.cells().size()) + (m_storeAvailable ? "+" : "-");
+    for (const HostHeartbeat* const host : live) {
+        if (!host->draining)
+            inputs += host->id.value() + "," + std::to_string(host->weight) + (host->storeAvailable ? "+" : "-");
+    }
+    return inputs;
+}
+
 void CellOwnership::rankOwners()
 {
-    m_ranks.clear();
     const std::vector<const HostHeartbeat*> live = m_directory.liveHosts(m_ports.runtime.now());
+    const std::string inputs = rankInputs(live);
+    if (inputs == m_rankInputs)
+        return;
+    m_rankInputs = inputs;
+    m_ranks.clear();
     std::vector<Common::DaemonId> hosts { m_settings.id };
     for (const HostHeartbeat* const host : live) {
         if (!host->draining)
@@ -409,7 +442,7 @@
 
 void CellOwnership::claim(const CellId& cell)
 {
-    m_claims.emplace(cell, Claim { m_ports.runtime.now() });
+    m_claims.emplace(cell, Claim { m_ports.runtime.now(), false, m_ports.runtime.suspendAwareNow() });
     m_ports.store.get(StoreKeys::cell(cell), Freshness::Linearizable,
         m_lifetime.guard([this, cell](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
             if (!found)
@@ -479,7 +512,7 @@
 void CellOwnership::onProbed(const CellId& cell, const CellRecord& record, Common::StoreRevision revision,
     Common::MonotonicTime askedAt, const Common::Result<ProbeAnswer>& answer)
 {
-    if (answer && answer->process == record.owner && answer->ownsCell) {
+    if (answer && answer->process == record.owner && answer->holdsCell) {
         Owner& owner = m_owners[cell];
         if (owner.token != record.token)
             owner = Owner { record.owner, record.address, record.token, {}, {}, false };
@@ -487,17 +520,35 @@
         endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
         return;
     }
-    // The answer may have arrived before the timeout and been read after it.
-    if (!answer && wasLateSince(askedAt)) {
-        endClaim(cell, "this host is too late to tell whether the owner answers");
+    if (!answer && !isProofOfDeath(cell, record, answer.reason(), askedAt)) {
+        endClaim(cell, "the owner may be well");
         return;
     }
+    m_lateProbes.erase(cell);
     LC_INFO(Jobs,
         "event=owner-unanswered cell=" << cell.value() << " owner=" << record.owner.value() << " reason="
                                        << (answer ? "not-owner" : Common::errorName(answer.reason().code)));
     replaceOwner(cell, record, revision, answer && answer->process != record.owner);
 }
 
+bool CellOwnership::isProofOfDeath(
+    const CellId& cell, const CellRecord& record, const Common::Failure& reason, Common::MonotonicTime askedAt)
+{
+    // A host of an earlier release answers that it doesn't know the call. Its heartbeats tell what it owns.
+    if (reason.code == Common::ErrorCode::ProtocolError)
+        return m_directory.isAlive(record.owner, m_ports.runtime.now());
+    // The answer may have arrived before the timeout and been read after it.
+    return !wasLateSince(askedAt) || ++m_lateProbes[cell] >= maximumLateProbes;
+}
+
+bool CellOwnership::holds(const CellId& cell) const
+{
+    if (const auto pending = m_claims.find(cell); pending != m_claims.end())
+        return pending->second.written;
+    const auto own = m_engines.find(cell);
+    return own != m_engines.end() && !m_releasing.contains(cell) && own->second->mayGrantLeases();
+}
+
 bool CellOwnership::wasLateSince(Common::MonotonicTime since) const
 {
     return m_lateAt >= since || m_ports.runtime.now() - m_lastTick > m_settings.tickInterval + tolerableLag;
@@ -546,6 +597,7 @@
 void CellOwnership::writeClaim(
     const CellId& cell, const CellRecord& record, Common::StoreRevision expected, bool formerOwnerStopped)
 {
+    m_claims.at(cell).confirmedAt = m_ports.runtime.suspendAwareNow();
     RecordTransaction transaction;
     transaction.expected.emplace_back(StoreKeys::cell(cell), expected);
     transaction.puts.push_back({ StoreKeys::cell(cell), record.encode(), {} });
@@ -562,6 +614,7 @@
 void CellOwnership::readCell(
     const CellId& cell, const CellRecord& record, Common::StoreRevision fence, bool formerOwnerStopped)
 {
+    m_claims.at(cell).written = true;
     LC_INFO(Jobs, "event=cell-claimed cell=" << cell.value() << " token=" << record.token.value);
     m_ports.store.list(StoreKeys::jobs(cell), Freshness::Linearizable,
         m_lifetime.guard([this, cell, record, fence, formerOwnerStopped](const Common::Result<RecordListing>& jobs) {
@@ -569,7 +622,7 @@
                 endClaim(cell, "the job records can't be read");
                 return;
             }
-            CellEngine::RecoveredCell recoveredCell { record, fence, {}, {}, formerOwnerStopped, {}, {} };
+            CellEngine::RecoveredCell recoveredCell { record, fence, {}, {}, formerOwnerStopped, {}, {}, {} };
             for (const Scheduler::StoreValue& value : jobs->records) {
                 if (value.key == StoreKeys::pressureEstimates(cell)) {
                     recoveredCell.pressureEstimates = readPressureEstimates(value);
@@ -601,6 +654,7 @@
 
 void CellOwnership::takeOwnership(const CellId& cell, CellEngine::RecoveredCell recoveredCell)
 {
+    recoveredCell.confirmedAt = m_claims.at(cell).confirmedAt;
     m_claims.erase(cell);
     if (m_draining)
         return;
@@ -718,6 +772,8 @@
         // All entries are reported again: a cell may have been taken over since the last listing.
         std::erase_if(m_listedWorkers, [&](const auto& row) { return present.contains(row.first); });
         onWorkers(changes);
+        for (const auto& [cell, engine] : m_engines)
+            engine->unlistOthers(m_listedWorkers);
         watchWorkers();
     }));
 }
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -72,13 +72,16 @@
     using Messenger = std::function<void(
         const std::string& address, const CellId&, const PartMessage&, Common::Callback<Common::Done>)>;
     void setMessenger(Messenger messenger) { m_messenger = std::move(messenger); }
+    /// Whether this host has the cell in its hands: it owns the cell and may act, or its claim is written.
+    bool holds(const CellId&) const;
     /// What the process at an owner's address says about a cell.
     struct ProbeAnswer {
         /// Host and boot of the process.
         Common::DaemonId process;
-        bool ownsCell = false;
+        /// See holds().
+        bool holdsCell = false;
     };
-    /// Asks the process at `address` whether it owns the cell. JobGateway sets it.
+    /// Asks the process at `address` whether it holds the cell. JobGateway sets it.
     using OwnerProbe = std::function<void(
         const std::string& address, const CellId&, Common::Duration timeout, Common::Callback<ProbeAnswer>)>;
     void setOwnerProbe(OwnerProbe probe) { m_ownerProbe = std::move(probe); }
@@ -106,6 +109,7 @@
     void detectStall();
     bool isOwnerless(const CellId&) const;
     void rankOwners();
+    std::string rankInputs(const std::vector<const HostHeartbeat*>& live) const;
     void considerClaim(const CellId&);
     void considerHandOver(const CellId&);
     void claim(const CellId&);
@@ -117,6 +121,7 @@
     void onProbed(const CellId&, const CellRecord&, Common::StoreRevision, Common::MonotonicTime askedAt,
         const Common::Result<ProbeAnswer>&);
     void replaceOwner(const CellId&, const CellRecord&, Common::StoreRevision, bool formerOwnerStopped);
+    bool isProofOfDeath(const CellId&, const CellRecord&, const Common::Failure&, Common::MonotonicTime askedAt);
     bool wasLateSince(Common::MonotonicTime) const;
     bool isProvablyStopped(const CellRecord&) const;
     void takeOwnership(const CellId&, CellEngine::RecoveredCell);
@@ -140,8 +145,10 @@
     std::map<CellId, Owner> m_owners;
     std::map<CellId, std::unique_ptr<CellEngine>> m_engines;
     std::map<CellId, Claim> m_claims;
-    /// For each cell the hosts that may own it, the preferred first; updated by each tick.
+    /// For each cell the hosts that may own it, the preferred first.
     std::map<CellId, std::vector<Common::DaemonId>> m_ranks;
+    /// What the ranks were computed from.
+    std::string m_rankInputs;
     /// Previous owners of this host's cells, until they are known to have stopped.
     std::map<CellId, CellRecord> m_formerOwners;
     /// Since when a cell has had no owner, and since when another host has been preferred for a cell of this host.
@@ -150,6 +157,8 @@
     /// Pressure estimates of other cells, passed to cells that this host takes over.
     std::map<CellId, std::vector<Policy::TailLatencyModel::PressureEstimate>> m_pressureEstimates;
     std::map<CellId, UnconfirmedOwner> m_unconfirmedOwners;
+    /// Probes in a row that failed while this host was late.
+    std::map<CellId, uint32_t> m_lateProbes;
     std::set<CellId> m_releasing;
     std::map<CellId, Common::MonotonicTime> m_releasedAt;
     std::map<Common::WorkerId, WorkerEntry> m_listedWorkers;
