Judge a start after an unacknowledged end as well

Change: the judge knows the worker that holds each end. A start of such a task is a fault until the worker reboots or its lease has lapsed while it is cut off from all live hosts, which the world checks every 100 ms. It also reports starts of jobs that a test has declared cancelled, and counts the running tasks of a job. All earlier checks are kept.

Ruled out: excusing every lapse of a lease, which would excuse the incident's runs too.

--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -10,6 +10,7 @@
 #include "Fakes/FakePeer.h"
 #include "Fakes/FakeRecordStore.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -141,6 +142,7 @@
         , store(clock, network, seed)
         , m_random(seed)
     {
+        noteLostEnds();
     }
 
     Fakes::VirtualRuntime clock;
@@ -275,6 +277,23 @@
     }
 
 private:
+    bool isCutOff(const std::string& worker) const
+    {
+        return std::all_of(hosts.begin(), hosts.end(), [&](const auto& host) {
+            return host->process.isKilled() || network.isCut(worker, host->address)
+                || network.isCut(host->address, worker);
+        });
+    }
+    /// Tells the judge of workers whose leases have lapsed while they were cut off from all hosts.
+    void noteLostEnds()
+    {
+        for (const auto& worker : workers) {
+            if (worker->hasLeaseLapsed() && isCutOff(worker->entry().address))
+                judge.endsLost(worker->entry().id.value());
+        }
+        clock.schedule(std::chrono::milliseconds(100), [this] { noteLostEnds(); });
+    }
+
     std::mt19937_64 m_random;
     uint64_t m_boots = 0;
 };
--- a/Source/UnitTests/Cells/RunJudge.h
+++ b/Source/UnitTests/Cells/RunJudge.h
@@ -6,6 +6,7 @@
 #include "Jobs/JobSpec.h"
 #include "Jobs/TaskName.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 public:
     std::vector<std::string> faults;
     std::map<Common::JobId, Jobs::JobSpec> submitted;
+    /// Jobs of which no task may start any more.
     std::set<Common::JobId> cancelled;
     uint64_t starts = 0;
     /// The worker of each task's last start.
@@ -35,6 +37,10 @@
             faults.push_back(text(task) + " runs on " + m_running[task] + " and on " + worker);
         if (m_acknowledgedDone.contains(task))
             faults.push_back(text(task) + " was started after its end was acknowledged");
+        else if (const auto end = m_heldEnds.find(task); end != m_heldEnds.end())
+            faults.push_back(text(task) + " was started on " + worker + " although " + end->second + " holds its end");
+        if (cancelled.contains(task.job))
+            faults.push_back(text(task) + " was started after its job was cancelled");
         for (const uint32_t earlier : job->second.steps.at(task.step).after) {
             for (uint32_t index = 0; index < job->second.steps[earlier].taskCount; ++index) {
                 if (!m_done.contains({ task.job, task.occurrence, earlier, index }))
@@ -65,11 +71,27 @@
         const auto job = submitted.find(task.job);
         return job != submitted.end() && job->second.steps.at(task.step).gang;
     }
-    void done(const Jobs::TaskName& task) { m_done.insert(task); }
+    void done(const std::string& worker, const Jobs::TaskName& task)
+    {
+        m_done.insert(task);
+        m_heldEnds[task] = worker;
+    }
+    /// Called when a worker reboots, and when its lease has lapsed while no host can reach it: tasks whose ends it
+    /// holds may be started again.
+    void endsLost(const std::string& worker)
+    {
+        std::erase_if(m_heldEnds, [&](const auto& end) { return end.second == worker; });
+    }
     /// The end of the successful run was acknowledged to the worker.
     void acknowledged(const Jobs::TaskName& task) { m_acknowledgedDone.insert(task); }
     bool wasDone(const Jobs::TaskName& task) const { return m_done.contains(task); }
     bool running(const Jobs::TaskName& task) const { return m_running.contains(task); }
+    /// Number of running tasks of the job.
+    size_t running(const Common::JobId& job) const
+    {
+        return static_cast<size_t>(
+            std::count_if(m_running.begin(), m_running.end(), [&](const auto& run) { return run.first.job == job; }));
+    }
 
     std::string summary() const
     {
@@ -121,6 +143,8 @@
     std::set<Jobs::TaskName> m_wholeGangs;
     std::set<Jobs::TaskName> m_done;
     std::set<Jobs::TaskName> m_acknowledgedDone;
+    /// The worker on which each task has ended done, unless the end was lost there.
+    std::map<Jobs::TaskName, std::string> m_heldEnds;
 };
 
 } // namespace CellTests
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -56,6 +56,7 @@
         });
     }
     size_t running() const { return m_runs.size(); }
+    bool hasLeaseLapsed() const { return clock() >= m_leaseUntil; }
 
     void start(Cells::FencingToken token, const Cells::RunOrder& order, Common::WorkerTime until, const Answer& answer)
     {
@@ -218,7 +219,7 @@
         m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
         m_judge.gone(m_entry.id.value(), task);
         if (how == Cells::RunEnd::Done)
-            m_judge.done(task);
+            m_judge.done(m_entry.id.value(), task);
         m_ended.push_back({ ++m_lastEnd, task, attempt, how, {} });
         answerPolls();
     }
@@ -229,6 +230,7 @@
             m_judge.gone(m_entry.id.value(), task);
         m_runs.clear();
         m_waiting.clear();
+        m_judge.endsLost(m_entry.id.value());
     }
     Cells::RunReport report() const
     {
--- a/Source/UnitTests/Fakes/FakeProcess.h
+++ b/Source/UnitTests/Fakes/FakeProcess.h
@@ -71,7 +71,7 @@
     bool isPaused() const { return m_paused; }
 
 private:
-    void run(std::deque<std::function<void()>>& deferred, const std::function<void()>& action)
+    void run(std::deque<std::function<void()>>& deferred, const std::function<void()>& action) const
     {
         if (m_killed)
             return;
