--- a/Source/UnitTests/Cells/CellLayoutTest.cpp
+++ b/Source/UnitTests/Cells/CellLayoutTest.cpp
@@ -58,10 +58,10 @@
             const CellLayout layout = CellLayout::forWorkers({ yard }, workers, workersPerCell);
             const std::map<CellId, uint32_t> sizes = sizesOf(layout, workers);
             const auto share = static_cast<uint32_t>(workers.size() / sizes.size());
-            for (const auto& [cell, size] : sizes) {
-                CAPTURE(cell.value());
-                CHECK(size > 0);
-                CHECK(size < 2 * share);
+            for (const auto& row : sizes) {
+                CAPTURE(row.first.value());
+                CHECK(row.second > 0);
+                CHECK(row.second < 2 * share);
             }
         }
     }
