--- a/Source/UnitTests/Cells/SlowHostTest.cpp
+++ b/Source/UnitTests/Cells/SlowHostTest.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace CellTests;
@@ -73,6 +74,23 @@
     CHECK(fleet.owners() == 1);
 }
 
+TEST_CASE("an owner that answers calls but has lost its authority is replaced")
+{
+    Fleet fleet;
+    WorldHost* const owner = fleet.owner();
+    const Cells::FencingToken token = tokenOf(*owner);
+    // Without heartbeats the owner knows no host through which it could reach the store.
+    for (WorldHost* const host : fleet.live())
+        host->heartbeats.dropsAll = true;
+    fleet.store.rejectedHosts.insert(owner->address);
+    fleet.clock.advance(20s);
+    const auto live = fleet.live();
+    CHECK(std::any_of(live.begin(), live.end(), [owner, token](const WorldHost* host) {
+        return host != owner && !host->cellOwnership.engines().empty() && token < tokenOf(*host);
+    }));
+    CHECK(fleet.judge.summary() == "");
+}
+
 TEST_CASE("an owner that reads workers' answers too late starts no task again that has ended there")
 {
     SingleOwner world("run:1200");
