Show three faults of late hosts that leave long-running tasks standing

- A late host that hears no heartbeats takes the cell of an owner that answers calls (stalls of 700 ms; longer ones pass).
- The long-running tasks of an owner that stays late stand still for the whole 40 s although two other hosts are in time (stalls of 700 ms; with heartbeats lost also 900 and 1300 ms).
- An owner with stalls of 150 to 900 ms doesn't start tasks again whose worker it can't reach, in 30 s.

--- /dev/null
+++ b/Source/UnitTests/Cells/LateOwnerTest.cpp
@@ -0,0 +1,103 @@
+// Tests of owners that stay late: their cells' long-running tasks go on, and in-time hosts take over.
+#include "Cells/Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Pauses the process for `stall` again and again, with short runs between, until `until`.
+void stallUntil(CellWorld& world, WorldHost& host, Common::Duration stall, Common::MonotonicTime until)
+{
+    if (world.clock.now() >= until || host.process.isKilled())
+        return;
+    host.process.timersFirst = true;
+    host.process.pause();
+    world.clock.schedule(stall, [&world, &host, stall, until] {
+        host.process.resume();
+        world.clock.schedule(1ms, [&world, &host, stall, until] { stallUntil(world, host, stall, until); });
+    });
+}
+
+Cells::FencingToken tokenOf(const WorldHost& owner) { return owner.cellOwnership.engines().begin()->second->token(); }
+
+/// Longest time in the period for which fewer tasks than `expected` ran.
+Common::Duration longestShortage(CellWorld& world, size_t expected, Common::Duration period)
+{
+    const Common::MonotonicTime end = world.clock.now() + period;
+    Common::MonotonicTime complete = world.clock.now();
+    Common::Duration longest {};
+    while (world.clock.now() < end) {
+        world.clock.advance(100ms);
+        if (world.running() >= expected)
+            complete = world.clock.now();
+        longest = std::max(longest, world.clock.now() - complete);
+    }
+    return longest;
+}
+
+} // namespace
+
+TEST_CASE("a late host that receives no heartbeats takes no cell from an owner that answers calls")
+{
+    for (const auto stall : { 700ms, 900ms, 1300ms, 2300ms }) {
+        CAPTURE(stall.count());
+        Fleet fleet;
+        WorldHost* const owner = fleet.owner();
+        const Cells::FencingToken token = tokenOf(*owner);
+        WorldHost& late = fleet.other();
+        late.heartbeats.dropsAll = true;
+        stallUntil(fleet, late, stall, fleet.clock.now() + 40s);
+        fleet.clock.advance(40s);
+        CHECK(fleet.owner() == owner);
+        CHECK(tokenOf(*owner) == token);
+    }
+}
+
+TEST_CASE("long-running tasks of an owner that stays late go on under a host that is in time")
+{
+    for (const auto stall : { 700ms, 900ms, 1300ms, 2300ms }) {
+        for (const bool deaf : { false, true }) {
+            CAPTURE(stall.count());
+            CAPTURE(deaf);
+            Fleet fleet;
+            Outcome submitted;
+            fleet.submit(fleet.other(), CellWorld::service(1, 6), submitted);
+            fleet.clock.advance(2s);
+            REQUIRE(fleet.running() == 6);
+            WorldHost& late = *fleet.owner();
+            late.heartbeats.dropsAll = deaf;
+            stallUntil(fleet, late, stall, fleet.clock.now() + 60s);
+            // The lease of a run, and the time after which the cell must have another owner.
+            fleet.clock.advance(20s);
+            CHECK(longestShortage(fleet, 6, 40s) <= 6s);
+            CHECK(fleet.judge.summary() == "");
+        }
+    }
+}
+
+TEST_CASE("an owner that is late starts tasks again whose worker it can't reach")
+{
+    for (const auto stall : { 150ms, 300ms, 450ms, 900ms }) {
+        CAPTURE(stall.count());
+        CellWorld world(1);
+        world.addWorkers("yard", 3, 4000);
+        WorldHost& owner = world.addHost("yard", "a:1");
+        world.clock.advance(8s);
+        Outcome submitted;
+        world.submit(owner, CellWorld::service(1, 6), submitted);
+        world.clock.advance(2s);
+        REQUIRE(world.running() == 6);
+        stallUntil(world, owner, stall, world.clock.now() + 40s);
+        const std::string lost = world.workers.front()->entry().address;
+        world.network.cut(lost, owner.address);
+        world.network.cut(owner.address, lost);
+        world.clock.advance(9s);
+        CHECK(longestShortage(world, 6, 30s) <= 9s);
+        CHECK(world.judge.summary() == "");
+    }
+}
