Don't take an owner for dead because its answer was read late

A host that hears no heartbeats asks the owner before it takes the cell, but five probes whose answers it read after their timeout counted as proof of death.

Cause: the number of tries stood in for proof. A host that stalls for longer than the probe's timeout reads no answer in time, however often it asks.

Change: AnswerWindow tells whether this process has read its sockets in the second half of a call's timeout. Only then is a missing answer the owner's silence; otherwise the next probe gets twice the time, up to 9.6 s. Failed connections of a late host still count five times in a row, since otherwise nobody would replace an owner when all hosts are late.

Ruled out: a longer probe from the start, which delays every takeover.

Measured: "a late host that receives no heartbeats takes no cell from an owner that answers calls" failed at stalls of 700 ms and passes; all other tests of Cells as before (the known failures fail).

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1,6 +1,7 @@
 // Layout, heartbeats, claims and releases of cells, and the platform's list of workers.
 #include "Cells/CellOwnership.h"
 
+#include "Cells/AnswerWindow.h"
 #include "Cells/PressureEstimateCodec.h"
 #include "Cells/StoreKeys.h"
 #include "Common/Log.h"
@@ -23,11 +24,13 @@
     constexpr Common::Duration maximumTickDelay = std::chrono::seconds(1);
     /// A host whose tick is later than this may have read answers after their timeouts.
     constexpr Common::Duration tolerableLag = std::chrono::milliseconds(100);
-    /// A host that stays late replaces an owner after this many probes without an answer: otherwise nobody would when
-    /// all hosts are late.
-    constexpr uint32_t maximumLateProbes = 5;
-    /// An owner whose heartbeats don't arrive has this long to answer a call before it is replaced.
+    /// A host that stays late replaces an owner after this many failures to connect: otherwise nobody would when all
+    /// hosts are late.
+    constexpr uint32_t maximumLateConnectFailures = 5;
+    /// An owner whose heartbeats don't arrive has this long to answer a call before it is replaced. The time doubles as
+    /// long as this host is too late to judge, up to the longest one.
     constexpr Common::Duration ownerProbeTimeout = std::chrono::milliseconds(600);
+    constexpr Common::Duration longestOwnerProbeTimeout = std::chrono::milliseconds(9600);
     /// Time after the start during which heartbeats are sent faster and list more addresses.
     constexpr Common::Duration discoveryPeriod = std::chrono::seconds(2);
     /// How long heartbeats announce that a cell was released.
@@ -502,25 +505,29 @@
 /// others, and would otherwise take the cells of owners that are well.
 void CellOwnership::probeOwner(const CellId& cell, const CellRecord& record, Common::StoreRevision revision)
 {
+    const Common::Duration timeout
+        = m_lateProbes.try_emplace(cell, LateProbes { ownerProbeTimeout }).first->second.timeout;
+    const auto window = std::make_shared<AnswerWindow>(m_ports.runtime, timeout);
     const Common::MonotonicTime askedAt = m_ports.runtime.now();
-    m_ownerProbe(record.address, cell, ownerProbeTimeout,
-        m_lifetime.guard([this, cell, record, revision, askedAt](const Common::Result<ProbeAnswer>& answer) {
-            onProbed(cell, record, revision, askedAt, answer);
+    m_ownerProbe(record.address, cell, timeout,
+        m_lifetime.guard([this, cell, record, revision, askedAt, window](const Common::Result<ProbeAnswer>& answer) {
+            onProbed(cell, record, revision, answer, window->wasRead(), askedAt);
         }));
 }
 
 void CellOwnership::onProbed(const CellId& cell, const CellRecord& record, Common::StoreRevision revision,
-    Common::MonotonicTime askedAt, const Common::Result<ProbeAnswer>& answer)
+    const Common::Result<ProbeAnswer>& answer, bool wasRead, Common::MonotonicTime askedAt)
 {
     if (answer && answer->process == record.owner && answer->holdsCell) {
         Owner& owner = m_owners[cell];
         if (owner.token != record.token)
             owner = Owner { record.owner, record.address, record.token, {}, {}, false };
         owner.lastHeartbeatAt = m_ports.runtime.now();
+        m_lateProbes.erase(cell);
         endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
         return;
     }
-    if (!answer && !isProofOfDeath(cell, record, answer.reason(), askedAt)) {
+    if (!answer && !isProofOfDeath(cell, record, answer.reason(), wasRead, askedAt)) {
         endClaim(cell, "the owner may be well");
         return;
     }
@@ -531,14 +538,22 @@
     replaceOwner(cell, record, revision, answer && answer->process != record.owner);
 }
 
-bool CellOwnership::isProofOfDeath(
-    const CellId& cell, const CellRecord& record, const Common::Failure& reason, Common::MonotonicTime askedAt)
+/// Whether the failed probe shows that the owner is dead. If this host was too late to tell, the next probe gets more
+/// time.
+bool CellOwnership::isProofOfDeath(const CellId& cell, const CellRecord& record, const Common::Failure& reason,
+    bool wasRead, Common::MonotonicTime askedAt)
 {
     // A host of an earlier release answers that it doesn't know the call. Its heartbeats tell what it owns.
     if (reason.code == Common::ErrorCode::ProtocolError)
         return m_directory.isAlive(record.owner, m_ports.runtime.now());
-    // The answer may have arrived before the timeout and been read after it.
-    return !wasLateSince(askedAt) || ++m_lateProbes[cell] >= maximumLateProbes;
+    if (wasRead)
+        return true;
+    LateProbes& late = m_lateProbes[cell];
+    if (reason.code == Common::ErrorCode::Timeout) {
+        late.timeout = std::min(2 * late.timeout, longestOwnerProbeTimeout);
+        return false;
+    }
+    return !wasLateSince(askedAt) || ++late.connectFailures >= maximumLateConnectFailures;
 }
 
 bool CellOwnership::holds(const CellId& cell) const
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -96,6 +96,13 @@
         Common::MonotonicTime since;
     };
 
+    /// Probes of a cell's owner in a row that failed while this host was too late to judge.
+    struct LateProbes {
+        /// Time that the next probe may take.
+        Common::Duration timeout {};
+        uint32_t connectFailures = 0;
+    };
+
     void readLayout();
     void createLayout();
     void writeLayout(const std::vector<WorkerEntry>&);
@@ -118,10 +125,11 @@
     void readCell(const CellId&, const CellRecord&, Common::StoreRevision fence, bool formerOwnerStopped);
     bool mayOwnerBeAlive(const CellId&, const CellRecord&);
     void probeOwner(const CellId&, const CellRecord&, Common::StoreRevision);
-    void onProbed(const CellId&, const CellRecord&, Common::StoreRevision, Common::MonotonicTime askedAt,
-        const Common::Result<ProbeAnswer>&);
+    void onProbed(const CellId&, const CellRecord&, Common::StoreRevision, const Common::Result<ProbeAnswer>&,
+        bool wasRead, Common::MonotonicTime askedAt);
     void replaceOwner(const CellId&, const CellRecord&, Common::StoreRevision, bool formerOwnerStopped);
-    bool isProofOfDeath(const CellId&, const CellRecord&, const Common::Failure&, Common::MonotonicTime askedAt);
+    bool isProofOfDeath(
+        const CellId&, const CellRecord&, const Common::Failure&, bool wasRead, Common::MonotonicTime askedAt);
     bool wasLateSince(Common::MonotonicTime) const;
     bool isProvablyStopped(const CellRecord&) const;
     void takeOwnership(const CellId&, CellEngine::RecoveredCell);
@@ -157,8 +165,7 @@
     /// Pressure estimates of other cells, passed to cells that this host takes over.
     std::map<CellId, std::vector<Policy::TailLatencyModel::PressureEstimate>> m_pressureEstimates;
     std::map<CellId, UnconfirmedOwner> m_unconfirmedOwners;
-    /// Probes in a row that failed while this host was late.
-    std::map<CellId, uint32_t> m_lateProbes;
+    std::map<CellId, LateProbes> m_lateProbes;
     std::set<CellId> m_releasing;
     std::map<CellId, Common::MonotonicTime> m_releasedAt;
     std::map<Common::WorkerId, WorkerEntry> m_listedWorkers;
