Relieve owners that stay late

A host that is late for good reads workers' answers after their timeouts, renews no leases and starts nothing, but it answers probes and so kept its cell. If it loses heartbeats as well, it knows of no better owner.

Heartbeats carry the state. Late hosts rank first for no cell while hosts with half of the weight are in time; beyond that the load is the cause and moving cells would only move it. A late owner hands over without waiting for workers that it may never hear. The preferred host asks a late owner to release its cell (cell.relief). A late host, or one that hears nobody and so ranks itself first, leaves ownerless cells to the others for 3 s.

Ruled out: taking a late owner's cell by force. It may still grant leases, and the successor would have to wait 15 s for workers that don't answer.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -31,6 +31,8 @@
     /// long as this host is too late to judge, up to the longest one.
     constexpr Common::Duration ownerProbeTimeout = std::chrono::milliseconds(600);
     constexpr Common::Duration longestOwnerProbeTimeout = std::chrono::milliseconds(9600);
+    /// A host that is late, or hears no other host, leaves ownerless cells to the others for this long.
+    constexpr Common::Duration unfitClaimDelay = std::chrono::seconds(3);
     /// Time after the start during which heartbeats are sent faster and list more addresses.
     constexpr Common::Duration discoveryPeriod = std::chrono::seconds(2);
     /// How long heartbeats announce that a cell was released.
@@ -185,6 +187,7 @@
     message.weight = m_settings.weight;
     message.startedAtMilliseconds = m_startedAtMilliseconds;
     message.draining = m_draining;
+    message.late = isLate();
     message.storeAvailable = m_storeAvailable;
     message.configVersion = m_configVersion;
     const bool sendEstimates = ++m_heartbeatCount % heartbeatsPerEstimates == 0;
@@ -283,15 +286,21 @@
             considerHandOver(cell);
         else if (!m_claims.contains(cell))
             considerClaim(cell);
+        considerRelief(cell);
     }
 }
 
+bool CellOwnership::isLate() const { return m_lag.isLate(m_ports.runtime.now()); }
+
 /// A process that was stalled has missed heartbeats. It must not take other hosts for dead until it has received
 /// heartbeats again for the host timeout.
 void CellOwnership::detectStall()
 {
     const Common::MonotonicTime now = m_ports.runtime.now();
     const Common::Duration delay = now - std::exchange(m_lastTick, now) - m_settings.tickInterval;
+    m_lag.record(now, m_settings.tickInterval, delay);
+    if (std::exchange(m_wasLate, isLate()) != isLate())
+        LC_WARN(Core, "event=" << (isLate() ? "host-late" : "host-in-time") << " cells=" << m_engines.size());
     if (delay > tolerableLag)
         m_lateAt = now;
     if (delay > maximumTickDelay) {
@@ -338,10 +347,12 @@
 /// Everything that the ranks depend on, besides the layout and this host's own settings.
 std::string CellOwnership::rankInputs(const std::vector<const HostHeartbeat*>& live) const
 {
-    std::string inputs = std::to_string(m_layout.cells().size()) + (m_storeAvailable ? "+" : "-");
+    const auto state
+        = [](bool storeAvailable, bool late) { return std::string(storeAvailable ? "+" : "-") + (late ? "late" : ""); };
+    std::string inputs = std::to_string(m_layout.cells().size()) + state(m_storeAvailable, isLate());
     for (const HostHeartbeat* const host : live) {
         if (!host->draining)
-            inputs += host->id.value() + "," + std::to_string(host->weight) + (host->storeAvailable ? "+" : "-");
+            inputs += host->id.value() + "," + std::to_string(host->weight) + state(host->storeAvailable, host->late);
     }
     return inputs;
 }
@@ -366,11 +377,11 @@
         Policy::CellCandidates row { cell.value(), {} };
         // Ranked by address, not by id: the id contains the boot, and a restarted host is to get the same cells again.
         row.hosts.push_back({ m_settings.address, m_settings.weight, m_settings.domain == domain,
-            m_settings.region == regionOfCell, m_storeAvailable });
+            m_settings.region == regionOfCell, m_storeAvailable, isLate() });
         for (const HostHeartbeat* const host : live) {
             if (!host->draining)
                 row.hosts.push_back({ host->address, host->weight, host->domain == domain, host->region == regionOfCell,
-                    host->storeAvailable });
+                    host->storeAvailable, host->late });
         }
         cells.push_back(std::move(row));
     }
@@ -394,16 +405,53 @@
         return;
     }
     const Common::MonotonicTime since = m_ownerlessSince.try_emplace(cell, now).first->second;
+    if (now - since >= claimDelay(cell))
+        claim(cell);
+}
+
+/// How long this host leaves the ownerless cell to hosts that should rather own it.
+Common::Duration CellOwnership::claimDelay(const CellId& cell) const
+{
     const std::vector<Common::DaemonId>& ranked = m_ranks.at(cell);
     const auto rank = std::find(ranked.begin(), ranked.end(), m_settings.id) - ranked.begin();
-    if (now - since >= rank * m_settings.claimStagger)
-        claim(cell);
+    // A host that hears nobody ranks itself first.
+    const bool hearsNobody
+        = m_directory.liveHosts(m_ports.runtime.now()).empty() && !m_directory.heartbeatAddresses().empty();
+    return rank * m_settings.claimStagger + (isLate() || hearsNobody ? unfitClaimDelay : Common::Duration::zero());
+}
+
+/// Asks a late owner to release a cell for which this host is preferred. An owner that hears no heartbeats doesn't know
+/// of a better one.
+void CellOwnership::considerRelief(const CellId& cell)
+{
+    const Owner* const owner = liveOwner(cell);
+    const HostHeartbeat* const host = owner ? m_directory.find(owner->id) : nullptr;
+    if (!host || !host->late || isLate() || m_ranks.at(cell).front() != m_settings.id) {
+        m_lateOwnerSince.erase(cell);
+        return;
+    }
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    const Common::MonotonicTime since = m_lateOwnerSince.try_emplace(cell, now).first->second;
+    if (now - since < m_settings.handOverDelay || !m_reliefRequest)
+        return;
+    LC_WARN(Jobs, "event=cell-relief-asked cell=" << cell.value() << " owner=" << owner->id.value());
+    m_lateOwnerSince.erase(cell);
+    m_reliefRequest(owner->address, cell);
+}
+
+void CellOwnership::releaseIfLate(const CellId& cell)
+{
+    if (!isLate() || !m_engines.contains(cell) || m_releasing.contains(cell))
+        return;
+    LC_WARN(Jobs, "event=cell-relieved cell=" << cell.value());
+    m_betterOwnerSince.erase(cell);
+    releaseCell(cell, [] {});
 }
 
 void CellOwnership::considerHandOver(const CellId& cell)
 {
-    // A successor would have to wait again for workers that haven't answered yet.
-    if (m_releasing.contains(cell) || !m_engines.at(cell)->hasContactedInheritedWorkers())
+    // A successor would have to wait again for workers that haven't answered yet; a late owner may never hear them.
+    if (m_releasing.contains(cell) || (!isLate() && !m_engines.at(cell)->hasContactedInheritedWorkers()))
         return;
     const Common::MonotonicTime now = m_ports.runtime.now();
     const Common::DaemonId& first = m_ranks.at(cell).front();
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -8,6 +8,7 @@
 #include "Cells/HeartbeatPort.h"
 #include "Cells/HostDirectory.h"
 #include "Cells/HostSettings.h"
+#include "Cells/LagMonitor.h"
 #include "Cells/RecordStore.h"
 #include "Cells/WorkerList.h"
 #include "Cells/WorkerOrders.h"
@@ -85,6 +86,11 @@
     using OwnerProbe = std::function<void(
         const std::string& address, const CellId&, Common::Duration timeout, Common::Callback<ProbeAnswer>)>;
     void setOwnerProbe(OwnerProbe probe) { m_ownerProbe = std::move(probe); }
+    /// Asks the owner at `address` to release a cell because it is late. JobGateway sets it.
+    using ReliefRequest = std::function<void(const std::string& address, const CellId&)>;
+    void setReliefRequest(ReliefRequest request) { m_reliefRequest = std::move(request); }
+    /// Releases the cell if this host owns it and is late; another host that is in time asks for it.
+    void releaseIfLate(const CellId&);
     /// Calls the hook for each readable heartbeat received.
     void onHostHeartbeat(std::function<void(const HostHeartbeat&)> hook) { m_onHeartbeat = std::move(hook); }
 
@@ -119,6 +125,9 @@
     std::string rankInputs(const std::vector<const HostHeartbeat*>& live) const;
     void considerClaim(const CellId&);
     void considerHandOver(const CellId&);
+    void considerRelief(const CellId&);
+    Common::Duration claimDelay(const CellId&) const;
+    bool isLate() const;
     void claim(const CellId&);
     void onRecord(const CellId&, const std::optional<Scheduler::StoreValue>&);
     void writeClaim(const CellId&, const CellRecord&, Common::StoreRevision expected, bool formerOwnerStopped);
@@ -162,6 +171,8 @@
     /// Since when a cell has had no owner, and since when another host has been preferred for a cell of this host.
     std::map<CellId, Common::MonotonicTime> m_ownerlessSince;
     std::map<CellId, Common::MonotonicTime> m_betterOwnerSince;
+    /// Since when this host has been the preferred owner of a cell whose owner is late.
+    std::map<CellId, Common::MonotonicTime> m_lateOwnerSince;
     /// Pressure estimates of other cells, passed to cells that this host takes over.
     std::map<CellId, std::vector<Policy::TailLatencyModel::PressureEstimate>> m_pressureEstimates;
     std::map<CellId, UnconfirmedOwner> m_unconfirmedOwners;
@@ -178,6 +189,8 @@
     bool m_listKnown = false;
     Common::MonotonicTime m_startedAt;
     Common::MonotonicTime m_lastTick;
+    LagMonitor m_lag;
+    bool m_wasLate = false;
     /// When a tick was last so late that this process may have read answers after their timeouts.
     Common::MonotonicTime m_lateAt;
     /// When this process last resumed after a stall; empty when it never stalled.
@@ -189,6 +202,7 @@
     std::function<void(const HostHeartbeat&)> m_onHeartbeat;
     Messenger m_messenger;
     OwnerProbe m_ownerProbe;
+    ReliefRequest m_reliefRequest;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/Core/Cells/HostHeartbeat.cpp
+++ b/Source/Core/Cells/HostHeartbeat.cpp
@@ -72,7 +72,7 @@
     return Json {
         { "id", id.value() }, { "addr", address }, { "beat", heartbeatAddress }, { "domain", domain.value() },
         { "region", region.value() }, { "weight", weight }, { "started", startedAtMilliseconds },
-        { "draining", draining }, { "store", storeAvailable }, { "config", configVersion },
+        { "draining", draining }, { "late", late }, { "store", storeAvailable }, { "config", configVersion },
         { "cells", std::move(cellRows) }, { "released", idsOf(released) }, { "others", knownAddresses },
         { "changing", idsOf(transitioningCells.value_or(std::vector<CellId> {})) }
     }.dump();
@@ -91,6 +91,7 @@
         heartbeat.weight = object.at("weight").get<int64_t>();
         heartbeat.startedAtMilliseconds = object.at("started").get<int64_t>();
         heartbeat.draining = object.value("draining", false);
+        heartbeat.late = object.value("late", false);
         heartbeat.storeAvailable = object.value("store", false);
         heartbeat.configVersion = object.value("config", int64_t { -1 });
         for (const Json& row : object.value("cells", Json::array()))
--- a/Source/Core/Cells/HostHeartbeat.h
+++ b/Source/Core/Cells/HostHeartbeat.h
@@ -36,6 +36,8 @@
     /// Wall clock of the process's start in milliseconds; of two processes at one address the later one counts.
     int64_t startedAtMilliseconds = 0;
     bool draining = false;
+    /// The host's own timers fire late, see LagMonitor; other hosts should own its cells.
+    bool late = false;
     /// The store answers this host's direct calls.
     bool storeAvailable = false;
     /// Version of the configuration in force; -1 when none is known.
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -23,6 +23,7 @@
     constexpr const char* cancelMethod = "job.cancel";
     constexpr const char* partMethod = "job.part";
     constexpr const char* ownerMethod = "cell.owner";
+    constexpr const char* reliefMethod = "cell.relief";
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
     /// Time for the job's tasks to stop, within the timeout of the call that asks for the cancellation.
@@ -171,6 +172,14 @@
                         Common::DaemonId(answer->value("process", std::string {})), answer->value("holds", false) });
             });
     });
+    m_cellOwnership.setReliefRequest([this](const std::string& address, const CellId& cell) {
+        m_peers.call(
+            address, reliefMethod, Json { { "cell", cell.value() } }, callTimeout, [](const Common::Result<Json>&) {});
+    });
+    m_peers.serve(reliefMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
+        m_cellOwnership.releaseIfLate(CellId(params.value("cell", std::string {})));
+        reply(Json::object());
+    });
     m_peers.serve(ownerMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
         const bool holds = m_cellOwnership.holds(CellId(params.value("cell", std::string {})));
         reply(Json { { "process", m_settings.id.value() }, { "holds", holds } });
--- a/Source/Core/Policy/OwnerCandidate.h
+++ b/Source/Core/Policy/OwnerCandidate.h
@@ -14,6 +14,8 @@
     bool sameRegion = false;
     /// The host can write to the store.
     bool storeAvailable = true;
+    /// The host's own timers fire so late that it can't serve a cell in time.
+    bool late = false;
 };
 
 } // namespace Policy
--- a/Source/Core/Policy/OwnerChoice.cpp
+++ b/Source/Core/Policy/OwnerChoice.cpp
@@ -19,6 +19,7 @@
     constexpr double sameRegionFactor = 5;
     /// A host without access to the store can't commit; it should own a cell only when no other host can.
     constexpr double noStoreFactor = 0.001;
+    constexpr double lateFactor = 0.001;
     /// Steps of the search for the shares; they narrow a range of cells per weight to a millionth.
     constexpr int bisections = 20;
     constexpr double roundingSlack = 1e-3;
@@ -34,6 +35,8 @@
             weight *= sameRegionFactor;
         if (!candidate.storeAvailable)
             weight *= noStoreFactor;
+        if (candidate.late)
+            weight *= lateFactor;
         return -weight / std::log(uniform);
     }
 
@@ -78,22 +81,46 @@
         return sharesAt(high);
     }
 
+    /// Whether the hosts that are in time have at least half of the weight of those with access to the store.
+    bool isMinorityLate(const std::vector<OwnerCandidate>& hosts)
+    {
+        int64_t all = 0;
+        int64_t late = 0;
+        for (const OwnerCandidate& host : hosts) {
+            const int64_t weight = host.storeAvailable ? std::max<int64_t>(host.weight, 1) : 0;
+            all += weight;
+            late += host.late ? weight : 0;
+        }
+        return 2 * late <= all;
+    }
+
+    /// The weight of each host; 0 if it shouldn't own a cell while others can.
+    std::vector<double> usableWeights(const std::vector<OwnerCandidate>& hosts)
+    {
+        const auto isUsable = [](const OwnerCandidate& host) { return host.storeAvailable && !host.late; };
+        const bool anyUsable = std::any_of(hosts.begin(), hosts.end(), isUsable);
+        std::vector<double> weights;
+        weights.reserve(hosts.size());
+        for (const OwnerCandidate& host : hosts)
+            weights.push_back(
+                anyUsable && !isUsable(host) ? 0.0 : static_cast<double>(std::max<int64_t>(host.weight, 1)));
+        return weights;
+    }
+
 } // namespace
 
-std::vector<std::vector<size_t>> rankCellOwners(const std::vector<CellCandidates>& cells)
+std::vector<std::vector<size_t>> rankCellOwners(std::vector<CellCandidates> cells)
 {
     std::vector<std::vector<size_t>> ranks;
     if (cells.empty())
         return ranks;
-    const std::vector<OwnerCandidate>& hosts = cells.front().hosts;
-    const bool anyStore = std::any_of(hosts.begin(), hosts.end(), [](const auto& host) { return host.storeAvailable; });
-    const auto weightOf = [anyStore](const OwnerCandidate& host) {
-        return anyStore && !host.storeAvailable ? 0.0 : static_cast<double>(std::max<int64_t>(host.weight, 1));
-    };
-    std::vector<double> weights;
-    weights.reserve(hosts.size());
-    for (const OwnerCandidate& host : hosts)
-        weights.push_back(weightOf(host));
+    if (!isMinorityLate(cells.front().hosts)) {
+        for (CellCandidates& cell : cells) {
+            for (OwnerCandidate& host : cell.hosts)
+                host.late = false;
+        }
+    }
+    const std::vector<double> weights = usableWeights(cells.front().hosts);
     std::vector<size_t> left = sharesOf(weights, cells.size());
     for (const CellCandidates& cell : cells) {
         std::vector<size_t> order = rankOwners(cell.cell, cell.hosts);
--- a/Source/Core/Policy/OwnerChoice.h
+++ b/Source/Core/Policy/OwnerChoice.h
@@ -12,7 +12,9 @@
 /// few cells move except those that it gains or loses. Hosts in the cell's domain and region are preferred. A host that
 /// already ranks first for its share of the cells, by weight, comes after the hosts that don't. A cell can't be
 /// divided, so a host whose share is below one cell ranks first for none while larger hosts can take them all: it would
-/// answer all callers of the cell late.
-std::vector<std::vector<size_t>> rankCellOwners(const std::vector<CellCandidates>&);
+/// answer all callers of the cell late. Hosts without access to the store, and late ones, rank first for none while
+/// others can. Lateness is ignored when hosts with more than half of the weight are late: then the load is the cause,
+/// and moving cells would only move it.
+std::vector<std::vector<size_t>> rankCellOwners(std::vector<CellCandidates>);
 
 } // namespace Policy
--- a/Source/UnitTests/Policy/OwnerChoiceTest.cpp
+++ b/Source/UnitTests/Policy/OwnerChoiceTest.cpp
@@ -116,3 +116,31 @@
         CHECK(owned.size() == 18);
     }
 }
+
+TEST_CASE("a late host ranks first for no cell while most of the fleet is in time")
+{
+    for (int salt = 0; salt < 100; ++salt) {
+        CAPTURE(salt);
+        std::vector<CellCandidates> cells = smallFleet(salt);
+        for (CellCandidates& cell : cells)
+            cell.hosts[0].late = cell.hosts[3].late = true;
+        for (const std::vector<size_t>& order : rankCellOwners(cells)) {
+            CHECK(order.front() != 0);
+            CHECK(order.front() != 3);
+        }
+    }
+}
+
+TEST_CASE("lateness is ignored when most of the fleet is late")
+{
+    for (int salt = 0; salt < 100; ++salt) {
+        CAPTURE(salt);
+        std::vector<CellCandidates> cells = smallFleet(salt);
+        const auto ranks = rankCellOwners(cells);
+        for (CellCandidates& cell : cells) {
+            for (size_t host = 0; host < 4; ++host)
+                cell.hosts[host].late = true;
+        }
+        CHECK(rankCellOwners(cells) == ranks);
+    }
+}
