Judge silent workers under an owner that is late

Cause: a poll counted only if its halfway timer and its failure were at most 100 ms late, and every poll had the same time.

Change: an AnswerWindow for each poll of an unreachable worker. A poll that couldn't be judged, or whose timeout was noticed late, gives the next one more time, doubling up to 5 s, until the worker answers in the usual time. A failed connection is proof within half of the extended time: the client uses an established connection as long as the poll has time left. Other early failures are proof where they were.

The unanswered polls must now follow each other. A count from before the lateness cleared the runs of a worker that could be reached again: "polls that a worker left unanswered before its host's lateness don't make it count as silent" failed before (10 starts of 6 at stalls of 700 and 1300 ms, a task started although another worker holds its end).

New log event: worker-poll-unjudged, once until the worker answers.

Ruled out: growing from the base time only; the lease of 6 s then lapsed once at stalls of 1100 and 1300 ms (12 starts of 6).

Measured: "an owner that is late starts tasks again whose worker it can't reach" failed at stalls of 150, 300, 450 and 900 ms (30 s short) and now fails at 900 ms only: the runs are cleared, but the owner has no authority left, since the fake store's answers are read after their timeouts of 800 ms. "runs go on under an owner that stays late and reaches all workers" failed at stalls of 700 ms and more and passes to 1300 ms with authority that doesn't depend on the store.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -1,19 +1,19 @@
 // Polls and orders to the workers of one cell.
 #include "Cells/CellWorkers.h"
 
+#include "Cells/AnswerWindow.h"
 #include "Common/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cells {
 
 namespace {
 
-    /// Number of polls that a worker must leave unanswered in time before it counts as silent.
+    /// Number of polls in a row that a worker must leave unanswered before it counts as silent.
     constexpr uint32_t silentPolls = 3;
-    /// A poll that fails later than this after its timeout says nothing about the worker: this process was late, and
-    /// the answer may have arrived in time.
-    constexpr Common::Duration tolerableLag = std::chrono::milliseconds(100);
+    constexpr Common::Duration longestExtraTime = std::chrono::seconds(5);
 
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
@@ -25,15 +25,16 @@
     std::optional<Scheduler::TimerId> timer;
     Common::MonotonicTime timerDue;
     Common::Duration retryPause {};
-    /// Longest time that the open poll may take.
-    Common::Duration pollTimeout {};
-    uint64_t pollNumber = 0;
-    /// The last poll during which this process was in time when the answer was due; it has read an answer that had
-    /// arrived by then.
-    uint64_t pollReadInTime = 0;
-    /// Polls since the worker's last report that failed while this process was in time.
+    /// The open poll's window for its answer; empty if the worker was reachable when it was polled.
+    std::shared_ptr<const AnswerWindow> window;
+    /// How much longer than usual answers may take, since this process was too late to tell whether one had arrived.
+    Common::Duration extraTime {};
+    /// The wait of the open poll.
+    Common::Duration wait {};
+    /// The last polls in a row that the worker has left unanswered.
     uint32_t unansweredPolls = 0;
     bool silenceLogged = false;
+    bool latenessLogged = false;
     bool idleLogged = false;
 };
 
@@ -141,29 +142,19 @@
         request.leaseUntil = worker->lease().grant(m_settings.runLease, m_runtime.now());
     if (occupied && worker->reachable && worker->pendingEnds.empty())
         request.wait = m_hooks.shouldPollFrequently(*worker) ? m_settings.frequentPollWait : m_settings.pollWait;
-    link(*worker).polling = true;
-    link(*worker).pollTimeout = m_settings.answerTimeout + request.wait;
-    const uint64_t number = ++link(*worker).pollNumber;
+    Link& state = link(*worker);
+    request.extraTime = state.extraTime;
+    state.polling = true;
+    state.wait = request.wait;
+    state.window = worker->reachable
+        ? nullptr
+        : std::make_shared<AnswerWindow>(m_runtime, m_settings.answerTimeout + state.extraTime);
     const Common::MonotonicTime askedAt = m_runtime.now();
-    if (!worker->reachable)
-        checkPunctuality(id, number);
     m_orders.pollRuns(targetOf(*worker), request,
         m_lifetime.guard(
             [this, id, askedAt](const Common::Result<RunReport>& report) { onPollAnswer(id, askedAt, report); }));
 }
 
-/// Notes whether this process is in time halfway to the timeout of a poll. Without that, a stall that ends with the
-/// timeout would pass for the worker's silence.
-void CellWorkers::checkPunctuality(const Common::WorkerId& id, uint64_t pollNumber)
-{
-    const Common::MonotonicTime due = m_runtime.now() + m_settings.answerTimeout / 2;
-    m_runtime.schedule(m_settings.answerTimeout / 2, m_lifetime.guard([this, id, pollNumber, due] {
-        const auto found = m_links.find(id);
-        if (found != m_links.end() && m_runtime.now() - due <= tolerableLag)
-            found->second.pollReadInTime = pollNumber;
-    }));
-}
-
 void CellWorkers::onPollAnswer(
     const Common::WorkerId& id, Common::MonotonicTime askedAt, const Common::Result<RunReport>& report)
 {
@@ -190,8 +181,11 @@
     if (state.silenceLogged)
         LC_INFO(Worker, "event=worker-heard worker=" << worker.id().value());
     state.silenceLogged = false;
+    state.latenessLogged = false;
     state.retryPause = {};
     state.unansweredPolls = 0;
+    if (m_runtime.now() - askedAt < state.wait + m_settings.answerTimeout / 2)
+        state.extraTime = {};
     const bool rebooted = report.startedAtMilliseconds != 0 && worker.startedAtMilliseconds != 0
         && report.startedAtMilliseconds != worker.startedAtMilliseconds;
     // A delayed answer from before the reboot says nothing about the current state.
@@ -219,10 +213,10 @@
     state.retryPause
         = std::clamp(2 * state.retryPause, m_settings.firstPollRetryPause, m_settings.longestPollRetryPause);
     const Common::Duration elapsed = m_runtime.now() - askedAt;
-    const bool failedEarly = elapsed < m_settings.answerTimeout / 2;
-    const bool readInTime = state.pollReadInTime == state.pollNumber && elapsed <= state.pollTimeout + tolerableLag;
-    if (!worker.reachable && (failedEarly || readInTime))
-        ++state.unansweredPolls;
+    if (!worker.reachable)
+        judgeFailure(worker, reason, elapsed);
+    else if (elapsed > state.wait + m_settings.answerTimeout + state.extraTime)
+        giveMoreTime(worker, reason, elapsed);
     worker.reachable = false;
     if (!std::exchange(state.silenceLogged, true)) {
         LC_WARN(Worker,
@@ -239,6 +233,43 @@
         m_hooks.runsCleared(worker, false);
 }
 
+/// Counts a poll of an unreachable worker as unanswered, or gives the next one more time.
+void CellWorkers::judgeFailure(const CellWorker& worker, const Common::Failure& reason, Common::Duration elapsed)
+{
+    Link& state = link(worker);
+    if (isProofOfSilence(state, reason, elapsed)) {
+        ++state.unansweredPolls;
+        return;
+    }
+    // The worker may have answered since the polls that it left unanswered.
+    state.unansweredPolls = 0;
+    giveMoreTime(worker, reason, elapsed);
+}
+
+/// Extends the next poll, since this process was too late to tell whether the last one was answered.
+void CellWorkers::giveMoreTime(const CellWorker& worker, const Common::Failure& reason, Common::Duration elapsed)
+{
+    Link& state = link(worker);
+    state.extraTime
+        = std::clamp(std::max(2 * state.extraTime, elapsed - state.wait), m_settings.answerTimeout, longestExtraTime);
+    if (!std::exchange(state.latenessLogged, true)) {
+        LC_WARN(Worker,
+            "event=worker-poll-unjudged worker=" << worker.id().value() << " runs=" << worker.allocations().size()
+                                                 << " reason=" << Common::errorName(reason.code)
+                                                 << " after-ms=" << elapsed / std::chrono::milliseconds(1));
+    }
+}
+
+bool CellWorkers::isProofOfSilence(const Link& link, const Common::Failure& reason, Common::Duration elapsed) const
+{
+    if (link.window && link.window->wasRead())
+        return true;
+    // A connection that was established is used however late this process is, as long as the poll has time left.
+    if (reason.code == Common::ErrorCode::ConnectFailed)
+        return elapsed < (m_settings.answerTimeout + link.extraTime) / 2;
+    return elapsed < m_settings.answerTimeout / 2;
+}
+
 bool CellWorkers::isProvablyIdle(const CellWorker& worker) const
 {
     if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -65,8 +65,8 @@
     /// Polls the worker now, unless a poll is open.
     void pollSoon(const Common::WorkerId&);
     /// Whether neither a run of this owner nor one of an earlier owner can be on the unreachable worker: all leases
-    /// have expired, and the worker is gone from the platform's list or leaves polls unanswered. A process that is late
-    /// can't tell the latter.
+    /// have expired, and the worker is gone from the platform's list or leaves polls unanswered. Polls of which this
+    /// process can't tell whether they were answered don't count.
     bool isProvablyIdle(const CellWorker&) const;
     /// Called when earlier owners can't grant leases any more.
     void endInheritedAuthority();
@@ -79,10 +79,12 @@
     Link& link(const CellWorker&);
     void poll(const Common::WorkerId&);
     void schedulePoll(const Common::WorkerId&, Common::Duration);
-    void checkPunctuality(const Common::WorkerId&, uint64_t pollNumber);
     void onPollAnswer(const Common::WorkerId&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
     void onPollFailure(CellWorker&, const Common::Failure&, Common::MonotonicTime askedAt);
+    void judgeFailure(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
+    void giveMoreTime(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
+    bool isProofOfSilence(const Link&, const Common::Failure&, Common::Duration elapsed) const;
     Common::Duration nextPollDelay(const CellWorker&) const;
     bool dropIfGone(CellWorker&);
     Common::Duration longestInheritedLease() const;
--- a/Source/Core/Cells/WorkerOrders.h
+++ b/Source/Core/Cells/WorkerOrders.h
@@ -48,6 +48,8 @@
         std::optional<Common::WorkerTime> leaseUntil;
         /// How long the worker may hold the poll open; it answers as soon as a run ends. Zero: it answers at once.
         Common::Duration wait {};
+        /// Time that the answer may take beyond the usual timeout.
+        Common::Duration extraTime {};
     };
     /// Raises the worker's fencing token, extends its lease and reads its runs. Errors besides those above: NotOwner if
     /// the worker has received a higher token, WorkerRebooted if it has rebooted.
--- a/Source/UnitTests/Cells/LateOwnerTest.cpp
+++ b/Source/UnitTests/Cells/LateOwnerTest.cpp
@@ -101,3 +101,49 @@
         CHECK(world.judge.summary() == "");
     }
 }
+
+TEST_CASE("runs go on under an owner that stays late and reaches all workers")
+{
+    for (const auto stall : { 450ms, 700ms, 750ms, 900ms, 1100ms, 1300ms }) {
+        CAPTURE(stall.count());
+        CellWorld world(1);
+        world.addWorkers("yard", 3, 4000);
+        WorldHost& owner = world.addHost("yard", "a:1");
+        // The fake store's answers come too late for stalls of 800 ms and longer.
+        owner.cellSettings.authority = 1h;
+        world.clock.advance(8s);
+        Outcome submitted;
+        world.submit(owner, CellWorld::service(1, 6), submitted);
+        world.clock.advance(2s);
+        stallUntil(world, owner, stall, world.clock.now() + 60s);
+        CHECK(longestShortage(world, 6, 60s) == 0s);
+        CHECK(world.judge.starts == 6);
+        CHECK(world.judge.summary() == "");
+    }
+}
+
+TEST_CASE("polls that a worker left unanswered before its host's lateness don't make it count as silent")
+{
+    for (const auto stall : { 700ms, 1300ms, 2300ms }) {
+        for (const auto ending : { 5200ms, 5700ms }) {
+            CAPTURE(stall.count());
+            CAPTURE(ending.count());
+            CellWorld world(1);
+            world.addWorkers("yard", 3, 4000);
+            WorldHost& owner = world.addHost("yard", "a:1");
+            world.clock.advance(8s);
+            Outcome submitted;
+            world.submit(owner, CellWorld::job(1, "run:" + std::to_string(ending.count()), 6), submitted);
+            world.clock.advance(600ms);
+            REQUIRE(world.judge.starts == 6);
+            for (const auto& worker : world.workers)
+                world.network.cut(worker->entry().address, owner.address);
+            world.clock.advance(5s);
+            world.network.heal();
+            stallUntil(world, owner, stall, world.clock.now() + 20s);
+            world.clock.advance(25s);
+            CHECK(world.judge.starts == 6);
+            CHECK(world.judge.summary() == "");
+        }
+    }
+}
--- a/Source/UnitTests/Cells/RunWorkerPort.h
+++ b/Source/UnitTests/Cells/RunWorkerPort.h
@@ -56,7 +56,7 @@
         const Cells::WorkerTarget& target, const PollRequest& request, Common::Callback<Cells::RunReport> done) override
     {
         send<Cells::RunReport>(
-            target, orderTimeout + request.wait,
+            target, orderTimeout + request.wait + request.extraTime,
             [request](RunWorker& worker, const RunWorker::ReportAnswer& answer) { worker.pollRuns(request, answer); },
             std::move(done));
     }
