Read the sockets twice before an answer counts as missing

Found by reading the HTTP client, not seen by callers: the request of a new connection leaves only when the event loop finds the connection established. A host that runs once in the second half of a call's timeout may send the request just then; with stalls between half of the timeout and the whole, each call to a worker that is well counted as unanswered.

Change: the answer window is read only if the loop has run once a quarter of the timeout earlier. A process in time reads it at half of the timeout as before.

The fakes send requests without a connection, so only the unit test shows it: "a process that has run only once since the call, and sent the request just then, hasn't read the answer window" failed before and passes.

--- a/Source/Core/Cells/AnswerWindow.cpp
+++ b/Source/Core/Cells/AnswerWindow.cpp
@@ -12,9 +12,14 @@
 
 AnswerWindow::AnswerWindow(Scheduler::Runtime& runtime, Common::Duration timeout)
 {
-    runtime.schedule(timeout / 2, m_lifetime.guard([this, &runtime] {
-        runtime.schedule(nextTurn, m_lifetime.guard([this] { m_wasRead = true; }));
-    }));
+    const auto read = [this] { m_wasRead = true; };
+    // The request leaves in the first turn in which its connection is found established, the answer arrives later.
+    const auto secondTurn = [this, &runtime, timeout, read] {
+        runtime.schedule(timeout / 4,
+            m_lifetime.guard([this, &runtime, read] { runtime.schedule(nextTurn, m_lifetime.guard(read)); }));
+    };
+    runtime.schedule(timeout / 4,
+        m_lifetime.guard([this, &runtime, secondTurn] { runtime.schedule(nextTurn, m_lifetime.guard(secondTurn)); }));
 }
 
 } // namespace Cells
--- a/Source/UnitTests/Cells/AnswerWindowTest.cpp
+++ b/Source/UnitTests/Cells/AnswerWindowTest.cpp
@@ -71,6 +71,15 @@
     CHECK(call.wasRead == true);
 }
 
+TEST_CASE(
+    "a process that has run only once since the call, and sent the request just then, hasn't read the answer window")
+{
+    TimedOutCall call;
+    call.stallUntil(timeout / 2 + 100ms);
+    call.stallUntil(2 * timeout);
+    CHECK(call.wasRead == false);
+}
+
 TEST_CASE("an answer window may be destroyed before its timers fire")
 {
     Fakes::VirtualRuntime clock(1);
