Don't leave a dead owner's cell alone when all other hosts are late

Change: a late host waits only while a live host is in time and not draining.

Found in the review. Measured: new case of LateOwnerTest, stalls of 500 ms at all hosts but the killed owner: long-running tasks were short for 22 s, now within the 9 s that the rule allows. SlowHostTest and the other cases pass.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -414,10 +414,13 @@
 {
     const std::vector<Common::DaemonId>& ranked = m_ranks.at(cell);
     const auto rank = std::find(ranked.begin(), ranked.end(), m_settings.id) - ranked.begin();
+    const std::vector<const HostHeartbeat*> live = m_directory.liveHosts(m_ports.runtime.now());
+    const bool othersInTime = std::any_of(
+        live.begin(), live.end(), [](const HostHeartbeat* host) { return !host->late && !host->draining; });
     // A host that hears nobody ranks itself first.
-    const bool hearsNobody
-        = m_directory.liveHosts(m_ports.runtime.now()).empty() && !m_directory.heartbeatAddresses().empty();
-    return rank * m_settings.claimStagger + (isLate() || hearsNobody ? unfitClaimDelay : Common::Duration::zero());
+    const bool hearsNobody = live.empty() && !m_directory.heartbeatAddresses().empty();
+    const bool unfit = (isLate() && othersInTime) || hearsNobody;
+    return rank * m_settings.claimStagger + (unfit ? unfitClaimDelay : Common::Duration::zero());
 }
 
 /// Asks a late owner to release a cell for which this host is preferred. An owner that hears no heartbeats doesn't know
--- a/Source/UnitTests/Cells/LateOwnerTest.cpp
+++ b/Source/UnitTests/Cells/LateOwnerTest.cpp
@@ -104,3 +104,21 @@
         }
     }
 }
+
+TEST_CASE("a dead owner's cell isn't left alone because all other hosts are late")
+{
+    Fleet fleet;
+    Outcome submitted;
+    fleet.submit(fleet.other(), CellWorld::service(1, 6), submitted);
+    fleet.clock.advance(2s);
+    REQUIRE(fleet.running() == 6);
+    WorldHost* const owner = fleet.owner();
+    for (WorldHost* const host : fleet.live()) {
+        if (host != owner)
+            stallUntil(fleet, *host, 500ms, fleet.clock.now() + 60s);
+    }
+    fleet.clock.advance(8s);
+    owner->process.kill();
+    CHECK(longestShortage(fleet, 6, 40s) <= 9s);
+    CHECK(fleet.judge.summary() == "");
+}
