Don't announce cells that this host has no authority for

An owner that the store rejects and that hears no other host can't act after 9 s, but its heartbeats named the cell, so that nobody took it over: long-running tasks stood still for good (LOST).

Change: heartbeats name such cells as changing, not as owned. Others take the cell over after the usual silence, and as before count on leases that the owner may still grant if the store confirms it after all.

Found in the review; the existing test dropped the owner's own heartbeats too. Ruled out: leaving the cell out of both lists, which tells others that no more leases are granted.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -192,7 +192,7 @@
     message.configVersion = m_configVersion;
     const bool sendEstimates = ++m_heartbeatCount % heartbeatsPerEstimates == 0;
     for (const auto& [cell, engine] : m_engines) {
-        if (!m_releasing.contains(cell))
+        if (!m_releasing.contains(cell) && engine->mayGrantLeases())
             message.cells.push_back({ cell, engine->token(), engine->load(),
                 sendEstimates ? engine->pressureEstimates(maximumSentPressureEstimates)
                               : std::vector<Policy::TailLatencyModel::PressureEstimate> {} });
@@ -200,6 +200,11 @@
     message.transitioningCells.emplace(m_releasing.begin(), m_releasing.end());
     for (const auto& [cell, pending] : m_claims)
         message.transitioningCells->push_back(cell);
+    // An owner that can't act doesn't keep others from the cell, but the store may still confirm it.
+    for (const auto& [cell, engine] : m_engines) {
+        if (!engine->mayGrantLeases())
+            message.transitioningCells->push_back(cell);
+    }
     for (const auto& [cell, since] : m_releasedAt)
         message.released.push_back(cell);
     message.knownAddresses = nextHostAddresses();
--- a/Source/UnitTests/Cells/LateOwnerTest.cpp
+++ b/Source/UnitTests/Cells/LateOwnerTest.cpp
@@ -122,3 +122,17 @@
     CHECK(longestShortage(fleet, 6, 40s) <= 9s);
     CHECK(fleet.judge.summary() == "");
 }
+
+TEST_CASE("an owner that hears nobody and is rejected by the store is replaced although its heartbeats arrive")
+{
+    Fleet fleet;
+    Outcome submitted;
+    fleet.submit(fleet.other(), CellWorld::service(1, 6), submitted);
+    fleet.clock.advance(2s);
+    REQUIRE(fleet.running() == 6);
+    WorldHost* const owner = fleet.owner();
+    owner->heartbeats.dropsAll = true;
+    fleet.store.rejectedHosts.insert(owner->address);
+    CHECK(longestShortage(fleet, 6, 60s) <= 9s);
+    CHECK(fleet.judge.summary() == "");
+}
