Grant no leases once the release of a cell is being marked

A successor that reads the mark counts only on leases that were granted before it. The owner's polls went on renewing until the answer to the write had come, and its engine stayed open until it was destroyed.

Change: no leases are granted from when the mark is sent; the engine and its polls are closed when the release has ended.

Measured: the tests of owners, late hosts and schedules pass as before.

--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -72,6 +72,8 @@
 
     /// When the store last confirmed that this host owns the cell, on the clock that includes suspended time.
     Common::MonotonicTime confirmedAt() const { return m_confirmedAt; }
+    /// Whether the release mark was sent: a successor that reads it counts on no further leases.
+    bool isMarkingRelease() const { return m_record.released; }
     bool isStoreAvailable() const { return !m_failing; }
     size_t waiting() const { return m_accepts.size() + m_changes.size(); }
 
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -465,6 +465,8 @@
 {
     m_releasing = true;
     m_committer.release([this, done = std::move(done)] {
+        m_closed = true;
+        m_workers.close();
         refuseStopWaiters();
         done();
     });
@@ -482,7 +484,8 @@
 
 bool CellEngine::mayGrant() const
 {
-    return !m_closed && m_runtime.suspendAwareNow() - m_committer.confirmedAt() < m_settings.authority;
+    return !m_closed && !m_committer.isMarkingRelease()
+        && m_runtime.suspendAwareNow() - m_committer.confirmedAt() < m_settings.authority;
 }
 
 bool CellEngine::hasUncontactedWorkers() const
