Don't drop a task transfer that arrives after a later one

Callers could lose tasks of a long-running step for good: they belonged to no cell any more.

Cause: a cell kept only the highest number of the transfers received from each cell and ignored lower ones. Transfers are sent again until they are acknowledged, so the second may arrive before the first; the first was then removed from the store without effect.

Change: the record keeps the numbers of all received transfers (giftsTaken). The highest (giftsReceived) is still written and read, for hosts of an earlier version.

Why it works: each number is taken in once, in any order. A job has few transfers to a cell, so the record stays small.

Ruled out: sending only after the last transfer was acknowledged; a new owner doesn't know what its predecessor has sent.

The test of JobRecord covers the new field and doesn't compile before.

--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -75,7 +75,7 @@
         uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from, const CellId& to);
     /// Takes the tasks back after the transfer couldn't be stored.
     void revertTransfer(const TaskTransfer&);
-    /// Takes the tasks over, unless this transfer or a later one of the same sending cell was received before.
+    /// Takes the tasks over, unless this transfer was received before.
     void receiveTransfer(const TaskTransfer&);
     /// The record of the cancelled job for a cell that tasks of it were, or will be, transferred to.
     Jobs::JobRecord cancelledPart() const;
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -12,7 +12,7 @@
     transfer.part.isPart = true;
     transfer.part.partCells.clear();
     transfer.part.transfersSent = 0;
-    transfer.part.transfersReceived = { { from.value(), transfer.number } };
+    transfer.part.transfersReceived = { { from.value(), { transfer.number } } };
     for (auto& [index, steps] : transfer.part.progress) {
         for (auto& row : steps) {
             for (Jobs::TaskProgress& task : row)
@@ -56,11 +56,9 @@
 
 void LiveJob::receiveTransfer(const TaskTransfer& transfer)
 {
-    uint32_t& received = m_record.transfersReceived[transfer.from.value()];
     ++m_changes;
-    if (received >= transfer.number)
+    if (!m_record.transfersReceived[transfer.from.value()].insert(transfer.number).second)
         return;
-    received = transfer.number;
     forEachTransferredTask(transfer, [](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
         if (task.progress.transferredTo.empty() || task.progress.done)
             return;
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -140,6 +140,31 @@
         return record;
     }
 
+    /// Hosts of an earlier version write and read only the highest number received from each cell, and ignore lower
+    /// ones that arrive later.
+    std::map<std::string, std::set<uint32_t>> transfersReceivedFromJson(const Json& object)
+    {
+        auto received = object.value("giftsTaken", std::map<std::string, std::set<uint32_t>> {});
+        for (const auto& [cell, highest] : object.value("giftsReceived", std::map<std::string, uint32_t> {})) {
+            if (received.contains(cell))
+                continue;
+            for (uint32_t number = 1; number <= highest; ++number)
+                received[cell].insert(number);
+        }
+        return received;
+    }
+
+    void putTransfersReceived(Json& object, const std::map<std::string, std::set<uint32_t>>& received)
+    {
+        std::map<std::string, uint32_t> highest;
+        for (const auto& [cell, numbers] : received) {
+            if (!numbers.empty())
+                highest.emplace(cell, *numbers.rbegin());
+        }
+        putUnlessDefault(object, "giftsReceived", highest);
+        putUnlessDefault(object, "giftsTaken", received);
+    }
+
     void readProgress(const Json& object, JobRecord& record)
     {
         record.finishedMilliseconds = object.value("finished", int64_t { 0 });
@@ -148,7 +173,7 @@
         record.partCells = object.value("parts", std::set<std::string> {});
         record.isPart = object.value("isPart", false);
         record.transfersSent = object.value("giftsMade", 0U);
-        record.transfersReceived = object.value("giftsReceived", std::map<std::string, uint32_t> {});
+        record.transfersReceived = transfersReceivedFromJson(object);
         record.finishedOccurrences = object.value("finishedOccurrences", std::set<uint32_t> {});
         for (const Json& row : object.value("progress", Json::array())) {
             JobRecord::OccurrenceProgress steps;
@@ -200,7 +225,7 @@
     putUnlessDefault(object, "parts", partCells);
     putUnlessDefault(object, "isPart", isPart);
     putUnlessDefault(object, "giftsMade", transfersSent);
-    putUnlessDefault(object, "giftsReceived", transfersReceived);
+    putTransfersReceived(object, transfersReceived);
     if (!isFinal(phase)) {
         putUnlessDefault(object, "finishedOccurrences", finishedOccurrences);
         if (!progress.empty())
--- a/Source/Core/Jobs/JobRecord.h
+++ b/Source/Core/Jobs/JobRecord.h
@@ -36,8 +36,9 @@
     bool isPart = false;
     /// Number of times that tasks were transferred to other cells; the transfers are numbered by it.
     uint32_t transfersSent = 0;
-    /// Number of the last transfer received from each cell. One that is read again is ignored.
-    std::map<std::string, uint32_t> transfersReceived;
+    /// Numbers of the transfers received from each cell, which may arrive in any order. One that is read again is
+    /// ignored.
+    std::map<std::string, std::set<uint32_t>> transfersReceived;
     std::set<uint32_t> finishedOccurrences;
     /// Progress of the occurrences that have begun and aren't finished.
     std::map<uint32_t, OccurrenceProgress> progress;
--- a/Source/UnitTests/Jobs/JobRecordTest.cpp
+++ b/Source/UnitTests/Jobs/JobRecordTest.cpp
@@ -65,3 +65,13 @@
     for (const char* const text : { "", "{", "[]", "{}", R"({"id":5})", R"({"id":"a","terms":{}})" })
         CHECK(JobRecord::decode(text).reason().code == Common::ErrorCode::ProtocolError);
 }
+
+TEST_CASE("received transfers are decoded, also from records of an earlier version")
+{
+    JobRecord record = sampleRecord();
+    record.transfersReceived = { { "yard-0", { 2, 4 } } };
+    CHECK(JobRecord::decode(record.encode())->transfersReceived == record.transfersReceived);
+    std::string text = sampleRecord().encode();
+    text.insert(1, R"("giftsReceived":{"yard-0":3},)");
+    CHECK(JobRecord::decode(text)->transfersReceived.at("yard-0") == std::set<uint32_t> { 1, 2, 3 });
+}
