Run ordinary jobs of full cells in cells with room

Change: after a second without room, waiting tasks of an unscheduled ordinary step are transferred to the peer cell with the most room, if nothing of the job runs in the cell; a gang moves whole or not at all. The receiving cell holds them as a part. Tasks of a part that are done or have used up their attempts are returned to the job's cell (event tasks-returned) by the same numbered transfers, several at a time. That cell opens the steps that depend on them, and completes or fails the job in the transaction that removes the transfer. The end of a job, also its completion, now ends its parts, whose records expire like others.

Why it works: a task belongs to one cell at any time, since a return is written together with the part's record and removed together with the job's. Failed attempts are added up over cells. A part keeps its occurrences open and never makes the job final.

To keep the store's writes few, nothing moves while no heartbeat shows room, the delay doubles to 8 s with each transfer without progress, and a search for room that failed isn't repeated for 500 ms for tasks that are as large.

CellWorldTest, GangTest, CancellationTest and JobsTests pass.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -434,6 +434,7 @@
         if (worker->entry().draining)
             evacuate(*worker);
     }
+    returnAllEndedTasks();
     writeWorkers();
     answerStopWaiters();
     if (m_runtime.now() - m_pressureEstimatesLoggedAt >= pressureEstimateInterval
@@ -496,6 +497,8 @@
             job->saveCheckpoint(end.task, end.checkpoint);
         if (!job->isDurable())
             markChanged(*job);
+        if (job->isPart())
+            scheduleReturn(job->id());
     }
     worker.pendingEnds.push_back({ end.number, end.task.job, job ? job->changes() : 0 });
 }
@@ -524,7 +527,7 @@
     if (LiveTask* const task = job.find(end.task))
         task->avoid = worker.id();
     recordRunOutcome(worker, job, false);
-    if (!job.markFailed(end.task, end.attempt))
+    if (!job.markFailed(end.task, end.attempt) || job.isPart())
         return;
     LC_INFO(Jobs, "event=job-failed job=" << job.id().value() << " task=" << runName({ end.task, end.attempt }));
     finishJob(job, Jobs::JobPhase::Failed, nullptr);
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -172,8 +172,16 @@
     std::vector<Candidate> candidates();
     void placeStep(const Candidate&, std::vector<Candidate>& blocked);
     void handleBlockedStep(LiveJob&, const Candidate&);
+    bool transferIfBlockedForLong(LiveJob&, const Candidate&);
     void transferTasks(LiveJob&, const Candidate&);
+    void commitTransfer(LiveJob&, const TaskTransfer&);
+    /// Returns the part's ended tasks shortly, together with others that end until then.
+    void scheduleReturn(const Common::JobId&);
+    void returnEndedTasks(LiveJob&);
+    void returnAllEndedTasks();
     void receiveTransfer(const TaskTransfer&);
+    void onTasksReturned(LiveJob&);
+    bool isWorthWaitingForRack(const Jobs::StepSpec&, const LiveStep&) const;
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
     std::optional<std::pair<CellId, size_t>> findCellWithCapacity(const Common::ServiceName&, const Jobs::StepSpec&);
     void notifyParts(const LiveJob&);
@@ -243,7 +251,13 @@
     };
     /// Tasks transferred to a peer cell that its heartbeats may not account for yet.
     std::map<CellId, RecentTransfer> m_recentTransfers;
-    /// Peer cells that haven't acknowledged the cancellation of their parts, by job.
+    struct FailedSearch {
+        Common::MonotonicTime at;
+        int64_t milliCores = 0;
+    };
+    /// Recent searches for a peer cell with room that found none, by service and label.
+    std::map<std::pair<Common::ServiceName, std::string>, FailedSearch> m_failedSearches;
+    /// Peer cells that haven't acknowledged the end of their parts, by job.
     std::map<Common::JobId, std::set<CellId>> m_partCancellations;
     struct StopWaiter {
         Common::JobId job;
@@ -251,7 +265,7 @@
         Common::Callback<Common::Done> callback;
     };
     std::vector<StopWaiter> m_stopWaiters;
-    /// When long-running tasks of a job first found no room.
+    /// When tasks of a job first found no room.
     std::map<Common::JobId, Common::MonotonicTime> m_blockedSince;
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
     Common::MonotonicTime m_blockedLoggedAt;
--- a/Source/Core/Cells/CellEngineGangs.cpp
+++ b/Source/Core/Cells/CellEngineGangs.cpp
@@ -42,6 +42,14 @@
     return offers;
 }
 
+/// Whether the gang has waited for less than the estimated extra run time if its members are on several racks.
+bool CellEngine::isWorthWaitingForRack(const Jobs::StepSpec& spec, const LiveStep& step) const
+{
+    const auto extraTime = Common::Duration(static_cast<Common::Duration::rep>(
+        static_cast<double>(spec.estimate.count()) * (m_settings.spreadSlowdown - 1)));
+    return step.waitingSince && m_runtime.now() - *step.waitingSince < extraTime;
+}
+
 /// Starts all members of a gang at once, or none.
 void CellEngine::placeGang(const Candidate& candidate)
 {
@@ -55,11 +63,7 @@
         return;
     if (!step.waitingSince)
         step.waitingSince = now;
-    // Estimated extra run time of the gang if its members are on several racks.
-    const auto worthWaiting = Common::Duration(static_cast<Common::Duration::rep>(
-        static_cast<double>(spec.estimate.count()) * (m_settings.spreadSlowdown - 1)));
-    const Policy::GangRequirements requirements { step.tasks.size(), spec.sameRack,
-        now - *step.waitingSince < worthWaiting };
+    const Policy::GangRequirements requirements { step.tasks.size(), spec.sameRack, isWorthWaitingForRack(spec, step) };
     const Policy::GangPlacement placement = Policy::chooseGangPlacement(requirements, gangOffers(job, candidate));
     if (std::holds_alternative<Policy::WaitForRack>(placement)) {
         handleBlockedStep(job, candidate);
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -15,10 +15,6 @@
     constexpr uint32_t skippedAttempts = 4;
     /// Minimum time between log lines about tasks that find no room.
     constexpr Common::Duration blockedLogInterval = std::chrono::seconds(2);
-    /// A long-running task that finds no room is transferred to another cell after this long. The delay doubles with
-    /// each transfer of tasks of the job, up to 2 s, so that tasks that fit nowhere don't circulate between cells.
-    constexpr Common::Duration transferDelay = std::chrono::milliseconds(500);
-    constexpr uint32_t maximumTransferDelayDoublings = 2;
     constexpr double fullPace = 100;
     /// Pause before a task is started again after a worker couldn't read its order.
     constexpr Common::Duration malformedRetryPause = std::chrono::seconds(1);
@@ -153,18 +149,10 @@
 
 void CellEngine::handleBlockedStep(LiveJob& job, const Candidate& candidate)
 {
+    if (transferIfBlockedForLong(job, candidate))
+        return;
     const Common::MonotonicTime now = m_runtime.now();
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    // Every cell that holds a scheduled job would open its due occurrences, so scheduled jobs aren't transferred.
-    const bool movable = spec.longRunning && !job.spec().isScheduled() && !m_committer.isTransferring(job.id());
-    if (movable) {
-        const Common::MonotonicTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
-        if (now - since >= transferDelay * (1 << std::min(job.transfersSent(), maximumTransferDelayDoublings))) {
-            m_blockedSince.erase(job.id());
-            transferTasks(job, candidate);
-            return;
-        }
-    }
     if (now - m_blockedLoggedAt < blockedLogInterval)
         return;
     m_blockedLoggedAt = now;
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -1,22 +1,75 @@
-// Transfers waiting tasks to peer cells, receives transfers and cancels parts.
+// Transfers tasks that find no room to peer cells, returns ended tasks of parts to the cells of their jobs, receives
+// both and ends parts.
 #include "Cells/CellEngine.h"
 
 #include "Common/Log.h"
 
+#include <algorithm>
+
 namespace Cells {
 
 namespace {
 
+    /// A long-running task that finds no room is transferred to another cell after this long. The delay doubles with
+    /// each transfer of tasks of the job, up to 2 s, so that tasks that fit nowhere don't circulate between cells.
+    constexpr Common::Duration longRunningTransferDelay = std::chrono::milliseconds(500);
+    constexpr uint32_t maximumLongRunningDelayDoublings = 2;
+    /// The same for other tasks. The delay doubles, up to 8 s, with each transfer since tasks of the job last began or
+    /// ended, so that jobs of many steps may move with each of them.
+    constexpr Common::Duration transferDelay = std::chrono::milliseconds(1000);
+    constexpr uint32_t maximumDelayDoublings = 3;
     /// Time until heartbeats account for transferred tasks: two heartbeats of the receiving owner and the slack between
     /// them.
     constexpr Common::Duration transferReportDelay = std::chrono::milliseconds(1500);
+    /// After a search for a cell with room failed, the same search isn't repeated for this long.
+    constexpr Common::Duration searchPause = std::chrono::milliseconds(500);
+    /// Delay between the end of a part's task and its return, so that one return covers several tasks.
+    constexpr Common::Duration returnDelay = std::chrono::milliseconds(100);
+
+    Common::Duration transferDelayOf(const LiveJob& job, const Jobs::StepSpec& spec)
+    {
+        if (spec.longRunning)
+            return longRunningTransferDelay * (1 << std::min(job.transfersSent(), maximumLongRunningDelayDoublings));
+        return transferDelay * (1 << std::min(job.transfersWithoutProgress(), maximumDelayDoublings));
+    }
 
 } // namespace
 
+/// Returns whether the delay has passed, so that a transfer was tried.
+bool CellEngine::transferIfBlockedForLong(LiveJob& job, const Candidate& candidate)
+{
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    // Every cell that holds a scheduled job would open its due occurrences, so scheduled jobs aren't transferred.
+    if (job.spec().isScheduled() || m_committer.isTransferring(job.id()))
+        return false;
+    // A part of a host of an earlier version doesn't say where ended tasks belong.
+    if (!spec.longRunning && job.isPart() && job.homeCell().empty())
+        return false;
+    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    if (spec.gang && spec.sameRack && isWorthWaitingForRack(spec, step))
+        return false;
+    const Common::MonotonicTime now = m_runtime.now();
+    const Common::MonotonicTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
+    if (now - since < transferDelayOf(job, spec))
+        return false;
+    m_blockedSince.erase(job.id());
+    // While a task of the job runs, the cell isn't full for good: the others wait for their turn.
+    if (spec.longRunning || !job.hasRun())
+        transferTasks(job, candidate);
+    return true;
+}
+
+/// The peer cell with the most room for tasks of the step, and for how many.
 std::optional<std::pair<CellId, size_t>> CellEngine::findCellWithCapacity(
     const Common::ServiceName& service, const Jobs::StepSpec& spec)
 {
     const Common::MonotonicTime now = m_runtime.now();
+    const auto search = std::make_pair(service, spec.requiredLabel);
+    const auto failed = m_failedSearches.find(search);
+    // Where a task had no room, a larger one has none.
+    if (!spec.longRunning && failed != m_failedSearches.end() && now - failed->second.at < searchPause
+        && spec.resources.milliCores >= failed->second.milliCores)
+        return std::nullopt;
     std::erase_if(m_recentTransfers, [now](const auto& row) { return now - row.second.at > transferReportDelay; });
     std::optional<std::pair<CellId, size_t>> best;
     for (const auto& [cell, room] : m_peerCells.taskSlots(m_id, service, spec)) {
@@ -25,43 +78,82 @@
         if (room > taken && (!best || room - taken > best->second))
             best.emplace(cell, room - taken);
     }
+    if (!best)
+        m_failedSearches[search] = { now, spec.resources.milliCores };
     return best;
 }
 
-/// Transfers waiting tasks of a long-running step to the peer cell with the most room. These tasks don't depend on each
-/// other, so they may run in different cells.
+/// Transfers waiting tasks of a step to the peer cell with the most room. They don't depend on each other, so they may
+/// run in different cells; only a gang stays together.
 void CellEngine::transferTasks(LiveJob& job, const Candidate& candidate)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
     const auto other = findCellWithCapacity(job.policy().service, spec);
-    if (!other)
+    if (!other || (spec.gang && other->second < spec.taskCount))
         return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
-    std::vector<uint32_t> tasks;
+    std::vector<Jobs::TaskName> tasks;
     for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < other->second; ++index) {
         if (step.tasks[index].waiting())
-            tasks.push_back(index);
+            tasks.push_back({ job.id(), candidate.occurrence, candidate.step, index });
     }
     RecentTransfer& recent = m_recentTransfers[other->first];
     recent.at = m_runtime.now();
     recent.tasks += tasks.size();
-    const TaskTransfer transfer = job.transferTasks(candidate.occurrence, candidate.step, tasks, m_id, other->first);
+    const TaskTransfer transfer = job.transferTasks(tasks, m_id, other->first);
     LC_INFO(Jobs,
         "event=tasks-given job=" << job.id().value() << " tasks=" << tasks.size() << " from=" << m_id.value()
                                  << " to=" << transfer.to.value() << " gift=" << transfer.number);
+    commitTransfer(job, transfer);
+}
+
+void CellEngine::commitTransfer(LiveJob& job, const TaskTransfer& transfer)
+{
     m_committer.transferTasks(job.id(), transfer.key(), transfer.encode(),
         m_lifetime.guard([this, transfer](const Common::Result<bool>& done) {
-            if (done && *done) {
+            LiveJob* const sender = findJob(transfer.part.id);
+            if (done && *done)
                 m_peerCells.sendTransfer(transfer);
-                return;
-            }
-            if (LiveJob* const kept = findJob(transfer.part.id); kept && !isFinal(kept->phase())) {
-                kept->revertTransfer(transfer);
-                markChanged(*kept);
+            else if (sender && !isFinal(sender->phase())) {
+                sender->revertTransfer(transfer);
+                markChanged(*sender);
             }
+            if (sender && sender->isPart())
+                scheduleReturn(transfer.part.id);
         }));
 }
 
+void CellEngine::scheduleReturn(const Common::JobId& id)
+{
+    m_runtime.schedule(returnDelay, m_lifetime.guard([this, id] {
+        if (LiveJob* const part = findJob(id))
+            returnEndedTasks(*part);
+    }));
+}
+
+/// Transfers the tasks of a part that have ended to the cell to which the job belongs.
+void CellEngine::returnEndedTasks(LiveJob& part)
+{
+    if (m_closed || m_releasing || !part.isPart() || part.homeCell().empty() || isFinal(part.phase())
+        || m_committer.isTransferring(part.id()))
+        return;
+    const std::vector<Jobs::TaskName> tasks = part.endedTasks();
+    if (tasks.empty())
+        return;
+    const TaskTransfer transfer = part.transferTasks(tasks, m_id, CellId(part.homeCell()));
+    LC_INFO(Jobs,
+        "event=tasks-returned job=" << part.id().value() << " tasks=" << tasks.size() << " from=" << m_id.value()
+                                    << " to=" << transfer.to.value() << " gift=" << transfer.number);
+    commitTransfer(part, transfer);
+}
+
+/// Returns what earlier owners of the cell didn't, and tasks whose last run was lost.
+void CellEngine::returnAllEndedTasks()
+{
+    for (const auto& [id, job] : m_jobs)
+        returnEndedTasks(*job);
+}
+
 void CellEngine::receiveTransfer(const TaskTransfer& transfer)
 {
     LC_INFO(Jobs,
@@ -69,25 +161,43 @@
                                     << " from=" << transfer.from.value() << " gift=" << transfer.number);
     // An earlier owner may have received it too and started its tasks before the receipt was durable.
     constexpr bool mayHaveStarted = true;
-    if (LiveJob* const known = findJob(transfer.part.id))
+    if (LiveJob* const known = findJob(transfer.part.id)) {
         known->receiveTransfer(transfer);
-    else
+        if (!known->isPart())
+            onTasksReturned(*known);
+    } else if (transfer.part.homeCell != m_id.value()) {
         addJob(transfer.part, mayHaveStarted);
+    }
+    // Also if the job has ended and its record has expired: the transfer is then removed.
     m_committer.recordReceivedTransfer(transfer.part.id, transfer.key());
     schedulePlacement();
 }
 
-/// Notifies the owners of peer cells that hold tasks of the job of its cancellation, or asks them to check their
-/// transfers. Each new owner repeats this, in case a message was lost or the former owner stopped before sending it.
+void CellEngine::onTasksReturned(LiveJob& job)
+{
+    if (isFinal(job.phase()))
+        return;
+    if (job.isComplete()) {
+        LC_INFO(Jobs, "event=job-completed job=" << job.id().value() << " cell=" << m_id.value());
+        finishJob(job, Jobs::JobPhase::Completed, nullptr);
+    } else if (job.hasUsedUpTask()) {
+        LC_INFO(Jobs, "event=job-failed job=" << job.id().value() << " cell=" << m_id.value());
+        finishJob(job, Jobs::JobPhase::Failed, nullptr);
+    }
+}
+
+/// Tells the owners of peer cells that hold parts of the job of its end, so that the parts end too, or asks them to
+/// check their transfers. Each new owner repeats this, in case a message was lost or the former owner stopped before
+/// sending it.
 void CellEngine::notifyParts(const LiveJob& job)
 {
-    const bool cancelled = job.phase() == Jobs::JobPhase::Cancelled || job.phase() == Jobs::JobPhase::Failed;
+    const bool ended = isFinal(job.phase());
     for (const std::string& name : job.partCells()) {
         const CellId cell(name);
-        if (cancelled && m_partCancellations[job.id()].insert(cell).second) {
+        if (ended && m_partCancellations[job.id()].insert(cell).second) {
             m_peerCells.cancel(cell, job.cancelledPart(),
                 m_lifetime.guard([this, id = job.id(), cell] { onPartCancelled(id, cell); }));
-        } else if (!cancelled && job.recovered()) {
+        } else if (!ended && job.recovered()) {
             m_peerCells.requestTransferCheck(cell, job.id());
         }
     }
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -39,8 +39,10 @@
         return;
     for (const auto& [occurrence, steps] : progress) {
         LiveOccurrence restored = open(occurrence, now, wallMilliseconds);
-        for (size_t step = 0; step < std::min(steps.size(), restored.steps.size()); ++step)
+        for (uint32_t step = 0; step < std::min(steps.size(), restored.steps.size()); ++step) {
             restore(restored.steps[step], steps[step]);
+            updateUsedUpTasks(step, restored.steps[step]);
+        }
         m_occurrences.emplace(occurrence, std::move(restored));
     }
 }
@@ -107,6 +109,7 @@
     task.progress.lastAttempt = std::max(task.progress.lastAttempt, run.attempt.value);
     task.run = std::move(run);
     --step->waitingCount;
+    m_transfersWithoutProgress = 0;
     m_hasStartedTask = true;
     m_record.phase = Jobs::JobPhase::Running;
 }
@@ -155,6 +158,8 @@
 void LiveJob::closeFinished(uint32_t occurrence)
 {
     const auto found = m_occurrences.find(occurrence);
+    if (isPart() || found == m_occurrences.end())
+        return;
     const auto& steps = found->second.steps;
     if (!std::all_of(steps.begin(), steps.end(), [](const LiveStep& step) { return step.isComplete(); }))
         return;
@@ -175,14 +180,8 @@
         return false;
     task->progress.failedAttempts.insert(attempt.value);
     ++m_changes;
-    const bool limited = m_record.policy.maximumAttempts > 0 && !stepSpec(name.step).longRunning;
-    size_t failures = task->progress.failedAttempts.size();
-    if (stepSpec(name.step).gang) {
-        failures = 0;
-        for (const LiveTask& member : members)
-            failures += member.progress.failedAttempts.size();
-    }
-    return limited && failures >= m_record.policy.maximumAttempts;
+    updateUsedUpTasks(name.step, *stepOf(name));
+    return task->attemptsUsedUp;
 }
 
 void LiveJob::updateCheckpoint(const Jobs::TaskName& name, const std::string& checkpoint)
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -34,8 +34,12 @@
     bool isPart() const { return m_record.isPart; }
     /// Cells to which tasks of the job were transferred.
     const std::set<std::string>& partCells() const { return m_record.partCells; }
+    /// The cell to which a part returns ended tasks; see JobRecord::homeCell.
+    const std::string& homeCell() const { return m_record.homeCell; }
     /// Number of transfers of the job's tasks that this cell has begun.
     uint32_t transfersSent() const { return m_record.transfersSent; }
+    /// Number of transfers to other cells since a task last began a run here, or was returned done.
+    uint32_t transfersWithoutProgress() const { return m_transfersWithoutProgress; }
     const std::map<uint32_t, LiveOccurrence>& occurrences() const { return m_occurrences; }
     std::map<uint32_t, LiveOccurrence>& occurrences() { return m_occurrences; }
 
@@ -70,14 +74,20 @@
     /// Whether all occurrences have succeeded.
     bool isComplete() const;
 
-    /// Transfers waiting tasks of a long-running step to another cell; returns the transfer to be stored.
-    TaskTransfer transferTasks(
-        uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from, const CellId& to);
+    /// Transfers tasks without runs to another cell; returns the transfer to be stored.
+    TaskTransfer transferTasks(const std::vector<Jobs::TaskName>&, const CellId& from, const CellId& to);
     /// Takes the tasks back after the transfer couldn't be stored.
     void revertTransfer(const TaskTransfer&);
-    /// Takes the tasks over, unless this transfer was received before.
+    /// Takes the tasks over with their progress, and notes which other tasks are done, unless this transfer was
+    /// received before. The job may be complete, or have a task without attempts left, afterwards.
     void receiveTransfer(const TaskTransfer&);
-    /// The record of the cancelled job for a cell that tasks of it were, or will be, transferred to.
+    /// Tasks of a part that have ended here and haven't been returned: done, or without attempts left.
+    std::vector<Jobs::TaskName> endedTasks() const;
+    /// Whether a task of this cell has failed as often as it may.
+    bool hasUsedUpTask() const;
+    /// Whether a task of the job has a run in this cell.
+    bool hasRun() const;
+    /// The record of the final job for a cell that tasks of it were, or will be, transferred to: a cancelled part.
     Jobs::JobRecord cancelledPart() const;
 
     /// Estimated duration of the longest chain of dependent steps that the occurrence hasn't completed.
@@ -100,8 +110,11 @@
 private:
     LiveOccurrence open(uint32_t occurrence, Common::MonotonicTime now, int64_t wallMilliseconds) const;
     LiveStep* stepOf(const Jobs::TaskName&);
-    template <typename Change> void forEachTransferredTask(const TaskTransfer&, const Change&);
+    template <typename Change> void forEachTask(const TaskTransfer&, const Change&);
+    template <typename Condition> bool hasTask(const Condition&) const;
+    /// Parts keep their occurrences, whose tasks are yet to be returned.
     void closeFinished(uint32_t occurrence);
+    void updateUsedUpTasks(uint32_t step, LiveStep&) const;
     /// Null: none of the steps is complete.
     Common::Duration criticalPathFrom(const LiveOccurrence*, uint32_t step) const;
 
@@ -111,6 +124,7 @@
     Common::Duration m_objective {};
     bool m_recovered = false;
     bool m_hasStartedTask = false;
+    uint32_t m_transfersWithoutProgress = 0;
     uint64_t m_changes = 1;
     uint64_t m_committedChanges = 0;
 };
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -5,10 +5,10 @@
 
 namespace Cells {
 
-TaskTransfer LiveJob::transferTasks(
-    uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from, const CellId& to)
+TaskTransfer LiveJob::transferTasks(const std::vector<Jobs::TaskName>& tasks, const CellId& from, const CellId& to)
 {
     TaskTransfer transfer { from, to, ++m_record.transfersSent, toRecord() };
+    transfer.part.homeCell = isPart() ? homeCell() : from.value();
     transfer.part.isPart = true;
     transfer.part.partCells.clear();
     transfer.part.transfersSent = 0;
@@ -19,24 +19,25 @@
                 task.transferredTo = from.value();
         }
     }
-    LiveStep& source = m_occurrences.at(occurrence).steps.at(step);
-    for (const uint32_t index : tasks) {
-        transfer.part.progress.at(occurrence).at(step).at(index) = source.tasks[index].progress;
-        source.tasks[index].progress.transferredTo = to.value();
-        --source.waitingCount;
+    for (const Jobs::TaskName& name : tasks) {
+        LiveTask& task = *find(name);
+        transfer.part.progress.at(name.occurrence).at(name.step).at(name.index) = task.progress;
+        stepOf(name)->waitingCount -= task.waiting() ? 1 : 0;
+        task.progress.transferredTo = to.value();
     }
     m_record.partCells.insert(to.value());
+    ++m_transfersWithoutProgress;
     ++m_changes;
     return transfer;
 }
 
-template <typename Change> void LiveJob::forEachTransferredTask(const TaskTransfer& transfer, const Change& change)
+/// Calls `change` for each task of the transfer's record that belongs to an open occurrence.
+template <typename Change> void LiveJob::forEachTask(const TaskTransfer& transfer, const Change& change)
 {
     for (const auto& [occurrence, steps] : transfer.part.progress) {
         for (uint32_t step = 0; step < steps.size(); ++step) {
             for (uint32_t index = 0; index < steps[step].size(); ++index) {
-                LiveTask* const task = find(Jobs::TaskName { id(), occurrence, step, index });
-                if (task && steps[step][index].transferredTo.empty())
+                if (LiveTask* const task = find(Jobs::TaskName { id(), occurrence, step, index }))
                     change(*task, steps[step][index], m_occurrences.at(occurrence).steps[step]);
             }
         }
@@ -45,11 +46,11 @@
 
 void LiveJob::revertTransfer(const TaskTransfer& transfer)
 {
-    forEachTransferredTask(transfer, [&](LiveTask& task, const Jobs::TaskProgress&, LiveStep& step) {
-        if (task.progress.transferredTo != transfer.to.value())
+    forEachTask(transfer, [&](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
+        if (!transferred.transferredTo.empty() || task.progress.transferredTo != transfer.to.value())
             return;
         task.progress.transferredTo.clear();
-        ++step.waitingCount;
+        step.waitingCount += task.waiting() ? 1 : 0;
     });
     ++m_changes;
 }
@@ -59,14 +60,90 @@
     ++m_changes;
     if (!m_record.transfersReceived[transfer.from.value()].insert(transfer.number).second)
         return;
-    forEachTransferredTask(transfer, [](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
-        if (task.progress.transferredTo.empty() || task.progress.done)
+    forEachTask(transfer, [this](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
+        Jobs::TaskProgress& progress = task.progress;
+        const bool transferredHere = transferred.transferredTo.empty();
+        if (progress.transferredTo.empty() || progress.done || (!transferredHere && !transferred.done))
             return;
-        const uint32_t lastAttempt = std::max(task.progress.lastAttempt, transferred.lastAttempt);
-        task.progress = transferred;
-        task.progress.lastAttempt = lastAttempt;
-        ++step.waitingCount;
+        const uint32_t lastAttempt = std::max(progress.lastAttempt, transferred.lastAttempt);
+        const std::string holder = transferredHere ? std::string {} : progress.transferredTo;
+        if (transferred.done) {
+            // Also noted of a task that stays elsewhere: transferred tasks of a later step may depend on it.
+            progress = Jobs::TaskProgress { .done = true, .lastAttempt = lastAttempt, .transferredTo = holder };
+            ++step.doneCount;
+            m_transfersWithoutProgress = 0;
+        } else {
+            std::set<uint32_t> failedAttempts = transferred.failedAttempts;
+            failedAttempts.merge(progress.failedAttempts);
+            progress = transferred;
+            progress.failedAttempts = std::move(failedAttempts);
+            progress.lastAttempt = lastAttempt;
+            step.waitingCount += task.waiting() ? 1 : 0;
+        }
+        m_hasStartedTask = m_hasStartedTask || lastAttempt > 0 || transferred.done;
     });
+    if (m_hasStartedTask && !isFinal(phase()))
+        m_record.phase = Jobs::JobPhase::Running;
+    for (auto& [occurrence, open] : m_occurrences) {
+        for (uint32_t step = 0; step < open.steps.size(); ++step)
+            updateUsedUpTasks(step, open.steps[step]);
+    }
+    for (const auto& [occurrence, steps] : transfer.part.progress)
+        closeFinished(occurrence);
+}
+
+void LiveJob::updateUsedUpTasks(uint32_t stepIndex, LiveStep& step) const
+{
+    const Jobs::StepSpec& spec = stepSpec(stepIndex);
+    if (m_record.policy.maximumAttempts == 0 || spec.longRunning)
+        return;
+    size_t failuresOfGang = 0;
+    for (const LiveTask& task : step.tasks)
+        failuresOfGang += task.progress.failedAttempts.size();
+    for (LiveTask& task : step.tasks) {
+        const size_t failures = spec.gang ? failuresOfGang : task.progress.failedAttempts.size();
+        const bool waited = task.waiting();
+        task.attemptsUsedUp = !task.progress.done && failures >= m_record.policy.maximumAttempts;
+        step.waitingCount -= waited && !task.waiting() ? 1 : 0;
+        step.waitingCount += !waited && task.waiting() ? 1 : 0;
+    }
+}
+
+std::vector<Jobs::TaskName> LiveJob::endedTasks() const
+{
+    std::vector<Jobs::TaskName> ended;
+    for (const auto& [occurrence, open] : m_occurrences) {
+        for (uint32_t step = 0; step < open.steps.size(); ++step) {
+            const std::vector<LiveTask>& tasks = open.steps[step].tasks;
+            for (uint32_t index = 0; index < tasks.size(); ++index) {
+                const LiveTask& task = tasks[index];
+                if (task.progress.transferredTo.empty() && (task.progress.done || (task.attemptsUsedUp && !task.run)))
+                    ended.push_back({ id(), occurrence, step, index });
+            }
+        }
+    }
+    return ended;
+}
+
+bool LiveJob::hasUsedUpTask() const
+{
+    return hasTask([](const LiveTask& task) { return task.attemptsUsedUp && task.progress.transferredTo.empty(); });
+}
+
+bool LiveJob::hasRun() const
+{
+    return hasTask([](const LiveTask& task) { return task.run.has_value(); });
+}
+
+template <typename Condition> bool LiveJob::hasTask(const Condition& condition) const
+{
+    for (const auto& [occurrence, open] : m_occurrences) {
+        for (const LiveStep& step : open.steps) {
+            if (std::any_of(step.tasks.begin(), step.tasks.end(), condition))
+                return true;
+        }
+    }
+    return false;
 }
 
 Jobs::JobRecord LiveJob::cancelledPart() const
@@ -76,6 +153,7 @@
     part.partCells.clear();
     part.transfersReceived.clear();
     part.transfersSent = 0;
+    part.phase = Jobs::JobPhase::Cancelled;
     return part;
 }
 
--- a/Source/Core/Cells/LiveTask.h
+++ b/Source/Core/Cells/LiveTask.h
@@ -17,7 +17,11 @@
     /// Worker on which the last run failed or was stuck; another worker is preferred. Empty if there is none.
     Common::WorkerId avoid;
 
-    bool waiting() const { return !progress.done && !run && progress.transferredTo.empty(); }
+    /// The task, or its gang, has failed as often as it may. The cell to which the job belongs fails the job then; a
+    /// part returns the task to that cell.
+    bool attemptsUsedUp = false;
+
+    bool waiting() const { return !progress.done && !run && !attemptsUsedUp && progress.transferredTo.empty(); }
 };
 
 } // namespace Cells
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -82,7 +82,7 @@
     }
 
     /// One step: a string with a flag per task (1: done, 0: not), then a row for each unfinished task that has
-    /// progress.
+    /// progress, and for each task that is done and belongs to another cell.
     Json stepProgressToJson(const std::vector<TaskProgress>& tasks)
     {
         std::string flags;
@@ -90,7 +90,7 @@
         for (size_t index = 0; index < tasks.size(); ++index) {
             const TaskProgress& task = tasks[index];
             flags.push_back(task.done ? '1' : '0');
-            if (!task.done && !task.isUntouched())
+            if (task.done ? !task.transferredTo.empty() : !task.isUntouched())
                 rows.push_back(
                     Json::array({ index, task.failedAttempts, task.lastAttempt, task.checkpoint, task.transferredTo }));
         }
@@ -173,6 +173,7 @@
         record.partCells = object.value("parts", std::set<std::string> {});
         record.isPart = object.value("isPart", false);
         record.transfersSent = object.value("giftsMade", 0U);
+        record.homeCell = object.value("home", std::string {});
         record.transfersReceived = transfersReceivedFromJson(object);
         record.finishedOccurrences = object.value("finishedOccurrences", std::set<uint32_t> {});
         for (const Json& row : object.value("progress", Json::array())) {
@@ -225,6 +226,7 @@
     putUnlessDefault(object, "parts", partCells);
     putUnlessDefault(object, "isPart", isPart);
     putUnlessDefault(object, "giftsMade", transfersSent);
+    putUnlessDefault(object, "home", homeCell);
     putTransfersReceived(object, transfersReceived);
     if (!isFinal(phase)) {
         putUnlessDefault(object, "finishedOccurrences", finishedOccurrences);
--- a/Source/Core/Jobs/JobRecord.h
+++ b/Source/Core/Jobs/JobRecord.h
@@ -30,10 +30,13 @@
     /// Wall-clock time of the owner when the job reached a final phase, in milliseconds; 0 before.
     int64_t finishedMilliseconds = 0;
     JobPhase phase = JobPhase::Queued;
-    /// Cells that took over some of the long-running tasks. Each stores them in a record of its own, a part.
+    /// Cells that took over some of the tasks. Each stores them in a record of its own, a part.
     std::set<std::string> partCells;
     /// Whether this record is such a part. Another cell accepts, shows and cancels the job.
     bool isPart = false;
+    /// That cell, to which a part returns tasks that have ended; empty if the record isn't a part, and in parts that
+    /// hosts of an earlier version created.
+    std::string homeCell;
     /// Number of times that tasks were transferred to other cells; the transfers are numbered by it.
     uint32_t transfersSent = 0;
     /// Numbers of the transfers received from each cell, which may arrive in any order. One that is read again is
--- a/Source/UnitTests/Cells/TaskTransferTest.cpp
+++ b/Source/UnitTests/Cells/TaskTransferTest.cpp
@@ -22,8 +22,9 @@
 TEST_CASE("a transfer that arrives after a later one of the same cell isn't lost")
 {
     Cells::LiveJob sender = openJob(CellWorld::service(1, 4));
-    const Cells::TaskTransfer first = sender.transferTasks(0, 0, { 0 }, yard, shed);
-    const Cells::TaskTransfer second = sender.transferTasks(0, 0, { 1, 2 }, yard, shed);
+    const auto task = [&sender](uint32_t index) { return Jobs::TaskName { sender.id(), 0, 0, index }; };
+    const Cells::TaskTransfer first = sender.transferTasks({ task(0) }, yard, shed);
+    const Cells::TaskTransfer second = sender.transferTasks({ task(1), task(2) }, yard, shed);
     Cells::LiveJob part = openJob(second.part);
     const auto waiting = [&part] { return part.occurrences().at(0).steps[0].waitingCount; };
     CHECK(waiting() == 2);
@@ -33,3 +34,39 @@
         part.receiveTransfer(again);
     CHECK(waiting() == 3);
 }
+
+TEST_CASE("failures in several cells are added up when a task is returned")
+{
+    Jobs::JobRecord record = CellWorld::job(1, "run:100", 2);
+    record.policy.maximumAttempts = 3;
+    Cells::LiveJob home = openJob(record);
+    const Jobs::TaskName task { home.id(), 0, 0, 1 };
+    CHECK_FALSE(home.markFailed(task, Common::AttemptNumber { 1 }));
+    Cells::LiveJob part = openJob(home.transferTasks({ task }, yard, shed).part);
+    // Reported late, by a worker whose lease had expired.
+    CHECK_FALSE(home.markFailed(task, Common::AttemptNumber { 2 }));
+    CHECK_FALSE(part.markFailed(task, Common::AttemptNumber { 3 }));
+    CHECK(part.markFailed(task, Common::AttemptNumber { 4 }));
+    CHECK(part.occurrences().at(0).steps[0].waitingCount == 0);
+    REQUIRE(part.endedTasks() == std::vector<Jobs::TaskName> { task });
+    home.receiveTransfer(part.transferTasks(part.endedTasks(), shed, yard));
+    CHECK(part.endedTasks().empty());
+    CHECK(home.hasUsedUpTask());
+    CHECK(home.find(task)->progress.failedAttempts == std::set<uint32_t> { 1, 2, 3, 4 });
+    CHECK(home.occurrences().at(0).steps[0].waitingCount == 1);
+}
+
+TEST_CASE("a part that is read from the store knows which of its done tasks were returned")
+{
+    Cells::LiveJob home = openJob(CellWorld::job(1, "run:100", 2));
+    const Jobs::TaskName returned { home.id(), 0, 0, 0 };
+    const Jobs::TaskName done { home.id(), 0, 0, 1 };
+    Cells::LiveJob part = openJob(home.transferTasks({ returned, done }, yard, shed).part);
+    part.markDone(returned);
+    home.receiveTransfer(part.transferTasks(part.endedTasks(), shed, yard));
+    part.markDone(done);
+    Cells::LiveJob recovered = openJob(*Jobs::JobRecord::decode(part.toRecord().encode()));
+    REQUIRE(recovered.endedTasks() == std::vector<Jobs::TaskName> { done });
+    home.receiveTransfer(recovered.transferTasks(recovered.endedTasks(), shed, yard));
+    CHECK(home.isComplete());
+}
--- a/Source/UnitTests/Jobs/JobRecordTest.cpp
+++ b/Source/UnitTests/Jobs/JobRecordTest.cpp
@@ -75,3 +75,16 @@
     text.insert(1, R"("giftsReceived":{"yard-0":3},)");
     CHECK(JobRecord::decode(text)->transfersReceived.at("yard-0") == std::set<uint32_t> { 1, 2, 3 });
 }
+
+TEST_CASE("a part's home cell and the holders of its done tasks are restored")
+{
+    JobRecord record = sampleRecord();
+    record.isPart = true;
+    record.homeCell = "yard-0";
+    record.progress.at(0)[0][0].transferredTo = "yard-0";
+    const auto read = JobRecord::decode(record.encode());
+    REQUIRE(read);
+    CHECK(read->homeCell == "yard-0");
+    CHECK(read->progress.at(0)[0][0].done);
+    CHECK(read->progress.at(0)[0][0].transferredTo == "yard-0");
+}
