Count failures that are reported after a task has moved

Callers could see a task start again after its last allowed attempt had failed (BUDGET): a worker that couldn't be reached held the end of a failed run, the task moved to another cell after the lease, and that cell never heard of the failure.

Change: a cell that hears of a failed run of a task that another cell holds sends it a transfer without tasks. The receiver adds the failed attempts in it to those of its own tasks.

Why it works: attempts keep their numbers in all cells, so that each failure counts once. The transfer is as durable as any other.

Not covered: a failure that is reported while another transfer of the job is being written isn't passed on by this; it is added when the task is returned.

Measured: "a failure that is reported at home after the task was transferred counts in the other cell" failed (5 starts in that cell instead of 4) and passes.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -527,7 +527,9 @@
     if (LiveTask* const task = job.find(end.task))
         task->avoid = worker.id();
     recordRunOutcome(worker, job, false);
-    if (!job.markFailed(end.task, end.attempt) || job.isPart())
+    const bool usedUp = job.markFailed(end.task, end.attempt);
+    tellHolderOfFailure(job, end.task);
+    if (!usedUp || job.isPart())
         return;
     LC_INFO(Jobs, "event=job-failed job=" << job.id().value() << " task=" << runName({ end.task, end.attempt }));
     finishJob(job, Jobs::JobPhase::Failed, nullptr);
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -178,6 +178,7 @@
     /// Returns the part's ended tasks shortly, together with others that end until then.
     void scheduleReturn(const Common::JobId&);
     void returnEndedTasks(LiveJob&);
+    void tellHolderOfFailure(LiveJob&, const Jobs::TaskName&);
     void returnAllEndedTasks();
     void receiveTransfer(const TaskTransfer&);
     void onTasksReturned(LiveJob&);
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -147,6 +147,21 @@
     commitTransfer(part, transfer);
 }
 
+/// Sends a transfer without tasks to the cell that has taken the task over, so that its progress there includes the
+/// failure: a worker may report the end of a run after the run was given up.
+void CellEngine::tellHolderOfFailure(LiveJob& job, const Jobs::TaskName& name)
+{
+    const LiveTask* const task = job.find(name);
+    if (!task || task->progress.transferredTo.empty() || job.stepSpec(name.step).longRunning
+        || m_committer.isTransferring(job.id()))
+        return;
+    const TaskTransfer transfer = job.transferTasks({}, m_id, CellId(task->progress.transferredTo));
+    LC_INFO(Jobs,
+        "event=failure-passed-on job=" << job.id().value() << " from=" << m_id.value() << " to=" << transfer.to.value()
+                                       << " gift=" << transfer.number);
+    commitTransfer(job, transfer);
+}
+
 /// Returns what earlier owners of the cell didn't, and tasks whose last run was lost.
 void CellEngine::returnAllEndedTasks()
 {
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -74,7 +74,8 @@
     /// Whether all occurrences have succeeded.
     bool isComplete() const;
 
-    /// Transfers tasks without runs to another cell; returns the transfer to be stored.
+    /// Transfers tasks without runs, or none, to another cell; returns the transfer to be stored, which holds what is
+    /// known of the progress of all tasks.
     TaskTransfer transferTasks(const std::vector<Jobs::TaskName>&, const CellId& from, const CellId& to);
     /// Takes the tasks back after the transfer couldn't be stored.
     void revertTransfer(const TaskTransfer&);
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -63,6 +63,9 @@
     forEachTask(transfer, [this](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
         Jobs::TaskProgress& progress = task.progress;
         const bool transferredHere = transferred.transferredTo.empty();
+        // Failures that the sender heard of after it had transferred the task.
+        if (progress.transferredTo.empty() && !progress.done && !transferredHere)
+            progress.failedAttempts.insert(transferred.failedAttempts.begin(), transferred.failedAttempts.end());
         if (progress.transferredTo.empty() || progress.done || (!transferredHere && !transferred.done))
             return;
         const uint32_t lastAttempt = std::max(progress.lastAttempt, transferred.lastAttempt);
--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -83,6 +83,11 @@
         const std::string toHome = Cells::StoreKeys::job(home, jobId(jobNumber)) + Cells::StoreKeys::transferMarker;
         return store.countWithPrefix(Cells::StoreKeys::job(peer, jobId(jobNumber))) + store.countWithPrefix(toHome);
     }
+    void disconnect(const std::string& a, const std::string& b)
+    {
+        network.cut(a, b);
+        network.cut(b, a);
+    }
     /// Kills the cell's owner and starts another host at its address.
     void killOwnerOf(const Cells::CellId& cell)
     {
@@ -208,6 +213,24 @@
     CHECK(world.judge.summary() == "");
 }
 
+TEST_CASE("a failure that is reported at home after the task was transferred counts in the other cell")
+{
+    FullCell world(11, 3);
+    world.submitJob("fail:3000", 1);
+    world.clock.advance(500ms);
+    REQUIRE(world.runningOfJob() == 1);
+    // The run fails while nobody reaches its worker; after its lease the tasks of the worker move.
+    for (WorldHost* const host : world.live())
+        world.disconnect(world.homeWorker().entry().address, host->address);
+    world.waitUntil([&] { return world.peerWorker().running() == 4; });
+    world.network.heal();
+    world.clock.advance(15s);
+    CHECK(world.phaseOfJob() == JobPhase::Failed);
+    CHECK(world.homeWorker().starts == 4);
+    CHECK(world.peerWorker().starts == 4);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("a gang that fails in another cell is shown as failed after its last attempt there")
 {
     FullCell world(8);
