--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -39,8 +39,10 @@
         return;
     for (const auto& [occurrence, steps] : progress) {
         LiveOccurrence restored = open(occurrence, now, wallMilliseconds);
-        for (size_t step = 0; step < std::min(steps.size(), restored.steps.size()); ++step)
+        for (uint32_t step = 0; step < std::min(steps.size(), restored.steps.size()); ++step) {
             restore(restored.steps[step], steps[step]);
+            updateUsedUpTasks(step, restored.steps[step]);
+        }
         m_occurrences.emplace(occurrence, std::move(restored));
     }
 }
@@ -107,6 +109,7 @@
     task.progress.lastAttempt = std::max(task.progress.lastAttempt, run.attempt.value);
     task.run = std::move(run);
     --step->waitingCount;
+    m_transfersWithoutProgress = 0;
     m_hasStartedTask = true;
     m_record.phase = Jobs::JobPhase::Running;
 }
@@ -155,6 +158,8 @@
 void LiveJob::closeFinished(uint32_t occurrence)
 {
     const auto found = m_occurrences.find(occurrence);
+    if (isPart() || found == m_occurrences.end())
+        return;
     const auto& steps = found->second.steps;
     if (!std::all_of(steps.begin(), steps.end(), [](const LiveStep& step) { return step.isComplete(); }))
         return;
@@ -175,14 +180,8 @@
         return false;
     task->progress.failedAttempts.insert(attempt.value);
     ++m_changes;
-    const bool limited = m_record.policy.maximumAttempts > 0 && !stepSpec(name.step).longRunning;
-    size_t failures = task->progress.failedAttempts.size();
-    if (stepSpec(name.step).gang) {
-        failures = 0;
-        for (const LiveTask& member : members)
-            failures += member.progress.failedAttempts.size();
-    }
-    return limited && failures >= m_record.policy.maximumAttempts;
+    updateUsedUpTasks(name.step, *stepOf(name));
+    return task->attemptsUsedUp;
 }
 
 void LiveJob::updateCheckpoint(const Jobs::TaskName& name, const std::string& checkpoint)
@@ -217,82 +216,6 @@
     ++m_changes;
 }
 
-TaskTransfer LiveJob::transferTasks(
-    uint32_t occurrence, uint32_t step, const std::vector<uint32_t>& tasks, const CellId& from, const CellId& to)
-{
-    TaskTransfer transfer { from, to, ++m_record.transfersSent, toRecord() };
-    transfer.part.isPart = true;
-    transfer.part.partCells.clear();
-    transfer.part.transfersSent = 0;
-    transfer.part.transfersReceived = { { from.value(), transfer.number } };
-    for (auto& [index, steps] : transfer.part.progress) {
-        for (auto& row : steps) {
-            for (Jobs::TaskProgress& task : row)
-                task.transferredTo = from.value();
-        }
-    }
-    LiveStep& source = m_occurrences.at(occurrence).steps.at(step);
-    for (const uint32_t index : tasks) {
-        transfer.part.progress.at(occurrence).at(step).at(index) = source.tasks[index].progress;
-        source.tasks[index].progress.transferredTo = to.value();
-        --source.waitingCount;
-    }
-    m_record.partCells.insert(to.value());
-    ++m_changes;
-    return transfer;
-}
-
-template <typename Change> void LiveJob::forEachTransferredTask(const TaskTransfer& transfer, const Change& change)
-{
-    for (const auto& [occurrence, steps] : transfer.part.progress) {
-        for (uint32_t step = 0; step < steps.size(); ++step) {
-            for (uint32_t index = 0; index < steps[step].size(); ++index) {
-                LiveTask* const task = find(Jobs::TaskName { id(), occurrence, step, index });
-                if (task && steps[step][index].transferredTo.empty())
-                    change(*task, steps[step][index], m_occurrences.at(occurrence).steps[step]);
-            }
-        }
-    }
-}
-
-void LiveJob::revertTransfer(const TaskTransfer& transfer)
-{
-    forEachTransferredTask(transfer, [&](LiveTask& task, const Jobs::TaskProgress&, LiveStep& step) {
-        if (task.progress.transferredTo != transfer.to.value())
-            return;
-        task.progress.transferredTo.clear();
-        ++step.waitingCount;
-    });
-    ++m_changes;
-}
-
-void LiveJob::receiveTransfer(const TaskTransfer& transfer)
-{
-    uint32_t& received = m_record.transfersReceived[transfer.from.value()];
-    ++m_changes;
-    if (received >= transfer.number)
-        return;
-    received = transfer.number;
-    forEachTransferredTask(transfer, [](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
-        if (task.progress.transferredTo.empty() || task.progress.done)
-            return;
-        const uint32_t lastAttempt = std::max(task.progress.lastAttempt, transferred.lastAttempt);
-        task.progress = transferred;
-        task.progress.lastAttempt = lastAttempt;
-        ++step.waitingCount;
-    });
-}
-
-Jobs::JobRecord LiveJob::cancelledPart() const
-{
-    Jobs::JobRecord part = m_record;
-    part.isPart = true;
-    part.partCells.clear();
-    part.transfersReceived.clear();
-    part.transfersSent = 0;
-    return part;
-}
-
 Common::Duration LiveJob::criticalPathFrom(const LiveOccurrence* occurrence, uint32_t step) const
 {
     // Steps depend on earlier steps only, so one pass from the last step to the first finds every chain.
