Give up tasks that crash the workers that start them

Cause: a run that was lost with its worker ended nowhere. onRunsCleared dropped it, TaskProgress counts only ends that workers report, and the task started again as if it had never run.

The crashes are part of TaskProgress and of transfers, and durable before the next start. A start order without an answer isn't sent to the worker's next life, since it would start the same attempt again.

Why it works: a task that crashes each worker is alone when it crashes the third; a neighbour isn't beside it any more then.

Ruled out: leaving crashes with a common cause uncounted for good. Four tasks that crashed a rack's workers at the same times excused each other for 80 s. Also ruled out: counting orders that were never confirmed as proof.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -146,6 +146,7 @@
 
 void CellEngine::listWorker(const WorkerEntry& entry)
 {
+    noticeReplacement(entry);
     m_workers.add(entry, true);
     m_health.add(entry.id);
     writeWorkers();
@@ -201,6 +202,8 @@
     // A run of an earlier owner can be adopted only if its occurrence is open.
     job->openDueOccurrences(m_runtime.now(), m_runtime.wallMilliseconds());
     schedulePlacement();
+    if (recovered)
+        m_runtime.schedule(Common::Duration::zero(), m_lifetime.guard([this, id] { giveUpTasksOf(id); }));
     return *(m_jobs[id] = std::move(job));
 }
 
@@ -357,9 +360,10 @@
     finishJob(job, Jobs::JobPhase::Cancelled, std::move(callback));
 }
 
-void CellEngine::finishJob(LiveJob& job, Jobs::JobPhase phase, Common::Callback<Common::Done> callback)
+void CellEngine::finishJob(
+    LiveJob& job, Jobs::JobPhase phase, Common::Callback<Common::Done> callback, const std::string& reason)
 {
-    job.finish(phase, m_runtime.wallMilliseconds());
+    job.finish(phase, m_runtime.wallMilliseconds(), reason);
     m_blockedSince.erase(job.id());
     stopRunsOf(job.id());
     m_committer.markChangedUrgently(
@@ -385,6 +389,7 @@
     else
         addJob(transfer.part, mayHaveStarted);
     m_committer.recordReceivedTransfer(transfer.part.id, transfer.key());
+    giveUpTasksOf(transfer.part.id);
     schedulePlacement();
 }
 
@@ -556,6 +561,7 @@
     const RunKey run { end.task, end.attempt };
     worker.processedThrough = end.number;
     worker.removeAllocation(run);
+    endQuarantine(worker, end.task);
     LiveJob* const job = findJob(end.task.job);
     if (job && !isFinal(job->phase())) {
         LC_INFO(Jobs,
@@ -664,6 +670,7 @@
         allocation = allocationFor(job->stepSpec(row.task.step));
     else
         allocation.held = worker.entry().capacity;
+    allocation.orderedAt = m_runtime.now();
     worker.addAllocation(run, std::move(allocation));
     LiveTask* const task = known && !isFinal(job->phase()) ? job->find(row.task) : nullptr;
     LC_INFO(Jobs,
@@ -696,6 +703,7 @@
 void CellEngine::dropRun(CellWorker& worker, const RunKey& run)
 {
     worker.removeAllocation(run);
+    endQuarantine(worker, run.task);
     LiveJob* const job = findJob(run.task.job);
     if (job && isRun(job->find(run.task), worker.id(), run.attempt))
         job->clearRun(run.task);
@@ -710,6 +718,7 @@
     LC_WARN(Worker,
         "event=" << (rebooted ? "worker-reborn" : "worker-lease-passed") << " worker=" << worker.id().value()
                  << " lost=" << gone.size());
+    onRunsLost(worker, rebooted);
     for (const RunKey& run : gone)
         dropRun(worker, run);
     // Start orders whose runs were never reported before the reboot may have been carried out since, or may still be.
@@ -717,7 +726,8 @@
         RunAllocation& allocation = *worker.find(run);
         if (allocation.orderAnsweredAt)
             allocation.orderAnsweredAt = m_runtime.now();
-        if (std::exchange(allocation.stopping, false))
+        // Sent again, an order that was being carried out when the worker crashed would start the same attempt anew.
+        if (std::exchange(allocation.stopping, false) || allocation.startOutcomeUnknown)
             stopRun(worker, run);
     }
     if (rebooted) {
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -166,6 +166,53 @@
     void paceBackfill(CellWorker&);
     bool shouldPollFrequently(const CellWorker&) const;
 
+    // Crashes of workers.
+    struct LostRun {
+        RunKey run;
+        /// The worker had confirmed the start.
+        bool started = false;
+        /// How long it had lasted when the worker last reported.
+        Common::Duration ran {};
+    };
+    /// A worker with the runs that it had when they were cleared.
+    struct LostWorker {
+        Common::WorkerId id;
+        std::string address;
+        Common::RackId rack;
+        int64_t startedAtMilliseconds = 0;
+        Common::MonotonicTime lastReportAt;
+        Common::MonotonicTime clearedAt;
+        std::vector<LostRun> runs;
+    };
+    struct WorkerCrash {
+        Common::WorkerId worker;
+        Common::RackId rack;
+        /// Wall clock of the start after the crash.
+        int64_t startedAtMilliseconds = 0;
+        Common::MonotonicTime noticedAt;
+    };
+    static LostWorker snapshotOf(const CellWorker&, Common::MonotonicTime now);
+    static std::vector<LostRun> runsThatMayHaveStarted(const CellWorker&);
+    void onRunsLost(const CellWorker&, bool rebooted);
+    void suspectRunsOf(const LostWorker&);
+    void noticeReplacement(const WorkerEntry&);
+    void onWorkerCrash(LostWorker, int64_t startedAgainMilliseconds);
+    void judgeCrash(const LostWorker&, int64_t startedAgainMilliseconds);
+    bool hasCommonCause(const LostWorker&, int64_t startedAgainMilliseconds) const;
+    void judgeRun(const LostWorker&, const LostRun&, bool commonCause);
+    void giveUpTask(LiveJob&, const Jobs::TaskName&);
+    void giveUpTasksOf(const Common::JobId&);
+    bool mayStart(const LiveJob&, const Jobs::TaskName&, const LiveTask&) const;
+    bool isQuarantinedFor(const CellWorker&, const LiveJob&, const Jobs::TaskName&) const;
+    bool hasNewRuns(const CellWorker&, const LiveJob&, const Jobs::TaskName& except, Common::Duration probation) const;
+    size_t quarantinedWorkers() const;
+    /// A worker for a suspect: null if none has room, empty while the task waits for one on which it is isolated.
+    std::optional<CellWorker*> chooseForSuspect(
+        LiveJob&, const Jobs::TaskName&, LiveTask&, Policy::CrashHistory::Isolation, const Common::RackId&);
+    CellWorker* leastDisturbed(const Policy::CrashHistory&, const std::vector<CellWorker*>&);
+    static void endQuarantine(CellWorker&, const Jobs::TaskName&);
+    void quarantineForStart(CellWorker&, LiveJob&, const Jobs::TaskName&);
+
     // Starts.
     void schedulePlacement();
     void place();
@@ -192,6 +239,10 @@
     void stopOtherGangMembers(LiveJob&, const RunKey& missing, GangMembers);
     bool mayRunOn(const CellWorker&, const LiveJob&, const Jobs::StepSpec&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
+    /// Workers that may run the task and have room for it.
+    std::vector<CellWorker*> admissibleWorkers(const LiveJob&, const Jobs::TaskName&, const Common::RackId& rack);
+    /// As `choose`; empty while a suspect waits for a worker, see chooseForSuspect.
+    std::optional<CellWorker*> chooseForStart(LiveJob&, const Jobs::TaskName&, const Common::RackId& rack = {});
     /// Best worker for the task, on `rack` only unless it is empty. Null if no worker has room.
     CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&, const Common::RackId& rack = {});
     void order(LiveJob&, const Jobs::TaskName&, CellWorker&, Common::AttemptNumber);
@@ -202,7 +253,7 @@
     // Jobs.
     LiveJob* findJob(const Common::JobId&);
     LiveJob& addJob(Jobs::JobRecord, bool recovered);
-    void finishJob(LiveJob&, Jobs::JobPhase, Common::Callback<Common::Done>);
+    void finishJob(LiveJob&, Jobs::JobPhase, Common::Callback<Common::Done>, const std::string& reason = {});
     void cancelLocalJob(LiveJob&, Common::Callback<Common::Done>);
     void stopRun(CellWorker&, const RunKey&);
     void stopRunsOf(const Common::JobId&);
@@ -253,6 +304,9 @@
     std::vector<StopWaiter> m_stopWaiters;
     /// When long-running tasks of a job first found no room.
     std::map<Common::JobId, Common::MonotonicTime> m_blockedSince;
+    /// Workers whose runs were cleared while it wasn't known whether they had crashed.
+    std::map<Common::WorkerId, LostWorker> m_lostWorkers;
+    std::vector<WorkerCrash> m_recentCrashes;
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
     Common::MonotonicTime m_blockedLoggedAt;
     bool m_placingSoon = false;
--- a/Source/Core/Cells/CellEngineGangs.cpp
+++ b/Source/Core/Cells/CellEngineGangs.cpp
@@ -30,7 +30,8 @@
     const size_t members = spec.taskCount;
     std::vector<Policy::GangOffer> offers;
     for (const auto& [id, worker] : m_workers.all()) {
-        if (!mayRunOn(*worker, job, spec))
+        if (!mayRunOn(*worker, job, spec)
+            || isQuarantinedFor(*worker, job, { job.id(), candidate.occurrence, candidate.step, 0 }))
             continue;
         const size_t most = spec.maximumPerWorker > 0 ? std::min<size_t>(spec.maximumPerWorker, members) : members;
         Policy::GangOffer offer;
@@ -51,7 +52,9 @@
     if (step.waitingCount != step.tasks.size())
         return;
     const Common::MonotonicTime now = m_runtime.now();
-    if (std::any_of(step.tasks.begin(), step.tasks.end(), [now](const LiveTask& task) { return task.notBefore > now; }))
+    const Jobs::TaskName first { job.id(), candidate.occurrence, candidate.step, 0 };
+    if (std::any_of(step.tasks.begin(), step.tasks.end(),
+            [&](const LiveTask& task) { return task.notBefore > now || !mayStart(job, first, task); }))
         return;
     if (!step.waitingSince)
         step.waitingSince = now;
@@ -81,13 +84,15 @@
     const Common::AttemptNumber attempt { lastAttempt + 1 };
     for (uint32_t index = 0; index < step.tasks.size(); ++index) {
         const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
-        CellWorker* const worker = choose(job, name, step.tasks[index], rack);
-        if (!worker) {
+        const std::optional<CellWorker*> choice = chooseForStart(job, name, rack);
+        if (!choice || !*choice) {
             for (const auto& [placed, holder] : placedMembers)
                 holder->removeAllocation(RunKey { placed, attempt });
-            handleBlockedStep(job, candidate);
+            if (choice)
+                handleBlockedStep(job, candidate);
             return;
         }
+        CellWorker* const worker = *choice;
         worker->addAllocation(RunKey { name, attempt }, allocationFor(job.stepSpec(candidate.step)));
         placedMembers.emplace_back(name, worker);
     }
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -141,10 +141,13 @@
     const size_t count = job.occurrences().at(candidate.occurrence).steps[candidate.step].tasks.size();
     for (uint32_t index = 0; index < count; ++index) {
         const LiveTask& task = job.occurrences().at(candidate.occurrence).steps[candidate.step].tasks[index];
-        if (!task.waiting() || task.notBefore > now)
-            continue;
         const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
-        CellWorker* const worker = choose(job, name, task);
+        if (!task.waiting() || task.notBefore > now || !mayStart(job, name, task))
+            continue;
+        const std::optional<CellWorker*> choice = chooseForStart(job, name);
+        if (!choice)
+            continue;
+        CellWorker* const worker = *choice;
         if (!worker) {
             blocked.push_back(candidate);
             handleBlockedStep(job, candidate);
@@ -264,6 +267,30 @@
         && m_health.admits(worker.id(), now);
 }
 
+std::vector<CellWorker*> CellEngine::admissibleWorkers(
+    const LiveJob& job, const Jobs::TaskName& name, const Common::RackId& rack)
+{
+    const Jobs::StepSpec& spec = job.stepSpec(name.step);
+    std::vector<CellWorker*> found;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (mayRunOn(*worker, job, spec) && (rack.empty() || worker->entry().rack == rack)
+            && !isQuarantinedFor(*worker, job, name)
+            && Policy::isAdmissible(requirementsOf(spec), offerOf(*worker, spec, name)))
+            found.push_back(worker.get());
+    }
+    return found;
+}
+
+std::optional<CellWorker*> CellEngine::chooseForStart(
+    LiveJob& job, const Jobs::TaskName& name, const Common::RackId& rack)
+{
+    LiveTask& task = *job.find(name);
+    const auto isolation = job.crashHistory(name).isolation();
+    if (isolation == Policy::CrashHistory::Isolation::None)
+        return choose(job, name, task, rack);
+    return chooseForSuspect(job, name, task, isolation, rack);
+}
+
 CellWorker* CellEngine::choose(
     const LiveJob& job, const Jobs::TaskName& name, const LiveTask& task, const Common::RackId& rack)
 {
@@ -271,7 +298,8 @@
     std::vector<CellWorker*> workers;
     std::vector<Policy::WorkerOffer> offers;
     for (const auto& [id, worker] : m_workers.all()) {
-        if (!mayRunOn(*worker, job, spec) || (!rack.empty() && worker->entry().rack != rack))
+        if (!mayRunOn(*worker, job, spec) || (!rack.empty() && worker->entry().rack != rack)
+            || isQuarantinedFor(*worker, job, name))
             continue;
         Policy::WorkerOffer offer = offerOf(*worker, spec, name);
         offer.avoided = task.avoid == id;
@@ -296,7 +324,10 @@
         "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << m_token.value
                                  << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace);
     m_blockedSince.erase(name.job);
-    worker.addAllocation(run, allocationFor(spec));
+    quarantineForStart(worker, job, name);
+    RunAllocation allocation = allocationFor(spec);
+    allocation.orderedAt = now;
+    worker.addAllocation(run, std::move(allocation));
     job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
     m_health.recordStart(worker.id(), now);
     m_workers.start(worker, order, [this, id = worker.id(), run, pace](const OrderAnswer& answer) {
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -88,6 +88,13 @@
     /// Since when at least one service has been continuously over its target; empty if none is.
     std::optional<Common::MonotonicTime> overTargetSince;
 
+    /// Keeps other tasks off the worker while a suspect of an earlier crash is new on it or is about to be started.
+    struct Quarantine {
+        Jobs::TaskName task;
+        Common::MonotonicTime until;
+    };
+    std::optional<Quarantine> quarantine;
+
 private:
     WorkerEntry m_entry;
     WorkerLease m_lease;
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -185,6 +185,48 @@
     return limited && failures >= m_record.policy.maximumAttempts;
 }
 
+bool LiveJob::recordCrash(const Jobs::TaskName& name, Common::AttemptNumber attempt, const Jobs::TaskCrash& crash)
+{
+    LiveTask* const task = find(name);
+    if (!task || task->progress.done)
+        return false;
+    std::vector<LiveTask>& members = stepOf(name)->tasks;
+    const bool gang = stepSpec(name.step).gang;
+    const auto counted = [attempt](const LiveTask& other) { return other.progress.crashes.contains(attempt.value); };
+    if (gang ? std::any_of(members.begin(), members.end(), counted) : counted(*task))
+        return false;
+    task->progress.crashes.emplace(attempt.value, crash);
+    task->progress.lastAttempt = std::max(task->progress.lastAttempt, attempt.value);
+    ++m_changes;
+    for (LiveTask& member : members) {
+        if (gang || &member == task)
+            member.crashChange = m_changes;
+    }
+    return true;
+}
+
+Policy::CrashHistory LiveJob::crashHistory(const Jobs::TaskName& name) const
+{
+    const LiveStep& step = m_occurrences.at(name.occurrence).steps.at(name.step);
+    Policy::CrashHistory history;
+    const auto add = [&history](const LiveTask& task) {
+        for (const auto& [attempt, crash] : task.progress.crashes) {
+            if (crash.excused)
+                history.addExcused();
+            else
+                history.add({ crash.worker, crash.started, crash.fresh, crash.alone });
+        }
+        history.unconfirmed = std::max<size_t>(history.unconfirmed, task.unconfirmedCrashes);
+    };
+    if (!stepSpec(name.step).gang) {
+        add(step.tasks.at(name.index));
+        return history;
+    }
+    for (const LiveTask& member : step.tasks)
+        add(member);
+    return history;
+}
+
 void LiveJob::updateCheckpoint(const Jobs::TaskName& name, const std::string& checkpoint)
 {
     LiveTask* const task = find(name);
@@ -209,9 +251,10 @@
 
 bool LiveJob::isComplete() const { return m_record.finishedOccurrences.size() == m_record.spec.occurrenceCount(); }
 
-void LiveJob::finish(Jobs::JobPhase phase, int64_t wallMilliseconds)
+void LiveJob::finish(Jobs::JobPhase phase, int64_t wallMilliseconds, const std::string& reason)
 {
     m_record.phase = phase;
+    m_record.failureReason = reason;
     m_record.finishedMilliseconds = wallMilliseconds;
     m_occurrences.clear();
     ++m_changes;
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -6,6 +6,7 @@
 #include "Common/Units.h"
 #include "Jobs/JobRecord.h"
 #include "Jobs/TaskName.h"
+#include "Policy/CrashHistory.h"
 
 #include <cstdint>
 #include <map>
@@ -61,12 +62,17 @@
     bool markDone(const Jobs::TaskName&);
     /// Records that an attempt failed; each attempt counts once. Returns whether the job's retry limit is used up.
     bool markFailed(const Jobs::TaskName&, Common::AttemptNumber);
+    /// Records that an attempt was lost in a crash of its worker. Returns whether that was unknown; each attempt counts
+    /// once, for a gang as a whole.
+    bool recordCrash(const Jobs::TaskName&, Common::AttemptNumber, const Jobs::TaskCrash&);
+    /// Crashes under the task, or under any member of its gang. The task must exist.
+    Policy::CrashHistory crashHistory(const Jobs::TaskName&) const;
     /// Records a checkpoint that a run reported. Doesn't count as a change, so it causes no write by itself.
     void updateCheckpoint(const Jobs::TaskName&, const std::string& checkpoint);
     /// Records the last checkpoint of a run that has ended; counts as a change. No effect if it is empty.
     void saveCheckpoint(const Jobs::TaskName&, const std::string& checkpoint);
-    /// Makes the job final and closes its occurrences.
-    void finish(Jobs::JobPhase, int64_t wallMilliseconds);
+    /// Makes the job final and closes its occurrences. `reason`: see JobRecord::failureReason.
+    void finish(Jobs::JobPhase, int64_t wallMilliseconds, const std::string& reason = {});
     /// Whether all occurrences have succeeded.
     bool isComplete() const;
 
--- a/Source/Core/Cells/RunAllocation.h
+++ b/Source/Core/Cells/RunAllocation.h
@@ -43,6 +43,8 @@
     /// When the worker answered the last start or stop order for the run; empty if it hasn't. A report that was
     /// requested later and doesn't list the run shows that the run is gone.
     std::optional<Common::MonotonicTime> orderAnsweredAt;
+    /// When the run was ordered or, if an earlier owner started it, first listed.
+    Common::MonotonicTime orderedAt;
 };
 
 /// The allocation of a run of the step.
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -81,6 +81,29 @@
         return policy;
     }
 
+    Json crashesToJson(const std::map<uint32_t, TaskCrash>& crashes)
+    {
+        Json rows = Json::array();
+        for (const auto& [attempt, crash] : crashes)
+            rows.push_back(
+                Json::array({ attempt, crash.worker.value(), crash.started, crash.fresh, crash.alone, crash.excused }));
+        return rows;
+    }
+
+    std::map<uint32_t, TaskCrash> crashesFromJson(const Json& rows)
+    {
+        std::map<uint32_t, TaskCrash> crashes;
+        for (const Json& row : rows) {
+            TaskCrash& crash = crashes[row.at(0).get<uint32_t>()];
+            crash.worker = Common::WorkerId(row.at(1).get<std::string>());
+            crash.started = row.at(2).get<bool>();
+            crash.fresh = row.at(3).get<bool>();
+            crash.alone = row.at(4).get<bool>();
+            crash.excused = row.at(5).get<bool>();
+        }
+        return crashes;
+    }
+
     /// One step: a string with a flag per task (1: done, 0: not), then a row for each unfinished task that has
     /// progress.
     Json stepProgressToJson(const std::vector<TaskProgress>& tasks)
@@ -90,9 +113,13 @@
         for (size_t index = 0; index < tasks.size(); ++index) {
             const TaskProgress& task = tasks[index];
             flags.push_back(task.done ? '1' : '0');
-            if (!task.done && !task.isUntouched())
-                rows.push_back(
-                    Json::array({ index, task.failedAttempts, task.lastAttempt, task.checkpoint, task.transferredTo }));
+            if (task.done || task.isUntouched())
+                continue;
+            Json row
+                = Json::array({ index, task.failedAttempts, task.lastAttempt, task.checkpoint, task.transferredTo });
+            if (!task.crashes.empty())
+                row.push_back(crashesToJson(task.crashes));
+            rows.push_back(std::move(row));
         }
         return Json::array({ std::move(flags), std::move(rows) });
     }
@@ -109,6 +136,8 @@
             task.lastAttempt = row.at(2).get<uint32_t>();
             task.checkpoint = row.at(3).get<std::string>();
             task.transferredTo = row.at(4).get<std::string>();
+            if (row.size() > 5)
+                task.crashes = crashesFromJson(row.at(5));
         }
         return tasks;
     }
@@ -145,6 +174,7 @@
         record.finishedMilliseconds = object.value("finished", int64_t { 0 });
         const auto phase = phaseFromName(object.at("phase").get<std::string>());
         record.phase = phase.value_or(JobPhase::Queued);
+        record.failureReason = object.value("failure", std::string {});
         record.partCells = object.value("parts", std::set<std::string> {});
         record.isPart = object.value("isPart", false);
         record.transfersSent = object.value("giftsMade", 0U);
@@ -197,6 +227,7 @@
     Json object = submissionToJson(kept);
     object["phase"] = phaseName(phase);
     putUnlessDefault(object, "finished", finishedMilliseconds);
+    putUnlessDefault(object, "failure", failureReason);
     putUnlessDefault(object, "parts", partCells);
     putUnlessDefault(object, "isPart", isPart);
     putUnlessDefault(object, "giftsMade", transfersSent);
--- a/Source/Core/Jobs/JobRecord.h
+++ b/Source/Core/Jobs/JobRecord.h
@@ -30,6 +30,8 @@
     /// Wall-clock time of the owner when the job reached a final phase, in milliseconds; 0 before.
     int64_t finishedMilliseconds = 0;
     JobPhase phase = JobPhase::Queued;
+    /// Why the job failed, for operators; empty: a task used up its attempts, or the job hasn't failed.
+    std::string failureReason;
     /// Cells that took over some of the long-running tasks. Each stores them in a record of its own, a part.
     std::set<std::string> partCells;
     /// Whether this record is such a part. Another cell accepts, shows and cancels the job.
--- a/Source/Core/Jobs/TaskProgress.h
+++ b/Source/Core/Jobs/TaskProgress.h
@@ -1,7 +1,10 @@
 // The state of one task that a new owner of the cell needs.
 #pragma once
 
+#include "Jobs/TaskCrash.h"
+
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 
@@ -20,10 +23,14 @@
     /// The cell that has taken the task over; empty: the cell that stores this record.
     std::string transferredTo;
 
+    /// Attempts that were lost in a crash of their worker that they may have caused, by number; each counts once.
+    std::map<uint32_t, TaskCrash> crashes;
+
     /// Whether there is nothing to store about the task.
     bool isUntouched() const
     {
-        return !done && failedAttempts.empty() && lastAttempt == 0 && checkpoint.empty() && transferredTo.empty();
+        return !done && failedAttempts.empty() && crashes.empty() && lastAttempt == 0 && checkpoint.empty()
+            && transferredTo.empty();
     }
 };
 
--- a/Source/UnitTests/Cells/RunJudge.h
+++ b/Source/UnitTests/Cells/RunJudge.h
@@ -25,6 +25,15 @@
     /// The worker of each task's last start.
     std::map<Jobs::TaskName, std::string> startedOn;
 
+    /// Number of times that tasks crashed their workers.
+    uint64_t crashes = 0;
+
+    /// Called when a task crashes its worker.
+    void crashed(const Jobs::TaskName& task)
+    {
+        ++crashes;
+        ++m_crashes[task];
+    }
     void started(const std::string& worker, const Jobs::TaskName& task, const Common::Resources& capacity)
     {
         ++starts;
@@ -47,6 +56,8 @@
                     faults.push_back(text(task) + " was started before step " + std::to_string(earlier));
             }
         }
+        if (m_crashes[task] >= crashLimit && ++m_startsPastLimit[task] >= crashLimit)
+            faults.push_back(text(task) + " was started three more times after it had crashed three workers");
         m_running[task] = worker;
         startedOn[task] = worker;
         updateWholeGangs(task, job->second.steps.at(task.step));
@@ -137,6 +148,11 @@
         return resources;
     }
 
+    static constexpr uint64_t crashLimit = 3;
+
+    std::map<Jobs::TaskName, uint64_t> m_crashes;
+    /// Starts of tasks that had crashed `crashLimit` workers before.
+    std::map<Jobs::TaskName, uint64_t> m_startsPastLimit;
     std::map<Jobs::TaskName, std::string> m_running;
     std::map<std::string, Common::Resources> m_used;
     /// Gangs, by their first members, all of whose members ran at the same time at the last start of a member.
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -15,7 +15,8 @@
 
 namespace CellTests {
 
-/// The payload determines what a task does: "run:MS", "fail:MS", "last" (until it is stopped) or "hang".
+/// The payload determines what a task does: "run:MS", "fail:MS", "last" (until it is stopped), "hang", or
+/// "crash:MS" (crashes the worker, which starts again).
 class RunWorker {
 public:
     using Answer = Common::Callback<Cells::OrderAnswer>;
@@ -35,6 +36,8 @@
     double tail = 4;
     uint64_t polls = 0;
     uint64_t starts = 0;
+    /// Time until it starts again after a task has crashed it.
+    Common::Duration restartPause = std::chrono::milliseconds(700);
     /// Every run fails.
     bool failsAll = false;
     /// Every start is refused with NoRoom.
@@ -47,10 +50,10 @@
         killAll();
     }
     /// Crashes and reboots under the same id after a pause, without its former state.
-    void restart()
+    void restart(Common::Duration pause = std::chrono::milliseconds(700))
     {
         crash();
-        m_world.schedule(std::chrono::milliseconds(700), [this, boot = m_boot] {
+        m_world.schedule(pause, [this, boot = m_boot] {
             if (boot == m_boot)
                 begin();
         });
@@ -203,6 +206,16 @@
         const size_t colon = order.payload.find(':');
         if (colon == std::string::npos)
             return;
+        if (order.payload.starts_with("crash")) {
+            m_world.schedule(std::chrono::milliseconds(std::stoi(order.payload.substr(colon + 1))),
+                [this, task = order.task, boot = m_boot] {
+                    if (boot != m_boot || !m_runs.contains(task))
+                        return;
+                    m_judge.crashed(task);
+                    restart(restartPause);
+                });
+            return;
+        }
         const bool fails = failsAll || order.payload.starts_with("fail");
         const auto span = std::chrono::milliseconds(std::stoi(order.payload.substr(colon + 1)));
         m_world.schedule(span, [this, task = order.task, attempt = order.attempt, fails, boot = m_boot] {
--- a/Source/UnitTests/Jobs/JobRecordTest.cpp
+++ b/Source/UnitTests/Jobs/JobRecordTest.cpp
@@ -29,6 +29,7 @@
     std::vector<TaskProgress> tasks(3);
     tasks[0].done = true;
     tasks[2] = TaskProgress { false, { 1, 2 }, 3, "saved", {} };
+    tasks[2].crashes = { { 3, { Common::WorkerId("w1"), true, false, true, false } } };
     record.progress[0] = { tasks, std::vector<TaskProgress>(3) };
     return record;
 }
@@ -46,6 +47,8 @@
     CHECK(task.failedAttempts == std::set<uint32_t> { 1, 2 });
     CHECK(task.lastAttempt == 3);
     CHECK(task.checkpoint == "saved");
+    CHECK(
+        task.crashes == std::map<uint32_t, TaskCrash> { { 3, { Common::WorkerId("w1"), true, false, true, false } } });
     CHECK(read->progress.at(0)[0][0].done);
 }
 
