Count the capacity that a worker reports against its starts

Cause: the owner placed by the entry of the list alone, which follows the worker late on a host whose watch is late or turned away by the store.

Change: reports carry the capacity, if the worker says it; it replaces the listed one. Entries of the list that come after it may be older, so they only lower it until the next report. After a reboot the listed one counts. Runs that are being stopped hold their room as before, and free room doesn't go below zero.

Not run after this commit: the whole of CellsTests and PlatformTests; no test reads a capacity from a platform's answer.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -543,6 +543,8 @@
             "event=worker-ready worker=" << worker.id().value() << " cell=" << m_id.value()
                                          << " runs=" << report.running.size() << " ends=" << report.ended.size());
     }
+    if (report.capacity)
+        worker.updateCapacity(*report.capacity);
     for (const EndedTask& end : report.ended) {
         if (end.number > worker.processedThrough)
             onEnd(worker, end);
@@ -731,6 +733,7 @@
             stopRun(worker, run);
     }
     if (rebooted) {
+        worker.forgetReportedCapacity();
         worker.processedThrough = 0;
         worker.acknowledgedThrough = 0;
         worker.pendingEnds.clear();
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -23,15 +23,42 @@
         return static_cast<int64_t>(allocation.load);
     }
 
+    Common::Resources smaller(const Common::Resources& a, const Common::Resources& b)
+    {
+        return { std::min(a.slots, b.slots), std::min(a.milliCores, b.milliCores),
+            std::min(a.memoryMegabytes, b.memoryMegabytes), std::min(a.accelerators, b.accelerators) };
+    }
+
 } // namespace
 
 CellWorker::CellWorker(WorkerEntry entry)
     : startedAtMilliseconds(entry.startedAtMilliseconds)
     , m_entry(std::move(entry))
+    , m_listedCapacity(m_entry.capacity)
+{
+}
+
+void CellWorker::update(WorkerEntry entry)
 {
+    const Common::Resources known = m_entry.capacity;
+    const bool listedAnew = entry.capacity != std::exchange(m_listedCapacity, entry.capacity);
+    m_entry = std::move(entry);
+    if (!m_reportsCapacity)
+        return;
+    m_entry.capacity = listedAnew ? smaller(known, m_listedCapacity) : known;
+}
+
+void CellWorker::updateCapacity(const Common::Resources& capacity)
+{
+    m_reportsCapacity = true;
+    m_entry.capacity = capacity;
 }
 
-void CellWorker::update(WorkerEntry entry) { m_entry = std::move(entry); }
+void CellWorker::forgetReportedCapacity()
+{
+    m_reportsCapacity = false;
+    m_entry.capacity = m_listedCapacity;
+}
 
 void CellWorker::addAllocation(const RunKey& run, RunAllocation allocation)
 {
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -24,10 +24,16 @@
 public:
     explicit CellWorker(WorkerEntry entry);
 
+    /// The platform's entry, with the capacity as last known.
     const WorkerEntry& entry() const { return m_entry; }
     const Common::WorkerId& id() const { return m_entry.id; }
     /// Replaces the platform's entry of the worker; keeps allocations and lease.
     void update(WorkerEntry entry);
+    /// Takes over the capacity that the worker reports. Entries of the list, which may be older, then only lower it
+    /// until the next report.
+    void updateCapacity(const Common::Resources&);
+    /// Called after a reboot; the listed capacity counts until the next report.
+    void forgetReportedCapacity();
 
     WorkerLease& lease() { return m_lease; }
     const WorkerLease& lease() const { return m_lease; }
@@ -39,6 +45,7 @@
     const std::map<RunKey, RunAllocation>& allocations() const { return m_allocations; }
 
     const Common::Resources& used() const { return m_used; }
+    /// Zero of a resource of which the runs hold more than the capacity, which may shrink.
     Common::Resources free() const;
     /// Processor time, in thousandths of a core, that runs other than backfill are known to leave unused.
     int64_t unusedMilliCores() const;
@@ -97,6 +104,9 @@
 
 private:
     WorkerEntry m_entry;
+    /// As in the last entry of the list.
+    Common::Resources m_listedCapacity;
+    bool m_reportsCapacity = false;
     WorkerLease m_lease;
     std::map<RunKey, RunAllocation> m_allocations;
     Common::Resources m_used;
--- a/Source/Core/Cells/RunReport.h
+++ b/Source/Core/Cells/RunReport.h
@@ -1,10 +1,12 @@
 // A worker's report of its runs.
 #pragma once
 
+#include "Common/Resources.h"
 #include "Common/Units.h"
 #include "Jobs/TaskName.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,8 @@
     Common::WorkerTime clock;
     /// See WorkerEntry::startedAtMilliseconds; 0: unknown.
     int64_t startedAtMilliseconds = 0;
+    /// The worker's present capacity; empty if it doesn't say.
+    std::optional<Common::Resources> capacity;
     std::vector<RunningTask> running;
     /// Ends that aren't acknowledged, oldest first. A very long list is truncated.
     std::vector<EndedTask> ended;
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -26,6 +26,7 @@
         : m_world(world)
         , m_judge(judge)
         , m_entry(std::move(entry))
+        , m_capacity(m_entry.capacity)
     {
         begin();
     }
@@ -43,6 +44,19 @@
     /// Every start is refused with NoRoom.
     bool refusesStarts = false;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
+    enum class CapacitySource {
+        List,
+        Reports,
+    };
+    /// Changes the capacity while it runs; only the source shows it.
+    void setCapacity(int64_t milliCores, CapacitySource source)
+    {
+        m_capacity.milliCores = milliCores;
+        if (source == CapacitySource::List)
+            m_entry.capacity = m_capacity;
+        else
+            m_reportsCapacity = true;
+    }
 
     void crash()
     {
@@ -89,7 +103,7 @@
             return;
         }
         ++starts;
-        m_judge.started(m_entry.id.value(), order.task, m_entry.capacity);
+        m_judge.started(m_entry.id.value(), order.task, m_capacity);
         m_runs[order.task] = Run { order.attempt, order.payload, m_world.now() };
         arm(order);
         reply(answer, Cells::OrderVerdict::Accepted);
@@ -251,6 +265,8 @@
         report.clock = clock();
         report.startedAtMilliseconds = m_entry.startedAtMilliseconds;
         report.ended = m_ended;
+        if (m_reportsCapacity)
+            report.capacity = m_capacity;
         for (const auto& [task, run] : m_runs) {
             Cells::RunningTask row { task, run.attempt, {}, percentOf(run), -1 };
             row.load = run.payload == "last" ? tail : 1000;
@@ -282,6 +298,8 @@
     Fakes::VirtualRuntime& m_world;
     RunJudge& m_judge;
     Cells::WorkerEntry m_entry;
+    Common::Resources m_capacity;
+    bool m_reportsCapacity = false;
     bool m_up = true;
     uint64_t m_boot = 0;
     Common::MonotonicTime m_startedAt;
