--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -185,6 +185,7 @@
     }
     // Also if the job has ended and its record has expired: the transfer is then removed.
     m_committer.recordReceivedTransfer(transfer.part.id, transfer.key());
+    giveUpTasksOf(transfer.part.id);
     schedulePlacement();
 }
 
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -78,8 +78,11 @@
         } else {
             std::set<uint32_t> failedAttempts = transferred.failedAttempts;
             failedAttempts.merge(progress.failedAttempts);
+            std::map<uint32_t, Jobs::TaskCrash> crashes = transferred.crashes;
+            crashes.merge(progress.crashes);
             progress = transferred;
             progress.failedAttempts = std::move(failedAttempts);
+            progress.crashes = std::move(crashes);
             progress.lastAttempt = lastAttempt;
             step.waitingCount += task.waiting() ? 1 : 0;
         }
@@ -120,8 +123,11 @@
             const std::vector<LiveTask>& tasks = open.steps[step].tasks;
             for (uint32_t index = 0; index < tasks.size(); ++index) {
                 const LiveTask& task = tasks[index];
-                if (task.progress.transferredTo.empty() && (task.progress.done || (task.attemptsUsedUp && !task.run)))
-                    ended.push_back({ id(), occurrence, step, index });
+                const Jobs::TaskName name { id(), occurrence, step, index };
+                const bool isOver = task.attemptsUsedUp
+                    || (!task.progress.done && !task.progress.crashes.empty() && crashHistory(name).isGivenUp());
+                if (task.progress.transferredTo.empty() && (task.progress.done || (isOver && !task.run)))
+                    ended.push_back(name);
             }
         }
     }
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -15,7 +15,8 @@
 
 namespace CellTests {
 
-/// The payload determines what a task does: "run:MS", "fail:MS", "last" (until it is stopped) or "hang".
+/// The payload determines what a task does: "run:MS", "fail:MS", "last" (until it is stopped), "hang", or
+/// "crash:MS" (crashes the worker, which starts again).
 class RunWorker {
 public:
     using Answer = Common::Callback<Cells::OrderAnswer>;
@@ -25,6 +26,7 @@
         : m_world(world)
         , m_judge(judge)
         , m_entry(std::move(entry))
+        , m_capacity(m_entry.capacity)
     {
         begin();
     }
@@ -35,11 +37,26 @@
     double tail = 4;
     uint64_t polls = 0;
     uint64_t starts = 0;
+    /// Time until it starts again after a task has crashed it.
+    Common::Duration restartPause = std::chrono::milliseconds(700);
     /// Every run fails.
     bool failsAll = false;
     /// Every start is refused with NoRoom.
     bool refusesStarts = false;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
+    enum class CapacitySource {
+        List,
+        Reports,
+    };
+    /// Changes the capacity while it runs; only the source shows it.
+    void setCapacity(int64_t milliCores, CapacitySource source)
+    {
+        m_capacity.milliCores = milliCores;
+        if (source == CapacitySource::List)
+            m_entry.capacity = m_capacity;
+        else
+            m_reportsCapacity = true;
+    }
 
     void crash()
     {
@@ -47,10 +64,10 @@
         killAll();
     }
     /// Crashes and reboots under the same id after a pause, without its former state.
-    void restart()
+    void restart(Common::Duration pause = std::chrono::milliseconds(700))
     {
         crash();
-        m_world.schedule(std::chrono::milliseconds(700), [this, boot = m_boot] {
+        m_world.schedule(pause, [this, boot = m_boot] {
             if (boot == m_boot)
                 begin();
         });
@@ -86,7 +103,7 @@
             return;
         }
         ++starts;
-        m_judge.started(m_entry.id.value(), order.task, m_entry.capacity);
+        m_judge.started(m_entry.id.value(), order.task, m_capacity);
         m_runs[order.task] = Run { order.attempt, order.payload, m_world.now() };
         arm(order);
         reply(answer, Cells::OrderVerdict::Accepted);
@@ -203,6 +220,16 @@
         const size_t colon = order.payload.find(':');
         if (colon == std::string::npos)
             return;
+        if (order.payload.starts_with("crash")) {
+            m_world.schedule(std::chrono::milliseconds(std::stoi(order.payload.substr(colon + 1))),
+                [this, task = order.task, boot = m_boot] {
+                    if (boot != m_boot || !m_runs.contains(task))
+                        return;
+                    m_judge.crashed(task);
+                    restart(restartPause);
+                });
+            return;
+        }
         const bool fails = failsAll || order.payload.starts_with("fail");
         const auto span = std::chrono::milliseconds(std::stoi(order.payload.substr(colon + 1)));
         m_world.schedule(span, [this, task = order.task, attempt = order.attempt, fails, boot = m_boot] {
@@ -238,6 +265,8 @@
         report.clock = clock();
         report.startedAtMilliseconds = m_entry.startedAtMilliseconds;
         report.ended = m_ended;
+        if (m_reportsCapacity)
+            report.capacity = m_capacity;
         for (const auto& [task, run] : m_runs) {
             Cells::RunningTask row { task, run.attempt, {}, percentOf(run), -1 };
             row.load = run.payload == "last" ? tail : 1000;
@@ -269,6 +298,8 @@
     Fakes::VirtualRuntime& m_world;
     RunJudge& m_judge;
     Cells::WorkerEntry m_entry;
+    Common::Resources m_capacity;
+    bool m_reportsCapacity = false;
     bool m_up = true;
     uint64_t m_boot = 0;
     Common::MonotonicTime m_startedAt;
