--- /dev/null
+++ b/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
@@ -0,0 +1,94 @@
+// Entries of the list of workers that another writer has left there: they name no worker and hide no other one.
+#include "platform/WorkerRegistry.h"
+
+#include "Fakes/OddJson.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace Platform;
+using Fakes::withReplaced;
+
+namespace {
+
+constexpr const char* goodEntry
+    = R"({"service":"s1","address":"10.1.1.1:80","zone":"z1","state":"ready","capacity":{"cpu":16000,"mem_mb":32768,
+          "gpus":2},"labels":["a","r1-3"],"born":17,"remaining_ms":1500})";
+
+Scheduler::StoreValue valueOf(const std::string& text, const std::string& key = "servers/i-1")
+{
+    return { key, text, {} };
+}
+
+bool isRead(const std::string& text) { return readWorkerEntry(valueOf(text)).hasValue(); }
+
+/// Answers every listing and watch with the same records.
+class FixedStore final : public Cells::RecordStore {
+public:
+    explicit FixedStore(std::vector<Scheduler::StoreValue> records)
+        : m_records(std::move(records))
+    {
+    }
+    void get(const std::string&, Cells::Freshness, Common::Callback<std::optional<Scheduler::StoreValue>> done) override
+    {
+        done(std::optional<Scheduler::StoreValue> {});
+    }
+    void list(const std::string&, Cells::Freshness, Common::Callback<Cells::RecordListing> done) override
+    {
+        done(Cells::RecordListing { m_records, { 9 } });
+    }
+    void watch(const std::string&, Common::StoreRevision, Common::Duration,
+        Common::Callback<Scheduler::StoreChanges> done) override
+    {
+        done(Scheduler::StoreChanges { { 9 }, m_records, { "servers/i-8", "other/i-9", "" } });
+    }
+    void commit(Cells::RecordTransaction, Common::Callback<Cells::TransactionOutcome>) override { }
+
+private:
+    std::vector<Scheduler::StoreValue> m_records;
+};
+
+/// Good entries before, between and after odd ones.
+std::vector<Scheduler::StoreValue> mixedEntries()
+{
+    const std::string good = goodEntry;
+    return { valueOf(good, "servers/i-1"), valueOf(Fakes::nestedLists(Fakes::excessiveDepth), "servers/i-2"),
+        valueOf(withReplaced(good, "16000", "9e18"), "servers/i-3"), valueOf(good, "servers/i-4"),
+        valueOf(withReplaced(good, ":80", ":99999"), "servers/i-5"), valueOf("\xff\xfe", "servers/i-6"),
+        valueOf(good, "servers/i-7"), valueOf(good, "other"), valueOf(good, "servers/") };
+}
+
+std::vector<std::string> idsOf(const std::vector<Cells::WorkerEntry>& entries)
+{
+    std::vector<std::string> ids;
+    for (const Cells::WorkerEntry& entry : entries)
+        ids.push_back(entry.id.value());
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE("a worker's entry with a number that its field can't have names no worker")
+{
+    REQUIRE(isRead(goodEntry));
+    const std::vector<std::pair<std::string, std::string>> fields { { R"("cpu":)", "16000" },
+        { R"("mem_mb":)", "32768" }, { R"("gpus":)", "2" }, { R"("born":)", "17" }, { R"("remaining_ms":)", "1500" } };
+    for (const auto& [name, value] : fields) {
+        for (const std::string& number : Fakes::oddNumbers()) {
+            const std::string text = withReplaced(goodEntry, name + value, name + number);
+            CAPTURE(text);
+            CHECK_FALSE(isRead(text));
+        }
+    }
+}
+
+TEST_CASE("a worker's capacity with a fraction is rounded down")
+{
+    const auto entry = readWorkerEntry(valueOf(withReplaced(goodEntry, "16000", "1500.75")));
+    REQUIRE(entry);
+    CHECK(entry->capacity.milliCores == 1500);
+}
