--- a/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
+++ b/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
@@ -92,3 +92,15 @@
     REQUIRE(entry);
     CHECK(entry->capacity.milliCores == 1500);
 }
+
+TEST_CASE("a worker's entry with a port out of range or without a numeric address names no worker")
+{
+    for (const char* const address : { "10.1.1.1:99999", "10.1.1.1:65536", "10.1.1.1:0", "10.1.1.1:-1",
+             "10.1.1.1:", "10.1.1.1", ":80", "10.1.1.1:80x", "10.1.1.1:80:80", "10.1.1.999:80", "host:80", "",
+             "10.1.1.1:80/x", "10.1.1.1:1e3", "[10.1.1.1:80" }) {
+        CAPTURE(address);
+        CHECK_FALSE(isRead(withReplaced(goodEntry, "10.1.1.1:80", address)));
+    }
+    CHECK(isRead(withReplaced(goodEntry, "10.1.1.1:80", "10.1.1.1:65535")));
+    CHECK(isRead(withReplaced(goodEntry, "10.1.1.1:80", "[::1]:1")));
+}
