--- a/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
+++ b/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
@@ -104,3 +104,43 @@
     CHECK(isRead(withReplaced(goodEntry, "10.1.1.1:80", "10.1.1.1:65535")));
     CHECK(isRead(withReplaced(goodEntry, "10.1.1.1:80", "[::1]:1")));
 }
+
+TEST_CASE("a worker's entry that is nested too deeply names no worker")
+{
+    for (const std::string& deep : { Fakes::nestedLists(Fakes::excessiveDepth),
+             Fakes::nestedObjects(Fakes::excessiveDepth), std::string(3'000'000, '[') }) {
+        CHECK_FALSE(isRead(deep));
+        for (const char* const member : { R"("s1")", R"("z1")", R"("ready")", R"(["a","r1-3"])", "17", "16000" })
+            CHECK_FALSE(isRead(withReplaced(goodEntry, member, deep)));
+        CHECK_FALSE(isRead(withReplaced(goodEntry, R"("born")", R"("unknown":)" + deep + R"(,"born")")));
+    }
+}
+
+TEST_CASE("a listing of workers with odd entries yields the good ones")
+{
+    FixedStore store(mixedEntries());
+    WorkerRegistry registry(store);
+    std::vector<std::string> listed;
+    registry.list([&](const Common::Result<Cells::WorkerChanges>& changes) {
+        REQUIRE(changes);
+        listed = idsOf(changes->listed);
+    });
+    CHECK(listed == std::vector<std::string> { "i-1", "i-4", "i-7" });
+}
+
+TEST_CASE("a watch of workers with odd entries yields the good ones and removes the odd ones")
+{
+    FixedStore store(mixedEntries());
+    WorkerRegistry registry(store);
+    std::vector<std::string> listed;
+    std::vector<std::string> removed;
+    registry.watch({}, {}, [&](const Common::Result<Cells::WorkerChanges>& changes) {
+        REQUIRE(changes);
+        CHECK(changes->upTo.value == 9);
+        listed = idsOf(changes->listed);
+        for (const Common::WorkerId& id : changes->removed)
+            removed.push_back(id.value());
+    });
+    CHECK(listed == std::vector<std::string> { "i-1", "i-4", "i-7" });
+    CHECK(removed == std::vector<std::string> { "i-2", "i-3", "i-5", "i-6", "i-8" });
+}
