--- a/Source/Core/Common/JsonField.h
+++ b/Source/Core/Common/JsonField.h
@@ -19,8 +19,8 @@
 inline constexpr size_t maximumNameBytes = 256;
 
 /// A view of a JSON value and its name in error messages; the value, its parents and the name outlive the view.
-/// Every function throws JsonFault if the value is missing or doesn't have the expected type or range. Nothing is copied
-/// but the value that is asked for.
+/// Every function throws JsonFault if the value is missing or doesn't have the expected type or range. Nothing is
+/// copied but the value that is asked for.
 class JsonField {
 public:
     explicit JsonField(const nlohmann::json& value, std::string_view name = "the value");
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -245,6 +245,8 @@
     metrics.gauge("lavendercart_owned_cells", "Cells that this host owns")
         .Set(static_cast<double>(cellOwnership.engines().size()));
     metrics.gauge("lavendercart_ready", "Whether the host takes calls").Set(ready() ? 1 : 0);
+    metrics.gauge("lavendercart_unreadable_entries", "Entries of the list of workers that can't be read")
+        .Set(static_cast<double>(registry.unreadableEntries()));
     updateWorkMetrics();
 }
 
--- a/Source/UnitTests/Common/JsonFieldTest.cpp
+++ b/Source/UnitTests/Common/JsonFieldTest.cpp
@@ -1,6 +1,6 @@
 // Typed access to JSON: values within bounds are read, all others are refused with a short reason.
-#include "Common/JsonFault.h"
 #include "Common/JsonField.h"
+#include "Common/JsonFault.h"
 #include "Common/JsonParser.h"
 #include "Common/ShortText.h"
 
@@ -32,7 +32,8 @@
         CHECK(JsonField(Json(number)).integer(INT64_MIN, INT64_MAX) == number);
         CHECK(JsonField(Json(number)).integer(number, number) == number);
     }
-    for (const char* const text : { "9223372036854775808", "18446744073709551615", "1e19", "-1e19", "1e300", "-1e300" }) {
+    for (const char* const text :
+        { "9223372036854775808", "18446744073709551615", "1e19", "-1e19", "1e300", "-1e300" }) {
         CAPTURE(text);
         const Json value = Json::parse(text);
         CHECK_THROWS_AS(JsonField(value).integer(INT64_MIN, INT64_MAX), JsonFault);
@@ -76,8 +77,8 @@
 TEST_CASE("a reason names the field, its value and what was expected, and is short")
 {
     const Json object { { "cpu", -5 }, { "name", std::string(100'000, '\n') }, { "list", Json(100'000, 7) } };
-    CHECK(reasonOf([&] { JsonField(object)["cpu"].integer(0, 9); })
-        == "cpu is -5, expected a whole number from 0 to 9");
+    CHECK(
+        reasonOf([&] { JsonField(object)["cpu"].integer(0, 9); }) == "cpu is -5, expected a whole number from 0 to 9");
     CHECK(reasonOf([&] { JsonField(object)["name"].name(); }).size() < 150);
     CHECK(reasonOf([&] { JsonField(object)["name"].name(); }).find('\n') == std::string::npos);
     CHECK(reasonOf([&] { JsonField(object)["list"].text(); }) == "list is a list of 100000, expected a text");
