--- /dev/null
+++ b/Source/UnitTests/Platform/OddAnswerTest.cpp
@@ -0,0 +1,114 @@
+// Answers of the store and of workers that have a wrong form: the call fails or the part is left out, and the process
+// lives on.
+#include "platform/KeyValueStore.h"
+#include "platform/WorkerCalls.h"
+
+#include "Fakes/OddJson.h"
+#include "Http/Client.h"
+#include "Http/EventLoop.h"
+#include "Http/LoopDriver.h"
+#include "Http/RawServer.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace Platform;
+using Common::ErrorCode;
+
+namespace {
+
+constexpr std::chrono::seconds longTimeout { 60 };
+const std::string task = "5c0e7a21d94b36f8.0.1.17";
+
+/// A server that gives the same answer to each call.
+struct OddServer {
+    OddServer(int status, std::string answerBody)
+        : body(std::move(answerBody))
+        , server(loop,
+              [this, status](Fakes::RawServer::Connection& connection) {
+                  connection.write("HTTP/1.1 " + std::to_string(status)
+                      + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+              })
+        , client(loop, {})
+    {
+    }
+
+    template <typename T> Common::Result<T> call(const std::function<void(Common::Callback<T>)>& send)
+    {
+        std::optional<Common::Result<T>> answer;
+        send([&answer](Common::Result<T> result) { answer.emplace(std::move(result)); });
+        REQUIRE(Fakes::runUntil(loop, [&] { return answer.has_value(); }));
+        return *answer;
+    }
+    Common::Result<Cells::OrderAnswer> stop()
+    {
+        WorkerCalls calls(client, client, { longTimeout });
+        return call<Cells::OrderAnswer>([&](auto done) {
+            calls.stop({ Common::WorkerId("i-1"), server.address() }, {}, *decodeTask(task), {}, std::move(done));
+        });
+    }
+    Common::Result<Cells::RunReport> poll()
+    {
+        WorkerCalls calls(client, client, { longTimeout });
+        return call<Cells::RunReport>([&](auto done) {
+            calls.pollRuns({ Common::WorkerId("i-1"), server.address() }, {}, std::move(done));
+        });
+    }
+    Common::Result<Cells::RecordListing> list()
+    {
+        KeyValueStore store(client, { server.address(), longTimeout });
+        return call<Cells::RecordListing>(
+            [&](auto done) { store.list("p/", Cells::Freshness::Linearizable, std::move(done)); });
+    }
+    Common::Result<Scheduler::StoreChanges> watch()
+    {
+        KeyValueStore store(client, { server.address(), longTimeout });
+        return call<Scheduler::StoreChanges>([&](auto done) { store.watch("p/", { 3 }, {}, std::move(done)); });
+    }
+
+    std::string body;
+    Http::EventLoop loop;
+    Fakes::RawServer server;
+    Http::Client client;
+};
+
+std::vector<std::string> keysOf(const std::vector<Scheduler::StoreValue>& records)
+{
+    std::vector<std::string> keys;
+    for (const Scheduler::StoreValue& record : records)
+        keys.push_back(record.key);
+    return keys;
+}
+
+const std::string deepLists = Fakes::nestedLists(Fakes::excessiveDepth);
+/// Items with an odd key, revision or value among good ones; the value is "ab".
+const std::string mixedItems = R"([{"key":"p/1","revision":4,"value":"YWI="},{"revision":4,"value":"YWI="},5,null,
+    {"key":7,"revision":4,"value":"YWI="},{"key":"p/2","revision":-1,"value":"YWI="},
+    {"key":"p/3","revision":4,"value":"YWI="},{"key":"p/4","revision":4,"value":"?"},
+    {"key":"p/5","revision":4,"value":8},{"key":"p/6","revision":4,"value":"YWI="}])";
+
+} // namespace
+
+TEST_CASE("a worker's answer that is nested too deeply fails and doesn't end the process")
+{
+    CHECK(OddServer(200, deepLists).poll().reason().code == ErrorCode::ProtocolError);
+    CHECK(OddServer(200, R"({"clock_ms":7,"running":)" + deepLists + "}").poll().reason().code
+        == ErrorCode::ProtocolError);
+    CHECK(OddServer(200, R"({"clock_ms":7,"ended":[)" + deepLists + "]}").poll().reason().code
+        == ErrorCode::ProtocolError);
+    CHECK(OddServer(409, R"({"reason":)" + deepLists + "}").stop()->verdict == Cells::OrderVerdict::InvalidTicket);
+    CHECK(OddServer(400, deepLists).stop()->verdict == Cells::OrderVerdict::Malformed);
+}
+
+TEST_CASE("a store's answer that is nested too deeply fails and doesn't end the process")
+{
+    CHECK(OddServer(200, R"({"at":9,"items":)" + deepLists + "}").list().reason().code == ErrorCode::ProtocolError);
+    CHECK(OddServer(200, R"({"at":9,"events":)" + deepLists + "}").watch().reason().code == ErrorCode::ProtocolError);
+    CHECK(OddServer(200, R"({"at":9,"has_more":)" + deepLists + R"(,"items":[]})").list().reason().code
+        == ErrorCode::ProtocolError);
+}
