Don't end the process at a refusal whose reason isn't a text

The answer 409 with a `reason` of another type threw a type error in the client's callback, which nothing catches: the process ended. Shown with the real HTTP client; before, the test failed with "type must be string, but is number" thrown out of the event loop. Such a reason now counts as an unknown one.

--- a/Source/UnitTests/Platform/OddAnswerTest.cpp
+++ b/Source/UnitTests/Platform/OddAnswerTest.cpp
@@ -94,6 +94,17 @@
 
 } // namespace
 
+TEST_CASE("a worker's refusal whose reason isn't a text doesn't end the process")
+{
+    for (const char* const reason : { "5", "null", "[]", "{}", "true" }) {
+        OddServer worker(409, std::string(R"({"clock_ms":7,"reason":)") + reason + "}");
+        const auto answer = worker.stop();
+        REQUIRE(answer);
+        CHECK(answer->verdict == Cells::OrderVerdict::InvalidTicket);
+        CHECK(answer->clock->milliseconds == 7);
+    }
+}
+
 TEST_CASE("a worker's answer that is nested too deeply fails and doesn't end the process")
 {
     CHECK(OddServer(200, deepLists).poll().reason().code == ErrorCode::ProtocolError);
