Read the numbers of workers' answers with their bounds

A worker's clock of 1e300 or -5, attempts beyond 32 bits (which wrapped to another attempt's number), percentages beyond 32 bits (an undefined conversion) and loads of 1e300 were taken. Only wrong figures were shown: a clock that jumps ahead grants leases far too long, and a wrapped attempt can be taken for a run of a later one.

A clock out of bounds counts as missing; an attempt or number out of bounds makes its row unreadable. A row that names its task and attempt counts whatever its other figures are, since a run without a row is taken for gone and started again: its percentage is clamped, and its load counts as not reported.

--- a/Source/UnitTests/Platform/OddAnswerTest.cpp
+++ b/Source/UnitTests/Platform/OddAnswerTest.cpp
@@ -105,6 +105,18 @@
     }
 }
 
+TEST_CASE("a worker's clock that no clock can show isn't taken")
+{
+    for (const std::string& number : Fakes::oddNumbers()) {
+        CAPTURE(number);
+        OddServer worker(200, R"({"clock_ms":)" + number + "}");
+        const auto answer = worker.stop();
+        REQUIRE(answer);
+        CHECK_FALSE(answer->clock);
+        CHECK(worker.poll().reason().code == ErrorCode::ProtocolError);
+    }
+}
+
 TEST_CASE("a worker's answer that is nested too deeply fails and doesn't end the process")
 {
     CHECK(OddServer(200, deepLists).poll().reason().code == ErrorCode::ProtocolError);
@@ -116,6 +128,33 @@
     CHECK(OddServer(400, deepLists).stop()->verdict == Cells::OrderVerdict::Malformed);
 }
 
+TEST_CASE("odd figures of a run don't hide the run, and odd rows don't hide the others")
+{
+    using Json = nlohmann::json;
+    Json running = Json::array(
+        { Json::array({ task, 1, "", 41, 12 }), 5, nullptr, "x", Json::object(), Json::array({ task, -1, "", 0 }),
+            Json::array({ task, 4294967297, "", 0 }), Json::array({ task, 1.5, "", 0 }) });
+    for (const Json& figure : { Json(-5), Json(1e300), Json(18446744073709551615ULL), Json("x"), Json(nullptr) })
+        running.push_back(Json::array({ task, 2, "", figure, figure }));
+    const auto report = readReport(Json { { "clock_ms", 7 }, { "running", running },
+        { "ended",
+            Json::array({ Json::array({ -1, task, 1, "done", "" }), Json::array({ 1e300, task, 1, "done", "" }),
+                Json::array({ 4, task, 1e10, "done", "" }), Json::array({ 5, task, 1, "done", "" }) }) } });
+    REQUIRE(report);
+    REQUIRE(report->running.size() == 6);
+    CHECK(report->running[0].percent == 41);
+    CHECK(report->running[0].load == 12);
+    for (size_t row = 1; row < report->running.size(); ++row) {
+        CAPTURE(row);
+        CHECK(report->running[row].attempt.value == 2);
+        CHECK(report->running[row].percent <= 100);
+        CHECK(report->running[row].load <= 1e9);
+    }
+    REQUIRE(report->ended.size() == 1);
+    CHECK(report->ended[0].number == 5);
+    CHECK(report->unreadable == 10);
+}
+
 TEST_CASE("a store's answer that is nested too deeply fails and doesn't end the process")
 {
     CHECK(OddServer(200, R"({"at":9,"items":)" + deepLists + "}").list().reason().code == ErrorCode::ProtocolError);
