Don't let one unreadable item hide the others of a listing or watch

One item without a key, or with a key, revision or value of another type, failed the whole answer. The host then asked again for ever: it didn't see any change of the workers any more (a worker that left was never unlisted), and no cell could be taken over. No process ended by this.

Items are read one by one. One whose key can be read but not its contents is an empty record, so that it isn't taken for a key that doesn't exist; one without a key is left out and counted in RecordListing::unreadable. Reads of one key and conflicts of a transaction still fail as a whole, since their caller relies on each item. Revisions have bounds.

--- a/Source/UnitTests/Platform/OddAnswerTest.cpp
+++ b/Source/UnitTests/Platform/OddAnswerTest.cpp
@@ -155,6 +155,32 @@
     CHECK(report->unreadable == 10);
 }
 
+TEST_CASE("an item that can't be read doesn't hide the others of a listing")
+{
+    OddServer server(200, R"({"at":9,"items":)" + mixedItems + "}");
+    const auto listing = server.list();
+    REQUIRE(listing);
+    CHECK(listing->upTo.value == 9);
+    CHECK(keysOf(listing->records) == std::vector<std::string> { "p/1", "p/2", "p/3", "p/4", "p/5", "p/6" });
+    // A record whose key is known but not its contents is listed without them, so that its absence isn't concluded.
+    for (const Scheduler::StoreValue& record : listing->records)
+        CHECK(record.value == (record.key == "p/1" || record.key == "p/3" || record.key == "p/6" ? "ab" : ""));
+}
+
+TEST_CASE("an event that can't be read doesn't hide the others of a watch")
+{
+    OddServer server(200,
+        R"({"at":9,"events":)"
+            + Fakes::withReplaced(mixedItems, "[{", R"([{"key":"p/7","tombstone":true},{"tombstone":true},
+                {"key":"p/8","tombstone":"x"},{)")
+            + "}");
+    const auto changes = server.watch();
+    REQUIRE(changes);
+    CHECK(changes->upTo.value == 9);
+    CHECK(changes->removed == std::vector<std::string> { "p/7" });
+    CHECK(keysOf(changes->written) == std::vector<std::string> { "p/8", "p/1", "p/2", "p/3", "p/4", "p/5", "p/6" });
+}
+
 TEST_CASE("a store's answer that is nested too deeply fails and doesn't end the process")
 {
     CHECK(OddServer(200, R"({"at":9,"items":)" + deepLists + "}").list().reason().code == ErrorCode::ProtocolError);
@@ -162,3 +188,14 @@
     CHECK(OddServer(200, R"({"at":9,"has_more":)" + deepLists + R"(,"items":[]})").list().reason().code
         == ErrorCode::ProtocolError);
 }
+
+TEST_CASE("a store's answer with a revision that no store has fails")
+{
+    for (const char* const revision : { "-1", "1e300", "1.5", "null", R"("9")" }) {
+        CAPTURE(revision);
+        CHECK(OddServer(200, std::string(R"({"items":[],"at":)") + revision + "}").list().reason().code
+            == ErrorCode::ProtocolError);
+        CHECK(OddServer(200, std::string(R"({"events":[],"at":)") + revision + "}").watch().reason().code
+            == ErrorCode::ProtocolError);
+    }
+}
