Don't let one unreadable route or limit hide the operator's configuration

One route of a wrong form refused the whole configuration, so that no other change came into force; a route with `max_attempts` got 0 (no limit), with `priority` -1 the highest one, with `stretch` 1e300 or a time of 9e18 ms an undefined or negative time. `limits` nested 100,000 levels deep was copied and ended the process (SIGSEGV in the test), and so did every host that read it from the store or from a peer. The reason of a refusal repeated the text, however long, at each attempt.

One that can't be read is left out and named; ConfigFollower keeps such a route as it was in force. A configuration without any readable route is refused as before, and so is one whose version can't be read. A fault is logged once for each source.

A peer's answer whose text isn't a text threw out of the event loop and ended the process; it is ignored now.

--- a/Source/Core/Cells/ConfigFollower.cpp
+++ b/Source/Core/Cells/ConfigFollower.cpp
@@ -70,13 +70,18 @@
 {
     if (text.empty())
         return;
-    const auto decoded = m_source.decode(text);
+    auto decoded = m_source.decode(text);
     if (!decoded) {
-        LC_ERROR(Config, "event=unreadable-config source=" << source << " reason=" << decoded.reason().detail);
+        if (m_faults.report(source, decoded.reason().detail))
+            LC_ERROR(Config, "event=unreadable-config source=" << source << " reason=" << decoded.reason().detail);
         return;
     }
+    m_faults.resolve(source);
     if (m_current && decoded->version <= m_current->version)
         return;
+    for (const UnreadableRoute& route : decoded->unreadableRoutes)
+        LC_ERROR(Config, "event=unreadable-route route=" << route.name << " reason=" << route.reason);
+    keepUnreadableRoutes(*decoded);
     LC_INFO(Config,
         "event=config-in-force version=" << decoded->version << " routes=" << decoded->routes.size()
                                          << " source=" << source);
@@ -86,6 +91,18 @@
         m_onChange(*m_current);
 }
 
+void ConfigFollower::keepUnreadableRoutes(ServingConfig& config) const
+{
+    if (!m_current)
+        return;
+    for (const JobRoute& route : m_current->routes) {
+        const bool unreadable = std::any_of(config.unreadableRoutes.begin(), config.unreadableRoutes.end(),
+            [&](const UnreadableRoute& other) { return other.name == route.policy.route; });
+        if (unreadable)
+            config.routes.push_back(route);
+    }
+}
+
 void ConfigFollower::onHeartbeat(const HostHeartbeat& heartbeat)
 {
     const int64_t own = m_current ? m_current->version : -1;
@@ -95,7 +112,7 @@
     m_peers.call(heartbeat.address, configMethod, nlohmann::json::object(), peerTimeout,
         m_lifetime.guard([this](const Common::Result<nlohmann::json>& answer) {
             m_fetchInProgress = false;
-            if (answer && answer->contains("text"))
+            if (answer && answer->contains("text") && answer->at("text").is_string())
                 applyIfNewer(answer->at("text").get<std::string>(), "host");
         }));
 }
--- a/Source/Core/Cells/ConfigFollower.h
+++ b/Source/Core/Cells/ConfigFollower.h
@@ -3,6 +3,7 @@
 
 #include "Cells/ConfigSource.h"
 #include "Cells/HostHeartbeat.h"
+#include "Common/FaultLog.h"
 #include "Common/Lifetime.h"
 #include "Scheduler/PeerPort.h"
 #include "Scheduler/Runtime.h"
@@ -29,6 +30,8 @@
     void read();
     void watch();
     void applyIfNewer(const std::string& text, const char* source);
+    /// Adds the routes in force that the new configuration names but whose new form can't be read.
+    void keepUnreadableRoutes(ServingConfig&) const;
 
     Scheduler::Runtime& m_runtime;
     ConfigSource& m_source;
@@ -39,6 +42,8 @@
     Common::StoreRevision m_revision;
     bool m_fetchInProgress = false;
     Common::Duration m_retryPause {};
+    /// Configurations that can't be read, by source.
+    Common::FaultLog m_faults;
     std::function<void(const ServingConfig&)> m_onChange;
     Common::Lifetime m_lifetime;
 };
