Bound the depth of other daemons' messages

A message to the port for other daemons that is nested more than 1,000 levels deep ended the process: libjsoncpp throws an exception that nothing catches ("terminate called after throwing an instance of Json::RuntimeError"). Calls and answers that are nested too deeply are refused before the codec sees them.

--- a/Source/Core/Common/JsonParser.cpp
+++ b/Source/Core/Common/JsonParser.cpp
@@ -7,37 +7,32 @@
 
 namespace Common {
 
-namespace {
-
-    /// Whether the text opens more than maximumJsonDepth lists and objects inside each other. Exact for valid JSON.
-    bool isTooDeep(std::string_view text)
-    {
-        size_t depth = 0;
-        bool inString = false;
-        for (size_t index = 0; index < text.size(); ++index) {
-            const char c = text[index];
-            if (inString) {
-                if (c == '\\')
-                    ++index;
-                else if (c == '"')
-                    inString = false;
-                continue;
-            }
-            if (c == '"')
-                inString = true;
-            else if ((c == '[' || c == '{') && ++depth > maximumJsonDepth)
-                return true;
-            else if ((c == ']' || c == '}') && depth > 0)
-                --depth;
+bool isJsonTooDeep(std::string_view text)
+{
+    size_t depth = 0;
+    bool inString = false;
+    for (size_t index = 0; index < text.size(); ++index) {
+        const char c = text[index];
+        if (inString) {
+            if (c == '\\')
+                ++index;
+            else if (c == '"')
+                inString = false;
+            continue;
         }
-        return false;
+        if (c == '"')
+            inString = true;
+        else if ((c == '[' || c == '{') && ++depth > maximumJsonDepth)
+            return true;
+        else if ((c == ']' || c == '}') && depth > 0)
+            --depth;
     }
-
-} // namespace
+    return false;
+}
 
 nlohmann::json parseJsonOrThrow(std::string_view text)
 {
-    if (isTooDeep(text))
+    if (isJsonTooDeep(text))
         throw JsonFault("nested more than " + std::to_string(maximumJsonDepth) + " levels deep");
     nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
     if (value.is_discarded())
--- a/Source/Core/Common/JsonParser.h
+++ b/Source/Core/Common/JsonParser.h
@@ -14,6 +14,8 @@
 /// recursively, so that a deeper one can exhaust the stack.
 inline constexpr size_t maximumJsonDepth = 64;
 
+/// Whether the text opens more than maximumJsonDepth lists and objects inside each other; exact for valid JSON.
+bool isJsonTooDeep(std::string_view text);
 /// ProtocolError if the text is not JSON, holds a number that no double can hold, or is nested too deeply. The detail
 /// doesn't repeat the text.
 Result<nlohmann::json> parseJson(std::string_view text);
--- a/Source/Core/Peer/JsonRpcPeer.cpp
+++ b/Source/Core/Peer/JsonRpcPeer.cpp
@@ -1,6 +1,7 @@
 // Encodes, sends and serves JSON-RPC calls between daemons.
 #include "Peer/JsonRpcPeer.h"
 
+#include "Common/JsonParser.h"
 #include "Http/Client.h"
 
 #include <nlohmann/json.hpp>
@@ -52,6 +53,9 @@
         if (response->status != 200)
             return Failure { ErrorCode::ProtocolError,
                 "the peer answered with status " + std::to_string(response->status) };
+        // The codec's library ends the process at a text that is nested too deeply.
+        if (Common::isJsonTooDeep(response->body))
+            return Failure { ErrorCode::ProtocolError, "the peer's answer is nested too deeply" };
         const RpcCodec::Reply reply = RpcCodec::decodeReply(response->body);
         if (!reply.ok)
             return failureFrom(reply);
@@ -88,7 +92,7 @@
 
 void JsonRpcPeer::handle(const std::string& body, std::function<void(std::string)> reply)
 {
-    const RpcCodec::Call call = m_codec.decodeCall(body);
+    const RpcCodec::Call call = m_codec.decodeCall(Common::isJsonTooDeep(body) ? std::string() : body);
     if (!call.valid) {
         reply(call.reply);
         return;
