Don't end the process at a record that isn't UTF-8 or a failure of a wrong form

A host that relays the store's records to another one ended when a record held bytes that are not UTF-8, such as an odd entry of the list of workers: printing the reply threw a type error in the store's callback, which nothing catches. The host that had asked then asked the next one. Such bytes are now replaced in the reply; the entry is unreadable either way.

A failure whose `detail` isn't a text threw in the caller's callback as well, and `retryAfterMs` had no bounds.

Both were shown: "invalid UTF-8 byte at index 0: 0xFF" and "type must be string, but is number" were thrown out of the event loop before.

--- a/Source/Core/Peer/JsonRpcPeer.cpp
+++ b/Source/Core/Peer/JsonRpcPeer.cpp
@@ -1,6 +1,8 @@
 // Encodes, sends and serves JSON-RPC calls between daemons.
 #include "Peer/JsonRpcPeer.h"
 
+#include "Common/Bounds.h"
+#include "Common/JsonField.h"
 #include "Common/JsonParser.h"
 #include "Http/Client.h"
 
@@ -20,6 +22,10 @@
     constexpr const char* codeMember = "code";
     constexpr const char* detailMember = "detail";
     constexpr const char* retryAfterMember = "retryAfterMs";
+    constexpr auto longestRetryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(Common::maximumTimeSpan);
+
+    /// Values may hold bytes that are not UTF-8, such as a record that another program wrote to the store.
+    std::string textOf(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
 
     std::string errorDataFrom(const Failure& failure)
     {
@@ -27,7 +33,7 @@
         json data { { codeMember, Common::errorName(failure.code) }, { detailMember, failure.detail } };
         if (failure.retryAfter)
             data[retryAfterMember] = std::chrono::ceil<std::chrono::milliseconds>(*failure.retryAfter).count();
-        return data.dump();
+        return textOf(data);
     }
 
     Failure failureFrom(const RpcCodec::Reply& reply)
@@ -39,10 +45,13 @@
         const auto code = data.find(codeMember);
         if (code != data.end() && code->is_string())
             failure.code = Common::errorFromName(code->get<std::string>()).value_or(ErrorCode::ProtocolError);
-        failure.detail = data.value(detailMember, failure.detail);
+        const auto detail = data.find(detailMember);
+        if (detail != data.end() && detail->is_string())
+            failure.detail = detail->get<std::string>();
         const auto retryAfter = data.find(retryAfterMember);
-        if (retryAfter != data.end() && retryAfter->is_number_integer())
-            failure.retryAfter = std::chrono::milliseconds(retryAfter->get<int64_t>());
+        if (retryAfter != data.end() && retryAfter->is_number())
+            failure.retryAfter
+                = std::chrono::milliseconds(Common::JsonField(*retryAfter).clampedAmount(0, longestRetryAfter.count()));
         return failure;
     }
 
@@ -79,7 +88,7 @@
     request.method = "POST";
     request.target = path;
     request.headers.set("Content-Type", "application/json");
-    request.body = RpcCodec::encodeCall(method, params.dump());
+    request.body = RpcCodec::encodeCall(method, textOf(params));
     m_client.send(address, std::move(request), timeout,
         [reply = std::move(reply)](const Result<Http::Response>& response) { reply(readReply(response)); });
 }
@@ -100,7 +109,7 @@
     const json params = json::parse(call.params, nullptr, false);
     const auto answer = [this, body, reply = std::move(reply)](const Result<json>& result) {
         if (result)
-            reply(m_codec.encodeResult(body, result->dump()));
+            reply(m_codec.encodeResult(body, textOf(*result)));
         else
             reply(m_codec.encodeError(body, result.reason().detail, errorDataFrom(result.reason())));
     };
--- a/Source/UnitTests/Peer/OddPeerMessageTest.cpp
+++ b/Source/UnitTests/Peer/OddPeerMessageTest.cpp
@@ -49,6 +49,44 @@
 
 } // namespace
 
+TEST_CASE("a result that isn't UTF-8 is sent with the bytes replaced and doesn't end the process")
+{
+    Serving serving;
+    // The reply comes later, as from a call to the store.
+    Scheduler::PeerPort::Reply later;
+    serving.peer.serve("m", [&later](const Json&, const Scheduler::PeerPort::Reply& reply) { later = reply; });
+    std::string text;
+    serving.peer.handle(RpcCodec::encodeCall("m", "{}"), [&text](std::string reply) { text = std::move(reply); });
+    REQUIRE_NOTHROW(later(Json { { "records", Json::array({ "good", "\xff\xfe" }) } }));
+    const RpcCodec::Reply reply = RpcCodec::decodeReply(text);
+    REQUIRE(reply.ok);
+    CHECK(Json::parse(reply.result)["records"][0] == "good");
+}
+
+TEST_CASE("a failure whose detail isn't UTF-8 is sent with the bytes replaced and doesn't end the process")
+{
+    Serving serving;
+    serving.peer.serve("m", [](const Json&, const Scheduler::PeerPort::Reply& reply) {
+        reply(Common::Failure { ErrorCode::NotOwner, "\xff\xfe", std::nullopt });
+    });
+    CHECK_FALSE(RpcCodec::decodeReply(serving.handle(RpcCodec::encodeCall("m", "{}"))).ok);
+}
+
+TEST_CASE("a failure whose parts have other types doesn't end the process")
+{
+    Serving serving;
+    for (const char* const data : { R"({"code":"not-owner","detail":5})", R"({"code":7,"detail":null})",
+             R"({"detail":[],"retryAfterMs":"x"})", R"({"detail":"d","retryAfterMs":9223372036854775807})",
+             R"({"retryAfterMs":-5})", R"({"retryAfterMs":1e300})", "[]", "5" }) {
+        CAPTURE(data);
+        const auto result = serving.callAndRead(
+            std::string(R"({"jsonrpc":"2.0","id":1,"error":{"code":-32000,"message":"m","data":)") + data + "}}");
+        REQUIRE_FALSE(result);
+        if (result.reason().retryAfter)
+            CHECK(*result.reason().retryAfter >= Common::Duration::zero());
+    }
+}
+
 TEST_CASE("a message that is nested too deeply doesn't end the process")
 {
     Serving serving;
