Check job records when they are read

A record with progress of a task that its step doesn't have threw std::out_of_range, which nothing catches: the host that took over the cell ended, and so did each one after it. A record nested 100,000 levels deep in `progress` ended it too (SIGSEGV). `after` of a step that doesn't exist was taken, and is an index elsewhere.

Such a record is refused, as malformed ones are. Figures out of bounds are read as the nearest ones instead: refusing the record would lose an accepted job.

--- a/Source/Core/Common/JsonField.cpp
+++ b/Source/Core/Common/JsonField.cpp
@@ -111,6 +111,8 @@
 
 JsonField JsonField::otherwise(const Json& fallback) const { return { m_value ? m_value : &fallback, m_name }; }
 
+bool JsonField::isObject() const { return m_value && m_value->is_object(); }
+
 bool JsonField::flag() const
 {
     if (!existing().is_boolean())
--- a/Source/Core/Common/JsonField.h
+++ b/Source/Core/Common/JsonField.h
@@ -31,6 +31,7 @@
     JsonField element(size_t index) const;
 
     bool exists() const { return m_value != nullptr; }
+    bool isObject() const;
     /// This field, or `fallback` if it is missing.
     JsonField otherwise(const nlohmann::json& fallback) const;
 
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -1,13 +1,22 @@
 // JSON form of job records.
 #include "Jobs/JobRecord.h"
 
+#include "Common/Bounds.h"
+#include "Common/JsonFault.h"
+#include "Common/JsonField.h"
+#include "Common/JsonParser.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cfloat>
+
 namespace Jobs {
 
 namespace {
 
     using Json = nlohmann::json;
+    using Common::JsonField;
 
     template <typename Value> void putUnlessDefault(Json& object, const char* name, const Value& value)
     {
@@ -38,27 +47,65 @@
         return object;
     }
 
-    StepSpec stepFromJson(const Json& object)
+    // A record whose figures are out of bounds is read with the nearest ones: refusing it would lose an accepted job.
+
+    int64_t amountFrom(const JsonField& field, int64_t most) { return field.otherwise(0).clampedAmount(0, most); }
+
+    uint32_t countFrom(const JsonField& field, uint32_t most = UINT32_MAX)
+    {
+        return static_cast<uint32_t>(amountFrom(field, most));
+    }
+
+    Common::Duration durationFrom(const JsonField& field)
+    {
+        return Common::Duration(amountFrom(field, Common::maximumTimeSpan.count()));
+    }
+
+    bool flagFrom(const JsonField& field) { return field.otherwise(false).flag(); }
+
+    std::string textFrom(const JsonField& field) { return field.otherwise("").text(); }
+
+    std::set<uint32_t> numbersFrom(const JsonField& field)
+    {
+        std::set<uint32_t> numbers;
+        for (const Json& number : field.listOrEmpty())
+            numbers.insert(JsonField(number, "a number").count());
+        return numbers;
+    }
+
+    /// Numbers of the steps before step `number`.
+    std::vector<uint32_t> afterFrom(const JsonField& field, size_t number)
+    {
+        std::vector<uint32_t> after;
+        for (const Json& other : field.listOrEmpty()) {
+            after.push_back(JsonField(other, "after").count());
+            if (after.back() >= number)
+                throw Common::JsonFault("after refers to a step that is not earlier");
+        }
+        return after;
+    }
+
+    StepSpec stepFromJson(const JsonField& object, size_t number)
     {
         StepSpec step;
-        step.taskCount = object.at("tasks").get<uint32_t>();
-        step.resources.milliCores = object.value("milliCores", int64_t { 0 });
-        step.resources.memoryMegabytes = object.value("memory", int64_t { 0 });
-        step.resources.accelerators = object.value("accelerators", int64_t { 0 });
-        step.estimate = Common::Duration(object.value("estimate", Common::Duration::rep { 0 }));
-        step.after = object.value("after", std::vector<uint32_t> {});
-        step.supportsCheckpoints = object.value("checkpoints", false);
-        step.gang = object.value("gang", false);
-        step.sameRack = object.value("sameRack", false);
-        step.mayRunCopies = object.value("copies", false);
-        step.longRunning = object.value("longRunning", false);
-        step.backfill = object.value("backfill", false);
-        step.requiredLabel = object.value("label", std::string {});
-        step.preferredRack = Common::RackId(object.value("rack", std::string {}));
-        step.maximumPerWorker = object.value("perWorker", 0U);
-        step.image = object.value("image", std::string {});
-        step.latencyTarget = Common::Duration(object.value("latency", Common::Duration::rep { 0 }));
-        step.maximumUnavailable = object.value("unavailable", 0U);
+        step.taskCount = object["tasks"].count(Common::maximumTaskCount);
+        step.resources.milliCores = amountFrom(object["milliCores"], Common::maximumMilliCores);
+        step.resources.memoryMegabytes = amountFrom(object["memory"], Common::maximumMegabytes);
+        step.resources.accelerators = amountFrom(object["accelerators"], Common::maximumAccelerators);
+        step.estimate = durationFrom(object["estimate"]);
+        step.after = afterFrom(object["after"], number);
+        step.supportsCheckpoints = flagFrom(object["checkpoints"]);
+        step.gang = flagFrom(object["gang"]);
+        step.sameRack = flagFrom(object["sameRack"]);
+        step.mayRunCopies = flagFrom(object["copies"]);
+        step.longRunning = flagFrom(object["longRunning"]);
+        step.backfill = flagFrom(object["backfill"]);
+        step.requiredLabel = textFrom(object["label"]);
+        step.preferredRack = Common::RackId(textFrom(object["rack"]));
+        step.maximumPerWorker = countFrom(object["perWorker"]);
+        step.image = textFrom(object["image"]);
+        step.latencyTarget = durationFrom(object["latency"]);
+        step.maximumUnavailable = countFrom(object["unavailable"]);
         return step;
     }
 
@@ -69,15 +116,16 @@
             { "target", policy.targetDuration.count() } };
     }
 
-    JobPolicy policyFromJson(const Json& object)
+    JobPolicy policyFromJson(const JsonField& object)
     {
         JobPolicy policy;
-        policy.route = object.at("route").get<std::string>();
-        policy.service = Common::ServiceName(object.at("service").get<std::string>());
-        policy.priority = object.value("priority", 0U);
-        policy.maximumAttempts = object.value("attempts", 0U);
-        policy.stretch = object.value("stretch", 1.0);
-        policy.targetDuration = Common::Duration(object.value("target", Common::Duration::rep { 0 }));
+        policy.route = object["route"].text();
+        policy.service = Common::ServiceName(object["service"].text());
+        policy.priority = countFrom(object["priority"]);
+        policy.maximumAttempts = countFrom(object["attempts"]);
+        const double stretch = object["stretch"].otherwise(1).number(-DBL_MAX, DBL_MAX);
+        policy.stretch = std::clamp(stretch, 0.0, Common::maximumStretch);
+        policy.targetDuration = durationFrom(object["target"]);
         return policy;
     }
 
@@ -97,18 +145,22 @@
         return Json::array({ std::move(flags), std::move(rows) });
     }
 
-    std::vector<TaskProgress> stepProgressFromJson(const Json& pair)
+    std::vector<TaskProgress> stepProgressFromJson(const JsonField& pair)
     {
-        const auto& flags = pair.at(0).get_ref<const std::string&>();
+        const std::string flags = pair.element(0).text();
         std::vector<TaskProgress> tasks(flags.size());
         for (size_t index = 0; index < flags.size(); ++index)
             tasks[index].done = flags[index] == '1';
-        for (const Json& row : pair.at(1)) {
-            TaskProgress& task = tasks.at(row.at(0).get<size_t>());
-            task.failedAttempts = row.at(1).get<std::set<uint32_t>>();
-            task.lastAttempt = row.at(2).get<uint32_t>();
-            task.checkpoint = row.at(3).get<std::string>();
-            task.transferredTo = row.at(4).get<std::string>();
+        for (const Json& element : pair.element(1).list()) {
+            const JsonField row(element, "a task");
+            const uint32_t index = row.element(0).count();
+            if (index >= tasks.size())
+                throw Common::JsonFault("the step has no task " + std::to_string(index));
+            TaskProgress& task = tasks[index];
+            task.failedAttempts = numbersFrom(row.element(1));
+            task.lastAttempt = row.element(2).count();
+            task.checkpoint = row.element(3).text();
+            task.transferredTo = row.element(4).text();
         }
         return tasks;
     }
@@ -125,42 +177,50 @@
         return rows;
     }
 
-    JobRecord readSubmission(const Json& object)
+    JobRecord readSubmission(const JsonField& object)
     {
         JobRecord record;
-        record.id = Common::JobId(object.at("id").get<std::string>());
-        record.policy = policyFromJson(object.at("terms"));
-        record.spec.payload = object.value("payload", std::string {});
-        for (const Json& step : object.value("steps", Json::array()))
-            record.spec.steps.push_back(stepFromJson(step));
-        record.spec.occurrences = object.value("occurrences", 0U);
-        record.spec.firstDueMilliseconds = object.value("firstDue", int64_t { 0 });
-        record.spec.interval = Common::Duration(object.value("interval", Common::Duration::rep { 0 }));
-        record.acceptedMilliseconds = object.value("accepted", int64_t { 0 });
+        record.id = Common::JobId(object["id"].text());
+        record.policy = policyFromJson(object["terms"]);
+        record.spec.payload = textFrom(object["payload"]);
+        for (const Json& step : object["steps"].listOrEmpty())
+            record.spec.steps.push_back(stepFromJson(JsonField(step, "a step"), record.spec.steps.size()));
+        record.spec.occurrences = countFrom(object["occurrences"], Common::maximumTaskCount);
+        record.spec.firstDueMilliseconds = amountFrom(object["firstDue"], Common::maximumClockMilliseconds);
+        // The last occurrence is due at a time that fits into a Duration.
+        const int64_t left = Common::maximumClockMilliseconds - record.spec.firstDueMilliseconds;
+        const std::chrono::milliseconds longest(left / std::max(record.spec.occurrences, 1U));
+        record.spec.interval = Common::Duration(amountFrom(object["interval"], Common::Duration(longest).count()));
+        record.acceptedMilliseconds = amountFrom(object["accepted"], Common::maximumClockMilliseconds);
         return record;
     }
 
-    void readProgress(const Json& object, JobRecord& record)
+    void readProgress(const JsonField& object, JobRecord& record)
     {
-        record.finishedMilliseconds = object.value("finished", int64_t { 0 });
-        const auto phase = phaseFromName(object.at("phase").get<std::string>());
+        record.finishedMilliseconds = amountFrom(object["finished"], Common::maximumClockMilliseconds);
+        const auto phase = phaseFromName(object["phase"].text());
         record.phase = phase.value_or(JobPhase::Queued);
-        record.partCells = object.value("parts", std::set<std::string> {});
-        record.isPart = object.value("isPart", false);
-        record.transfersSent = object.value("giftsMade", 0U);
-        record.transfersReceived = object.value("giftsReceived", std::map<std::string, uint32_t> {});
-        record.finishedOccurrences = object.value("finishedOccurrences", std::set<uint32_t> {});
-        for (const Json& row : object.value("progress", Json::array())) {
+        for (const Json& cell : object["parts"].listOrEmpty())
+            record.partCells.insert(JsonField(cell, "a part").text());
+        record.isPart = flagFrom(object["isPart"]);
+        record.transfersSent = countFrom(object["giftsMade"]);
+        if (const JsonField received = object["giftsReceived"]; received.exists()) {
+            for (const auto& [cell, count] : received.object().items())
+                record.transfersReceived.emplace(cell, JsonField(count, "a number").count());
+        }
+        record.finishedOccurrences = numbersFrom(object["finishedOccurrences"]);
+        for (const Json& element : object["progress"].listOrEmpty()) {
+            const JsonField row(element, "an occurrence");
             JobRecord::OccurrenceProgress steps;
-            for (const Json& pair : row.at(1))
-                steps.push_back(stepProgressFromJson(pair));
-            record.progress.emplace(row.at(0).get<uint32_t>(), std::move(steps));
+            for (const Json& pair : row.element(1).list())
+                steps.push_back(stepProgressFromJson(JsonField(pair, "a step")));
+            record.progress.emplace(row.element(0).count(), std::move(steps));
         }
     }
 
-    Common::Failure malformed(const Json::exception& error)
+    Common::Failure malformed(const Common::JsonFault& fault)
     {
-        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("job record: ") + error.what(), {} };
+        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("job record: ") + fault.what(), {} };
     }
 
 } // namespace
@@ -181,9 +241,9 @@
 Common::Result<JobRecord> submissionFromJson(const nlohmann::json& object)
 {
     try {
-        return readSubmission(object);
-    } catch (const Json::exception& error) {
-        return malformed(error);
+        return readSubmission(JsonField(object, "the submission"));
+    } catch (const Common::JsonFault& fault) {
+        return malformed(fault);
     }
 }
 
@@ -212,12 +272,13 @@
 Common::Result<JobRecord> JobRecord::decode(std::string_view text)
 {
     try {
-        const Json object = Json::parse(text);
+        const Json parsed = Common::parseJsonOrThrow(text);
+        const JsonField object(parsed, "the record");
         JobRecord record = readSubmission(object);
         readProgress(object, record);
         return record;
-    } catch (const Json::exception& error) {
-        return malformed(error);
+    } catch (const Common::JsonFault& fault) {
+        return malformed(fault);
     }
 }
 
--- a/Source/UnitTests/Jobs/JobRecordTest.cpp
+++ b/Source/UnitTests/Jobs/JobRecordTest.cpp
@@ -1,6 +1,8 @@
 // Job records keep their contents when encoded and decoded; malformed text is rejected.
 #include "Jobs/JobRecord.h"
 
+#include "Fakes/OddJson.h"
+
 #include <doctest/doctest.h>
 
 using namespace Jobs;
@@ -65,3 +67,56 @@
     for (const char* const text : { "", "{", "[]", "{}", R"({"id":5})", R"({"id":"a","terms":{}})" })
         CHECK(JobRecord::decode(text).reason().code == Common::ErrorCode::ProtocolError);
 }
+
+TEST_CASE("a record with progress of a task that the step doesn't have is refused and doesn't end the process")
+{
+    const std::string good = sampleRecord().encode();
+    REQUIRE(good.find("[2,[1,2],3") != std::string::npos);
+    for (const char* const index : { "3", "4294967298", "-1", "1e300", "null" }) {
+        CAPTURE(index);
+        const std::string text = Fakes::withReplaced(good, "[2,[1,2],3", "[" + std::string(index) + ",[1,2],3");
+        std::optional<Common::Result<JobRecord>> read;
+        REQUIRE_NOTHROW(read = JobRecord::decode(text));
+        CHECK_FALSE(*read);
+    }
+}
+
+TEST_CASE("a record with a step after one that doesn't exist is refused")
+{
+    const std::string good = sampleRecord().encode();
+    for (const char* const after : { "[1]", "[4294967296]", "[-1]", "[1e300]", "[0.5]", "0" })
+        CHECK_FALSE(JobRecord::decode(Fakes::withReplaced(good, R"("after":[0])", R"("after":)" + std::string(after))));
+}
+
+TEST_CASE("an accepted job isn't lost for a figure out of bounds")
+{
+    const std::string good = sampleRecord().encode();
+    for (const char* const number : { "-5", "1e300", "9223372036854775807", "18446744073709551615" }) {
+        CAPTURE(number);
+        for (const char* const field :
+            { R"("milliCores":4600)", R"("memory":9200)", R"("estimate":800000)", R"("priority":2)", R"("attempts":3)",
+                R"("stretch":1.5)", R"("target":600000)", R"("accepted":12345)" }) {
+            const std::string name(field, std::string(field).find(':') + 1);
+            REQUIRE(good.find(field) != std::string::npos);
+            const auto read = JobRecord::decode(Fakes::withReplaced(good, field, name + number));
+            REQUIRE(read);
+            CHECK(read->spec.steps.size() == 2);
+            for (const StepSpec& step : read->spec.steps) {
+                CHECK(step.resources.milliCores >= 0);
+                CHECK(step.resources.milliCores <= 1'000'000'000);
+                CHECK(step.estimate >= 0s);
+                CHECK(step.estimate <= 24h * 366);
+            }
+            CHECK(read->policy.stretch <= 100);
+        }
+    }
+}
+
+TEST_CASE("a record that is nested too deeply is refused and doesn't end the process")
+{
+    const std::string deep = Fakes::nestedLists(Fakes::excessiveDepth);
+    const std::string good = sampleRecord().encode();
+    CHECK_FALSE(JobRecord::decode(deep));
+    CHECK_FALSE(JobRecord::decode(Fakes::withReplaced(good, "[2,[1,2],3", "[2," + deep + ",3")));
+    CHECK_FALSE(JobRecord::decode(Fakes::withReplaced(good, R"("accepted":12345)", R"("progress":)" + deep)));
+}
