Check other hosts' messages and cells' records when they are read

Numbers in heartbeats, cell records and layouts had no bounds, ports none either. An answer of another host whose `process`, `phase` or `elsewhere` isn't a text threw in the caller's callback, which nothing catches. Deep heartbeats were refused, without a crash; they are bounded as other messages are.

Figures of loads are clamped instead of refused, since a host without readable heartbeats would lose its cells. The estimated work of waiting tasks is computed as a double and bounded, since its product exceeds int64_t for the largest allowed figures.

A claim of a cell ends when the listing of its jobs has items without a readable key, so that no job is left out silently; the claim is tried again. Relays pass the number on.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -35,7 +35,9 @@
     constexpr double backfillShareBesideServices = 0.25;
     /// Workers whose free processor time a heartbeat lists.
     constexpr size_t maximumReportedWorkers = 8;
-    constexpr int64_t microsecondsPerSecond = 1'000'000;
+    constexpr double microsecondsPerSecond = 1e6;
+    /// In thousandths of a core times seconds; the sum over thousands of such steps fits into int64_t.
+    constexpr double maximumWaitingOfStep = 1e15;
 
     const char* endName(RunEnd end)
     {
@@ -956,9 +958,12 @@
     for (const auto& [index, occurrence] : job.occurrences()) {
         for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const Jobs::StepSpec& spec = job.stepSpec(step);
-            const int64_t waiting = occurrence.steps[step].waitingCount * spec.resources.milliCores
-                * spec.estimate.count() / microsecondsPerSecond;
-            (spec.backfill ? load.waitingBackfill : load.waitingRegular) += waiting;
+            // The product may exceed int64_t.
+            const double waiting = static_cast<double>(occurrence.steps[step].waitingCount)
+                * static_cast<double>(spec.resources.milliCores) * static_cast<double>(spec.estimate.count())
+                / microsecondsPerSecond;
+            (spec.backfill ? load.waitingBackfill : load.waitingRegular)
+                += static_cast<int64_t>(std::min(waiting, maximumWaitingOfStep));
         }
     }
 }
--- a/Source/Core/Cells/CellLayout.cpp
+++ b/Source/Core/Cells/CellLayout.cpp
@@ -2,6 +2,9 @@
 #include "Cells/CellLayout.h"
 
 #include "Common/Hash.h"
+#include "Common/JsonFault.h"
+#include "Common/JsonField.h"
+#include "Common/JsonParser.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,6 +20,10 @@
         return CellId(domain.value() + "-" + std::to_string(index));
     }
 
+    using Common::JsonField;
+
+    /// Of one failure domain.
+    constexpr uint32_t maximumCells = 10'000;
     constexpr const char* countMember = "cells";
     constexpr const char* racksMember = "racks";
 
@@ -44,6 +51,19 @@
         return cells;
     }
 
+    /// Layouts of an earlier version have the number of cells only.
+    CellLayout::DomainCells domainFromJson(const JsonField& value)
+    {
+        CellLayout::DomainCells cells;
+        const bool hasRacks = value.isObject();
+        cells.count = std::max(1U, (hasRacks ? value[countMember] : value).count(maximumCells));
+        if (!hasRacks)
+            return cells;
+        for (const auto& [rack, index] : value[racksMember].object().items())
+            cells.racks.emplace(Common::RackId(rack), JsonField(index, "a rack's cell").count() % cells.count);
+        return cells;
+    }
+
 } // namespace
 
 CellLayout::CellLayout(std::map<Common::DomainId, DomainCells> domains)
@@ -115,21 +135,14 @@
 {
     try {
         std::map<Common::DomainId, DomainCells> domains;
-        const nlohmann::json object = nlohmann::json::parse(text);
-        if (!object.is_object())
-            return Common::Failure { Common::ErrorCode::ProtocolError, "cell layout: not an object", {} };
-        for (const auto& [domain, value] : object.items()) {
-            DomainCells cells;
-            cells.count = std::max(1U, (value.is_object() ? value.at(countMember) : value).get<uint32_t>());
-            if (value.is_object()) {
-                for (const auto& [rack, index] : value.at(racksMember).items())
-                    cells.racks.emplace(Common::RackId(rack), index.get<uint32_t>() % cells.count);
-            }
-            domains.emplace(Common::DomainId(domain), std::move(cells));
-        }
+        const nlohmann::json parsed = Common::parseJsonOrThrow(text);
+        for (const auto& [domain, value] : JsonField(parsed, "the layout").object().items())
+            domains.emplace(Common::DomainId(domain), domainFromJson(JsonField(value, "a domain")));
+        if (domains.empty())
+            throw Common::JsonFault("the layout has no cells");
         return CellLayout(std::move(domains));
-    } catch (const nlohmann::json::exception& error) {
-        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("cell layout: ") + error.what(), {} };
+    } catch (const Common::JsonFault& fault) {
+        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("cell layout: ") + fault.what(), {} };
     }
 }
 
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -4,6 +4,9 @@
 #include "Cells/AnswerWindow.h"
 #include "Cells/PressureEstimateCodec.h"
 #include "Cells/StoreKeys.h"
+#include "Common/JsonFault.h"
+#include "Common/JsonField.h"
+#include "Common/JsonParser.h"
 #include "Common/Log.h"
 #include "Common/WorkTimes.h"
 #include "Policy/OwnerChoice.h"
@@ -51,13 +54,15 @@
         if (!record)
             return workers;
         try {
-            for (const nlohmann::json& row : nlohmann::json::parse(record->value)) {
+            const nlohmann::json rows = Common::parseJsonOrThrow(record->value);
+            for (const nlohmann::json& element : Common::JsonField(rows, "the workers").list()) {
+                const Common::JsonField row(element, "a worker");
                 WorkerEntry entry;
-                entry.id = Common::WorkerId(row.at(0).get<std::string>());
-                entry.address = row.at(1).get<std::string>();
+                entry.id = Common::WorkerId(row.element(0).text());
+                entry.address = row.element(1).text();
                 workers.push_back(std::move(entry));
             }
-        } catch (const nlohmann::json::exception& error) {
+        } catch (const Common::JsonFault& error) {
             LC_ERROR(Store, "event=unreadable-record key=" << record->key << " reason=" << error.what());
         }
         return workers;
@@ -66,8 +71,8 @@
     std::vector<Policy::TailLatencyModel::PressureEstimate> readPressureEstimates(const Scheduler::StoreValue& record)
     {
         try {
-            return pressureEstimatesFromJson(nlohmann::json::parse(record.value));
-        } catch (const nlohmann::json::exception& error) {
+            return pressureEstimatesFromJson(Common::parseJsonOrThrow(record.value));
+        } catch (const Common::JsonFault& error) {
             LC_ERROR(Store, "event=unreadable-record key=" << record.key << " reason=" << error.what());
             return {};
         }
@@ -633,7 +638,7 @@
     LC_INFO(Jobs, "event=cell-claimed cell=" << cell.value() << " token=" << record.token.value);
     m_ports.store.list(StoreKeys::jobs(cell), Freshness::Linearizable,
         m_lifetime.guard([this, cell, record, fence, formerOwnerStopped](const Common::Result<RecordListing>& jobs) {
-            if (!jobs) {
+            if (!jobs || jobs->unreadable > 0) {
                 endClaim(cell, "the job records can't be read");
                 return;
             }
--- a/Source/Core/Cells/CellRecord.cpp
+++ b/Source/Core/Cells/CellRecord.cpp
@@ -1,6 +1,10 @@
 // JSON form of cell records.
 #include "Cells/CellRecord.h"
 
+#include "Common/JsonFault.h"
+#include "Common/JsonField.h"
+#include "Common/JsonParser.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Cells {
@@ -16,16 +20,17 @@
 Common::Result<CellRecord> CellRecord::decode(std::string_view text)
 {
     try {
-        const nlohmann::json object = nlohmann::json::parse(text);
+        const nlohmann::json parsed = Common::parseJsonOrThrow(text);
+        const Common::JsonField object(parsed, "the record");
         CellRecord record;
-        record.owner = Common::DaemonId(object.at("owner").get<std::string>());
-        record.address = object.at("address").get<std::string>();
-        record.token = FencingToken { object.at("token").get<uint64_t>() };
-        record.rewrites = object.value("rewrites", uint64_t { 0 });
-        record.released = object.value("released", false);
+        record.owner = Common::DaemonId(object["owner"].text());
+        record.address = object["address"].text();
+        record.token = FencingToken { static_cast<uint64_t>(object["token"].integer(0, Common::maximumJsonInteger)) };
+        record.rewrites = static_cast<uint64_t>(object["rewrites"].otherwise(0).integer(0, Common::maximumJsonInteger));
+        record.released = object["released"].otherwise(false).flag();
         return record;
-    } catch (const nlohmann::json::exception& error) {
-        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("cell record: ") + error.what(), {} };
+    } catch (const Common::JsonFault& fault) {
+        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("cell record: ") + fault.what(), {} };
     }
 }
 
--- a/Source/Core/Cells/HostHeartbeat.cpp
+++ b/Source/Core/Cells/HostHeartbeat.cpp
@@ -2,6 +2,10 @@
 #include "Cells/HostHeartbeat.h"
 
 #include "Cells/PressureEstimateCodec.h"
+#include "Common/Bounds.h"
+#include "Common/JsonFault.h"
+#include "Common/JsonField.h"
+#include "Common/JsonParser.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +16,11 @@
 namespace {
 
     using Json = nlohmann::json;
+    using Common::JsonField;
+
+    /// The sum over all cells of a fleet fits into int64_t.
+    constexpr int64_t maximumLoad = 1'000'000'000'000'000;
+    constexpr int64_t maximumWeight = Common::maximumMilliCores;
 
     Json cellToJson(const HostHeartbeat::OwnedCell& owned)
     {
@@ -25,29 +34,60 @@
                 pressureEstimatesToJson(owned.pressureEstimates), owned.load.services, owned.load.labels });
     }
 
-    HostHeartbeat::OwnedCell cellFromJson(const Json& row)
+    /// Figures of a load guide choices only; one out of bounds mustn't make the host seem silent.
+    int64_t loadFrom(const JsonField& field) { return field.clampedAmount(-maximumLoad, maximumLoad); }
+
+    std::map<std::string, int64_t> loadsFrom(const JsonField& field)
+    {
+        std::map<std::string, int64_t> loads;
+        for (const auto& [name, value] : field.object().items())
+            loads.emplace(name, loadFrom(JsonField(value, "a load")));
+        return loads;
+    }
+
+    std::vector<int64_t> listedLoadsFrom(const JsonField& field)
+    {
+        std::vector<int64_t> loads;
+        for (const Json& value : field.list())
+            loads.push_back(loadFrom(JsonField(value, "a load")));
+        return loads;
+    }
+
+    /// Empty: the host doesn't say.
+    std::string addressFrom(const JsonField& field) { return field.text().empty() ? std::string {} : field.address(); }
+
+    HostHeartbeat::OwnedCell cellFromJson(const JsonField& row)
     {
         HostHeartbeat::OwnedCell owned;
-        owned.cell = CellId(row.at(0).get<std::string>());
-        owned.token = FencingToken { row.at(1).get<uint64_t>() };
-        owned.load.capacityMilliCores = row.at(2).get<int64_t>();
-        owned.load.freeMilliCores = row.at(3).get<int64_t>();
-        owned.load.backfillMilliCores = row.at(4).get<int64_t>();
-        owned.load.waitingRegular = row.at(5).get<int64_t>();
-        owned.load.waitingBackfill = row.at(6).get<int64_t>();
-        owned.load.serving = row.at(7).get<std::map<std::string, int64_t>>();
-        owned.load.backfillCapacity = row.at(8).get<std::map<std::string, int64_t>>();
-        owned.load.largestFreeMilliCores = row.at(9).get<std::vector<int64_t>>();
-        owned.load.pending = row.at(10).get<std::map<std::string, uint32_t>>();
-        owned.pressureEstimates = pressureEstimatesFromJson(row.at(11));
+        owned.cell = CellId(row.element(0).name());
+        owned.token = FencingToken { static_cast<uint64_t>(row.element(1).integer(0, Common::maximumJsonInteger)) };
+        owned.load.capacityMilliCores = loadFrom(row.element(2));
+        owned.load.freeMilliCores = loadFrom(row.element(3));
+        owned.load.backfillMilliCores = loadFrom(row.element(4));
+        owned.load.waitingRegular = loadFrom(row.element(5));
+        owned.load.waitingBackfill = loadFrom(row.element(6));
+        owned.load.serving = loadsFrom(row.element(7));
+        owned.load.backfillCapacity = loadsFrom(row.element(8));
+        owned.load.largestFreeMilliCores = listedLoadsFrom(row.element(9));
+        for (const auto& [route, count] : row.element(10).object().items())
+            owned.load.pending.emplace(route, static_cast<uint32_t>(JsonField(count).clampedAmount(0, UINT32_MAX)));
+        owned.pressureEstimates = pressureEstimatesFromJson(row.element(11).list());
         // Hosts of an earlier version don't send what follows.
-        if (row.size() > 13) {
-            owned.load.services = row.at(12).get<std::map<std::string, int64_t>>();
-            owned.load.labels = row.at(13).get<std::map<std::string, int64_t>>();
+        if (row.element(13).exists()) {
+            owned.load.services = loadsFrom(row.element(12));
+            owned.load.labels = loadsFrom(row.element(13));
         }
         return owned;
     }
 
+    std::vector<CellId> cellsFrom(const JsonField& list)
+    {
+        std::vector<CellId> cells;
+        for (const Json& cell : list.listOrEmpty())
+            cells.emplace_back(JsonField(cell, "a cell").name());
+        return cells;
+    }
+
 } // namespace
 
 bool HostHeartbeat::mayGrantLeases(const CellId& cell) const
@@ -81,31 +121,29 @@
 Common::Result<HostHeartbeat> HostHeartbeat::decode(std::string_view text)
 {
     try {
-        const Json object = Json::parse(text);
+        const Json message = Common::parseJsonOrThrow(text);
+        const JsonField object(message, "the heartbeat");
         HostHeartbeat heartbeat;
-        heartbeat.id = Common::DaemonId(object.at("id").get<std::string>());
-        heartbeat.address = object.at("addr").get<std::string>();
-        heartbeat.heartbeatAddress = object.at("beat").get<std::string>();
-        heartbeat.domain = Common::DomainId(object.at("domain").get<std::string>());
-        heartbeat.region = Common::RegionId(object.at("region").get<std::string>());
-        heartbeat.weight = object.at("weight").get<int64_t>();
-        heartbeat.startedAtMilliseconds = object.at("started").get<int64_t>();
-        heartbeat.draining = object.value("draining", false);
-        heartbeat.storeAvailable = object.value("store", false);
-        heartbeat.configVersion = object.value("config", int64_t { -1 });
-        for (const Json& row : object.value("cells", Json::array()))
-            heartbeat.cells.push_back(cellFromJson(row));
-        for (const Json& cell : object.value("released", Json::array()))
-            heartbeat.released.emplace_back(cell.get<std::string>());
-        if (object.contains("changing")) {
-            heartbeat.transitioningCells.emplace();
-            for (const Json& cell : object.at("changing"))
-                heartbeat.transitioningCells->emplace_back(cell.get<std::string>());
-        }
-        heartbeat.knownAddresses = object.value("others", std::vector<std::string> {});
+        heartbeat.id = Common::DaemonId(object["id"].name());
+        heartbeat.address = addressFrom(object["addr"]);
+        heartbeat.heartbeatAddress = addressFrom(object["beat"]);
+        heartbeat.domain = Common::DomainId(object["domain"].text());
+        heartbeat.region = Common::RegionId(object["region"].text());
+        heartbeat.weight = object["weight"].integer(0, maximumWeight);
+        heartbeat.startedAtMilliseconds = object["started"].integer(0, Common::maximumClockMilliseconds);
+        heartbeat.draining = object["draining"].otherwise(false).flag();
+        heartbeat.storeAvailable = object["store"].otherwise(false).flag();
+        heartbeat.configVersion = object["config"].otherwise(-1).integer(-1, Common::maximumJsonInteger);
+        for (const Json& row : object["cells"].listOrEmpty())
+            heartbeat.cells.push_back(cellFromJson(JsonField(row, "a cell")));
+        heartbeat.released = cellsFrom(object["released"]);
+        if (object["changing"].exists())
+            heartbeat.transitioningCells = cellsFrom(object["changing"]);
+        for (const Json& address : object["others"].listOrEmpty())
+            heartbeat.knownAddresses.push_back(JsonField(address, "an address").address());
         return heartbeat;
-    } catch (const Json::exception& error) {
-        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("heartbeat: ") + error.what(), {} };
+    } catch (const Common::JsonFault& fault) {
+        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("heartbeat: ") + fault.what(), {} };
     }
 }
 
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -104,10 +104,23 @@
 
     int64_t shareOf(int64_t total, double share) { return static_cast<int64_t>(static_cast<double>(total) * share); }
 
+    /// A member of another host's answer; empty if it isn't a text.
+    std::string textOf(const Json& answer, const char* member)
+    {
+        const auto found = answer.is_object() ? answer.find(member) : answer.end();
+        return found != answer.end() && found->is_string() ? found->get<std::string>() : std::string {};
+    }
+
+    bool isTrue(const Json& answer, const char* member)
+    {
+        const auto found = answer.is_object() ? answer.find(member) : answer.end();
+        return found != answer.end() && *found == true;
+    }
+
     Common::Result<AcceptOutcome> acceptFromJson(const Json& answer)
     {
-        if (answer.contains("elsewhere"))
-            return AcceptOutcome(AlreadyAccepted { CellId(answer.at("elsewhere").get<std::string>()) });
+        if (const std::string cell = textOf(answer, "elsewhere"); !cell.empty())
+            return AcceptOutcome(AlreadyAccepted { CellId(cell) });
         return AcceptOutcome(Accepted {});
     }
 
@@ -168,7 +181,7 @@
                     callback(answer.reason());
                 else
                     callback(CellOwnership::ProbeAnswer {
-                        Common::DaemonId(answer->value("process", std::string {})), answer->value("holds", false) });
+                        Common::DaemonId(textOf(*answer, "process")), isTrue(*answer, "holds") });
             });
     });
     m_peers.serve(ownerMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
@@ -511,7 +524,7 @@
     const Json params { { "cell", cell.value() }, { "job", lookup->job.value() } };
     m_peers.call(owner->address, phaseMethod, params, std::min(callTimeout, lookup->timeout),
         m_lifetime.guard([this, cell, lookup](const Common::Result<Json>& answer) {
-            const auto phase = answer ? Jobs::phaseFromName(answer->value("phase", std::string {})) : std::nullopt;
+            const auto phase = answer ? Jobs::phaseFromName(textOf(*answer, "phase")) : std::nullopt;
             if (phase)
                 lookup->callback(*phase);
             else
--- a/Source/Core/Cells/PressureEstimateCodec.cpp
+++ b/Source/Core/Cells/PressureEstimateCodec.cpp
@@ -1,6 +1,8 @@
 // Encodes each pressure estimate as a row of backfill image, service image, pressure and variance.
 #include "Cells/PressureEstimateCodec.h"
 
+#include "Common/JsonField.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -12,6 +14,10 @@
 
     using Json = nlohmann::json;
 
+    using Common::JsonField;
+
+    /// Of a pressure and of its variance; both are around 1.
+    constexpr double maximumPressure = 1e9;
     /// Pressure estimates are rounded to a hundredth.
     constexpr double stepsPerUnit = 100;
 
@@ -31,9 +37,11 @@
 std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimatesFromJson(const Json& rows)
 {
     std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimates;
-    for (const Json& row : rows)
-        pressureEstimates.push_back({ row.at(0).get<std::string>(), row.at(1).get<std::string>(),
-            row.at(2).get<double>(), row.at(3).get<double>() });
+    for (const Json& element : JsonField(rows, "the pressure estimates").list()) {
+        const JsonField row(element, "a pressure estimate");
+        pressureEstimates.push_back({ row.element(0).text(), row.element(1).text(),
+            row.element(2).number(-maximumPressure, maximumPressure), row.element(3).number(0, maximumPressure) });
+    }
     return pressureEstimates;
 }
 
--- a/Source/Core/Cells/RelayedStore.cpp
+++ b/Source/Core/Cells/RelayedStore.cpp
@@ -121,7 +121,7 @@
     RecordListing listingFromJson(const Json& answer)
     {
         return RecordListing { valuesFromJson(answer.at("records")),
-            Common::StoreRevision { answer.at("upTo").get<uint64_t>() } };
+            Common::StoreRevision { answer.at("upTo").get<uint64_t>() }, answer.value("unreadable", 0U) };
     }
 
     Freshness freshnessOf(const Json& params)
@@ -162,7 +162,8 @@
                 if (!listing)
                     reply(listing.reason());
                 else
-                    reply(Json { { "records", valuesToJson(listing->records) }, { "upTo", listing->upTo.value } });
+                    reply(Json { { "records", valuesToJson(listing->records) }, { "upTo", listing->upTo.value },
+                        { "unreadable", listing->unreadable } });
             });
     });
     m_peers.serve(commitMethod, [this](const Json& params, const Reply& reply) {
--- a/Source/Core/Cells/TaskTransfer.cpp
+++ b/Source/Core/Cells/TaskTransfer.cpp
@@ -2,6 +2,9 @@
 #include "Cells/TaskTransfer.h"
 
 #include "Cells/StoreKeys.h"
+#include "Common/JsonFault.h"
+#include "Common/JsonField.h"
+#include "Common/JsonParser.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,14 +22,15 @@
 Common::Result<TaskTransfer> TaskTransfer::decode(std::string_view text)
 {
     try {
-        const nlohmann::json object = nlohmann::json::parse(text);
-        auto part = Jobs::JobRecord::decode(object.at("part").get<std::string>());
+        const nlohmann::json parsed = Common::parseJsonOrThrow(text);
+        const Common::JsonField object(parsed, "the transfer");
+        auto part = Jobs::JobRecord::decode(object["part"].text());
         if (!part)
             return part.reason();
-        return TaskTransfer { CellId(object.at("from").get<std::string>()), CellId(object.at("to").get<std::string>()),
-            object.at("number").get<uint32_t>(), std::move(*part) };
-    } catch (const nlohmann::json::exception& error) {
-        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("task transfer: ") + error.what(), {} };
+        return TaskTransfer { CellId(object["from"].text()), CellId(object["to"].text()), object["number"].count(),
+            std::move(*part) };
+    } catch (const Common::JsonFault& fault) {
+        return Common::Failure { Common::ErrorCode::ProtocolError, std::string("task transfer: ") + fault.what(), {} };
     }
 }
 
--- a/Source/Core/Common/JsonField.cpp
+++ b/Source/Core/Common/JsonField.cpp
@@ -196,7 +196,7 @@
 
 std::string JsonField::address() const
 {
-    const std::string address = name();
+    std::string address = name();
     const size_t colon = address.rfind(':');
     if (colon == std::string::npos || colon == 0 || !isPort(std::string_view(address).substr(colon + 1)))
         fail("an address with a port from 1 to 65535");
