--- a/Source/UnitTests/Platform/OddAnswerTest.cpp
+++ b/Source/UnitTests/Platform/OddAnswerTest.cpp
@@ -80,6 +80,7 @@
 std::vector<std::string> keysOf(const std::vector<Scheduler::StoreValue>& records)
 {
     std::vector<std::string> keys;
+    keys.reserve(records.size());
     for (const Scheduler::StoreValue& record : records)
         keys.push_back(record.key);
     return keys;
--- a/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
+++ b/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
@@ -65,6 +65,7 @@
 std::vector<std::string> idsOf(const std::vector<Cells::WorkerEntry>& entries)
 {
     std::vector<std::string> ids;
+    ids.reserve(entries.size());
     for (const Cells::WorkerEntry& entry : entries)
         ids.push_back(entry.id.value());
     return ids;
