Forget probes of an owner that was heard

A probe may take up to 9.6 s on a late host. An owner whose heartbeats arrived meanwhile was replaced all the same, and the longer timeout and the failed connections were kept for the next incident.

Change: a probe without an answer proves nothing once the owner was heard; the state of probes goes when the cell has an owner. A host doesn't ask itself to release its own cells.

Found by reading in the review; no test shows it. Measured: the tests of late owners, slow hosts and their schedules pass.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -410,6 +410,8 @@
     const Common::MonotonicTime now = m_ports.runtime.now();
     const bool hasCurrentView = now - m_startedAt >= m_settings.startupGrace
         && (!m_resumedAt || now - *m_resumedAt >= m_settings.hostTimeout);
+    if (!isOwnerless(cell))
+        m_lateProbes.erase(cell);
     if (!isOwnerless(cell) || !hasCurrentView) {
         m_ownerlessSince.erase(cell);
         return;
@@ -437,7 +439,8 @@
 /// of a better one.
 void CellOwnership::considerRelief(const CellId& cell)
 {
-    const Owner* const owner = liveOwner(cell);
+    const bool isOwn = m_engines.contains(cell) || m_claims.contains(cell);
+    const Owner* const owner = isOwn ? nullptr : liveOwner(cell);
     const HostHeartbeat* const host = owner ? m_directory.find(owner->id) : nullptr;
     if (!host || !host->late || isLate() || m_ranks.at(cell).front() != m_settings.id) {
         m_lateOwnerSince.erase(cell);
@@ -588,6 +591,10 @@
         endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
         return;
     }
+    if (!answer && liveOwner(cell)) {
+        endClaim(cell, "the owner was heard during the probe");
+        return;
+    }
     if (!answer && !isProofOfDeath(cell, record, answer.reason(), wasRead, askedAt)) {
         endClaim(cell, "the owner may be well");
         return;
