Relieve late owners sooner, and keep recurring lateness for longer

Change: a late owner hands over, or is asked to, after 2 s instead of 6 s: its lateness is smoothed over seconds already.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -448,7 +448,7 @@
     }
     const Common::MonotonicTime now = m_ports.runtime.now();
     const Common::MonotonicTime since = m_lateOwnerSince.try_emplace(cell, now).first->second;
-    if (now - since < m_settings.handOverDelay || !m_reliefRequest)
+    if (now - since < m_settings.reliefDelay || !m_reliefRequest)
         return;
     LC_WARN(Jobs, "event=cell-relief-asked cell=" << cell.value() << " owner=" << owner->id.value());
     m_lateOwnerSince.erase(cell);
@@ -476,7 +476,8 @@
         return;
     }
     const Common::MonotonicTime since = m_betterOwnerSince.try_emplace(cell, now).first->second;
-    if (now - since < m_settings.handOverDelay || !m_releasing.empty())
+    const Common::Duration delay = isLate() ? m_settings.reliefDelay : m_settings.handOverDelay;
+    if (now - since < delay || !m_releasing.empty())
         return;
     LC_INFO(Jobs, "event=cell-hand-over cell=" << cell.value() << " to=" << first.value());
     m_betterOwnerSince.erase(cell);
--- a/Source/Core/Cells/HostSettings.h
+++ b/Source/Core/Cells/HostSettings.h
@@ -36,6 +36,8 @@
     Common::Duration claimStagger = std::chrono::milliseconds(700);
     /// A cell is handed over once another host has ranked first for this time.
     Common::Duration handOverDelay = std::chrono::seconds(6);
+    /// The same for an owner that is late, whose lateness is smoothed already.
+    Common::Duration reliefDelay = std::chrono::seconds(2);
     /// Pause between two watches of the platform's list of workers, in which each entry changes every second or two.
     Common::Duration workerListPause = std::chrono::milliseconds(800);
     /// Longest wait of one watch of that list.
--- a/Source/Core/Cells/LagMonitor.h
+++ b/Source/Core/Cells/LagMonitor.h
@@ -6,7 +6,8 @@
 namespace Cells {
 
 /// A host counts as late once delays have taken more than half of its recent time, and for a while after that: a host
-/// that has given its cells away is in time again and would otherwise get them back at once.
+/// that has given its cells away is in time again and would otherwise get them back at once. That while doubles each
+/// time the host becomes late again soon.
 class LagMonitor {
 public:
     /// Records that the timer, set for `interval`, fired `delay` late.
@@ -17,6 +18,7 @@
     /// Smoothed share of time taken by delays, 0 to 1.
     double m_share = 0;
     Common::MonotonicTime m_lateUntil;
+    Common::Duration m_retention {};
 };
 
 } // namespace Cells
--- a/Source/UnitTests/Cells/LagMonitorTest.cpp
+++ b/Source/UnitTests/Cells/LagMonitorTest.cpp
@@ -54,3 +54,18 @@
     ticks.tickFor(20s, 0ms);
     CHECK_FALSE(ticks.lag.isLate(ticks.now));
 }
+
+TEST_CASE("a host that becomes late again soon stays late for longer")
+{
+    Ticks ticks;
+    ticks.tickFor(10s, 1s);
+    ticks.tickFor(40s, 0ms);
+    REQUIRE_FALSE(ticks.lag.isLate(ticks.now));
+    ticks.tickFor(10s, 1s);
+    ticks.tickFor(40s, 0ms);
+    CHECK(ticks.lag.isLate(ticks.now));
+    ticks.tickFor(400s, 0ms);
+    ticks.tickFor(10s, 1s);
+    ticks.tickFor(40s, 0ms);
+    CHECK_FALSE(ticks.lag.isLate(ticks.now));
+}
