Test that a transferred task that crashes workers fails its job

The join of two branches had no test: a part returns a task that was given up, and the job's own cell fails the job.

--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -307,3 +307,16 @@
     CHECK(world.phaseOfJob() == JobPhase::Completed);
     CHECK(world.judge.summary() == "");
 }
+
+TEST_CASE("a job whose transferred task crashes its workers is failed by its own cell")
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        FullCell world(seed);
+        world.submitJob("crash:300", 1);
+        world.clock.advance(60s);
+        CHECK(world.phaseOfJob() == JobPhase::Failed);
+        CHECK(world.startsOfJob() <= 5);
+        CHECK(world.judge.summary() == "");
+    }
+}
