Don't show the phase of a part as that of its job

A submission that is repeated at a cell with a part of the job was answered as if the job belonged there. The host remembered that place and showed the part, which is cancelled when the job has completed. Long-running jobs could meet the same fault before ordinary tasks moved.

Change: a cell with a part answers such a submission with the job's own cell, and a record of a part is never shown: the location record is read again.

Measured: the new case of FullCellTest fails before (shown as cancelled at the host that took the repeated submission) and passes.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -252,8 +252,10 @@
         return;
     }
     const Common::JobId id = record.id;
-    if (m_jobs.contains(id)) {
-        callback(AcceptOutcome(Accepted {}));
+    if (const LiveJob* const known = findJob(id)) {
+        const bool isElsewhere = known->isPart() && !known->homeCell().empty();
+        callback(
+            isElsewhere ? AcceptOutcome(AlreadyAccepted { CellId(known->homeCell()) }) : AcceptOutcome(Accepted {}));
         return;
     }
     if (fit == Fit::Required && !m_submissions.contains(id) && !fits(record.spec)) {
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -545,7 +545,7 @@
 void JobGateway::phaseFromStore(const CellId& cell, const std::shared_ptr<Lookup>& lookup)
 {
     m_store.get(StoreKeys::job(cell, lookup->job), Freshness::Linearizable,
-        m_lifetime.guard([lookup](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+        m_lifetime.guard([this, cell, lookup](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
             if (!found) {
                 lookup->callback(found.reason());
                 return;
@@ -555,10 +555,27 @@
                 return;
             }
             const auto record = Jobs::JobRecord::decode((*found)->value);
-            if (record)
+            if (!record)
+                lookup->callback(record.reason());
+            else if (record->isPart)
+                phaseAtHome(cell, lookup);
+            else
                 lookup->callback(record->phase);
+        }));
+}
+
+/// Queries the cell that the job's location record names, as `wrongCell` holds only a part of the job.
+void JobGateway::phaseAtHome(const CellId& wrongCell, const std::shared_ptr<Lookup>& lookup)
+{
+    m_locations.erase(lookup->job);
+    locateInStore(lookup->job, Freshness::Linearizable,
+        m_lifetime.guard([this, wrongCell, lookup](const Common::Result<Location>& location) {
+            if (!location)
+                lookup->callback(location.reason());
+            else if (!*location || **location == wrongCell)
+                lookup->callback(failure(Common::ErrorCode::UnknownJob, "the cell has only a part of the job"));
             else
-                lookup->callback(record.reason());
+                phaseAt(**location, lookup);
         }));
 }
 
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -67,6 +67,7 @@
     void locateInStore(const Common::JobId&, Freshness, Common::Callback<Location>);
     void phaseAt(const CellId&, const std::shared_ptr<Lookup>&);
     void phaseFromStore(const CellId&, const std::shared_ptr<Lookup>&);
+    void phaseAtHome(const CellId& wrongCell, const std::shared_ptr<Lookup>&);
     void cancelAt(const CellId&, const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
     void cancelOwned(CellEngine&, const CellId&, const Common::JobId&, Common::Duration timeout,
         const Common::Callback<Common::Done>&);
--- a/Source/Core/Policy/CrashHistory.cpp
+++ b/Source/Core/Policy/CrashHistory.cpp
@@ -1,4 +1,4 @@
-// Suspicion and conviction of tasks under which workers crashed.
+// Judges tasks under which workers crashed.
 #include "Policy/CrashHistory.h"
 
 namespace Policy {
--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -320,3 +320,21 @@
         CHECK(world.judge.summary() == "");
     }
 }
+
+TEST_CASE("a job that is submitted again where a part of it runs is shown as its own cell shows it")
+{
+    FullCell world(1);
+    world.submitJob("run:1500", 2);
+    world.waitUntil([&] { return world.peerWorker().running() == 2; });
+    WorldHost& host = *world.ownerOf(world.peer);
+    // Chosen by room, the cell with the part gets the submission.
+    Outcome again;
+    world.submit(host, CellWorld::job(jobNumber, "run:1500", 2), again);
+    world.clock.advance(1s);
+    REQUIRE(again);
+    CHECK(again->hasValue());
+    world.clock.advance(8s);
+    for (WorldHost* const asked : world.live())
+        CHECK(world.phase(*asked, jobNumber) == JobPhase::Completed);
+    CHECK(world.judge.summary() == "");
+}
