Log what blocks a waiting step at each worker

Cause: task-blocked gave the free processor time of each worker, once in 2 s for the whole cell, so that it couldn't tell whether a step waits for processor time, memory, the pace of backfill, a quarantine, a label or a worker that doesn't answer, nor for how long.

It is written per step after a wait of 1 s and whenever the wait has doubled. No decision changes: isAdmissible is the absence of an obstacle.

Ruled out: a line at each look, which grows with the queue.

CellsTests (but for the two known failures) and PolicyTests pass.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -18,8 +18,10 @@
 #include "Policy/BackfillPace.h"
 #include "Policy/GangPlacement.h"
 #include "Policy/ServiceFit.h"
+#include "Policy/StartObstacle.h"
 #include "Policy/StartOrder.h"
 #include "Policy/TailLatencyModel.h"
+#include "Policy/WorkerChoice.h"
 #include "Policy/WorkerHealth.h"
 #include "Policy/WorkerOffer.h"
 #include "Scheduler/Runtime.h"
@@ -219,7 +221,8 @@
     std::vector<Candidate> candidates();
     void placeStep(const Candidate&, std::vector<Candidate>& blocked);
     void handleBlockedStep(LiveJob&, const Candidate&);
-    bool transferIfBlockedForLong(LiveJob&, const Candidate&);
+    void logBlockedStep(const LiveJob&, const Candidate&) const;
+    void transferIfBlockedForLong(LiveJob&, const Candidate&);
     void transferTasks(LiveJob&, const Candidate&);
     void commitTransfer(LiveJob&, const TaskTransfer&);
     /// Returns the part's ended tasks shortly, together with others that end until then.
@@ -246,7 +249,11 @@
         NotReported,
     };
     void stopOtherGangMembers(LiveJob&, const RunKey& missing, GangMembers);
-    bool mayRunOn(const CellWorker&, const LiveJob&, const Jobs::StepSpec&);
+    /// What keeps all tasks of the step off the worker, whatever room it has.
+    std::optional<Policy::StartObstacle> obstacleAtWorker(
+        const CellWorker&, const LiveJob&, const Jobs::StepSpec&) const;
+    bool mayRunOn(const CellWorker&, const LiveJob&, const Jobs::StepSpec&) const;
+    static Policy::TaskRequirements requirementsOf(const Jobs::StepSpec&);
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
     enum class QuarantineRule {
         KeepOut,
@@ -329,7 +336,6 @@
     std::map<Common::WorkerId, LostWorker> m_lostWorkers;
     std::vector<WorkerCrash> m_recentCrashes;
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
-    Common::MonotonicTime m_blockedLoggedAt;
     bool m_placingSoon = false;
     bool m_releasing = false;
     bool m_closed = false;
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -13,8 +13,6 @@
 
     /// Attempt numbers that are skipped after one was refused as stale: an earlier owner may have used some.
     constexpr uint32_t skippedAttempts = 4;
-    /// Minimum time between log lines about tasks that find no room.
-    constexpr Common::Duration blockedLogInterval = std::chrono::seconds(2);
     constexpr double fullPace = 100;
     /// Pause before a task is started again after a worker couldn't read its order.
     constexpr Common::Duration malformedRetryPause = std::chrono::seconds(1);
@@ -24,16 +22,6 @@
         return label.empty() || std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
     }
 
-    Policy::TaskRequirements requirementsOf(const Jobs::StepSpec& spec)
-    {
-        Policy::TaskRequirements requirements;
-        requirements.resources = spec.resources;
-        requirements.backfill = spec.backfill;
-        requirements.serves = spec.longRunning && spec.latencyTarget > Common::Duration::zero();
-        requirements.maximumPerWorker = spec.maximumPerWorker;
-        return requirements;
-    }
-
     uint32_t countOfStep(const CellWorker& worker, const Jobs::TaskName& task)
     {
         return static_cast<uint32_t>(
@@ -150,25 +138,14 @@
     }
 }
 
-void CellEngine::handleBlockedStep(LiveJob& job, const Candidate& candidate)
+Policy::TaskRequirements CellEngine::requirementsOf(const Jobs::StepSpec& spec)
 {
-    if (transferIfBlockedForLong(job, candidate))
-        return;
-    const Common::MonotonicTime now = m_runtime.now();
-    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    if (now - m_blockedLoggedAt < blockedLogInterval)
-        return;
-    m_blockedLoggedAt = now;
-    std::string freeMilliCores;
-    for (const auto& [id, worker] : m_workers.all()) {
-        const bool usable = worker->listed && !worker->entry().draining && worker->reachable;
-        freeMilliCores += (freeMilliCores.empty() ? "" : ",")
-            + (usable ? std::to_string(worker->free().milliCores) : std::string("-"));
-    }
-    LC_INFO(Jobs,
-        "event=task-blocked job=" << job.id().value() << " step=" << candidate.step
-                                  << " cores=" << spec.resources.milliCores << " per-worker=" << spec.maximumPerWorker
-                                  << " rooms=" << freeMilliCores);
+    Policy::TaskRequirements requirements;
+    requirements.resources = spec.resources;
+    requirements.backfill = spec.backfill;
+    requirements.serves = spec.longRunning && spec.latencyTarget > Common::Duration::zero();
+    requirements.maximumPerWorker = spec.maximumPerWorker;
+    return requirements;
 }
 
 Policy::WorkerOffer CellEngine::offerOf(
@@ -193,14 +170,27 @@
     return offer;
 }
 
-bool CellEngine::mayRunOn(const CellWorker& worker, const LiveJob& job, const Jobs::StepSpec& spec)
+std::optional<Policy::StartObstacle> CellEngine::obstacleAtWorker(
+    const CellWorker& worker, const LiveJob& job, const Jobs::StepSpec& spec) const
 {
     const Common::MonotonicTime now = m_runtime.now();
     const WorkerEntry& entry = worker.entry();
-    const bool usable = worker.listed && !entry.draining && worker.reachable && worker.contacted
-        && worker.noStartsBefore <= now && m_recordedWorkers.contains(worker.id());
-    return usable && entry.service == job.policy().service && hasLabel(entry, spec.requiredLabel)
-        && m_health.admits(worker.id(), now);
+    if (!worker.listed || entry.draining || !worker.reachable || !worker.contacted)
+        return Policy::StartObstacle::Unavailable;
+    if (!m_recordedWorkers.contains(worker.id()))
+        return Policy::StartObstacle::Unrecorded;
+    if (entry.service != job.policy().service || !hasLabel(entry, spec.requiredLabel))
+        return Policy::StartObstacle::Ineligible;
+    if (worker.noStartsBefore > now)
+        return Policy::StartObstacle::Refused;
+    if (!m_health.admits(worker.id(), now))
+        return Policy::StartObstacle::Ejected;
+    return std::nullopt;
+}
+
+bool CellEngine::mayRunOn(const CellWorker& worker, const LiveJob& job, const Jobs::StepSpec& spec) const
+{
+    return !obstacleAtWorker(worker, job, spec);
 }
 
 std::vector<CellWorker*> CellEngine::admissibleWorkers(
@@ -263,6 +253,7 @@
         "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << m_token.value
                                  << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace);
     m_blockedSince.erase(name.job);
+    job.occurrences().at(name.occurrence).steps[name.step].blocked.reset();
     quarantineForStart(worker, job, name);
     RunAllocation allocation = allocationFor(spec);
     allocation.orderedAt = now;
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -35,28 +35,26 @@
 
 } // namespace
 
-/// Returns whether the delay has passed, so that a transfer was tried.
-bool CellEngine::transferIfBlockedForLong(LiveJob& job, const Candidate& candidate)
+void CellEngine::transferIfBlockedForLong(LiveJob& job, const Candidate& candidate)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
     // Every cell that holds a scheduled job would open its due occurrences, so scheduled jobs aren't transferred.
     if (job.spec().isScheduled() || m_committer.isTransferring(job.id()))
-        return false;
+        return;
     // A part of a host of an earlier version doesn't say where ended tasks belong.
     if (!spec.longRunning && job.isPart() && job.homeCell().empty())
-        return false;
+        return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     if (spec.gang && spec.sameRack && isWorthWaitingForRack(spec, step))
-        return false;
+        return;
     const Common::MonotonicTime now = m_runtime.now();
     const Common::MonotonicTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
     if (now - since < transferDelayOf(job, spec))
-        return false;
+        return;
     m_blockedSince.erase(job.id());
     // While a task of the job runs, the cell isn't full for good: the others wait for their turn.
     if (spec.longRunning || !job.hasRun())
         transferTasks(job, candidate);
-    return true;
 }
 
 /// The peer cell with the most room for tasks of the step, and for how many.
--- a/Source/Core/Cells/LiveStep.h
+++ b/Source/Core/Cells/LiveStep.h
@@ -1,6 +1,7 @@
 // One step of an open occurrence.
 #pragma once
 
+#include "Cells/BlockedStep.h"
 #include "Cells/LiveTask.h"
 
 #include <cstdint>
@@ -16,6 +17,8 @@
     uint32_t waitingCount = 0;
     /// Since when a gang has waited for room; empty if it isn't waiting.
     std::optional<Common::MonotonicTime> waitingSince;
+    /// Empty if no task of the step was refused room since one last started.
+    std::optional<BlockedStep> blocked;
 
     bool isComplete() const { return doneCount == tasks.size(); }
 };
--- a/Source/Core/Policy/WorkerChoice.cpp
+++ b/Source/Core/Policy/WorkerChoice.cpp
@@ -55,28 +55,39 @@
         return base - (offer.nearData ? 0 : farFromData) - (offer.avoided ? avoidedWorker : 0);
     }
 
-    bool hasBackfillRoom(const TaskRequirements& requirements, const WorkerOffer& offer)
+    std::optional<StartObstacle> backfillObstacle(const TaskRequirements& requirements, const WorkerOffer& offer)
     {
         if (offer.backfillPace < smallestStartPace)
-            return false;
+            return StartObstacle::BackfillPace;
         const double left = static_cast<double>(offer.unusedMilliCores - offer.backfillMilliCores);
         const double wanted = smallestBackfillShare * static_cast<double>(requirements.resources.milliCores);
         // A task that needs more than any worker has unused still has to run somewhere.
-        return left >= wanted || offer.backfillMilliCores == 0;
+        if (left >= wanted || offer.backfillMilliCores == 0)
+            return std::nullopt;
+        return StartObstacle::OtherBackfill;
     }
 
 } // namespace
 
-bool isAdmissible(const TaskRequirements& requirements, const WorkerOffer& offer)
+std::optional<StartObstacle> obstacleToStart(const TaskRequirements& requirements, const WorkerOffer& offer)
 {
     if (requirements.maximumPerWorker > 0 && offer.sameStep >= requirements.maximumPerWorker)
-        return false;
-    Common::Resources counted = requirements.resources;
-    if (requirements.backfill)
-        counted.milliCores = 0;
-    if (!Common::fits(counted, offer.free))
-        return false;
-    return !requirements.backfill || hasBackfillRoom(requirements, offer);
+        return StartObstacle::TasksOfStep;
+    const Common::Resources& needed = requirements.resources;
+    if (!requirements.backfill && needed.milliCores > offer.free.milliCores)
+        return StartObstacle::ProcessorTime;
+    if (needed.memoryMegabytes > offer.free.memoryMegabytes)
+        return StartObstacle::Memory;
+    if (needed.accelerators > offer.free.accelerators)
+        return StartObstacle::Accelerators;
+    if (needed.slots > offer.free.slots)
+        return StartObstacle::Slots;
+    return requirements.backfill ? backfillObstacle(requirements, offer) : std::nullopt;
+}
+
+bool isAdmissible(const TaskRequirements& requirements, const WorkerOffer& offer)
+{
+    return !obstacleToStart(requirements, offer);
 }
 
 std::optional<size_t> chooseWorker(const TaskRequirements& requirements, const std::vector<WorkerOffer>& offers)
--- a/Source/Core/Policy/WorkerChoice.h
+++ b/Source/Core/Policy/WorkerChoice.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/Resources.h"
+#include "Policy/StartObstacle.h"
 #include "Policy/WorkerOffer.h"
 
 #include <cstdint>
@@ -20,6 +21,9 @@
     uint32_t maximumPerWorker = 0;
 };
 
+/// What keeps the task off the worker; nothing if it may start there. Of several obstacles the one that is listed first
+/// in StartObstacle counts.
+std::optional<StartObstacle> obstacleToStart(const TaskRequirements&, const WorkerOffer&);
 /// Whether the task may start on the worker.
 bool isAdmissible(const TaskRequirements&, const WorkerOffer&);
 /// The index of the best admissible offer; nothing when none is admissible.
