Start backfill that has waited for long at a lower pace

Cause: a backfill run was admitted only at 0.8 of its speed or more, however long it had waited, and beside other backfill only while that left processor time, also if it was paused. Where each worker has a service that the image disturbs, no worker ever qualified, and peer cells passed the tasks round. The class: a condition for starting that no wait relaxes.

Change: BackfillAdmission. A waiting task takes a lower pace once it has waited for as long as it loses by it, but only on processor time that isn't allocated, as an ordinary task would; after 8 s any pace. While at least half of the service's processor time in all cells is free, a task that has waited 8 s shares that room with other backfill. The wait goes with transferred tasks and starts anew with each start of the step, so that jobs take turns. Pacing protects the services as before.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -446,6 +446,7 @@
             evacuate(*worker);
     }
     returnAllEndedTasks();
+    updateLightlyLoaded();
     writeWorkers();
     answerStopWaiters();
     if (m_runtime.now() - m_pressureEstimatesLoggedAt >= pressureEstimateInterval
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -9,12 +9,14 @@
 #include "Cells/CellSettings.h"
 #include "Cells/CellWorkers.h"
 #include "Cells/LiveJob.h"
+#include "Cells/ServiceRoom.h"
 #include "Cells/TaskTransfer.h"
 #include "Cells/WorkerChanges.h"
 #include "Common/Ids.h"
 #include "Common/Lifetime.h"
 #include "Common/Result.h"
 #include "Jobs/JobRecord.h"
+#include "Policy/BackfillAdmission.h"
 #include "Policy/BackfillPace.h"
 #include "Policy/GangPlacement.h"
 #include "Policy/ServiceFit.h"
@@ -65,6 +67,8 @@
         /// Number of tasks of the step, for a job of the service, that each peer cell has room for.
         std::function<std::map<CellId, size_t>(const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&)>
             taskSlots;
+        /// Room in all peer cells whose owners' heartbeats arrive, by service.
+        std::function<ServiceRooms(const CellId& self)> serviceRooms;
         /// Sends a durable transfer to the owner of the receiving cell; retried until it is acknowledged.
         std::function<void(const TaskTransfer&)> sendTransfer;
         /// Asks the peer cell's owner to read its transfers of the job from the store: an earlier owner of the sending
@@ -114,6 +118,8 @@
     void awaitStopped(const Common::JobId&, StopScope, Common::Callback<Common::Done>);
     /// Load of the cell as its heartbeats report it.
     CellLoad load() const;
+    /// Room on the workers that accept runs, by service.
+    ServiceRooms serviceRooms() const;
     /// Tasks of another cell's job that were transferred here durably, or the record of the cancelled part of such a
     /// job. The cancellation may arrive before the tasks.
     using PartMessage = std::variant<TaskTransfer, Jobs::JobRecord>;
@@ -218,8 +224,16 @@
     // Starts.
     void schedulePlacement();
     void place();
+    void updateLightlyLoaded();
     std::vector<Candidate> candidates();
-    void placeStep(const Candidate&, std::vector<Candidate>& blocked);
+    /// A kind of task for which one look at all workers has found no room.
+    struct BlockedKind {
+        const Common::ServiceName* service = nullptr;
+        const Jobs::StepSpec* spec = nullptr;
+        Policy::BackfillAdmission admission;
+    };
+    bool isBlockedLike(const BlockedKind&, const LiveJob&, const Candidate&) const;
+    void placeStep(const Candidate&, std::vector<BlockedKind>& blocked);
     void handleBlockedStep(LiveJob&, const Candidate&);
     void logBlockedStep(const LiveJob&, const Candidate&) const;
     void transferIfBlockedForLong(LiveJob&, const Candidate&);
@@ -231,6 +245,7 @@
     void tellHolderOfFailure(LiveJob&, const Jobs::TaskName&);
     void returnAllEndedTasks();
     void receiveTransfer(const TaskTransfer&);
+    void continueWait(const TaskTransfer&);
     void onTasksReturned(LiveJob&);
     bool isWorthWaitingForRack(const Jobs::StepSpec&, const LiveStep&) const;
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
@@ -253,7 +268,8 @@
     std::optional<Policy::StartObstacle> obstacleAtWorker(
         const CellWorker&, const LiveJob&, const Jobs::StepSpec&) const;
     bool mayRunOn(const CellWorker&, const LiveJob&, const Jobs::StepSpec&) const;
-    static Policy::TaskRequirements requirementsOf(const Jobs::StepSpec&);
+    Policy::BackfillAdmission admissionOf(const LiveJob&, uint32_t occurrence, uint32_t step) const;
+    Policy::TaskRequirements requirementsOf(const LiveJob&, const Jobs::TaskName&) const;
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
     enum class QuarantineRule {
         KeepOut,
@@ -330,6 +346,8 @@
         Common::Callback<Common::Done> callback;
     };
     std::vector<StopWaiter> m_stopWaiters;
+    /// Services whose workers in all cells were lightly loaded at the last sweep, see Policy::lightLoadFreeShare.
+    std::set<Common::ServiceName> m_lightlyLoaded;
     /// When tasks of a job first found no room.
     std::map<Common::JobId, Common::MonotonicTime> m_blockedSince;
     /// Workers whose runs were cleared while it wasn't known whether they had crashed.
--- a/Source/Core/Cells/CellEngineBlocked.cpp
+++ b/Source/Core/Cells/CellEngineBlocked.cpp
@@ -41,6 +41,7 @@
         return;
     const auto index = static_cast<uint32_t>(waiting - step.tasks.begin());
     const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
+    const Policy::TaskRequirements requirements = requirementsOf(job, name);
     std::array<size_t, Policy::startObstacles> counts {};
     size_t admissible = 0;
     Common::Resources largestFree;
@@ -52,7 +53,7 @@
             largestFree = Common::largerOf(largestFree, offer.free);
             bestPace = std::max(bestPace, offer.backfillPace);
             obstacle = isQuarantinedFor(*worker, job, name) ? Policy::StartObstacle::Quarantine
-                                                            : Policy::obstacleToStart(requirementsOf(spec), offer);
+                                                            : Policy::obstacleToStart(requirements, offer);
         }
         if (obstacle)
             ++counts.at(static_cast<size_t>(*obstacle));
@@ -77,9 +78,8 @@
                                    << " memory=" << spec.resources.memoryMegabytes
                                    << " accelerators=" << spec.resources.accelerators << " obstacles=" << obstacles
                                    << " admissible=" << admissible << " largest-free-cores=" << largestFree.milliCores
-                                   << " largest-free-memory=" << largestFree.memoryMegabytes
-                                   << " best-pace=" << static_cast<int>(fullPercent * bestPace)
-                                   << " moves=" << job.transfersSent());
+                                   << " largest-free-memory=" << largestFree.memoryMegabytes << " best-pace="
+                                   << static_cast<int>(fullPercent * bestPace) << " moves=" << job.transfersSent());
 }
 
 } // namespace Cells
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -31,15 +31,6 @@
             }));
     }
 
-    /// Whether a step needs at least what a blocked step needs, so that it finds no room either.
-    bool isBlockedLike(const Jobs::StepSpec& blocked, const Jobs::StepSpec& spec)
-    {
-        // Room for backfill depends on which services its image interferes with.
-        const bool sameKind = blocked.backfill == spec.backfill && (!spec.backfill || blocked.image == spec.image);
-        return sameKind && blocked.requiredLabel == spec.requiredLabel && blocked.maximumPerWorker == 0
-            && Common::fits(blocked.resources, spec.resources);
-    }
-
 } // namespace
 
 void CellEngine::schedulePlacement()
@@ -59,11 +50,37 @@
     const Common::WorkTimes::Scope work(Common::WorkKind::Placement);
     std::vector<Candidate> ranked = candidates();
     std::sort(ranked.begin(), ranked.end(), [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
-    std::vector<Candidate> blocked;
+    std::vector<BlockedKind> blocked;
     for (const Candidate& candidate : ranked)
         placeStep(candidate, blocked);
 }
 
+ServiceRooms CellEngine::serviceRooms() const
+{
+    ServiceRooms rooms;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!worker->listed || worker->entry().draining || !worker->reachable)
+            continue;
+        ServiceRoom& room = rooms[worker->entry().service];
+        room.capacityMilliCores += worker->entry().capacity.milliCores;
+        room.freeMilliCores += worker->free().milliCores;
+    }
+    return rooms;
+}
+
+void CellEngine::updateLightlyLoaded()
+{
+    ServiceRooms rooms = m_peerCells.serviceRooms(m_id);
+    for (const auto& [service, room] : serviceRooms())
+        rooms[service] += room;
+    m_lightlyLoaded.clear();
+    for (const auto& [service, room] : rooms) {
+        const auto capacity = static_cast<double>(room.capacityMilliCores);
+        if (static_cast<double>(room.freeMilliCores) >= Policy::lightLoadFreeShare * capacity)
+            m_lightlyLoaded.insert(service);
+    }
+}
+
 std::vector<CellEngine::Candidate> CellEngine::candidates()
 {
     const Common::MonotonicTime now = m_runtime.now();
@@ -102,14 +119,25 @@
     return found;
 }
 
-void CellEngine::placeStep(const Candidate& candidate, std::vector<Candidate>& blocked)
+/// Whether a step of the job finds no room either, as it asks for at least as much as a blocked one.
+bool CellEngine::isBlockedLike(const BlockedKind& blocked, const LiveJob& job, const Candidate& candidate) const
+{
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    const Jobs::StepSpec& other = *blocked.spec;
+    // Room for backfill depends on which services its image interferes with.
+    const bool sameKind = other.backfill == spec.backfill && (!spec.backfill || other.image == spec.image)
+        && other.requiredLabel == spec.requiredLabel && *blocked.service == job.policy().service;
+    if (!sameKind || other.maximumPerWorker != 0 || !Common::fits(other.resources, spec.resources))
+        return false;
+    return !spec.backfill || blocked.admission.covers(admissionOf(job, candidate.occurrence, candidate.step));
+}
+
+void CellEngine::placeStep(const Candidate& candidate, std::vector<BlockedKind>& blocked)
 {
     LiveJob& job = *candidate.job;
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    const bool blockedToo = std::any_of(blocked.begin(), blocked.end(), [&](const Candidate& other) {
-        return other.job->policy().service == job.policy().service
-            && isBlockedLike(other.job->stepSpec(other.step), spec);
-    });
+    const bool blockedToo = std::any_of(
+        blocked.begin(), blocked.end(), [&](const BlockedKind& kind) { return isBlockedLike(kind, job, candidate); });
     if (blockedToo) {
         handleBlockedStep(job, candidate);
         return;
@@ -130,7 +158,7 @@
             continue;
         CellWorker* const worker = *choice;
         if (!worker) {
-            blocked.push_back(candidate);
+            blocked.push_back({ &job.policy().service, &spec, admissionOf(job, candidate.occurrence, candidate.step) });
             handleBlockedStep(job, candidate);
             return;
         }
@@ -138,11 +166,24 @@
     }
 }
 
-Policy::TaskRequirements CellEngine::requirementsOf(const Jobs::StepSpec& spec)
+Policy::BackfillAdmission CellEngine::admissionOf(const LiveJob& job, uint32_t occurrence, uint32_t step) const
 {
+    const std::optional<BlockedStep>& blocked = job.occurrences().at(occurrence).steps[step].blocked;
+    Policy::BackfillWait wait;
+    wait.waited = blocked ? m_runtime.now() - blocked->since : Common::Duration::zero();
+    wait.estimate = job.stepSpec(step).estimate;
+    wait.lightlyLoaded = m_lightlyLoaded.contains(job.policy().service);
+    return Policy::admitBackfill(wait);
+}
+
+Policy::TaskRequirements CellEngine::requirementsOf(const LiveJob& job, const Jobs::TaskName& name) const
+{
+    const Jobs::StepSpec& spec = job.stepSpec(name.step);
     Policy::TaskRequirements requirements;
     requirements.resources = spec.resources;
     requirements.backfill = spec.backfill;
+    if (spec.backfill)
+        requirements.admission = admissionOf(job, name.occurrence, name.step);
     requirements.serves = spec.longRunning && spec.latencyTarget > Common::Duration::zero();
     requirements.maximumPerWorker = spec.maximumPerWorker;
     return requirements;
@@ -201,10 +242,11 @@
         const bool mayShare = rule == QuarantineRule::ShareLenient && worker.quarantine && !worker.quarantine->strict;
         return mayShare || !isQuarantinedFor(worker, job, name);
     };
+    const Policy::TaskRequirements requirements = requirementsOf(job, name);
     std::vector<CellWorker*> found;
     for (const auto& [id, worker] : m_workers.all()) {
         if (mayRunOn(*worker, job, spec) && (rack.empty() || worker->entry().rack == rack) && isOpen(*worker)
-            && Policy::isAdmissible(requirementsOf(spec), offerOf(*worker, spec, name)))
+            && Policy::isAdmissible(requirements, offerOf(*worker, spec, name)))
             found.push_back(worker.get());
     }
     return found;
@@ -235,7 +277,7 @@
         workers.push_back(worker.get());
         offers.push_back(offer);
     }
-    const auto chosen = Policy::chooseWorker(requirementsOf(spec), offers);
+    const auto chosen = Policy::chooseWorker(requirementsOf(job, name), offers);
     return chosen ? workers[*chosen] : nullptr;
 }
 
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -89,7 +89,7 @@
     const auto other = findCellWithCapacity(job.policy().service, spec);
     if (!other || (spec.gang && other->second < spec.taskCount))
         return;
-    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     std::vector<Jobs::TaskName> tasks;
     for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < other->second; ++index) {
         if (step.tasks[index].waiting())
@@ -98,10 +98,14 @@
     RecentTransfer& recent = m_recentTransfers[other->first];
     recent.at = m_runtime.now();
     recent.tasks += tasks.size();
-    const TaskTransfer transfer = job.transferTasks(tasks, m_id, other->first);
+    TaskTransfer transfer = job.transferTasks(tasks, m_id, other->first);
+    transfer.waited = step.blocked ? recent.at - step.blocked->since : Common::Duration::zero();
+    if (step.waitingCount == 0)
+        step.blocked.reset();
     LC_INFO(Jobs,
         "event=tasks-given job=" << job.id().value() << " tasks=" << tasks.size() << " from=" << m_id.value()
-                                 << " to=" << transfer.to.value() << " gift=" << transfer.number);
+                                 << " to=" << transfer.to.value() << " gift=" << transfer.number
+                                 << " waited-ms=" << transfer.waited / std::chrono::milliseconds(1));
     commitTransfer(job, transfer);
 }
 
@@ -181,12 +185,30 @@
     } else if (transfer.part.homeCell != m_id.value()) {
         addJob(transfer.part, mayHaveStarted);
     }
+    continueWait(transfer);
     // Also if the job has ended and its record has expired: the transfer is then removed.
     m_committer.recordReceivedTransfer(transfer.part.id, transfer.key());
     giveUpTasksOf(transfer.part.id);
     schedulePlacement();
 }
 
+/// Counts the time that transferred tasks have waited in other cells.
+void CellEngine::continueWait(const TaskTransfer& transfer)
+{
+    LiveJob* const job = findJob(transfer.part.id);
+    if (!job || transfer.waited <= Common::Duration::zero())
+        return;
+    const Common::MonotonicTime since = m_runtime.now() - transfer.waited;
+    for (const auto& [occurrence, steps] : transfer.part.progress) {
+        for (uint32_t step = 0; step < steps.size(); ++step) {
+            const bool hasTransferred = std::any_of(steps[step].begin(), steps[step].end(),
+                [](const Jobs::TaskProgress& task) { return !task.done && task.transferredTo.empty(); });
+            if (hasTransferred)
+                job->continueWait(occurrence, step, since);
+        }
+    }
+}
+
 void CellEngine::onTasksReturned(LiveJob& job)
 {
     if (isFinal(job.phase()))
--- a/Source/Core/Cells/CellLoad.cpp
+++ b/Source/Core/Cells/CellLoad.cpp
@@ -31,6 +31,18 @@
     return slots;
 }
 
+ServiceRooms CellLoad::serviceRooms() const
+{
+    ServiceRooms rooms;
+    for (const auto& [service, capacity] : services) {
+        const double share
+            = static_cast<double>(capacity) / static_cast<double>(std::max<int64_t>(capacityMilliCores, 1));
+        rooms[Common::ServiceName(service)]
+            = { capacity, static_cast<int64_t>(share * static_cast<double>(freeMilliCores)) };
+    }
+    return rooms;
+}
+
 bool CellLoad::hasRack(const Common::RackId& rack) const { return services.empty() || labels.contains(rack.value()); }
 
 } // namespace Cells
--- a/Source/Core/Cells/CellLoad.h
+++ b/Source/Core/Cells/CellLoad.h
@@ -1,6 +1,7 @@
 // Load and capacity of a cell, as heartbeats report it to other hosts.
 #pragma once
 
+#include "Cells/ServiceRoom.h"
 #include "Common/Ids.h"
 #include "Common/Units.h"
 #include "Jobs/StepSpec.h"
@@ -41,6 +42,8 @@
     int64_t capacityFor(const Common::ServiceName&, const Jobs::StepSpec&) const;
     /// Number of tasks of the step that fit on the workers of `largestFreeMilliCores`; 0 if none may run in the cell.
     size_t taskSlotsFor(const Common::ServiceName&, const Jobs::StepSpec&) const;
+    /// Room by service; a cell's free processor time counts for its services by their shares of the capacity.
+    ServiceRooms serviceRooms() const;
     /// Whether the cell has workers on the rack; true if its heartbeat doesn't report labels.
     bool hasRack(const Common::RackId&) const;
 };
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -772,6 +772,7 @@
     return CellEngine::PeerCells {
         .taskSlots = [this](const CellId& self, const Common::ServiceName& service,
                          const Jobs::StepSpec& spec) { return taskSlots(self, service, spec); },
+        .serviceRooms = [this](const CellId& self) { return serviceRooms(self); },
         .sendTransfer = [this](const TaskTransfer& transfer) { notifyOwner(transfer.to, transfer); },
         .requestTransferCheck
         = [this](const CellId& cell, const Common::JobId& job) { requestTransferCheck(cell, job); },
@@ -799,6 +800,20 @@
         }));
 }
 
+ServiceRooms CellOwnership::serviceRooms(const CellId& self) const
+{
+    ServiceRooms rooms;
+    for (const CellId& cell : m_layout.cells()) {
+        const auto own = m_engines.find(cell);
+        const Owner* const other = own == m_engines.end() ? liveOwner(cell) : nullptr;
+        if (cell == self || (own == m_engines.end() && !other))
+            continue;
+        for (const auto& [service, room] : other ? other->load.serviceRooms() : own->second->serviceRooms())
+            rooms[service] += room;
+    }
+    return rooms;
+}
+
 std::map<CellId, size_t> CellOwnership::taskSlots(
     const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec) const
 {
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -144,6 +144,7 @@
     void takeOwnership(const CellId&, CellEngine::RecoveredCell);
     void endClaim(const CellId&, const char* reason);
     CellEngine::PeerCells peerCells();
+    ServiceRooms serviceRooms(const CellId& self) const;
     std::map<CellId, size_t> taskSlots(const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&) const;
     void notifyOwner(const CellId&, const PartMessage&, const std::function<void()>& handled = {});
     void requestTransferCheck(const CellId&, const Common::JobId&);
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -88,6 +88,9 @@
     /// Takes the tasks over with their progress, and notes which other tasks are done, unless this transfer was
     /// received before. The job may be complete, or have a task without attempts left, afterwards.
     void receiveTransfer(const TaskTransfer&);
+    /// Counts the wait of the step's tasks from `since` on, unless it counts from an earlier time already. No effect if
+    /// the occurrence isn't open.
+    void continueWait(uint32_t occurrence, uint32_t step, Common::MonotonicTime since);
     /// Tasks of a part that have ended here and haven't been returned: done, or without attempts left.
     std::vector<Jobs::TaskName> endedTasks() const;
     /// Whether a task of this cell has failed as often as it may.
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -98,6 +98,16 @@
         closeFinished(occurrence);
 }
 
+void LiveJob::continueWait(uint32_t occurrence, uint32_t step, Common::MonotonicTime since)
+{
+    const auto open = m_occurrences.find(occurrence);
+    if (open == m_occurrences.end() || step >= open->second.steps.size())
+        return;
+    std::optional<BlockedStep>& blocked = open->second.steps[step].blocked;
+    if (!blocked || blocked->since > since)
+        blocked = BlockedStep { since, {} };
+}
+
 void LiveJob::updateUsedUpTasks(uint32_t stepIndex, LiveStep& step) const
 {
     const Jobs::StepSpec& spec = stepSpec(stepIndex);
--- a/Source/Core/Cells/TaskTransfer.cpp
+++ b/Source/Core/Cells/TaskTransfer.cpp
@@ -2,6 +2,7 @@
 #include "Cells/TaskTransfer.h"
 
 #include "Cells/StoreKeys.h"
+#include "Common/Bounds.h"
 #include "Common/JsonFault.h"
 #include "Common/JsonField.h"
 #include "Common/JsonParser.h"
@@ -15,7 +16,8 @@
 std::string TaskTransfer::encode() const
 {
     return nlohmann::json {
-        { "from", from.value() }, { "to", to.value() }, { "number", number }, { "part", part.encode() }
+        { "from", from.value() }, { "to", to.value() }, { "number", number }, { "part", part.encode() },
+        { "waitedMs", waited / std::chrono::milliseconds(1) }
     }.dump();
 }
 
@@ -28,7 +30,7 @@
         if (!part)
             return part.reason();
         return TaskTransfer { CellId(object["from"].text()), CellId(object["to"].text()), object["number"].count(),
-            std::move(*part) };
+            std::move(*part), object["waitedMs"].otherwise(0).milliseconds(Common::maximumTimeSpan) };
     } catch (const Common::JsonFault& fault) {
         return Common::Failure { Common::ErrorCode::ProtocolError, std::string("task transfer: ") + fault.what(), {} };
     }
--- a/Source/Core/Cells/TaskTransfer.h
+++ b/Source/Core/Cells/TaskTransfer.h
@@ -3,6 +3,7 @@
 
 #include "Cells/CellId.h"
 #include "Common/Result.h"
+#include "Common/Units.h"
 #include "Jobs/JobRecord.h"
 
 #include <cstdint>
@@ -21,6 +22,8 @@
     /// The job's initial record in a receiving cell that has no tasks of it yet. The transferred tasks are those with
     /// an empty `transferredTo`.
     Jobs::JobRecord part;
+    /// How long the tasks have waited in vain for a start; zero in transfers of hosts of an earlier version.
+    Common::Duration waited {};
 
     /// Key of the transfer in the store.
     std::string key() const;
--- a/Source/Core/Policy/WorkerChoice.cpp
+++ b/Source/Core/Policy/WorkerChoice.cpp
@@ -10,8 +10,6 @@
     /// Backfill starts where at least this share of the processor time that it could use is unused; with less it would
     /// slow down the tasks that already run there.
     constexpr double smallestBackfillShare = 0.7;
-    /// A backfill run isn't started below this pace: it would hold memory and still end too late.
-    constexpr double smallestStartPace = 0.8;
     /// Score terms as shares of a worker's capacity.
     constexpr double farFromData = 2;
     constexpr double avoidedWorker = 1.5;
@@ -57,12 +55,17 @@
 
     std::optional<StartObstacle> backfillObstacle(const TaskRequirements& requirements, const WorkerOffer& offer)
     {
-        if (offer.backfillPace < smallestStartPace)
+        const int64_t wanted = requirements.resources.milliCores;
+        const BackfillAdmission& admission = requirements.admission;
+        const int64_t taken = admission.besideOtherBackfill ? 0 : offer.backfillMilliCores;
+        const int64_t room = std::min(offer.free.milliCores, offer.unusedMilliCores) - taken;
+        if (room >= wanted && offer.backfillPace >= admission.paceInFreeRoom)
+            return std::nullopt;
+        if (offer.backfillPace < admission.usualPace)
             return StartObstacle::BackfillPace;
         const double left = static_cast<double>(offer.unusedMilliCores - offer.backfillMilliCores);
-        const double wanted = smallestBackfillShare * static_cast<double>(requirements.resources.milliCores);
         // A task that needs more than any worker has unused still has to run somewhere.
-        if (left >= wanted || offer.backfillMilliCores == 0)
+        if (left >= smallestBackfillShare * static_cast<double>(wanted) || offer.backfillMilliCores == 0)
             return std::nullopt;
         return StartObstacle::OtherBackfill;
     }
--- a/Source/Core/Policy/WorkerChoice.h
+++ b/Source/Core/Policy/WorkerChoice.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/Resources.h"
+#include "Policy/BackfillAdmission.h"
 #include "Policy/StartObstacle.h"
 #include "Policy/WorkerOffer.h"
 
@@ -15,6 +16,8 @@
     /// Declared need; for backfill the processor time is what the task could use and isn't reserved.
     Common::Resources resources;
     bool backfill = false;
+    /// Of a backfill task.
+    BackfillAdmission admission = admitBackfill({});
     /// It serves users under a latency target.
     bool serves = false;
     /// 0: no limit.
--- a/Source/UnitTests/Cells/TaskTransferTest.cpp
+++ b/Source/UnitTests/Cells/TaskTransferTest.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 using namespace CellTests;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -70,3 +71,21 @@
     home.receiveTransfer(recovered.transferTasks(recovered.endedTasks(), shed, yard));
     CHECK(home.isComplete());
 }
+
+TEST_CASE("transferred tasks go on waiting from the time at which their wait began")
+{
+    Cells::LiveJob home = openJob(CellWorld::job(1, "run:100", 2));
+    Cells::TaskTransfer transfer = home.transferTasks({ { home.id(), 0, 0, 1 } }, yard, shed);
+    transfer.waited = 7s;
+    const auto decoded = Cells::TaskTransfer::decode(transfer.encode());
+    REQUIRE(decoded);
+    CHECK(decoded->waited == 7s);
+    Cells::LiveJob part = openJob(decoded->part);
+    const Common::MonotonicTime since { 20s };
+    part.continueWait(0, 0, since);
+    part.continueWait(0, 0, since + 1s);
+    REQUIRE(part.occurrences().at(0).steps[0].blocked);
+    CHECK(part.occurrences().at(0).steps[0].blocked->since == since);
+    part.continueWait(0, 0, since - 1s);
+    CHECK(part.occurrences().at(0).steps[0].blocked->since == since - 1s);
+}
