Transfer backfill only to cells with room for its image

Change: the capacity for the image that heartbeats announce already counts for backfill, all backfill capacity for an unknown image.

--- a/Source/Core/Cells/CellLoad.cpp
+++ b/Source/Core/Cells/CellLoad.cpp
@@ -22,6 +22,11 @@
 {
     if (capacityFor(service, spec) <= 0)
         return 0;
+    if (spec.backfill) {
+        const auto forImage = backfillCapacity.find(spec.image);
+        const int64_t room = forImage == backfillCapacity.end() ? backfillMilliCores : forImage->second;
+        return static_cast<size_t>(std::max<int64_t>(room, 0) / std::max<int64_t>(spec.resources.milliCores, 1));
+    }
     size_t slots = 0;
     for (const int64_t free : largestFreeMilliCores) {
         const auto count
--- a/Source/Core/Cells/CellLoad.h
+++ b/Source/Core/Cells/CellLoad.h
@@ -40,7 +40,8 @@
     /// Upper bound, in thousandths of a core, of the capacity of the workers on which tasks of the step may run. A host
     /// of an earlier version reports no services and labels; the result is then the whole capacity.
     int64_t capacityFor(const Common::ServiceName&, const Jobs::StepSpec&) const;
-    /// Number of tasks of the step that fit on the workers of `largestFreeMilliCores`; 0 if none may run in the cell.
+    /// Number of tasks of the step that fit on the workers of `largestFreeMilliCores`, or for backfill into the
+    /// capacity for its image; 0 if none may run in the cell.
     size_t taskSlotsFor(const Common::ServiceName&, const Jobs::StepSpec&) const;
     /// Room by service; a cell's free processor time counts for its services by their shares of the capacity.
     ServiceRooms serviceRooms() const;
--- a/Source/UnitTests/Cells/CellLoadTest.cpp
+++ b/Source/UnitTests/Cells/CellLoadTest.cpp
@@ -137,3 +137,21 @@
     CHECK(world.ranIn("shed", 1, 4));
     CHECK(world.phase(*world.hosts[0], 1) == JobPhase::Completed);
 }
+
+TEST_CASE("a cell offers backfill the capacity for its image, not its free processor time")
+{
+    Cells::CellLoad load;
+    load.services["desk"] = load.capacityMilliCores = 64'000;
+    load.largestFreeMilliCores = { 30'000, 20'000 };
+    load.backfillMilliCores = 9000;
+    load.backfillCapacity = { { "batch", 4000 } };
+    Jobs::StepSpec spec;
+    spec.resources.milliCores = 2000;
+    spec.backfill = true;
+    spec.image = "batch";
+    CHECK(load.taskSlotsFor(Common::ServiceName("desk"), spec) == 2);
+    spec.image = "unknown";
+    CHECK(load.taskSlotsFor(Common::ServiceName("desk"), spec) == 4);
+    spec.backfill = false;
+    CHECK(load.taskSlotsFor(Common::ServiceName("desk"), spec) == 25);
+}
