Don't let the transfer of an unknown job hold up all others

That transfer and those of all jobs after it were never written, and the committer was never idle, so that a release didn't end.

Change: such a transfer is answered as not written and dropped; the loop goes on with the others.

Test: CommitterTransferTest, "a transfer of a job that is no longer known ...". Before the change the other transfer wasn't in the store after 2 s, neither call was answered, and the release wasn't answered after 2 s more.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -225,10 +225,14 @@
         m_batch.accepts.push_back(job);
         remainingEntries -= entriesPerAccept;
     }
-    for (const auto& [job, transfer] : m_transfers) {
-        const auto snapshot = remainingEntries < entriesPerTransfer ? std::nullopt : m_hooks.snapshot(job);
-        if (!snapshot)
-            break;
+    for (auto row = m_transfers.begin(); row != m_transfers.end() && remainingEntries >= entriesPerTransfer;) {
+        const auto current = row++;
+        const auto& [job, transfer] = *current;
+        const auto snapshot = m_hooks.snapshot(job);
+        if (!snapshot) {
+            answerTransfer(job, false);
+            continue;
+        }
         transaction.expected.emplace_back(transfer.key, Common::StoreRevision {});
         transaction.puts.push_back({ transfer.key, transfer.text, {} });
         transaction.puts.push_back({ StoreKeys::job(m_cell, job), snapshot->text, {} });
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -52,8 +52,8 @@
     /// durable, or with NotOwner or OutcomeUnknown when the cell was lost.
     void markChangedUrgently(const Common::JobId&, Common::Callback<Common::Done> done);
     /// Writes the record of a task transfer to another cell together with the job's own record. `done` gets false when
-    /// a different transfer exists under that key; nothing was written then. A job has at most one transfer in
-    /// progress, because its record gives up all transferred tasks at once.
+    /// a different transfer exists under that key or the job is no longer known; nothing was written then. A job has at
+    /// most one transfer in progress, because its record gives up all transferred tasks at once.
     void transferTasks(const Common::JobId&, std::string key, std::string text, Common::Callback<bool> done);
     bool isTransferring(const Common::JobId& job) const { return m_transfers.contains(job); }
     /// Writes the job, which has received the transfer under the key, and removes the transfer in the same transaction.
--- /dev/null
+++ b/Source/UnitTests/Cells/CommitterTransferTest.cpp
@@ -0,0 +1,79 @@
+// Tests of how a cell's committer writes transfers of tasks.
+#include "Cells/CellCommitter.h"
+#include "Cells/CellWorld.h"
+#include "Cells/StoreKeys.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <set>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A committer of the cell "yard-0" with jobs of which it knows only the ids.
+struct CommitterWorld {
+    const Cells::CellId cell { "yard-0" };
+    const Cells::CellId peer { "shed-0" };
+    Fakes::VirtualRuntime clock { 1 };
+    Fakes::FakeNetwork network { clock, 1 };
+    Fakes::FakeRecordStore store { clock, network, 1 };
+    Fakes::FakeProcess process { clock, 1 };
+    std::set<Common::JobId> known;
+    std::map<Common::JobId, bool> transferred;
+    std::optional<Cells::CellCommitter> committer;
+
+    CommitterWorld()
+    {
+        const std::string key = Cells::StoreKeys::cell(cell);
+        Cells::CellRecord record { Common::DaemonId("a@1"), "a:1", Cells::FencingToken { 1 } };
+        store.put(key, record.encode());
+        Cells::RecordStore& client = store.client("a:1", process);
+        Common::StoreRevision fence;
+        client.get(key, Cells::Freshness::Linearizable,
+            [&fence](
+                const Common::Result<std::optional<Scheduler::StoreValue>>& found) { fence = (*found)->revision; });
+        clock.advance(1s);
+        committer.emplace(process, client, cell, record, fence, clock.now(), Cells::CommitterSettings {},
+            Cells::CellCommitter::Hooks {
+                .snapshot = [this](const Common::JobId& job) -> std::optional<Cells::CellCommitter::Snapshot> {
+                    if (!known.contains(job))
+                        return std::nullopt;
+                    return Cells::CellCommitter::Snapshot { "record", 1 };
+                },
+                .committed = [](const Common::JobId&, uint64_t) {},
+                .acceptedLate = [](const Common::JobId&) {},
+                .lost = [] {},
+            });
+    }
+    std::string transferKey(const Common::JobId& job) const { return Cells::StoreKeys::transfer(peer, job, cell, 1); }
+    void transfer(const Common::JobId& job)
+    {
+        committer->transferTasks(job, transferKey(job), "transfer",
+            [this, job](const Common::Result<bool>& done) { transferred[job] = done && *done; });
+    }
+    bool hasRecord(const Common::JobId& job) const { return store.value(Cells::StoreKeys::job(cell, job)).has_value(); }
+    bool hasTransfer(const Common::JobId& job) const { return store.value(transferKey(job)).has_value(); }
+};
+
+} // namespace
+
+TEST_CASE("a transfer of a job that is no longer known doesn't hold up other transfers and the release")
+{
+    CommitterWorld world;
+    const Common::JobId unknown = CellWorld::jobId(1);
+    const Common::JobId other = CellWorld::jobId(2);
+    world.known.insert(other);
+    world.transfer(unknown);
+    world.transfer(other);
+    world.clock.advance(2s);
+    CHECK(world.transferred == std::map<Common::JobId, bool> { { unknown, false }, { other, true } });
+    CHECK(world.hasTransfer(other));
+    CHECK_FALSE(world.hasTransfer(unknown));
+    bool released = false;
+    world.committer->release([&released] { released = true; });
+    world.clock.advance(2s);
+    CHECK(released);
+}
