Write a job that has received more transfers than a transaction can remove

Cause: the committer wrote a job only in a transaction that also removed all transfers that the job had received. A transaction has room for 28 beside the job's record, and fewer beside submissions. A job with more of them was never written, nor was any job after it in the order of ids: their ends weren't acknowledged, final phases and cancellations never became durable, and the cell couldn't be released. Each later owner read the transfers again and was stopped too. 29 transfers come together when tasks are returned to a cell for some seconds while nobody owns it.

Change: the record, which names the transfers that it contains, is written with as many removals as there is room for; the others follow in the next transactions.

Ruled out: a successor that reads a transfer which the record contains already takes no task twice; LiveJob drops it by its number.

Tests, before the change: - CommitterTransferTest, "a job that has received more transfers ...": with 100 transfers neither that job nor another one was durable after 2 s, all 100 transfers remained, and the release wasn't answered. - FullCellTest, "tasks that were returned one by one ...": with 6 s without an owner 30 transfers waited for the successor; 20 s later 60 were in the store and the job, whose 60 tasks had all run, wasn't completed. The test takes 7 s since, so that more than 32 transfers wait.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -6,6 +6,7 @@
 #include "Common/WorkTimes.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Cells {
@@ -240,8 +241,7 @@
         m_batch.snapshots.emplace(job, snapshot->changes);
         remainingEntries -= entriesPerTransfer;
     }
-    for (auto row = m_changes.begin();
-         row != m_changes.end() && remainingEntries > row->second.receivedTransfers.size();) {
+    for (auto row = m_changes.begin(); row != m_changes.end() && remainingEntries > 0;) {
         const auto current = row++;
         const bool written = m_batch.snapshots.contains(current->first);
         // The job's record has given up the tasks of a transfer that this transaction doesn't contain.
@@ -253,9 +253,16 @@
             m_batch.snapshots.emplace(change.key(), snapshot->changes);
             --remainingEntries;
         }
-        for (const std::string& transfer : change.mapped().receivedTransfers)
+        std::set<std::string>& received = change.mapped().receivedTransfers;
+        // The record names the transfers that it contains, so that some may be removed later.
+        std::set<std::string> removedLater;
+        while (received.size() > remainingEntries)
+            removedLater.insert(received.extract(std::prev(received.end())));
+        for (const std::string& transfer : received)
             transaction.removals.push_back(transfer);
-        remainingEntries -= change.mapped().receivedTransfers.size();
+        remainingEntries -= received.size();
+        if (!removedLater.empty())
+            m_changes[change.key()].receivedTransfers = std::move(removedLater);
         m_batch.changes.insert(std::move(change));
     }
     while (remainingEntries > 1 && !m_removals.empty()) {
--- a/Source/UnitTests/Cells/CommitterTransferTest.cpp
+++ b/Source/UnitTests/Cells/CommitterTransferTest.cpp
@@ -123,3 +123,37 @@
     CHECK(transfersBefore < jobs.size());
     CHECK(world.transferred.size() == jobs.size());
 }
+
+TEST_CASE("a job that has received more transfers than a transaction can remove doesn't stop the cell's writes")
+{
+    constexpr uint32_t transfers = 100;
+    CommitterWorld world;
+    const Common::JobId job = CellWorld::jobId(1);
+    const Common::JobId other = CellWorld::jobId(2);
+    world.known = { job, other };
+    const std::string received = Cells::StoreKeys::job(world.cell, job) + Cells::StoreKeys::transferMarker;
+    for (uint32_t number = 1; number <= transfers; ++number) {
+        const std::string key = Cells::StoreKeys::transfer(world.cell, job, world.peer, number);
+        world.store.put(key, "transfer");
+        world.committer->recordReceivedTransfer(job, key);
+    }
+    std::vector<Common::JobId> durable;
+    for (const Common::JobId& changed : { job, other }) {
+        world.committer->markChangedUrgently(changed, [&durable, changed](const Common::Result<Common::Done>& done) {
+            if (done)
+                durable.push_back(changed);
+        });
+    }
+    const Common::MonotonicTime end = world.clock.now() + 2s;
+    bool removedFirst = false;
+    while (world.clock.now() < end && world.clock.step())
+        removedFirst = removedFirst || (!world.hasRecord(job) && world.store.countWithPrefix(received) < transfers);
+    CHECK_FALSE(removedFirst);
+    CHECK(durable == std::vector<Common::JobId> { job, other });
+    CHECK(world.hasRecord(other));
+    CHECK(world.store.countWithPrefix(received) == 0);
+    bool released = false;
+    world.committer->release([&released] { released = true; });
+    world.clock.advance(2s);
+    CHECK(released);
+}
--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -322,6 +322,42 @@
     }
 }
 
+TEST_CASE("tasks that were returned one by one while nobody owned the job's cell don't stop its next owner")
+{
+    constexpr uint32_t tasks = 60;
+    FullCell world(12);
+    for (const char* const name : { "yard:2", "yard:3" })
+        world.addHost("yard", name);
+    Jobs::JobRecord record = CellWorld::job(jobNumber, "run:30", tasks);
+    record.spec.steps[0].resources.milliCores = 60;
+    world.peerWorker().refusesStarts = true;
+    world.submitTo(world.home, record);
+    world.clock.advance(2s);
+    // Leaves room for one task of the job at a time.
+    Jobs::JobRecord filling = CellWorld::service(firstService + 1, 1);
+    filling.spec.steps[0].resources.milliCores = 3900;
+    world.submitTo(world.peer, filling);
+    world.clock.advance(1s);
+    world.peerWorker().refusesStarts = false;
+    world.waitUntil([&] { return world.runningOfJob() > 0; });
+    const std::string returns
+        = Cells::StoreKeys::job(world.home, CellWorld::jobId(jobNumber)) + Cells::StoreKeys::transferMarker;
+    size_t mostReturns = 0;
+    const Common::MonotonicTime end = world.clock.now() + 7s;
+    while (world.clock.now() < end) {
+        WorldHost* const owner = world.ownerOf(world.home);
+        if (owner && owner != world.ownerOf(world.peer))
+            owner->process.kill();
+        world.clock.step();
+        mostReturns = std::max(mostReturns, world.store.countWithPrefix(returns));
+    }
+    CHECK(mostReturns > Cells::RecordStore::maximumEntries);
+    world.clock.advance(20s);
+    CHECK(world.phaseOfJob() == JobPhase::Completed);
+    CHECK(world.store.countWithPrefix(returns) == 0);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("nothing is transferred while the other cell is full too")
 {
     FullCell world(10);
