Look at suspects by themselves while a worker is quarantined

Cause: a step isn't looked at when one like it was blocked in the same placement. Whether a quarantined worker admits a task doesn't depend on the kind alone: the suspect for which it is kept may start there, and a suspect of a single crash may share a quarantine that isn't strict. Behind a blocked innocent step, or innocent task of their own step, they weren't looked at until the quarantine had ended, up to 10 s later, and then the room was open to the others.

Change: while a worker is quarantined, the suspects of each step are tried before the step is compared with the blocked ones.

Ruled out: that a blocked suspect hides innocent steps. chooseForSuspect finds no worker only if none that isn't quarantined has room, and then an innocent task finds none either; while a suspect waits for isolation its step isn't taken as blocked. Preferred racks and avoided workers only count in the choice among workers with room. Such a wait ends with the quarantine, so this isn't what let tasks wait for good.

Test: WorkerCrashTest, "a suspect that may share a quarantined worker ...".

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -208,6 +208,9 @@
     bool isQuarantinedFor(const CellWorker&, const LiveJob&, const Jobs::TaskName&) const;
     bool hasNewRuns(const CellWorker&, const LiveJob&, const Jobs::TaskName& except, Common::Duration probation) const;
     size_t quarantinedWorkers() const;
+    /// Places the step's suspects by themselves: a quarantine that keeps other tasks out may admit them. Returns
+    /// whether nothing else of the step is to be placed.
+    bool placeSuspects(const Candidate&);
     /// A worker for a suspect: null if none has room, empty while the task waits for one on which it is isolated.
     std::optional<CellWorker*> chooseForSuspect(
         LiveJob&, const Jobs::TaskName&, LiveTask&, Policy::CrashHistory::Isolation, const Common::RackId&);
--- a/Source/Core/Cells/CellEngineCrashes.cpp
+++ b/Source/Core/Cells/CellEngineCrashes.cpp
@@ -308,6 +308,31 @@
         workers.begin(), workers.end(), [&](const CellWorker* a, const CellWorker* b) { return cost(a) < cost(b); });
 }
 
+bool CellEngine::placeSuspects(const Candidate& candidate)
+{
+    LiveJob& job = *candidate.job;
+    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    const auto isSuspect
+        = [](const LiveTask& task) { return !task.progress.crashes.empty() || task.unconfirmedCrashes > 0; };
+    if (job.stepSpec(candidate.step).gang) {
+        const bool suspect = std::any_of(step.tasks.begin(), step.tasks.end(), isSuspect);
+        if (suspect)
+            placeGang(candidate);
+        return suspect;
+    }
+    const Common::MonotonicTime now = m_runtime.now();
+    for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const LiveTask& task = step.tasks[index];
+        const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
+        if (!isSuspect(task) || !task.waiting() || task.notBefore > now || !mayStart(job, name, task))
+            continue;
+        const std::optional<CellWorker*> choice = chooseForStart(job, name);
+        if (choice && *choice)
+            order(job, name, **choice, Common::AttemptNumber { task.progress.lastAttempt + 1 });
+    }
+    return step.waitingCount == 0;
+}
+
 std::optional<CellWorker*> CellEngine::chooseForSuspect(
     LiveJob& job, const Jobs::TaskName& name, LiveTask& task, Isolation isolation, const Common::RackId& rack)
 {
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -60,8 +60,11 @@
     std::vector<Candidate> ranked = candidates();
     std::sort(ranked.begin(), ranked.end(), [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
     std::vector<Candidate> blocked;
-    for (const Candidate& candidate : ranked)
-        placeStep(candidate, blocked);
+    const bool quarantined = quarantinedWorkers() > 0;
+    for (const Candidate& candidate : ranked) {
+        if (!quarantined || !placeSuspects(candidate))
+            placeStep(candidate, blocked);
+    }
 }
 
 std::vector<CellEngine::Candidate> CellEngine::candidates()
--- a/Source/UnitTests/Cells/WorkerCrashTest.cpp
+++ b/Source/UnitTests/Cells/WorkerCrashTest.cpp
@@ -250,6 +250,42 @@
     CHECK(fleet.countIn(JobPhase::Completed, 10, 12) == 12);
 }
 
+TEST_CASE("a suspect that may share a quarantined worker doesn't wait for a job like it that may not")
+{
+    CellWorld world(1);
+    world.addWorkers("yard", 2, 4000);
+    world.addHost("yard", "a:1");
+    world.clock.advance(8s);
+    std::map<uint64_t, Outcome> outcomes;
+    const auto submit = [&](const Jobs::JobRecord& record) {
+        world.submit(*world.hosts[0], record, outcomes[std::stoull(record.id.value())]);
+    };
+    Jobs::JobRecord filling = CellWorld::service(9, 1);
+    filling.spec.steps[0].resources.milliCores = 4000;
+    submit(filling);
+    world.clock.advance(1s);
+    RunWorker& crashing = *world.workers[world.workers[0]->running() == 0 ? 0 : 1];
+    submit(CellWorld::job(1, "run:20000", 1));
+    submit(CellWorld::job(2, "run:20000", 1));
+    world.clock.advance(1s);
+    REQUIRE(crashing.running() == 2);
+    crashing.setCapacity(1000, RunWorker::CapacitySource::List);
+    crashing.restart();
+    const auto running = [&world](uint64_t number) { return world.judge.running(CellWorld::jobId(number)); };
+    for (size_t step = 0; step < 500 && running(1) + running(2) == 0; ++step)
+        world.clock.advance(10ms);
+    REQUIRE(running(1) + running(2) == 1);
+    // Ranked before the suspects, which are late.
+    Jobs::JobRecord innocent = CellWorld::job(3, "run:20000", 1);
+    innocent.policy.targetDuration = 60s;
+    submit(innocent);
+    crashing.setCapacity(2000, RunWorker::CapacitySource::List);
+    world.clock.advance(2500ms);
+    CHECK(running(1) + running(2) == 2);
+    CHECK(running(3) == 0);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("only jobs that crash their workers are given up among random jobs, crashes and kills of owners")
 {
     forEachSeed<CrashSchedule>({ "yard", "shed" }, 8, [](CrashSchedule& schedule) {
