Let another step of a job move when no cell has room for the first

Cause: the delay before waiting tasks are transferred is kept per job. The step that was looked at first used it up also when no cell had room for it, so a second blocked step of the job never had its turn, while other cells had room.

A step is transferred only after it has been blocked for the delay itself.

Not changed: a long-running step, or a gang, for which no cell has room still keeps the job's other steps from moving.

Test: FullCellTest, "a step that fits in no cell ...". Before the change no task of the second step had started after 30 s; the other cell's four cores were free.

--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -49,12 +49,17 @@
         return;
     const Common::MonotonicTime now = m_runtime.now();
     const Common::MonotonicTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
-    if (now - since < transferDelayOf(job, spec))
+    const Common::MonotonicTime stepSince = step.blocked ? step.blocked->since : now;
+    if (now - std::max(since, stepSince) < transferDelayOf(job, spec))
         return;
-    m_blockedSince.erase(job.id());
     // While a task of the job runs, the cell isn't full for good: the others wait for their turn.
-    if (spec.longRunning || !job.hasRun())
+    const bool mayTransfer = spec.longRunning || !job.hasRun();
+    if (mayTransfer)
         transferTasks(job, candidate);
+    // Another step of the job has its turn when no cell has room for this one. Searches for long-running tasks and
+    // gangs have no pause of their own.
+    if (!mayTransfer || spec.longRunning || spec.gang || m_committer.isTransferring(job.id()))
+        m_blockedSince.erase(job.id());
 }
 
 /// The peer cell with the most room for tasks of the step, and for how many.
--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -358,6 +358,19 @@
     CHECK(world.judge.summary() == "");
 }
 
+TEST_CASE("a step that fits in no cell doesn't keep another step of its job from running elsewhere")
+{
+    FullCell world(13);
+    Jobs::JobRecord record = CellWorld::job(jobNumber, "run:500", 2, 2);
+    record.spec.steps[0].resources.milliCores = 8000;
+    record.spec.steps[1].after.clear();
+    world.submitTo(world.home, record);
+    world.clock.advance(30s);
+    CHECK(world.peerWorker().starts == 2);
+    CHECK(world.startsOfJob() == 2);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("nothing is transferred while the other cell is full too")
 {
     FullCell world(10);
