Don't transfer a part of a gang

Cause: a gang of which only some members wait isn't placed, but when a step like it was blocked in the same placement it was taken as blocked too, and the waiting members of a long-running gang were transferred. Neither cell had all members from then on, and neither starts a gang of which some are missing, so the gang would never run again.

Change: a gang is transferred only when all of its members wait.

Ruled out for other gangs: their tasks stay while a task of the job has a run.

Test: FullCellTest, "a gang of which some members still run ...". Before the change the other cell had a part with the member whose worker was lost. The workers of the test don't end the other members, so that the gang doesn't start again afterwards was concluded from placeGang and not run.

--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -45,7 +45,7 @@
     if (!spec.longRunning && job.isPart() && job.homeCell().empty())
         return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
-    if (spec.gang && spec.sameRack && isWorthWaitingForRack(spec, step))
+    if (spec.gang && (step.waitingCount < step.tasks.size() || (spec.sameRack && isWorthWaitingForRack(spec, step))))
         return;
     const Common::MonotonicTime now = m_runtime.now();
     const Common::MonotonicTime since = m_blockedSince.try_emplace(job.id(), now).first->second;
--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -371,6 +371,32 @@
     CHECK(world.judge.summary() == "");
 }
 
+TEST_CASE("a gang of which some members still run isn't divided between cells")
+{
+    FullCell world(14, 0);
+    world.addWorkers("yard", 2, 4000);
+    world.addWorkers("shed", 20, 4000);
+    world.clock.advance(3s);
+    const auto large = [](Jobs::JobRecord record, uint32_t priority) {
+        record.policy.priority = priority;
+        record.spec.steps[0].resources.milliCores = 3000;
+        return record;
+    };
+    Jobs::JobRecord gang = large(CellWorld::service(jobNumber, 3), 2);
+    gang.spec.steps[0].gang = true;
+    world.submitTo(world.home, gang);
+    world.clock.advance(1s);
+    REQUIRE(world.homeWorker().running() == 1);
+    world.homeWorker().crash();
+    // Ranked before the gang, and blocked like its lost member.
+    for (uint64_t number = 0; number < 12; ++number) {
+        world.submitTo(world.home, large(CellWorld::service(firstService + number, 1), 1));
+        world.clock.advance(1s);
+    }
+    CHECK(world.partRecords() == 0);
+    CHECK(world.runningOfJob() == 2);
+}
+
 TEST_CASE("nothing is transferred while the other cell is full too")
 {
     FullCell world(10);
