--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -6,6 +6,7 @@
 #include "Common/WorkTimes.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Cells {
@@ -225,10 +226,14 @@
         m_batch.accepts.push_back(job);
         remainingEntries -= entriesPerAccept;
     }
-    for (const auto& [job, transfer] : m_transfers) {
-        const auto snapshot = remainingEntries < entriesPerTransfer ? std::nullopt : m_hooks.snapshot(job);
-        if (!snapshot)
-            break;
+    for (auto row = m_transfers.begin(); row != m_transfers.end() && remainingEntries >= entriesPerTransfer;) {
+        const auto current = row++;
+        const auto& [job, transfer] = *current;
+        const auto snapshot = m_hooks.snapshot(job);
+        if (!snapshot) {
+            answerTransfer(job, false);
+            continue;
+        }
         transaction.expected.emplace_back(transfer.key, Common::StoreRevision {});
         transaction.puts.push_back({ transfer.key, transfer.text, {} });
         transaction.puts.push_back({ StoreKeys::job(m_cell, job), snapshot->text, {} });
@@ -236,17 +241,28 @@
         m_batch.snapshots.emplace(job, snapshot->changes);
         remainingEntries -= entriesPerTransfer;
     }
-    while (!m_changes.empty() && remainingEntries > m_changes.begin()->second.receivedTransfers.size()) {
-        auto change = m_changes.extract(m_changes.begin());
-        const bool written = m_batch.snapshots.contains(change.key());
+    for (auto row = m_changes.begin(); row != m_changes.end() && remainingEntries > 0;) {
+        const auto current = row++;
+        const bool written = m_batch.snapshots.contains(current->first);
+        // The job's record has given up the tasks of a transfer that this transaction doesn't contain.
+        if (!written && m_transfers.contains(current->first))
+            continue;
+        auto change = m_changes.extract(current);
         if (const auto snapshot = written ? std::nullopt : m_hooks.snapshot(change.key())) {
             transaction.puts.push_back({ StoreKeys::job(m_cell, change.key()), snapshot->text, {} });
             m_batch.snapshots.emplace(change.key(), snapshot->changes);
             --remainingEntries;
         }
-        for (const std::string& transfer : change.mapped().receivedTransfers)
+        std::set<std::string>& received = change.mapped().receivedTransfers;
+        // The record names the transfers that it contains, so that some may be removed later.
+        std::set<std::string> removedLater;
+        while (received.size() > remainingEntries)
+            removedLater.insert(received.extract(std::prev(received.end())));
+        for (const std::string& transfer : received)
             transaction.removals.push_back(transfer);
-        remainingEntries -= change.mapped().receivedTransfers.size();
+        remainingEntries -= received.size();
+        if (!removedLater.empty())
+            m_changes[change.key()].receivedTransfers = std::move(removedLater);
         m_batch.changes.insert(std::move(change));
     }
     while (remainingEntries > 1 && !m_removals.empty()) {
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -51,8 +51,11 @@
     std::vector<Candidate> ranked = candidates();
     std::sort(ranked.begin(), ranked.end(), [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
     std::vector<BlockedKind> blocked;
-    for (const Candidate& candidate : ranked)
-        placeStep(candidate, blocked);
+    const bool quarantined = quarantinedWorkers() > 0;
+    for (const Candidate& candidate : ranked) {
+        if (!quarantined || !placeSuspects(candidate))
+            placeStep(candidate, blocked);
+    }
 }
 
 ServiceRooms CellEngine::serviceRooms() const
--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -292,6 +292,111 @@
     CHECK(world.judge.summary() == "");
 }
 
+TEST_CASE("tasks that end together are all returned although the owner of the cell that ran them is killed meanwhile")
+{
+    constexpr uint64_t jobs = 18;
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        FullCell world(seed);
+        for (uint64_t number = 1; number <= jobs; ++number) {
+            Jobs::JobRecord record = CellWorld::job(number, "run:1500", 1);
+            record.spec.steps[0].resources.milliCores = 100;
+            world.submitTo(world.home, record);
+        }
+        world.waitUntil([&] { return world.peerWorker().running() == jobs; });
+        const auto returns = [&world] {
+            size_t count = 0;
+            for (uint64_t number = 1; number <= jobs; ++number)
+                count += world.store.countWithPrefix(
+                    Cells::StoreKeys::job(world.home, CellWorld::jobId(number)) + Cells::StoreKeys::transferMarker);
+            return count;
+        };
+        world.waitUntil([&] { return returns() > 1; });
+        world.killOwnerOf(world.peer);
+        world.clock.advance(20s);
+        size_t completed = 0;
+        for (uint64_t number = 1; number <= jobs; ++number)
+            completed += world.phase(*world.live().front(), number) == JobPhase::Completed ? 1 : 0;
+        CHECK(completed == jobs);
+        CHECK(world.judge.summary() == "");
+    }
+}
+
+TEST_CASE("tasks that were returned one by one while nobody owned the job's cell don't stop its next owner")
+{
+    constexpr uint32_t tasks = 60;
+    FullCell world(12);
+    for (const char* const name : { "yard:2", "yard:3" })
+        world.addHost("yard", name);
+    Jobs::JobRecord record = CellWorld::job(jobNumber, "run:30", tasks);
+    record.spec.steps[0].resources.milliCores = 60;
+    world.peerWorker().refusesStarts = true;
+    world.submitTo(world.home, record);
+    world.clock.advance(2s);
+    // Leaves room for one task of the job at a time.
+    Jobs::JobRecord filling = CellWorld::service(firstService + 1, 1);
+    filling.spec.steps[0].resources.milliCores = 3900;
+    world.submitTo(world.peer, filling);
+    world.clock.advance(1s);
+    world.peerWorker().refusesStarts = false;
+    world.waitUntil([&] { return world.runningOfJob() > 0; });
+    const std::string returns
+        = Cells::StoreKeys::job(world.home, CellWorld::jobId(jobNumber)) + Cells::StoreKeys::transferMarker;
+    size_t mostReturns = 0;
+    const Common::MonotonicTime end = world.clock.now() + 7s;
+    while (world.clock.now() < end) {
+        WorldHost* const owner = world.ownerOf(world.home);
+        if (owner && owner != world.ownerOf(world.peer))
+            owner->process.kill();
+        world.clock.step();
+        mostReturns = std::max(mostReturns, world.store.countWithPrefix(returns));
+    }
+    CHECK(mostReturns > Cells::RecordStore::maximumEntries);
+    world.clock.advance(20s);
+    CHECK(world.phaseOfJob() == JobPhase::Completed);
+    CHECK(world.store.countWithPrefix(returns) == 0);
+    CHECK(world.judge.summary() == "");
+}
+
+TEST_CASE("a step that fits in no cell doesn't keep another step of its job from running elsewhere")
+{
+    FullCell world(13);
+    Jobs::JobRecord record = CellWorld::job(jobNumber, "run:500", 2, 2);
+    record.spec.steps[0].resources.milliCores = 8000;
+    record.spec.steps[1].after.clear();
+    world.submitTo(world.home, record);
+    world.clock.advance(30s);
+    CHECK(world.peerWorker().starts == 2);
+    CHECK(world.startsOfJob() == 2);
+    CHECK(world.judge.summary() == "");
+}
+
+TEST_CASE("a gang of which some members still run isn't divided between cells")
+{
+    FullCell world(14, 0);
+    world.addWorkers("yard", 2, 4000);
+    world.addWorkers("shed", 20, 4000);
+    world.clock.advance(3s);
+    const auto large = [](Jobs::JobRecord record, uint32_t priority) {
+        record.policy.priority = priority;
+        record.spec.steps[0].resources.milliCores = 3000;
+        return record;
+    };
+    Jobs::JobRecord gang = large(CellWorld::service(jobNumber, 3), 2);
+    gang.spec.steps[0].gang = true;
+    world.submitTo(world.home, gang);
+    world.clock.advance(1s);
+    REQUIRE(world.homeWorker().running() == 1);
+    world.homeWorker().crash();
+    // Ranked before the gang, and blocked like its lost member.
+    for (uint64_t number = 0; number < 12; ++number) {
+        world.submitTo(world.home, large(CellWorld::service(firstService + number, 1), 1));
+        world.clock.advance(1s);
+    }
+    CHECK(world.partRecords() == 0);
+    CHECK(world.runningOfJob() == 2);
+}
+
 TEST_CASE("nothing is transferred while the other cell is full too")
 {
     FullCell world(10);
