Reserve room for large tasks that wait

Change: for a step (no gang) that is blocked for 1 s if long-running, 4 s otherwise, the worker that is expected to have room first is reserved; other tasks start there only beside the need. At most an eighth of the workers, one at least; long-running tasks first, then the largest. A step with a reservation isn't skipped as one like a blocked one and isn't transferred. Heartbeats list the room that is open beside reservations.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -860,7 +860,7 @@
             ? static_cast<int64_t>(backfillShareBesideServices * static_cast<double>(unused))
             : unused;
         worker->addServing(load.serving);
-        load.largestFreeMilliCores.push_back(worker->free().milliCores);
+        load.largestFreeMilliCores.push_back(worker->unreservedFree().milliCores);
     }
     std::sort(load.largestFreeMilliCores.rbegin(), load.largestFreeMilliCores.rend());
     if (load.largestFreeMilliCores.size() > maximumReportedWorkers)
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -215,6 +215,36 @@
     static void endQuarantine(CellWorker&, const Jobs::TaskName&);
     void quarantineForStart(CellWorker&, LiveJob&, const Jobs::TaskName&);
 
+    // Reservations of room.
+    /// A worker that is expected to have room for a task after the wait.
+    struct ExpectedRoom {
+        CellWorker* worker = nullptr;
+        Common::Duration wait {};
+    };
+    void reserveRoom(const std::vector<Candidate>& ranked);
+    /// A step that waits for a reservation.
+    struct ReservationClaim {
+        const Candidate* candidate = nullptr;
+        bool longRunning = false;
+        double share = 0;
+        Common::MonotonicTime due;
+    };
+    std::vector<ReservationClaim> reservationClaims(const std::vector<Candidate>& ranked) const;
+    double shareOfWorker(const Common::Resources& needed) const;
+    /// Whether the candidate, too, has no suitable worker if the other one has none.
+    static bool needsNoLess(const Candidate&, const Candidate& other);
+    CellWorker* displaceableFor(const ReservationClaim&);
+    void reserve(const ExpectedRoom&, const Candidate&);
+    /// The worker on which room is reserved for the task's step; null if there is none.
+    CellWorker* reservedWorker(const Jobs::TaskName&) const;
+    static Jobs::TaskName firstWaitingTask(const Candidate&);
+    std::optional<Common::Duration> timeUntilRoom(const CellWorker&, const Common::Resources& needed) const;
+    std::optional<ExpectedRoom> earliestRoom(const LiveJob&, const Jobs::TaskName&, const CellWorker* displaced) const;
+    void endOutdatedReservations();
+    const char* reasonToEndReservation(const CellWorker&);
+    void endReservation(CellWorker&, const char* reason);
+    void endReservationForStart(LiveStep&, const Jobs::TaskName&);
+
     // Starts.
     void schedulePlacement();
     void place();
@@ -336,6 +366,8 @@
     std::map<Common::WorkerId, LostWorker> m_lostWorkers;
     std::vector<WorkerCrash> m_recentCrashes;
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
+    /// When workers to reserve were last looked for.
+    Common::MonotonicTime m_reservationsSearchedAt;
     bool m_placingSoon = false;
     bool m_releasing = false;
     bool m_closed = false;
--- a/Source/Core/Cells/CellEngineGangs.cpp
+++ b/Source/Core/Cells/CellEngineGangs.cpp
@@ -36,7 +36,7 @@
         const size_t most = spec.maximumPerWorker > 0 ? std::min<size_t>(spec.maximumPerWorker, members) : members;
         Policy::GangOffer offer;
         offer.rack = worker->entry().rack.value();
-        offer.memberCapacity = timesFitting(member.held, worker->free(), most);
+        offer.memberCapacity = timesFitting(member.held, worker->unreservedFree(), most);
         offer.memberCapacityWhenEmpty = timesFitting(member.held, worker->entry().capacity, most);
         offers.push_back(std::move(offer));
     }
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -59,6 +59,7 @@
     const Common::WorkTimes::Scope work(Common::WorkKind::Placement);
     std::vector<Candidate> ranked = candidates();
     std::sort(ranked.begin(), ranked.end(), [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+    reserveRoom(ranked);
     std::vector<Candidate> blocked;
     for (const Candidate& candidate : ranked)
         placeStep(candidate, blocked);
@@ -110,7 +111,7 @@
         return other.job->policy().service == job.policy().service
             && isBlockedLike(other.job->stepSpec(other.step), spec);
     });
-    if (blockedToo) {
+    if (blockedToo && !reservedWorker({ job.id(), candidate.occurrence, candidate.step, 0 })) {
         handleBlockedStep(job, candidate);
         return;
     }
@@ -154,7 +155,7 @@
     const WorkerEntry& entry = worker.entry();
     Policy::WorkerOffer offer;
     offer.capacity = entry.capacity;
-    offer.free = worker.free();
+    offer.free = worker.freeFor(name);
     offer.unusedMilliCores = worker.unusedMilliCores();
     offer.backfillMilliCores = worker.backfillMilliCores();
     if (spec.backfill) {
@@ -253,12 +254,16 @@
         "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << m_token.value
                                  << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace);
     m_blockedSince.erase(name.job);
-    job.occurrences().at(name.occurrence).steps[name.step].blocked.reset();
+    LiveStep& step = job.occurrences().at(name.occurrence).steps[name.step];
+    step.blocked.reset();
+    endReservationForStart(step, name);
     quarantineForStart(worker, job, name);
     RunAllocation allocation = allocationFor(spec);
     allocation.orderedAt = now;
     worker.addAllocation(run, std::move(allocation));
     job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
+    if (step.waitingCount == 0)
+        step.reservedStartAt.reset();
     m_health.recordStart(worker.id(), now);
     m_workers.start(worker, order, [this, id = worker.id(), run, pace](const OrderAnswer& answer) {
         onOrderAnswer(id, run, answer.verdict);
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -44,6 +44,8 @@
     // A part of a host of an earlier version doesn't say where ended tasks belong.
     if (!spec.longRunning && job.isPart() && job.homeCell().empty())
         return;
+    if (reservedWorker({ job.id(), candidate.occurrence, candidate.step, 0 }))
+        return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     if (spec.gang && spec.sameRack && isWorthWaitingForRack(spec, step))
         return;
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -98,6 +98,29 @@
     return left;
 }
 
+Common::Resources CellWorker::unreservedFree() const
+{
+    if (!reservation)
+        return free();
+    Common::Resources beside = m_entry.capacity;
+    beside -= reservation->needed;
+    for (const auto& [run, allocation] : m_allocations) {
+        if (allocation.longRunning || allocation.orderedAt >= reservation->since)
+            beside -= allocation.held;
+    }
+    return smaller(free(), beside);
+}
+
+Common::Resources CellWorker::freeFor(const Jobs::TaskName& task) const
+{
+    return reservation && reservation->isFor(task) ? free() : unreservedFree();
+}
+
+bool CellWorker::Reservation::isFor(const Jobs::TaskName& task) const
+{
+    return step.job == task.job && step.occurrence == task.occurrence && step.step == task.step;
+}
+
 int64_t CellWorker::unusedMilliCores() const
 {
     int64_t unused = m_entry.capacity.milliCores;
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -47,6 +47,11 @@
     const Common::Resources& used() const { return m_used; }
     /// Zero of a resource of which the runs hold more than the capacity, which may shrink.
     Common::Resources free() const;
+    /// The part of it that is open to tasks without a reservation: what is reserved still fits beside them once the
+    /// runs that were there before the reservation have ended, except long-running ones.
+    Common::Resources unreservedFree() const;
+    /// The part of it that is open to the task.
+    Common::Resources freeFor(const Jobs::TaskName&) const;
     /// Processor time, in thousandths of a core, that runs other than backfill are known to leave unused.
     int64_t unusedMilliCores() const;
     /// Processor time that the backfill runs declare, in thousandths of a core.
@@ -104,6 +109,17 @@
     };
     std::optional<Quarantine> quarantine;
 
+    /// Keeps room for a task of a step that has waited for long, while runs on the worker end.
+    struct Reservation {
+        /// The first task of the step.
+        Jobs::TaskName step;
+        Common::Resources needed;
+        Common::MonotonicTime since;
+
+        bool isFor(const Jobs::TaskName&) const;
+    };
+    std::optional<Reservation> reservation;
+
 private:
     WorkerEntry m_entry;
     /// As in the last entry of the list.
--- a/Source/Core/Cells/LiveStep.h
+++ b/Source/Core/Cells/LiveStep.h
@@ -19,6 +19,9 @@
     std::optional<Common::MonotonicTime> waitingSince;
     /// Empty if no task of the step was refused room since one last started.
     std::optional<BlockedStep> blocked;
+    /// When a task of the step last started while room was reserved for it; empty if no other task waits. The others
+    /// get a reservation without the usual delay.
+    std::optional<Common::MonotonicTime> reservedStartAt;
 
     bool isComplete() const { return doneCount == tasks.size(); }
 };
--- a/Source/Core/Cells/RunAllocation.cpp
+++ b/Source/Core/Cells/RunAllocation.cpp
@@ -9,6 +9,8 @@
     allocation.held = spec.resources;
     allocation.held.slots = 0;
     allocation.image = spec.image;
+    allocation.longRunning = spec.longRunning;
+    allocation.estimate = spec.estimate;
     allocation.latencyTarget = spec.longRunning ? spec.latencyTarget : Common::Duration::zero();
     if (spec.backfill) {
         allocation.held.milliCores = 0;
--- a/Source/Core/Cells/RunAllocation.h
+++ b/Source/Core/Cells/RunAllocation.h
@@ -30,6 +30,10 @@
     /// Load that the worker reported last; see RunningTask::load.
     double load = -1;
     std::string image;
+    /// The run doesn't end by itself.
+    bool longRunning = false;
+    /// The caller's rough estimate of the run time.
+    Common::Duration estimate {};
     /// Pace that the run was last ordered to keep to, in percent of its speed.
     uint32_t pace = 100;
     /// Since when a backfill run's pace has been too low for useful progress; empty if it isn't.
