Search peer cells by kind of backfill

A failed search for a peer cell held for 500 ms for all steps of its service and label, while the room for backfill depends on its image since: a backfill step whose image no cell can bear, ranked first, hid peer cells from all others. And a backfill step that may start at any pace stayed in a full cell, since peers announce capacity for its image only at a good pace.

Change: the key of failed searches has the kind and image; what may start at any pace is searched room for as for an ordinary task.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -369,8 +369,17 @@
         Common::MonotonicTime at;
         int64_t milliCores = 0;
     };
-    /// Recent searches for a peer cell with room that found none, by service and label.
-    std::map<std::pair<Common::ServiceName, std::string>, FailedSearch> m_failedSearches;
+    /// Kind of task that peer cells are searched for; the image counts for backfill only.
+    struct PeerSearch {
+        Common::ServiceName service;
+        std::string label;
+        bool backfill = false;
+        std::string image;
+
+        auto operator<=>(const PeerSearch&) const = default;
+    };
+    /// Recent searches for a peer cell with room that found none.
+    std::map<PeerSearch, FailedSearch> m_failedSearches;
     /// Peer cells that haven't acknowledged the end of their parts, by job.
     std::map<Common::JobId, std::set<CellId>> m_partCancellations;
     struct StopWaiter {
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -69,7 +69,7 @@
     const Common::ServiceName& service, const Jobs::StepSpec& spec)
 {
     const Common::MonotonicTime now = m_runtime.now();
-    const auto search = std::make_pair(service, spec.requiredLabel);
+    const PeerSearch search { service, spec.requiredLabel, spec.backfill, spec.backfill ? spec.image : std::string() };
     const auto failed = m_failedSearches.find(search);
     // Where a task had no room, a larger one has none.
     if (!spec.longRunning && failed != m_failedSearches.end() && now - failed->second.at < searchPause
@@ -93,7 +93,10 @@
 void CellEngine::transferTasks(LiveJob& job, const Candidate& candidate)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    const auto other = findCellWithCapacity(job.policy().service, spec);
+    Jobs::StepSpec wanted = spec;
+    // What may start at any pace needs the room that an ordinary task needs.
+    wanted.backfill = spec.backfill && admissionOf(job, candidate.occurrence, candidate.step).paceInFreeRoom > 0;
+    const auto other = findCellWithCapacity(job.policy().service, wanted);
     if (!other || (spec.gang && other->second < spec.taskCount))
         return;
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
