--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -1,14 +1,17 @@
 // A fake worker that enforces fencing tokens, attempt numbers and leases as the platform's workers do.
 #pragma once
 
+#include "Cells/Interference.h"
 #include "Cells/RunJudge.h"
 #include "Cells/WorkerEntry.h"
 #include "Cells/WorkerOrders.h"
 #include "Fakes/VirtualRuntime.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +38,9 @@
     bool up() const { return m_up; }
     /// Tail latency in milliseconds that its serving tasks report.
     double tail = 4;
+    /// Determines the tail latency instead of `tail`; then paced runs also work and use the processor at their pace.
+    /// Set before the first run.
+    std::optional<Interference> interference;
     uint64_t polls = 0;
     uint64_t starts = 0;
     /// Time until it starts again after a task has crashed it.
@@ -73,6 +79,14 @@
         });
     }
     size_t running() const { return m_runs.size(); }
+    /// Tail latency in milliseconds of its serving tasks; see `interference`.
+    double currentTail() const { return interference->tail(smoothedPressure()); }
+    /// Whether a backfill run works at a pace above 0.
+    bool hasBackfillAtWork() const
+    {
+        return std::any_of(m_runs.begin(), m_runs.end(),
+            [this](const auto& row) { return row.second.pace > 0 && stepOf(row.first).backfill; });
+    }
     bool hasLeaseLapsed() const { return clock() >= m_leaseUntil; }
 
     void start(Cells::FencingToken token, const Cells::RunOrder& order, Common::WorkerTime until, const Answer& answer)
@@ -104,7 +118,8 @@
         }
         ++starts;
         m_judge.started(m_entry.id.value(), order.task, m_capacity);
-        m_runs[order.task] = Run { order.attempt, order.payload, m_world.now() };
+        updatePressure();
+        m_runs[order.task] = Run { order.attempt, order.payload, m_world.now(), {}, m_world.now() };
         arm(order);
         reply(answer, Cells::OrderVerdict::Accepted);
     }
@@ -133,6 +148,14 @@
         if (!m_up)
             return;
         paces.emplace_back(task, percent);
+        const auto run = m_runs.find(task);
+        if (interference && run != m_runs.end()) {
+            updatePressure();
+            run->second.worked = workedTime(run->second);
+            run->second.workedAt = m_world.now();
+            run->second.pace = percent;
+            scheduleEnd(task);
+        }
         reply(answer, Cells::OrderVerdict::Accepted);
     }
     void pollRuns(const Cells::WorkerOrders::PollRequest& request, const ReportAnswer& answer)
@@ -167,11 +190,20 @@
 private:
     /// How long a member of a gang waits for the others.
     static constexpr Common::Duration gangTimeout = std::chrono::seconds(3);
+    /// Time in which the effect of backfill on the tail latency decays to about a third.
+    static constexpr double fadingSeconds = 1;
+    static constexpr uint32_t fullPace = 100;
 
     struct Run {
         Common::AttemptNumber attempt;
         std::string payload;
         Common::MonotonicTime startedAt;
+        /// Time at full pace that it had worked for at `workedAt`.
+        Common::Duration worked {};
+        Common::MonotonicTime workedAt;
+        uint32_t pace = fullPace;
+        /// Counts the timers of its end; only the last one counts.
+        uint64_t endTimers = 0;
     };
 
     void begin()
@@ -230,6 +262,10 @@
                 });
             return;
         }
+        if (interference) {
+            scheduleEnd(order.task);
+            return;
+        }
         const bool fails = failsAll || order.payload.starts_with("fail");
         const auto span = std::chrono::milliseconds(std::stoi(order.payload.substr(colon + 1)));
         m_world.schedule(span, [this, task = order.task, attempt = order.attempt, fails, boot = m_boot] {
@@ -242,6 +278,7 @@
         const auto run = m_runs.find(task);
         if (run == m_runs.end() || run->second.attempt != attempt)
             return;
+        updatePressure();
         m_runs.erase(run);
         m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
         m_judge.gone(m_entry.id.value(), task);
@@ -256,6 +293,7 @@
         for (const auto& [task, run] : m_runs)
             m_judge.gone(m_entry.id.value(), task);
         m_runs.clear();
+        m_pressure = 0;
         m_waiting.clear();
         m_judge.endsLost(m_entry.id.value());
     }
@@ -269,7 +307,10 @@
             report.capacity = m_capacity;
         for (const auto& [task, run] : m_runs) {
             Cells::RunningTask row { task, run.attempt, {}, percentOf(run), -1 };
-            row.load = run.payload == "last" ? tail : 1000;
+            if (run.payload == "last")
+                row.load = interference ? currentTail() : tail;
+            else
+                row.load = interference ? usedMilliCores(task, run) : 1000;
             report.running.push_back(row);
         }
         return report;
@@ -280,10 +321,66 @@
             return 100;
         if (run.payload == "hang")
             return 10;
-        const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(m_world.now() - run.startedAt);
+        const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(
+            interference ? workedTime(run) : m_world.now() - run.startedAt);
         const auto whole = std::stoi(run.payload.substr(run.payload.find(':') + 1));
         return static_cast<uint32_t>(std::min<int64_t>(99, 100 * ran.count() / std::max(whole, 1)));
     }
+    const Jobs::StepSpec& stepOf(const Jobs::TaskName& task) const
+    {
+        return m_judge.submitted.at(task.job).steps.at(task.step);
+    }
+    double usedMilliCores(const Jobs::TaskName& task, const Run& run) const
+    {
+        return static_cast<double>(stepOf(task).resources.milliCores) * run.pace / fullPace;
+    }
+    /// Time at full pace that the run has worked for.
+    Common::Duration workedTime(const Run& run) const
+    {
+        return run.worked + (m_world.now() - run.workedAt) * run.pace / fullPace;
+    }
+    /// What the backfill adds to the utilization of the services at the present paces.
+    double targetPressure() const
+    {
+        double sum = 0;
+        for (const auto& [task, run] : m_runs) {
+            const Jobs::StepSpec& step = stepOf(task);
+            if (step.backfill)
+                sum += interference->pressureOf(step.image) * usedMilliCores(task, run)
+                    / static_cast<double>(m_capacity.milliCores);
+        }
+        return sum;
+    }
+    double smoothedPressure() const
+    {
+        const double passed = std::chrono::duration<double>(m_world.now() - m_pressureAt).count();
+        return m_pressure + (1 - std::exp(-passed / fadingSeconds)) * (targetPressure() - m_pressure);
+    }
+    /// Called before the runs or their paces change.
+    void updatePressure()
+    {
+        if (!interference)
+            return;
+        m_pressure = smoothedPressure();
+        m_pressureAt = m_world.now();
+    }
+    /// Ends a paced run after the rest of its work.
+    void scheduleEnd(const Jobs::TaskName& task)
+    {
+        Run& run = m_runs.at(task);
+        const size_t colon = run.payload.find(':');
+        const uint64_t timer = ++run.endTimers;
+        if (run.pace == 0 || colon == std::string::npos)
+            return;
+        const Common::Duration whole = std::chrono::milliseconds(std::stoi(run.payload.substr(colon + 1)));
+        const Common::Duration rest = std::max(whole - workedTime(run), Common::Duration::zero());
+        const bool fails = failsAll || run.payload.starts_with("fail");
+        m_world.schedule(rest * fullPace / run.pace, [this, task, attempt = run.attempt, timer, fails, boot = m_boot] {
+            const auto found = m_runs.find(task);
+            if (boot == m_boot && found != m_runs.end() && found->second.endTimers == timer)
+                end(task, attempt, fails ? Cells::RunEnd::Failed : Cells::RunEnd::Done);
+        });
+    }
     void answerPolls()
     {
         const auto waiting = std::exchange(m_waiting, {});
@@ -310,6 +407,9 @@
     std::vector<Cells::EndedTask> m_ended;
     uint64_t m_lastEnd = 0;
     std::vector<ReportAnswer> m_waiting;
+    /// What the backfill added to the utilization of the services at `m_pressureAt`, averaged over `fadingSeconds`.
+    double m_pressure = 0;
+    Common::MonotonicTime m_pressureAt;
 };
 
 } // namespace CellTests
