Transfer services to cells that can make room for them

Cause: a peer cell was chosen by the processor time that is free on a worker at that moment. Short runs there take it up at once, so that a large task's need never shows, although a reservation there would make the room.

Change: heartbeats also list the largest rooms that are left once all runs but long-running ones have ended. A long-running step that its own cell can't make room for, and that no peer has free room for, goes to a peer that can make it; its wait goes with it, so that the reservation is due on arrival.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -71,6 +71,14 @@
             load.labels[label] += milliCores;
     }
 
+    /// Sorts the rooms, largest first, and drops those that heartbeats don't list.
+    void keepLargest(std::vector<int64_t>& rooms)
+    {
+        std::sort(rooms.rbegin(), rooms.rend());
+        if (rooms.size() > maximumReportedWorkers)
+            rooms.resize(maximumReportedWorkers);
+    }
+
     bool isSignificantPaceChange(uint32_t before, uint32_t after)
     {
         const bool atLimit = after == 0 || after == fullPercent;
@@ -862,10 +870,10 @@
             : unused;
         worker->addServing(load.serving);
         load.largestFreeMilliCores.push_back(worker->unreservedFree().milliCores);
+        load.largestFreeAfterEnds.push_back(worker->freeAfterEnds().milliCores);
     }
-    std::sort(load.largestFreeMilliCores.rbegin(), load.largestFreeMilliCores.rend());
-    if (load.largestFreeMilliCores.size() > maximumReportedWorkers)
-        load.largestFreeMilliCores.resize(maximumReportedWorkers);
+    keepLargest(load.largestFreeMilliCores);
+    keepLargest(load.largestFreeAfterEnds);
     addBackfillCapacity(load);
     for (const auto& [id, job] : m_jobs) {
         if (isFinal(job->phase()))
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -65,7 +65,8 @@
     /// How the engine reaches the owners of peer cells.
     struct PeerCells {
         /// Number of tasks of the step, for a job of the service, that each peer cell has room for.
-        std::function<std::map<CellId, size_t>(const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&)>
+        std::function<std::map<CellId, size_t>(
+            const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind)>
             taskSlots;
         /// Room in all peer cells whose owners' heartbeats arrive, by service.
         std::function<ServiceRooms(const CellId& self)> serviceRooms;
@@ -282,7 +283,10 @@
     void onTasksReturned(LiveJob&);
     bool isWorthWaitingForRack(const Jobs::StepSpec&, const LiveStep&) const;
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
-    std::optional<std::pair<CellId, size_t>> findCellWithCapacity(const Common::ServiceName&, const Jobs::StepSpec&);
+    std::optional<std::pair<CellId, size_t>> findCellWithCapacity(
+        const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind = CellLoad::RoomKind::Free);
+    /// Whether a task of the step may start here once runs that aren't long-running have ended.
+    bool canMakeRoom(const LiveJob&, const Jobs::StepSpec&) const;
     void notifyParts(const LiveJob&);
     void onPartCancelled(const Common::JobId&, const CellId&);
     bool mayRun(const Common::JobId&, StopScope) const;
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -66,7 +66,7 @@
 
 /// The peer cell with the most room for tasks of the step, and for how many.
 std::optional<std::pair<CellId, size_t>> CellEngine::findCellWithCapacity(
-    const Common::ServiceName& service, const Jobs::StepSpec& spec)
+    const Common::ServiceName& service, const Jobs::StepSpec& spec, CellLoad::RoomKind kind)
 {
     const Common::MonotonicTime now = m_runtime.now();
     const PeerSearch search { service, spec.requiredLabel, spec.backfill, spec.backfill ? spec.image : std::string() };
@@ -77,7 +77,7 @@
         return std::nullopt;
     std::erase_if(m_recentTransfers, [now](const auto& row) { return now - row.second.at > transferReportDelay; });
     std::optional<std::pair<CellId, size_t>> best;
-    for (const auto& [cell, room] : m_peerCells.taskSlots(m_id, service, spec)) {
+    for (const auto& [cell, room] : m_peerCells.taskSlots(m_id, service, spec, kind)) {
         const auto recent = m_recentTransfers.find(cell);
         const size_t taken = recent == m_recentTransfers.end() ? 0 : recent->second.tasks;
         if (room > taken && (!best || room - taken > best->second))
@@ -88,6 +88,15 @@
     return best;
 }
 
+bool CellEngine::canMakeRoom(const LiveJob& job, const Jobs::StepSpec& spec) const
+{
+    const Common::Resources needed = allocationFor(spec).held;
+    const auto& workers = m_workers.all();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto& row) {
+        return mayRunOn(*row.second, job, spec) && Common::fits(needed, row.second->freeAfterEnds());
+    });
+}
+
 /// Transfers waiting tasks of a step to the peer cell with the most room. They don't depend on each other, so they may
 /// run in different cells; only a gang stays together.
 void CellEngine::transferTasks(LiveJob& job, const Candidate& candidate)
@@ -96,7 +105,9 @@
     Jobs::StepSpec wanted = spec;
     // What may start at any pace needs the room that an ordinary task needs.
     wanted.backfill = spec.backfill && admissionOf(job, candidate.occurrence, candidate.step).paceInFreeRoom > 0;
-    const auto other = findCellWithCapacity(job.policy().service, wanted);
+    auto other = findCellWithCapacity(job.policy().service, wanted);
+    if (!other && spec.longRunning && !canMakeRoom(job, spec))
+        other = findCellWithCapacity(job.policy().service, wanted, CellLoad::RoomKind::AfterEnds);
     if (!other || (spec.gang && other->second < spec.taskCount))
         return;
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
--- a/Source/Core/Cells/CellLoad.cpp
+++ b/Source/Core/Cells/CellLoad.cpp
@@ -18,7 +18,7 @@
     return ofLabel == labels.end() ? 0 : std::min(ofService->second, ofLabel->second);
 }
 
-size_t CellLoad::taskSlotsFor(const Common::ServiceName& service, const Jobs::StepSpec& spec) const
+size_t CellLoad::taskSlotsFor(const Common::ServiceName& service, const Jobs::StepSpec& spec, RoomKind kind) const
 {
     if (capacityFor(service, spec) <= 0)
         return 0;
@@ -28,7 +28,7 @@
         return static_cast<size_t>(std::max<int64_t>(room, 0) / std::max<int64_t>(spec.resources.milliCores, 1));
     }
     size_t slots = 0;
-    for (const int64_t free : largestFreeMilliCores) {
+    for (const int64_t free : kind == RoomKind::Free ? largestFreeMilliCores : largestFreeAfterEnds) {
         const auto count
             = static_cast<size_t>(std::max<int64_t>(free, 0) / std::max<int64_t>(spec.resources.milliCores, 1));
         slots += spec.maximumPerWorker > 0 ? std::min<size_t>(count, spec.maximumPerWorker) : count;
--- a/Source/Core/Cells/CellLoad.h
+++ b/Source/Core/Cells/CellLoad.h
@@ -31,6 +31,8 @@
     std::map<std::string, int64_t> backfillCapacity;
     /// Free thousandths of a core of the workers with the most free processor time, largest first.
     std::vector<int64_t> largestFreeMilliCores;
+    /// The same once all runs but long-running ones have ended. Empty in heartbeats of hosts of an earlier version.
+    std::vector<int64_t> largestFreeAfterEnds;
     /// Estimated work of waiting tasks, in thousandths of a core times seconds.
     int64_t waitingRegular = 0;
     int64_t waitingBackfill = 0;
@@ -40,9 +42,14 @@
     /// Upper bound, in thousandths of a core, of the capacity of the workers on which tasks of the step may run. A host
     /// of an earlier version reports no services and labels; the result is then the whole capacity.
     int64_t capacityFor(const Common::ServiceName&, const Jobs::StepSpec&) const;
+    enum class RoomKind {
+        Free,
+        /// Also room that is made by the ends of runs that aren't long-running.
+        AfterEnds,
+    };
     /// Number of tasks of the step that fit on the workers of `largestFreeMilliCores`, or for backfill into the
     /// capacity for its image; 0 if none may run in the cell.
-    size_t taskSlotsFor(const Common::ServiceName&, const Jobs::StepSpec&) const;
+    size_t taskSlotsFor(const Common::ServiceName&, const Jobs::StepSpec&, RoomKind = RoomKind::Free) const;
     /// Room by service; a cell's free processor time counts for its services by their shares of the capacity.
     ServiceRooms serviceRooms() const;
     /// Whether the cell has workers on the rack; true if its heartbeat doesn't report labels.
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -770,8 +770,8 @@
 CellEngine::PeerCells CellOwnership::peerCells()
 {
     return CellEngine::PeerCells {
-        .taskSlots = [this](const CellId& self, const Common::ServiceName& service,
-                         const Jobs::StepSpec& spec) { return taskSlots(self, service, spec); },
+        .taskSlots = [this](const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec,
+                         CellLoad::RoomKind kind) { return taskSlots(self, service, spec, kind); },
         .serviceRooms = [this](const CellId& self) { return serviceRooms(self); },
         .sendTransfer = [this](const TaskTransfer& transfer) { notifyOwner(transfer.to, transfer); },
         .requestTransferCheck
@@ -815,7 +815,7 @@
 }
 
 std::map<CellId, size_t> CellOwnership::taskSlots(
-    const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec) const
+    const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec, CellLoad::RoomKind kind) const
 {
     std::map<CellId, size_t> found;
     for (const CellId& cell : m_layout.cells()) {
@@ -823,7 +823,7 @@
         const Owner* const other = own == m_engines.end() ? liveOwner(cell) : nullptr;
         if (cell == self || (own == m_engines.end() && !other))
             continue;
-        found[cell] = (other ? other->load : own->second->load()).taskSlotsFor(service, spec);
+        found[cell] = (other ? other->load : own->second->load()).taskSlotsFor(service, spec, kind);
     }
     return found;
 }
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -145,7 +145,8 @@
     void endClaim(const CellId&, const char* reason);
     CellEngine::PeerCells peerCells();
     ServiceRooms serviceRooms(const CellId& self) const;
-    std::map<CellId, size_t> taskSlots(const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&) const;
+    std::map<CellId, size_t> taskSlots(
+        const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
     void notifyOwner(const CellId&, const PartMessage&, const std::function<void()>& handled = {});
     void requestTransferCheck(const CellId&, const Common::JobId&);
     void releaseCell(const CellId&, std::function<void()> done);
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -116,6 +116,18 @@
     return reservation && reservation->isFor(task) ? free() : unreservedFree();
 }
 
+Common::Resources CellWorker::freeAfterEnds() const
+{
+    Common::Resources left = m_entry.capacity;
+    if (reservation)
+        left -= reservation->needed;
+    for (const auto& [run, allocation] : m_allocations) {
+        if (allocation.longRunning)
+            left -= allocation.held;
+    }
+    return left;
+}
+
 bool CellWorker::Reservation::isFor(const Jobs::TaskName& task) const
 {
     return step.job == task.job && step.occurrence == task.occurrence && step.step == task.step;
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -52,6 +52,8 @@
     Common::Resources unreservedFree() const;
     /// The part of it that is open to the task.
     Common::Resources freeFor(const Jobs::TaskName&) const;
+    /// What is left when all runs but long-running ones have ended and a reserved task has started.
+    Common::Resources freeAfterEnds() const;
     /// Processor time, in thousandths of a core, that runs other than backfill are known to leave unused.
     int64_t unusedMilliCores() const;
     /// Processor time that the backfill runs declare, in thousandths of a core.
--- a/Source/Core/Cells/HostHeartbeat.cpp
+++ b/Source/Core/Cells/HostHeartbeat.cpp
@@ -27,11 +27,11 @@
         Json pending = Json::object();
         for (const auto& [route, count] : owned.load.pending)
             pending[route] = count;
-        return Json::array(
-            { owned.cell.value(), owned.token.value, owned.load.capacityMilliCores, owned.load.freeMilliCores,
-                owned.load.backfillMilliCores, owned.load.waitingRegular, owned.load.waitingBackfill,
-                owned.load.serving, owned.load.backfillCapacity, owned.load.largestFreeMilliCores, std::move(pending),
-                pressureEstimatesToJson(owned.pressureEstimates), owned.load.services, owned.load.labels });
+        return Json::array({ owned.cell.value(), owned.token.value, owned.load.capacityMilliCores,
+            owned.load.freeMilliCores, owned.load.backfillMilliCores, owned.load.waitingRegular,
+            owned.load.waitingBackfill, owned.load.serving, owned.load.backfillCapacity,
+            owned.load.largestFreeMilliCores, std::move(pending), pressureEstimatesToJson(owned.pressureEstimates),
+            owned.load.services, owned.load.labels, owned.load.largestFreeAfterEnds });
     }
 
     /// Figures of a load guide choices only; one out of bounds mustn't make the host seem silent.
@@ -77,6 +77,8 @@
             owned.load.services = loadsFrom(row.element(12));
             owned.load.labels = loadsFrom(row.element(13));
         }
+        if (row.element(14).exists())
+            owned.load.largestFreeAfterEnds = listedLoadsFrom(row.element(14));
         return owned;
     }
 
--- a/Source/UnitTests/Cells/CellLoadTest.cpp
+++ b/Source/UnitTests/Cells/CellLoadTest.cpp
@@ -138,6 +138,22 @@
     CHECK(world.phase(*world.hosts[0], 1) == JobPhase::Completed);
 }
 
+TEST_CASE("a cell offers room that the ends of runs will make only if it is asked for that")
+{
+    Cells::CellLoad load;
+    load.services["desk"] = load.capacityMilliCores = 64'000;
+    load.largestFreeMilliCores = { 3000, 2000 };
+    load.largestFreeAfterEnds = { 45'000, 20'000 };
+    Jobs::StepSpec spec;
+    spec.resources.milliCores = 20'000;
+    spec.longRunning = true;
+    const Common::ServiceName service("desk");
+    CHECK(load.taskSlotsFor(service, spec) == 0);
+    CHECK(load.taskSlotsFor(service, spec, Cells::CellLoad::RoomKind::AfterEnds) == 3);
+    load.largestFreeAfterEnds.clear();
+    CHECK(load.taskSlotsFor(service, spec, Cells::CellLoad::RoomKind::AfterEnds) == 0);
+}
+
 TEST_CASE("a cell offers backfill the capacity for its image, not its free processor time")
 {
     Cells::CellLoad load;
