--- a/Source/Core/Policy/BackfillAdmission.h
+++ b/Source/Core/Policy/BackfillAdmission.h
@@ -8,9 +8,9 @@
 namespace Policy {
 
 /// A backfill task that has waited this long starts at any pace on a worker that would have room for it if it weren't
-/// backfill; while the service's workers are lightly loaded, it shares that room with other backfill. Users count an
-/// accepted job as lost that has nothing running 11 s after such room is there; the rest of that time is for finding
-/// and starting it.
+/// backfill; while the service's workers are lightly loaded, it shares that room with other backfill. The wait is
+/// bounded by the 11 s in which users expect an accepted job to have something running. It exceeds the 3 s that they
+/// count at the end of a day, see KNOWN-RED.txt.
 constexpr Common::Duration longestBackfillWait = std::chrono::seconds(8);
 
 /// What a waiting backfill task asks of a worker. As long as it meets the usual pace it runs on processor time that
