--- a/Source/UnitTests/Cells/RandomSchedule.h
+++ b/Source/UnitTests/Cells/RandomSchedule.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -196,6 +198,25 @@
     }
 };
 
+/// Seeds of known failures, see KNOWN-RED.txt, that Tools/test.sh passes on as "UNIT=SEED SEED;UNIT=SEED";
+/// the unit is the test's source file without its folder and ending.
+inline std::set<uint64_t> knownFailures(const std::string& file)
+{
+    const size_t begin = file.rfind('/') + 1;
+    const std::string unit = file.substr(begin, file.rfind('.') - begin);
+    std::set<uint64_t> seeds;
+    const char* const text = std::getenv("LC_KNOWN_RED_SEEDS");
+    const std::string entries = text ? ";" + std::string(text) : std::string {};
+    const size_t entry = entries.find(";" + unit + "=");
+    if (entry == std::string::npos)
+        return seeds;
+    std::istringstream numbers(
+        entries.substr(entry + unit.size() + 2, entries.find(';', entry + 1) - entry - unit.size() - 2));
+    for (uint64_t seed = 0; numbers >> seed;)
+        seeds.insert(seed);
+    return seeds;
+}
+
 /// Runs the scenario for each seed; LC_LOG prints the log of chosen seeds.
 template <typename Schedule>
 void forEachSeed(
--- a/Source/UnitTests/Cells/WaitBoundScheduleTest.cpp
+++ b/Source/UnitTests/Cells/WaitBoundScheduleTest.cpp
@@ -18,7 +18,12 @@
         seeds.last = lastSeed;
     if (seeds.chosen && std::getenv("LC_LOG"))
         Common::initLog("schedule", "info");
+    const std::set<uint64_t> known = seeds.chosen ? std::set<uint64_t> {} : knownFailures(__FILE__);
     for (uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
+        if (known.contains(seed)) {
+            MESSAGE("seed " << seed << " is a known failure and isn't run");
+            continue;
+        }
         CAPTURE(seed);
         WaitBoundSchedule schedule(seed);
         schedule.overload();
