--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -4,6 +4,7 @@
 #include "Cells/AnswerWindow.h"
 #include "Cells/PressureEstimateCodec.h"
 #include "Cells/StoreKeys.h"
+#include "Common/Hash.h"
 #include "Common/JsonFault.h"
 #include "Common/JsonField.h"
 #include "Common/JsonParser.h"
@@ -36,19 +37,28 @@
     constexpr Common::Duration longestOwnerProbeTimeout = std::chrono::milliseconds(9600);
     /// A host that is late, or hears no other host, leaves ownerless cells to the others for this long.
     constexpr Common::Duration unfitClaimDelay = std::chrono::seconds(3);
-    /// Time after the start during which heartbeats are sent faster and list more addresses.
+    /// Time after the start during which heartbeats are sent faster.
     constexpr Common::Duration discoveryPeriod = std::chrono::seconds(2);
+    /// Cells without an owner aren't claimed until no host has been discovered for this time, or the second time has
+    /// passed since the start: ranks of hosts that know different hosts differ, and cells would move soon.
+    constexpr Common::Duration discoveryPause = std::chrono::milliseconds(600);
+    constexpr Common::Duration longestDiscovery = std::chrono::seconds(3);
     /// How long heartbeats announce that a cell was released.
     constexpr Common::Duration releaseAnnouncementPeriod = std::chrono::seconds(2);
-    /// Every n-th heartbeat carries pressure estimates, at most this many pairs for each cell.
-    constexpr uint64_t heartbeatsPerEstimates = 4;
+    /// Every n-th report of a cell carries pressure estimates, at most this many pairs.
+    constexpr uint64_t roundsPerEstimates = 4;
     constexpr size_t maximumSentPressureEstimates = 60;
-    /// Each heartbeat lists the addresses of some live hosts in rotation; during discovery it lists more, so that hosts
-    /// that start with a few seeds find all others.
-    constexpr size_t addressesPerHeartbeat = 8;
-    constexpr size_t addressesPerDiscoveryHeartbeat = 24;
-    /// The list changes with every n-th heartbeat, so that the others are alike and needn't be decoded.
-    constexpr uint64_t heartbeatsPerAddresses = 4;
+    /// Loads are sent to this many hosts of the own domain and of other domains in each round, to all in rotation.
+    constexpr size_t loadReceiversInDomain = 2;
+    constexpr size_t loadReceiversElsewhere = 6;
+    /// Addresses listed in heartbeats for hosts of an earlier release.
+    constexpr size_t addressesForEarlierRelease = 8;
+    /// A host that is too small for a cell leaves one to at most this many larger ones and as many others of its size.
+    constexpr size_t maximumClaimRank = 8;
+    /// A host that may not own cells looks for ownerless ones in every n-th tick only.
+    constexpr uint64_t ticksPerLookOfSmallHost = 5;
+    /// The owner of a cell is watched by this many of the hosts that would replace it.
+    constexpr size_t watchingSuccessors = 2;
 
     std::vector<WorkerEntry> readWorkers(const std::optional<Scheduler::StoreValue>& record)
     {
@@ -105,6 +115,7 @@
     , m_settings(settings)
     , m_cellSettings(cellSettings)
     , m_directory(settings)
+    , m_gossip(ports.runtime, ports.heartbeats, settings, m_directory)
 {
 }
 
@@ -115,9 +126,14 @@
     m_startedAt = m_ports.runtime.now();
     m_lastTick = m_startedAt;
     m_startedAtMilliseconds = m_ports.runtime.wallMilliseconds();
-    // Hosts start their rotation at random positions, so that together they soon list all addresses.
-    m_nextAddressIndex = m_ports.runtime.random()() % addressesPerDiscoveryHeartbeat;
-    m_ports.heartbeats.onReceive([this](std::string_view text) { onHeartbeat(text); });
+    m_discoveredAt = m_startedAt;
+    // Owners don't all send their loads to the same hosts.
+    m_loadRounds = m_ports.runtime.random()() % (UINT64_C(1) << 32U);
+    m_gossip.start({ .onState = [this](const HostState& state, bool isNewHost) { onState(state, isNewHost); },
+        .onContact = [this](const HostGossip::Contact& contact) { onContact(contact); },
+        .onCellFrame = [this](const GossipFrame& frame) { onCellFrame(frame); },
+        .onEarlierRelease = [this](const HostHeartbeat& heartbeat) { onEarlierRelease(heartbeat); },
+        .heartbeatForEarlierRelease = [this] { return heartbeatForEarlierRelease(); } });
     readLayout();
     sendHeartbeatsRegularly();
     tick();
@@ -174,113 +190,234 @@
 {
     m_ports.runtime.schedule(isDiscoveringHosts() ? m_settings.startupHeartbeatInterval : m_settings.heartbeatInterval,
         m_lifetime.guard([this] { sendHeartbeatsRegularly(); }));
-    sendHeartbeat();
+    const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsSent);
+    std::erase_if(m_releasedAt,
+        [now = m_ports.runtime.now()](const auto& row) { return now - row.second > releaseAnnouncementPeriod; });
+    m_gossip.publish(ownState());
+    m_gossip.sendRound();
+    sendLoads();
 }
 
-void CellOwnership::sendHeartbeat()
+bool CellOwnership::isDiscoveringHosts() const { return m_ports.runtime.now() - m_startedAt < discoveryPeriod; }
+
+HostState CellOwnership::ownState() const
 {
-    const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsSent);
-    const Common::MonotonicTime now = m_ports.runtime.now();
-    m_directory.expire(now);
-    std::erase_if(m_releasedAt, [now](const auto& row) { return now - row.second > releaseAnnouncementPeriod; });
-    HostHeartbeat message;
-    message.id = m_settings.id;
-    message.address = m_settings.address;
-    message.heartbeatAddress = m_settings.heartbeatAddress;
-    message.domain = m_settings.domain;
-    message.region = m_settings.region;
-    message.weight = m_settings.weight;
-    message.startedAtMilliseconds = m_startedAtMilliseconds;
-    message.draining = m_draining;
-    message.late = isLate();
-    message.storeAvailable = m_storeAvailable;
-    message.configVersion = m_configVersion;
-    const bool sendEstimates = ++m_heartbeatCount % heartbeatsPerEstimates == 0;
-    for (const auto& [cell, engine] : m_engines) {
-        if (!m_releasing.contains(cell) && engine->mayGrantLeases())
-            message.cells.push_back({ cell, engine->token(), engine->load(),
-                sendEstimates ? engine->pressureEstimates(maximumSentPressureEstimates)
-                              : std::vector<Policy::TailLatencyModel::PressureEstimate> {} });
-    }
-    message.transitioningCells.emplace(m_releasing.begin(), m_releasing.end());
-    for (const auto& [cell, pending] : m_claims)
-        message.transitioningCells->push_back(cell);
-    // An owner that can't act doesn't keep others from the cell, but the store may still confirm it.
+    HostState state { m_settings.id, m_settings.address, m_settings.heartbeatAddress, m_settings.domain,
+        m_settings.region, m_settings.weight, m_startedAtMilliseconds, m_draining, isLate(), m_storeAvailable, {}, {},
+        {} };
     for (const auto& [cell, engine] : m_engines) {
+        // An owner that can't act doesn't keep others from the cell, but the store may still confirm it.
         if (!engine->mayGrantLeases())
-            message.transitioningCells->push_back(cell);
+            state.transitioningCells.push_back(cell);
+        else if (!m_releasing.contains(cell))
+            state.cells.push_back({ cell, engine->token() });
     }
+    state.transitioningCells.insert(state.transitioningCells.end(), m_releasing.begin(), m_releasing.end());
+    for (const auto& [cell, pending] : m_claims)
+        state.transitioningCells.push_back(cell);
     for (const auto& [cell, since] : m_releasedAt)
-        message.released.push_back(cell);
-    message.knownAddresses = nextHostAddresses();
-    const std::string text = message.encode();
-    for (const std::string& address : m_directory.heartbeatAddresses())
-        m_ports.heartbeats.send(address, text);
+        state.released.push_back(cell);
+    return state;
 }
 
-bool CellOwnership::isDiscoveringHosts() const { return m_ports.runtime.now() - m_startedAt < discoveryPeriod; }
-
-std::vector<std::string> CellOwnership::nextHostAddresses()
+/// Tells other hosts at once that this host's cells have changed.
+void CellOwnership::announce()
 {
-    const std::vector<const HostHeartbeat*> live = m_directory.liveHosts(m_ports.runtime.now());
-    const size_t count
-        = std::min(live.size(), isDiscoveringHosts() ? addressesPerDiscoveryHeartbeat : addressesPerHeartbeat);
-    std::vector<std::string> addresses;
-    for (size_t index = 0; index < count; ++index)
-        addresses.push_back(live[(m_nextAddressIndex + index) % live.size()]->heartbeatAddress);
-    if (isDiscoveringHosts() || m_heartbeatCount % heartbeatsPerAddresses == 0)
-        m_nextAddressIndex += count;
-    return addresses;
+    const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsSent);
+    m_gossip.publish(ownState());
+    m_gossip.flush();
+    sendLoads();
 }
 
-void CellOwnership::onHeartbeat(std::string_view text)
+void CellOwnership::sendLoads()
 {
-    const Common::WorkTimes::Scope work(Common::WorkKind::HeartbeatsReceived);
-    const Common::MonotonicTime now = m_ports.runtime.now();
-    // Most hosts own no cells, and most of their heartbeats are alike.
-    const HostHeartbeat* const repeated
-        = m_formerOwners.empty() ? m_directory.recordRepeatedHeartbeat(text, now) : nullptr;
-    if (repeated) {
-        if (m_onHeartbeat)
-            m_onHeartbeat(*repeated);
+    if (m_engines.empty())
         return;
+    const bool sendEstimates = ++m_loadRounds % roundsPerEstimates == 0;
+    std::vector<std::string> frames;
+    for (const auto& [cell, engine] : m_engines) {
+        if (m_releasing.contains(cell) || !engine->mayGrantLeases())
+            continue;
+        CellReport report { m_settings.id, { cell, engine->token(), engine->load(), {} }, ++m_loadVersion };
+        if (sendEstimates)
+            report.cell.pressureEstimates = engine->pressureEstimates(maximumSentPressureEstimates);
+        frames.push_back(report.encode());
     }
-    Common::Result<HostHeartbeat> heartbeat = HostHeartbeat::decode(text);
-    if (!heartbeat) {
-        LC_WARN(Peer, "event=unreadable-heartbeat reason=" << heartbeat.reason().detail);
+    if (frames.empty())
         return;
+    for (const HostState* const host : loadReceivers())
+        m_gossip.sendCells(*host, frames);
+}
+
+/// The hosts that get this round's loads; all hosts that may own cells get them in turn.
+std::vector<const HostState*> CellOwnership::loadReceivers()
+{
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    std::set<Common::DaemonId> ids = m_cellHosts;
+    for (const auto& [cell, owner] : m_owners)
+        ids.insert(owner.id);
+    std::vector<const HostState*> near;
+    std::vector<const HostState*> far;
+    for (const Common::DaemonId& id : ids) {
+        const HostState* const host = m_directory.isAlive(id, now) ? m_directory.find(id) : nullptr;
+        if (host)
+            (host->domain == m_settings.domain ? near : far).push_back(host);
+    }
+    const auto takeTurn = [this](const std::vector<const HostState*>& hosts, size_t count) {
+        std::vector<const HostState*> taken;
+        for (size_t index = 0; index < std::min(count, hosts.size()); ++index)
+            taken.push_back(hosts[(m_loadRounds * count + index) % hosts.size()]);
+        return taken;
+    };
+    std::vector<const HostState*> receivers = takeTurn(near, loadReceiversInDomain);
+    const size_t elsewhere = loadReceiversElsewhere + loadReceiversInDomain - receivers.size();
+    for (const HostState* const host : takeTurn(far, elsewhere))
+        receivers.push_back(host);
+    return receivers;
+}
+
+std::string CellOwnership::heartbeatForEarlierRelease()
+{
+    const HostState state = ownState();
+    HostHeartbeat message;
+    message.id = state.id;
+    message.address = state.address;
+    message.heartbeatAddress = state.heartbeatAddress;
+    message.domain = state.domain;
+    message.region = state.region;
+    message.weight = state.weight;
+    message.startedAtMilliseconds = state.startedAtMilliseconds;
+    message.draining = state.draining;
+    message.late = state.late;
+    message.storeAvailable = state.storeAvailable;
+    message.configVersion = m_configVersion;
+    for (const HostState::OwnedCell& owned : state.cells)
+        message.cells.push_back({ owned.cell, owned.token, m_engines.at(owned.cell)->load(), {} });
+    message.transitioningCells = state.transitioningCells;
+    message.released = state.released;
+    message.readsGossip = true;
+    for (const HostState* const host : m_directory.liveHosts(m_ports.runtime.now())) {
+        if (message.knownAddresses.size() < addressesForEarlierRelease)
+            message.knownAddresses.push_back(host->heartbeatAddress);
     }
-    if (!m_directory.isAlive(heartbeat->id, now))
-        LC_INFO(Peer, "event=host-discovered host=" << heartbeat->id.value() << " address=" << heartbeat->address);
-    for (HostHeartbeat::OwnedCell& owned : heartbeat->cells) {
+    return message.encode();
+}
+
+void CellOwnership::onState(const HostState& state, bool isNewHost)
+{
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    if (isNewHost)
+        m_discoveredAt = now;
+    for (const HostState::OwnedCell& owned : state.cells) {
         Owner& owner = m_owners[owned.cell];
         if (owned.token < owner.token)
             continue;
-        owner = Owner { heartbeat->id, heartbeat->address, owned.token, std::move(owned.load), now, false };
-        if (owned.pressureEstimates.empty())
-            continue;
-        for (const auto& [cell, engine] : m_engines)
-            engine->adopt(owned.cell, owned.pressureEstimates);
-        m_pressureEstimates[owned.cell] = std::move(owned.pressureEstimates);
+        if (owner.id != state.id || owner.token != owned.token) {
+            owner.id = state.id;
+            owner.address = state.address;
+            owner.token = owned.token;
+            owner.loadVersion = 0;
+            owner.confirmedAt.reset();
+            owner.released = false;
+        }
+        owner.unannouncedSince.reset();
+    }
+    for (auto& [cell, owner] : m_owners) {
+        const bool isAnnounced = owner.id != state.id
+            || std::find(state.cells.begin(), state.cells.end(), HostState::OwnedCell { cell, owner.token })
+                != state.cells.end();
+        if (!isAnnounced && !owner.unannouncedSince)
+            owner.unannouncedSince = now;
     }
-    for (const CellId& cell : heartbeat->released) {
+    for (const CellId& cell : state.released) {
         const auto owner = m_owners.find(cell);
-        if (owner != m_owners.end() && owner->second.id == heartbeat->id)
+        if (owner != m_owners.end() && owner->second.id == state.id && owner->second.unannouncedSince)
             owner->second.released = true;
     }
+}
+
+void CellOwnership::onContact(const HostGossip::Contact& contact)
+{
+    // A state that is older than the message may be older than the host's claim of a cell.
+    if (contact.isCurrent)
+        noteFormerOwners(contact.state);
+    if (m_onConfigVersion)
+        m_onConfigVersion(contact.state.address, contact.configVersion);
+}
+
+/// Notices that a former owner has stopped: another process runs at its address, or the former owner itself says that
+/// it no longer holds the cell.
+void CellOwnership::noteFormerOwners(const HostState& state)
+{
     for (auto former = m_formerOwners.begin(); former != m_formerOwners.end();) {
-        // A new process runs at its address, or the former owner reports that it no longer holds the cell.
-        const bool replaced = former->second.owner == heartbeat->id ? !heartbeat->mayGrantLeases(former->first)
-                                                                    : former->second.address == heartbeat->address;
-        // During the takeover no engine exists yet; the next heartbeat repeats the information.
-        CellEngine* const own = replaced ? engine(former->first) : nullptr;
+        const bool stopped = former->second.owner == state.id ? !state.mayGrantLeases(former->first)
+                                                              : former->second.address == state.address;
+        // During the takeover no engine exists yet; the next message repeats the information.
+        CellEngine* const own = stopped ? engine(former->first) : nullptr;
         if (own)
             own->formerOwnerStopped();
         former = own ? m_formerOwners.erase(former) : std::next(former);
     }
-    if (m_onHeartbeat)
-        m_onHeartbeat(*heartbeat);
-    m_directory.recordHeartbeat(std::move(*heartbeat), text, now);
+}
+
+void CellOwnership::onCellFrame(const GossipFrame& frame)
+{
+    auto report = CellReport::decode(frame);
+    if (report)
+        onCellReport(std::move(*report));
+    else
+        LC_WARN(Peer, "event=unreadable-heartbeat reason=" << report.reason().detail);
+}
+
+void CellOwnership::onCellReport(CellReport report)
+{
+    HostHeartbeat::OwnedCell& cell = report.cell;
+    const auto found = m_owners.find(cell.cell);
+    // The owner announces the cell with its state.
+    if (found == m_owners.end() || found->second.id != report.owner || found->second.token != cell.token
+        || found->second.loadVersion >= report.version)
+        return;
+    found->second.load = std::move(cell.load);
+    found->second.loadVersion = report.version;
+    found->second.loadReceivedAt = m_ports.runtime.now();
+    if (cell.pressureEstimates.empty())
+        return;
+    for (const auto& [own, engine] : m_engines)
+        engine->adopt(cell.cell, cell.pressureEstimates);
+    m_pressureEstimates[cell.cell] = std::move(cell.pressureEstimates);
+}
+
+void CellOwnership::onEarlierRelease(const HostHeartbeat& heartbeat)
+{
+    const HostState state = heartbeat.state();
+    onState(state, false);
+    for (const HostHeartbeat::OwnedCell& owned : heartbeat.cells) {
+        const auto owner = m_owners.find(owned.cell);
+        onCellReport({ heartbeat.id, owned, (owner == m_owners.end() ? 0 : owner->second.loadVersion) + 1 });
+    }
+    // A host that doesn't say which cells it is taking over or releasing may hold any.
+    if (heartbeat.transitioningCells)
+        noteFormerOwners(state);
+    if (m_onConfigVersion)
+        m_onConfigVersion(state.address, heartbeat.configVersion);
+}
+
+std::vector<std::string> CellOwnership::loadHolders() const
+{
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    std::vector<std::pair<std::pair<int, uint64_t>, std::string>> hosts;
+    for (const Common::DaemonId& id : m_cellHosts) {
+        const HostState* const host = m_directory.isAlive(id, now) ? m_directory.find(id) : nullptr;
+        if (!host || host->draining)
+            continue;
+        const int distance = host->domain == m_settings.domain ? 0 : host->region == m_settings.region ? 1 : 2;
+        hosts.push_back({ { distance, Common::rendezvousWeight(m_settings.address, host->address) }, host->address });
+    }
+    std::sort(hosts.begin(), hosts.end());
+    std::vector<std::string> addresses;
+    for (auto& [order, address] : hosts)
+        addresses.push_back(std::move(address));
+    return addresses;
 }
 
 void CellOwnership::tick()
@@ -290,7 +427,14 @@
     if (m_draining)
         return;
     const Common::WorkTimes::Scope work(Common::WorkKind::OwnerChoice);
+    m_directory.expire(m_ports.runtime.now());
     rankOwners();
+    watchOwners();
+    askFormerOwners();
+    m_gossip.checkSilence();
+    // A host that is too small for cells claims none for some seconds in any case.
+    if (++m_ticks % ticksPerLookOfSmallHost != 0 && !m_mayOwnCells && m_engines.empty() && m_claims.empty())
+        return;
     for (const CellId& cell : m_layout.cells()) {
         if (m_engines.contains(cell))
             considerHandOver(cell);
@@ -316,6 +460,7 @@
     if (delay > maximumTickDelay) {
         LC_WARN(Core, "event=stood-still");
         m_resumedAt = now;
+        m_gossip.resumed();
     }
 }
 
@@ -324,9 +469,14 @@
     const auto owner = m_owners.find(cell);
     if (owner == m_owners.end() || owner->second.released)
         return nullptr;
-    const bool alive = m_ports.runtime.now() - owner->second.lastHeartbeatAt < m_settings.hostTimeout
-        && !m_directory.isReplaced(owner->second.id);
-    return alive ? &owner->second : nullptr;
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    const auto isWithinTimeout = [&](const std::optional<Common::MonotonicTime>& since) {
+        return since && now - *since < m_settings.hostTimeout;
+    };
+    const bool announced = !owner->second.unannouncedSince || isWithinTimeout(owner->second.unannouncedSince);
+    const bool alive
+        = (announced && m_directory.isAlive(owner->second.id, now)) || isWithinTimeout(owner->second.confirmedAt);
+    return alive && !m_directory.isReplaced(owner->second.id) ? &owner->second : nullptr;
 }
 
 size_t CellOwnership::servedCells() const
@@ -343,72 +493,117 @@
     return found == m_engines.end() ? nullptr : found->second.get();
 }
 
-Common::RegionId CellOwnership::regionOf(const Common::DomainId& domain) const
-{
-    if (m_settings.domain == domain)
-        return m_settings.region;
-    for (const HostHeartbeat* const host : m_directory.liveHosts(m_ports.runtime.now())) {
-        if (host->domain == domain)
-            return host->region;
-    }
-    return {};
-}
-
-/// Everything that the ranks depend on, besides the layout and this host's own settings.
-std::string CellOwnership::rankInputs(const std::vector<const HostHeartbeat*>& live) const
+bool CellOwnership::hearsNobody() const
 {
-    const auto state
-        = [](bool storeAvailable, bool late) { return std::string(storeAvailable ? "+" : "-") + (late ? "late" : ""); };
-    std::string inputs = std::to_string(m_layout.cells().size()) + state(m_storeAvailable, isLate());
-    for (const HostHeartbeat* const host : live) {
-        if (!host->draining)
-            inputs += host->id.value() + "," + std::to_string(host->weight) + state(host->storeAvailable, host->late);
-    }
-    return inputs;
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    return !m_directory.hearsAnyone(now) && (!m_directory.rows().empty() || !m_directory.unknownAddresses(now).empty());
 }
 
 void CellOwnership::rankOwners()
 {
-    const std::vector<const HostHeartbeat*> live = m_directory.liveHosts(m_ports.runtime.now());
-    const std::string inputs = rankInputs(live);
-    if (inputs == m_rankInputs)
+    const std::vector<CellId> cells = m_layout.cells();
+    const RankInputs inputs { m_directory.changes(), cells.size(), m_storeAvailable, isLate(), hearsNobody(),
+        !m_engines.empty() || !m_claims.empty() };
+    // While hosts are being discovered, each would change the ranks of all cells, which nothing needs yet.
+    if (inputs == m_rankInputs || (m_rankInputs && knowsFewHosts() && !inputs.owns))
         return;
     m_rankInputs = inputs;
-    m_ranks.clear();
-    std::vector<Common::DaemonId> hosts { m_settings.id };
-    for (const HostHeartbeat* const host : live) {
-        if (!host->draining)
-            hosts.push_back(host->id);
+    std::vector<const HostState*> live = m_directory.liveHosts(m_ports.runtime.now());
+    std::erase_if(live, [](const HostState* host) { return host->draining; });
+    // Ranked by address, not by id: the id contains the boot, and a restarted host is to get the same cells again.
+    std::vector<Policy::OwnerCandidate> candidates { { m_settings.address, m_settings.weight, false, false,
+        m_storeAvailable, isLate() } };
+    for (const HostState* const host : live)
+        candidates.push_back({ host->address, host->weight, false, false, host->storeAvailable, host->late });
+    const std::vector<bool> may = Policy::mayOwnCells(candidates, cells.size());
+    m_mayOwnCells = may.front();
+    m_cellHosts.clear();
+    std::vector<const HostState*> others;
+    for (size_t index = 0; index < live.size(); ++index) {
+        if (!may[index + 1])
+            continue;
+        m_cellHosts.insert(live[index]->id);
+        others.push_back(live[index]);
     }
-    std::vector<Policy::CellCandidates> cells;
-    for (const CellId& cell : m_layout.cells()) {
+    m_ranks.clear();
+    if (!m_mayOwnCells && !inputs.owns)
+        return;
+    std::vector<Policy::CellCandidates> rows;
+    for (const CellId& cell : cells) {
         const Common::DomainId domain = m_layout.domainOf(cell);
         const Common::RegionId regionOfCell = regionOf(domain);
         Policy::CellCandidates row { cell.value(), {} };
-        // Ranked by address, not by id: the id contains the boot, and a restarted host is to get the same cells again.
         row.hosts.push_back({ m_settings.address, m_settings.weight, m_settings.domain == domain,
             m_settings.region == regionOfCell, m_storeAvailable, isLate() });
-        for (const HostHeartbeat* const host : live) {
-            if (!host->draining)
-                row.hosts.push_back({ host->address, host->weight, host->domain == domain, host->region == regionOfCell,
-                    host->storeAvailable, host->late });
-        }
-        cells.push_back(std::move(row));
+        for (const HostState* const host : others)
+            row.hosts.push_back({ host->address, host->weight, host->domain == domain, host->region == regionOfCell,
+                host->storeAvailable, host->late });
+        rows.push_back(std::move(row));
     }
-    const std::vector<std::vector<size_t>> orders = Policy::rankCellOwners(cells);
+    const std::vector<std::vector<size_t>> orders = Policy::rankCellOwners(std::move(rows));
     for (size_t index = 0; index < cells.size(); ++index) {
-        std::vector<Common::DaemonId>& ranked = m_ranks[CellId(cells[index].cell)];
+        std::vector<Common::DaemonId>& ranked = m_ranks[cells[index]];
         for (const size_t host : orders[index])
-            ranked.push_back(hosts[host]);
+            ranked.push_back(host == 0 ? m_settings.id : others[host - 1]->id);
     }
 }
 
+/// Whether this host ranks first for the cell.
+bool CellOwnership::isPreferred(const CellId& cell) const
+{
+    const auto ranked = m_ranks.find(cell);
+    return ranked != m_ranks.end() && ranked->second.front() == m_settings.id;
+}
+
+/// Watches the owners that this host would replace, so that it needn't wait for others to report their silence.
+void CellOwnership::watchOwners()
+{
+    std::set<Common::DaemonId> watched;
+    for (const auto& [cell, ranked] : m_ranks) {
+        const auto owner = m_owners.find(cell);
+        if (owner == m_owners.end() || m_engines.contains(cell))
+            continue;
+        size_t successors = 0;
+        for (auto host = ranked.begin(); host != ranked.end() && successors < watchingSuccessors; ++host) {
+            if (*host == owner->second.id)
+                continue;
+            ++successors;
+            if (*host == m_settings.id)
+                watched.insert(owner->second.id);
+        }
+    }
+    m_gossip.watchAlso(std::move(watched));
+}
+
+/// Only former owners themselves can say that they hold a cell no more.
+void CellOwnership::askFormerOwners()
+{
+    std::set<std::string> addresses;
+    for (const auto& [cell, record] : m_formerOwners)
+        addresses.insert(heartbeatAddressAt(record.address));
+    m_gossip.askEachRound(std::move(addresses));
+}
+
+/// All hosts receive heartbeats at the same port.
+std::string CellOwnership::heartbeatAddressAt(const std::string& address) const
+{
+    return address.substr(0, address.rfind(':'))
+        + m_settings.heartbeatAddress.substr(m_settings.heartbeatAddress.rfind(':'));
+}
+
+/// Whether this process has just started and hosts are still being discovered.
+bool CellOwnership::knowsFewHosts() const
+{
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    return now - m_discoveredAt < discoveryPause && now - m_startedAt < longestDiscovery;
+}
+
 bool CellOwnership::isOwnerless(const CellId& cell) const { return liveOwner(cell) == nullptr; }
 
 void CellOwnership::considerClaim(const CellId& cell)
 {
     const Common::MonotonicTime now = m_ports.runtime.now();
-    const bool hasCurrentView = now - m_startedAt >= m_settings.startupGrace
+    const bool hasCurrentView = now - m_startedAt >= m_settings.startupGrace && !knowsFewHosts()
         && (!m_resumedAt || now - *m_resumedAt >= m_settings.hostTimeout);
     if (!isOwnerless(cell))
         m_lateProbes.erase(cell);
@@ -424,15 +619,19 @@
 /// How long this host leaves the ownerless cell to hosts that should rather own it.
 Common::Duration CellOwnership::claimDelay(const CellId& cell) const
 {
-    const std::vector<Common::DaemonId>& ranked = m_ranks.at(cell);
-    const auto rank = std::find(ranked.begin(), ranked.end(), m_settings.id) - ranked.begin();
-    const std::vector<const HostHeartbeat*> live = m_directory.liveHosts(m_ports.runtime.now());
-    const bool othersInTime = std::any_of(
-        live.begin(), live.end(), [](const HostHeartbeat* host) { return !host->late && !host->draining; });
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    size_t rank = std::min(m_cellHosts.size(), maximumClaimRank)
+        + Common::rendezvousWeight(cell.value(), m_settings.address) % maximumClaimRank;
+    if (const auto ranked = m_ranks.find(cell); m_mayOwnCells && ranked != m_ranks.end()) {
+        const auto at = std::find(ranked->second.begin(), ranked->second.end(), m_settings.id);
+        rank = static_cast<size_t>(at - ranked->second.begin());
+    }
+    const std::vector<const HostState*> live = m_directory.liveHosts(now);
+    const bool othersInTime
+        = std::any_of(live.begin(), live.end(), [](const HostState* host) { return !host->late && !host->draining; });
     // A host that hears nobody ranks itself first.
-    const bool hearsNobody = live.empty() && !m_directory.heartbeatAddresses().empty();
-    const bool unfit = (isLate() && othersInTime) || hearsNobody;
-    return rank * m_settings.claimStagger + (unfit ? unfitClaimDelay : Common::Duration::zero());
+    const bool unfit = (isLate() && othersInTime) || hearsNobody();
+    return static_cast<int64_t>(rank) * m_settings.claimStagger + (unfit ? unfitClaimDelay : Common::Duration::zero());
 }
 
 /// Asks a late owner to release a cell for which this host is preferred. An owner that hears no heartbeats doesn't know
@@ -441,8 +640,8 @@
 {
     const bool isOwn = m_engines.contains(cell) || m_claims.contains(cell);
     const Owner* const owner = isOwn ? nullptr : liveOwner(cell);
-    const HostHeartbeat* const host = owner ? m_directory.find(owner->id) : nullptr;
-    if (!host || !host->late || isLate() || m_ranks.at(cell).front() != m_settings.id) {
+    const HostState* const host = owner ? m_directory.find(owner->id) : nullptr;
+    if (!host || !host->late || isLate() || !isPreferred(cell)) {
         m_lateOwnerSince.erase(cell);
         return;
     }
@@ -470,11 +669,12 @@
     if (m_releasing.contains(cell) || (!isLate() && !m_engines.at(cell)->hasContactedInheritedWorkers()))
         return;
     const Common::MonotonicTime now = m_ports.runtime.now();
-    const Common::DaemonId& first = m_ranks.at(cell).front();
-    if (first == m_settings.id) {
+    const auto ranked = m_ranks.find(cell);
+    if (ranked == m_ranks.end() || isPreferred(cell)) {
         m_betterOwnerSince.erase(cell);
         return;
     }
+    const Common::DaemonId& first = ranked->second.front();
     const Common::MonotonicTime since = m_betterOwnerSince.try_emplace(cell, now).first->second;
     const Common::Duration delay = isLate() ? m_settings.reliefDelay : m_settings.handOverDelay;
     if (now - since < delay || !m_releasing.empty())
@@ -491,12 +691,27 @@
         m_releasedAt[cell] = m_ports.runtime.now();
         LC_INFO(Jobs, "event=cell-released cell=" << cell.value());
         removeEngine(cell);
-        // Informs the successor without waiting for the next regular heartbeat.
-        sendHeartbeat();
+        announce();
+        informSuccessor(cell);
         done();
     }));
 }
 
+/// Spares the preferred host the wait until the news has spread.
+void CellOwnership::informSuccessor(const CellId& cell)
+{
+    const auto ranked = m_ranks.find(cell);
+    if (ranked == m_ranks.end())
+        return;
+    for (const Common::DaemonId& host : ranked->second) {
+        const HostState* const successor = host == m_settings.id ? nullptr : m_directory.find(host);
+        if (!successor)
+            continue;
+        m_gossip.sendCells(*successor, {});
+        return;
+    }
+}
+
 /// The engine may be the caller, so it is destroyed in a later event.
 void CellOwnership::removeEngine(const CellId& cell)
 {
@@ -511,6 +726,8 @@
 void CellOwnership::claim(const CellId& cell)
 {
     m_claims.emplace(cell, Claim { m_ports.runtime.now(), false, m_ports.runtime.suspendAwareNow() });
+    // From now on no message may say that this host can't grant leases.
+    m_gossip.publish(ownState());
     m_ports.store.get(StoreKeys::cell(cell), Freshness::Linearizable,
         m_lifetime.guard([this, cell](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
             if (!found)
@@ -552,7 +769,7 @@
     }
     Owner& owner = m_owners[cell];
     if (record->token > owner.token && !record->released && m_directory.isAlive(record->owner, m_ports.runtime.now())) {
-        owner = Owner { record->owner, record->address, record->token, {}, m_ports.runtime.now(), false };
+        confirmOwner(owner, *record);
         endClaim(cell, "another host owns the cell");
         return;
     }
@@ -566,6 +783,20 @@
         replaceOwner(cell, *record, found->revision, isProvablyStopped(*record));
 }
 
+/// The cell's record, or the owner itself, names the owner.
+void CellOwnership::confirmOwner(Owner& owner, const CellRecord& record)
+{
+    if (owner.id != record.owner || owner.token != record.token) {
+        owner.id = record.owner;
+        owner.address = record.address;
+        owner.token = record.token;
+        owner.loadVersion = 0;
+        owner.unannouncedSince = m_ports.runtime.now();
+        owner.released = false;
+    }
+    owner.confirmedAt = m_ports.runtime.now();
+}
+
 /// Asks an owner whose heartbeats don't arrive. Heartbeats are datagrams: a host that is late loses those of all
 /// others, and would otherwise take the cells of owners that are well.
 void CellOwnership::probeOwner(const CellId& cell, const CellRecord& record, Common::StoreRevision revision)
@@ -584,10 +815,7 @@
     const Common::Result<ProbeAnswer>& answer, bool wasRead, Common::MonotonicTime askedAt)
 {
     if (answer && answer->process == record.owner && answer->holdsCell) {
-        Owner& owner = m_owners[cell];
-        if (owner.token != record.token)
-            owner = Owner { record.owner, record.address, record.token, {}, {}, false };
-        owner.lastHeartbeatAt = m_ports.runtime.now();
+        confirmOwner(m_owners[cell], record);
         m_lateProbes.erase(cell);
         endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
         return;
@@ -661,9 +889,7 @@
     UnconfirmedOwner& unconfirmed = m_unconfirmedOwners[cell];
     if (unconfirmed.token != record.token)
         unconfirmed = UnconfirmedOwner { record.token, now };
-    // All hosts receive heartbeats at the same port.
-    const std::string host = record.address.substr(0, record.address.rfind(':'));
-    m_directory.learnAddress(host + m_settings.heartbeatAddress.substr(m_settings.heartbeatAddress.rfind(':')), now);
+    m_directory.learnAddress(heartbeatAddressAt(record.address), now);
     return now - unconfirmed.since < m_settings.hostTimeout;
 }
 
@@ -672,10 +898,9 @@
 {
     if (record.released || record.address == m_settings.address || m_directory.isReplaced(record.owner))
         return true;
-    // A different process runs at its address.
-    const std::vector<const HostHeartbeat*> hosts = m_directory.liveHosts(m_ports.runtime.now());
-    return std::any_of(hosts.begin(), hosts.end(),
-        [&](const HostHeartbeat* host) { return host->address == record.address && host->id != record.owner; });
+    // A different process answers at its address. What others say of one may be older than the record.
+    const HostDirectory::Row* const host = m_directory.rowAt(record.address);
+    return host && host->state.id != record.owner && m_directory.isHeard(*host, m_ports.runtime.now());
 }
 
 void CellOwnership::writeClaim(
@@ -758,7 +983,7 @@
     }
     m_engines[cell] = std::move(engine);
     m_owners.erase(cell);
-    sendHeartbeat();
+    announce();
     if (!m_watchingList) {
         listWorkers();
         return;
@@ -928,7 +1153,7 @@
 void CellOwnership::drain(const std::function<void()>& done)
 {
     m_draining = true;
-    sendHeartbeat();
+    announce();
     const auto left = std::make_shared<size_t>(m_engines.size());
     if (m_engines.empty()) {
         done();
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -4,9 +4,11 @@
 
 #include "Cells/CellEngine.h"
 #include "Cells/CellLayout.h"
+#include "Cells/CellReport.h"
 #include "Cells/CellSettings.h"
 #include "Cells/HeartbeatPort.h"
 #include "Cells/HostDirectory.h"
+#include "Cells/HostGossip.h"
 #include "Cells/HostSettings.h"
 #include "Cells/LagMonitor.h"
 #include "Cells/RecordStore.h"
@@ -16,6 +18,7 @@
 #include "Common/Lifetime.h"
 #include "Scheduler/Runtime.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,8 +28,9 @@
 
 namespace Cells {
 
-/// Hosts announce the cells they own in heartbeats. Heartbeats only determine which host tries to claim a cell; the
-/// cell's record in the store decides, and its fencing token makes workers and store reject a replaced owner.
+/// Hosts announce the cells they own, see HostGossip. That only determines which host tries to claim a cell; the cell's
+/// record in the store decides, and its fencing token makes workers and store reject a replaced owner. Loads of cells
+/// are sent to hosts that may own cells only; others ask one of them, see loadHolders().
 class CellOwnership {
 public:
     struct Ports {
@@ -36,13 +40,19 @@
         WorkerOrders& orders;
         HeartbeatPort& heartbeats;
     };
-    /// The owner of a cell according to the last heartbeat or the cell's record.
+    /// The owner of a cell according to its own announcement or the cell's record.
     struct Owner {
         Common::DaemonId id;
         std::string address;
         FencingToken token;
+        /// Empty until the first report; then of the last report, which may be that of an earlier owner.
         CellLoad load;
-        Common::MonotonicTime lastHeartbeatAt;
+        Common::MonotonicTime loadReceivedAt;
+        uint64_t loadVersion = 0;
+        /// When the record or the owner itself last confirmed the ownership; empty if only announcements did.
+        std::optional<Common::MonotonicTime> confirmedAt;
+        /// Since when the owner no longer announces the cell.
+        std::optional<Common::MonotonicTime> unannouncedSince;
         bool released = false;
     };
 
@@ -60,13 +70,23 @@
     const std::map<CellId, std::unique_ptr<CellEngine>>& engines() const { return m_engines; }
     /// The other host that owns the cell; null when none is known to be alive or it has released the cell.
     const Owner* liveOwner(const CellId&) const;
-    /// The region of a failure domain; empty when no live host of the domain is known.
-    Common::RegionId regionOf(const Common::DomainId&) const;
+    /// The region of a failure domain; empty when no host of the domain is known.
+    Common::RegionId regionOf(const Common::DomainId& domain) const { return m_directory.regionOf(domain); }
+    /// Whether this host receives the loads of all cells.
+    bool receivesLoads() const { return m_mayOwnCells || !m_engines.empty(); }
+    /// Addresses for calls of live hosts that receive the loads of all cells, those of this host's domain and region
+    /// first; hosts in one place begin with different ones.
+    std::vector<std::string> loadHolders() const;
     /// Number of cells with a live owner, this host included.
     size_t servedCells() const;
     HostDirectory& hosts() { return m_directory; }
-    void setConfigVersion(int64_t version) { m_configVersion = version; }
-    /// Whether the store answered this host's last direct call; sent in heartbeats.
+    const GossipCounters& gossipCounters() const { return m_gossip.counters(); }
+    void setConfigVersion(int64_t version)
+    {
+        m_configVersion = version;
+        m_gossip.setConfigVersion(version);
+    }
+    /// Whether the store answered this host's last direct call; announced to other hosts.
     void setStoreAvailable(bool answers) { m_storeAvailable = answers; }
     using PartMessage = CellEngine::PartMessage;
     /// Sends a message to the owner of a cell at `address`; Done when the owner has handled it. JobGateway sets it.
@@ -91,8 +111,9 @@
     void setReliefRequest(ReliefRequest request) { m_reliefRequest = std::move(request); }
     /// Releases the cell if this host owns it and is late; another host that is in time asks for it.
     void releaseIfLate(const CellId&);
-    /// Calls the hook for each readable heartbeat received.
-    void onHostHeartbeat(std::function<void(const HostHeartbeat&)> hook) { m_onHeartbeat = std::move(hook); }
+    /// Calls the hook with a host's address and its version of the configuration for each message of the host itself.
+    using ConfigVersionHook = std::function<void(const std::string& address, int64_t version)>;
+    void onConfigVersion(ConfigVersionHook hook) { m_onConfigVersion = std::move(hook); }
 
 private:
     struct Claim;
@@ -114,15 +135,30 @@
     void writeLayout(const std::vector<WorkerEntry>&);
     void useLayout(CellLayout);
     void sendHeartbeatsRegularly();
-    void sendHeartbeat();
     bool isDiscoveringHosts() const;
-    std::vector<std::string> nextHostAddresses();
-    void onHeartbeat(std::string_view text);
+    HostState ownState() const;
+    void announce();
+    void sendLoads();
+    std::vector<const HostState*> loadReceivers();
+    std::string heartbeatForEarlierRelease();
+    void onState(const HostState&, bool isNewHost);
+    void onContact(const HostGossip::Contact&);
+    void onCellFrame(const GossipFrame&);
+    void onCellReport(CellReport);
+    void onEarlierRelease(const HostHeartbeat&);
+    void noteFormerOwners(const HostState&);
+    void watchOwners();
+    void askFormerOwners();
+    std::string heartbeatAddressAt(const std::string& address) const;
+    void informSuccessor(const CellId&);
+    void confirmOwner(Owner&, const CellRecord&);
     void tick();
     void detectStall();
     bool isOwnerless(const CellId&) const;
     void rankOwners();
-    std::string rankInputs(const std::vector<const HostHeartbeat*>& live) const;
+    bool isPreferred(const CellId&) const;
+    bool hearsNobody() const;
+    bool knowsFewHosts() const;
     void considerClaim(const CellId&);
     void considerHandOver(const CellId&);
     void considerRelief(const CellId&);
@@ -160,14 +196,28 @@
     const HostSettings& m_settings;
     const CellSettings& m_cellSettings;
     HostDirectory m_directory;
+    HostGossip m_gossip;
     CellLayout m_layout;
     std::map<CellId, Owner> m_owners;
     std::map<CellId, std::unique_ptr<CellEngine>> m_engines;
     std::map<CellId, Claim> m_claims;
-    /// For each cell the hosts that may own it, the preferred first.
+    /// What the ranks depend on besides the layout and this host's settings.
+    struct RankInputs {
+        uint64_t directoryChanges = 0;
+        size_t cells = 0;
+        bool storeAvailable = false;
+        bool late = false;
+        bool hearsNobody = false;
+        bool owns = false;
+        bool operator==(const RankInputs&) const = default;
+    };
+    /// For each cell the hosts that may own it, the preferred first. Empty on a host that neither owns cells nor is to
+    /// own any.
     std::map<CellId, std::vector<Common::DaemonId>> m_ranks;
-    /// What the ranks were computed from.
-    std::string m_rankInputs;
+    std::optional<RankInputs> m_rankInputs;
+    /// Hosts that are large enough to own cells, this one aside.
+    std::set<Common::DaemonId> m_cellHosts;
+    bool m_mayOwnCells = true;
     /// Previous owners of this host's cells, until they are known to have stopped.
     std::map<CellId, CellRecord> m_formerOwners;
     /// Since when a cell has had no owner, and since when another host has been preferred for a cell of this host.
@@ -184,9 +234,12 @@
     std::map<Common::WorkerId, WorkerEntry> m_listedWorkers;
     Common::StoreRevision m_listRevision;
     size_t m_workersAtLayout = 0;
-    uint64_t m_heartbeatCount = 0;
-    /// Index of the live host whose address the next heartbeat lists first.
-    size_t m_nextAddressIndex = 0;
+    uint64_t m_ticks = 0;
+    /// Number of rounds in which loads were sent.
+    uint64_t m_loadRounds = 0;
+    uint64_t m_loadVersion = 0;
+    /// When a host was last discovered; ranks differ between hosts until then.
+    Common::MonotonicTime m_discoveredAt;
     bool m_watchingList = false;
     bool m_listKnown = false;
     Common::MonotonicTime m_startedAt;
@@ -201,7 +254,7 @@
     int64_t m_configVersion = -1;
     bool m_storeAvailable = false;
     bool m_draining = false;
-    std::function<void(const HostHeartbeat&)> m_onHeartbeat;
+    ConfigVersionHook m_onConfigVersion;
     Messenger m_messenger;
     OwnerProbe m_ownerProbe;
     ReliefRequest m_reliefRequest;
--- a/Source/Core/Cells/ConfigFollower.cpp
+++ b/Source/Core/Cells/ConfigFollower.cpp
@@ -103,13 +103,13 @@
     }
 }
 
-void ConfigFollower::onHeartbeat(const HostHeartbeat& heartbeat)
+void ConfigFollower::onVersionOf(const std::string& address, int64_t version)
 {
     const int64_t own = m_current ? m_current->version : -1;
-    if (heartbeat.configVersion <= own || m_fetchInProgress)
+    if (version <= own || m_fetchInProgress)
         return;
     m_fetchInProgress = true;
-    m_peers.call(heartbeat.address, configMethod, nlohmann::json::object(), peerTimeout,
+    m_peers.call(address, configMethod, nlohmann::json::object(), peerTimeout,
         m_lifetime.guard([this](const Common::Result<nlohmann::json>& answer) {
             m_fetchInProgress = false;
             if (answer && answer->contains("text") && answer->at("text").is_string())
--- a/Source/Core/Cells/ConfigFollower.h
+++ b/Source/Core/Cells/ConfigFollower.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include "Cells/ConfigSource.h"
-#include "Cells/HostHeartbeat.h"
 #include "Common/FaultLog.h"
 #include "Common/Lifetime.h"
 #include "Scheduler/PeerPort.h"
 #include "Scheduler/Runtime.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,8 +22,8 @@
     void start();
     /// Null until a configuration is known.
     const std::shared_ptr<const ServingConfig>& current() const { return m_current; }
-    /// Fetches the configuration of the sending host if its version is newer.
-    void onHeartbeat(const HostHeartbeat&);
+    /// Fetches the configuration of the host at `address`, for calls, if its version is newer.
+    void onVersionOf(const std::string& address, int64_t version);
     void onChange(std::function<void(const ServingConfig&)> hook) { m_onChange = std::move(hook); }
 
 private:
--- a/Source/Core/Cells/HostHeartbeat.h
+++ b/Source/Core/Cells/HostHeartbeat.h
@@ -1,8 +1,10 @@
-// The heartbeat message that a host sends to all others, by default twice a second. CellOwnership sends and reads it.
+// The heartbeat message of releases before HostGossip, which a host sent to all others. It is sent to hosts of such a
+// release only.
 #pragma once
 
 #include "Cells/CellId.h"
 #include "Cells/CellLoad.h"
+#include "Cells/HostState.h"
 #include "Common/Ids.h"
 #include "Common/Result.h"
 #include "Policy/TailLatencyModel.h"
@@ -50,10 +52,13 @@
     std::vector<CellId> released;
     /// Heartbeat addresses of some live hosts that it knows.
     std::vector<std::string> knownAddresses;
+    /// The host reads the messages of HostGossip.
+    bool readsGossip = false;
 
     /// Whether the host may still grant leases to the cell's workers; true when it doesn't send `transitioningCells`.
     bool mayGrantLeases(const CellId&) const;
 
+    HostState state() const;
     std::string encode() const;
     static Common::Result<HostHeartbeat> decode(std::string_view text);
 };
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -24,6 +24,12 @@
     constexpr const char* partMethod = "job.part";
     constexpr const char* ownerMethod = "cell.owner";
     constexpr const char* reliefMethod = "cell.relief";
+    constexpr const char* choiceMethod = "cell.choice";
+    constexpr const char* pendingMethod = "job.pending";
+    /// Time for a host that knows the loads of all cells to choose one; it makes no call of its own for that.
+    constexpr Common::Duration choiceTimeout = std::chrono::milliseconds(300);
+    /// Hosts that are asked in turn.
+    constexpr size_t maximumAskedHosts = 2;
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
     /// Time for the job's tasks to stop, within the timeout of the call that asks for the cancellation.
@@ -118,6 +124,14 @@
         return found != answer.end() && *found == true;
     }
 
+    std::optional<uint32_t> countOf(const Json& answer, const char* member)
+    {
+        const auto found = answer.is_object() ? answer.find(member) : answer.end();
+        if (found == answer.end() || !found->is_number_unsigned() || found->get<uint64_t>() > UINT32_MAX)
+            return std::nullopt;
+        return found->get<uint32_t>();
+    }
+
     Common::Result<AcceptOutcome> acceptFromJson(const Json& answer)
     {
         if (const std::string cell = textOf(answer, "elsewhere"); !cell.empty())
@@ -134,6 +148,8 @@
     Common::MonotonicTime deadline;
     Common::Callback<Common::Done> callback;
     std::set<CellId> tried;
+    /// Address of the owner of the cell that another host chose; this host may not know it yet.
+    std::string ownerAddress;
     /// An owner may have accepted the job although its call failed.
     bool outcomeUnknown = false;
 };
@@ -201,6 +217,14 @@
         partMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePart(params, reply); });
     m_peers.serve(submitMethod,
         [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveSubmit(params, reply); });
+    m_peers.serve(choiceMethod,
+        [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveChoice(params, reply); });
+    m_peers.serve(pendingMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
+        if (m_cellOwnership.receivesLoads())
+            reply(Json { { "count", knownPending(params.value("route", std::string {})) } });
+        else
+            reply(failure(Common::ErrorCode::NotOwner, "this host doesn't know the loads of cells"));
+    });
     m_peers.serve(phaseMethod,
         [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { servePhase(params, reply); });
     m_peers.serve(cancelMethod,
@@ -234,6 +258,37 @@
     });
 }
 
+/// Chooses a cell for a submission of a host that doesn't know the loads of cells.
+void JobGateway::serveChoice(const Json& params, const Scheduler::PeerPort::Reply& reply)
+{
+    if (!m_cellOwnership.receivesLoads()) {
+        reply(failure(Common::ErrorCode::NotOwner, "this host doesn't know the loads of cells"));
+        return;
+    }
+    auto record = Jobs::submissionFromJson(params.value("job", Json::object()));
+    if (!record) {
+        reply(record.reason());
+        return;
+    }
+    if (areCellsStarting() && !params.value("now", false)) {
+        reply(Json { { "starting", true } });
+        return;
+    }
+    Submission submission;
+    submission.demand = demandOf(record->spec);
+    submission.record = std::move(*record);
+    for (const std::string& cell : params.value("tried", std::vector<std::string> {}))
+        submission.tried.insert(CellId(cell));
+    const std::optional<CellId> cell = chooseCell(submission, Common::DomainId(params.value("domain", std::string {})));
+    if (!cell) {
+        reply(Json::object());
+        return;
+    }
+    const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(*cell);
+    reply(Json { { "cell", cell->value() },
+        { "owner", owner && !m_cellOwnership.engine(*cell) ? owner->address : m_settings.address } });
+}
+
 void JobGateway::servePhase(const Json& params, const Scheduler::PeerPort::Reply& reply)
 {
     const CellEngine* const engine = m_cellOwnership.engine(CellId(params.value("cell", std::string {})));
@@ -303,14 +358,15 @@
     tryCell(submission);
 }
 
-std::optional<CellId> JobGateway::chooseCell(const Submission& submission) const
+std::optional<CellId> JobGateway::chooseCell(const Submission& submission, const Common::DomainId& callersDomain) const
 {
+    const Common::RegionId callersRegion = m_cellOwnership.regionOf(callersDomain);
     std::vector<CellId> cells;
     std::vector<Policy::CellOffer> offers;
-    const auto offer = [&](const CellId& cell, const CellLoad& load, Common::MonotonicTime lastHeartbeatAt) {
+    const auto offer = [&](const CellId& cell, const CellLoad& load, Common::MonotonicTime loadReceivedAt) {
         SentDemand& sent = m_sentDemand[cell];
-        if (sent.loadReceivedAt != lastHeartbeatAt)
-            sent = SentDemand { lastHeartbeatAt, 0, 0, {} };
+        if (sent.loadReceivedAt != loadReceivedAt)
+            sent = SentDemand { loadReceivedAt, 0, 0, {} };
         Policy::CellOffer row;
         row.capacity = suitableMilliCores(load, submission.record);
         const double share
@@ -331,8 +387,8 @@
         row.waitingRegular = load.waitingRegular;
         row.waitingBackfill = load.waitingBackfill;
         const Common::DomainId domain = m_cellOwnership.layout().domainOf(cell);
-        row.sameDomain = domain == m_settings.domain;
-        row.sameRegion = row.sameDomain || m_cellOwnership.regionOf(domain) == m_settings.region;
+        row.sameDomain = domain == callersDomain;
+        row.sameRegion = row.sameDomain || m_cellOwnership.regionOf(domain) == callersRegion;
         cells.push_back(cell);
         offers.push_back(row);
     };
@@ -342,7 +398,7 @@
         if (const CellEngine* const engine = m_cellOwnership.engine(cell))
             offer(cell, engine->load(), m_runtime.now());
         else if (const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(cell))
-            offer(cell, owner->load, owner->lastHeartbeatAt);
+            offer(cell, owner->load, owner->loadReceivedAt);
     }
     const auto chosen = Policy::chooseCell(submission.demand, offers);
     if (!chosen)
@@ -369,13 +425,71 @@
 
 void JobGateway::tryCell(const std::shared_ptr<Submission>& submission)
 {
+    const bool timeLeft = m_runtime.now() < submission->deadline && submission->tried.size() < maximumTriedCells;
+    submission->ownerAddress.clear();
+    if (!timeLeft)
+        submitTo(std::nullopt, submission);
+    else if (!m_cellOwnership.receivesLoads())
+        askForCell(submission, m_cellOwnership.loadHolders(), 0);
     // The first jobs arrive together and would all go to the first cell that has an owner.
-    if (areCellsStarting() && m_runtime.now() + startupMargin < submission->deadline) {
+    else if (areCellsStarting() && mayWaitForCells(*submission))
         m_runtime.schedule(startupPollInterval, m_lifetime.guard([this, submission] { tryCell(submission); }));
+    else
+        submitTo(chooseCell(*submission, m_settings.domain), submission);
+}
+
+bool JobGateway::mayWaitForCells(const Submission& submission) const
+{
+    return m_runtime.now() + startupMargin < submission.deadline;
+}
+
+/// Lets a host that knows the loads of all cells choose. Nothing has been submitted yet when that fails.
+void JobGateway::askForCell(const std::shared_ptr<Submission>& submission, std::vector<std::string> hosts, size_t asked)
+{
+    if (asked >= std::min(hosts.size(), maximumAskedHosts)) {
+        submitTo(anyCell(*submission), submission);
         return;
     }
-    const bool timeLeft = m_runtime.now() < submission->deadline && submission->tried.size() < maximumTriedCells;
-    const std::optional<CellId> cell = timeLeft ? chooseCell(*submission) : std::nullopt;
+    std::vector<std::string> tried;
+    for (const CellId& cell : submission->tried)
+        tried.push_back(cell.value());
+    const Json params { { "job", Jobs::submissionToJson(submission->record) }, { "tried", std::move(tried) },
+        { "domain", m_settings.domain.value() }, { "now", !mayWaitForCells(*submission) } };
+    const std::string address = hosts[asked];
+    m_peers.call(address, choiceMethod, params, std::min(choiceTimeout, submission->deadline - m_runtime.now()),
+        m_lifetime.guard([this, submission, hosts = std::move(hosts), asked](
+                             const Common::Result<Json>& answer) mutable {
+            if (!answer) {
+                askForCell(submission, std::move(hosts), asked + 1);
+                return;
+            }
+            if (isTrue(*answer, "starting")) {
+                m_runtime.schedule(startupPollInterval, m_lifetime.guard([this, submission] { tryCell(submission); }));
+                return;
+            }
+            const std::string cell = textOf(*answer, "cell");
+            submission->ownerAddress = textOf(*answer, "owner");
+            submitTo(cell.empty() ? std::nullopt : std::optional(CellId(cell)), submission);
+        }));
+}
+
+/// A random cell with a live owner, of this host's domain if there is one; nothing when there is none.
+std::optional<CellId> JobGateway::anyCell(const Submission& submission) const
+{
+    std::vector<CellId> near;
+    std::vector<CellId> others;
+    for (const CellId& cell : m_cellOwnership.layout().cells()) {
+        if (!submission.tried.contains(cell) && (m_cellOwnership.engine(cell) || m_cellOwnership.liveOwner(cell)))
+            (m_cellOwnership.layout().domainOf(cell) == m_settings.domain ? near : others).push_back(cell);
+    }
+    const std::vector<CellId>& cells = near.empty() ? others : near;
+    if (cells.empty())
+        return std::nullopt;
+    return cells[m_runtime.random()() % cells.size()];
+}
+
+void JobGateway::submitTo(const std::optional<CellId>& cell, const std::shared_ptr<Submission>& submission)
+{
     if (!cell) {
         if (submission->outcomeUnknown) {
             submission->callback(failure(Common::ErrorCode::OutcomeUnknown, "no cell owner answered in time"));
@@ -408,14 +522,15 @@
         return;
     }
     const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(cell);
-    if (!owner) {
-        // The owner's heartbeat timed out after the cell was chosen: time advances between the two checks.
-        callback(failure(Common::ErrorCode::PeerUnavailable, "the cell's owner sends no heartbeats any more"));
+    if (!owner && submission.ownerAddress.empty()) {
+        // The owner was taken for dead after the cell was chosen: time advances between the two checks.
+        callback(failure(Common::ErrorCode::PeerUnavailable, "the cell's owner is silent"));
         return;
     }
+    const std::string& address = owner ? owner->address : submission.ownerAddress;
     const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission.record) },
         { "fit", fitOf(submission) == CellEngine::Fit::Required } };
-    m_peers.call(owner->address, submitMethod, params, std::min(submitTimeout, submission.deadline - m_runtime.now()),
+    m_peers.call(address, submitMethod, params, std::min(submitTimeout, submission.deadline - m_runtime.now()),
         [callback = std::move(callback)](const Common::Result<Json>& answer) {
             if (!answer)
                 callback(answer.reason());
@@ -642,7 +757,38 @@
     }));
 }
 
-uint32_t JobGateway::pending(const std::string& route) const
+void JobGateway::pending(const std::string& route, Common::Duration timeout, Common::Callback<uint32_t> callback)
+{
+    if (m_cellOwnership.receivesLoads())
+        callback(knownPending(route));
+    else
+        askForPending(route, std::move(callback), m_cellOwnership.loadHolders(), 0, m_runtime.now() + timeout);
+}
+
+void JobGateway::askForPending(const std::string& route, Common::Callback<uint32_t> callback,
+    std::vector<std::string> hosts, size_t asked, Common::MonotonicTime deadline)
+{
+    const Common::Duration left = deadline - m_runtime.now();
+    if (asked >= std::min(hosts.size(), maximumAskedHosts) || left <= Common::Duration::zero()) {
+        Common::Failure refusal
+            = failure(Common::ErrorCode::PeerUnavailable, "no host that knows the loads of cells answers");
+        refusal.retryAfter = retryAfterNoOwner;
+        callback(refusal);
+        return;
+    }
+    const std::string address = hosts[asked];
+    m_peers.call(address, pendingMethod, Json { { "route", route } }, std::min(callTimeout, left),
+        m_lifetime.guard([this, route, callback = std::move(callback), hosts = std::move(hosts), asked, deadline](
+                             const Common::Result<Json>& answer) mutable {
+            const auto count = answer ? countOf(*answer, "count") : std::nullopt;
+            if (count)
+                callback(*count);
+            else
+                askForPending(route, std::move(callback), std::move(hosts), asked + 1, deadline);
+        }));
+}
+
+uint32_t JobGateway::knownPending(const std::string& route) const
 {
     uint32_t count = 0;
     const auto add = [&](const CellLoad& load) {
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -42,7 +42,8 @@
     /// PeerUnavailable: the job's cell has no live owner now.
     void cancel(const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
     /// Number of accepted jobs of the route of which no task has started, over all cells with a live owner.
-    uint32_t pending(const std::string& route) const;
+    /// PeerUnavailable: this host doesn't know the loads of cells, and no host that does answers.
+    void pending(const std::string& route, Common::Duration timeout, Common::Callback<uint32_t>);
 
 private:
     struct Submission;
@@ -50,12 +51,20 @@
     using Location = std::optional<CellId>;
 
     void serveSubmit(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
+    void serveChoice(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void servePhase(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void servePart(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void serveCancel(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
 
     void tryCell(const std::shared_ptr<Submission>&);
-    std::optional<CellId> chooseCell(const Submission&) const;
+    void submitTo(const std::optional<CellId>&, const std::shared_ptr<Submission>&);
+    bool mayWaitForCells(const Submission&) const;
+    void askForCell(const std::shared_ptr<Submission>&, std::vector<std::string> hosts, size_t asked);
+    std::optional<CellId> anyCell(const Submission&) const;
+    std::optional<CellId> chooseCell(const Submission&, const Common::DomainId& callersDomain) const;
+    uint32_t knownPending(const std::string& route) const;
+    void askForPending(const std::string& route, Common::Callback<uint32_t>, std::vector<std::string> hosts,
+        size_t asked, Common::MonotonicTime deadline);
     /// Whether, shortly after this host started, some cell has no live owner or no capacity yet.
     bool areCellsStarting() const;
     void onSubmitted(const std::shared_ptr<Submission>&, const CellId&, const Common::Result<AcceptOutcome>&);
--- a/Source/Core/Cells/RelayedStore.cpp
+++ b/Source/Core/Cells/RelayedStore.cpp
@@ -220,12 +220,12 @@
     return !m_directAvailable && m_runtime.now() - m_directFailedAt < directRetryPause;
 }
 
-const HostHeartbeat* RelayedStore::chooseRelay()
+const HostState* RelayedStore::chooseRelay()
 {
     if (!m_directory)
         return nullptr;
-    std::vector<const HostHeartbeat*> hosts = m_directory->liveHosts(m_runtime.now());
-    std::erase_if(hosts, [](const HostHeartbeat* host) { return !host->storeAvailable || host->draining; });
+    std::vector<const HostState*> hosts = m_directory->liveHosts(m_runtime.now());
+    std::erase_if(hosts, [](const HostState* host) { return !host->storeAvailable || host->draining; });
     if (hosts.empty())
         return nullptr;
     return hosts[m_runtime.random()() % hosts.size()];
@@ -235,7 +235,7 @@
     const std::string& key, Freshness freshness, Common::Callback<std::optional<Scheduler::StoreValue>> callback)
 {
     const auto relay = [this, key, freshness](Common::Callback<std::optional<Scheduler::StoreValue>> done) {
-        const HostHeartbeat* const host = chooseRelay();
+        const HostState* const host = chooseRelay();
         if (!host)
             return false;
         m_peers.call(host->address, getMethod, Json { { "key", key }, { "stale", freshness == Freshness::Stale } },
@@ -255,7 +255,7 @@
 void RelayedStore::list(const std::string& prefix, Freshness freshness, Common::Callback<RecordListing> callback)
 {
     const auto relay = [this, prefix, freshness](Common::Callback<RecordListing> done) {
-        const HostHeartbeat* const host = chooseRelay();
+        const HostState* const host = chooseRelay();
         if (!host)
             return false;
         m_peers.call(host->address, listMethod,
@@ -282,7 +282,7 @@
 void RelayedStore::commit(RecordTransaction transaction, Common::Callback<TransactionOutcome> callback)
 {
     const auto relay = [this, transaction](Common::Callback<TransactionOutcome> done) {
-        const HostHeartbeat* const host = chooseRelay();
+        const HostState* const host = chooseRelay();
         if (!host)
             return false;
         m_peers.call(host->address, commitMethod, transactionToJson(transaction), relayTimeout,
--- a/Source/Core/Cells/RelayedStore.h
+++ b/Source/Core/Cells/RelayedStore.h
@@ -31,7 +31,7 @@
 
 private:
     /// A random host that can relay a call; null when there is none.
-    const HostHeartbeat* chooseRelay();
+    const HostState* chooseRelay();
     /// Whether direct calls failed a moment ago, so that a relay is tried first.
     bool avoidDirect() const;
     void recordDirectResult(bool succeeded);
--- a/Source/Core/Policy/OwnerChoice.cpp
+++ b/Source/Core/Policy/OwnerChoice.cpp
@@ -107,19 +107,37 @@
         return weights;
     }
 
+    /// Lateness counts only as long as the hosts that are in time can take the cells.
+    void ignoreCommonLateness(std::vector<OwnerCandidate>& hosts)
+    {
+        if (isMinorityLate(hosts))
+            return;
+        for (OwnerCandidate& host : hosts)
+            host.late = false;
+    }
+
 } // namespace
 
+std::vector<bool> mayOwnCells(std::vector<OwnerCandidate> hosts, size_t cells)
+{
+    if (hosts.empty() || cells == 0)
+        return std::vector<bool>(hosts.size(), true);
+    ignoreCommonLateness(hosts);
+    const std::vector<size_t> shares = sharesOf(usableWeights(hosts), cells);
+    std::vector<bool> may;
+    may.reserve(shares.size());
+    for (const size_t share : shares)
+        may.push_back(share > 0);
+    return may;
+}
+
 std::vector<std::vector<size_t>> rankCellOwners(std::vector<CellCandidates> cells)
 {
     std::vector<std::vector<size_t>> ranks;
     if (cells.empty())
         return ranks;
-    if (!isMinorityLate(cells.front().hosts)) {
-        for (CellCandidates& cell : cells) {
-            for (OwnerCandidate& host : cell.hosts)
-                host.late = false;
-        }
-    }
+    for (CellCandidates& cell : cells)
+        ignoreCommonLateness(cell.hosts);
     const std::vector<double> weights = usableWeights(cells.front().hosts);
     std::vector<size_t> left = sharesOf(weights, cells.size());
     for (const CellCandidates& cell : cells) {
--- a/Source/Core/Policy/OwnerChoice.h
+++ b/Source/Core/Policy/OwnerChoice.h
@@ -17,4 +17,7 @@
 /// and moving cells would only move it.
 std::vector<std::vector<size_t>> rankCellOwners(std::vector<CellCandidates>);
 
+/// For each host, whether its share of `cells` cells is one at least: only such hosts need to be ranked.
+std::vector<bool> mayOwnCells(std::vector<OwnerCandidate> hosts, size_t cells);
+
 } // namespace Policy
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -193,6 +193,7 @@
 
     void updateMetrics();
     void updateWorkMetrics();
+    void updateGossipMetrics();
     void flushLog();
     void stop(Common::Duration grace);
     void finish(Common::MonotonicTime notBefore, Common::MonotonicTime deadline);
@@ -230,6 +231,9 @@
     std::array<Common::Duration, Common::WorkTimes::kinds> countedWork {};
     std::array<Common::Duration, Common::WorkTimes::kinds> loggedWork {};
     Common::MonotonicTime workLoggedAt;
+    /// Counters of the exchange with other hosts at the last update of the metrics.
+    Cells::GossipCounters countedGossip;
+    size_t loggedLiveHosts = 0;
 };
 
 void EntryProcess::Components::updateMetrics()
@@ -248,6 +252,39 @@
     metrics.gauge("lavendercart_unreadable_entries", "Entries of the list of workers that can't be read")
         .Set(static_cast<double>(registry.unreadableEntries()));
     updateWorkMetrics();
+    updateGossipMetrics();
+}
+
+void EntryProcess::Components::updateGossipMetrics()
+{
+    const Cells::GossipCounters& now = cellOwnership.gossipCounters();
+    const auto add = [this](const char* name, const char* help, uint64_t current, uint64_t& counted) {
+        metrics.counter(name, help).Increment(static_cast<double>(current - std::exchange(counted, current)));
+    };
+    add("lavendercart_gossip_messages_sent_total", "Datagrams sent to other hosts", now.messagesSent,
+        countedGossip.messagesSent);
+    add("lavendercart_gossip_bytes_sent_total", "Bytes of these datagrams", now.bytesSent, countedGossip.bytesSent);
+    add("lavendercart_gossip_messages_received_total", "Datagrams received from other hosts", now.messagesReceived,
+        countedGossip.messagesReceived);
+    add("lavendercart_gossip_bytes_received_total", "Bytes of these datagrams", now.bytesReceived,
+        countedGossip.bytesReceived);
+    add("lavendercart_gossip_states_decoded_total", "States of hosts that were news", now.statesDecoded,
+        countedGossip.statesDecoded);
+    add("lavendercart_gossip_unreadable_total", "Datagrams and frames that can't be read", now.unreadable,
+        countedGossip.unreadable);
+    add("lavendercart_silences_reported_total", "Hosts that this host reported as silent", now.silencesReported,
+        countedGossip.silencesReported);
+    add("lavendercart_silences_refuted_total", "Reports of this host's silence that it refuted", now.silencesRefuted,
+        countedGossip.silencesRefuted);
+    const size_t known = cellOwnership.hosts().rows().size();
+    const size_t live = cellOwnership.hosts().liveHosts(loop.now()).size();
+    metrics.gauge("lavendercart_hosts", "Other hosts by state", { { "state", "live" } }).Set(static_cast<double>(live));
+    metrics.gauge("lavendercart_hosts", "Other hosts by state", { { "state", "silent" } })
+        .Set(static_cast<double>(known - live));
+    if (live == loggedLiveHosts)
+        return;
+    loggedLiveHosts = live;
+    LC_INFO(Peer, "event=hosts-known live=" << live << " silent=" << known - live);
 }
 
 void EntryProcess::Components::updateWorkMetrics()
@@ -349,8 +386,9 @@
     }
     components.loop.onSignals({ SIGTERM, SIGINT }, [this](int) { m_components->stop(m_settings.stopGrace); });
     components.store.start(components.cellOwnership.hosts());
-    components.cellOwnership.onHostHeartbeat(
-        [&components](const Cells::HostHeartbeat& heartbeat) { components.config.onHeartbeat(heartbeat); });
+    components.cellOwnership.onConfigVersion([&components](const std::string& address, int64_t version) {
+        components.config.onVersionOf(address, version);
+    });
     components.config.onChange([&components](const Cells::ServingConfig& config) {
         components.cellOwnership.setConfigVersion(config.version);
     });
--- a/Source/LavendercartEntry/JobApi.cpp
+++ b/Source/LavendercartEntry/JobApi.cpp
@@ -98,7 +98,13 @@
                            });
                    },
                    [&](const Platform::PendingCall&) {
-                       answer(call, Platform::pendingAnswer(m_jobGateway.pending(route.policy.route)), "pending");
+                       m_jobGateway.pending(
+                           route.policy.route, call->timeout, [this, call](const Common::Result<uint32_t>& count) {
+                               if (count)
+                                   answer(call, Platform::pendingAnswer(*count), "pending");
+                               else
+                                   fail(call, count.reason());
+                           });
                    },
                },
         read);
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -11,6 +11,7 @@
 #include "Fakes/FakeRecordStore.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -57,18 +58,21 @@
 public:
     using Directory = std::map<std::string, WorldHeartbeats*>;
 
-    WorldHeartbeats(Fakes::FakeNetwork& network, Fakes::FakeProcess& process, Directory& directory, std::string address)
+    /// `lossPerMille` heartbeats get lost, besides those that the network loses.
+    WorldHeartbeats(Fakes::FakeNetwork& network, Fakes::FakeProcess& process, Directory& directory, std::string address,
+        const uint64_t& lossPerMille)
         : m_network(network)
         , m_process(process)
         , m_directory(directory)
         , m_address(std::move(address))
+        , m_lossPerMille(lossPerMille)
     {
         m_directory[m_address] = this;
     }
 
     void send(const std::string& address, std::string_view text) override
     {
-        if (m_process.isKilled())
+        if (m_process.isKilled() || (m_lossPerMille > 0 && m_process.random()() % 1000 < m_lossPerMille))
             return;
         m_network.send(m_address, address, [this, address, text = std::string(text)] {
             const auto found = m_directory.find(address);
@@ -91,6 +95,7 @@
     Fakes::FakeProcess& m_process;
     Directory& m_directory;
     std::string m_address;
+    const uint64_t& m_lossPerMille;
     std::function<void(std::string_view)> m_handler;
 };
 
@@ -114,7 +119,7 @@
         , address(hostSettings.address)
         , settings(std::move(hostSettings))
         , peer(world.network, process, world.peers, address)
-        , heartbeats(world.network, process, world.heartbeats, address)
+        , heartbeats(world.network, process, world.heartbeats, address, world.heartbeatLossPerMille)
         , orders(world.clock, world.network, process, world.workerDirectory, address, world.latePerMille)
         , workers(process, world.workers)
         , store(process, world.store.client(address, process), peer)
@@ -156,6 +161,10 @@
     std::vector<std::unique_ptr<WorldHost>> hosts;
     /// Share of the orders to workers, in thousandths, that are carried out seconds late and never answered.
     uint64_t latePerMille = 0;
+    /// Share of the heartbeats that get lost, in thousandths. Calls go over connections, which repeat what is lost.
+    uint64_t heartbeatLossPerMille = 0;
+    /// Target number of workers per cell.
+    uint32_t workersPerCell = Cells::HostSettings {}.workersPerCell;
     /// Maximum number of seed addresses that a new host gets.
     size_t mostSeeds = SIZE_MAX;
 
@@ -175,13 +184,15 @@
             workerDirectory[entry.address] = workers.back().get();
         }
     }
-    WorldHost& addHost(const std::string& domain, const std::string& name)
+    WorldHost& addHost(const std::string& domain, const std::string& name, int64_t weight = 1000)
     {
         Cells::HostSettings settings;
+        settings.weight = weight;
+        settings.workersPerCell = workersPerCell;
         settings.id = Common::DaemonId(name + "@" + std::to_string(++m_boots));
         settings.address = settings.heartbeatAddress = name;
         settings.domain = Common::DomainId(domain);
-        settings.region = Common::RegionId("east");
+        settings.region = Common::RegionId(region(domain));
         for (const auto& [address, port] : heartbeats) {
             if (settings.seeds.size() < mostSeeds)
                 settings.seeds.push_back(address);
@@ -189,12 +200,14 @@
         hosts.push_back(std::make_unique<WorldHost>(*this, settings, m_random()));
         return *hosts.back();
     }
+    /// The region of a domain.
+    std::function<std::string(const std::string&)> region = [](const std::string&) { return "east"; };
     /// Kills the host's process and starts another at the same address.
     WorldHost& restart(size_t index)
     {
         WorldHost& old = *hosts[index];
         old.process.kill();
-        return addHost(old.settings.domain.value(), old.address);
+        return addHost(old.settings.domain.value(), old.address, old.settings.weight);
     }
     /// Number of runs on all workers.
     size_t running() const
--- a/Source/UnitTests/Cells/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Cells/ConfigFollowerTest.cpp
@@ -59,9 +59,7 @@
     void hear(nlohmann::json answer)
     {
         peers.answer = std::move(answer);
-        HostHeartbeat heartbeat;
-        heartbeat.configVersion = 99;
-        follower.onHeartbeat(heartbeat);
+        follower.onVersionOf("b:1", 99);
     }
 };
 
