Submit to a cell without a known load rather than refuse, and refute only reports of the present state

Hosts may differ for a moment on which of them may own cells: one that takes itself for such a host gets no loads, and refused every submission. It takes any live cell whose load is unknown now. Found by reading; no test of its own.

A report of silence with a version far above the host's own would have made it number its states from there; such a report can't be true and is ignored.

--- a/Source/Core/Cells/HostGossip.cpp
+++ b/Source/Core/Cells/HostGossip.cpp
@@ -396,8 +396,8 @@
 void HostGossip::onSilenceFrame(const GossipFrame& frame)
 {
     if (frame.key == m_key) {
-        if (frame.epoch == static_cast<uint64_t>(m_state.startedAtMilliseconds) && frame.version >= m_version)
-            refute(frame.version);
+        if (frame.version == m_version)
+            refute();
         return;
     }
     try {
@@ -415,11 +415,10 @@
 }
 
 /// Others report this host as silent.
-void HostGossip::refute(uint64_t version)
+void HostGossip::refute()
 {
     ++m_counters.silencesRefuted;
-    m_version = version + 1;
-    m_stateFrame = stateFrame(m_state, m_key, m_version);
+    m_stateFrame = stateFrame(m_state, m_key, ++m_version);
     flush();
 }
 
--- a/Source/Core/Cells/HostGossip.h
+++ b/Source/Core/Cells/HostGossip.h
@@ -97,7 +97,7 @@
     void onStateFrame(const GossipFrame&);
     void onSilenceFrame(const GossipFrame&);
     void onSender(const GossipFrame&);
-    void refute(uint64_t version);
+    void refute();
     void reportSilence(const HostDirectory::Row&);
     bool isOnlyWitness(const HostDirectory::Row&) const;
     void updateWatchers();
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -434,8 +434,11 @@
     // The first jobs arrive together and would all go to the first cell that has an owner.
     else if (areCellsStarting() && mayWaitForCells(*submission))
         m_runtime.schedule(startupPollInterval, m_lifetime.guard([this, submission] { tryCell(submission); }));
+    else if (const auto cell = chooseCell(*submission, m_settings.domain))
+        submitTo(cell, submission);
+    // Hosts that differ for a moment on which of them may own cells send this one no loads.
     else
-        submitTo(chooseCell(*submission, m_settings.domain), submission);
+        submitTo(anyCell(*submission, Candidates::WithoutLoad), submission);
 }
 
 bool JobGateway::mayWaitForCells(const Submission& submission) const
@@ -447,7 +450,7 @@
 void JobGateway::askForCell(const std::shared_ptr<Submission>& submission, std::vector<std::string> hosts, size_t asked)
 {
     if (asked >= std::min(hosts.size(), maximumAskedHosts)) {
-        submitTo(anyCell(*submission), submission);
+        submitTo(anyCell(*submission, Candidates::All), submission);
         return;
     }
     std::vector<std::string> tried;
@@ -474,12 +477,15 @@
 }
 
 /// A random cell with a live owner, of this host's domain if there is one; nothing when there is none.
-std::optional<CellId> JobGateway::anyCell(const Submission& submission) const
+std::optional<CellId> JobGateway::anyCell(const Submission& submission, Candidates use) const
 {
     std::vector<CellId> near;
     std::vector<CellId> others;
     for (const CellId& cell : m_cellOwnership.layout().cells()) {
-        if (!submission.tried.contains(cell) && (m_cellOwnership.engine(cell) || m_cellOwnership.liveOwner(cell)))
+        const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(cell);
+        const bool isOwned = m_cellOwnership.engine(cell) || owner;
+        const bool isLoadKnown = m_cellOwnership.engine(cell) || (owner && owner->loadVersion > 0);
+        if (isOwned && !submission.tried.contains(cell) && (use == Candidates::All || !isLoadKnown))
             (m_cellOwnership.layout().domainOf(cell) == m_settings.domain ? near : others).push_back(cell);
     }
     const std::vector<CellId>& cells = near.empty() ? others : near;
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -60,7 +60,12 @@
     void submitTo(const std::optional<CellId>&, const std::shared_ptr<Submission>&);
     bool mayWaitForCells(const Submission&) const;
     void askForCell(const std::shared_ptr<Submission>&, std::vector<std::string> hosts, size_t asked);
-    std::optional<CellId> anyCell(const Submission&) const;
+    enum class Candidates {
+        All,
+        /// Cells whose owner has sent no load yet.
+        WithoutLoad,
+    };
+    std::optional<CellId> anyCell(const Submission&, Candidates) const;
     std::optional<CellId> chooseCell(const Submission&, const Common::DomainId& callersDomain) const;
     uint32_t knownPending(const std::string& route) const;
     void askForPending(const std::string& route, Common::Callback<uint32_t>, std::vector<std::string> hosts,
