--- a/Source/UnitTests/Platform/DecoderFuzzTest.cpp
+++ b/Source/UnitTests/Platform/DecoderFuzzTest.cpp
@@ -2,7 +2,10 @@
 // LC_SEED.
 #include "Cells/CellLayout.h"
 #include "Cells/CellRecord.h"
+#include "Cells/CellReport.h"
+#include "Cells/GossipFrame.h"
 #include "Cells/HostHeartbeat.h"
+#include "Cells/HostState.h"
 #include "Cells/RandomSchedule.h"
 #include "Cells/TaskTransfer.h"
 #include "Common/Bounds.h"
@@ -146,8 +149,34 @@
     return heartbeat.encode();
 }
 
+std::string sampleReport()
+{
+    Cells::CellReport report;
+    report.owner = Common::DaemonId("h1");
+    report.cell.cell = Cells::CellId("yard-0");
+    report.cell.load.services = { { "s", 64000 } };
+    report.cell.pressureEstimates = { { "b", "s", 1.5, 0.25 } };
+    return std::string(1, Cells::gossipFormat) + Cells::GossipFrame {}.encode() + report.encode();
+}
+
+void decodeGossip(const std::string& bytes)
+{
+    const auto frames = Cells::readGossip(bytes);
+    if (!frames)
+        return;
+    for (const Cells::GossipFrame& frame : *frames) {
+        Cells::CellReport::decode(frame);
+        Cells::HostState::decode(frame.payload);
+    }
+}
+
 std::vector<Sample> samples()
 {
+    Cells::HostState state;
+    state.id = Common::DaemonId("h1");
+    state.address = state.heartbeatAddress = "10.0.0.1:81";
+    state.cells = { { Cells::CellId("yard-0"), { 7 } } };
+    state.released = { Cells::CellId("yard-1") };
     const Cells::TaskTransfer transfer { Cells::CellId("a-0"), Cells::CellId("a-1"), 1, sampleRecord() };
     const Cells::CellRecord record { Common::DaemonId("h"), "a:1", { 7 }, 1, false };
     return {
@@ -164,6 +193,8 @@
             "gpus":1,"max_per_server":2,"target_ms":18}],"times":3,"start_at_ms":1764900000000,"interval_ms":500})",
             decodeSpec },
         { sampleHeartbeat(), [](const std::string& text) { Cells::HostHeartbeat::decode(text); } },
+        { state.encode(), [](const std::string& bytes) { Cells::HostState::decode(bytes); } },
+        { sampleReport(), decodeGossip },
         { record.encode(), [](const std::string& text) { Cells::CellRecord::decode(text); } },
         { R"({"yard":{"cells":3,"racks":{"r1-3":2}},"pier":2})", decodeLayout },
         { transfer.encode(), [](const std::string& text) { Cells::TaskTransfer::decode(text); } },
