--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -415,6 +415,7 @@
     }
     std::sort(hosts.begin(), hosts.end());
     std::vector<std::string> addresses;
+    addresses.reserve(hosts.size());
     for (auto& [order, address] : hosts)
         addresses.push_back(std::move(address));
     return addresses;
@@ -572,7 +573,7 @@
                 watched.insert(owner->second.id);
         }
     }
-    m_gossip.watchAlso(std::move(watched));
+    m_gossip.watchAlso(watched);
 }
 
 /// Only former owners themselves can say that they hold a cell no more.
@@ -784,7 +785,7 @@
 }
 
 /// The cell's record, or the owner itself, names the owner.
-void CellOwnership::confirmOwner(Owner& owner, const CellRecord& record)
+void CellOwnership::confirmOwner(Owner& owner, const CellRecord& record) const
 {
     if (owner.id != record.owner || owner.token != record.token) {
         owner.id = record.owner;
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -151,7 +151,7 @@
     void askFormerOwners();
     std::string heartbeatAddressAt(const std::string& address) const;
     void informSuccessor(const CellId&);
-    void confirmOwner(Owner&, const CellRecord&);
+    void confirmOwner(Owner&, const CellRecord&) const;
     void tick();
     void detectStall();
     bool isOwnerless(const CellId&) const;
--- a/Source/Core/Cells/HostGossip.cpp
+++ b/Source/Core/Cells/HostGossip.cpp
@@ -105,7 +105,7 @@
     m_stateFrame = stateFrame(m_state, m_key, ++m_version);
 }
 
-void HostGossip::watchAlso(std::set<Common::DaemonId> hosts)
+void HostGossip::watchAlso(const std::set<Common::DaemonId>& hosts)
 {
     m_alsoWatched.clear();
     for (const Common::DaemonId& host : hosts)
--- a/Source/Core/Cells/HostGossip.h
+++ b/Source/Core/Cells/HostGossip.h
@@ -67,7 +67,7 @@
     /// Sends this host's state and `cellFrames` to another host.
     void sendCells(const HostState& to, const std::vector<std::string>& cellFrames);
     /// Hosts that are watched besides those that send their heartbeats here.
-    void watchAlso(std::set<Common::DaemonId> hosts);
+    void watchAlso(const std::set<Common::DaemonId>& hosts);
     /// Addresses "IP:port" of heartbeats whose hosts are asked for their state in each round.
     void askEachRound(std::set<std::string> addresses) { m_askedEachRound = std::move(addresses); }
     /// This process stood still: silence counts from now on.
