--- a/Source/UnitTests/Cells/LargeFleetTest.cpp
+++ b/Source/UnitTests/Cells/LargeFleetTest.cpp
@@ -1,6 +1,7 @@
 // Fleets of hundreds of hosts: what the exchange costs each of them, and how cells keep their owners while hosts, links
 // and the store fail.
 #include "Cells/LargeFleet.h"
+#include "Cells/RandomSchedule.h"
 #include "Common/Log.h"
 
 #include <doctest/doctest.h>
@@ -175,6 +176,23 @@
     CHECK(fleet.ownedCells() == fleet.cells);
 }
 
+TEST_CASE("no cell moves while a fifth of all messages is lost, calls included")
+{
+    constexpr uint64_t lossPerMille = 200;
+    if (knownFailures(__FILE__).contains(lossPerMille)) {
+        MESSAGE("a loss of " << lossPerMille << " in a thousand messages is a known failure and isn't run");
+        return;
+    }
+    StartedFleet fleet;
+    const uint64_t tokens = fleet.tokens();
+    fleet.network.setLossPerMille(lossPerMille);
+    fleet.clock.advance(20s);
+    fleet.network.heal();
+    fleet.clock.advance(2s);
+    CHECK(fleet.tokens() == tokens);
+    CHECK(fleet.ownedCells() == fleet.cells);
+}
+
 TEST_CASE("a host that is silent to one other keeps its cells, and others take it for alive")
 {
     StartedFleet fleet;
