--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -80,7 +80,7 @@
     def __init__(self, fleet, index, zone, store_address):
         self.fleet, self.index, self.zone, self.store_address = fleet, index, zone, store_address
         self.name = f"edge-{zone}-{index}"
-        self.ip = f"127.0.0.{10 + index}"
+        self.ip = fleet.ip(index)
         self.front = f"{self.ip}:{fleet.ports['front']}"
         self.process = None
         self.starts = 0
@@ -92,7 +92,7 @@
             "listen_addrs": {"front": self.front, "readiness": f"{self.ip}:{ports['readiness']}",
                              "control": f"{self.ip}:{ports['control']}"},
             "port_range": [ports["beats"], ports["beats"] + 15], "platform": {"address": self.store_address},
-            "seeds": [f"127.0.0.{10 + index}:{ports['control']}" for index in range(1, 4)],
+            "seeds": [f"{self.fleet.ip(index)}:{ports['control']}" for index in range(1, 4)],
             "limits": {"cpu_share": 0.1, "cores": 1}, "bounds": BOUNDS,
         }
         return render((ROOT / self.fleet.role["template"]).read_text(), fields)
@@ -143,6 +143,26 @@
             writer.close()
 
 
+class Connection:
+    """A client's connection to a host that stays open between its calls."""
+
+    def __init__(self, host):
+        self.host = host
+
+    async def open(self):
+        ip, port = self.host.front.split(":")
+        self.reader, self.writer = await asyncio.open_connection(ip, int(port))
+
+    async def call(self, method, target, host="desk.example", deadline=3.0):
+        """Returns (status, object); raises IncompleteReadError or OSError when the connection ends before that."""
+        self.writer.write((f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
+                           f"X-Deadline-Ms: {int(deadline * 1000)}\r\nContent-Length: 0\r\n\r\n").encode())
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        length = re.search(r"content-length:\s*(\d+)", head, re.I)
+        text = await self.reader.readexactly(int(length.group(1)) if length else 0)
+        return int(head.split()[1]), json.loads(text) if text else None
+
+
 class Fleet:
     """Hosts, workers and the store of one small deployment, and the record of what was seen."""
 
@@ -157,7 +177,8 @@
         self.lines = []
         self.started = []
         self.zones = zones
-        ips = [f"127.0.0.{10 + index}" for index in range(1, hosts + 1)]
+        self.block = random.randrange(1, 255)
+        ips = [self.ip(index) for index in range(1, hosts + 1)]
         self.ports = {name: free_port(ips) for name in ("front", "readiness", "control", "beats")}
         self.store = Store(free_port())
         self.links = []
@@ -170,6 +191,10 @@
             self.hosts.append(Host(self, index, zones[(index - 1) % len(zones)], address))
         self.workers = []
 
+    def ip(self, index):
+        """A loopback address of its own for each host, since all hosts use the same ports."""
+        return f"127.0.{self.block}.{10 + index}"
+
     def now(self):
         return time.monotonic() - self.begun
 
