--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -317,6 +317,9 @@
 
     async def hold(self, call):
         through = call.get("acked_through", 0)
+        for number, task, attempt, how, _ in self.ended:
+            if number <= through:
+                self.record("acked", self.id, task, attempt, how, f"number={number} acked_through={through}")
         self.ended = [row for row in self.ended if row[0] > through]
         if call.get("expires_ms"):
             self.extend(call["expires_ms"])
