--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -205,6 +205,7 @@
         self.up = False
         self.loops = []
         self.hang = False
+        self.late_orders = []
 
     async def start(self):
         self.born = now_ms()
@@ -226,6 +227,17 @@
         await self.http.stop()
         self.runs = {}
 
+    def delay_orders(self, seconds, count):
+        """The next `count` start orders get no answer and arrive `seconds` late, whatever runs at the address then."""
+        self.late_orders = [seconds] * count
+
+    async def deliver_late(self, seconds, target, headers, body):
+        await asyncio.sleep(seconds)
+        if self.up:
+            self.record("late-order", self.id, json.loads(body)["task"], json.loads(body)["attempt"])
+            status, answer = await self.handle("POST", target, headers, body)
+            self.record("late-answer", self.id, status, answer)
+
     def clock(self):
         return int((time.monotonic() - self.started) * 1000) + 1000
 
@@ -280,6 +292,9 @@
             await asyncio.sleep(3600)
         if target == "/health":
             return 200, None
+        if target == "/v1/run-start" and self.late_orders:
+            asyncio.ensure_future(self.deliver_late(self.late_orders.pop(), target, headers, body))
+            await asyncio.sleep(3600)
         if headers.get("x-target-instance", self.id) != self.id:
             return 421, None
         call = json.loads(body)
