Review case 2: the check asks what the rule asks

A job counts as lost only if nothing of it ran for 3 s while under half of the cores were in use and there was room for its step twice over.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -46,17 +46,25 @@
         fleet.note("platform", "their entries have expired")
     asked = due + TIMES * INTERVAL_S + FINISH_S
     await asyncio.sleep(asked - fleet.now())
-    await asyncio.sleep(IDLE_S)
+    capacity = sum(worker.cpu for worker in fleet.workers if worker.up)
+    active, in_use = set(), 0
+    until = fleet.now() + IDLE_S
+    while fleet.now() < until:
+        runs = [task for worker in fleet.workers if worker.up for task in worker.runs]
+        active.update(task.split(".")[0] for task in runs)
+        in_use = max(in_use, len(runs) * STEP["cpu"])
+        await asyncio.sleep(0.02)
     breaks = []
     for number in range(1, JOBS + 1):
         job = job_id(number)
         status, answer = await fleet.client(fleet.hosts[number % 3], "GET", f"/plans/{job}")
-        starts = [line for line in fleet.lines if f" start i-" in line and f" {job}." in line]
-        if status != 200 or answer["state"] != "completed":
-            busy = sum(len(worker.runs) for worker in fleet.workers if worker.up)
-            free = sum(worker.cpu for worker in fleet.workers if worker.up) // 1000
-            breaks.append(f"job {job} is {answer} {fleet.now() - due:.0f} s after its first time: {len(starts)} of "
-                          f"{2 * TIMES} tasks started, {busy} tasks on workers of {free} cores")
+        if status == 200 and answer["state"] == "completed":
+            continue
+        starts = sum(1 for line in fleet.lines if " start i-" in line and f" {job}." in line)
+        if job not in active and in_use < capacity / 2 and 2 * STEP["count"] * STEP["cpu"] < capacity - in_use:
+            breaks.append(f"job {job} is {answer} and had nothing running for {IDLE_S} s, {fleet.now() - due:.0f} s after "
+                          f"its first time: {starts} of {STEP['count'] * TIMES} tasks started; {in_use // 1000} of "
+                          f"{capacity // 1000} cores were in use")
     return breaks
 
 
