Transfer tasks of scheduled jobs to cells with room

Cause: transferIfBlockedForLong() left out scheduled jobs, since a cell that holds a part of one would have opened all due occurrences of it. So a scheduled job could run in the cell that accepted it only, whether that had workers left or not.

Change: a part opens no occurrences by itself. It gets them with the transfers, an occurrence with its first task, and closes them once all their tasks are returned, so that its record doesn't grow with the number of times. An owner says in its load that it can hold such parts; an owner of an earlier version would open the occurrences itself and gets none.

Ruled out: handing the whole job over, which needs a second way of owning; opening by the clock in each cell, which starts a time once per cell.

CellLoadTest simulates an earlier version by removing the elements that it lacks; it now removes those that follow as well, because the row has grown, and checks one more field.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -859,6 +859,7 @@
 CellLoad CellEngine::load() const
 {
     CellLoad load;
+    load.takesScheduledTasks = true;
     for (const auto& [id, worker] : m_workers.all()) {
         if (!worker->listed || worker->entry().draining || !worker->reachable)
             continue;
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -68,6 +68,8 @@
         std::function<std::map<CellId, size_t>(
             const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind)>
             taskSlots;
+        /// Whether the peer cell's owner can hold tasks of a scheduled job; see CellLoad::takesScheduledTasks.
+        std::function<bool(const CellId&)> takesScheduledTasks;
         /// Room in all peer cells whose owners' heartbeats arrive, by service.
         std::function<ServiceRooms(const CellId& self)> serviceRooms;
         /// Sends a durable transfer to the owner of the receiving cell; retried until it is acknowledged.
@@ -284,7 +286,7 @@
     bool isWorthWaitingForRack(const Jobs::StepSpec&, const LiveStep&) const;
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
     std::optional<std::pair<CellId, size_t>> findCellWithCapacity(
-        const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind = CellLoad::RoomKind::Free);
+        const LiveJob&, const Jobs::StepSpec&, CellLoad::RoomKind = CellLoad::RoomKind::Free);
     /// Whether a task of the step may start here once runs that aren't long-running have ended.
     bool canMakeRoom(const LiveJob&, const Jobs::StepSpec&) const;
     void notifyParts(const LiveJob&);
@@ -379,6 +381,7 @@
         std::string label;
         bool backfill = false;
         std::string image;
+        bool scheduled = false;
 
         auto operator<=>(const PeerSearch&) const = default;
     };
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -38,8 +38,7 @@
 void CellEngine::transferIfBlockedForLong(LiveJob& job, const Candidate& candidate)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
-    // Every cell that holds a scheduled job would open its due occurrences, so scheduled jobs aren't transferred.
-    if (job.spec().isScheduled() || m_committer.isTransferring(job.id()))
+    if (m_committer.isTransferring(job.id()))
         return;
     // A part of a host of an earlier version doesn't say where ended tasks belong.
     if (!spec.longRunning && job.isPart() && job.homeCell().empty())
@@ -66,10 +65,13 @@
 
 /// The peer cell with the most room for tasks of the step, and for how many.
 std::optional<std::pair<CellId, size_t>> CellEngine::findCellWithCapacity(
-    const Common::ServiceName& service, const Jobs::StepSpec& spec, CellLoad::RoomKind kind)
+    const LiveJob& job, const Jobs::StepSpec& spec, CellLoad::RoomKind kind)
 {
     const Common::MonotonicTime now = m_runtime.now();
-    const PeerSearch search { service, spec.requiredLabel, spec.backfill, spec.backfill ? spec.image : std::string() };
+    const Common::ServiceName& service = job.policy().service;
+    const bool scheduled = job.spec().isScheduled();
+    const PeerSearch search { service, spec.requiredLabel, spec.backfill, spec.backfill ? spec.image : std::string(),
+        scheduled };
     const auto failed = m_failedSearches.find(search);
     // Where a task had no room, a larger one has none.
     if (!spec.longRunning && failed != m_failedSearches.end() && now - failed->second.at < searchPause
@@ -78,6 +80,8 @@
     std::erase_if(m_recentTransfers, [now](const auto& row) { return now - row.second.at > transferReportDelay; });
     std::optional<std::pair<CellId, size_t>> best;
     for (const auto& [cell, room] : m_peerCells.taskSlots(m_id, service, spec, kind)) {
+        if (scheduled && !m_peerCells.takesScheduledTasks(cell))
+            continue;
         const auto recent = m_recentTransfers.find(cell);
         const size_t taken = recent == m_recentTransfers.end() ? 0 : recent->second.tasks;
         if (room > taken && (!best || room - taken > best->second))
@@ -105,9 +109,9 @@
     Jobs::StepSpec wanted = spec;
     // What may start at any pace needs the room that an ordinary task needs.
     wanted.backfill = spec.backfill && admissionOf(job, candidate.occurrence, candidate.step).paceInFreeRoom > 0;
-    auto other = findCellWithCapacity(job.policy().service, wanted);
+    auto other = findCellWithCapacity(job, wanted);
     if (!other && spec.longRunning && !canMakeRoom(job, spec))
-        other = findCellWithCapacity(job.policy().service, wanted, CellLoad::RoomKind::AfterEnds);
+        other = findCellWithCapacity(job, wanted, CellLoad::RoomKind::AfterEnds);
     if (!other || (spec.gang && other->second < spec.taskCount))
         return;
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
@@ -141,8 +145,10 @@
                 sender->revertTransfer(transfer);
                 markChanged(*sender);
             }
-            if (sender && sender->isPart())
+            if (sender && sender->isPart()) {
+                sender->closeReturned();
                 scheduleReturn(transfer.part.id);
+            }
         }));
 }
 
@@ -200,7 +206,7 @@
     // An earlier owner may have received it too and started its tasks before the receipt was durable.
     constexpr bool mayHaveStarted = true;
     if (LiveJob* const known = findJob(transfer.part.id)) {
-        known->receiveTransfer(transfer);
+        known->receiveTransfer(transfer, m_runtime.now(), m_runtime.wallMilliseconds());
         if (!known->isPart())
             onTasksReturned(*known);
     } else if (transfer.part.homeCell != m_id.value()) {
--- a/Source/Core/Cells/CellLoad.h
+++ b/Source/Core/Cells/CellLoad.h
@@ -38,6 +38,9 @@
     int64_t waitingBackfill = 0;
     /// Number of accepted jobs of which no task has started, by route.
     std::map<std::string, uint32_t> pending;
+    /// Whether the owner can hold tasks of another cell's scheduled job. One of an earlier version would open all due
+    /// occurrences of the job itself.
+    bool takesScheduledTasks = false;
 
     /// Upper bound, in thousandths of a core, of the capacity of the workers on which tasks of the step may run. A host
     /// of an earlier version reports no services and labels; the result is then the whole capacity.
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -998,6 +998,11 @@
     return CellEngine::PeerCells {
         .taskSlots = [this](const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec,
                          CellLoad::RoomKind kind) { return taskSlots(self, service, spec, kind); },
+        .takesScheduledTasks =
+            [this](const CellId& cell) {
+                const Owner* const other = m_engines.contains(cell) ? nullptr : liveOwner(cell);
+                return m_engines.contains(cell) || (other && other->load.takesScheduledTasks);
+            },
         .serviceRooms = [this](const CellId& self) { return serviceRooms(self); },
         .sendTransfer = [this](const TaskTransfer& transfer) { notifyOwner(transfer.to, transfer); },
         .requestTransferCheck
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -45,6 +45,7 @@
         }
         m_occurrences.emplace(occurrence, std::move(restored));
     }
+    closeReturned();
 }
 
 LiveOccurrence LiveJob::open(uint32_t occurrence, Common::MonotonicTime now, int64_t wallMilliseconds) const
@@ -63,7 +64,7 @@
 
 std::optional<int64_t> LiveJob::openDueOccurrences(Common::MonotonicTime now, int64_t wallMilliseconds)
 {
-    if (isFinal(phase()))
+    if (isFinal(phase()) || isPart())
         return std::nullopt;
     for (uint32_t occurrence = 0; occurrence < m_record.spec.occurrenceCount(); ++occurrence) {
         if (m_record.finishedOccurrences.contains(occurrence) || m_occurrences.contains(occurrence))
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -45,7 +45,7 @@
     std::map<uint32_t, LiveOccurrence>& occurrences() { return m_occurrences; }
 
     /// Opens the occurrences that are due at the wall clock time. Returns the wall clock time, in milliseconds, at
-    /// which the next one is due; empty if none is left.
+    /// which the next one is due; empty if none is left. A part opens none: transfers bring it its occurrences.
     std::optional<int64_t> openDueOccurrences(Common::MonotonicTime now, int64_t wallMilliseconds);
     /// Null if the occurrence isn't open or the task doesn't exist.
     LiveTask* find(const Jobs::TaskName&);
@@ -86,8 +86,12 @@
     /// Takes the tasks back after the transfer couldn't be stored.
     void revertTransfer(const TaskTransfer&);
     /// Takes the tasks over with their progress, and notes which other tasks are done, unless this transfer was
-    /// received before. The job may be complete, or have a task without attempts left, afterwards.
-    void receiveTransfer(const TaskTransfer&);
+    /// received before. The job may be complete, or have a task without attempts left, afterwards. Opens the
+    /// occurrences of the tasks in a part.
+    void receiveTransfer(const TaskTransfer&, Common::MonotonicTime now, int64_t wallMilliseconds);
+    /// Closes the occurrences of a scheduled job's part whose tasks were all returned. Must not be called while a
+    /// transfer isn't durable, which may have to be reverted.
+    void closeReturned();
     /// Counts the wait of the step's tasks from `since` on, unless it counts from an earlier time already. No effect if
     /// the occurrence isn't open.
     void continueWait(uint32_t occurrence, uint32_t step, Common::MonotonicTime since);
@@ -120,6 +124,7 @@
 private:
     LiveOccurrence open(uint32_t occurrence, Common::MonotonicTime now, int64_t wallMilliseconds) const;
     LiveStep* stepOf(const Jobs::TaskName&);
+    void openTransferred(const TaskTransfer&, Common::MonotonicTime now, int64_t wallMilliseconds);
     template <typename Change> void forEachTask(const TaskTransfer&, const Change&);
     template <typename Condition> bool hasTask(const Condition&) const;
     /// Parts keep their occurrences, whose tasks are yet to be returned.
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -55,11 +55,47 @@
     ++m_changes;
 }
 
-void LiveJob::receiveTransfer(const TaskTransfer& transfer)
+/// Opens the occurrences of a part in which tasks were transferred here. All their tasks count as elsewhere at first.
+void LiveJob::openTransferred(const TaskTransfer& transfer, Common::MonotonicTime now, int64_t wallMilliseconds)
+{
+    if (!isPart() || isFinal(phase()))
+        return;
+    for (const auto& [occurrence, steps] : transfer.part.progress) {
+        const bool bringsTasks = std::any_of(steps.begin(), steps.end(), [](const auto& step) {
+            return std::any_of(
+                step.begin(), step.end(), [](const Jobs::TaskProgress& task) { return task.transferredTo.empty(); });
+        });
+        if (!bringsTasks || m_occurrences.contains(occurrence))
+            continue;
+        LiveOccurrence opened = open(occurrence, now, wallMilliseconds);
+        for (LiveStep& step : opened.steps) {
+            for (LiveTask& task : step.tasks)
+                task.progress.transferredTo = transfer.from.value();
+            step.waitingCount = 0;
+        }
+        m_occurrences.emplace(occurrence, std::move(opened));
+    }
+}
+
+void LiveJob::closeReturned()
+{
+    // Other parts have one occurrence only.
+    if (!isPart() || !spec().isScheduled())
+        return;
+    std::erase_if(m_occurrences, [this](const auto& row) {
+        return std::all_of(row.second.steps.begin(), row.second.steps.end(), [this](const LiveStep& step) {
+            return std::all_of(step.tasks.begin(), step.tasks.end(),
+                [this](const LiveTask& task) { return task.progress.transferredTo == homeCell(); });
+        });
+    });
+}
+
+void LiveJob::receiveTransfer(const TaskTransfer& transfer, Common::MonotonicTime now, int64_t wallMilliseconds)
 {
     ++m_changes;
     if (!m_record.transfersReceived[transfer.from.value()].insert(transfer.number).second)
         return;
+    openTransferred(transfer, now, wallMilliseconds);
     forEachTask(transfer, [this](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
         Jobs::TaskProgress& progress = task.progress;
         const bool transferredHere = transferred.transferredTo.empty();
--- a/Source/Core/Cells/OwnedCellCodec.cpp
+++ b/Source/Core/Cells/OwnedCellCodec.cpp
@@ -46,7 +46,7 @@
         owned.load.freeMilliCores, owned.load.backfillMilliCores, owned.load.waitingRegular, owned.load.waitingBackfill,
         owned.load.serving, owned.load.backfillCapacity, owned.load.largestFreeMilliCores, std::move(pending),
         pressureEstimatesToJson(owned.pressureEstimates), owned.load.services, owned.load.labels,
-        owned.load.largestFreeAfterEnds });
+        owned.load.largestFreeAfterEnds, owned.load.takesScheduledTasks });
 }
 
 HostHeartbeat::OwnedCell ownedCellFromJson(const Json& value)
@@ -73,6 +73,8 @@
     }
     if (row.element(14).exists())
         owned.load.largestFreeAfterEnds = listedLoadsFrom(row.element(14));
+    if (row.element(15).exists())
+        owned.load.takesScheduledTasks = row.element(15).flag();
     return owned;
 }
 
--- a/Source/UnitTests/Cells/CellLoadTest.cpp
+++ b/Source/UnitTests/Cells/CellLoadTest.cpp
@@ -82,18 +82,23 @@
     Cells::HostHeartbeat heartbeat;
     heartbeat.id = Common::DaemonId("a@1");
     heartbeat.cells.push_back({ Cells::CellId("yard-0"), Cells::FencingToken { 3 }, twoServices(), {} });
+    heartbeat.cells[0].load.takesScheduledTasks = true;
     const auto same = Cells::HostHeartbeat::decode(heartbeat.encode());
     REQUIRE(same);
     CHECK(same->cells.at(0).load.services == heartbeat.cells[0].load.services);
     CHECK(same->cells.at(0).load.labels == heartbeat.cells[0].load.labels);
+    CHECK(same->cells.at(0).load.takesScheduledTasks);
     nlohmann::json old = nlohmann::json::parse(heartbeat.encode());
     old.erase("changing");
-    old["cells"][0].erase(13);
-    old["cells"][0].erase(12);
+    // What later versions append.
+    REQUIRE(old["cells"][0].size() == 16);
+    for (const size_t element : { 15, 14, 13, 12 })
+        old["cells"][0].erase(element);
     const auto earlier = Cells::HostHeartbeat::decode(old.dump());
     REQUIRE(earlier);
     CHECK(earlier->cells.at(0).load.capacityFor(desk, step("fast")) == 12'000);
     CHECK(earlier->cells.at(0).load.hasRack(Common::RackId("r9-yard")));
+    CHECK_FALSE(earlier->cells.at(0).load.takesScheduledTasks);
     // A host of the previous version may be releasing a cell without reporting it.
     CHECK(earlier->mayGrantLeases(Cells::CellId("yard-9")));
     CHECK_FALSE(same->mayGrantLeases(Cells::CellId("yard-9")));
--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -67,6 +67,15 @@
     {
         submitTo(home, job(jobNumber, payload, tasks, steps));
     }
+    /// The steps of the job run `times` times, the first time in two seconds.
+    void submitScheduledJob(const std::string& payload, uint32_t tasks, uint32_t times, uint32_t steps = 1)
+    {
+        Jobs::JobRecord record = job(jobNumber, payload, tasks, steps);
+        record.spec.occurrences = times;
+        record.spec.firstDueMilliseconds = clock.wallMilliseconds() + 2000;
+        record.spec.interval = 1500ms;
+        submitTo(home, record);
+    }
     std::optional<JobPhase> phaseOfJob() { return phase(*live().front(), jobNumber); }
     size_t runningOfJob() const { return judge.running(jobId(jobNumber)); }
     uint64_t startsOfJob() const { return judge.starts - serviceStarts; }
@@ -159,6 +168,67 @@
     CHECK(world.judge.summary() == "");
 }
 
+// Guards against accepted jobs with times that never run because the workers of their cell are lost (issue 35, LOST).
+TEST_CASE("a scheduled job whose cell loses its workers before the first time runs elsewhere, each time once")
+{
+    for (const uint32_t steps : { 1U, 2U }) {
+        CAPTURE(steps);
+        FullCell world(5, 0);
+        world.submitScheduledJob("run:500", 2, 5, steps);
+        world.clock.advance(500ms);
+        world.homeWorker().crash();
+        world.clock.advance(25s);
+        CHECK(world.phaseOfJob() == JobPhase::Completed);
+        CHECK(world.startsOfJob() == uint64_t { 10 } * steps);
+        CHECK(world.judge.summary() == "");
+        world.clock.advance(125s);
+        CHECK(world.partRecords() == 0);
+    }
+}
+
+TEST_CASE("a scheduled job in a full cell runs in a cell with room, no time of it before it is due")
+{
+    FullCell world(6);
+    world.submitScheduledJob("run:2500", 1, 4);
+    const int64_t firstDue = world.clock.wallMilliseconds() + 2000;
+    for (uint32_t occurrence = 0; occurrence < 4; ++occurrence) {
+        world.waitUntil([&] { return world.judge.running({ CellWorld::jobId(jobNumber), occurrence, 0, 0 }); });
+        CHECK(world.clock.wallMilliseconds() >= firstDue + 1500 * occurrence);
+    }
+    world.clock.advance(10s);
+    CHECK(world.phaseOfJob() == JobPhase::Completed);
+    CHECK(world.peerWorker().starts == 4);
+    CHECK(world.judge.summary() == "");
+}
+
+TEST_CASE("a scheduled job of a full cell runs each time once although owners of both cells are killed")
+{
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        FullCell world(seed);
+        world.submitScheduledJob("run:400", 2, 4);
+        world.clock.advance(std::chrono::milliseconds(2500 + 150 * seed));
+        world.killOwnerOf(seed % 2 == 0 ? world.home : world.peer);
+        world.clock.advance(35s);
+        CHECK(world.phaseOfJob() == JobPhase::Completed);
+        CHECK(world.startsOfJob() == 8);
+        CHECK(world.judge.summary() == "");
+    }
+}
+
+TEST_CASE("a cancellation ends the tasks of a scheduled job in another cell, and no further time of it begins")
+{
+    FullCell world(7);
+    world.submitScheduledJob("last", 2, 3);
+    world.waitUntil([&] { return world.peerWorker().running() > 0; });
+    CHECK(world.cancel(jobNumber));
+    world.clock.advance(1s);
+    CHECK(world.peerWorker().running() == 0);
+    world.clock.advance(10s);
+    CHECK(world.peerWorker().running() == 0);
+    CHECK(world.judge.summary() == "");
+}
+
 TEST_CASE("more tasks than the other cell has room for run there one after the other")
 {
     FullCell world(4);
--- a/Source/UnitTests/Cells/TaskTransferTest.cpp
+++ b/Source/UnitTests/Cells/TaskTransferTest.cpp
@@ -29,10 +29,10 @@
     Cells::LiveJob part = openJob(second.part);
     const auto waiting = [&part] { return part.occurrences().at(0).steps[0].waitingCount; };
     CHECK(waiting() == 2);
-    part.receiveTransfer(first);
+    part.receiveTransfer(first, {}, 0);
     CHECK(waiting() == 3);
     for (const Cells::TaskTransfer& again : { first, second })
-        part.receiveTransfer(again);
+        part.receiveTransfer(again, {}, 0);
     CHECK(waiting() == 3);
 }
 
@@ -50,7 +50,7 @@
     CHECK(part.markFailed(task, Common::AttemptNumber { 4 }));
     CHECK(part.occurrences().at(0).steps[0].waitingCount == 0);
     REQUIRE(part.endedTasks() == std::vector<Jobs::TaskName> { task });
-    home.receiveTransfer(part.transferTasks(part.endedTasks(), shed, yard));
+    home.receiveTransfer(part.transferTasks(part.endedTasks(), shed, yard), {}, 0);
     CHECK(part.endedTasks().empty());
     CHECK(home.hasUsedUpTask());
     CHECK(home.find(task)->progress.failedAttempts == std::set<uint32_t> { 1, 2, 3, 4 });
@@ -64,11 +64,11 @@
     const Jobs::TaskName done { home.id(), 0, 0, 1 };
     Cells::LiveJob part = openJob(home.transferTasks({ returned, done }, yard, shed).part);
     part.markDone(returned);
-    home.receiveTransfer(part.transferTasks(part.endedTasks(), shed, yard));
+    home.receiveTransfer(part.transferTasks(part.endedTasks(), shed, yard), {}, 0);
     part.markDone(done);
     Cells::LiveJob recovered = openJob(*Jobs::JobRecord::decode(part.toRecord().encode()));
     REQUIRE(recovered.endedTasks() == std::vector<Jobs::TaskName> { done });
-    home.receiveTransfer(recovered.transferTasks(recovered.endedTasks(), shed, yard));
+    home.receiveTransfer(recovered.transferTasks(recovered.endedTasks(), shed, yard), {}, 0);
     CHECK(home.isComplete());
 }
 
@@ -89,3 +89,39 @@
     part.continueWait(0, 0, since - 1s);
     CHECK(part.occurrences().at(0).steps[0].blocked->since == since - 1s);
 }
+
+TEST_CASE("a part of a scheduled job has only the occurrences that were transferred, until their tasks are returned")
+{
+    Jobs::JobRecord record = CellWorld::job(1, "run:100", 2);
+    record.spec.occurrences = 3;
+    record.spec.firstDueMilliseconds = 1000;
+    record.spec.interval = 1s;
+    constexpr int64_t wall = 2500;
+    Cells::LiveJob home(record, false, {}, wall);
+    home.openDueOccurrences({}, wall);
+    REQUIRE(home.occurrences().size() == 2);
+    const auto tasks = [&home](uint32_t occurrence) {
+        return std::vector<Jobs::TaskName> { { home.id(), occurrence, 0, 0 }, { home.id(), occurrence, 0, 1 } };
+    };
+    Cells::LiveJob part(home.transferTasks(tasks(0), yard, shed).part, false, {}, wall);
+    CHECK_FALSE(part.openDueOccurrences({}, 9000));
+    REQUIRE(part.occurrences().size() == 1);
+    CHECK(part.occurrences().at(0).steps[0].waitingCount == 2);
+    const Cells::TaskTransfer second = home.transferTasks({ tasks(1)[1] }, yard, shed);
+    part.receiveTransfer(second, {}, wall);
+    REQUIRE(part.occurrences().contains(1));
+    CHECK(part.occurrences().at(1).steps[0].waitingCount == 1);
+    for (const Jobs::TaskName& task : tasks(0))
+        part.markDone(task);
+    const Cells::TaskTransfer returned = part.transferTasks(part.endedTasks(), shed, yard);
+    part.closeReturned();
+    CHECK_FALSE(part.occurrences().contains(0));
+    CHECK(part.occurrences().contains(1));
+    home.receiveTransfer(returned, {}, wall);
+    CHECK(home.occurrences().size() == 1);
+    // Read again by a later owner.
+    part.receiveTransfer(second, {}, wall);
+    CHECK(part.occurrences().at(1).steps[0].waitingCount == 1);
+    const Cells::LiveJob recovered(*Jobs::JobRecord::decode(part.toRecord().encode()), true, {}, wall);
+    CHECK(recovered.occurrences().size() == 1);
+}
