Watch the configuration for two seconds at a time

Cause: one watch waited 15 s, and a watch on a silent connection ends by its timeout only. TCP keep-alive doesn't help where the other end still acknowledges, and the versions that hosts tell each other don't where all of them wait alike. The next read then uses a new connection: after a timeout the client drops the idle ones of the address.

Change: a watch waits 2 s. With the client's timeout of 0.8 s, the pause of 0.2 s and the read, a change is known 3.1 s after the silence, before a host with such a connection counts as well again (4 s).

Ruled out: ending the watch when another call times out. A host without cells makes no other calls, so nothing would bound it. The price is half a call a second and host.

--- a/Source/Core/Cells/ConfigFollower.cpp
+++ b/Source/Core/Cells/ConfigFollower.cpp
@@ -12,7 +12,10 @@
 namespace {
 
     constexpr const char* configMethod = "config.text";
-    constexpr Common::Duration watchWait = std::chrono::seconds(15);
+    /// A watch on a connection that has fallen silent ends by its timeout only. The wait, the store client's timeout, a
+    /// pause and the next read together take less than the four seconds after which a host with such a connection
+    /// counts as well again.
+    constexpr Common::Duration watchWait = std::chrono::seconds(2);
     constexpr Common::Duration peerTimeout = std::chrono::milliseconds(800);
     /// Short enough that a change is in force within three seconds, even after a failed watch.
     constexpr Common::Duration firstRetryPause = std::chrono::milliseconds(200);
--- a/Source/UnitTests/Cells/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Cells/ConfigFollowerTest.cpp
@@ -6,9 +6,13 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace Cells;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -28,6 +32,84 @@
     }
 };
 
+/// A store whose open connections can fall silent: what waits on them ends by its timeout only. New ones work.
+class SilenceableSource final : public ConfigSource {
+public:
+    explicit SilenceableSource(Fakes::FakeProcess& process)
+        : m_process(process)
+    {
+    }
+
+    uint64_t watches = 0;
+
+    void write(int64_t version)
+    {
+        m_version = version;
+        for (const auto& watch : std::exchange(m_watches, {})) {
+            if (!watch->silent)
+                finish(watch, text());
+        }
+    }
+    void silenceConnections()
+    {
+        for (const auto& watch : m_watches)
+            watch->silent = true;
+    }
+
+    void read(Common::Callback<ConfigText> done) override
+    {
+        m_process.schedule(latency, [this, done] { done(text()); });
+    }
+    void watch(Common::StoreRevision since, Common::Duration wait, Common::Callback<ConfigText> done) override
+    {
+        ++watches;
+        const auto watch = std::make_shared<Watch>(Watch { std::move(done) });
+        if (since < text().upTo) {
+            finish(watch, text());
+            return;
+        }
+        m_watches.push_back(watch);
+        m_process.schedule(wait, [this, watch] {
+            if (!watch->silent)
+                finish(watch, ConfigText { {}, text().upTo });
+        });
+        m_process.schedule(wait + storeTimeout, [this, watch] {
+            finish(watch, Common::Failure { Common::ErrorCode::Timeout, "", {} });
+        });
+    }
+    Common::Result<ServingConfig> decode(std::string_view text) const override
+    {
+        return ServingConfig { std::stoll(std::string(text)), {}, 9, {} };
+    }
+
+private:
+    static constexpr Common::Duration latency = std::chrono::milliseconds(64);
+    /// Platform::KeyValueStore::Settings::timeout.
+    static constexpr Common::Duration storeTimeout = std::chrono::milliseconds(800);
+
+    struct Watch {
+        Common::Callback<ConfigText> done;
+        bool silent = false;
+        bool ended = false;
+    };
+
+    ConfigText text() const
+    {
+        return { std::to_string(m_version), Common::StoreRevision { static_cast<uint64_t>(m_version) } };
+    }
+    void finish(const std::shared_ptr<Watch>& watch, const Common::Result<ConfigText>& found)
+    {
+        if (std::exchange(watch->ended, true))
+            return;
+        std::erase(m_watches, watch);
+        m_process.schedule(latency, [watch, found] { watch->done(found); });
+    }
+
+    Fakes::FakeProcess& m_process;
+    int64_t m_version = 1;
+    std::vector<std::shared_ptr<Watch>> m_watches;
+};
+
 /// Answers every call with `answer`.
 class AnsweringPeer final : public Scheduler::PeerPort {
 public:
@@ -91,3 +173,42 @@
         CHECK(following.follower.current()->version == 1);
     }
 }
+
+// Guards against a configuration that isn't in force in time since the watch hangs on a silent connection (issue 35).
+TEST_CASE("a configuration is in force within four seconds after all connections to the store fell silent")
+{
+    // The platform takes a host for well again after this time, and asks for a configuration in force after that.
+    constexpr Common::Duration contactTime = 4s;
+    constexpr Common::Duration applyTime = 3s;
+    for (int64_t silentAfter = 0; silentAfter <= 16'000; silentAfter += 250) {
+        for (const Common::Duration writtenAfter : { 1ms, 900ms, 4500ms }) {
+            CAPTURE(silentAfter);
+            CAPTURE(writtenAfter.count());
+            Fakes::VirtualRuntime clock { 1 };
+            Fakes::FakeProcess process { clock, 1 };
+            SilenceableSource source { process };
+            AnsweringPeer peers;
+            ConfigFollower follower { process, source, peers };
+            follower.start();
+            clock.advance(500ms + std::chrono::milliseconds(silentAfter));
+            REQUIRE(follower.current());
+            source.silenceConnections();
+            clock.advance(writtenAfter);
+            source.write(2);
+            clock.advance(std::max<Common::Duration>(applyTime, contactTime - writtenAfter));
+            CHECK(follower.current()->version == 2);
+        }
+    }
+}
+
+TEST_CASE("following a configuration that doesn't change takes the store at most one call in two seconds")
+{
+    Fakes::VirtualRuntime clock { 1 };
+    Fakes::FakeProcess process { clock, 1 };
+    SilenceableSource source { process };
+    AnsweringPeer peers;
+    ConfigFollower follower { process, source, peers };
+    follower.start();
+    clock.advance(60s);
+    CHECK(source.watches <= 30);
+}
