Acknowledge ends only right after a report that lists ends

Cause: each poll of a worker that counted as reachable carried the number of the last acknowledged end. One that crashed meanwhile and started again under its id numbers its ends from 1, so the first poll after a start acknowledged ends of the new life that nobody had read. The owner took the run for gone and started the task again.

Change: a poll acknowledges only if the last report listed ends and was read at most twice the pause between the two ago, on the clock that includes suspended time; a report that was read late counts as none. Polls go on at the short pause until the ends aren't listed any more, so an acknowledgement whose poll fails is repeated sooner than before.

Ruled out: telling the lives apart in the poll; nothing in it does. A poll before each start, which delays each start on an idle worker by a round trip and counts as a look.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -27,10 +27,15 @@
     Common::Duration retryPause {};
     /// The open poll's window for its answer; empty if the worker was reachable when it was polled.
     std::shared_ptr<const AnswerWindow> window;
+    /// Whether the last report listed ends, and when it was read, on the clock that includes suspended time. Empty if
+    /// it was read too late to say what the worker was like then.
+    bool listsEnds = false;
+    std::optional<Common::MonotonicTime> heardAt;
     /// How much longer than usual answers may take, since this process was too late to tell whether one had arrived.
     Common::Duration extraTime {};
-    /// The wait of the open poll.
+    /// The wait of the open poll, and when it was sent on the clock that includes suspended time.
     Common::Duration wait {};
+    Common::MonotonicTime askedAt;
     /// The last polls in a row that the worker has left unanswered.
     uint32_t unansweredPolls = 0;
     bool silenceLogged = false;
@@ -134,15 +139,16 @@
     m_hooks.acknowledge(*worker);
     WorkerOrders::PollRequest request;
     request.token = m_token;
-    // An unreachable worker may have rebooted; its ends are then numbered from 1 again.
-    request.acknowledgedThrough = worker->reachable ? worker->acknowledgedThrough : 0;
+    Link& state = link(*worker);
+    const bool mayAcknowledge = mayAcknowledgeTo(*worker, state);
+    request.acknowledgedThrough = mayAcknowledge ? worker->acknowledgedThrough : 0;
     const bool occupied = !worker->allocations().empty();
     // The lease of an unreachable worker must be able to expire, so polls don't renew it until the worker answers.
     if (occupied && worker->reachable && worker->lease().isClockKnown() && m_hooks.mayGrant())
         request.leaseUntil = worker->lease().grant(m_settings.runLease, m_runtime.now());
-    if (occupied && worker->reachable && worker->pendingEnds.empty())
+    const bool hasUnacknowledgedEnds = !worker->pendingEnds.empty() || (state.listsEnds && !mayAcknowledge);
+    if (occupied && worker->reachable && !hasUnacknowledgedEnds)
         request.wait = m_hooks.shouldPollFrequently(*worker) ? m_settings.frequentPollWait : m_settings.pollWait;
-    Link& state = link(*worker);
     request.extraTime = state.extraTime;
     state.polling = true;
     state.wait = request.wait;
@@ -150,11 +156,21 @@
         ? nullptr
         : std::make_shared<AnswerWindow>(m_runtime, m_settings.answerTimeout + state.extraTime);
     const Common::MonotonicTime askedAt = m_runtime.now();
+    state.askedAt = m_runtime.suspendAwareNow();
     m_orders.pollRuns(targetOf(*worker), request,
         m_lifetime.guard(
             [this, id, askedAt](const Common::Result<RunReport>& report) { onPollAnswer(id, askedAt, report); }));
 }
 
+/// A worker numbers its ends from 1 again when it is started anew, so a number that belongs to its former life would
+/// make it forget ends that nobody has read. So ends are acknowledged only right after a report that lists ends: too
+/// soon for the worker to have been started anew, to have got a task and to have ended it.
+bool CellWorkers::mayAcknowledgeTo(const CellWorker& worker, const Link& link) const
+{
+    return worker.reachable && link.listsEnds && link.heardAt
+        && m_runtime.suspendAwareNow() - *link.heardAt <= 2 * m_settings.pollPauseAfterEnd;
+}
+
 void CellWorkers::onPollAnswer(
     const Common::WorkerId& id, Common::MonotonicTime askedAt, const Common::Result<RunReport>& report)
 {
@@ -203,6 +219,10 @@
         worker.lease().grant(m_settings.runLease, m_runtime.now());
     worker.reachable = true;
     worker.lastReportAt = m_runtime.now();
+    state.listsEnds = !report.ended.empty();
+    state.heardAt = m_runtime.suspendAwareNow();
+    if (*state.heardAt - state.askedAt > state.wait + m_settings.answerTimeout)
+        state.heardAt.reset();
     m_hooks.report(worker, report, askedAt);
     worker.contacted = true;
 }
@@ -296,7 +316,8 @@
 
 Common::Duration CellWorkers::nextPollDelay(const CellWorker& worker) const
 {
-    if (!worker.pendingEnds.empty())
+    const auto found = m_links.find(worker.id());
+    if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds))
         return m_settings.pollPauseAfterEnd;
     return worker.allocations().empty() ? m_settings.idlePollInterval : Common::Duration::zero();
 }
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -78,6 +78,7 @@
 
     Link& link(const CellWorker&);
     void poll(const Common::WorkerId&);
+    bool mayAcknowledgeTo(const CellWorker&, const Link&) const;
     void schedulePoll(const Common::WorkerId&, Common::Duration);
     void onPollAnswer(const Common::WorkerId&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -49,6 +49,10 @@
     bool failsAll = false;
     /// Every start is refused with NoRoom.
     bool refusesStarts = false;
+    /// Start orders have no effect and get no answer.
+    bool ignoresStarts = false;
+    /// The next start order gets no answer and is carried out this much later, by whichever life is up then.
+    std::optional<Common::Duration> nextStartDelay;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
     enum class CapacitySource {
         List,
@@ -64,6 +68,12 @@
             m_reportsCapacity = true;
     }
 
+    /// Its entry says from now on that it is about to leave.
+    void drain()
+    {
+        m_entry.draining = true;
+        m_entry.remaining = std::chrono::seconds(60);
+    }
     void crash()
     {
         m_up = false;
@@ -91,8 +101,15 @@
 
     void start(Cells::FencingToken token, const Cells::RunOrder& order, Common::WorkerTime until, const Answer& answer)
     {
-        if (!m_up)
+        if (!m_up || ignoresStarts)
             return;
+        if (nextStartDelay) {
+            const Common::Duration delay = *std::exchange(nextStartDelay, std::nullopt);
+            m_world.schedule(delay, [this, token, order, until] {
+                start(token, order, until, [](const Common::Result<Cells::OrderAnswer>&) {});
+            });
+            return;
+        }
         if (token < m_token) {
             reply(answer, Cells::OrderVerdict::Fenced);
             return;
