Keep a run whose start was left unanswered until a reborn worker has refused it

Cause: a start order got no answer, was sent again and accepted, and the worker crashed and started again under its id. Since the run had been reported, it was taken for gone and the task started elsewhere. The first copy of the order could still arrive: it carries no sign of the worker's life, its token is new to that life, and its lease ends far ahead on the new clock.

Change: after a reboot, a run of which a start order was left unanswered is kept like one that was never reported: the attempt is stopped at the new life, which refuses it from then on, and the task starts elsewhere after that. Only the answer to the stop order settles it; before, a report that didn't list the run could come first.

Ruled out: an earlier end of the lease in the order; the clocks of two lives can't be told apart by it.

A late order that arrives before the owner has heard of the reboot is stopped as soon as it is listed, as before; one that arrives after the lease of a silent worker has passed isn't covered.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -655,22 +655,29 @@
 {
     std::vector<RunKey> gone;
     std::vector<RunKey> unconfirmed;
-    for (const auto& [run, allocation] : worker.allocations())
-        (rebooted && !allocation.reportedRunning ? unconfirmed : gone).push_back(run);
+    for (const auto& [run, allocation] : worker.allocations()) {
+        const bool mayStillStart = !allocation.reportedRunning || allocation.startOutcomeUnknown;
+        (rebooted && mayStillStart ? unconfirmed : gone).push_back(run);
+    }
     LC_WARN(Worker,
         "event=" << (rebooted ? "worker-reborn" : "worker-lease-passed") << " worker=" << worker.id().value()
                  << " lost=" << gone.size());
     onRunsLost(worker, rebooted);
     for (const RunKey& run : gone)
         dropRun(worker, run);
-    // Start orders whose runs were never reported before the reboot may have been carried out since, or may still be.
+    // Start orders whose runs were never reported before the reboot, and copies that were left unanswered, may have
+    // been carried out since or may still be: nothing in them tells the worker's lives apart.
     for (const RunKey& run : unconfirmed) {
         RunAllocation& allocation = *worker.find(run);
+        allocation.reportedRunning = false;
         if (allocation.orderAnsweredAt)
             allocation.orderAnsweredAt = m_runtime.now();
         // Sent again, an order that was being carried out when the worker crashed would start the same attempt anew.
-        if (std::exchange(allocation.stopping, false) || allocation.startOutcomeUnknown)
+        if (std::exchange(allocation.stopping, false) || allocation.startOutcomeUnknown) {
+            // Only the answer to the stop order shows that the new life will refuse the attempt.
+            allocation.orderAnsweredAt.reset();
             stopRun(worker, run);
+        }
     }
     if (rebooted) {
         worker.forgetReportedCapacity();
--- a/Source/UnitTests/Cells/RebornWorkerTest.cpp
+++ b/Source/UnitTests/Cells/RebornWorkerTest.cpp
@@ -67,3 +67,25 @@
         }
     }
 }
+
+// Guards against a task that runs on two workers since an order to a worker's former life is carried out by its next
+// one (issue 35, TWICE).
+TEST_CASE("an order that reaches the next life of a worker late starts nothing beside the run that replaced its own")
+{
+    for (int64_t crashAfter = 500; crashAfter <= 6500; crashAfter += 250) {
+        for (const Common::Duration late : { 4000ms, 8000ms, 9500ms }) {
+            CAPTURE(crashAfter);
+            CAPTURE(late.count());
+            SmallCell world(static_cast<uint64_t>(crashAfter), 2);
+            for (const auto& worker : world.workers)
+                worker->nextStartDelay = late;
+            world.submitJob("run:9000", 1);
+            world.clock.advance(std::chrono::milliseconds(crashAfter));
+            RunWorker& worker = *world.workers[world.workers[0]->running() > 0 ? 0 : 1];
+            worker.restart(1s);
+            world.clock.advance(30s);
+            CHECK(world.phase(*world.hosts.front(), 1) == Jobs::JobPhase::Completed);
+            CHECK(world.judge.summary() == "");
+        }
+    }
+}
