Watch the list of workers for a second and a half at a time

Change: a watch of the list waits 1.5 s. With the pause before it, the client's timeout and the pause after a failure, the list is read again 3.5 s after the silence. Where entries change every second, a watch ends before its wait in any case.

--- a/Source/Core/Cells/HostSettings.h
+++ b/Source/Core/Cells/HostSettings.h
@@ -40,8 +40,10 @@
     Common::Duration reliefDelay = std::chrono::seconds(2);
     /// Pause between two watches of the platform's list of workers, in which each entry changes every second or two.
     Common::Duration workerListPause = std::chrono::milliseconds(800);
-    /// Longest wait of one watch of that list.
-    Common::Duration workerListWait = std::chrono::seconds(10);
+    /// Longest wait of one watch of that list. With the pause before it, the store client's timeout and the pause after
+    /// a failure it takes less than the four seconds after which a host whose connection fell silent counts as well
+    /// again.
+    Common::Duration workerListWait = std::chrono::milliseconds(1500);
     Common::Duration tickInterval = std::chrono::milliseconds(200);
     /// Target number of workers per cell: a tenth of a core can place tasks for about this many.
     uint32_t workersPerCell = 20;
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -19,7 +19,7 @@
 
 namespace CellTests {
 
-/// The platform's list of workers, always up to date.
+/// The platform's list of workers, always up to date unless the connection to it is silent.
 class RunWorkerList final : public Cells::WorkerList {
 public:
     RunWorkerList(Fakes::FakeProcess& process, const std::vector<std::unique_ptr<RunWorker>>& workers)
@@ -32,12 +32,31 @@
     {
         m_process.schedule(std::chrono::milliseconds(3), [this, done] { done(changes()); });
     }
-    void watch(Common::StoreRevision, Common::Duration, Common::Callback<Cells::WorkerChanges> done) override
+    void watch(Common::StoreRevision, Common::Duration wait, Common::Callback<Cells::WorkerChanges> done) override
     {
-        m_process.schedule(std::chrono::seconds(1), [this, done] { done(changes()); });
+        // Entries change every second or two; what was missed is told at once.
+        const Common::Duration pause = std::exchange(m_missedChanges, false)
+            ? Common::Duration(std::chrono::milliseconds(3))
+            : std::chrono::seconds(1);
+        m_process.schedule(pause, [this, wait, pause, done] {
+            if (!m_silent) {
+                done(changes());
+                return;
+            }
+            m_process.schedule(wait + storeTimeout - pause, [this, done] {
+                m_silent = false;
+                m_missedChanges = true;
+                done(Common::Failure { Common::ErrorCode::Timeout, "", {} });
+            });
+        });
     }
+    /// The connection falls silent: the watch that is open, or else the next one, ends by its timeout only.
+    void silenceConnection() { m_silent = true; }
 
 private:
+    /// Platform::KeyValueStore::Settings::timeout.
+    static constexpr Common::Duration storeTimeout = std::chrono::milliseconds(800);
+
     Cells::WorkerChanges changes() const
     {
         Cells::WorkerChanges found;
@@ -52,6 +71,8 @@
 
     Fakes::FakeProcess& m_process;
     const std::vector<std::unique_ptr<RunWorker>>& m_workers;
+    bool m_silent = false;
+    bool m_missedChanges = false;
 };
 
 class WorldHeartbeats final : public Cells::HeartbeatPort {
