Withdraw start orders to workers that are about to leave

Cause: an order that is left unanswered, or can't be sent since the worker isn't reachable, is sent again every 0.2 s as long as its allocation exists. Whether the worker drains was looked at only when it was chosen, so the first copy that it carried out could be one that was sent seconds after the list had told that it drains.

Change: before each copy the worker's entry is looked at. If it drains, the order is withdrawn: the attempt is stopped there if a copy was sent before, since that may still be carried out, and the task starts elsewhere.

Which of the two causes of DRAIN the users' 63 cases had isn't known.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -339,6 +339,10 @@
     const RunAllocation* const allocation = worker->find(run);
     if (!allocation || allocation->reportedRunning || allocation->stopping)
         return;
+    if (worker->entry().draining) {
+        answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
+        return;
+    }
     const auto again = m_lifetime.guard([this, id, order, answered] { sendStart(id, order, answered); });
     if (!m_hooks.mayGrant() || !worker->reachable || !worker->lease().isClockKnown()) {
         m_runtime.schedule(m_settings.orderRetry, again);
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -55,7 +55,7 @@
     const std::map<Common::WorkerId, std::unique_ptr<CellWorker>>& all() const { return m_workers; }
 
     /// Sends the start order, and again until it is answered, as long as the run's allocation exists, isn't stopping
-    /// and isn't reported as running.
+    /// and isn't reported as running. It is withdrawn once the worker is about to leave.
     void start(CellWorker&, const RunOrder&, const std::function<void(OrderAnswer)>&);
     /// Sends the stop order, and again until it is answered, as long as the run's allocation exists.
     void stop(CellWorker&, const RunKey&, const std::function<void(OrderAnswer)>&);
--- a/Source/Core/Cells/OrderAnswer.h
+++ b/Source/Core/Cells/OrderAnswer.h
@@ -1,4 +1,4 @@
-// A worker's answer to a start, stop or pace order.
+// What became of a start, stop or pace order: the worker's answer, or that the order was withdrawn.
 #pragma once
 
 #include "Common/Units.h"
@@ -26,6 +26,9 @@
     Unhealthy,
     /// The worker can't read the order.
     Malformed,
+    /// Not the worker's answer: a start order isn't sent, or not sent again, as the worker is about to leave. If it was
+    /// sent before, that copy may still be carried out.
+    Withdrawn,
 };
 
 struct OrderAnswer {
--- a/Source/UnitTests/Cells/DrainingWorkerTest.cpp
+++ b/Source/UnitTests/Cells/DrainingWorkerTest.cpp
@@ -63,3 +63,29 @@
         }
     }
 }
+
+// Guards against a start order that is repeated until a worker that has begun to leave meanwhile carries it out (issue
+// 35, DRAIN).
+TEST_CASE("a start order that a worker leaves unanswered isn't repeated once the worker drains")
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        Fleet world(seed);
+        for (const auto& worker : world.workers)
+            worker->ignoresStarts = true;
+        Outcome outcome;
+        world.submit(world.other(), CellWorld::job(1, "run:500", 8), outcome);
+        world.clock.advance(1s);
+        for (size_t index = 0; index < 4; ++index)
+            world.workers[index]->drain();
+        world.clock.advance(drainTime);
+        for (const auto& worker : world.workers)
+            worker->ignoresStarts = false;
+        world.clock.advance(5s);
+        for (size_t index = 0; index < 4; ++index)
+            CHECK(world.workers[index]->starts == 0);
+        CHECK(world.phase(world.other(), 1) == Jobs::JobPhase::Completed);
+        CHECK(world.judge.starts == 8);
+        CHECK(world.judge.summary() == "");
+    }
+}
