Open an occurrence of which a worker reports a run or an end

What callers would see: a time of a scheduled job runs again after its ends as done were acknowledged (TWICE). Found by reading for other ways in which an acknowledged end is forgotten.

Cause: a job's record holds no occurrence until it is written with progress, and each owner opens the due ones by its own clock. A successor whose clock was behind that of its predecessor didn't know the occurrence, so the end of its task changed nothing, and an end that changes nothing is acknowledged at once. Later the occurrence was due there too, and all its tasks started.

Change: a report of a run or an end opens the occurrence, unless it is finished: an earlier owner took it for due.

Ruled out: leaving such ends unacknowledged. The tasks that run would still be stopped as unknown, and started again.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -505,6 +505,7 @@
         LC_INFO(Jobs,
             "event=run-ended run=" << runName(run) << " worker=" << worker.id().value() << " end=" << endName(end.end)
                                    << " number=" << end.number);
+        job->openStarted(end.task.occurrence, m_runtime.now(), m_runtime.wallMilliseconds());
         job->recordAttempt(end.task, end.attempt);
         if (isRun(job->find(end.task), worker.id(), end.attempt))
             job->clearRun(end.task);
@@ -571,6 +572,8 @@
 {
     const RunKey run { row.task, row.attempt };
     LiveJob* const job = findJob(row.task.job);
+    if (job)
+        job->openStarted(row.task.occurrence, m_runtime.now(), m_runtime.wallMilliseconds());
     RunAllocation* allocation = worker.find(run);
     if (!allocation) {
         adopt(worker, row, job);
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -76,6 +76,14 @@
     return std::nullopt;
 }
 
+void LiveJob::openStarted(uint32_t occurrence, Common::MonotonicTime now, int64_t wallMilliseconds)
+{
+    const bool isUnknown = occurrence < m_record.spec.occurrenceCount()
+        && !m_record.finishedOccurrences.contains(occurrence) && !m_occurrences.contains(occurrence);
+    if (isUnknown && !isFinal(phase()) && !isPart())
+        m_occurrences.emplace(occurrence, open(occurrence, now, wallMilliseconds));
+}
+
 LiveStep* LiveJob::stepOf(const Jobs::TaskName& name)
 {
     const auto occurrence = m_occurrences.find(name.occurrence);
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -47,6 +47,9 @@
     /// Opens the occurrences that are due at the wall clock time. Returns the wall clock time, in milliseconds, at
     /// which the next one is due; empty if none is left. A part opens none: transfers bring it its occurrences.
     std::optional<int64_t> openDueOccurrences(Common::MonotonicTime now, int64_t wallMilliseconds);
+    /// Opens an occurrence of which a worker has reported a run: an earlier owner, whose clock was ahead, took it for
+    /// due. No effect if it is open or finished, or the job is final or a part.
+    void openStarted(uint32_t occurrence, Common::MonotonicTime now, int64_t wallMilliseconds);
     /// Null if the occurrence isn't open or the task doesn't exist.
     LiveTask* find(const Jobs::TaskName&);
     const Jobs::StepSpec& stepSpec(uint32_t step) const { return m_record.spec.steps.at(step); }
--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -660,6 +660,31 @@
     CHECK(fleet.judge.summary().empty());
 }
 
+// Guards against a time of a scheduled job that runs again since its ends were acknowledged by a successor whose clock
+// said that it wasn't due yet.
+TEST_CASE("a successor whose clock is behind takes in what its predecessor started of a scheduled job")
+{
+    for (int64_t killedAfter = 2020; killedAfter <= 3400; killedAfter += 60) {
+        CAPTURE(killedAfter);
+        Fleet world(static_cast<uint64_t>(killedAfter));
+        Jobs::JobRecord record = CellWorld::job(1, "run:300", 2);
+        record.spec.occurrences = 3;
+        record.spec.firstDueMilliseconds = world.clock.wallMilliseconds() + 2000;
+        record.spec.interval = 1s;
+        Outcome submitted;
+        world.submit(world.other(), record, submitted);
+        world.clock.advance(std::chrono::milliseconds(killedAfter));
+        WorldHost& first = *world.owner();
+        for (const auto& host : world.hosts)
+            host->process.wallOffset = host.get() == &first ? 0ms : -8000ms;
+        first.process.kill();
+        world.clock.advance(40s);
+        CHECK(world.phase(world.other(), 1) == Jobs::JobPhase::Completed);
+        CHECK(world.judge.starts == 6);
+        CHECK(world.judge.summary() == "");
+    }
+}
+
 TEST_CASE("failures that a successor reads out of order count once each")
 {
     Cells::LiveJob job(CellWorld::job(1, "fail:100", 1), true, Common::MonotonicTime {}, 0);
--- a/Source/UnitTests/Fakes/FakeProcess.h
+++ b/Source/UnitTests/Fakes/FakeProcess.h
@@ -25,13 +25,15 @@
     /// On resume, timers that are due run before what arrived meanwhile, as in an event loop that checks its timers
     /// before it reads its sockets.
     bool timersFirst = false;
+    /// How far its time of day is ahead.
+    std::chrono::milliseconds wallOffset {};
 
     Common::MonotonicTime now() const override
     {
         m_clockOffset += advancePerRead;
         return m_runtime.now() + m_clockOffset;
     }
-    int64_t wallMilliseconds() const override { return m_runtime.wallMilliseconds(); }
+    int64_t wallMilliseconds() const override { return m_runtime.wallMilliseconds() + wallOffset.count(); }
     Scheduler::TimerId schedule(Common::Duration delay, std::function<void()> action) override
     {
         const uint64_t id = ++m_lastTimer;
