Hold a task back while an unanswered order to a silent worker may still be carried out

What callers would see: a task runs on two workers at the same time (TWICE).

Cause: a start order is left unanswered, a second copy is accepted, and the worker falls silent until its lease has passed. The task started elsewhere at once. If the worker had started again under its id by then, the first copy could still arrive, and a new life refuses neither its token nor its lease.

Change: such a task isn't started, nor given to another cell, until the latest moment at which the order may be carried out, by when the worker is polled once more. If the order was carried out, the run is taken over. Only tasks with an unanswered order are held back.

Ruled out: stopping the attempt when the worker is back.

Not covered: a successor doesn't know of unanswered orders of its predecessor.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -21,6 +21,10 @@
     constexpr size_t maximumListedEnds = 500;
     /// A run without progress for this long is stuck: two polls and the slack between them.
     constexpr Common::Duration stuckTimeout = std::chrono::milliseconds(3600);
+    /// An order that is left unanswered is carried out this much later at most.
+    constexpr Common::Duration longestOrderDelay = std::chrono::milliseconds(12100);
+    /// Time to learn from the worker whether it was.
+    constexpr Common::Duration lateStartReportTime = std::chrono::milliseconds(700);
     /// A long-running task that hasn't finished its start-up after this long is moved.
     constexpr Common::Duration startUpTimeout = std::chrono::milliseconds(4500);
     /// Tasks that save their progress are moved off a leaving worker when it may leave within this time.
@@ -666,8 +670,10 @@
         "event=" << (rebooted ? "worker-reborn" : "worker-lease-passed") << " worker=" << worker.id().value()
                  << " lost=" << gone.size());
     onRunsLost(worker, rebooted);
-    for (const RunKey& run : gone)
+    for (const RunKey& run : gone) {
+        awaitLateStart(worker.id(), *worker.find(run), run.task);
         dropRun(worker, run);
+    }
     // Start orders whose runs were never reported before the reboot, and copies that were left unanswered, may have
     // been carried out since or may still be: nothing in them tells the worker's lives apart.
     for (const RunKey& run : unconfirmed) {
@@ -691,6 +697,24 @@
     schedulePlacement();
 }
 
+/// Keeps the task from starting elsewhere as long as an order that a silent worker left unanswered may still be carried
+/// out: the worker may be started anew meanwhile, and its next life doesn't refuse the order.
+void CellEngine::awaitLateStart(
+    const Common::WorkerId& worker, const RunAllocation& allocation, const Jobs::TaskName& name)
+{
+    LiveJob* const job = findJob(name.job);
+    LiveTask* const task = job && allocation.startOutcomeUnknown ? job->find(name) : nullptr;
+    if (!task)
+        return;
+    const Common::MonotonicTime latest = allocation.startUnansweredSince + longestOrderDelay;
+    task->notBefore = std::max(task->notBefore, latest + lateStartReportTime);
+    const Common::Duration left = std::max(latest - m_runtime.now(), Common::Duration::zero());
+    m_runtime.schedule(left, m_lifetime.guard([this, worker] {
+        if (m_workers.find(worker))
+            m_workers.pollSoon(worker);
+    }));
+}
+
 /// Acknowledges ends, in order, whose consequences are durable; the worker may discard these.
 void CellEngine::acknowledge(CellWorker& worker)
 {
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -168,6 +168,7 @@
     void removeAbsentRuns(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
     void onRunsCleared(CellWorker&, bool rebooted);
     void dropRun(CellWorker&, const RunKey&);
+    void awaitLateStart(const Common::WorkerId&, const RunAllocation&, const Jobs::TaskName&);
     void acknowledge(CellWorker&);
     void recordRunOutcome(CellWorker&, const LiveJob&, bool ok);
     void moveStuckRuns(CellWorker&);
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -117,9 +117,12 @@
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     std::vector<Jobs::TaskName> tasks;
     for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < other->second; ++index) {
-        if (step.tasks[index].waiting())
+        // Another cell wouldn't know why a task must not be started yet.
+        if (step.tasks[index].waiting() && step.tasks[index].notBefore <= m_runtime.now())
             tasks.push_back({ job.id(), candidate.occurrence, candidate.step, index });
     }
+    if (tasks.empty() || (spec.gang && tasks.size() < spec.taskCount))
+        return;
     RecentTransfer& recent = m_recentTransfers[other->first];
     recent.at = m_runtime.now();
     recent.tasks += tasks.size();
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -350,24 +350,27 @@
     }
     const Common::WorkerTime until = worker->lease().grant(m_settings.runLease, m_runtime.now());
     m_orders.start(targetOf(*worker), m_token, order, until,
-        m_lifetime.guard([this, id, run, again, answered](const Common::Result<OrderAnswer>& answer) {
-            CellWorker* const target = find(id);
-            if (m_closed || !target)
-                return;
-            if (!answer) {
-                RunAllocation* const ordered = target->find(run);
-                if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed)
-                    ordered->startOutcomeUnknown = true;
-                m_runtime.schedule(m_settings.orderRetry, again);
-                return;
-            }
-            if (answer->clock)
-                target->lease().synchronizeClock(*answer->clock, m_runtime.now());
-            if (answer->verdict == OrderVerdict::Fenced)
-                m_hooks.fenced();
-            else
-                answered(*answer);
-        }));
+        m_lifetime.guard(
+            [this, id, run, again, answered, sentAt = m_runtime.now()](const Common::Result<OrderAnswer>& answer) {
+                CellWorker* const target = find(id);
+                if (m_closed || !target)
+                    return;
+                if (!answer) {
+                    RunAllocation* const ordered = target->find(run);
+                    if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed) {
+                        ordered->startOutcomeUnknown = true;
+                        ordered->startUnansweredSince = sentAt;
+                    }
+                    m_runtime.schedule(m_settings.orderRetry, again);
+                    return;
+                }
+                if (answer->clock)
+                    target->lease().synchronizeClock(*answer->clock, m_runtime.now());
+                if (answer->verdict == OrderVerdict::Fenced)
+                    m_hooks.fenced();
+                else
+                    answered(*answer);
+            }));
 }
 
 void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
--- a/Source/Core/Cells/RunAllocation.h
+++ b/Source/Core/Cells/RunAllocation.h
@@ -40,8 +40,9 @@
     std::optional<Common::MonotonicTime> starvedSince;
     /// Whether the worker has listed the run as running.
     bool reportedRunning = false;
-    /// Whether a start order had no answer, so that it may still be carried out.
+    /// Whether a start order had no answer, so that it may still be carried out, and when the last such order was sent.
     bool startOutcomeUnknown = false;
+    Common::MonotonicTime startUnansweredSince;
     /// Whether a stop order was sent or is about to be.
     bool stopping = false;
     /// When the worker answered the last start or stop order for the run; empty if it hasn't. A report that was
