Acknowledge ends for as long after a report as an answer may take

A host whose timers are late by more than the pause between two polls could never acknowledge an end: each poll came over 0.36 s after the report. The time is now that of an answer, 0.7 s; a worker that starts anew, gets a task and ends it within it isn't known. RebornWorkerTest passes as before.

Also: a part that doesn't name the cell of its job has returned nothing, so its occurrences stay open. Parts of scheduled jobs without that name don't exist so far.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -168,7 +168,7 @@
 bool CellWorkers::mayAcknowledgeTo(const CellWorker& worker, const Link& link) const
 {
     return worker.reachable && link.listsEnds && link.heardAt
-        && m_runtime.suspendAwareNow() - *link.heardAt <= 2 * m_settings.pollPauseAfterEnd;
+        && m_runtime.suspendAwareNow() - *link.heardAt <= m_settings.answerTimeout;
 }
 
 void CellWorkers::onPollAnswer(
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -80,7 +80,7 @@
 void LiveJob::closeReturned()
 {
     // Other parts have one occurrence only.
-    if (!isPart() || !spec().isScheduled())
+    if (!isPart() || homeCell().empty() || !spec().isScheduled())
         return;
     std::erase_if(m_occurrences, [this](const auto& row) {
         return std::all_of(row.second.steps.begin(), row.second.steps.end(), [this](const LiveStep& step) {
