--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -709,6 +709,10 @@
     const Common::MonotonicTime latest = allocation.startUnansweredSince + longestOrderDelay;
     task->notBefore = std::max(task->notBefore, latest + lateStartReportTime);
     const Common::Duration left = std::max(latest - m_runtime.now(), Common::Duration::zero());
+    LC_INFO(Jobs,
+        "event=start-held job=" << name.job.value() << " task=" << name.occurrence << "." << name.step << "."
+                                << name.index << " worker=" << worker.value()
+                                << " left-ms=" << left / std::chrono::milliseconds(1));
     m_runtime.schedule(left, m_lifetime.guard([this, worker] {
         if (m_workers.find(worker))
             m_workers.pollSoon(worker);
