Log what a host believes about a cell's owner when that changes or refuses a cancellation

Nothing told why a host knew no owner of a cell: released, silent, replaced or unannounced; a cancellation that was refused for that left only its status. cell-ownerless and cell-has-owner, once for each change, and cancellation-refused name the owner, its token and why it doesn't count. No logic changes.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -609,14 +609,32 @@
     if (!isOwnerless(cell))
         m_lateProbes.erase(cell);
     if (!isOwnerless(cell) || !hasCurrentView) {
-        m_ownerlessSince.erase(cell);
+        if (m_ownerlessSince.erase(cell) > 0 && !isOwnerless(cell))
+            LC_INFO(Jobs, "event=cell-has-owner cell=" << cell.value() << " " << describeOwner(cell));
         return;
     }
-    const Common::MonotonicTime since = m_ownerlessSince.try_emplace(cell, now).first->second;
-    if (now - since >= claimDelay(cell))
+    const auto [since, isNew] = m_ownerlessSince.try_emplace(cell, now);
+    if (isNew)
+        LC_INFO(Jobs, "event=cell-ownerless cell=" << cell.value() << " " << describeOwner(cell));
+    if (now - since->second >= claimDelay(cell))
         claim(cell);
 }
 
+std::string CellOwnership::describeOwner(const CellId& cell) const
+{
+    const auto found = m_owners.find(cell);
+    if (found == m_owners.end())
+        return "owner=unknown";
+    const Owner& owner = found->second;
+    const Common::MonotonicTime now = m_ports.runtime.now();
+    std::string text = "owner=" + owner.id.value() + " token=" + std::to_string(owner.token.value)
+        + " alive=" + (m_directory.isAlive(owner.id, now) ? "1" : "0") + " released=" + (owner.released ? "1" : "0")
+        + " replaced=" + (m_directory.isReplaced(owner.id) ? "1" : "0");
+    if (owner.unannouncedSince)
+        text += " unannounced-ms=" + std::to_string((now - *owner.unannouncedSince) / std::chrono::milliseconds(1));
+    return text;
+}
+
 /// How long this host leaves the ownerless cell to hosts that should rather own it.
 Common::Duration CellOwnership::claimDelay(const CellId& cell) const
 {
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -24,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace Cells {
@@ -70,6 +71,8 @@
     const std::map<CellId, std::unique_ptr<CellEngine>>& engines() const { return m_engines; }
     /// The other host that owns the cell; null when none is known to be alive or it has released the cell.
     const Owner* liveOwner(const CellId&) const;
+    /// What this host believes about the cell's other owner, for log lines.
+    std::string describeOwner(const CellId&) const;
     /// The region of a failure domain; empty when no host of the domain is known.
     Common::RegionId regionOf(const Common::DomainId& domain) const { return m_directory.regionOf(domain); }
     /// Whether this host receives the loads of all cells.
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -725,6 +725,9 @@
     }
     const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(cell);
     if (!owner) {
+        LC_WARN(Jobs,
+            "event=cancellation-refused job=" << job.value() << " cell=" << cell.value() << " "
+                                              << m_cellOwnership.describeOwner(cell));
         Common::Failure refusal = failure(Common::ErrorCode::PeerUnavailable, "the job's cell has no owner now");
         refusal.retryAfter = retryAfterNoOwner;
         callback(refusal);
