--- /dev/null
+++ b/Source/UnitTests/Cells/ReleasedCellTest.cpp
@@ -0,0 +1,73 @@
+// Cells whose owner announces a release and holds them on, because the release couldn't be written.
+#include "Cells/Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A fleet with a service of eight tasks whose cell's owner releases the cell while the store is down.
+struct FailedRelease : Fleet {
+    Cells::CellId cell { "yard-0" };
+    WorldHost* releaser = nullptr;
+    Cells::FencingToken token;
+
+    FailedRelease()
+    {
+        Outcome submitted;
+        submit(*owner(), service(1, 8), submitted);
+        clock.advance(2s);
+        REQUIRE(running() == 8);
+        releaser = owner();
+        token = releaser->cellOwnership.engines().at(cell)->token();
+        // A larger host is preferred; the owner hands the cell over after handOverDelay.
+        WorldHost& preferred = addHost("yard", "d:1", 100'000);
+        clock.advance(5s);
+        store.down = true;
+        for (size_t steps = 0; steps < 100 && owner(); ++steps)
+            clock.advance(50ms);
+        REQUIRE_FALSE(owner());
+        preferred.process.kill();
+        clock.advance(200ms);
+    }
+    /// The store returns, and the host that has released the cell claims it again.
+    void holdOn()
+    {
+        store.down = false;
+        clock.advance(8s);
+        REQUIRE(owner() == releaser);
+        REQUIRE(releaser->cellOwnership.engines().at(cell)->token() == token);
+    }
+    std::vector<WorldHost*> others()
+    {
+        std::vector<WorldHost*> found = live();
+        std::erase(found, releaser);
+        return found;
+    }
+};
+
+} // namespace
+
+TEST_CASE("jobs of a cell that its owner holds on after a failed release can be cancelled at each host")
+{
+    FailedRelease world;
+    world.holdOn();
+    for (const WorldHost* const host : world.others()) {
+        CAPTURE(host->address);
+        CHECK(host->cellOwnership.liveOwner(world.cell));
+    }
+    Outcome cancelled;
+    world.others().front()->front.cancel(
+        CellWorld::jobId(1), 2s, [&cancelled](const Common::Result<Common::Done>& done) { cancelled = done; });
+    world.clock.advance(2s);
+    REQUIRE(cancelled);
+    CHECK(cancelled->hasValue());
+    CHECK(world.running() == 0);
+    CHECK(world.judge.summary() == "");
+}
