Know the owner of a cell again that it holds on after a failed release

Callers saw cancelled services whose tasks worked on: hosts other than the owner refused cancellations of jobs of that cell for good, and messages about tasks in it waited.

Cause: a host marked the owner as released when its state listed the release, and took the mark back only for another owner or token. A release whose write fails leaves the record as it was; the releasing host may claim the cell again and then holds it under the same token (onRecord, readCell). The same holds for a mark that the owner itself contradicts when it is called.

Fix: the mark belongs to the owner's newest state. A newer state that lists the cell takes it back; HostDirectory accepts no older state of a process, so a late one can't. An answer of the owner takes it back if the call was sent after the state with the release had been received.

That this is the users' case isn't shown.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -318,9 +318,9 @@
             owner.token = owned.token;
             owner.loadVersion = 0;
             owner.confirmedAt.reset();
-            owner.released = false;
         }
         owner.unannouncedSince.reset();
+        owner.releasedAt.reset();
     }
     for (auto& [cell, owner] : m_owners) {
         const bool isAnnounced = owner.id != state.id
@@ -332,7 +332,7 @@
     for (const CellId& cell : state.released) {
         const auto owner = m_owners.find(cell);
         if (owner != m_owners.end() && owner->second.id == state.id && owner->second.unannouncedSince)
-            owner->second.released = true;
+            owner->second.releasedAt = now;
     }
 }
 
@@ -468,7 +468,7 @@
 const CellOwnership::Owner* CellOwnership::liveOwner(const CellId& cell) const
 {
     const auto owner = m_owners.find(cell);
-    if (owner == m_owners.end() || owner->second.released)
+    if (owner == m_owners.end() || owner->second.releasedAt)
         return nullptr;
     const Common::MonotonicTime now = m_ports.runtime.now();
     const auto isWithinTimeout = [&](const std::optional<Common::MonotonicTime>& since) {
@@ -628,7 +628,7 @@
     const Owner& owner = found->second;
     const Common::MonotonicTime now = m_ports.runtime.now();
     std::string text = "owner=" + owner.id.value() + " token=" + std::to_string(owner.token.value)
-        + " alive=" + (m_directory.isAlive(owner.id, now) ? "1" : "0") + " released=" + (owner.released ? "1" : "0")
+        + " alive=" + (m_directory.isAlive(owner.id, now) ? "1" : "0") + " released=" + (owner.releasedAt ? "1" : "0")
         + " replaced=" + (m_directory.isReplaced(owner.id) ? "1" : "0");
     if (owner.unannouncedSince)
         text += " unannounced-ms=" + std::to_string((now - *owner.unannouncedSince) / std::chrono::milliseconds(1));
@@ -788,7 +788,7 @@
     }
     Owner& owner = m_owners[cell];
     if (record->token > owner.token && !record->released && m_directory.isAlive(record->owner, m_ports.runtime.now())) {
-        confirmOwner(owner, *record);
+        confirmOwner(owner, *record, m_ports.runtime.now());
         endClaim(cell, "another host owns the cell");
         return;
     }
@@ -802,8 +802,8 @@
         replaceOwner(cell, *record, found->revision, isProvablyStopped(*record));
 }
 
-/// The cell's record, or the owner itself, names the owner.
-void CellOwnership::confirmOwner(Owner& owner, const CellRecord& record) const
+/// The cell's record, or the owner itself, names the owner in answer to a call of `askedAt`.
+void CellOwnership::confirmOwner(Owner& owner, const CellRecord& record, Common::MonotonicTime askedAt) const
 {
     if (owner.id != record.owner || owner.token != record.token) {
         owner.id = record.owner;
@@ -811,8 +811,11 @@
         owner.token = record.token;
         owner.loadVersion = 0;
         owner.unannouncedSince = m_ports.runtime.now();
-        owner.released = false;
+        owner.releasedAt.reset();
     }
+    // A state that was received during the call may be newer than the answer.
+    if (owner.releasedAt && *owner.releasedAt < askedAt)
+        owner.releasedAt.reset();
     owner.confirmedAt = m_ports.runtime.now();
 }
 
@@ -834,7 +837,7 @@
     const Common::Result<ProbeAnswer>& answer, bool wasRead, Common::MonotonicTime askedAt)
 {
     if (answer && answer->process == record.owner && answer->holdsCell) {
-        confirmOwner(m_owners[cell], record);
+        confirmOwner(m_owners[cell], record, askedAt);
         m_lateProbes.erase(cell);
         endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
         return;
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -54,7 +54,9 @@
         std::optional<Common::MonotonicTime> confirmedAt;
         /// Since when the owner no longer announces the cell.
         std::optional<Common::MonotonicTime> unannouncedSince;
-        bool released = false;
+        /// When the owner's newest state was received, if it says that the owner has released the cell. An owner whose
+        /// release couldn't be written may hold the cell on under the same token.
+        std::optional<Common::MonotonicTime> releasedAt;
     };
 
     CellOwnership(Ports, const HostSettings&, const CellSettings&);
@@ -154,7 +156,7 @@
     void askFormerOwners();
     std::string heartbeatAddressAt(const std::string& address) const;
     void informSuccessor(const CellId&);
-    void confirmOwner(Owner&, const CellRecord&) const;
+    void confirmOwner(Owner&, const CellRecord&, Common::MonotonicTime askedAt) const;
     void tick();
     void detectStall();
     bool isOwnerless(const CellId&) const;
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -101,15 +101,26 @@
                 return;
             WorldHeartbeats* const receiver = found->second;
             receiver->m_process.post([receiver, text] {
-                if (receiver->m_handler && !receiver->dropsAll)
-                    receiver->m_handler(text);
+                if (!receiver->dropsAll)
+                    receiver->deliver(text);
             });
         });
     }
     void onReceive(std::function<void(std::string_view)> handler) override { m_handler = std::move(handler); }
 
+    void deliver(const std::string& text)
+    {
+        if (keepsReceived)
+            received.push_back(text);
+        if (m_handler)
+            m_handler(text);
+    }
+
     /// Received heartbeats are lost, as when the socket's buffer is full because the process is late.
     bool dropsAll = false;
+    /// Whether received heartbeats are kept, so that a test can deliver them again.
+    bool keepsReceived = false;
+    std::vector<std::string> received;
 
 private:
     Fakes::FakeNetwork& m_network;
--- a/Source/UnitTests/Cells/ReleasedCellTest.cpp
+++ b/Source/UnitTests/Cells/ReleasedCellTest.cpp
@@ -20,6 +20,7 @@
 
     FailedRelease()
     {
+        hosts.front()->heartbeats.keepsReceived = hosts.back()->heartbeats.keepsReceived = true;
         Outcome submitted;
         submit(*owner(), service(1, 8), submitted);
         clock.advance(2s);
@@ -71,3 +72,29 @@
     CHECK(world.running() == 0);
     CHECK(world.judge.summary() == "");
 }
+
+TEST_CASE("a call to the owner shows that it holds a cell on after a failed release")
+{
+    FailedRelease world;
+    WorldHost& deaf = *world.others().front();
+    deaf.heartbeats.dropsAll = true;
+    world.holdOn();
+    bool isKnown = false;
+    for (size_t steps = 0; steps < 100 && !isKnown; ++steps) {
+        world.clock.advance(100ms);
+        isKnown = deaf.cellOwnership.liveOwner(world.cell) != nullptr;
+    }
+    CHECK(isKnown);
+    CHECK(world.owner() == world.releaser);
+}
+
+TEST_CASE("states from before a release don't undo it")
+{
+    FailedRelease world;
+    WorldHost& host = *world.others().front();
+    REQUIRE(host.heartbeats.keepsReceived);
+    REQUIRE_FALSE(host.cellOwnership.liveOwner(world.cell));
+    for (const std::string& text : std::vector<std::string>(host.heartbeats.received))
+        host.heartbeats.deliver(text);
+    CHECK_FALSE(host.cellOwnership.liveOwner(world.cell));
+}
