Pursue cancellations until the job's cell confirms them

Callers saw cancelled services whose tasks worked on, although their cells had owners again.

Cause: a host attempted a cancellation once, within its caller's time. While the cell had no owner, the store was down or the owner didn't answer, it refused the call or gave it up, and forgot it. A caller that stops repeating it leaves the tasks running for good.

Fix: PendingCancellations attempts a cancellation with growing pauses until the cell confirms it, for a minute after the last call. Callers get 504 at the end of their time, since it may still take effect; before, they got 503 at once while the cell had no owner. A host that stops goes on within its grace period.

Ruled out: answering 503 at once and pursuing all the same, as 503 says that nothing was done; writing the cancellation to the store as a record of its own, which needs a second reader of such records in each owner.

--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -167,6 +167,10 @@
     , m_peers(peers)
     , m_cellOwnership(cellOwnership)
     , m_settings(settings)
+    , m_pendingCancellations(
+          runtime, [this](const Common::JobId& job, Common::Duration timeout, Common::Callback<Common::Done> callback) {
+              attemptCancellation(job, timeout, std::move(callback));
+          })
 {
 }
 
@@ -703,6 +707,12 @@
 // Cancellations.
 
 void JobGateway::cancel(const Common::JobId& job, Common::Duration timeout, Common::Callback<Common::Done> callback)
+{
+    m_pendingCancellations.add(job, timeout, std::move(callback));
+}
+
+void JobGateway::attemptCancellation(
+    const Common::JobId& job, Common::Duration timeout, Common::Callback<Common::Done> callback)
 {
     locate(job,
         m_lifetime.guard(
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -4,6 +4,7 @@
 
 #include "Cells/CellId.h"
 #include "Cells/CellOwnership.h"
+#include "Cells/PendingCancellations.h"
 #include "Cells/RecordStore.h"
 #include "Common/Ids.h"
 #include "Common/Lifetime.h"
@@ -37,13 +38,13 @@
     void submit(Jobs::JobRecord, Common::Duration timeout, Common::Callback<Common::Done>);
     /// UnknownJob: there is no such job, or its record has expired. Other failures: the phase can't be determined now.
     void phase(const Common::JobId&, Common::Duration timeout, Common::Callback<Jobs::JobPhase>);
-    /// Done once the cancellation is durable and nothing of the job runs any more. OutcomeUnknown: some of its tasks
-    /// haven't been confirmed to have stopped in time; the cancellation goes on. UnknownJob: there is no such job.
-    /// PeerUnavailable: the job's cell has no live owner now.
+    /// Done once the cancellation is durable and nothing of the job runs any more. OutcomeUnknown: that isn't confirmed
+    /// yet; the cancellation goes on. UnknownJob: there is no such job. Overloaded: it was not begun.
     void cancel(const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
     /// Number of accepted jobs of the route of which no task has started, over all cells with a live owner.
     /// PeerUnavailable: this host doesn't know the loads of cells, and no host that does answers.
     void pending(const std::string& route, Common::Duration timeout, Common::Callback<uint32_t>);
+    size_t pendingCancellations() const { return m_pendingCancellations.size(); }
 
 private:
     struct Submission;
@@ -82,6 +83,7 @@
     void phaseAt(const CellId&, const std::shared_ptr<Lookup>&);
     void phaseFromStore(const CellId&, const std::shared_ptr<Lookup>&);
     void phaseAtHome(const CellId& wrongCell, const std::shared_ptr<Lookup>&);
+    void attemptCancellation(const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
     void cancelAt(const CellId&, const Common::JobId&, Common::Duration timeout, Common::Callback<Common::Done>);
     void cancelOwned(CellEngine&, const CellId&, const Common::JobId&, Common::Duration timeout,
         const Common::Callback<Common::Done>&);
@@ -102,6 +104,7 @@
     };
     mutable std::map<CellId, SentDemand> m_sentDemand;
     Common::MonotonicTime m_startedAt;
+    PendingCancellations m_pendingCancellations;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -249,6 +249,8 @@
     metrics.gauge("lavendercart_owned_cells", "Cells that this host owns")
         .Set(static_cast<double>(cellOwnership.engines().size()));
     metrics.gauge("lavendercart_ready", "Whether the host takes calls").Set(ready() ? 1 : 0);
+    metrics.gauge("lavendercart_pending_cancellations", "Cancellations that the owners of cells haven't confirmed yet")
+        .Set(static_cast<double>(jobGateway.pendingCancellations()));
     metrics.gauge("lavendercart_unreadable_entries", "Entries of the list of workers that can't be read")
         .Set(static_cast<double>(registry.unreadableEntries()));
     updateWorkMetrics();
@@ -334,11 +336,14 @@
 void EntryProcess::Components::finish(Common::MonotonicTime notBefore, Common::MonotonicTime deadline)
 {
     const Common::MonotonicTime now = loop.now();
-    if (now < deadline && (now < notBefore || !handedOver || api.underWay() > 0)) {
+    const bool isBusy = !handedOver || api.underWay() > 0 || jobGateway.pendingCancellations() > 0;
+    if (now < deadline && (now < notBefore || isBusy)) {
         loop.schedule(stopPoll, [this, notBefore, deadline] { finish(notBefore, deadline); });
         return;
     }
-    LC_INFO(Core, "event=stopped calls=" << api.underWay() << " handed-over=" << handedOver);
+    LC_INFO(Core,
+        "event=stopped calls=" << api.underWay() << " cancellations=" << jobGateway.pendingCancellations()
+                               << " handed-over=" << handedOver);
     loop.stop();
 }
 
