Note ended jobs of LateHostScheduleTest before their records expire

It now notes ended jobs also right after the faults. As strict as before: a job has to have ended once.

--- a/Source/UnitTests/Cells/LateHostScheduleTest.cpp
+++ b/Source/UnitTests/Cells/LateHostScheduleTest.cpp
@@ -14,6 +14,8 @@
     forEachSeed<LateHostSchedule>({ "yard", "shed", "barn" }, 2, [&](LateHostSchedule& schedule) {
         schedule.runWithFaults();
         CHECK(schedule.cancelledButRunning() == "");
+        // The state of a job can be queried for two minutes after its end.
+        schedule.noteEndedJobs();
         schedule.clock.advance(60s);
         CHECK(schedule.cancelledButRunning() == "");
         CHECK(schedule.partialServices() == "");
