Count the pause before a retried commit from the failed call's sending

Cause: two waits add up. A commit or rewrite that is sent into the silence ends by its timeout only (0.8 s, 0.9 s through another host), and then the pause of up to 1 s began. Until both were over the cell wrote nothing and refused submissions after 250 ms.

Change: the pause, which bounds the rate of calls to a failing store, counts from the sending of the call. A store that refuses at once is called as seldom as before; one that is silent is called again 0.1 to 0.2 s after the timeout. No flush is sent before the pause is over, also if its timer was set earlier.

Ruled out: a shorter timeout (a slow store answers late); a longer wait of submissions while writes fail (callers would be held during the whole outage); shorter pauses (a store that refuses would get more calls).

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -166,7 +166,7 @@
 
 void CellCommitter::scheduleFlush(Common::Duration delay)
 {
-    const Common::MonotonicTime due = m_runtime.now() + std::max(delay, m_retryPause);
+    const Common::MonotonicTime due = std::max(m_runtime.now() + delay, m_retryAt);
     if (m_flushTimer && m_flushDue <= due)
         return;
     if (m_flushTimer)
@@ -182,6 +182,10 @@
 {
     if (m_busy || m_stopped)
         return;
+    if (m_runtime.now() < m_retryAt) {
+        scheduleFlush(Common::Duration::zero());
+        return;
+    }
     const Common::WorkTimes::Scope work(Common::WorkKind::Commits);
     if (m_needsRewrite) {
         rewriteRecord();
@@ -385,10 +389,14 @@
     m_removals.insert(m_removals.end(), batch.removals.begin(), batch.removals.end());
 }
 
+/// The pause bounds the rate of calls to a failing store, so it counts from the sending of the call: one that has ended
+/// by its timeout has waited already.
 void CellCommitter::retryLater()
 {
     m_retryPause = std::clamp(2 * m_retryPause, m_settings.firstRetryPause, m_settings.longestRetryPause);
-    scheduleFlush(m_retryPause);
+    const Common::Duration took = m_runtime.suspendAwareNow() - m_sentAt;
+    m_retryAt = m_runtime.now() + std::max(m_retryPause - took, m_settings.firstRetryPause);
+    scheduleFlush(Common::Duration::zero());
 }
 
 Common::Duration CellCommitter::currentAcceptTimeout() const
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -152,6 +152,8 @@
     /// When the call in progress was sent, on the clock that includes suspended time.
     Common::MonotonicTime m_sentAt;
     Common::Duration m_retryPause {};
+    /// Nothing is sent before this time.
+    Common::MonotonicTime m_retryAt;
     bool m_busy = false;
     bool m_needsRewrite = false;
     bool m_failing = false;
--- a/Source/Core/Cells/CommitterSettings.h
+++ b/Source/Core/Cells/CommitterSettings.h
@@ -11,7 +11,8 @@
     /// Delay before other changes are written. Workers keep the ends of runs until then, and a successor reads them
     /// from the workers.
     Common::Duration lazyCommitDelay = std::chrono::milliseconds(150);
-    /// Pause after a failed call; doubles up to `longestRetryPause`.
+    /// Time from a failed call's sending to the next call, and the least pause after its end. The time doubles up to
+    /// `longestRetryPause`.
     Common::Duration firstRetryPause = std::chrono::milliseconds(100);
     Common::Duration longestRetryPause = std::chrono::seconds(1);
     /// A submission that could not be written within this time is rejected, so that its caller can retry before its own
--- /dev/null
+++ b/Source/UnitTests/Cells/SilentStoreTest.cpp
@@ -0,0 +1,48 @@
+// What callers see of an outage in which the store doesn't answer at all: each call to it ends by its timeout only.
+#include "Cells/Fleet.h"
+#include "platform/KeyValueStore.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+void silenceStore(Fleet& fleet)
+{
+    for (WorldHost* const host : fleet.live())
+        fleet.network.cut(host->address, Fakes::FakeRecordStore::address);
+}
+
+} // namespace
+
+TEST_CASE("a submission isn't refused any more when calls sent into the store's silence have ended")
+{
+    for (uint64_t seed = 1; seed <= 41; ++seed) {
+        const Common::Duration silence = 2s + (seed - 1) * 100ms;
+        CAPTURE(seed);
+        CAPTURE(silence.count());
+        Fleet fleet(seed);
+        std::deque<Outcome> outcomes;
+        uint64_t lastJob = 0;
+        const auto submit = [&](WorldHost& host) -> Outcome& {
+            fleet.submit(host, CellWorld::job(++lastJob, "ok:500", 1), outcomes.emplace_back());
+            return outcomes.back();
+        };
+        silenceStore(fleet);
+        const Common::MonotonicTime end = fleet.clock.now() + silence;
+        while (fleet.clock.now() < end) {
+            submit(fleet.other());
+            fleet.clock.advance(100ms);
+        }
+        fleet.network.heal();
+        fleet.clock.advance(Platform::KeyValueStore::Settings {}.timeout);
+        const Outcome& outcome = submit(fleet.other());
+        fleet.clock.advance(3s);
+        REQUIRE(outcome);
+        CHECK(outcome->hasValue());
+    }
+}
