Keep a late timeout from hiding that the store answers, and record relayed calls

A host for which the store counts as failing relays its calls for up to a second.

Cause: results counted in the order in which calls end. A timeout tells how the store was when the call was sent. Besides, a host didn't count the results of calls that it made for others: one without calls of its own was asked to relay during the outage.

Change: a failed call that was sent before one that has succeeded isn't counted. Results of relayed calls are counted like the host's own.

Ruled out: sending again at once what others' answers show to be lost. A write of unknown outcome mustn't be repeated without the rewrite of the cell's record, and reads are relayed already.

--- a/Source/Core/Cells/RelayedStore.cpp
+++ b/Source/Core/Cells/RelayedStore.cpp
@@ -155,17 +155,15 @@
     m_runtime.schedule(directCheckInterval, m_lifetime.guard([this] { checkDirectStore(); }));
     if (m_directAvailable)
         return;
-    m_direct.get(StoreKeys::layout, Freshness::Linearizable,
-        m_lifetime.guard([this](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
-            recordDirectResult(found.hasValue());
-        }));
+    getDirectly(
+        StoreKeys::layout, Freshness::Linearizable, [](const Common::Result<std::optional<Scheduler::StoreValue>>&) {});
 }
 
 void RelayedStore::serve()
 {
     using Reply = Scheduler::PeerPort::Reply;
     m_peers.serve(getMethod, [this](const Json& params, const Reply& reply) {
-        m_direct.get(params.value("key", std::string {}), freshnessOf(params),
+        getDirectly(params.value("key", std::string {}), freshnessOf(params),
             [reply](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
                 if (!found)
                     reply(found.reason());
@@ -174,7 +172,7 @@
             });
     });
     m_peers.serve(listMethod, [this](const Json& params, const Reply& reply) {
-        m_direct.list(params.value("prefix", std::string {}), freshnessOf(params),
+        listDirectly(params.value("prefix", std::string {}), freshnessOf(params),
             [reply](const Common::Result<RecordListing>& listing) {
                 if (!listing)
                     reply(listing.reason());
@@ -191,7 +189,7 @@
             reply(malformed(error));
             return;
         }
-        m_direct.commit(std::move(transaction), [reply](const Common::Result<TransactionOutcome>& outcome) {
+        commitDirectly(std::move(transaction), [reply](const Common::Result<TransactionOutcome>& outcome) {
             if (!outcome)
                 reply(outcome.reason());
             else
@@ -200,12 +198,42 @@
     });
 }
 
-void RelayedStore::recordDirectResult(bool succeeded)
+void RelayedStore::getDirectly(
+    const std::string& key, Freshness freshness, Common::Callback<std::optional<Scheduler::StoreValue>> callback)
 {
-    if (!succeeded)
-        m_directFailedAt = m_runtime.now();
-    else
+    m_direct.get(key, freshness, recorded(std::move(callback)));
+}
+
+void RelayedStore::listDirectly(
+    const std::string& prefix, Freshness freshness, Common::Callback<RecordListing> callback)
+{
+    m_direct.list(prefix, freshness, recorded(std::move(callback)));
+}
+
+void RelayedStore::commitDirectly(RecordTransaction transaction, Common::Callback<TransactionOutcome> callback)
+{
+    m_direct.commit(std::move(transaction), recorded(std::move(callback)));
+}
+
+template <typename T> Common::Callback<T> RelayedStore::recorded(Common::Callback<T> callback)
+{
+    return m_lifetime.guard(
+        [this, sentAt = m_runtime.now(), callback = std::move(callback)](const Common::Result<T>& result) {
+            recordDirectResult(result.hasValue(), sentAt);
+            callback(result);
+        });
+}
+
+void RelayedStore::recordDirectResult(bool succeeded, Common::MonotonicTime sentAt)
+{
+    if (succeeded) {
         m_everAvailable = true;
+        m_answeredCallSentAt = std::max(m_answeredCallSentAt.value_or(sentAt), sentAt);
+    } else if (m_answeredCallSentAt && sentAt < *m_answeredCallSentAt) {
+        return;
+    } else {
+        m_directFailedAt = m_runtime.now();
+    }
     if (m_directAvailable == succeeded)
         return;
     m_directAvailable = succeeded;
@@ -244,9 +272,8 @@
     };
     if (avoidDirect() && relay(callback))
         return;
-    m_direct.get(key, freshness,
+    getDirectly(key, freshness,
         m_lifetime.guard([this, relay, callback](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
-            recordDirectResult(found.hasValue());
             if (found || !relay(callback))
                 callback(found);
         }));
@@ -265,9 +292,8 @@
     };
     if (avoidDirect() && relay(callback))
         return;
-    m_direct.list(
+    listDirectly(
         prefix, freshness, m_lifetime.guard([this, relay, callback](const Common::Result<RecordListing>& listing) {
-            recordDirectResult(listing.hasValue());
             if (listing || !relay(callback))
                 callback(listing);
         }));
@@ -291,9 +317,8 @@
     };
     if (avoidDirect() && relay(callback))
         return;
-    m_direct.commit(std::move(transaction),
+    commitDirectly(std::move(transaction),
         m_lifetime.guard([this, relay, callback](const Common::Result<TransactionOutcome>& outcome) {
-            recordDirectResult(outcome.hasValue());
             const bool mayRetry = !outcome && provesNoEffect(outcome.reason().code);
             if (!mayRetry || !relay(callback))
                 callback(outcome);
--- a/Source/Core/Cells/RelayedStore.h
+++ b/Source/Core/Cells/RelayedStore.h
@@ -8,6 +8,7 @@
 #include "Scheduler/Runtime.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace Cells {
@@ -20,7 +21,8 @@
 
     /// Registers the handlers for relayed calls of other hosts. The directory must outlive this object.
     void start(const HostDirectory&);
-    /// Whether the last direct call succeeded, watches aside; true before the first one.
+    /// Whether the last direct call succeeded, watches aside; true before the first one. A call that fails after a
+    /// later one has succeeded doesn't count.
     bool isDirectStoreAvailable() const { return m_directAvailable; }
 
     void get(const std::string& key, Freshness, Common::Callback<std::optional<Scheduler::StoreValue>>) override;
@@ -34,7 +36,12 @@
     const HostState* chooseRelay();
     /// Whether direct calls failed a moment ago, so that a relay is tried first.
     bool avoidDirect() const;
-    void recordDirectResult(bool succeeded);
+    /// Calls the store and hands each result to `recordDirectResult`, also that of a call for another host.
+    void getDirectly(const std::string& key, Freshness, Common::Callback<std::optional<Scheduler::StoreValue>>);
+    void listDirectly(const std::string& prefix, Freshness, Common::Callback<RecordListing>);
+    void commitDirectly(RecordTransaction, Common::Callback<TransactionOutcome>);
+    template <typename T> Common::Callback<T> recorded(Common::Callback<T>);
+    void recordDirectResult(bool succeeded, Common::MonotonicTime sentAt);
     void serve();
     void checkDirectStore();
 
@@ -45,6 +52,8 @@
     bool m_directAvailable = true;
     bool m_everAvailable = false;
     Common::MonotonicTime m_directFailedAt;
+    /// When the latest of the calls that have succeeded was sent.
+    std::optional<Common::MonotonicTime> m_answeredCallSentAt;
     Common::Lifetime m_lifetime;
 };
 
