Send the rewrite of a cell's record again while the store is silent

Cause: a cell had one call in progress at a time. One that was sent into the silence ended by its timeout only, 0.8 s after its sending, also when the store answered again; until then the cell wrote nothing and refused submissions after 250 ms.

Change: after an unknown outcome the record is rewritten, as before, but a copy of the rewrite is sent each 0.2 s until one is answered. All copies expect the same revision, so at most one commits, and the others' conflicts show the owner its own record; what was sent before them can't commit afterwards. Submissions outlast the 0.2 s. A store that refuses is called as before.

Ruled out: copies of transactions that write jobs (their outcomes can't be told apart); probes by reads, which tell that the store answers but not that the lost write is out of the way.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -432,16 +432,37 @@
 void CellCommitter::rewriteRecord()
 {
     m_busy = true;
-    m_sentAt = m_runtime.suspendAwareNow();
+    m_unansweredCopies = 0;
+    sendRewrite();
+}
+
+/// Sends a copy of the rewrite, and another one after a while if none is answered. At most one copy commits, since all
+/// expect the same revision; for the others the conflict shows this owner's own record.
+void CellCommitter::sendRewrite()
+{
+    ++m_unansweredCopies;
     CellRecord rewritten = m_record;
     ++rewritten.rewrites;
     RecordTransaction transaction;
     transaction.expected.emplace_back(StoreKeys::cell(m_cell), m_fence);
     transaction.puts.push_back({ StoreKeys::cell(m_cell), rewritten.encode(), {} });
-    m_store.commit(std::move(transaction), m_lifetime.guard([this](const Common::Result<TransactionOutcome>& outcome) {
-        m_busy = false;
-        if (!m_stopped)
+    m_store.commit(std::move(transaction),
+        m_lifetime.guard([this, rewrite = m_rewrite, sentAt = m_runtime.suspendAwareNow()](
+                             const Common::Result<TransactionOutcome>& outcome) {
+            if (m_stopped || rewrite != m_rewrite)
+                return;
+            --m_unansweredCopies;
+            const bool mayBeAnswered = m_unansweredCopies > 0 && !m_record.released;
+            if (!outcome && !provesNoEffect(outcome.reason().code) && mayBeAnswered)
+                return;
+            ++m_rewrite;
+            m_busy = false;
+            m_sentAt = sentAt;
             onRewritten(outcome);
+        }));
+    m_runtime.schedule(m_settings.rewriteRepeat, m_lifetime.guard([this, rewrite = m_rewrite] {
+        if (!m_stopped && rewrite == m_rewrite)
+            sendRewrite();
     }));
 }
 
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -21,7 +21,7 @@
 
 /// Every transaction expects the cell's record at the revision that this owner last wrote. After a transaction with an
 /// unknown outcome the record is rewritten first: from then on the lost transaction can't commit any more, and its
-/// changes are written again. Invariant: at most one transaction is in progress.
+/// changes are written again. Invariant: at most one transaction is in progress, or copies of one rewrite.
 class CellCommitter {
 public:
     struct Snapshot {
@@ -119,6 +119,7 @@
     void requeue();
     void retryLater();
     void rewriteRecord();
+    void sendRewrite();
     void onRewritten(Common::Result<TransactionOutcome>);
     void confirm();
     void loseCell();
@@ -149,11 +150,15 @@
     std::optional<Scheduler::TimerId> m_flushTimer;
     Common::MonotonicTime m_flushDue;
     Common::MonotonicTime m_confirmedAt;
-    /// When the call in progress was sent, on the clock that includes suspended time.
+    /// When the call in progress, or the copy of a rewrite that ended it, was sent, on the clock that includes
+    /// suspended time.
     Common::MonotonicTime m_sentAt;
     Common::Duration m_retryPause {};
     /// Nothing is sent before this time.
     Common::MonotonicTime m_retryAt;
+    /// Number of the rewrite in progress, or of the next one. Answers to copies of earlier ones are ignored.
+    uint64_t m_rewrite = 0;
+    uint32_t m_unansweredCopies = 0;
     bool m_busy = false;
     bool m_needsRewrite = false;
     bool m_failing = false;
--- a/Source/Core/Cells/CommitterSettings.h
+++ b/Source/Core/Cells/CommitterSettings.h
@@ -15,6 +15,9 @@
     /// `longestRetryPause`.
     Common::Duration firstRetryPause = std::chrono::milliseconds(100);
     Common::Duration longestRetryPause = std::chrono::seconds(1);
+    /// The cell's record is rewritten again after this time without an answer, as the first call's connection may stay
+    /// silent. Less than `acceptTimeoutWhileFailing`, so that submissions outlast it.
+    Common::Duration rewriteRepeat = std::chrono::milliseconds(200);
     /// A submission that could not be written within this time is rejected, so that its caller can retry before its own
     /// deadline: about a third of the usual three seconds.
     Common::Duration acceptTimeout = std::chrono::milliseconds(900);
--- a/Source/UnitTests/Cells/SilentStoreTest.cpp
+++ b/Source/UnitTests/Cells/SilentStoreTest.cpp
@@ -17,32 +17,44 @@
         fleet.network.cut(host->address, Fakes::FakeRecordStore::address);
 }
 
+/// Whether a submission `delay` after the end of the silence is accepted. Before, the cell has writes to make.
+bool acceptsAfterSilence(uint64_t seed, Common::Duration silence, Common::Duration delay)
+{
+    Fleet fleet(seed);
+    std::deque<Outcome> outcomes;
+    uint64_t lastJob = 0;
+    const auto submit = [&]() -> Outcome& {
+        fleet.submit(fleet.other(), CellWorld::job(++lastJob, "ok:500", 1), outcomes.emplace_back());
+        return outcomes.back();
+    };
+    silenceStore(fleet);
+    const Common::MonotonicTime end = fleet.clock.now() + silence;
+    while (fleet.clock.now() < end) {
+        submit();
+        fleet.clock.advance(100ms);
+    }
+    fleet.network.heal();
+    fleet.clock.advance(delay);
+    const Outcome& outcome = submit();
+    fleet.clock.advance(3s);
+    REQUIRE(outcome);
+    return outcome->hasValue();
+}
+
 } // namespace
 
 TEST_CASE("a submission isn't refused any more when calls sent into the store's silence have ended")
 {
     for (uint64_t seed = 1; seed <= 41; ++seed) {
-        const Common::Duration silence = 2s + (seed - 1) * 100ms;
         CAPTURE(seed);
-        CAPTURE(silence.count());
-        Fleet fleet(seed);
-        std::deque<Outcome> outcomes;
-        uint64_t lastJob = 0;
-        const auto submit = [&](WorldHost& host) -> Outcome& {
-            fleet.submit(host, CellWorld::job(++lastJob, "ok:500", 1), outcomes.emplace_back());
-            return outcomes.back();
-        };
-        silenceStore(fleet);
-        const Common::MonotonicTime end = fleet.clock.now() + silence;
-        while (fleet.clock.now() < end) {
-            submit(fleet.other());
-            fleet.clock.advance(100ms);
-        }
-        fleet.network.heal();
-        fleet.clock.advance(Platform::KeyValueStore::Settings {}.timeout);
-        const Outcome& outcome = submit(fleet.other());
-        fleet.clock.advance(3s);
-        REQUIRE(outcome);
-        CHECK(outcome->hasValue());
+        CHECK(acceptsAfterSilence(seed, 2s + (seed - 1) * 100ms, Platform::KeyValueStore::Settings {}.timeout));
+    }
+}
+
+TEST_CASE("a submission made after the store's silence isn't refused because calls sent into it have no answer")
+{
+    for (uint64_t seed = 1; seed <= 41; ++seed) {
+        CAPTURE(seed);
+        CHECK(acceptsAfterSilence(seed, 2s + (seed - 1) * 100ms, 0ms));
     }
 }
