--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -166,7 +166,7 @@
 
 void CellCommitter::scheduleFlush(Common::Duration delay)
 {
-    const Common::MonotonicTime due = m_runtime.now() + std::max(delay, m_retryPause);
+    const Common::MonotonicTime due = std::max(m_runtime.now() + delay, m_retryAt);
     if (m_flushTimer && m_flushDue <= due)
         return;
     if (m_flushTimer)
@@ -182,6 +182,10 @@
 {
     if (m_busy || m_stopped)
         return;
+    if (m_runtime.now() < m_retryAt) {
+        scheduleFlush(Common::Duration::zero());
+        return;
+    }
     const Common::WorkTimes::Scope work(Common::WorkKind::Commits);
     if (m_needsRewrite) {
         rewriteRecord();
@@ -385,10 +389,14 @@
     m_removals.insert(m_removals.end(), batch.removals.begin(), batch.removals.end());
 }
 
+/// The pause bounds the rate of calls to a failing store, so it counts from the sending of the call: one that has ended
+/// by its timeout has waited already.
 void CellCommitter::retryLater()
 {
     m_retryPause = std::clamp(2 * m_retryPause, m_settings.firstRetryPause, m_settings.longestRetryPause);
-    scheduleFlush(m_retryPause);
+    const Common::Duration took = m_runtime.suspendAwareNow() - m_sentAt;
+    m_retryAt = m_runtime.now() + std::max(m_retryPause - took, m_settings.firstRetryPause);
+    scheduleFlush(Common::Duration::zero());
 }
 
 Common::Duration CellCommitter::currentAcceptTimeout() const
@@ -424,16 +432,37 @@
 void CellCommitter::rewriteRecord()
 {
     m_busy = true;
-    m_sentAt = m_runtime.suspendAwareNow();
+    m_unansweredCopies = 0;
+    sendRewrite();
+}
+
+/// Sends a copy of the rewrite, and another one after a while if none is answered. At most one copy commits, since all
+/// expect the same revision; for the others the conflict shows this owner's own record.
+void CellCommitter::sendRewrite()
+{
+    ++m_unansweredCopies;
     CellRecord rewritten = m_record;
     ++rewritten.rewrites;
     RecordTransaction transaction;
     transaction.expected.emplace_back(StoreKeys::cell(m_cell), m_fence);
     transaction.puts.push_back({ StoreKeys::cell(m_cell), rewritten.encode(), {} });
-    m_store.commit(std::move(transaction), m_lifetime.guard([this](const Common::Result<TransactionOutcome>& outcome) {
-        m_busy = false;
-        if (!m_stopped)
+    m_store.commit(std::move(transaction),
+        m_lifetime.guard([this, rewrite = m_rewrite, sentAt = m_runtime.suspendAwareNow()](
+                             const Common::Result<TransactionOutcome>& outcome) {
+            if (m_stopped || rewrite != m_rewrite)
+                return;
+            --m_unansweredCopies;
+            const bool mayBeAnswered = m_unansweredCopies > 0 && !m_record.released;
+            if (!outcome && !provesNoEffect(outcome.reason().code) && mayBeAnswered)
+                return;
+            ++m_rewrite;
+            m_busy = false;
+            m_sentAt = sentAt;
             onRewritten(outcome);
+        }));
+    m_runtime.schedule(m_settings.rewriteRepeat, m_lifetime.guard([this, rewrite = m_rewrite] {
+        if (!m_stopped && rewrite == m_rewrite)
+            sendRewrite();
     }));
 }
 
