Ask a cell's owner again when a submission gets no answer in half a second

Cause: a submission waits 1.3 s for one owner, and a silent connection ends by its timeout only. The next cell's owner is reached over another pool, whose connections may be silent as well, so three owners cost 1.3 s + 1.3 s + 0.3 s of the caller's 3 s. Once a call has timed out, later ones to that address get through.

Change: the owner is asked again after 0.5 s, for the rest of the 1.3 s. The client has closed the idle connections to that address by then, so the second request has a new one. It is the same request: an owner that has the first one attaches the second to the open write, or knows the job. Since the first may have arrived, the outcome counts as unknown whatever the second one's refusal.

Ruled out: a shorter time for an owner without a second request (a slow store would send the job to the next cell while the write is open); closing idle connections early for all calls (watches and polls are silent for longer by design).

--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -32,6 +32,9 @@
     constexpr size_t maximumAskedHosts = 2;
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
+    /// The part of it after which the owner is asked again: longer than accepting a job takes, short enough that silent
+    /// connections to all owners that are tried leave time before the caller's deadline.
+    constexpr Common::Duration firstSubmitTimeout = std::chrono::milliseconds(500);
     /// Time for the job's tasks to stop, within the timeout of the call that asks for the cancellation.
     constexpr Common::Duration stopTimeout = std::chrono::milliseconds(2500);
     constexpr Common::Duration callTimeout = std::chrono::milliseconds(1000);
@@ -132,9 +135,11 @@
         return found->get<uint32_t>();
     }
 
-    Common::Result<AcceptOutcome> acceptFromJson(const Json& answer)
+    Common::Result<AcceptOutcome> acceptFrom(const Common::Result<Json>& answer)
     {
-        if (const std::string cell = textOf(answer, "elsewhere"); !cell.empty())
+        if (!answer)
+            return answer.reason();
+        if (const std::string cell = textOf(*answer, "elsewhere"); !cell.empty())
             return AcceptOutcome(AlreadyAccepted { CellId(cell) });
         return AcceptOutcome(Accepted {});
     }
@@ -507,7 +512,7 @@
         return;
     }
     submission->tried.insert(*cell);
-    sendSubmission(*cell, *submission,
+    sendSubmission(*cell, submission,
         m_lifetime.guard([this, submission, cell = *cell](const Common::Result<AcceptOutcome>& outcome) {
             onSubmitted(submission, cell, outcome);
         }));
@@ -521,28 +526,36 @@
 }
 
 void JobGateway::sendSubmission(
-    const CellId& cell, const Submission& submission, Common::Callback<AcceptOutcome> callback)
+    const CellId& cell, const std::shared_ptr<Submission>& submission, Common::Callback<AcceptOutcome> callback)
 {
     if (CellEngine* const engine = m_cellOwnership.engine(cell)) {
-        engine->submit(submission.record, fitOf(submission), std::move(callback));
+        engine->submit(submission->record, fitOf(*submission), std::move(callback));
         return;
     }
     const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(cell);
-    if (!owner && submission.ownerAddress.empty()) {
+    if (!owner && submission->ownerAddress.empty()) {
         // The owner was taken for dead after the cell was chosen: time advances between the two checks.
         callback(failure(Common::ErrorCode::PeerUnavailable, "the cell's owner is silent"));
         return;
     }
-    const std::string& address = owner ? owner->address : submission.ownerAddress;
-    const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission.record) },
-        { "fit", fitOf(submission) == CellEngine::Fit::Required } };
-    m_peers.call(address, submitMethod, params, std::min(submitTimeout, submission.deadline - m_runtime.now()),
-        [callback = std::move(callback)](const Common::Result<Json>& answer) {
-            if (!answer)
-                callback(answer.reason());
-            else
-                callback(acceptFromJson(*answer));
-        });
+    const std::string address = owner ? owner->address : submission->ownerAddress;
+    const Json params { { "cell", cell.value() }, { "job", Jobs::submissionToJson(submission->record) },
+        { "fit", fitOf(*submission) == CellEngine::Fit::Required } };
+    const Common::MonotonicTime end = std::min(m_runtime.now() + submitTimeout, submission->deadline);
+    m_peers.call(address, submitMethod, params, std::min(firstSubmitTimeout, end - m_runtime.now()),
+        m_lifetime.guard([this, address, params, end, submission, callback = std::move(callback)](
+                             const Common::Result<Json>& answer) {
+            const Common::Duration left = end - m_runtime.now();
+            if (answer || answer.reason().code != Common::ErrorCode::Timeout || left <= Common::Duration::zero()) {
+                callback(acceptFrom(answer));
+                return;
+            }
+            // The connection may be silent, and the next call opens a new one. The owner accepts a job only once, but
+            // whatever it answers now, it may have the first request as well.
+            submission->outcomeUnknown = true;
+            m_peers.call(address, submitMethod, params, left,
+                [callback](const Common::Result<Json>& second) { callback(acceptFrom(second)); });
+        }));
 }
 
 void JobGateway::onSubmitted(
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -74,7 +74,7 @@
     bool areCellsStarting() const;
     void onSubmitted(const std::shared_ptr<Submission>&, const CellId&, const Common::Result<AcceptOutcome>&);
     CellEngine::Fit fitOf(const Submission&) const;
-    void sendSubmission(const CellId&, const Submission&, Common::Callback<AcceptOutcome>);
+    void sendSubmission(const CellId&, const std::shared_ptr<Submission>&, Common::Callback<AcceptOutcome>);
 
     /// Finds the cell of a job; the result is nullopt when there is no such job.
     void locate(const Common::JobId&, Common::Callback<Location>);
--- a/Source/UnitTests/Fakes/FakePeer.h
+++ b/Source/UnitTests/Fakes/FakePeer.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -32,6 +33,13 @@
     void call(const std::string& address, const std::string& method, const nlohmann::json& params,
         Common::Duration timeout, Reply reply) override
     {
+        if (m_silent.contains(address)) {
+            m_process.schedule(timeout, [this, address, reply = std::move(reply)] {
+                m_silent.erase(address);
+                reply(Common::Failure { Common::ErrorCode::Timeout, address, std::nullopt });
+            });
+            return;
+        }
         // As with a connection, the first delivery determines the receiver, or that isRunning is none. A duplicated
         // message must not turn an accepted call into a failed connection.
         const auto receiver = std::make_shared<std::optional<FakePeer*>>();
@@ -55,6 +63,13 @@
         callOver<nlohmann::json>(m_network, m_process, m_address, address, timeout, serveAtReceiver, std::move(reply));
     }
     void serve(const std::string& method, Handler handler) override { m_handlers[method] = std::move(handler); }
+    /// The open connections to all other daemons fall silent. Calls to an address are lost until the first of them has
+    /// timed out; as with Http::Client, the next one opens a new connection.
+    void silenceConnections()
+    {
+        for (const auto& [address, peer] : m_directory)
+            m_silent.insert(address);
+    }
 
 private:
     FakeNetwork& m_network;
@@ -62,6 +77,8 @@
     Directory& m_directory;
     std::string m_address;
     std::map<std::string, Handler> m_handlers;
+    /// Addresses to which the open connections are silent.
+    std::set<std::string> m_silent;
 };
 
 } // namespace Fakes
