--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -782,8 +782,11 @@
         return;
     }
     if (record->owner == m_settings.id && !record->released) {
-        // An earlier claim whose answer was lost.
-        readCell(cell, *record, found->revision, false);
+        // An earlier claim whose answer was lost, or a release that wasn't written. Either may still be written, and
+        // other hosts may have been told of the release: only a new token tells the ownerships apart.
+        writeClaim(cell,
+            CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false },
+            found->revision, false);
         return;
     }
     Owner& owner = m_owners[cell];
--- a/Source/UnitTests/Cells/ReleasedCellTransferTest.cpp
+++ b/Source/UnitTests/Cells/ReleasedCellTransferTest.cpp
@@ -71,14 +71,14 @@
     {
         return store.countWithPrefix(Cells::StoreKeys::job(cell, jobId(jobNumber)) + Cells::StoreKeys::transferMarker);
     }
-    /// The cell's owner hands it over to a nearer host, which then stops, while the store is down. `outage` after its
-    /// release the store returns, and it claims the cell again.
+    /// The cell's owner hands it over to a nearer and larger host, which then stops, while the store is down. `outage`
+    /// after its release the store returns, and it claims the cell again.
     void holdOnAfterFailedRelease(
         const Cells::CellId& cell, Common::Duration outage, const std::function<void()>& duringOutage = [] {})
     {
         WorldHost* const releaser = ownerOf(cell);
         const std::string domain = cell == home ? "yard" : "shed";
-        WorldHost& nearer = addHost(domain, domain + ":1");
+        WorldHost& nearer = addHost(domain, domain + ":1", 100'000);
         clock.advance(5s);
         store.down = true;
         duringOutage();
