Ask the owner again after 0.8 s rather than 0.5 s

Cause: an owner whose store is slow answers a submission within the time of a call to the store, 0.8 s. A second request at 0.5 s reached it while it answered the first one, and waited anew for the open write.

Change: 0.8 s, then 0.5 s for the second request.

SilentPeerTest passes.

--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -32,9 +32,9 @@
     constexpr size_t maximumAskedHosts = 2;
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
-    /// The part of it after which the owner is asked again: longer than accepting a job takes, short enough that silent
-    /// connections to all owners that are tried leave time before the caller's deadline.
-    constexpr Common::Duration firstSubmitTimeout = std::chrono::milliseconds(500);
+    /// The part of it after which the owner is asked again: the longest time of a call to the store, so that an owner
+    /// that has the request has answered by then, also when the store is slow.
+    constexpr Common::Duration firstSubmitTimeout = std::chrono::milliseconds(800);
     /// Time for the job's tasks to stop, within the timeout of the call that asks for the cancellation.
     constexpr Common::Duration stopTimeout = std::chrono::milliseconds(2500);
     constexpr Common::Duration callTimeout = std::chrono::milliseconds(1000);
