Keep knowing the owner that has replaced this host

Callers saw (ReplacedOwnerViewTest): a host that had stalled and lost its cell knew no owner of it for 16 of 20 s, in gaps of up to 6 s.

Cause: the new owner's state arrived while the host still had its engine. The loss erased what it knew of the owner, and the state isn't news again; an owner known from the record counts for two seconds only unless it announces itself again. Besides, the answer to a probe could replace a newer owner that had announced itself during the probe.

Fix: after a loss the owner is looked up among the known states; an owner whose newest state lists the cell isn't unannounced; an older record replaces nothing.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -465,6 +465,33 @@
     }
 }
 
+/// Whether the owner's newest state lists the cell.
+bool CellOwnership::isAnnounced(const CellId& cell, const Owner& owner) const
+{
+    const HostState* const host = m_directory.find(owner.id);
+    return host
+        && std::find(host->cells.begin(), host->cells.end(), HostState::OwnedCell { cell, owner.token })
+        != host->cells.end();
+}
+
+/// The states of other hosts may have told of the new owner while this host still believed that it was the owner; they
+/// aren't news again.
+void CellOwnership::findAnnouncedOwner(const CellId& cell)
+{
+    m_owners.erase(cell);
+    for (const auto& [key, row] : m_directory.rows()) {
+        for (const HostState::OwnedCell& owned : row.state.cells) {
+            if (owned.cell != cell || owned.token < m_owners[cell].token)
+                continue;
+            Owner owner;
+            owner.id = row.state.id;
+            owner.address = row.state.address;
+            owner.token = owned.token;
+            m_owners[cell] = std::move(owner);
+        }
+    }
+}
+
 const CellOwnership::Owner* CellOwnership::liveOwner(const CellId& cell) const
 {
     const auto owner = m_owners.find(cell);
@@ -789,9 +816,9 @@
             found->revision, false);
         return;
     }
-    Owner& owner = m_owners[cell];
-    if (record->token > owner.token && !record->released && m_directory.isAlive(record->owner, m_ports.runtime.now())) {
-        confirmOwner(owner, *record, m_ports.runtime.now());
+    if (record->token > m_owners[cell].token && !record->released
+        && m_directory.isAlive(record->owner, m_ports.runtime.now())) {
+        confirmOwner(cell, *record, m_ports.runtime.now());
         endClaim(cell, "another host owns the cell");
         return;
     }
@@ -806,14 +833,21 @@
 }
 
 /// The cell's record, or the owner itself, names the owner in answer to a call of `askedAt`.
-void CellOwnership::confirmOwner(Owner& owner, const CellRecord& record, Common::MonotonicTime askedAt) const
+void CellOwnership::confirmOwner(const CellId& cell, const CellRecord& record, Common::MonotonicTime askedAt)
 {
+    Owner& owner = m_owners[cell];
+    // A newer owner has announced itself during the call.
+    if (record.token < owner.token)
+        return;
     if (owner.id != record.owner || owner.token != record.token) {
         owner.id = record.owner;
         owner.address = record.address;
         owner.token = record.token;
         owner.loadVersion = 0;
-        owner.unannouncedSince = m_ports.runtime.now();
+        if (!isAnnounced(cell, owner))
+            owner.unannouncedSince = m_ports.runtime.now();
+        else
+            owner.unannouncedSince.reset();
         owner.releasedAt.reset();
     }
     // A state that was received during the call may be newer than the answer.
@@ -840,7 +874,7 @@
     const Common::Result<ProbeAnswer>& answer, bool wasRead, Common::MonotonicTime askedAt)
 {
     if (answer && answer->process == record.owner && answer->holdsCell) {
-        confirmOwner(m_owners[cell], record, askedAt);
+        confirmOwner(cell, record, askedAt);
         m_lateProbes.erase(cell);
         endClaim(cell, "the owner answers calls, only its heartbeats don't arrive");
         return;
@@ -998,8 +1032,8 @@
     const FencingToken token = recoveredCell.record.token;
     auto engine = std::make_unique<CellEngine>(m_ports.runtime, m_ports.store, m_ports.orders, cell, m_cellSettings,
         std::move(recoveredCell), peerCells(), m_lifetime.guard([this, cell] {
-            m_owners.erase(cell);
             removeEngine(cell);
+            findAnnouncedOwner(cell);
         }));
     LC_INFO(Jobs, "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs);
     for (const auto& [other, pressureEstimates] : m_pressureEstimates) {
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -156,7 +156,9 @@
     void askFormerOwners();
     std::string heartbeatAddressAt(const std::string& address) const;
     void informSuccessor(const CellId&);
-    void confirmOwner(Owner&, const CellRecord&, Common::MonotonicTime askedAt) const;
+    void confirmOwner(const CellId&, const CellRecord&, Common::MonotonicTime askedAt);
+    bool isAnnounced(const CellId&, const Owner&) const;
+    void findAnnouncedOwner(const CellId&);
     void tick();
     void detectStall();
     bool isOwnerless(const CellId&) const;
--- a/Source/UnitTests/Cells/ReleasedCellTest.cpp
+++ b/Source/UnitTests/Cells/ReleasedCellTest.cpp
@@ -99,9 +99,10 @@
     WorldHost& host = *world.others().front();
     REQUIRE(host.heartbeats.keepsReceived);
     REQUIRE_FALSE(host.cellOwnership.liveOwner(world.cell));
-    for (const std::string& text : std::vector<std::string>(host.heartbeats.received))
+    for (const std::string& text : std::vector<std::string>(host.heartbeats.received)) {
         host.heartbeats.deliver(text);
-    CHECK_FALSE(host.cellOwnership.liveOwner(world.cell));
+        CHECK_FALSE(host.cellOwnership.liveOwner(world.cell));
+    }
 }
 
 TEST_CASE("a release that is written late doesn't end the ownership of the host that has claimed the cell again")
