Answer a cancellation only by attempts that began after the call

A job accepted in between got 410 and ran on.

An unknown job now ends the cancellation only if no caller came after the attempt began; otherwise it is attempted again at once.

--- a/Source/Core/Cells/PendingCancellations.cpp
+++ b/Source/Core/Cells/PendingCancellations.cpp
@@ -5,7 +5,6 @@
 #include "Scheduler/Runtime.h"
 
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 namespace Cells {
@@ -44,22 +43,31 @@
             Common::ErrorCode::Overloaded, "too many cancellations are pending", retryAfterOverload });
         return;
     }
-    const auto answered = std::make_shared<bool>(false);
-    const auto answer = [callback = std::move(callback), answered](const Common::Result<Common::Done>& outcome) {
-        if (!std::exchange(*answered, true))
-            callback(outcome);
-    };
     Cancellation& cancellation = isNew ? m_cancellations[job] : known->second;
-    cancellation.callers.push_back(answer);
-    cancellation.askedAt = m_runtime.now();
-    m_runtime.schedule(timeout, m_lifetime.guard([answer] {
-        answer(Common::Failure {
-            Common::ErrorCode::OutcomeUnknown, "the cancellation isn't confirmed yet; it goes on", std::nullopt });
-    }));
+    const uint64_t number = ++m_calls;
+    cancellation.callers.push_back({ number, cancellation.attempts + 1, std::move(callback) });
+    cancellation.lastCallAt = m_runtime.now();
+    m_runtime.schedule(timeout, m_lifetime.guard([this, job, number] { expireCaller(job, number); }));
     if (isNew)
         attempt(job);
 }
 
+void PendingCancellations::expireCaller(const Common::JobId& job, uint64_t number)
+{
+    const auto cancellation = m_cancellations.find(job);
+    if (cancellation == m_cancellations.end())
+        return;
+    std::vector<Caller>& callers = cancellation->second.callers;
+    const auto caller
+        = std::find_if(callers.begin(), callers.end(), [number](const Caller& row) { return row.number == number; });
+    if (caller == callers.end())
+        return;
+    const Common::Callback<Common::Done> callback = std::move(caller->callback);
+    callers.erase(caller);
+    callback(Common::Failure {
+        Common::ErrorCode::OutcomeUnknown, "the cancellation isn't confirmed yet; it goes on", std::nullopt });
+}
+
 void PendingCancellations::attempt(const Common::JobId& job)
 {
     ++m_cancellations.at(job).attempts;
@@ -70,33 +78,51 @@
 void PendingCancellations::onAttempted(const Common::JobId& job, const Common::Result<Common::Done>& outcome)
 {
     Cancellation& cancellation = m_cancellations.at(job);
-    if (outcome || outcome.reason().code == Common::ErrorCode::UnknownJob) {
-        end(job, outcome, outcome ? "done" : "unknown-job");
+    if (outcome) {
+        end(job, End::Done, outcome);
+        return;
+    }
+    const bool isUnknownJob = outcome.reason().code == Common::ErrorCode::UnknownJob;
+    const bool hasLaterCaller = std::any_of(cancellation.callers.begin(), cancellation.callers.end(),
+        [&](const Caller& caller) { return caller.firstAttempt > cancellation.attempts; });
+    if (isUnknownJob && !hasLaterCaller) {
+        end(job, End::UnknownJob, outcome);
+        return;
+    }
+    if (isUnknownJob) {
+        retryAfter(job, Common::Duration::zero());
         return;
     }
-    if (m_runtime.now() - cancellation.askedAt >= attemptPeriod) {
-        end(job, outcome, "given-up");
+    if (m_runtime.now() - cancellation.lastCallAt >= attemptPeriod) {
+        end(job, End::GivenUp,
+            Common::Failure { Common::ErrorCode::OutcomeUnknown, "the cancellation was given up", std::nullopt });
         return;
     }
     if (cancellation.attempts == 1) {
         LC_WARN(Jobs,
-            "event=cancellation-pending job=" << job.value() << " reason=" << Common::errorName(outcome.reason().code));
+            "event=cancellation-pending job=" << job.value() << " reason=" << Common::errorName(outcome.reason().code)
+                                              << " detail=" << outcome.reason().detail);
     }
     cancellation.pause = std::clamp(2 * cancellation.pause, firstPause, longestPause);
-    m_runtime.schedule(cancellation.pause, m_lifetime.guard([this, job] { attempt(job); }));
+    retryAfter(job, cancellation.pause);
+}
+
+void PendingCancellations::retryAfter(const Common::JobId& job, Common::Duration pause)
+{
+    m_runtime.schedule(pause, m_lifetime.guard([this, job] { attempt(job); }));
 }
 
-void PendingCancellations::end(
-    const Common::JobId& job, const Common::Result<Common::Done>& outcome, const char* outcomeName)
+void PendingCancellations::end(const Common::JobId& job, End end, const Common::Result<Common::Done>& outcome)
 {
     const auto ended = m_cancellations.extract(job);
     if (ended.mapped().attempts > 1) {
+        const char* const name = end == End::Done ? "done" : end == End::UnknownJob ? "unknown-job" : "given-up";
         LC_INFO(Jobs,
-            "event=cancellation-ended job=" << job.value() << " outcome=" << outcomeName
+            "event=cancellation-ended job=" << job.value() << " outcome=" << name
                                             << " attempts=" << ended.mapped().attempts);
     }
-    for (const auto& caller : ended.mapped().callers)
-        caller(outcome);
+    for (const Caller& caller : ended.mapped().callers)
+        caller.callback(outcome);
 }
 
 } // namespace Cells
--- a/Source/Core/Cells/PendingCancellations.h
+++ b/Source/Core/Cells/PendingCancellations.h
@@ -33,23 +33,37 @@
     size_t size() const { return m_cancellations.size(); }
 
 private:
+    struct Caller {
+        uint64_t number = 0;
+        /// The attempt that began first after the call; the outcome of an earlier one may be older than the job.
+        uint32_t firstAttempt = 0;
+        Common::Callback<Common::Done> callback;
+    };
+    /// Callers whose time is over are removed.
     struct Cancellation {
-        /// Each does nothing once its caller's time is over.
-        std::vector<Common::Callback<Common::Done>> callers;
+        std::vector<Caller> callers;
         /// When a caller last asked for it.
-        Common::MonotonicTime askedAt;
+        Common::MonotonicTime lastCallAt;
         /// Pause after the last attempt.
         Common::Duration pause {};
         uint32_t attempts = 0;
     };
+    enum class End {
+        Done,
+        UnknownJob,
+        GivenUp,
+    };
 
     void attempt(const Common::JobId&);
     void onAttempted(const Common::JobId&, const Common::Result<Common::Done>&);
-    void end(const Common::JobId&, const Common::Result<Common::Done>&, const char* outcomeName);
+    void expireCaller(const Common::JobId&, uint64_t number);
+    void retryAfter(const Common::JobId&, Common::Duration pause);
+    void end(const Common::JobId&, End, const Common::Result<Common::Done>&);
 
     Scheduler::Runtime& m_runtime;
     Attempt m_attempt;
     std::map<Common::JobId, Cancellation> m_cancellations;
+    uint64_t m_calls = 0;
     Common::Lifetime m_lifetime;
 };
 
