--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -32,9 +32,9 @@
     constexpr size_t maximumAskedHosts = 2;
     /// Time for one owner to accept a job; short enough that another owner can be tried before the caller's deadline.
     constexpr Common::Duration submitTimeout = std::chrono::milliseconds(1300);
-    /// The part of it after which the owner is asked again: the longest time of a call to the store, so that an owner
-    /// that has the request has answered by then, also when the store is slow.
-    constexpr Common::Duration firstSubmitTimeout = std::chrono::milliseconds(800);
+    /// The part of it after which the owner is asked again: longer than CommitterSettings::acceptTimeout, within which
+    /// an owner answers, so that only silence is taken for it.
+    constexpr Common::Duration firstSubmitTimeout = std::chrono::milliseconds(1000);
     /// Time for the job's tasks to stop, within the timeout of the call that asks for the cancellation.
     constexpr Common::Duration stopTimeout = std::chrono::milliseconds(2500);
     constexpr Common::Duration callTimeout = std::chrono::milliseconds(1000);
@@ -44,6 +44,9 @@
     constexpr Common::Duration startupMargin = std::chrono::milliseconds(1500);
     constexpr Common::Duration startupPollInterval = std::chrono::milliseconds(150);
     constexpr size_t maximumTriedCells = 3;
+    /// How long a submission of unknown outcome may still be accepted: until a cell's owner has read back or given up
+    /// its write. An owner that has lost the store for longer has lost the cell as well.
+    constexpr Common::Duration unclearSubmissionRetention = std::chrono::seconds(30);
     constexpr Common::Duration retryAfterNoOwner = std::chrono::seconds(1);
     /// Cached job locations; a hundredth of a day's jobs of the largest fleet.
     constexpr size_t maximumCachedLocations = 4000;
@@ -507,7 +510,7 @@
 {
     if (!cell) {
         if (submission->outcomeUnknown) {
-            submission->callback(failure(Common::ErrorCode::OutcomeUnknown, "no cell owner answered in time"));
+            answerUnclear(*submission, "no cell owner answered in time");
             return;
         }
         Common::Failure refusal = failure(Common::ErrorCode::PeerUnavailable, "no cell can take the job now");
@@ -582,7 +585,7 @@
     // retry sooner.
     const bool storeFailed = code == Common::ErrorCode::StoreUnavailable || code == Common::ErrorCode::OutcomeUnknown;
     if (storeFailed && submission->outcomeUnknown) {
-        submission->callback(failure(Common::ErrorCode::OutcomeUnknown, "the store's answer to the write was lost"));
+        answerUnclear(*submission, "the store's answer to the write was lost");
         return;
     }
     const bool refused = storeFailed || code == Common::ErrorCode::Overloaded
@@ -595,6 +598,21 @@
     tryCell(submission);
 }
 
+void JobGateway::answerUnclear(const Submission& submission, const char* detail)
+{
+    std::erase_if(m_unclearSubmissions,
+        [now = m_runtime.now()](const auto& row) { return now - row.second > unclearSubmissionRetention; });
+    if (m_unclearSubmissions.size() < maximumCachedLocations)
+        m_unclearSubmissions[submission.record.id] = m_runtime.now();
+    submission.callback(failure(Common::ErrorCode::OutcomeUnknown, detail));
+}
+
+bool JobGateway::mayStillBeAccepted(const Common::JobId& job) const
+{
+    const auto unclear = m_unclearSubmissions.find(job);
+    return unclear != m_unclearSubmissions.end() && m_runtime.now() - unclear->second <= unclearSubmissionRetention;
+}
+
 // Locations.
 
 void JobGateway::cacheLocation(const Common::JobId& job, const CellId& cell)
@@ -732,6 +750,8 @@
             [this, job, timeout, callback = std::move(callback)](const Common::Result<Location>& location) {
                 if (!location)
                     callback(location.reason());
+                else if (!*location && mayStillBeAccepted(job))
+                    callback(failure(Common::ErrorCode::OutcomeUnknown, "the job may still be accepted"));
                 else if (!*location)
                     callback(failure(Common::ErrorCode::UnknownJob, "there is no such job"));
                 else
@@ -748,10 +768,8 @@
     }
     const CellOwnership::Owner* const owner = m_cellOwnership.liveOwner(cell);
     if (!owner) {
-        LC_WARN(Jobs,
-            "event=cancellation-refused job=" << job.value() << " cell=" << cell.value() << " "
-                                              << m_cellOwnership.describeOwner(cell));
-        Common::Failure refusal = failure(Common::ErrorCode::PeerUnavailable, "the job's cell has no owner now");
+        Common::Failure refusal = failure(Common::ErrorCode::PeerUnavailable,
+            "the job's cell " + cell.value() + " has no owner now: " + m_cellOwnership.describeOwner(cell));
         refusal.retryAfter = retryAfterNoOwner;
         callback(refusal);
         return;
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -77,6 +77,10 @@
     CellEngine::Fit fitOf(const Submission&) const;
     void sendSubmission(const CellId&, const std::shared_ptr<Submission>&, Common::Callback<AcceptOutcome>);
 
+    /// Answers that the job may have been accepted, and remembers that for its cancellation.
+    void answerUnclear(const Submission&, const char* detail);
+    bool mayStillBeAccepted(const Common::JobId&) const;
+
     /// Finds the cell of a job; the result is nullopt when there is no such job.
     void locate(const Common::JobId&, Common::Callback<Location>);
     void locateInStore(const Common::JobId&, Freshness, Common::Callback<Location>);
@@ -95,6 +99,8 @@
     CellOwnership& m_cellOwnership;
     const HostSettings& m_settings;
     std::map<Common::JobId, CellId> m_locations;
+    /// Submissions of unknown outcome, and when their callers were told so.
+    std::map<Common::JobId, Common::MonotonicTime> m_unclearSubmissions;
     /// Demand sent to a cell since its load was last received, in thousandths of a core.
     struct SentDemand {
         Common::MonotonicTime loadReceivedAt;
