Log what a second start of a task was based on

The hypotheses on TWICE differ in what the owner relied on when it ordered the second run, and the logs didn't say it: how old the store's confirmation of its ownership was (a former owner within its authority), for how long the worker of the first run hadn't reported (a lease taken for passed), and whether an end that came later was still expected (a run that was given up).

run-ordered has confirmed-ms, worker-lease-passed and worker-reborn unheard-ms, run-ended expected.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -501,6 +501,7 @@
 void CellEngine::onEnd(CellWorker& worker, const EndedTask& end)
 {
     const RunKey run { end.task, end.attempt };
+    const bool wasExpected = worker.find(run) != nullptr;
     worker.processedThrough = end.number;
     worker.removeAllocation(run);
     endQuarantine(worker, end.task);
@@ -508,7 +509,7 @@
     if (job && !isFinal(job->phase())) {
         LC_INFO(Jobs,
             "event=run-ended run=" << runName(run) << " worker=" << worker.id().value() << " end=" << endName(end.end)
-                                   << " number=" << end.number);
+                                   << " number=" << end.number << " expected=" << wasExpected);
         job->openStarted(end.task.occurrence, m_runtime.now(), m_runtime.wallMilliseconds());
         job->recordAttempt(end.task, end.attempt);
         if (isRun(job->find(end.task), worker.id(), end.attempt))
@@ -668,7 +669,8 @@
     }
     LC_WARN(Worker,
         "event=" << (rebooted ? "worker-reborn" : "worker-lease-passed") << " worker=" << worker.id().value()
-                 << " lost=" << gone.size());
+                 << " lost=" << gone.size()
+                 << " unheard-ms=" << (m_runtime.now() - worker.lastReportAt) / std::chrono::milliseconds(1));
     onRunsLost(worker, rebooted);
     for (const RunKey& run : gone) {
         awaitLateStart(worker.id(), *worker.find(run), run.task);
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -295,9 +295,11 @@
     // Sent after the worker has accepted the run.
     const uint32_t pace = spec.backfill ? static_cast<uint32_t>(fullPace * offerOf(worker, spec, name).backfillPace)
                                         : static_cast<uint32_t>(fullPace);
+    const Common::Duration sinceConfirmed = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
     LC_INFO(Jobs,
         "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << m_token.value
-                                 << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace);
+                                 << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace
+                                 << " confirmed-ms=" << sinceConfirmed / std::chrono::milliseconds(1));
     m_blockedSince.erase(name.job);
     LiveStep& step = job.occurrences().at(name.occurrence).steps[name.step];
     step.blocked.reset();
