Wait for owners before the former one, too, if they may still grant leases

What callers see: a task runs on two workers at the same time, or again after it has ended and the end was acknowledged.

Cause: an owner of a cell that is separated from the store and from the other hosts goes on within its authority (9 s), and renews leases (6 s) on workers that it reaches. Its successor waits for both before it starts tasks that may run on a worker that it hasn't reached. But if that successor releases the cell, or is started again, the next owner knows of the recorded owner only: that one has provably stopped, so it waited for one lease, 6.1 s, although the first owner was still granting. Class of fault: what an owner knows, and its successor needs, is lost with a second change of owner.

Change: a record whose owner replaces one that may still act says so (`unsettled`). The owner takes that out, by a rewrite of its record, when each worker of the record has reported to it, and so refuses orders of earlier owners, or is provably idle. The successor of an unsettled record waits for the whole authority, and news of the recorded owner alone doesn't shorten that. A record of an earlier release counts as settled, as before.

Ruled out: a wall-clock time of the authority's end in the record; wall clocks jump and differ between hosts. Price: one rewrite of the record after a takeover from an owner that may be alive, none after a release.

Whether the users met this isn't shown; it gives both shapes of their record.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -132,6 +132,14 @@
     scheduleFlush(Common::Duration::zero());
 }
 
+void CellCommitter::settle()
+{
+    if (m_stopped || !std::exchange(m_record.unsettled, false))
+        return;
+    m_needsRewrite = true;
+    scheduleFlush(m_settings.lazyCommitDelay);
+}
+
 void CellCommitter::stop()
 {
     if (std::exchange(m_stopped, true))
@@ -311,7 +319,7 @@
                 onConflict(result);
         },
         *outcome);
-    if (!m_stopped && (!isIdle() || m_onReleased))
+    if (!m_stopped && (!isIdle() || m_onReleased || m_needsRewrite))
         scheduleFlush(m_onReleased ? Common::Duration::zero() : m_settings.urgentCommitDelay);
 }
 
@@ -494,7 +502,8 @@
         }
         m_fence = current->revision;
         m_record.rewrites = record->rewrites;
-        if (m_record.released && !record->released) {
+        const bool isOutdated = (m_record.released && !record->released) || (record->unsettled && !m_record.unsettled);
+        if (isOutdated) {
             rewriteRecord();
             return;
         }
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -66,6 +66,10 @@
     void setPressureEstimates(std::string text) { m_pressureEstimates = std::move(text); }
     /// Writes all pending changes, then marks the cell as released. `done` is called even if that fails.
     void release(std::function<void()> done);
+    /// Whether the cell's record says that an earlier owner may still grant leases.
+    bool isUnsettled() const { return m_record.unsettled; }
+    /// Takes that out of the record: no earlier owner can grant leases any more.
+    void settle();
     /// Stops writing. Pending calls fail: submissions known not to be written with NotOwner, all others with
     /// OutcomeUnknown. Callbacks of transfers are dropped without a call.
     void stop();
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -457,6 +457,9 @@
         if (worker->entry().draining)
             evacuate(*worker);
     }
+    // Workers that have reported to this owner refuse orders of earlier ones.
+    if (m_committer.isUnsettled() && !hasUncontactedWorkers())
+        m_committer.settle();
     returnAllEndedTasks();
     updateLightlyLoaded();
     writeWorkers();
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -799,7 +799,8 @@
     }
     if (!found) {
         m_formerOwners.erase(cell);
-        writeClaim(cell, CellRecord { m_settings.id, m_settings.address, FencingToken { 1 }, 0, false }, {}, true);
+        writeClaim(
+            cell, CellRecord { m_settings.id, m_settings.address, FencingToken { 1 }, 0, false, false }, {}, true);
         return;
     }
     const auto record = CellRecord::decode(found->value);
@@ -812,7 +813,7 @@
         // An earlier claim whose answer was lost, or a release that wasn't written. Either may still be written, and
         // other hosts may have been told of the release: only a new token tells the ownerships apart.
         writeClaim(cell,
-            CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false },
+            CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false, true },
             found->revision, false);
         return;
     }
@@ -932,10 +933,16 @@
         endClaim(cell, "draining");
         return;
     }
-    m_formerOwners[cell] = record;
+    // The recorded owner can tell about itself only.
+    const bool allOwnersStopped = formerOwnerStopped && !record.unsettled;
+    if (record.unsettled)
+        m_formerOwners.erase(cell);
+    else
+        m_formerOwners[cell] = record;
     writeClaim(cell,
-        CellRecord { m_settings.id, m_settings.address, FencingToken { record.token.value + 1 }, 0, false }, revision,
-        formerOwnerStopped);
+        CellRecord {
+            m_settings.id, m_settings.address, FencingToken { record.token.value + 1 }, 0, false, !allOwnersStopped },
+        revision, allOwnersStopped);
 }
 
 /// Whether the recorded owner may be alive but not yet discovered: a host that has just started doesn't know all
@@ -1030,12 +1037,15 @@
     m_releasedAt.erase(cell);
     const size_t jobs = recoveredCell.jobs.size();
     const FencingToken token = recoveredCell.record.token;
+    const bool unsettled = recoveredCell.record.unsettled;
     auto engine = std::make_unique<CellEngine>(m_ports.runtime, m_ports.store, m_ports.orders, cell, m_cellSettings,
         std::move(recoveredCell), peerCells(), m_lifetime.guard([this, cell] {
             removeEngine(cell);
             findAnnouncedOwner(cell);
         }));
-    LC_INFO(Jobs, "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs);
+    LC_INFO(Jobs,
+        "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs
+                                 << " unsettled=" << unsettled);
     for (const auto& [other, pressureEstimates] : m_pressureEstimates) {
         if (other != cell)
             engine->adopt(other, pressureEstimates);
--- a/Source/Core/Cells/CellRecord.cpp
+++ b/Source/Core/Cells/CellRecord.cpp
@@ -13,7 +13,7 @@
 {
     return nlohmann::json {
         { "owner", owner.value() }, { "address", address }, { "token", token.value }, { "rewrites", rewrites },
-        { "released", released }
+        { "released", released }, { "unsettled", unsettled }
     }.dump();
 }
 
@@ -28,6 +28,7 @@
         record.token = FencingToken { static_cast<uint64_t>(object["token"].integer(0, Common::maximumJsonInteger)) };
         record.rewrites = static_cast<uint64_t>(object["rewrites"].otherwise(0).integer(0, Common::maximumJsonInteger));
         record.released = object["released"].otherwise(false).flag();
+        record.unsettled = object["unsettled"].otherwise(false).flag();
         return record;
     } catch (const Common::JsonFault& fault) {
         return Common::Failure { Common::ErrorCode::ProtocolError, std::string("cell record: ") + fault.what(), {} };
--- a/Source/Core/Cells/CellRecord.h
+++ b/Source/Core/Cells/CellRecord.h
@@ -21,6 +21,8 @@
     uint64_t rewrites = 0;
     /// The owner has stopped acting; another host may take the cell over at once.
     bool released = false;
+    /// An owner before the recorded one may still grant leases to workers that the recorded one hasn't reached yet.
+    bool unsettled = false;
 
     std::string encode() const;
     static Common::Result<CellRecord> decode(std::string_view text);
--- /dev/null
+++ b/Source/UnitTests/Cells/EarlierOwnerAuthorityTest.cpp
@@ -0,0 +1,88 @@
+// A cell that changes its owner twice while an owner before these may still grant leases.
+#include "Cells/Fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace CellTests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The owner of a service and one of the workers that run it are cut off together from everything else.
+struct SeparatedOwner : Fleet {
+    WorldHost* first = nullptr;
+    RunWorker* held = nullptr;
+
+    explicit SeparatedOwner(uint64_t seed)
+        : Fleet(seed)
+    {
+        Outcome submitted;
+        submit(other(), service(1, 8), submitted);
+        clock.advance(2s);
+        REQUIRE(running() == 8);
+        first = owner();
+        held = std::find_if(workers.begin(), workers.end(), [](const auto& worker) {
+            return worker->running() > 0;
+        })->get();
+        const auto disconnect = [this](const std::string& a, const std::string& b) {
+            network.cut(a, b);
+            network.cut(b, a);
+        };
+        disconnect(first->address, Fakes::FakeRecordStore::address);
+        for (const auto& worker : workers) {
+            if (worker.get() != held)
+                disconnect(first->address, worker->entry().address);
+        }
+        for (const auto& host : hosts) {
+            if (host.get() == first)
+                continue;
+            disconnect(first->address, host->address);
+            disconnect(held->entry().address, host->address);
+        }
+    }
+    /// The host that has replaced the separated owner; null when there is none.
+    WorldHost* successor()
+    {
+        for (WorldHost* const host : live()) {
+            if (host != first && !host->cellOwnership.engines().empty())
+                return host;
+        }
+        return nullptr;
+    }
+    void awaitSuccessor()
+    {
+        for (size_t steps = 0; steps < 200 && !successor(); ++steps)
+            clock.advance(50ms);
+        REQUIRE(successor());
+    }
+};
+
+} // namespace
+
+TEST_CASE("a task runs once if its cell is released again while an earlier owner still grants leases")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        SeparatedOwner world(seed);
+        world.awaitSuccessor();
+        world.successor()->cellOwnership.drain([] {});
+        world.clock.advance(25s);
+        CHECK(world.judge.summary() == "");
+        CHECK(world.running() == 8);
+    }
+}
+
+TEST_CASE("a task runs once if the successor of its owner starts again while that owner still grants leases")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        SeparatedOwner world(seed);
+        world.awaitSuccessor();
+        const auto index = std::find_if(world.hosts.begin(), world.hosts.end(), [&](const auto& host) {
+            return host.get() == world.successor();
+        }) - world.hosts.begin();
+        world.restart(static_cast<size_t>(index));
+        world.clock.advance(30s);
+        CHECK(world.judge.summary() == "");
+    }
+}
