Give a worker no runs while the durable record may leave it out

Runs go only to workers of the cell's durable record, so that a successor asks each of them before it starts a task again. A worker that no longer takes work is left out of the next record. Until that write was known to be durable, the worker counted as recorded; when it took work again meanwhile (its entry was gone for a moment, or it stayed after all), it got runs although the record without it may have been the durable one. A successor that can't reach the worker then starts these tasks again at once, beside the first runs.

Change: a worker that a record leaves out doesn't count as recorded from the moment when that record is to be written, until one with it is durable.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -196,6 +196,8 @@
     if (text == m_writtenWorkers)
         return;
     m_writtenWorkers = text;
+    // From now on the durable record may be one that leaves these out, until a record with them is known to be durable.
+    std::erase_if(m_recordedWorkers, [&ids](const Common::WorkerId& id) { return !ids.contains(id); });
     m_committer.setWorkers(std::move(text), m_lifetime.guard([this, ids = std::move(ids)] {
         m_recordedWorkers = ids;
         schedulePlacement();
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -74,6 +74,8 @@
         m_entry.draining = true;
         m_entry.remaining = std::chrono::seconds(60);
     }
+    /// Its entry no longer says that it is about to leave.
+    void stay() { m_entry.draining = false; }
     void crash()
     {
         m_up = false;
