--- a/Tools/soak/link.py
+++ b/Tools/soak/link.py
@@ -22,25 +22,20 @@
     def __init__(self):
         self.passage = Passage.OPEN
         self.delay = 0.0
-        self.opened = asyncio.Event()
-        self.opened.set()
+        self.changed = asyncio.Event()
 
     def set(self, passage):
         self.passage = passage
-        if passage is Passage.OPEN:
-            self.opened.set()
-        else:
-            self.opened.clear()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def cross(self):
         """Returns whether the message arrives."""
         if self.delay:
             await asyncio.sleep(self.delay)
-        while self.passage is not Passage.OPEN:
-            if self.passage is Passage.LOST:
-                return False
-            await self.opened.wait()
-        return True
+        while self.passage is Passage.HELD:
+            await self.changed.wait()
+        return self.passage is Passage.OPEN
 
 
 class Link:
@@ -53,15 +48,24 @@
         self.refuses = False
         self.writers = set()
         self.server = None
+        self.listens = False
 
     async def start(self):
-        self.server = await asyncio.start_server(self._accept, self.ip, self.port, backlog=128)
+        if self.listens:
+            return
+        self.listens = True
+        server = await asyncio.start_server(self._accept, self.ip, self.port, backlog=128)
+        if not self.listens:
+            server.close()
+            return
+        self.server = server
 
     def stop(self):
         """Closes the port and resets all connections, as the end of the server's process does."""
         if self.server:
             self.server.close()
             self.server = None
+            self.listens = False
         self.reset()
 
     def reset(self):
--- a/Tools/soak/store.py
+++ b/Tools/soak/store.py
@@ -22,6 +22,7 @@
         self.changed = asyncio.Event()
         # Faults: everything answers 503; calls take longer; answers are lost, also of writes that are done later.
         self.down = False
+        self.keeps_entries_while_down = True
         self.latency = LATENCY_S
         self.lost_share = 0.0
         self.late_share = 0.0
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -5,7 +5,9 @@
 import time
 
 MAX_LISTED_ENDS = 500
+MAX_WAIT_MS = 2000
 HEARTBEAT_S = 1.5
+SILENT_HEARTBEATS = 3
 
 
 def wall_ms():
@@ -27,10 +29,14 @@
     """One worker. `behaviour(task)` returns (seconds or None for a task that lasts, end)."""
 
     def __init__(self, ident, address, zone, rack, store, judge, behaviour, note, cpu=16000, mem=62500, max_hold=10.0,
-                 stop_grace=0.4):
+                 stop_grace=0.4, clock_rate=1.0, fences_waiting=False):
         self.id, self.address, self.zone, self.rack = ident, address, zone, rack
         self.store, self.judge, self.behaviour, self.note = store, judge, behaviour, note
         self.cpu, self.mem, self.max_hold, self.stop_grace = cpu, mem, max_hold, stop_grace
+        # The worker's clock may be 2% slow, and leases are measured on it.
+        self.clock_rate = clock_rate
+        # The protocol doesn't say what a hold that waits answers once a newer token has come: 409, or its lists.
+        self.fences_waiting = fences_waiting
         self.up = False
         self.state = "ready"
         self.reports = True
@@ -41,6 +47,7 @@
         self.thawed = asyncio.Event()
         self.thawed.set()
         self._heartbeats = None
+        self._silence = None
 
     def start(self):
         """Begins a life, without any memory of a former one."""
@@ -75,8 +82,17 @@
     def thaw(self):
         self.thawed.set()
 
+    @property
+    def port(self):
+        return int(self.address.rsplit(":", 1)[1])
+
     def clock(self):
-        return int((time.monotonic() - self.began) * 1000) + 1000
+        return int((time.monotonic() - self.began) * self.clock_rate * 1000) + 1000
+
+    def settle(self):
+        """Carries out a lapse that is due and that the event loop hasn't come to yet."""
+        if self.up:
+            self._note_lapse()
 
     def entry(self):
         self.seq += 1
@@ -92,10 +108,23 @@
 
     async def _beat(self):
         while True:
-            if self.reports and self.thawed.is_set():
+            if self.reports and self.thawed.is_set() and not self.store.down:
                 self.store.put("servers/" + self.id, self.entry())
+                self._expect_beat()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _expect_beat(self):
+        """The platform removes the entry after three heartbeat intervals of silence."""
+        if self._silence:
+            self._silence.cancel()
+        self._silence = asyncio.get_running_loop().call_later(SILENT_HEARTBEATS * HEARTBEAT_S, self._remove_entry)
+
+    def _remove_entry(self):
+        if self.store.down and self.store.keeps_entries_while_down:
+            self._expect_beat()
+            return
+        self.store.delete("servers/" + self.id)
+
     # Lease.
 
     def _note_lapse(self):
@@ -112,7 +141,8 @@
             return
         self.lease_until = until
         life = self.life
-        asyncio.get_running_loop().call_later((until - self.clock()) / 1000 + 0.002, self._on_lease_timer, life)
+        asyncio.get_running_loop().call_later((until - self.clock()) / 1000 / self.clock_rate + 0.002,
+                                              self._on_lease_timer, life)
 
     def _on_lease_timer(self, life):
         # A frozen worker does no work, and the lapse is the first thing that it carries out when it goes on.
@@ -184,7 +214,7 @@
             self.note("token", self.id, f"token={token}", f"host={host}")
         self.token = token
         if request.target == "/v1/hold":
-            return await self._hold(call)
+            return await self._hold(call, token)
         if request.target == "/v1/run-start":
             return self._start_run(host, call, sent_at)
         if request.target == "/v1/run-stop":
@@ -225,7 +255,7 @@
                                                   "stopped")
         return 200, {"clock_ms": self.clock()}
 
-    async def _hold(self, call):
+    async def _hold(self, call, token):
         through = call.get("acked_through", 0)
         for number, task, attempt, how, _, run, at in self.ended:
             if number <= through:
@@ -234,15 +264,19 @@
         self.ended = [row for row in self.ended if row[0] > through]
         if call.get("expires_ms", 0) > self.clock():
             self._extend(call["expires_ms"])
-        wait = call.get("wait_ms", 0) / 1000
+        wait = min(call.get("wait_ms", 0), MAX_WAIT_MS) / 1000
         if wait and not self.ended:
+            life = self.life
             try:
                 await asyncio.wait_for(self.news.wait(), wait)
             except asyncio.TimeoutError:
                 pass
             await self.thawed.wait()
-            if not self.up:
+            if not self.up or life is not self.life:
                 return None
+            self._note_lapse()
+            if self.fences_waiting and token < self.token:
+                return self._refused("fence")
         now = time.monotonic()
         return 200, {"clock_ms": self.clock(), "born": self.born, "capacity": self.capacity(),
                      "labels": ["a", self.rack],
