Soak: hosts are added and replaced, cut while they freeze, and ports used again

Change: kinds add-host, replace-host (gone for good, another name and address comes), cut-frozen-host (one direction to some workers cut, frozen now and then) and reuse-port (a worker with an id of its own listens at the address of one that crashed). Entries of crashed workers expire as the platform's do. While the store is down, entries may expire or stay.

Ruled out: replacing the first three hosts, which the settings name as first contacts.

--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -15,7 +15,6 @@
 
 START_S = 4.0
 SETTLE_S = 15.0
-FINISH_S = 60.0
 
 
 async def play(options, seed, folder):
@@ -41,13 +40,15 @@
         load.stopped = True
         await clients
         await asyncio.sleep(SETTLE_S if options.seconds else 0)
-        unfinished = await load.unfinished(FINISH_S)
+        unfinished = await load.unfinished(options.finish)
         for text in fleet.judge.breaks:
             fleet.note("TWICE", text)
         for text in fleet.judge.excused:
             fleet.note("excused", text)
         for job in unfinished:
             fleet.note("UNFINISHED", job)
+        if faults.errors:
+            raise faults.errors[0]
         return fleet.judge, load, unfinished
     finally:
         fleet.close()
@@ -60,6 +61,7 @@
     parser.add_argument("--hosts", type=int, default=6)
     parser.add_argument("--workers", type=int, default=24)
     parser.add_argument("--seconds", type=float, default=40, help="time with faults")
+    parser.add_argument("--finish", type=float, default=60, help="seconds without faults in which jobs have to end")
     parser.add_argument("--pace", type=float, default=4, help="jobs submitted each second")
     parser.add_argument("--gap", type=float, default=1.5, help="mean seconds between two faults")
     parser.add_argument("--kinds", type=lambda text: text.split(","), default=list(KINDS),
@@ -91,7 +93,8 @@
             judge, load, unfinished = asyncio.run(play(options, seed, folder))
         broken += 1 if judge.breaks or unfinished else 0
         print(f"seed {seed}: TWICE {len(judge.breaks)}, unfinished {len(unfinished)}, starts {judge.starts}, "
-              f"ends noted {judge.noted}, exempt {judge.exempt} (started again: {len(judge.excused)}), jobs accepted {len(load.accepted)}", flush=True)
+              f"ends noted {judge.noted}, exempt {judge.exempt} (started again: {len(judge.excused)}), "
+              f"jobs accepted {len(load.accepted)}", flush=True)
         for text in judge.breaks[:5]:
             print("  " + text, flush=True)
     return 1 if broken else 0
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -6,9 +6,10 @@
 
 from soak.link import Passage
 
-KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "cut-some", "cut-host", "cut-worker", "cut-store",
-         "freeze-worker", "crash-worker", "drain-worker", "unhealthy-worker", "late-orders", "lose-answers",
-         "store-down", "store-slow", "store-loses", "store-refuses")
+KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "add-host", "replace-host",
+         "cut-some", "cut-host", "cut-frozen-host", "cut-worker", "cut-store",
+         "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker", "late-orders",
+         "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
 
 
 class Faults:
@@ -16,7 +17,10 @@
 
     def __init__(self, fleet, random, kinds=KINDS, gap=1.5, keep_ids=False):
         self.fleet, self.random, self.kinds, self.gap, self.keep_ids = fleet, random, kinds, gap, keep_ids
+        self.hosts_at_start = len(fleet.hosts)
         self.pending = set()
+        # Errors of the soak's own: such a run proves nothing.
+        self.errors = []
         self.stopped = False
 
     async def run(self):
@@ -24,16 +28,22 @@
             kind = self.random.choice(self.kinds)
             task = asyncio.ensure_future(getattr(self, "_" + kind.replace("-", "_"))())
             self.pending.add(task)
-            task.add_done_callback(self.pending.discard)
+            task.add_done_callback(self._forget)
             await asyncio.sleep(self.random.expovariate(1 / self.gap))
 
+    def _forget(self, task):
+        self.pending.discard(task)
+        if not task.cancelled() and task.exception():
+            self.errors.append(task.exception())
+            self._note("fault-failed", repr(task.exception()))
+
     async def end(self):
         """Draws no more faults and waits for the end of those that are there."""
         self.stopped = True
         while self.pending:
             await asyncio.gather(*list(self.pending), return_exceptions=True)
         for host in self.fleet.hosts:
-            if not host.up:
+            if not host.up and not host.gone:
                 host.start()
         for link in [*self.fleet.links.values(), *self.fleet.store_links.values()]:
             link.heal()
@@ -103,7 +113,7 @@
         if process.poll() is None:
             process.kill()
         await asyncio.sleep(span)
-        if host.process is process:
+        if host.process is process and not host.gone:
             host.start()
 
     async def _kill_host(self):
@@ -121,6 +131,28 @@
         if host:
             host.signal(signal.SIGHUP)
 
+    async def _add_host(self):
+        """At most a third more than at the start."""
+        if sum(not host.gone for host in self.fleet.hosts) < self.hosts_at_start * 4 // 3:
+            host = await self.fleet.add_host()
+            if host:
+                self._note("add-host", host.name)
+
+    async def _replace_host(self):
+        """A host is gone for good, and one with another name comes at another address."""
+        # The hosts that the settings name as first contacts stay.
+        up = [host for host in self.fleet.hosts[3:] if host.up and not host.frozen]
+        if not up:
+            return
+        host = self.random.choice(up)
+        host.gone = True
+        self._note("replace-host", host.name)
+        host.signal(self.random.choice((signal.SIGKILL, signal.SIGTERM)))
+        await asyncio.sleep(self._span(0.2, 8))
+        # SIGTERM gives a host its grace; what is still there is ended.
+        host.end()
+        await self.fleet.add_host()
+
     # Links.
 
     async def _cut(self, links, what):
@@ -149,6 +181,32 @@
         links = [link for worker in chosen for link in self.fleet.links_of(host, worker)]
         await self._cut(links, f"{host.name} from {','.join(worker.id for worker in chosen)}")
 
+    async def _cut_frozen_host(self):
+        """One host is cut from some workers in one direction while it is frozen now and then."""
+        host = self._up_host()
+        workers = [worker for worker in self.fleet.workers if worker.up]
+        if not host or not workers:
+            return
+        chosen = self.random.sample(workers, self.random.randint(1, len(workers)))
+        links = [link for worker in chosen for link in self.fleet.links_of(host, worker)]
+        way = self.random.choice((Passage.HELD, Passage.LOST))
+        to_server, to_host = self.random.choice(((way, Passage.OPEN), (Passage.OPEN, way)))
+        self._note("cut-frozen-host", host.name, f"to-server={to_server.value}", f"to-host={to_host.value}",
+                   "from", ",".join(worker.id for worker in chosen))
+        for link in links:
+            link.cut(to_server, to_host)
+        process = host.process
+        for _ in range(self.random.randint(1, 4)):
+            await asyncio.sleep(self._span(0.1, 3))
+            if host.process is not process or not host.up:
+                break
+            host.freeze()
+            await asyncio.sleep(self._span(0.1, 3))
+            if host.process is process:
+                host.thaw()
+        for link in links:
+            link.heal()
+
     async def _cut_host(self):
         """One host is cut from all workers and from the store."""
         host = self._up_host()
@@ -178,6 +236,17 @@
         await asyncio.sleep(span)
         worker.thaw()
 
+    async def _reuse_port(self):
+        """A worker crashes, and another one, with an id of its own, listens at its address."""
+        worker = self._up_worker()
+        if not worker:
+            return
+        self._note("reuse-port", worker.id, worker.address)
+        self.fleet.crash_worker(worker)
+        await asyncio.sleep(self._span(0, 3))
+        rack = int(worker.rack.rsplit("-", 1)[1])
+        await self.fleet.start_worker(self.fleet.new_worker(worker.zone, rack, worker.port))
+
     async def _crash_worker(self):
         worker = self._up_worker()
         if not worker:
@@ -190,8 +259,6 @@
             return
         fresh = self.fleet.new_worker(worker.zone, int(worker.rack.rsplit("-", 1)[1]))
         await self.fleet.start_worker(fresh)
-        await asyncio.sleep(3)
-        self.fleet.store.delete("servers/" + worker.id)
 
     async def _drain_worker(self):
         worker = self._up_worker()
@@ -232,6 +299,8 @@
     async def _store_down(self):
         span = self._span(0.5, 8)
         self._note("store-down", f"for={span:.2f}")
+        # Entries of workers may expire while the store is down.
+        self.fleet.store.keeps_entries_while_down = self.random.random() < 0.5
         self.fleet.store.down = True
         await asyncio.sleep(span)
         self.fleet.store.down = False
--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -16,6 +16,8 @@
 ZONES = ("yard", "shed", "loft")
 REGIONS = {"yard": "east", "shed": "east", "loft": "west"}
 WORKERS_PER_RACK = 4
+MAX_HOSTS = 40
+CLOCK_RATES = (1.0, 0.98, 0.99)
 SERVICE = {"name": "desk", "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": False,
            "enforces_capacity": False, "standby": False}
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
@@ -58,59 +60,90 @@
     def __init__(self, seed, hosts, workers, program, folder, behaviour, write_line):
         self.begun = time.monotonic()
         self.folder, self.behaviour, self.write_line = folder, behaviour, write_line
-        self.judge = Judge(self.now)
+        self.judge = Judge(self.now, self._settle)
         self.store = Store(seed)
         self.links = {}
         self.store_links = {}
         self.workers = []
         # Each soak has loopback addresses of its own: one for each host, and one for the links of each host.
         block = random.SystemRandom().randrange(1, 255)
-        self.host_ips = [f"127.1.{block}.{10 + index}" for index in range(hosts)]
-        self.link_ips = [f"127.2.{block}.{10 + index}" for index in range(hosts)]
+        self.host_ips = [f"127.1.{block}.{10 + index}" for index in range(MAX_HOSTS)]
+        self.link_ips = [f"127.2.{block}.{10 + index}" for index in range(MAX_HOSTS)]
         self.ports = _Ports(self.host_ips[:1] + self.link_ips[:1])
-        ports = {name: self.ports.take() for name in ("front", "readiness", "control", "beats")}
+        self.program = program
+        self.host_ports = {name: self.ports.take() for name in ("front", "readiness", "control", "beats")}
         self.store_port = self.ports.take()
-        seeds = [f"{ip}:{ports['control']}" for ip in self.host_ips[:3]]
         self.hosts = []
-        for index in range(hosts):
-            zone = ZONES[index % len(ZONES)]
-            self.hosts.append(Host(f"edge-{zone}-{index + 1}", zone, REGIONS[zone], self.host_ips[index], ports, seeds,
-                                   f"{self.link_ips[index]}:{self.store_port}", program, folder, self.note))
+        for _ in range(hosts):
+            self._new_host()
         for index in range(workers):
             self.new_worker(ZONES[index % len(ZONES)], index // len(ZONES) // WORKERS_PER_RACK)
 
     def now(self):
         return time.monotonic() - self.begun
 
+    def _settle(self):
+        for worker in self.workers:
+            worker.settle()
+
     def note(self, *words):
         self.write_line(f"{self.now():8.3f} " + " ".join(str(word) for word in words))
 
-    def new_worker(self, zone, rack):
-        port = self.ports.take()
+    def _new_host(self):
+        index = len(self.hosts)
+        zone = ZONES[index % len(ZONES)]
+        seeds = [f"{ip}:{self.host_ports['control']}" for ip in self.host_ips[:3]]
+        host = Host(f"edge-{zone}-{index + 1}", zone, REGIONS[zone], self.host_ips[index], self.host_ports, seeds,
+                    f"{self.link_ips[index]}:{self.store_port}", self.program, self.folder, self.note)
+        self.hosts.append(host)
+        return host
+
+    def new_worker(self, zone, rack, port=None):
+        port = port or self.ports.take()
         worker = Worker(f"i-{len(self.workers):04x}", f"127.0.0.1:{port}", zone, f"{zone}-{rack}", self.store,
-                        self.judge, self.behaviour, self.note)
+                        self.judge, self.behaviour, self.note, clock_rate=CLOCK_RATES[len(self.workers) % 3],
+                        fences_waiting=len(self.workers) % 2 == 1)
         self.workers.append(worker)
         return worker
 
     async def start(self):
-        for index, host in enumerate(self.hosts):
-            link = Link(host.name, self.link_ips[index], self.store_port, self._serve_store(index))
-            self.store_links[host.name] = link
-            await link.start()
+        for index in range(len(self.hosts)):
+            await self._start_store_link(index)
         for worker in self.workers:
             await self.start_worker(worker)
         self.configure(3)
         for host in self.hosts:
             host.start()
 
+    async def _start_store_link(self, index):
+        link = Link(self.hosts[index].name, self.link_ips[index], self.store_port, self._serve_store(index))
+        self.store_links[self.hosts[index].name] = link
+        await link.start()
+
+    async def add_host(self):
+        """Starts a host at a new address. Returns None if there are as many as the soak has addresses for."""
+        if len(self.hosts) == MAX_HOSTS:
+            return None
+        index = len(self.hosts)
+        host = self._new_host()
+        await self._start_store_link(index)
+        for worker in list(self.workers):
+            if worker.up:
+                await self._start_link(index, worker)
+        host.start()
+        return host
+
     async def start_worker(self, worker):
         worker.start()
-        port = int(worker.address.rsplit(":", 1)[1])
-        for index, host in enumerate(self.hosts):
-            link = self.links.setdefault((host.name, worker.id), Link(
-                host.name, self.link_ips[index], port,
-                lambda name, request, worker=worker: worker.serve(name, request, request.sent_at - self.begun)))
-            await link.start()
+        for index in range(len(self.hosts)):
+            await self._start_link(index, worker)
+
+    async def _start_link(self, index, worker):
+        name = self.hosts[index].name
+        link = self.links.setdefault((name, worker.id), Link(
+            name, self.link_ips[index], worker.port,
+            lambda host, request: worker.serve(host, request, request.sent_at - self.begun)))
+        await link.start()
 
     def crash_worker(self, worker):
         worker.crash()
--- a/Tools/soak/host.py
+++ b/Tools/soak/host.py
@@ -59,6 +59,8 @@
         self.process = None
         self.starts = 0
         self.frozen = False
+        # Replaced by another host: its process isn't started again.
+        self.gone = False
 
     @property
     def up(self):
--- a/Tools/soak/load.py
+++ b/Tools/soak/load.py
@@ -63,8 +63,9 @@
                 status, _ = await host.call("POST", f"/desk/{job}", {"spec": "work", "phases": phases})
                 if status == 200:
                     self.accepted.add(job)
-                    self.fleet.note("accepted", job, f"host={host.name}", f"lasting={bool(phases[0].get('long_running'))}")
-                    if phases[0].get("long_running"):
+                    lasting = bool(phases[0].get("long_running"))
+                    self.fleet.note("accepted", job, f"host={host.name}", f"lasting={lasting}")
+                    if lasting:
                         await self._limit_lasting(job)
                     return
                 if status in (404, 410):
