--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -107,6 +107,7 @@
         return worker
 
     async def start(self):
+        self.note("begun", time.strftime("%H:%M:%S", time.gmtime(time.time() - self.now())) + " UTC")
         for index in range(len(self.hosts)):
             await self._start_store_link(index)
         for worker in self.workers:
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -131,6 +131,7 @@
         """Carries out what the lapse of the lease means, if it has lapsed since the last call."""
         if self.lease_until and self.clock() > self.lease_until and self.lapsed_at < self.lease_until:
             self.lapsed_at = self.lease_until
+            self.note("lease-lapsed", self.id, f"late-ms={self.clock() - self.lease_until}")
             for task in list(self.running):
                 self._end(task, "lapsed")
 
