Soak: stops and holds are carried out late, too

Cause: the protocol lets every call without an answer be carried out seconds later, after newer calls; the stand-in did so with starts only.

Change: kind late-calls. One test; it fails if the delays of stops and holds are left unused.

--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -327,6 +327,19 @@
         self.assertFalse(order.done())
         order.cancel()
 
+    async def test_hold_without_an_answer_is_carried_out_later(self):
+        self.length = 0.01
+        await self.start()
+        await self.wait_for_end()
+        self.worker.late_calls.append(0.2)
+        late = asyncio.ensure_future(self.hold(acked_through=1))
+        await asyncio.sleep(0)
+        self.assertEqual(len((await self.hold())[1]["ended"]), 1)
+        while self.worker.ended:
+            await asyncio.sleep(0.02)
+        self.assertEqual((self.judge.noted, late.done()), (1, False))
+        late.cancel()
+
     async def test_lost_answer_follows_an_order_that_was_carried_out(self):
         self.worker.lost_answers = 1
         self.assertIsNone(await self.start())
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -9,7 +9,7 @@
 KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "add-host", "replace-host",
          "cut-some", "cut-host", "cut-frozen-host", "cut-worker", "cut-store",
          "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker", "late-orders",
-         "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
+         "late-calls", "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
 
 
 class Faults:
@@ -287,6 +287,13 @@
             worker.late_orders += [self._span(0.5, 5) for _ in range(self.random.randint(1, 3))]
             self._note("late-orders", worker.id, len(worker.late_orders))
 
+    async def _late_calls(self):
+        """Stops and holds are carried out after newer ones."""
+        worker = self._up_worker()
+        if worker:
+            worker.late_calls += [self._span(0.5, 5) for _ in range(self.random.randint(1, 3))]
+            self._note("late-calls", worker.id, len(worker.late_calls))
+
     async def _lose_answers(self):
         for _ in range(3):
             worker = self._up_worker()
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -42,7 +42,9 @@
         self.reports = True
         self.unhealthy = False
         self.lost_answers = 0
+        # Delays in seconds of the next starts, and of the next stops and holds: their answers are lost.
         self.late_orders = []
+        self.late_calls = []
         # Requests of a frozen worker wait; its timers fire when it goes on.
         self.thawed = asyncio.Event()
         self.thawed.set()
@@ -186,8 +188,9 @@
             return None
         if request.target == "/health":
             return (503 if self.unhealthy else 200), None
-        if request.target == "/v1/run-start" and self.late_orders:
-            asyncio.ensure_future(self._serve_late(self.late_orders.pop(), host, request, sent_at))
+        delays = self.late_orders if request.target == "/v1/run-start" else self.late_calls
+        if delays:
+            asyncio.ensure_future(self._serve_late(delays.pop(), host, request, sent_at))
             await asyncio.sleep(60)
             return None
         answer = await self._carry_out(host, request, sent_at)
