Give waiting tasks last to cells that found no room for them

Cause: a cell that can't run a task gives it to the peer with the most room by its heartbeats. These say nothing of memory, of labels of single workers, or of how many tasks of the step a worker takes, so that two cells which have no worker for the task may give it to each other for good, and a third that has one is never tried. Change: a cell counts, by step, which cells had the task and found no room: the sender of a transfer, and the cell to which it had given the task before. Cells with fewer such counts come first, then those with more room. The counts are kept in memory only; a new owner counts anew.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -287,7 +287,7 @@
     bool isWorthWaitingForRack(const Jobs::StepSpec&, const LiveStep&) const;
     void cancelPart(const Jobs::JobRecord&, const Common::Callback<Common::Done>&);
     std::optional<std::pair<CellId, size_t>> findCellWithCapacity(
-        const LiveJob&, const Jobs::StepSpec&, CellLoad::RoomKind = CellLoad::RoomKind::Free);
+        const LiveJob&, const Jobs::StepSpec&, const LiveStep&, CellLoad::RoomKind = CellLoad::RoomKind::Free);
     /// Whether a task of the step may start here once runs that aren't long-running have ended.
     bool canMakeRoom(const LiveJob&, const Jobs::StepSpec&) const;
     void notifyParts(const LiveJob&);
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -63,9 +63,11 @@
         m_blockedSince.erase(job.id());
 }
 
-/// The peer cell with the most room for tasks of the step, and for how many.
+/// The peer cell with the most room for tasks of the step, and for how many. What heartbeats say of room leaves out
+/// memory, labels and how many tasks of the step a worker takes, so cells that found no room come last: otherwise tasks
+/// might circulate between two of them for good.
 std::optional<std::pair<CellId, size_t>> CellEngine::findCellWithCapacity(
-    const LiveJob& job, const Jobs::StepSpec& spec, CellLoad::RoomKind kind)
+    const LiveJob& job, const Jobs::StepSpec& spec, const LiveStep& step, CellLoad::RoomKind kind)
 {
     const Common::MonotonicTime now = m_runtime.now();
     const Common::ServiceName& service = job.policy().service;
@@ -79,13 +81,20 @@
         return std::nullopt;
     std::erase_if(m_recentTransfers, [now](const auto& row) { return now - row.second.at > transferReportDelay; });
     std::optional<std::pair<CellId, size_t>> best;
+    uint32_t fewestRefusals = 0;
     for (const auto& [cell, room] : m_peerCells.taskSlots(m_id, service, spec, kind)) {
         if (scheduled && !m_peerCells.takesScheduledTasks(cell))
             continue;
         const auto recent = m_recentTransfers.find(cell);
         const size_t taken = recent == m_recentTransfers.end() ? 0 : recent->second.tasks;
-        if (room > taken && (!best || room - taken > best->second))
-            best.emplace(cell, room - taken);
+        if (room <= taken)
+            continue;
+        const auto refused = step.refusals.find(cell.value());
+        const uint32_t refusals = refused == step.refusals.end() ? 0 : refused->second;
+        if (best && (refusals > fewestRefusals || (refusals == fewestRefusals && room - taken <= best->second)))
+            continue;
+        best.emplace(cell, room - taken);
+        fewestRefusals = refusals;
     }
     if (!best)
         m_failedSearches[search] = { now, spec.resources.milliCores };
@@ -109,12 +118,12 @@
     Jobs::StepSpec wanted = spec;
     // What may start at any pace needs the room that an ordinary task needs.
     wanted.backfill = spec.backfill && admissionOf(job, candidate.occurrence, candidate.step).paceInFreeRoom > 0;
-    auto other = findCellWithCapacity(job, wanted);
+    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    auto other = findCellWithCapacity(job, wanted, step);
     if (!other && spec.longRunning && !canMakeRoom(job, spec))
-        other = findCellWithCapacity(job, wanted, CellLoad::RoomKind::AfterEnds);
+        other = findCellWithCapacity(job, wanted, step, CellLoad::RoomKind::AfterEnds);
     if (!other || (spec.gang && other->second < spec.taskCount))
         return;
-    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     std::vector<Jobs::TaskName> tasks;
     for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < other->second; ++index) {
         // Another cell wouldn't know why a task must not be started yet.
@@ -213,7 +222,7 @@
         if (!known->isPart())
             onTasksReturned(*known);
     } else if (transfer.part.homeCell != m_id.value()) {
-        addJob(transfer.part, mayHaveStarted);
+        addJob(transfer.part, mayHaveStarted).noteRefusals(transfer);
     }
     continueWait(transfer);
     // Also if the job has ended and its record has expired: the transfer is then removed.
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -95,6 +95,8 @@
     /// Closes the occurrences of a scheduled job's part whose tasks were all returned. Must not be called while a
     /// transfer isn't durable, which may have to be reverted.
     void closeReturned();
+    /// Counts that the sender found no room for the waiting tasks that the transfer brought to a new part.
+    void noteRefusals(const TaskTransfer&);
     /// Counts the wait of the step's tasks from `since` on, unless it counts from an earlier time already. No effect if
     /// the occurrence isn't open.
     void continueWait(uint32_t occurrence, uint32_t step, Common::MonotonicTime since);
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -96,7 +96,8 @@
     if (!m_record.transfersReceived[transfer.from.value()].insert(transfer.number).second)
         return;
     openTransferred(transfer, now, wallMilliseconds);
-    forEachTask(transfer, [this](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
+    std::map<LiveStep*, std::set<std::string>> refusals;
+    forEachTask(transfer, [&](LiveTask& task, const Jobs::TaskProgress& transferred, LiveStep& step) {
         Jobs::TaskProgress& progress = task.progress;
         const bool transferredHere = transferred.transferredTo.empty();
         // Failures that the sender heard of after it had transferred the task.
@@ -112,6 +113,7 @@
             ++step.doneCount;
             m_transfersWithoutProgress = 0;
         } else {
+            refusals[&step].insert({ transfer.from.value(), progress.transferredTo });
             std::set<uint32_t> failedAttempts = transferred.failedAttempts;
             failedAttempts.merge(progress.failedAttempts);
             std::map<uint32_t, Jobs::TaskCrash> crashes = transferred.crashes;
@@ -124,6 +126,10 @@
         }
         m_hasStartedTask = m_hasStartedTask || lastAttempt > 0 || transferred.done;
     });
+    for (const auto& [step, cells] : refusals) {
+        for (const std::string& cell : cells)
+            ++step->refusals[cell];
+    }
     if (m_hasStartedTask && !isFinal(phase()))
         m_record.phase = Jobs::JobPhase::Running;
     for (auto& [occurrence, open] : m_occurrences) {
@@ -134,6 +140,16 @@
         closeFinished(occurrence);
 }
 
+void LiveJob::noteRefusals(const TaskTransfer& transfer)
+{
+    for (auto& [occurrence, open] : m_occurrences) {
+        for (LiveStep& step : open.steps) {
+            if (step.waitingCount > 0)
+                ++step.refusals[transfer.from.value()];
+        }
+    }
+}
+
 void LiveJob::continueWait(uint32_t occurrence, uint32_t step, Common::MonotonicTime since)
 {
     const auto open = m_occurrences.find(occurrence);
--- a/Source/Core/Cells/LiveStep.h
+++ b/Source/Core/Cells/LiveStep.h
@@ -5,7 +5,9 @@
 #include "Cells/LiveTask.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Cells {
@@ -22,6 +24,8 @@
     /// When a task of the step last started while room was reserved for it; empty if no other task waits. The others
     /// get a reservation without the usual delay.
     std::optional<Common::MonotonicTime> reservedStartAt;
+    /// How often tasks of the step came here, or came back, still waiting, by the cells that found no room for them.
+    std::map<std::string, uint32_t> refusals;
 
     bool isComplete() const { return doneCount == tasks.size(); }
 };
