Confirm the receipt of a transfer when it is durable

Cause: an owner answered a transfer as soon as it had it in memory. One that has been replaced and doesn't know it yet can't write it, and its successor has read the records before. The class: an answer that promises what only a write can keep. Cancellations of parts are answered when durable already. The tasks are placed at once, as before.

--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -297,7 +297,9 @@
     }
     if (const auto* const transfer = std::get_if<TaskTransfer>(&message)) {
         receiveTransfer(*transfer);
-        callback(Common::Done {});
+        // A former owner that doesn't know yet that it was replaced could confirm a transfer that its successor never
+        // reads.
+        m_committer.markChangedUrgently(transfer->part.id, callback);
         return;
     }
     cancelPart(std::get<Jobs::JobRecord>(message), callback);
