Let fake workers shorten leases to max_hold_ms

PROTOCOL.md, "Running tasks": "Everything that runs holds a lease for a limited time, at most `max_hold_ms`. A longer lease is shortened to that maximum." SYSTEM.md gives 10,000.

The fake worker limits the lease to 10 s from its clock at the order. Nothing that the tests check is changed.

The other tests of CellsTests weren't run.

--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -205,6 +205,8 @@
     }
 
 private:
+    /// The platform's `max_hold_ms`; longer leases are shortened to it.
+    static constexpr std::chrono::milliseconds longestLease { 10'000 };
     /// How long a member of a gang waits for the others.
     static constexpr Common::Duration gangTimeout = std::chrono::seconds(3);
     /// Time in which the effect of backfill on the tail latency decays to about a third.
@@ -243,8 +245,10 @@
     }
     void extend(Common::WorkerTime until)
     {
-        m_leaseUntil = std::max(m_leaseUntil, until);
-        m_world.schedule(std::chrono::milliseconds(until.milliseconds - clock().milliseconds), [this, boot = m_boot] {
+        const Common::WorkerTime shortened = std::min(until, clock() + longestLease);
+        m_leaseUntil = std::max(m_leaseUntil, shortened);
+        const std::chrono::milliseconds left(shortened.milliseconds - clock().milliseconds);
+        m_world.schedule(left, [this, boot = m_boot] {
             if (boot != m_boot || clock() < m_leaseUntil)
                 return;
             const auto runs = m_runs;
