Judge rule TWICE in its own words

RunJudge calls a start a fault "although W holds its end" unless W has rebooted or its lease lapsed while no host reached it; it can't see an end that is acknowledged after the start.

TwiceJudge follows the rule: two runs at once, a start after an end as done that has been noted or is noted later, and a start over a second after the job was shown as completed. Fake workers feed it beside RunJudge; its faults are its own, so the present tests check what they did. Steps with `speculative` don't occur in JobSpec.

Ruled out: relaxing RunJudge.

--- a/Source/UnitTests/Cells/RunJudge.h
+++ b/Source/UnitTests/Cells/RunJudge.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Cells/LiveJob.h"
+#include "Cells/TwiceJudge.h"
 #include "Common/Ids.h"
 #include "Jobs/JobSpec.h"
 #include "Jobs/TaskName.h"
@@ -18,6 +19,8 @@
 class RunJudge {
 public:
     std::vector<std::string> faults;
+    /// Has its own faults.
+    TwiceJudge twice;
     std::map<Common::JobId, Jobs::JobSpec> submitted;
     /// Jobs of which no task may start any more.
     std::set<Common::JobId> cancelled;
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -135,6 +135,7 @@
         }
         ++starts;
         m_judge.started(m_entry.id.value(), order.task, m_capacity);
+        m_judge.twice.started(m_entry.id.value(), order.task, order.attempt, m_world.now());
         updatePressure();
         m_runs[order.task] = Run { order.attempt, order.payload, m_world.now(), {}, m_world.now() };
         arm(order);
@@ -191,6 +192,8 @@
             const bool forgotten = end.number <= request.acknowledgedThrough;
             if (forgotten && end.end == Cells::RunEnd::Done)
                 m_judge.acknowledged(end.task);
+            if (forgotten && end.end == Cells::RunEnd::Done)
+                m_judge.twice.acknowledged(m_entry.id.value(), end.task, end.attempt);
             return forgotten;
         });
         if (request.wait <= Common::Duration::zero() || !m_ended.empty()) {
@@ -251,6 +254,7 @@
         m_world.schedule(left, [this, boot = m_boot] {
             if (boot != m_boot || clock() < m_leaseUntil)
                 return;
+            m_judge.twice.endsExempt(m_entry.id.value());
             const auto runs = m_runs;
             for (const auto& [task, run] : runs)
                 end(task, run.attempt, Cells::RunEnd::LeaseExpired);
@@ -303,20 +307,26 @@
         m_runs.erase(run);
         m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
         m_judge.gone(m_entry.id.value(), task);
-        if (how == Cells::RunEnd::Done)
+        m_judge.twice.gone(m_entry.id.value(), task);
+        if (how == Cells::RunEnd::Done) {
             m_judge.done(m_entry.id.value(), task);
+            m_judge.twice.done(m_entry.id.value(), task, attempt);
+        }
         m_ended.push_back({ ++m_lastEnd, task, attempt, how, {} });
         answerPolls();
     }
     void killAll()
     {
         ++m_boot;
-        for (const auto& [task, run] : m_runs)
+        for (const auto& [task, run] : m_runs) {
             m_judge.gone(m_entry.id.value(), task);
+            m_judge.twice.gone(m_entry.id.value(), task);
+        }
         m_runs.clear();
         m_pressure = 0;
         m_waiting.clear();
         m_judge.endsLost(m_entry.id.value());
+        m_judge.twice.endsExempt(m_entry.id.value());
     }
     Cells::RunReport report() const
     {
