--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -93,7 +93,7 @@
 
     void send(const std::string& address, std::string_view text) override
     {
-        if (m_process.isKilled() || (m_lossPerMille > 0 && m_process.random()() % 1000 < m_lossPerMille))
+        if (losesSent || m_process.isKilled() || (m_lossPerMille > 0 && m_process.random()() % 1000 < m_lossPerMille))
             return;
         m_network.send(m_address, address, [this, address, text = std::string(text)] {
             const auto found = m_directory.find(address);
@@ -116,6 +116,8 @@
             m_handler(text);
     }
 
+    /// Heartbeats that this host sends are lost.
+    bool losesSent = false;
     /// Received heartbeats are lost, as when the socket's buffer is full because the process is late.
     bool dropsAll = false;
     /// Whether received heartbeats are kept, so that a test can deliver them again.
--- a/Source/UnitTests/Fakes/FakeNetwork.h
+++ b/Source/UnitTests/Fakes/FakeNetwork.h
@@ -25,6 +25,8 @@
     /// Drops all messages from `from` to `to`; the opposite direction is unaffected.
     void cut(const std::string& from, const std::string& to) { m_cuts.emplace(from, to); }
     bool isCut(const std::string& from, const std::string& to) const { return m_cuts.contains({ from, to }); }
+    /// Removes the cut from `from` to `to`.
+    void mend(const std::string& from, const std::string& to) { m_cuts.erase({ from, to }); }
     /// Removes cuts, loss and duplicates and resets the maximum delay to 5 ms.
     void heal()
     {
