Take a silent worker for idle only by a confirmation after its lease

An owner that has lost the store and one worker may still grant leases for 9 s, and a run lease is 6 s.

A worker now counts as idle only if all leases had passed before the store last confirmed the ownership: then no successor had claimed the cell by then, so none can have renewed the lease or noted an end within it. That holds for the leases of earlier owners too. So that this costs no time while the store is well, an owner that waits for nothing else has its ownership confirmed at once. WorkerLease estimates the clock at times before its last reading conservatively.

Ruled out: an authority shorter than a run lease, which would stop all starts in outages of the store, not only those of tasks that may be elsewhere; a check of the token alone, as workers that no successor has reached don't know it. Not covered: runs lost as a worker starts again under its id are still started again without a confirmation. While the store doesn't answer, tasks of a silent worker wait.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -513,21 +513,44 @@
 void CellCommitter::confirm()
 {
     m_runtime.schedule(m_settings.confirmInterval, m_lifetime.guard([this] { confirm(); }));
-    const Common::MonotonicTime now = m_runtime.suspendAwareNow();
-    if (m_stopped || m_busy || now - m_confirmedAt < m_settings.confirmInterval)
+    if (m_runtime.suspendAwareNow() - m_confirmedAt >= m_settings.confirmInterval)
+        readRecord();
+}
+
+void CellCommitter::confirmNow(std::function<void()> confirmed)
+{
+    if (m_stopped || m_busy)
+        return;
+    m_awaitingConfirmation.push_back(std::move(confirmed));
+    if (!m_reading)
+        readRecord();
+}
+
+void CellCommitter::readRecord()
+{
+    if (m_stopped || m_busy)
         return;
+    m_reading = true;
     m_store.get(StoreKeys::cell(m_cell), Freshness::Linearizable,
-        m_lifetime.guard([this, now](const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+        m_lifetime.guard([this, now = m_runtime.suspendAwareNow()](
+                             const Common::Result<std::optional<Scheduler::StoreValue>>& found) {
+            m_reading = false;
+            const auto waiting = std::exchange(m_awaitingConfirmation, {});
             if (m_stopped || m_busy || m_needsRewrite)
                 return;
             m_failing = !found;
             if (!found)
                 return;
             const auto record = *found ? CellRecord::decode((*found)->value) : CellRecord::decode("");
-            if (!record || record->owner != m_record.owner || record->token != m_record.token)
+            if (!record || record->owner != m_record.owner || record->token != m_record.token) {
                 loseCell();
-            else if ((*found)->revision == m_fence)
-                m_confirmedAt = std::max(m_confirmedAt, now);
+                return;
+            }
+            if ((*found)->revision != m_fence)
+                return;
+            m_confirmedAt = std::max(m_confirmedAt, now);
+            for (const auto& confirmed : waiting)
+                confirmed();
         }));
 }
 
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -72,6 +72,9 @@
 
     /// When the store last confirmed that this host owns the cell, on the clock that includes suspended time.
     Common::MonotonicTime confirmedAt() const { return m_confirmedAt; }
+    /// Reads the cell's record. `confirmed` is called when it shows that this host owns the cell; it is dropped if it
+    /// can't be read, or while a write that may show this is on its way.
+    void confirmNow(std::function<void()> confirmed);
     /// Whether the release mark was sent: a successor that reads it counts on no further leases.
     bool isMarkingRelease() const { return m_record.released; }
     bool isStoreAvailable() const { return !m_failing; }
@@ -122,6 +125,7 @@
     void sendRewrite();
     void onRewritten(Common::Result<TransactionOutcome>);
     void confirm();
+    void readRecord();
     void loseCell();
     void expireAccepts();
     /// How long a submission may wait to be written, depending on whether writes fail at present.
@@ -150,6 +154,9 @@
     std::optional<Scheduler::TimerId> m_flushTimer;
     Common::MonotonicTime m_flushDue;
     Common::MonotonicTime m_confirmedAt;
+    /// Callers of confirmNow() that wait for the reading that is on its way.
+    std::vector<std::function<void()>> m_awaitingConfirmation;
+    bool m_reading = false;
     /// When the call in progress, or the copy of a rewrite that ended it, was sent, on the clock that includes
     /// suspended time.
     Common::MonotonicTime m_sentAt;
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -139,6 +139,13 @@
               .acknowledge = [this](CellWorker& worker) { acknowledge(worker); },
               .dropped = [this] { writeWorkers(); },
               .mayGrant = [this] { return mayGrant(); },
+              .ownedAt =
+                  [this] {
+                      const Common::Duration age = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
+                      return m_runtime.now() - age;
+                  },
+              .confirmOwnership
+              = [this](std::function<void()> confirmed) { m_committer.confirmNow(std::move(confirmed)); },
               .shouldPollFrequently = [this](const CellWorker& worker) { return shouldPollFrequently(worker); },
           })
     , m_lost(std::move(lost))
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -244,15 +244,35 @@
                                           << " reason=" << Common::errorName(reason.code) << " after-ms="
                                           << (m_runtime.now() - askedAt) / std::chrono::milliseconds(1));
     }
-    if (!worker.contacted && isProvablyIdle(worker) && !std::exchange(state.idleLogged, true)) {
+    clearIfIdle(worker);
+    confirmIdle(worker);
+}
+
+void CellWorkers::clearIfIdle(CellWorker& worker)
+{
+    if (worker.reachable || !isProvablyIdle(worker))
+        return;
+    if (!worker.contacted && !std::exchange(link(worker).idleLogged, true)) {
         LC_WARN(Worker,
             "event=worker-considered-idle worker=" << worker.id().value() << " listed=" << worker.listed
                                                    << " token=" << m_token.value);
     }
-    if (isProvablyIdle(worker) && !worker.allocations().empty())
+    if (!worker.allocations().empty())
         m_hooks.runsCleared(worker, false);
 }
 
+/// Has the ownership confirmed if the worker is idle unless a successor has taken the cell over.
+void CellWorkers::confirmIdle(const CellWorker& worker)
+{
+    if (isProvablyIdle(worker) || !isIdleAfter(worker, m_runtime.now()))
+        return;
+    m_hooks.confirmOwnership(m_lifetime.guard([this, id = worker.id()] {
+        CellWorker* const silent = find(id);
+        if (!m_closed && silent)
+            clearIfIdle(*silent);
+    }));
+}
+
 /// Counts a poll of an unreachable worker as unanswered, or gives the next one more time.
 void CellWorkers::judgeFailure(const CellWorker& worker, const Common::Failure& reason, Common::Duration elapsed)
 {
@@ -290,11 +310,14 @@
     return elapsed < m_settings.answerTimeout / 2;
 }
 
-bool CellWorkers::isProvablyIdle(const CellWorker& worker) const
+bool CellWorkers::isProvablyIdle(const CellWorker& worker) const { return isIdleAfter(worker, m_hooks.ownedAt()); }
+
+/// Whether the unreachable worker is idle if only this owner, or an earlier one, can have reached it before `time`.
+bool CellWorkers::isIdleAfter(const CellWorker& worker, Common::MonotonicTime time) const
 {
-    if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
+    if (!worker.contacted && time < m_inheritedLeasesEnd)
         return false;
-    if (!worker.lease().hasExpired(m_runtime.now()))
+    if (!worker.lease().hasExpired(time))
         return false;
     // Nothing runs there any more, but runs may have ended well before, and a worker that lives reports them.
     const auto found = m_links.find(worker.id());
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -36,6 +36,10 @@
         std::function<void()> dropped;
         /// Whether this owner may still grant leases and start runs.
         std::function<bool()> mayGrant;
+        /// When the store last confirmed that this host owns the cell, on the runtime's clock, or earlier.
+        std::function<Common::MonotonicTime()> ownedAt;
+        /// Asks the store to confirm that this host owns the cell. The callback may be dropped.
+        std::function<void(std::function<void()>)> confirmOwnership;
         /// Whether polls of the worker should return early, after CellSettings::frequentPollWait.
         std::function<bool(const CellWorker&)> shouldPollFrequently;
     };
@@ -66,7 +70,9 @@
     void pollSoon(const Common::WorkerId&);
     /// Whether neither a run of this owner nor one of an earlier owner can be on the unreachable worker: all leases
     /// have expired, and the worker is gone from the platform's list or leaves polls unanswered. Polls of which this
-    /// process can't tell whether they were answered don't count.
+    /// process can't tell whether they were answered don't count. The leases must have expired before the store last
+    /// confirmed the ownership: a successor that has claimed the cell since may have renewed them, or acknowledged
+    /// ends.
     bool isProvablyIdle(const CellWorker&) const;
     /// Called when earlier owners can't grant leases any more.
     void endInheritedAuthority();
@@ -87,6 +93,9 @@
     void giveMoreTime(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
     bool isProofOfSilence(const Link&, const Common::Failure&, Common::Duration elapsed) const;
     Common::Duration nextPollDelay(const CellWorker&) const;
+    bool isIdleAfter(const CellWorker&, Common::MonotonicTime) const;
+    void clearIfIdle(CellWorker&);
+    void confirmIdle(const CellWorker&);
     bool dropIfGone(CellWorker&);
     Common::Duration longestInheritedLease() const;
     void sendStart(const Common::WorkerId&, const RunOrder&, const std::function<void(OrderAnswer)>&);
--- a/Source/Core/Cells/WorkerLease.cpp
+++ b/Source/Core/Cells/WorkerLease.cpp
@@ -50,7 +50,9 @@
         return false;
     if (!m_clock)
         return m_grantedUntil == Common::WorkerTime {};
-    const double atLeast = static_cast<double>((now - m_clockReadAt).count()) * (1 - clockSlack);
+    // Before the reading, a clock that isn't slow was the furthest behind.
+    const double rate = now < m_clockReadAt ? 1 : 1 - clockSlack;
+    const double atLeast = static_cast<double>((now - m_clockReadAt).count()) * rate;
     const Common::WorkerTime earliest
         = *m_clock + wholeMilliseconds(Common::Duration(static_cast<Common::Duration::rep>(atLeast)));
     return earliest > m_grantedUntil;
--- a/Source/UnitTests/Cells/CutOwnerTest.cpp
+++ b/Source/UnitTests/Cells/CutOwnerTest.cpp
@@ -1,12 +1,11 @@
 // An owner that is cut from a worker, the store and the other hosts, while its successor reaches that worker.
-#include "Cells/Fleet.h"
+#include "Cells/LateOwner.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 
 using namespace CellTests;
-using namespace std::chrono_literals;
 
 namespace {
 
@@ -76,3 +75,25 @@
     CHECK(fleet.judge.twice.summary() == "");
     CHECK(fleet.phase(fleet.other(), 1) == Jobs::JobPhase::Completed);
 }
+
+// Guards against waiting for the regular confirmation, which is two seconds away at worst, once a lease has passed.
+TEST_CASE("the tasks of a worker that falls silent are started again as soon as its lease has passed")
+{
+    for (Common::Duration offset {}; offset < 2s; offset += 250ms) {
+        CAPTURE(offset.count());
+        Fleet fleet;
+        Outcome submitted;
+        fleet.submit(fleet.other(), CellWorld::service(1, 6), submitted);
+        fleet.clock.advance(6s + offset);
+        REQUIRE(fleet.running() == 6);
+        for (const auto& worker : fleet.workers) {
+            if (worker->running() > 0) {
+                worker->crash();
+                break;
+            }
+        }
+        CHECK(longestShortage(fleet, 6, 20s) <= 7300ms);
+        CHECK(fleet.judge.summary() == "");
+        CHECK(fleet.judge.twice.summary() == "");
+    }
+}
