--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -196,3 +196,7 @@
             if host.up and host.frozen:
                 host.thaw()
             host.end()
+        # Their timers would write to a record that is closed.
+        for worker in self.workers:
+            if worker.up:
+                worker.crash()
