--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -144,8 +144,13 @@
                       const Common::Duration age = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
                       return m_runtime.now() - age;
                   },
-              .confirmOwnership
-              = [this](std::function<void()> confirmed) { m_committer.confirmNow(std::move(confirmed)); },
+              .confirmOwnership =
+                  [this](std::function<void()> confirmed) {
+                      m_committer.confirmNow([this, confirmed = std::move(confirmed)] {
+                          confirmed();
+                          schedulePlacement();
+                      });
+                  },
               .shouldPollFrequently = [this](const CellWorker& worker) { return shouldPollFrequently(worker); },
           })
     , m_lost(std::move(lost))
