Look for a cell with room for a whole gang

Cells that found no room come last, and a gang gave up if the first cell had less room than the whole gang needs. So a cell with a little room that never had the gang would keep it from one with enough room, for good.

The search now passes over cells without room for all of the gang. No test has a gang that moves to another cell; none was added.

--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -87,7 +87,8 @@
             continue;
         const auto recent = m_recentTransfers.find(cell);
         const size_t taken = recent == m_recentTransfers.end() ? 0 : recent->second.tasks;
-        if (room <= taken)
+        // A gang moves as a whole.
+        if (room < taken + (spec.gang ? spec.taskCount : 1))
             continue;
         const auto refused = step.refusals.find(cell.value());
         const uint32_t refusals = refused == step.refusals.end() ? 0 : refused->second;
