Soak: split the owner of a cell from half of its workers

Links between hosts can't be cut on loopback, so the owner learns of its successor too soon; CutOwnerTest shows the fault in the simulation.

--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -7,7 +7,7 @@
 from soak.link import Passage
 
 KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "add-host", "replace-host",
-         "cut-some", "cut-host", "cut-frozen-host", "cut-worker", "cut-store",
+         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store",
          "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker", "late-orders",
          "late-calls", "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
 
@@ -207,6 +207,39 @@
         for link in links:
             link.heal()
 
+    async def _split_owner(self):
+        """The owner of a cell stands still until another host takes over. It is cut from the store and from half of
+        the cell's workers, and the other hosts from the rest; they stand still when it goes on."""
+        worker = self._up_worker()
+        owner = next((host for host in self.fleet.hosts if worker and host.name == worker.owner), None)
+        if not owner or not owner.up or owner.frozen:
+            return
+        workers = [other for other in self.fleet.workers if other.up and other.owner == owner.name]
+        theirs = set(self.random.sample(workers, len(workers) // 2))
+        links = [self.fleet.store_links[owner.name]]
+        for other in workers:
+            links += [link for link in self.fleet.links_of(worker=other)
+                      if (link.host == owner.name) == (other in theirs)]
+        span, pause = self._span(9, 12), self._span(3.2, 4)
+        self._note("split-owner", owner.name, "from", ",".join(sorted(other.id for other in theirs)),
+                   f"frozen={pause:.2f}", f"for={span:.2f}")
+        for link in links:
+            link.cut(Passage.LOST, Passage.LOST)
+        process = owner.process
+        owner.freeze()
+        await asyncio.sleep(pause)
+        # No link lies between two hosts: what the others would tell the owner waits as long as they stand still.
+        others = [host for host in self.fleet.hosts if host.up and not host.frozen]
+        for host in others:
+            host.freeze()
+        if owner.process is process:
+            owner.thaw()
+        await asyncio.sleep(span - pause)
+        for link in links:
+            link.heal()
+        for host in others:
+            host.thaw()
+
     async def _cut_host(self):
         """One host is cut from all workers and from the store."""
         host = self._up_host()
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -40,6 +40,8 @@
         self.up = False
         self.state = "ready"
         self.reports = True
+        # The host whose call was carried out last.
+        self.owner = None
         self.unhealthy = False
         self.lost_answers = 0
         # Delays in seconds of the next starts, and of the next stops and holds: their answers are lost.
@@ -216,7 +218,7 @@
             return 409, {"clock_ms": self.clock(), "reason": "fence"}
         if token > self.token:
             self.note("token", self.id, f"token={token}", f"host={host}")
-        self.token = token
+        self.token, self.owner = token, host
         if request.target == "/v1/hold":
             return await self._hold(call, token)
         if request.target == "/v1/run-start":
