--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -227,11 +227,6 @@
     continueWait(transfer);
     // Also if the job has ended and its record has expired: the transfer is then removed.
     m_committer.recordReceivedTransfer(transfer.part.id, transfer.key());
-    // Not before: a former owner that doesn't know yet that it was replaced would start what its successor starts too.
-    m_committer.markChangedUrgently(transfer.part.id, [this](const Common::Result<Common::Done>& durable) {
-        if (durable)
-            schedulePlacement();
-    });
     giveUpTasksOf(transfer.part.id);
     schedulePlacement();
 }
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -123,7 +123,6 @@
             progress.crashes = std::move(crashes);
             progress.lastAttempt = lastAttempt;
             step.waitingCount += task.waiting() ? 1 : 0;
-            task.crashChange = m_changes;
         }
         m_hasStartedTask = m_hasStartedTask || lastAttempt > 0 || transferred.done;
     });
@@ -143,13 +142,10 @@
 
 void LiveJob::noteRefusals(const TaskTransfer& transfer)
 {
-    ++m_changes;
     for (auto& [occurrence, open] : m_occurrences) {
         for (LiveStep& step : open.steps) {
             if (step.waitingCount > 0)
                 ++step.refusals[transfer.from.value()];
-            for (LiveTask& task : step.tasks)
-                task.crashChange = m_changes;
         }
     }
 }
