Test the successor of an owner that starts tasks before their receipt, as an earlier release does

CellWorldTest, "a successor waits for the workers on which its predecessor may have started transferred tasks", got into that state by taking the store away: the owner started what it couldn't confirm.

The test now checks first that nothing starts while the receipt can't be durable. Then it puts the records back as they were before the receipt, which is how an owner of an earlier release leaves them, and goes on as before: same cut, same waits, same checks of the successor. So it asks one thing more than it did, and nothing less.

--- a/Source/UnitTests/Cells/CellWorldTest.cpp
+++ b/Source/UnitTests/Cells/CellWorldTest.cpp
@@ -540,7 +540,12 @@
     };
     waitFor([&] { return world.store.countWithPrefix(transfers) > 0; });
     // The transfer is durable; its receipt can't become durable while the store is down.
+    const std::string recordsOfShed = Cells::StoreKeys::jobs(Cells::CellId("shed-0"));
+    const auto unreceived = world.store.recordsWithPrefix(recordsOfShed);
     world.store.down = true;
+    world.clock.advance(2s);
+    CHECK(inShed() == 0);
+    world.store.down = false;
     waitFor([&] { return inShed() == 2; });
     CellTests::RunWorker& busy = *world.workers[world.workers[1]->running() > 0 ? 1 : 2];
     REQUIRE(busy.running() == 2);
@@ -552,7 +557,8 @@
         world.network.cut(host->address, busy.entry().address);
         world.network.cut(busy.entry().address, host->address);
     }
-    world.store.down = false;
+    // As an owner of an earlier release leaves it, which starts received tasks before their receipt is durable.
+    world.store.replaceWithPrefix(recordsOfShed, unreceived);
     world.clock.advance(5s);
     CHECK(world.judge.summary() == "");
     world.network.heal();
--- a/Source/UnitTests/Fakes/FakeRecordStore.h
+++ b/Source/UnitTests/Fakes/FakeRecordStore.h
@@ -53,6 +53,21 @@
             m_records.begin(), m_records.end(), [&](const auto& row) { return row.first.starts_with(prefix); }));
     }
     /// Writes as another client, without faults or latency.
+    std::map<std::string, std::string> recordsWithPrefix(const std::string& prefix) const
+    {
+        std::map<std::string, std::string> found;
+        for (const auto& [key, record] : m_records) {
+            if (key.starts_with(prefix))
+                found.emplace(key, record.value);
+        }
+        return found;
+    }
+    void replaceWithPrefix(const std::string& prefix, const std::map<std::string, std::string>& records)
+    {
+        std::erase_if(m_records, [&prefix](const auto& row) { return row.first.starts_with(prefix); });
+        for (const auto& [key, value] : records)
+            put(key, value);
+    }
     void put(const std::string& key, const std::string& value)
     {
         Cells::RecordTransaction transaction;
