Test that an owner's record is settled once all workers have reported

Change: a third case in EarlierOwnerAuthorityTest. The record of an owner that replaces a killed one says unsettled at first, and no more two seconds later.

--- a/Source/UnitTests/Cells/EarlierOwnerAuthorityTest.cpp
+++ b/Source/UnitTests/Cells/EarlierOwnerAuthorityTest.cpp
@@ -1,5 +1,7 @@
 // A cell that changes its owner twice while an owner before these may still grant leases.
+#include "Cells/CellRecord.h"
 #include "Cells/Fleet.h"
+#include "Cells/StoreKeys.h"
 
 #include <doctest/doctest.h>
 
@@ -86,3 +88,23 @@
         CHECK(world.judge.summary() == "");
     }
 }
+
+TEST_CASE("an owner that has replaced a dead one takes its record for settled once all workers have reported")
+{
+    Fleet fleet;
+    const auto recordOfCell = [&fleet] {
+        const std::string key = Cells::StoreKeys::cell(Cells::CellId("yard-0"));
+        const auto record = Cells::CellRecord::decode(fleet.store.recordsWithPrefix(key).at(key));
+        REQUIRE(record);
+        return *record;
+    };
+    CHECK_FALSE(recordOfCell().unsettled);
+    fleet.owner()->process.kill();
+    for (size_t steps = 0; steps < 2000 && recordOfCell().token.value == 1; ++steps)
+        fleet.clock.advance(5ms);
+    REQUIRE(recordOfCell().token.value == 2);
+    CHECK(recordOfCell().unsettled);
+    fleet.clock.advance(2s);
+    CHECK(recordOfCell().token.value == 2);
+    CHECK_FALSE(recordOfCell().unsettled);
+}
