Name the change that a task's start waits for after its purpose

LiveTask::crashChange named the change that records the last crash. Since the receipt of a transferred task is waited for in the same way, so the name misled. It is requiredChange; no change of logic. Ruled out: a second member, which each check of a start would have to ask too.

--- a/Source/Core/Cells/CellEngineCrashes.cpp
+++ b/Source/Core/Cells/CellEngineCrashes.cpp
@@ -267,7 +267,7 @@
 
 bool CellEngine::mayStart(const LiveJob& job, const Jobs::TaskName& name, const LiveTask& task) const
 {
-    return job.committedChanges() >= task.crashChange && !job.crashHistory(name).isGivenUp();
+    return job.committedChanges() >= task.requiredChange && !job.crashHistory(name).isGivenUp();
 }
 
 bool CellEngine::isQuarantinedFor(const CellWorker& worker, const LiveJob& job, const Jobs::TaskName& name) const
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -208,7 +208,7 @@
     ++m_changes;
     for (LiveTask& member : members) {
         if (gang || &member == task)
-            member.crashChange = m_changes;
+            member.requiredChange = m_changes;
     }
     return true;
 }
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -123,7 +123,7 @@
             progress.crashes = std::move(crashes);
             progress.lastAttempt = lastAttempt;
             step.waitingCount += task.waiting() ? 1 : 0;
-            task.crashChange = m_changes;
+            task.requiredChange = m_changes;
         }
         m_hasStartedTask = m_hasStartedTask || lastAttempt > 0 || transferred.done;
     });
@@ -149,7 +149,7 @@
             if (step.waitingCount > 0)
                 ++step.refusals[transfer.from.value()];
             for (LiveTask& task : step.tasks)
-                task.crashChange = m_changes;
+                task.requiredChange = m_changes;
         }
     }
 }
--- a/Source/Core/Cells/LiveTask.h
+++ b/Source/Core/Cells/LiveTask.h
@@ -16,8 +16,9 @@
     Common::MonotonicTime notBefore;
     /// Worker on which the last run failed or was stuck; another worker is preferred. Empty if there is none.
     Common::WorkerId avoid;
-    /// The change of the job that records the last crash; the task isn't started before it is durable.
-    uint64_t crashChange = 0;
+    /// The change of the job without which the task isn't started: the one that records its last crash or its receipt
+    /// from another cell must be durable first.
+    uint64_t requiredChange = 0;
     /// Runs that were lost with silent workers, which may turn out to have crashed.
     uint32_t unconfirmedCrashes = 0;
     /// Since when the task waits for a worker on which it can run in isolation; empty if it doesn't.
