Setting cells.workers: the target number of workers of a cell

Cause: the number was fixed at 20, so a soak on one machine can't have several cells a domain, as the users' sites have. Change: a checked setting of the entry host, 1 to 1000; it counts when the fleet's first host writes the layout. The default is 20 as before. Config.SettingsPageTest compares the page.

--- a/Source/Core/Config/EntrySettings.cpp
+++ b/Source/Core/Config/EntrySettings.cpp
@@ -12,6 +12,7 @@
 
     constexpr int64_t highestPort = 65535;
     constexpr size_t maximumSeeds = 64;
+    constexpr int64_t highestWorkersPerCell = 1000;
 
     SettingsTable<EntrySettings> makeTable()
     {
@@ -41,6 +42,8 @@
             "The longest lease that workers grant to runs.");
         table.number("workers.spreadSlowdown", NumberRule { 1, 1000, "" }, &Settings::spreadSlowdown,
             "How many times as long tasks that belong on one rack take on several.");
+        table.integer("cells.workers", IntegerRule { 1, highestWorkersPerCell, "workers" }, &Settings::workersPerCell,
+            "Target number of workers of a cell, when the fleet's first host divides them.");
         table.duration("stop.grace", DurationRule { 1s, 1h }, &Settings::stopGrace,
             "From the signal to stop until the process is killed.");
         table.textChoice("log.level", ChoiceRule { { "debug", "info", "warn", "error" } }, &Settings::logLevel,
--- a/Source/Core/Config/EntrySettings.h
+++ b/Source/Core/Config/EntrySettings.h
@@ -34,6 +34,8 @@
     Common::Duration longestRunLease = std::chrono::seconds(10);
     /// How many times longer tasks that belong on one rack run when they are spread over several.
     double spreadSlowdown = 2;
+    /// Target number of workers of a cell; counts when the layout is written, by the first host that ever starts.
+    int64_t workersPerCell = 20;
     /// Time from the stop signal until the process is killed.
     Common::Duration stopGrace = std::chrono::seconds(6);
     std::string logLevel = "info";
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -101,6 +101,7 @@
         host.region = settings.region;
         for (const std::string& seed : settings.seeds)
             host.seeds.push_back(heartbeatAddress(seed, settings.heartbeatPort));
+        host.workersPerCell = static_cast<uint32_t>(settings.workersPerCell);
         host.weight = static_cast<int64_t>(settings.processorShare * settings.processorSpeed * milliPerCore);
         return host;
     }
