Poll a silent worker through another host

Callers saw tasks start again whose runs had ended done, ordered by the same host on one other worker; the ends were noted afterwards. Cause: an owner that doesn't reach a worker lets the worker's lease pass and starts its tasks again, although other hosts reach the worker: its runs go on, or have ended and wait to be read. Change: beside its own polls the owner has a random live host, of the cell's domain first, poll a silent worker with runs (worker.poll). The owner's token goes with it, it acknowledges nothing as it may arrive late, and once one was answered the next ones renew the lease. So ends are read and leases kept; orders still need the direct way. The lease of a worker that nobody reaches passes as before.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -152,6 +152,11 @@
                       });
                   },
               .shouldPollFrequently = [this](const CellWorker& worker) { return shouldPollFrequently(worker); },
+              .pollThroughHost =
+                  [this](const PollForHost& poll, Common::Callback<RunReport> callback) {
+                      return m_peerCells.pollThroughHost
+                          && m_peerCells.pollThroughHost(m_id, poll, std::move(callback));
+                  },
           })
     , m_lost(std::move(lost))
     , m_peerCells(std::move(peerCells))
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1077,9 +1077,38 @@
         = [this](const CellId& cell, const Common::JobId& job) { requestTransferCheck(cell, job); },
         .cancel = [this](const CellId& cell, const Jobs::JobRecord& part,
                       const std::function<void()>& handled) { notifyOwner(cell, part, handled); },
+        .pollThroughHost
+        = [this](const CellId& cell, const PollForHost& poll,
+              Common::Callback<RunReport> callback) { return pollThroughHost(cell, poll, std::move(callback)); },
     };
 }
 
+/// Asks a random host, of the cell's domain if there is one: what cuts this host off often cuts its domain off.
+bool CellOwnership::pollThroughHost(const CellId& cell, const PollForHost& poll, Common::Callback<RunReport> callback)
+{
+    if (!m_pollMessenger)
+        return false;
+    std::vector<const HostState*> hosts = m_directory.liveHosts(m_ports.runtime.now());
+    std::erase_if(hosts, [](const HostState* host) { return host->draining; });
+    const Common::DomainId domain = m_layout.domainOf(cell);
+    const auto isElsewhere = [&domain](const HostState* host) { return host->domain != domain; };
+    if (!std::all_of(hosts.begin(), hosts.end(), isElsewhere))
+        std::erase_if(hosts, isElsewhere);
+    if (hosts.empty())
+        return false;
+    const HostState& chosen = *hosts[m_ports.runtime.random()() % hosts.size()];
+    m_pollMessenger(chosen.address, poll, std::move(callback));
+    return true;
+}
+
+void CellOwnership::pollForHost(const PollForHost& poll, Common::Callback<RunReport> callback)
+{
+    WorkerOrders::PollRequest request;
+    request.token = poll.token;
+    request.leaseUntil = poll.leaseUntil;
+    m_ports.orders.pollRuns(poll.worker, request, std::move(callback));
+}
+
 void CellOwnership::requestTransferCheck(const CellId& cell, const Common::JobId& job)
 {
     m_ports.store.list(StoreKeys::job(cell, job) + StoreKeys::transferMarker, Freshness::Linearizable,
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -114,6 +114,12 @@
     /// Asks the owner at `address` to release a cell because it is late. JobGateway sets it.
     using ReliefRequest = std::function<void(const std::string& address, const CellId&)>;
     void setReliefRequest(ReliefRequest request) { m_reliefRequest = std::move(request); }
+    /// Has the host at `address` carry out a poll. JobGateway sets it.
+    using PollMessenger
+        = std::function<void(const std::string& address, const PollForHost&, Common::Callback<RunReport>)>;
+    void setPollMessenger(PollMessenger messenger) { m_pollMessenger = std::move(messenger); }
+    /// Carries out a poll for another host. Errors as WorkerOrders::pollRuns.
+    void pollForHost(const PollForHost&, Common::Callback<RunReport>);
     /// Releases the cell if this host owns it and is late; another host that is in time asks for it.
     void releaseIfLate(const CellId&);
     /// Calls the hook with a host's address and its version of the configuration for each message of the host itself.
@@ -187,6 +193,7 @@
     void takeOwnership(const CellId&, CellEngine::RecoveredCell);
     void endClaim(const CellId&, const char* reason);
     CellEngine::PeerCells peerCells();
+    bool pollThroughHost(const CellId&, const PollForHost&, Common::Callback<RunReport>);
     ServiceRooms serviceRooms(const CellId& self) const;
     std::map<CellId, size_t> taskSlots(
         const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
@@ -265,6 +272,7 @@
     Messenger m_messenger;
     OwnerProbe m_ownerProbe;
     ReliefRequest m_reliefRequest;
+    PollMessenger m_pollMessenger;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -38,6 +38,10 @@
     Common::MonotonicTime askedAt;
     /// The last polls in a row that the worker has left unanswered.
     uint32_t unansweredPolls = 0;
+    /// A poll through another host is under way, and whether the last one was answered. Only then may the next one
+    /// renew the lease: that of a worker which nobody reaches must be able to expire.
+    bool askingThroughHost = false;
+    bool heardThroughHost = false;
     bool silenceLogged = false;
     bool latenessLogged = false;
     bool idleLogged = false;
@@ -200,13 +204,28 @@
     state.latenessLogged = false;
     state.retryPause = {};
     state.unansweredPolls = 0;
+    state.heardThroughHost = false;
     if (m_runtime.now() - askedAt < state.wait + m_settings.answerTimeout / 2)
         state.extraTime = {};
+    if (!acceptReport(worker, report))
+        return;
+    worker.reachable = true;
+    state.listsEnds = !report.ended.empty();
+    state.heardAt = m_runtime.suspendAwareNow();
+    if (*state.heardAt - state.askedAt > state.wait + m_settings.answerTimeout)
+        state.heardAt.reset();
+    m_hooks.report(worker, report, askedAt);
+    worker.contacted = true;
+}
+
+/// Takes over what the report says of the worker's life and clock. False if it is older than the life that is known.
+bool CellWorkers::acceptReport(CellWorker& worker, const RunReport& report)
+{
     const bool rebooted = report.startedAtMilliseconds != 0 && worker.startedAtMilliseconds != 0
         && report.startedAtMilliseconds != worker.startedAtMilliseconds;
     // A delayed answer from before the reboot says nothing about the current state.
     if (rebooted && report.startedAtMilliseconds < worker.startedAtMilliseconds)
-        return;
+        return false;
     if (report.startedAtMilliseconds != 0)
         worker.startedAtMilliseconds = report.startedAtMilliseconds;
     if (rebooted) {
@@ -217,13 +236,56 @@
     // An earlier owner may have renewed the lease just before.
     if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
         worker.lease().grant(m_settings.runLease, m_runtime.now());
-    worker.reachable = true;
     worker.lastReportAt = m_runtime.now();
-    state.listsEnds = !report.ended.empty();
-    state.heardAt = m_runtime.suspendAwareNow();
-    if (*state.heardAt - state.askedAt > state.wait + m_settings.answerTimeout)
-        state.heardAt.reset();
-    m_hooks.report(worker, report, askedAt);
+    return true;
+}
+
+/// Asks another host for a report of the worker, which may have runs.
+void CellWorkers::askThroughHost(CellWorker& worker)
+{
+    Link& state = link(worker);
+    const bool occupied = !worker.allocations().empty();
+    if (state.askingThroughHost || (!occupied && worker.contacted))
+        return;
+    PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, m_token, {} };
+    const bool mayGrant = state.heardThroughHost && m_hooks.mayGrant() && worker.lease().isClockKnown();
+    if (occupied && mayGrant)
+        poll.leaseUntil = worker.lease().grant(m_settings.runLease, m_runtime.now());
+    state.askingThroughHost = true;
+    const bool asked = m_hooks.pollThroughHost(poll,
+        m_lifetime.guard([this, id = worker.id(), askedAt = m_runtime.now()](const Common::Result<RunReport>& report) {
+            CellWorker* const silent = find(id);
+            if (!m_closed && silent)
+                onAnswerThroughHost(*silent, askedAt, report);
+        }));
+    if (!asked)
+        state.askingThroughHost = state.heardThroughHost = false;
+}
+
+/// The worker stays unreachable for orders, and its ends aren't acknowledged: the next poll is too far away for that.
+void CellWorkers::onAnswerThroughHost(
+    CellWorker& worker, Common::MonotonicTime askedAt, const Common::Result<RunReport>& report)
+{
+    Link& state = link(worker);
+    state.askingThroughHost = false;
+    if (!report && report.reason().code == Common::ErrorCode::NotOwner) {
+        m_hooks.fenced();
+        return;
+    }
+    // A poll of this host was answered meanwhile.
+    if (worker.reachable || worker.lastReportAt > askedAt)
+        return;
+    if (!report || !acceptReport(worker, *report)) {
+        state.heardThroughHost = false;
+        return;
+    }
+    if (!std::exchange(state.heardThroughHost, true)) {
+        LC_INFO(Worker,
+            "event=worker-heard-through-host worker=" << worker.id().value() << " runs=" << report->running.size()
+                                                      << " ends=" << report->ended.size());
+    }
+    state.unansweredPolls = 0;
+    m_hooks.report(worker, *report, askedAt);
     worker.contacted = true;
 }
 
@@ -244,6 +306,7 @@
                                           << " reason=" << Common::errorName(reason.code) << " after-ms="
                                           << (m_runtime.now() - askedAt) / std::chrono::milliseconds(1));
     }
+    askThroughHost(worker);
     clearIfIdle(worker);
     confirmIdle(worker);
 }
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -4,6 +4,7 @@
 #include "Cells/CellId.h"
 #include "Cells/CellSettings.h"
 #include "Cells/CellWorker.h"
+#include "Cells/PollForHost.h"
 #include "Cells/WorkerOrders.h"
 #include "Common/Ids.h"
 #include "Common/Lifetime.h"
@@ -19,7 +20,8 @@
 namespace Cells {
 
 /// Keeps one poll open at each worker that has runs. The poll renews the lease, acknowledges ends and returns when a
-/// run ends.
+/// run ends. A worker that doesn't answer is polled through another host as well: as long as that works, its runs keep
+/// their leases and their ends are read.
 class CellWorkers {
 public:
     struct Hooks {
@@ -42,6 +44,8 @@
         std::function<void(std::function<void()>)> confirmOwnership;
         /// Whether polls of the worker should return early, after CellSettings::frequentPollWait.
         std::function<bool(const CellWorker&)> shouldPollFrequently;
+        /// Has another host poll the worker; false if there is none that may reach it.
+        std::function<bool(const PollForHost&, Common::Callback<RunReport>)> pollThroughHost;
     };
 
     /// `inheritedAuthority`: how long an earlier owner may still grant leases; zero if it can't.
@@ -88,6 +92,9 @@
     void schedulePoll(const Common::WorkerId&, Common::Duration);
     void onPollAnswer(const Common::WorkerId&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
+    bool acceptReport(CellWorker&, const RunReport&);
+    void askThroughHost(CellWorker&);
+    void onAnswerThroughHost(CellWorker&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onPollFailure(CellWorker&, const Common::Failure&, Common::MonotonicTime askedAt);
     void judgeFailure(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
     void giveMoreTime(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -1,6 +1,7 @@
 // Submissions, phase queries and cancellations, and the peer calls that carry them.
 #include "Cells/JobGateway.h"
 
+#include "Cells/RunReportCodec.h"
 #include "Cells/StoreKeys.h"
 #include "Common/Hash.h"
 #include "Common/Log.h"
@@ -26,6 +27,7 @@
     constexpr const char* reliefMethod = "cell.relief";
     constexpr const char* choiceMethod = "cell.choice";
     constexpr const char* pendingMethod = "job.pending";
+    constexpr const char* pollMethod = "worker.poll";
     /// Time for a host that knows the loads of all cells to choose one; it makes no call of its own for that.
     constexpr Common::Duration choiceTimeout = std::chrono::milliseconds(300);
     /// Hosts that are asked in turn.
@@ -217,6 +219,23 @@
         m_peers.call(
             address, reliefMethod, Json { { "cell", cell.value() } }, callTimeout, [](const Common::Result<Json>&) {});
     });
+    m_cellOwnership.setPollMessenger(
+        [this](const std::string& address, const PollForHost& poll, Common::Callback<RunReport> callback) {
+            m_peers.call(address, pollMethod, pollForHostToJson(poll), callTimeout,
+                [callback = std::move(callback)](const Common::Result<Json>& answer) {
+                    callback(answer ? runReportFromJson(*answer) : Common::Result<RunReport>(answer.reason()));
+                });
+        });
+    m_peers.serve(pollMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
+        const auto poll = pollForHostFromJson(params);
+        if (!poll) {
+            reply(poll.reason());
+            return;
+        }
+        m_cellOwnership.pollForHost(*poll, [reply](const Common::Result<RunReport>& report) {
+            reply(report ? Common::Result<Json>(runReportToJson(*report)) : Common::Result<Json>(report.reason()));
+        });
+    });
     m_peers.serve(reliefMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
         m_cellOwnership.releaseIfLate(CellId(params.value("cell", std::string {})));
         reply(Json::object());
