Wait for the end of a run that is probably done before its task starts again

Callers saw tasks start again whose runs had ended done. Cause: when the lease of a silent worker has passed, all its tasks are started again at once. A worker that only the hosts don't reach is still listed, and mostly its short runs have ended within the lease; the owner reads the ends when it reaches the worker again, after it has had the work done twice. Long-running tasks, runs that outlast the lease and runs of workers that are off the list are given up at once as before, so a crashed worker, which leaves the list within three heartbeats, costs nothing.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -4,6 +4,7 @@
 #include "Cells/PressureEstimateCodec.h"
 #include "Common/Log.h"
 #include "Common/WorkTimes.h"
+#include "Policy/UnreadEnd.h"
 
 #include <nlohmann/json.hpp>
 
@@ -685,15 +686,21 @@
 {
     std::vector<RunKey> gone;
     std::vector<RunKey> unconfirmed;
+    size_t awaited = 0;
     for (const auto& [run, allocation] : worker.allocations()) {
         const bool mayStillStart = !allocation.reportedRunning || allocation.startOutcomeUnknown;
-        (rebooted && mayStillStart ? unconfirmed : gone).push_back(run);
+        if (!rebooted && awaitsUnreadEnd(worker, run, allocation))
+            ++awaited;
+        else
+            (rebooted && mayStillStart ? unconfirmed : gone).push_back(run);
     }
+    if (awaited > 0 && gone.empty())
+        return;
     LC_WARN(Worker,
         "event=" << (rebooted ? "worker-reborn" : "worker-lease-passed") << " worker=" << worker.id().value()
-                 << " lost=" << gone.size()
+                 << " lost=" << gone.size() << " awaited=" << awaited
                  << " unheard-ms=" << (m_runtime.now() - worker.lastReportAt) / std::chrono::milliseconds(1));
-    onRunsLost(worker, rebooted);
+    onRunsLost(worker, gone, rebooted);
     for (const RunKey& run : gone) {
         awaitLateStart(worker.id(), *worker.find(run), run.task);
         dropRun(worker, run);
@@ -721,6 +728,25 @@
     schedulePlacement();
 }
 
+/// Whether the run has probably ended before the lease of its silent worker passed. The worker is up as long as the
+/// platform lists it, and its report tells how the run ended.
+bool CellEngine::awaitsUnreadEnd(const CellWorker& worker, const RunKey& run, const RunAllocation& allocation) const
+{
+    const auto job = m_jobs.find(run.task.job);
+    const bool started = allocation.reportedRunning || allocation.orderAnsweredAt;
+    if (!worker.listed || !started || allocation.stopping || job == m_jobs.end() || isFinal(job->second->phase()))
+        return false;
+    const LiveTask* const task = job->second->find(run.task);
+    // The start order granted a lease too.
+    const Common::MonotonicTime lastKnown = std::max(worker.lastReportAt, allocation.orderedAt);
+    const Common::Duration silence = m_runtime.now() - lastKnown;
+    if (!isRun(task, worker.id(), run.attempt) || silence >= m_settings.runLease + Policy::longestUnreadEndWait)
+        return false;
+    const Policy::SilentRun silent { allocation.longRunning, lastKnown - allocation.orderedAt, task->run->percent,
+        allocation.estimate };
+    return Policy::endsWithin(silent, m_settings.runLease);
+}
+
 /// Keeps the task from starting elsewhere as long as an order that a silent worker left unanswered may still be carried
 /// out: the worker may be started anew meanwhile, and its next life doesn't refuse the order.
 void CellEngine::awaitLateStart(
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -169,6 +169,7 @@
     void adopt(CellWorker&, const RunningTask&, LiveJob*);
     void removeAbsentRuns(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
     void onRunsCleared(CellWorker&, bool rebooted);
+    bool awaitsUnreadEnd(const CellWorker&, const RunKey&, const RunAllocation&) const;
     void dropRun(CellWorker&, const RunKey&);
     void awaitLateStart(const Common::WorkerId&, const RunAllocation&, const Jobs::TaskName&);
     void acknowledge(CellWorker&);
@@ -207,7 +208,7 @@
     };
     static LostWorker snapshotOf(const CellWorker&, Common::MonotonicTime now);
     static std::vector<LostRun> runsThatMayHaveStarted(const CellWorker&);
-    void onRunsLost(const CellWorker&, bool rebooted);
+    void onRunsLost(const CellWorker&, const std::vector<RunKey>& gone, bool rebooted);
     void suspectRunsOf(const LostWorker&);
     void noticeReplacement(const WorkerEntry&);
     void onWorkerCrash(LostWorker, int64_t startedAgainMilliseconds);
--- a/Source/Core/Cells/CellEngineCrashes.cpp
+++ b/Source/Core/Cells/CellEngineCrashes.cpp
@@ -66,12 +66,16 @@
     return runs;
 }
 
-/// Called before the runs are cleared.
-void CellEngine::onRunsLost(const CellWorker& worker, bool rebooted)
+/// Called before the runs are cleared. After a reboot all runs count, whether they are cleared or not.
+void CellEngine::onRunsLost(const CellWorker& worker, const std::vector<RunKey>& gone, bool rebooted)
 {
     const Common::MonotonicTime now = m_runtime.now();
     std::erase_if(m_lostWorkers, [now](const auto& row) { return now - row.second.clearedAt > lostWorkerRetention; });
     LostWorker lost = snapshotOf(worker, now);
+    if (!rebooted) {
+        std::erase_if(lost.runs,
+            [&gone](const LostRun& row) { return std::find(gone.begin(), gone.end(), row.run) == gone.end(); });
+    }
     const bool drained = worker.entry().draining
         || (worker.drainingSince != Common::MonotonicTime {} && now - worker.drainingSince < drainMemory);
     if (rebooted) {
