--- a/Source/UnitTests/Cells/RunJudge.h
+++ b/Source/UnitTests/Cells/RunJudge.h
@@ -21,6 +21,8 @@
     std::vector<std::string> faults;
     /// Has its own faults.
     TwiceJudge twice;
+    /// The same for a reading of the rule by which a lapse of a lease excuses ends only if it ends a run.
+    TwiceJudge twiceDespiteIdleLapses;
     std::map<Common::JobId, Jobs::JobSpec> submitted;
     /// Jobs of which no task may start any more.
     std::set<Common::JobId> cancelled;
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -53,6 +53,12 @@
     bool ignoresStarts = false;
     /// The next start order gets no answer and is carried out this much later, by whichever life is up then.
     std::optional<Common::Duration> nextStartDelay;
+    /// The next start order is carried out, but its answer gets lost.
+    bool losesNextStartAnswer = false;
+    /// The next copy of an order whose run is there is refused as expired.
+    bool nextCopyExpired = false;
+    /// Rows of runs can't be read in its reports.
+    bool unreadableRows = false;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
     enum class CapacitySource {
         List,
@@ -123,6 +129,10 @@
         }
         extend(until);
         const auto run = m_runs.find(order.task);
+        if (run != m_runs.end() && run->second.attempt == order.attempt && std::exchange(nextCopyExpired, false)) {
+            reply(answer, Cells::OrderVerdict::OrderExpired);
+            return;
+        }
         if (run != m_runs.end() && run->second.attempt == order.attempt) {
             reply(answer, Cells::OrderVerdict::Accepted);
             return;
@@ -137,11 +147,13 @@
         }
         ++starts;
         m_judge.started(m_entry.id.value(), order.task, m_capacity);
-        m_judge.twice.started(m_entry.id.value(), order.task, order.attempt, m_world.now());
+        forEachTwiceJudge(
+            [&](TwiceJudge& twice) { twice.started(m_entry.id.value(), order.task, order.attempt, m_world.now()); });
         updatePressure();
         m_runs[order.task] = Run { order.attempt, order.payload, m_world.now(), {}, m_world.now() };
         arm(order);
-        reply(answer, Cells::OrderVerdict::Accepted);
+        if (!std::exchange(losesNextStartAnswer, false))
+            reply(answer, Cells::OrderVerdict::Accepted);
     }
     void stop(
         Cells::FencingToken token, const Jobs::TaskName& task, Common::AttemptNumber attempt, const Answer& answer)
@@ -195,7 +207,8 @@
             if (forgotten && end.end == Cells::RunEnd::Done)
                 m_judge.acknowledged(end.task);
             if (forgotten && end.end == Cells::RunEnd::Done)
-                m_judge.twice.acknowledged(m_entry.id.value(), end.task, end.attempt);
+                forEachTwiceJudge(
+                    [&](TwiceJudge& twice) { twice.acknowledged(m_entry.id.value(), end.task, end.attempt); });
             return forgotten;
         });
         if (request.wait <= Common::Duration::zero() || !m_ended.empty()) {
@@ -230,6 +243,11 @@
         uint64_t endTimers = 0;
     };
 
+    template <typename Tell> void forEachTwiceJudge(const Tell& tell)
+    {
+        tell(m_judge.twice);
+        tell(m_judge.twiceDespiteIdleLapses);
+    }
     void begin()
     {
         m_up = true;
@@ -257,6 +275,8 @@
             if (boot != m_boot || clock() < m_leaseUntil)
                 return;
             m_judge.twice.endsExempt(m_entry.id.value());
+            if (!m_runs.empty())
+                m_judge.twiceDespiteIdleLapses.endsExempt(m_entry.id.value());
             const auto runs = m_runs;
             for (const auto& [task, run] : runs)
                 end(task, run.attempt, Cells::RunEnd::LeaseExpired);
@@ -309,10 +329,10 @@
         m_runs.erase(run);
         m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
         m_judge.gone(m_entry.id.value(), task);
-        m_judge.twice.gone(m_entry.id.value(), task);
+        forEachTwiceJudge([&](TwiceJudge& twice) { twice.gone(m_entry.id.value(), task); });
         if (how == Cells::RunEnd::Done) {
             m_judge.done(m_entry.id.value(), task);
-            m_judge.twice.done(m_entry.id.value(), task, attempt);
+            forEachTwiceJudge([&](TwiceJudge& twice) { twice.done(m_entry.id.value(), task, attempt); });
         }
         m_ended.push_back({ ++m_lastEnd, task, attempt, how, {} });
         answerPolls();
@@ -322,13 +342,13 @@
         ++m_boot;
         for (const auto& [task, run] : m_runs) {
             m_judge.gone(m_entry.id.value(), task);
-            m_judge.twice.gone(m_entry.id.value(), task);
+            forEachTwiceJudge([&](TwiceJudge& twice) { twice.gone(m_entry.id.value(), task); });
         }
         m_runs.clear();
         m_pressure = 0;
         m_waiting.clear();
         m_judge.endsLost(m_entry.id.value());
-        m_judge.twice.endsExempt(m_entry.id.value());
+        forEachTwiceJudge([&](TwiceJudge& twice) { twice.endsExempt(m_entry.id.value()); });
     }
     Cells::RunReport report() const
     {
@@ -338,6 +358,9 @@
         report.ended = m_ended;
         if (m_reportsCapacity)
             report.capacity = m_capacity;
+        report.unreadable = unreadableRows ? static_cast<uint32_t>(m_runs.size()) : 0;
+        if (unreadableRows)
+            return report;
         for (const auto& [task, run] : m_runs) {
             Cells::RunningTask row { task, run.attempt, {}, percentOf(run), -1 };
             if (run.payload == "last")
