Grant leases from the least that a worker's clock can show

Cause: a grant counted from the clock's last reading at this host's speed. A clock that is 2% slow was behind that by 2% of the reading's age, so the lease lasted up to 0.1 s longer than a successor waits, 5 s after the reading (0.2 s after 10 s). Change: clockAt() is the least that the clock shows, as hasExpired() had it already; both use it. A lease on a clock that isn't slow is shorter by 2% of the reading's age.

--- a/Source/Core/Cells/WorkerLease.cpp
+++ b/Source/Core/Cells/WorkerLease.cpp
@@ -34,7 +34,11 @@
 
 Common::WorkerTime WorkerLease::clockAt(Common::MonotonicTime now) const
 {
-    return m_clock.value_or(Common::WorkerTime {}) + wholeMilliseconds(now - m_clockReadAt);
+    // Before the reading, a clock that isn't slow was the furthest behind.
+    const double rate = now < m_clockReadAt ? 1 : 1 - clockSlack;
+    const double passed = static_cast<double>((now - m_clockReadAt).count()) * rate;
+    return m_clock.value_or(Common::WorkerTime {})
+        + wholeMilliseconds(Common::Duration(static_cast<Common::Duration::rep>(passed)));
 }
 
 Common::WorkerTime WorkerLease::grant(Common::Duration length, Common::MonotonicTime now)
@@ -50,12 +54,7 @@
         return false;
     if (!m_clock)
         return m_grantedUntil == Common::WorkerTime {};
-    // Before the reading, a clock that isn't slow was the furthest behind.
-    const double rate = now < m_clockReadAt ? 1 : 1 - clockSlack;
-    const double atLeast = static_cast<double>((now - m_clockReadAt).count()) * rate;
-    const Common::WorkerTime earliest
-        = *m_clock + wholeMilliseconds(Common::Duration(static_cast<Common::Duration::rep>(atLeast)));
-    return earliest > m_grantedUntil;
+    return clockAt(now) > m_grantedUntil;
 }
 
 } // namespace Cells
--- a/Source/Core/Cells/WorkerLease.h
+++ b/Source/Core/Cells/WorkerLease.h
@@ -21,7 +21,8 @@
     void reset(Common::Duration longestLease, Common::MonotonicTime now);
 
     bool isClockKnown() const { return m_clock.has_value(); }
-    /// Estimate of the worker's clock at `now`; the clock must be known.
+    /// The least that the worker's clock shows at `now`; the clock must be known. A grant that counts from more would
+    /// last longer than a successor waits.
     Common::WorkerTime clockAt(Common::MonotonicTime now) const;
     /// Grants a lease of that length from `now`; returns its end on the worker's clock, which must be known.
     Common::WorkerTime grant(Common::Duration length, Common::MonotonicTime now);
