Take answers of a worker's former life for nothing that its new life says

Cause: an answer to a start order of the former life that is read after the restart is known set the clock of the new life; grants were then far ahead, the worker shortened them to 10 s, and the owner took them for passed after 6.1 s. An answer to a stop order of the former life counted as the new life's, whose own stop order might still be on its way, so a late copy of the start order could start the run although it had been dropped. Change: the calls keep the life that they were sent to; clocks and stop answers of another life don't count.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -15,6 +15,12 @@
     constexpr uint32_t silentPolls = 3;
     constexpr Common::Duration longestExtraTime = std::chrono::seconds(5);
 
+    /// Whether an answer to a call that was sent in that life of the worker says anything about its present life.
+    bool isPresentLife(const CellWorker& worker, int64_t startedAtMilliseconds)
+    {
+        return startedAtMilliseconds == 0 || startedAtMilliseconds == worker.startedAtMilliseconds;
+    }
+
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
 } // namespace
@@ -373,27 +379,27 @@
     }
     const Common::WorkerTime until = worker->lease().grant(m_settings.runLease, m_runtime.now());
     m_orders.start(targetOf(*worker), m_token, order, until,
-        m_lifetime.guard(
-            [this, id, run, again, answered, sentAt = m_runtime.now()](const Common::Result<OrderAnswer>& answer) {
-                CellWorker* const target = find(id);
-                if (m_closed || !target)
-                    return;
-                if (!answer) {
-                    RunAllocation* const ordered = target->find(run);
-                    if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed) {
-                        ordered->startOutcomeUnknown = true;
-                        ordered->startUnansweredSince = sentAt;
-                    }
-                    m_runtime.schedule(m_settings.orderRetry, again);
-                    return;
+        m_lifetime.guard([this, id, run, again, answered, sentAt = m_runtime.now(),
+                             life = worker->startedAtMilliseconds](const Common::Result<OrderAnswer>& answer) {
+            CellWorker* const target = find(id);
+            if (m_closed || !target)
+                return;
+            if (!answer) {
+                RunAllocation* const ordered = target->find(run);
+                if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed) {
+                    ordered->startOutcomeUnknown = true;
+                    ordered->startUnansweredSince = sentAt;
                 }
-                if (answer->clock)
-                    target->lease().synchronizeClock(*answer->clock, m_runtime.now());
-                if (answer->verdict == OrderVerdict::Fenced)
-                    m_hooks.fenced();
-                else
-                    answered(*answer);
-            }));
+                m_runtime.schedule(m_settings.orderRetry, again);
+                return;
+            }
+            if (answer->clock && isPresentLife(*target, life))
+                target->lease().synchronizeClock(*answer->clock, m_runtime.now());
+            if (answer->verdict == OrderVerdict::Fenced)
+                m_hooks.fenced();
+            else
+                answered(*answer);
+        }));
 }
 
 void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
@@ -409,9 +415,11 @@
     CellWorker* const worker = find(id);
     if (m_closed || !worker || !worker->find(run))
         return;
+    const int64_t life = worker->startedAtMilliseconds;
     m_orders.stop(targetOf(*worker), m_token, run.task, run.attempt,
-        m_lifetime.guard([this, id, run, answered](const Common::Result<OrderAnswer>& answer) {
-            if (m_closed || !find(id))
+        m_lifetime.guard([this, id, run, answered, life](const Common::Result<OrderAnswer>& answer) {
+            const CellWorker* const target = find(id);
+            if (m_closed || !target)
                 return;
             // An unhealthy worker has done nothing.
             if (!answer || answer->verdict == OrderVerdict::Unhealthy) {
@@ -423,6 +431,9 @@
                 m_hooks.fenced();
                 return;
             }
+            // The present life has its own stop order; only its answer shows that this life refuses the attempt.
+            if (!isPresentLife(*target, life))
+                return;
             answered(*answer);
             pollSoon(id);
         }));
