Take a worker's new life over only once the store has confirmed the ownership since it was heard of

Cause: a worker that starts again under its id forgets its fencing token. An owner that had been replaced without knowing it, cut from the store and the other hosts, started waiting tasks, and those that the restart had ended, on the new life, while its successor started them elsewhere; it may also start tasks whose ends the successor has acknowledged to the former life. Change: a rebirth, heard of by a report or by the list, counts once the store has confirmed the ownership after that (acceptRebirth). Until then the worker counts as unreachable: its runs aren't given up, it gets no new ones and no acknowledgements. So what a successor concludes from its contact with a former life holds against an earlier owner, and contacted may outlast the restart. Price: one reading of the record after each restart of a worker; while the store doesn't answer, the tasks of restarted workers wait.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -44,6 +44,12 @@
     Common::MonotonicTime askedAt;
     /// The last polls in a row that the worker has left unanswered.
     uint32_t unansweredPolls = 0;
+    struct Rebirth {
+        int64_t startedAtMilliseconds = 0;
+        Common::MonotonicTime heardAt;
+    };
+    /// A later start of the worker that doesn't count yet; see acceptRebirth().
+    std::optional<Rebirth> rebirth;
     bool silenceLogged = false;
     bool latenessLogged = false;
     bool idleLogged = false;
@@ -100,13 +106,35 @@
     worker->update(entry);
     worker->listed = listed;
     worker->unlisted = false;
-    if (!rebooted)
-        return;
-    worker->startedAtMilliseconds = entry.startedAtMilliseconds;
-    worker->lease().reset(m_settings.longestLease, m_runtime.now());
-    worker->reachable = false;
-    m_hooks.runsCleared(*worker, true);
-    pollSoon(entry.id);
+    if (rebooted && acceptRebirth(*worker, entry.startedAtMilliseconds))
+        pollSoon(entry.id);
+}
+
+/// The worker has started anew. Until the store has confirmed the ownership after that was heard, its runs aren't given
+/// up, and it gets no new ones: a successor may have acknowledged their ends, and the new life has forgotten the
+/// successor's token. Returns whether the new life counts.
+bool CellWorkers::acceptRebirth(CellWorker& worker, int64_t startedAtMilliseconds)
+{
+    Link& state = link(worker);
+    worker.reachable = false;
+    if (!state.rebirth || state.rebirth->startedAtMilliseconds < startedAtMilliseconds)
+        state.rebirth = Link::Rebirth { startedAtMilliseconds, m_runtime.now() };
+    if (m_hooks.ownedAt() < state.rebirth->heardAt) {
+        m_hooks.confirmOwnership(m_lifetime.guard([this, id = worker.id()] {
+            CellWorker* const reborn = find(id);
+            const auto found = m_links.find(id);
+            if (m_closed || !reborn || found == m_links.end() || !found->second.rebirth)
+                return;
+            if (acceptRebirth(*reborn, found->second.rebirth->startedAtMilliseconds))
+                pollSoon(id);
+        }));
+        return false;
+    }
+    worker.startedAtMilliseconds = state.rebirth->startedAtMilliseconds;
+    state.rebirth.reset();
+    worker.lease().reset(m_settings.longestLease, m_runtime.now());
+    m_hooks.runsCleared(worker, true);
+    return true;
 }
 
 void CellWorkers::unlist(const Common::WorkerId& id)
@@ -213,12 +241,12 @@
     // A delayed answer from before the reboot says nothing about the current state.
     if (rebooted && report.startedAtMilliseconds < worker.startedAtMilliseconds)
         return;
+    if (rebooted
+        && (!acceptRebirth(worker, report.startedAtMilliseconds)
+            || report.startedAtMilliseconds != worker.startedAtMilliseconds))
+        return;
     if (report.startedAtMilliseconds != 0)
         worker.startedAtMilliseconds = report.startedAtMilliseconds;
-    if (rebooted) {
-        worker.lease().reset(m_settings.longestLease, m_runtime.now());
-        m_hooks.runsCleared(worker, true);
-    }
     worker.lease().synchronizeClock(report.clock, m_runtime.now());
     // An earlier owner may have renewed the lease just before.
     if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
@@ -250,6 +278,10 @@
                                           << " reason=" << Common::errorName(reason.code) << " after-ms="
                                           << (m_runtime.now() - askedAt) / std::chrono::milliseconds(1));
     }
+    if (state.rebirth) {
+        acceptRebirth(worker, state.rebirth->startedAtMilliseconds);
+        return;
+    }
     clearIfIdle(worker);
     confirmIdle(worker);
 }
@@ -346,6 +378,8 @@
 Common::Duration CellWorkers::nextPollDelay(const CellWorker& worker) const
 {
     const auto found = m_links.find(worker.id());
+    if (found != m_links.end() && found->second.rebirth)
+        return m_settings.orderRetry;
     if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds))
         return m_settings.pollPauseAfterEnd;
     return worker.allocations().empty() ? m_settings.idlePollInterval : Common::Duration::zero();
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -25,8 +25,8 @@
     struct Hooks {
         /// A report of the worker, requested at `askedAt`.
         std::function<void(CellWorker&, const RunReport&, Common::MonotonicTime askedAt)> report;
-        /// The worker's previous runs can't run any more: it rebooted, or its lease has expired. After a reboot the
-        /// start orders without an answer must be kept.
+        /// The worker's previous runs can't run any more: it rebooted, or its lease has expired. The store has
+        /// confirmed the ownership since. After a reboot the start orders without an answer must be kept.
         std::function<void(CellWorker&, bool rebooted)> runsCleared;
         /// A worker rejected an order because a newer owner has sent orders.
         std::function<void()> fenced;
@@ -89,6 +89,7 @@
     void onPollAnswer(const Common::WorkerId&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
     void onPollFailure(CellWorker&, const Common::Failure&, Common::MonotonicTime askedAt);
+    bool acceptRebirth(CellWorker&, int64_t startedAtMilliseconds);
     void judgeFailure(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
     void giveMoreTime(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
     bool isProofOfSilence(const Link&, const Common::Failure&, Common::Duration elapsed) const;
