Stop a run whose order is refused as expired if an earlier copy may have started it

Cause: OrderExpired dropped the run at once, also if an earlier copy of the order had no known outcome: the task was started elsewhere beside the run. PROTOCOL.md doesn't say that a worker looks for the run before it looks at the lease's end. Change: no exception for OrderExpired; the stop order makes the worker refuse earlier copies and end the run. Measured: the case of UnclearOrderTest failed at 7 of 10 offsets before, at none after.

--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -357,7 +357,7 @@
     if (job)
         stopOtherGangMembers(*job, run, GangMembers::All);
     // A previous copy of the order may still be carried out; a stop order prevents that.
-    if (allocation->startOutcomeUnknown && verdict != OrderVerdict::OrderExpired) {
+    if (allocation->startOutcomeUnknown) {
         stopRun(*worker, run);
         return;
     }
