Take no run for absent while a report has rows that can't be read

Cause: removeAbsentRuns() gave up runs that weren't among the rows that could be read, and started their tasks again beside them. Change: such a report shows no run as absent. Measured: UnclearOrderTest: 12 starts of 6 tasks before, 6 after.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -651,7 +651,8 @@
 
 void CellEngine::removeAbsentRuns(CellWorker& worker, const RunReport& report, Common::MonotonicTime askedAt)
 {
-    if (report.ended.size() >= maximumListedEnds)
+    // A run may also be in a row that can't be read.
+    if (report.ended.size() >= maximumListedEnds || report.unreadable > 0)
         return;
     std::set<RunKey> present;
     for (const RunningTask& row : report.running)
