--- a/Source/UnitTests/Cells/CutLinksSchedule.h
+++ b/Source/UnitTests/Cells/CutLinksSchedule.h
@@ -14,8 +14,9 @@
 struct CutLinksSchedule : RandomSchedule {
     uint64_t cuts = 0;
 
-    CutLinksSchedule(uint64_t seed, const std::vector<std::string>& domains, size_t workersEach)
-        : RandomSchedule(seed, domains, workersEach)
+    CutLinksSchedule(uint64_t seed, const std::vector<std::string>& domains, size_t workersEach,
+        uint32_t workersEachCell = Cells::HostSettings {}.workersPerCell)
+        : RandomSchedule(seed, domains, workersEach, workersEachCell)
     {
         keepCuts();
     }
--- a/Source/UnitTests/Cells/RandomSchedule.h
+++ b/Source/UnitTests/Cells/RandomSchedule.h
@@ -24,10 +24,12 @@
     std::map<uint64_t, std::optional<Common::Result<Common::Done>>> outcomes;
     uint64_t jobs = 0;
 
-    RandomSchedule(uint64_t seed, const std::vector<std::string>& domains, size_t workersEach)
+    RandomSchedule(uint64_t seed, const std::vector<std::string>& domains, size_t workersEach,
+        uint32_t workersEachCell = Cells::HostSettings {}.workersPerCell)
         : CellWorld(seed)
         , random(seed * 7919)
     {
+        workersPerCell = workersEachCell;
         for (const std::string& domain : domains)
             addWorkers(domain, workersEach, 4000);
         for (size_t index = 0; index < randomScheduleHosts; ++index)
