--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -15,6 +15,12 @@
     constexpr uint32_t silentPolls = 3;
     constexpr Common::Duration longestExtraTime = std::chrono::seconds(5);
 
+    /// Whether an answer to a call that was sent in that life of the worker says anything about its present life.
+    bool isPresentLife(const CellWorker& worker, int64_t startedAtMilliseconds)
+    {
+        return startedAtMilliseconds == 0 || startedAtMilliseconds == worker.startedAtMilliseconds;
+    }
+
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
 } // namespace
@@ -42,6 +48,12 @@
     /// renew the lease: that of a worker which nobody reaches must be able to expire.
     bool askingThroughHost = false;
     bool heardThroughHost = false;
+    struct Rebirth {
+        int64_t startedAtMilliseconds = 0;
+        Common::MonotonicTime heardAt;
+    };
+    /// A later start of the worker that doesn't count yet; see acceptRebirth().
+    std::optional<Rebirth> rebirth;
     bool silenceLogged = false;
     bool latenessLogged = false;
     bool idleLogged = false;
@@ -98,13 +110,35 @@
     worker->update(entry);
     worker->listed = listed;
     worker->unlisted = false;
-    if (!rebooted)
-        return;
-    worker->startedAtMilliseconds = entry.startedAtMilliseconds;
-    worker->lease().reset(m_settings.longestLease, m_runtime.now());
-    worker->reachable = false;
-    m_hooks.runsCleared(*worker, true);
-    pollSoon(entry.id);
+    if (rebooted && acceptRebirth(*worker, entry.startedAtMilliseconds))
+        pollSoon(entry.id);
+}
+
+/// The worker has started anew. Until the store has confirmed the ownership after that was heard, its runs aren't given
+/// up, and it gets no new ones: a successor may have acknowledged their ends, and the new life has forgotten the
+/// successor's token. Returns whether the new life counts.
+bool CellWorkers::acceptRebirth(CellWorker& worker, int64_t startedAtMilliseconds)
+{
+    Link& state = link(worker);
+    worker.reachable = false;
+    if (!state.rebirth || state.rebirth->startedAtMilliseconds < startedAtMilliseconds)
+        state.rebirth = Link::Rebirth { startedAtMilliseconds, m_runtime.now() };
+    if (m_hooks.ownedAt() < state.rebirth->heardAt) {
+        m_hooks.confirmOwnership(m_lifetime.guard([this, id = worker.id()] {
+            CellWorker* const reborn = find(id);
+            const auto found = m_links.find(id);
+            if (m_closed || !reborn || found == m_links.end() || !found->second.rebirth)
+                return;
+            if (acceptRebirth(*reborn, found->second.rebirth->startedAtMilliseconds))
+                pollSoon(id);
+        }));
+        return false;
+    }
+    worker.startedAtMilliseconds = state.rebirth->startedAtMilliseconds;
+    state.rebirth.reset();
+    worker.lease().reset(m_settings.longestLease, m_runtime.now());
+    m_hooks.runsCleared(worker, true);
+    return true;
 }
 
 void CellWorkers::unlist(const Common::WorkerId& id)
@@ -226,12 +260,12 @@
     // A delayed answer from before the reboot says nothing about the current state.
     if (rebooted && report.startedAtMilliseconds < worker.startedAtMilliseconds)
         return false;
+    if (rebooted
+        && (!acceptRebirth(worker, report.startedAtMilliseconds)
+            || report.startedAtMilliseconds != worker.startedAtMilliseconds))
+        return false;
     if (report.startedAtMilliseconds != 0)
         worker.startedAtMilliseconds = report.startedAtMilliseconds;
-    if (rebooted) {
-        worker.lease().reset(m_settings.longestLease, m_runtime.now());
-        m_hooks.runsCleared(worker, true);
-    }
     worker.lease().synchronizeClock(report.clock, m_runtime.now());
     // An earlier owner may have renewed the lease just before.
     if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
@@ -306,6 +340,10 @@
                                           << " reason=" << Common::errorName(reason.code) << " after-ms="
                                           << (m_runtime.now() - askedAt) / std::chrono::milliseconds(1));
     }
+    if (state.rebirth) {
+        acceptRebirth(worker, state.rebirth->startedAtMilliseconds);
+        return;
+    }
     askThroughHost(worker);
     clearIfIdle(worker);
     confirmIdle(worker);
@@ -403,6 +441,8 @@
 Common::Duration CellWorkers::nextPollDelay(const CellWorker& worker) const
 {
     const auto found = m_links.find(worker.id());
+    if (found != m_links.end() && found->second.rebirth)
+        return m_settings.orderRetry;
     if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds))
         return m_settings.pollPauseAfterEnd;
     return worker.allocations().empty() ? m_settings.idlePollInterval : Common::Duration::zero();
@@ -436,27 +476,27 @@
     }
     const Common::WorkerTime until = worker->lease().grant(m_settings.runLease, m_runtime.now());
     m_orders.start(targetOf(*worker), m_token, order, until,
-        m_lifetime.guard(
-            [this, id, run, again, answered, sentAt = m_runtime.now()](const Common::Result<OrderAnswer>& answer) {
-                CellWorker* const target = find(id);
-                if (m_closed || !target)
-                    return;
-                if (!answer) {
-                    RunAllocation* const ordered = target->find(run);
-                    if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed) {
-                        ordered->startOutcomeUnknown = true;
-                        ordered->startUnansweredSince = sentAt;
-                    }
-                    m_runtime.schedule(m_settings.orderRetry, again);
-                    return;
+        m_lifetime.guard([this, id, run, again, answered, sentAt = m_runtime.now(),
+                             life = worker->startedAtMilliseconds](const Common::Result<OrderAnswer>& answer) {
+            CellWorker* const target = find(id);
+            if (m_closed || !target)
+                return;
+            if (!answer) {
+                RunAllocation* const ordered = target->find(run);
+                if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed) {
+                    ordered->startOutcomeUnknown = true;
+                    ordered->startUnansweredSince = sentAt;
                 }
-                if (answer->clock)
-                    target->lease().synchronizeClock(*answer->clock, m_runtime.now());
-                if (answer->verdict == OrderVerdict::Fenced)
-                    m_hooks.fenced();
-                else
-                    answered(*answer);
-            }));
+                m_runtime.schedule(m_settings.orderRetry, again);
+                return;
+            }
+            if (answer->clock && isPresentLife(*target, life))
+                target->lease().synchronizeClock(*answer->clock, m_runtime.now());
+            if (answer->verdict == OrderVerdict::Fenced)
+                m_hooks.fenced();
+            else
+                answered(*answer);
+        }));
 }
 
 void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
@@ -472,9 +512,11 @@
     CellWorker* const worker = find(id);
     if (m_closed || !worker || !worker->find(run))
         return;
+    const int64_t life = worker->startedAtMilliseconds;
     m_orders.stop(targetOf(*worker), m_token, run.task, run.attempt,
-        m_lifetime.guard([this, id, run, answered](const Common::Result<OrderAnswer>& answer) {
-            if (m_closed || !find(id))
+        m_lifetime.guard([this, id, run, answered, life](const Common::Result<OrderAnswer>& answer) {
+            const CellWorker* const target = find(id);
+            if (m_closed || !target)
                 return;
             // An unhealthy worker has done nothing.
             if (!answer || answer->verdict == OrderVerdict::Unhealthy) {
@@ -486,6 +528,9 @@
                 m_hooks.fenced();
                 return;
             }
+            // The present life has its own stop order; only its answer shows that this life refuses the attempt.
+            if (!isPresentLife(*target, life))
+                return;
             answered(*answer);
             pollSoon(id);
         }));
