--- a/Source/UnitTests/Cells/CellScheduleTest.cpp
+++ b/Source/UnitTests/Cells/CellScheduleTest.cpp
@@ -58,5 +58,9 @@
         CHECK(schedule.running() == std::min(schedule.expectedTasks(), capacity));
         served += schedule.running();
     });
-    CHECK(served > 0);
+    // A seed may leave no service to run; the whole range must not.
+    if (SeedRange::fromEnvironment().chosen)
+        MESSAGE("served tasks: " << served);
+    else
+        CHECK(served > 0);
 }
