--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -738,14 +738,11 @@
     if (!worker.listed || !started || allocation.stopping || job == m_jobs.end() || isFinal(job->second->phase()))
         return false;
     const LiveTask* const task = job->second->find(run.task);
-    // The start order granted a lease too.
-    const Common::MonotonicTime lastKnown = std::max(worker.lastReportAt, allocation.orderedAt);
-    const Common::Duration silence = m_runtime.now() - lastKnown;
-    if (!isRun(task, worker.id(), run.attempt) || silence >= m_settings.runLease + Policy::longestUnreadEndWait)
+    if (!isRun(task, worker.id(), run.attempt) || -worker.lease().left(m_runtime.now()) >= Policy::longestUnreadEndWait)
         return false;
     const Policy::SilentRun silent { allocation.longRunning, lastKnown - allocation.orderedAt, task->run->percent,
         allocation.estimate };
-    return Policy::endsWithin(silent, m_settings.runLease);
+    return Policy::endsWithin(silent, worker.lease().left(lastKnown));
 }
 
 /// Keeps the task from starting elsewhere as long as an order that a silent worker left unanswered may still be carried
--- a/Source/Core/Cells/WorkerLease.h
+++ b/Source/Core/Cells/WorkerLease.h
@@ -26,6 +26,12 @@
     Common::WorkerTime clockAt(Common::MonotonicTime now) const;
     /// Grants a lease of that length from `now`; returns its end on the worker's clock, which must be known.
     Common::WorkerTime grant(Common::Duration length, Common::MonotonicTime now);
+    /// The most that is left at `now` of the leases that were granted, or how long at least they have expired if
+    /// negative; the clock must be known.
+    Common::Duration left(Common::MonotonicTime now) const
+    {
+        return std::chrono::milliseconds(m_grantedUntil.milliseconds - clockAt(now).milliseconds);
+    }
     /// Whether all leases that were granted have provably expired. Before any grant only the wait after a reset counts.
     bool hasExpired(Common::MonotonicTime now) const;
 
