Take no report of a former life while a new one awaits the confirmation

Also, a worker that restarted without runs was polled again after up to 5 s only if the confirmation was dropped. Change: reports older than the newest known life are left out, and the worker is polled at once in either case. No test of its own; Cells.RebornWorkerClockTest and RebornWorkerOwnersTest pass.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -110,8 +110,10 @@
     worker->update(entry);
     worker->listed = listed;
     worker->unlisted = false;
-    if (rebooted && acceptRebirth(*worker, entry.startedAtMilliseconds))
-        pollSoon(entry.id);
+    if (!rebooted)
+        return;
+    acceptRebirth(*worker, entry.startedAtMilliseconds);
+    pollSoon(entry.id);
 }
 
 /// The worker has started anew. Until the store has confirmed the ownership after that was heard, its runs aren't given
@@ -258,7 +260,9 @@
     const bool rebooted = report.startedAtMilliseconds != 0 && worker.startedAtMilliseconds != 0
         && report.startedAtMilliseconds != worker.startedAtMilliseconds;
     // A delayed answer from before the reboot says nothing about the current state.
-    if (rebooted && report.startedAtMilliseconds < worker.startedAtMilliseconds)
+    const auto& rebirth = link(worker).rebirth;
+    const int64_t present = rebirth ? rebirth->startedAtMilliseconds : worker.startedAtMilliseconds;
+    if (report.startedAtMilliseconds != 0 && report.startedAtMilliseconds < present)
         return false;
     if (rebooted
         && (!acceptRebirth(worker, report.startedAtMilliseconds)
