Keep no lease through other hosts that an undelivered order needs to pass; keep to the host that answers

Callers would have seen tasks wait as long as a cut between owner and worker lasts, and tasks of cancelled jobs run on. Uncontacted workers are asked for until they are provably idle only.

Cells.UnreadEndTest: on the case of the cancelled job fails (tasks run after 8 s); now it passes, as do the other new cases.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -154,9 +154,10 @@
                   },
               .shouldPollFrequently = [this](const CellWorker& worker) { return shouldPollFrequently(worker); },
               .pollThroughHost =
-                  [this](const PollForHost& poll, Common::Callback<RunReport> callback) {
+                  [this](const PollForHost& poll, const std::string& address, Common::Callback<RunReport> callback) {
                       return m_peerCells.pollThroughHost
-                          && m_peerCells.pollThroughHost(m_id, poll, std::move(callback));
+                          ? m_peerCells.pollThroughHost(m_id, poll, address, std::move(callback))
+                          : std::string();
                   },
           })
     , m_lost(std::move(lost))
@@ -665,7 +666,11 @@
         present.insert(RunKey { row.task, row.attempt });
     std::vector<RunKey> gone;
     for (const auto& [run, allocation] : worker.allocations()) {
-        if (allocation.orderAnsweredAt && *allocation.orderAnsweredAt < askedAt && !present.contains(run))
+        // While the worker is unreachable no further copy of a start order is sent.
+        const bool isTooLate = !worker.reachable && !allocation.reportedRunning && allocation.startOutcomeUnknown
+            && askedAt - allocation.startUnansweredSince > longestOrderDelay;
+        const bool isAnswered = allocation.orderAnsweredAt && *allocation.orderAnsweredAt < askedAt;
+        if ((isAnswered || isTooLate) && !present.contains(run))
             gone.push_back(run);
     }
     for (const RunKey& run : gone) {
@@ -740,6 +745,7 @@
     const LiveTask* const task = job->second->find(run.task);
     if (!isRun(task, worker.id(), run.attempt) || -worker.lease().left(m_runtime.now()) >= Policy::longestUnreadEndWait)
         return false;
+    const Common::MonotonicTime lastKnown = std::max(worker.lastReportAt, allocation.orderedAt);
     const Policy::SilentRun silent { allocation.longRunning, lastKnown - allocation.orderedAt, task->run->percent,
         allocation.estimate };
     return Policy::endsWithin(silent, worker.lease().left(lastKnown));
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -80,8 +80,10 @@
         /// Sends the record of the cancelled part to the peer cell's owner; retried until it is acknowledged, which
         /// `handled` reports.
         std::function<void(const CellId&, const Jobs::JobRecord&, std::function<void()> handled)> cancel;
-        /// Has another host poll a worker of the cell; false if none may reach it.
-        std::function<bool(const CellId& self, const PollForHost&, Common::Callback<RunReport>)> pollThroughHost;
+        /// Has another host poll a worker of the cell; see CellWorkers::Hooks::pollThroughHost.
+        std::function<std::string(
+            const CellId& self, const PollForHost&, const std::string& address, Common::Callback<RunReport>)>
+            pollThroughHost;
     };
 
     /// `lost` is called once, when the engine learns that it no longer owns the cell.
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -57,6 +57,10 @@
     constexpr size_t maximumClaimRank = 8;
     /// A host that may not own cells looks for ownerless ones in every n-th tick only.
     constexpr uint64_t ticksPerLookOfSmallHost = 5;
+    /// A silent worker is polled through a host of its domain in so many of so many choices, otherwise through any
+    /// host.
+    constexpr uint64_t hostChoicesInDomain = 3;
+    constexpr uint64_t hostChoices = 4;
     /// The owner of a cell is watched by this many of the hosts that would replace it.
     constexpr size_t watchingSuccessors = 2;
 
@@ -1077,28 +1081,37 @@
         = [this](const CellId& cell, const Common::JobId& job) { requestTransferCheck(cell, job); },
         .cancel = [this](const CellId& cell, const Jobs::JobRecord& part,
                       const std::function<void()>& handled) { notifyOwner(cell, part, handled); },
-        .pollThroughHost
-        = [this](const CellId& cell, const PollForHost& poll,
-              Common::Callback<RunReport> callback) { return pollThroughHost(cell, poll, std::move(callback)); },
+        .pollThroughHost =
+            [this](const CellId& cell, const PollForHost& poll, const std::string& address,
+                Common::Callback<RunReport> callback) {
+                return pollThroughHost(cell, poll, address, std::move(callback));
+            },
     };
 }
 
-/// Asks a random host, of the cell's domain if there is one: what cuts this host off often cuts its domain off.
-bool CellOwnership::pollThroughHost(const CellId& cell, const PollForHost& poll, Common::Callback<RunReport> callback)
+/// Asks the host at the address, or else a random one, mostly of the cell's domain: the worker is nearest to these.
+std::string CellOwnership::pollThroughHost(
+    const CellId& cell, const PollForHost& poll, const std::string& address, Common::Callback<RunReport> callback)
 {
-    if (!m_pollMessenger)
-        return false;
     std::vector<const HostState*> hosts = m_directory.liveHosts(m_ports.runtime.now());
     std::erase_if(hosts, [](const HostState* host) { return host->draining; });
-    const Common::DomainId domain = m_layout.domainOf(cell);
-    const auto isElsewhere = [&domain](const HostState* host) { return host->domain != domain; };
-    if (!std::all_of(hosts.begin(), hosts.end(), isElsewhere))
-        std::erase_if(hosts, isElsewhere);
-    if (hosts.empty())
-        return false;
-    const HostState& chosen = *hosts[m_ports.runtime.random()() % hosts.size()];
-    m_pollMessenger(chosen.address, poll, std::move(callback));
-    return true;
+    if (hosts.empty() || !m_pollMessenger)
+        return {};
+    const auto preferred = std::find_if(
+        hosts.begin(), hosts.end(), [&address](const HostState* host) { return host->address == address; });
+    std::string chosen;
+    if (preferred != hosts.end()) {
+        chosen = address;
+    } else {
+        const Common::DomainId domain = m_layout.domainOf(cell);
+        const auto isElsewhere = [&domain](const HostState* host) { return host->domain != domain; };
+        const bool near = m_ports.runtime.random()() % hostChoices < hostChoicesInDomain;
+        if (near && !std::all_of(hosts.begin(), hosts.end(), isElsewhere))
+            std::erase_if(hosts, isElsewhere);
+        chosen = hosts[m_ports.runtime.random()() % hosts.size()]->address;
+    }
+    m_pollMessenger(chosen, poll, std::move(callback));
+    return chosen;
 }
 
 void CellOwnership::pollForHost(const PollForHost& poll, Common::Callback<RunReport> callback)
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -193,7 +193,8 @@
     void takeOwnership(const CellId&, CellEngine::RecoveredCell);
     void endClaim(const CellId&, const char* reason);
     CellEngine::PeerCells peerCells();
-    bool pollThroughHost(const CellId&, const PollForHost&, Common::Callback<RunReport>);
+    std::string pollThroughHost(
+        const CellId&, const PollForHost&, const std::string& address, Common::Callback<RunReport>);
     ServiceRooms serviceRooms(const CellId& self) const;
     std::map<CellId, size_t> taskSlots(
         const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -44,9 +44,11 @@
     Common::MonotonicTime askedAt;
     /// The last polls in a row that the worker has left unanswered.
     uint32_t unansweredPolls = 0;
-    /// A poll through another host is under way, and whether the last one was answered. Only then may the next one
-    /// renew the lease: that of a worker which nobody reaches must be able to expire.
+    /// A poll through another host is under way.
     bool askingThroughHost = false;
+    /// The host that is asked, and whether its last poll was answered. Only then may the next one renew the lease: that
+    /// of a worker which nobody reaches must be able to expire.
+    std::string throughHost;
     bool heardThroughHost = false;
     struct Rebirth {
         int64_t startedAtMilliseconds = 0;
@@ -282,24 +284,32 @@
 void CellWorkers::askThroughHost(CellWorker& worker)
 {
     Link& state = link(worker);
-    const bool occupied = !worker.allocations().empty();
-    if (state.askingThroughHost || (!occupied && worker.contacted))
+    const bool mayHaveRuns = !worker.allocations().empty() || (!worker.contacted && !isProvablyIdle(worker));
+    if (state.askingThroughHost || !mayHaveRuns)
         return;
     PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, m_token, {} };
-    const bool mayGrant = state.heardThroughHost && m_hooks.mayGrant() && worker.lease().isClockKnown();
-    if (occupied && mayGrant)
+    if (mayRenewThroughHost(worker, state))
         poll.leaseUntil = worker.lease().grant(m_settings.runLease, m_runtime.now());
     state.askingThroughHost = true;
-    const bool asked = m_hooks.pollThroughHost(poll,
+    state.throughHost = m_hooks.pollThroughHost(poll, state.heardThroughHost ? state.throughHost : std::string(),
         m_lifetime.guard([this, id = worker.id(), askedAt = m_runtime.now()](const Common::Result<RunReport>& report) {
             CellWorker* const silent = find(id);
             if (!m_closed && silent)
                 onAnswerThroughHost(*silent, askedAt, report);
         }));
-    if (!asked)
+    if (state.throughHost.empty())
         state.askingThroughHost = state.heardThroughHost = false;
 }
 
+/// Stops can't be delivered while the worker is unreachable: what they are for ends with the lease.
+bool CellWorkers::mayRenewThroughHost(const CellWorker& worker, const Link& state) const
+{
+    const auto& runs = worker.allocations();
+    return state.heardThroughHost && m_hooks.mayGrant() && worker.lease().isClockKnown()
+        && std::any_of(runs.begin(), runs.end(), [](const auto& row) { return row.second.reportedRunning; })
+        && std::none_of(runs.begin(), runs.end(), [](const auto& row) { return row.second.stopping; });
+}
+
 /// The worker stays unreachable for orders, and its ends aren't acknowledged: the next poll is too far away for that.
 void CellWorkers::onAnswerThroughHost(
     CellWorker& worker, Common::MonotonicTime askedAt, const Common::Result<RunReport>& report)
@@ -317,7 +327,8 @@
         state.heardThroughHost = false;
         return;
     }
-    if (!std::exchange(state.heardThroughHost, true)) {
+    const bool first = !std::exchange(state.heardThroughHost, true);
+    if (first) {
         LC_INFO(Worker,
             "event=worker-heard-through-host worker=" << worker.id().value() << " runs=" << report->running.size()
                                                       << " ends=" << report->ended.size());
@@ -325,6 +336,9 @@
     state.unansweredPolls = 0;
     m_hooks.report(worker, *report, askedAt);
     worker.contacted = true;
+    // The lease hasn't been renewed since the last direct poll.
+    if (first && !m_closed)
+        askThroughHost(worker);
 }
 
 void CellWorkers::onPollFailure(CellWorker& worker, const Common::Failure& reason, Common::MonotonicTime askedAt)
@@ -473,6 +487,11 @@
         answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
         return;
     }
+    // No copy can have arrived, and the next one may not arrive for long.
+    if (!worker->reachable && !allocation->startOutcomeUnknown) {
+        answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
+        return;
+    }
     const auto again = m_lifetime.guard([this, id, order, answered] { sendStart(id, order, answered); });
     if (!m_hooks.mayGrant() || !worker->reachable || !worker->lease().isClockKnown()) {
         m_runtime.schedule(m_settings.orderRetry, again);
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -44,8 +44,10 @@
         std::function<void(std::function<void()>)> confirmOwnership;
         /// Whether polls of the worker should return early, after CellSettings::frequentPollWait.
         std::function<bool(const CellWorker&)> shouldPollFrequently;
-        /// Has another host poll the worker; false if there is none that may reach it.
-        std::function<bool(const PollForHost&, Common::Callback<RunReport>)> pollThroughHost;
+        /// Has another host poll the worker: the one at the address, if it is alive. Returns the address of the host
+        /// that is asked; empty if there is none.
+        std::function<std::string(const PollForHost&, const std::string& address, Common::Callback<RunReport>)>
+            pollThroughHost;
     };
 
     /// `inheritedAuthority`: how long an earlier owner may still grant leases; zero if it can't.
@@ -94,6 +96,7 @@
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
     bool acceptReport(CellWorker&, const RunReport&);
     void askThroughHost(CellWorker&);
+    bool mayRenewThroughHost(const CellWorker&, const Link&) const;
     void onAnswerThroughHost(CellWorker&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
     void onPollFailure(CellWorker&, const Common::Failure&, Common::MonotonicTime askedAt);
     bool acceptRebirth(CellWorker&, int64_t startedAtMilliseconds);
--- a/Source/UnitTests/Cells/UnreadEndTest.cpp
+++ b/Source/UnitTests/Cells/UnreadEndTest.cpp
@@ -21,6 +21,16 @@
             = std::find_if(workers.begin(), workers.end(), [](const auto& worker) { return worker->running() > 0; });
         return busy == workers.end() ? nullptr : busy->get();
     }
+    /// The worker with runs that has most room; there is one.
+    RunWorker& workerWithRoom()
+    {
+        RunWorker* found = nullptr;
+        for (const auto& worker : workers) {
+            if (worker->running() > 0 && (!found || worker->running() < found->running()))
+                found = worker.get();
+        }
+        return *found;
+    }
     void cutBoth(const std::string& a, const std::string& b)
     {
         network.cut(a, b);
@@ -126,3 +136,62 @@
     CHECK(lost->running() == 0);
     CHECK(fleet.running() == 6);
 }
+
+// Guards against tasks that wait as long as the cut lasts for an order which can't be delivered.
+TEST_CASE("a task that is ordered to a worker which its owner no longer reaches starts elsewhere")
+{
+    CutWorkerFleet fleet;
+    Outcome submitted;
+    // Keeps the worker's lease renewed through other hosts.
+    fleet.submit(fleet.other(), CellWorld::service(1, 6), submitted);
+    fleet.clock.advance(4s);
+    REQUIRE(fleet.running() == 6);
+    RunWorker& lost = fleet.workerWithRoom();
+    REQUIRE(lost.running() < 4);
+    fleet.cutBoth(fleet.owner()->address, lost.entry().address);
+    // As many tasks as there is room for, on the worker too.
+    fleet.submit(fleet.other(), CellWorld::job(2, "run:1000", 26), submitted);
+    fleet.clock.advance(20s);
+    CHECK(fleet.phase(fleet.other(), 2) == Jobs::JobPhase::Completed);
+    CHECK(fleet.judge.twice.summary() == "");
+}
+
+// Guards against work that goes on under a lease that is kept although a stop can't be delivered.
+TEST_CASE("the tasks of a cancelled job end on a worker that its owner doesn't reach")
+{
+    CutWorkerFleet fleet;
+    Outcome submitted;
+    fleet.submit(fleet.other(), CellWorld::service(1, 6), submitted);
+    fleet.clock.advance(4s);
+    REQUIRE(fleet.running() == 6);
+    fleet.cutBoth(fleet.owner()->address, fleet.busyWorker()->entry().address);
+    fleet.clock.advance(4s);
+    fleet.cancel(1);
+    fleet.clock.advance(8s);
+    CHECK(fleet.running() == 0);
+}
+
+// Guards against a lease that passes because the first host that is asked doesn't reach the worker either.
+TEST_CASE("a long-running task keeps its lease if one of two other hosts reaches its worker")
+{
+    for (const size_t reached : { size_t { 0 }, size_t { 1 } }) {
+        CutWorkerFleet fleet;
+        Outcome submitted;
+        fleet.submit(fleet.other(), CellWorld::service(1, 6), submitted);
+        fleet.clock.advance(2s);
+        REQUIRE(fleet.running() == 6);
+        const std::string address = fleet.busyWorker()->entry().address;
+        size_t others = 0;
+        for (WorldHost* const host : fleet.live()) {
+            if (host == fleet.owner() || others++ != reached)
+                fleet.cutBoth(host->address, address);
+        }
+        // The first choice among the hosts is random: after the first answer the lease is kept for certain.
+        fleet.clock.advance(30s);
+        const uint64_t starts = fleet.starts();
+        CHECK(starts <= 10);
+        fleet.clock.advance(30s);
+        CHECK(fleet.starts() == starts);
+        CHECK(fleet.running() == 6);
+    }
+}
