--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -342,7 +342,7 @@
         ++m_boot;
         for (const auto& [task, run] : m_runs) {
             m_judge.gone(m_entry.id.value(), task);
-            forEachTwiceJudge([&](TwiceJudge& twice) { twice.gone(m_entry.id.value(), task); });
+            forEachTwiceJudge([&, &name = task](TwiceJudge& twice) { twice.gone(m_entry.id.value(), name); });
         }
         m_runs.clear();
         m_pressure = 0;
--- a/Source/UnitTests/Cells/ScriptedOrders.h
+++ b/Source/UnitTests/Cells/ScriptedOrders.h
@@ -105,7 +105,7 @@
     }
     Cells::RunKey orderRun(uint32_t index)
     {
-        const Cells::RunKey run { { Common::JobId("0000000000000001"), 0, 0, index }, Common::AttemptNumber { 1 } };
+        Cells::RunKey run { { Common::JobId("0000000000000001"), 0, 0, index }, Common::AttemptNumber { 1 } };
         worker().addAllocation(run, {});
         workers.start(worker(), Cells::RunOrder { run.task, run.attempt, "last", {}, {} }, [](Cells::OrderAnswer) {});
         return run;
