--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -180,6 +180,7 @@
 void CellEngine::listWorker(const WorkerEntry& entry)
 {
     noticeReplacement(entry);
+    m_disownedWorkers.erase(entry.id);
     m_workers.add(entry, true);
     m_health.add(entry.id);
     writeWorkers();
@@ -188,6 +189,37 @@
 
 void CellEngine::unlistWorker(const Common::WorkerId& id) { m_workers.unlist(id); }
 
+void CellEngine::disownWorker(const Common::WorkerId& id)
+{
+    CellWorker* const worker = m_workers.find(id);
+    if (!worker)
+        return;
+    worker->listed = false;
+    m_disownedWorkers.insert(id);
+    leaveDisownedWorkers();
+}
+
+void CellEngine::leaveDisownedWorkers()
+{
+    for (auto row = m_disownedWorkers.begin(); row != m_disownedWorkers.end();) {
+        const Common::WorkerId id = *row;
+        const CellWorker* const worker = m_workers.find(id);
+        const auto hasRun = [this](const auto& run) { return findJob(run.first.task.job) != nullptr; };
+        const bool mayHaveRuns = worker
+            && ((!worker->contacted && m_inheritedWorkers.contains(id))
+                || std::any_of(worker->allocations().begin(), worker->allocations().end(), hasRun));
+        if (mayHaveRuns) {
+            ++row;
+            continue;
+        }
+        row = m_disownedWorkers.erase(row);
+        if (!worker)
+            continue;
+        LC_WARN(Worker, "event=worker-disowned worker=" << id.value() << " cell=" << m_id.value());
+        m_workers.remove(id);
+    }
+}
+
 void CellEngine::unlistOthers(const std::map<Common::WorkerId, WorkerEntry>& listed)
 {
     for (const auto& [id, worker] : m_workers.all()) {
@@ -478,6 +510,7 @@
         if (worker->entry().draining)
             evacuate(*worker);
     }
+    leaveDisownedWorkers();
     // Workers that have reported to this owner refuse orders of earlier ones.
     if (m_committer.isUnsettled() && !hasUncontactedWorkers())
         m_committer.settle();
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -98,7 +98,11 @@
     void listWorker(const WorkerEntry&);
     /// Marks a worker as no longer listed by the platform; it gets no new runs.
     void unlistWorker(const Common::WorkerId&);
-    /// Does the same for all workers but those of a complete list.
+    bool knowsWorker(const Common::WorkerId& id) const { return m_workers.all().contains(id); }
+    /// The worker belongs to another cell: it gets no new runs here, and is left alone unless jobs of this cell have
+    /// runs on it.
+    void disownWorker(const Common::WorkerId&);
+    /// Marks all workers but those of a complete list as no longer listed.
     void unlistOthers(const std::map<Common::WorkerId, WorkerEntry>& listed);
 
     enum class Fit {
@@ -348,6 +352,7 @@
     void addBackfillCapacity(CellLoad&) const;
     static void addWaiting(const LiveJob&, CellLoad&);
     void sweep();
+    void leaveDisownedWorkers();
     void stopAfterLoss();
 
     Scheduler::Runtime& m_runtime;
@@ -365,6 +370,8 @@
     CellWorkers m_workers;
     /// Workers that may hold runs of an earlier owner.
     std::set<Common::WorkerId> m_inheritedWorkers;
+    /// Workers that belong to other cells, until no runs of this cell are on them.
+    std::set<Common::WorkerId> m_disownedWorkers;
     /// Record of the cell's workers as last given to the committer.
     std::string m_writtenWorkers;
     /// Workers in the durable record of the cell. Only these get runs, so that a successor knows where runs may be.
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1262,7 +1262,12 @@
 
 void CellOwnership::listWorker(const WorkerEntry& entry)
 {
-    if (CellEngine* const owner = engine(m_layout.cellOf(entry)))
+    const CellId cell = m_layout.cellOf(entry);
+    for (const auto& [other, engine] : m_engines) {
+        if (other != cell)
+            engine->disownWorker(entry.id);
+    }
+    if (CellEngine* const owner = engine(cell))
         owner->listWorker(entry);
 }
 
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -154,6 +154,14 @@
     worker->unlisted = true;
 }
 
+void CellWorkers::remove(const Common::WorkerId& id)
+{
+    if (const auto found = m_links.find(id); found != m_links.end() && found->second.timer)
+        m_runtime.cancel(*found->second.timer);
+    m_links.erase(id);
+    m_workers.erase(id);
+}
+
 void CellWorkers::pollSoon(const Common::WorkerId& id) { schedulePoll(id, Common::Duration::zero()); }
 
 void CellWorkers::close() { m_closed = true; }
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -60,6 +60,8 @@
     void add(const WorkerEntry&, bool listed);
     /// Marks a worker that the platform no longer lists; no effect if it is unknown.
     void unlist(const Common::WorkerId&);
+    /// Forgets a worker on which no runs of the cell can be.
+    void remove(const Common::WorkerId&);
     /// Null if the worker is unknown.
     CellWorker* find(const Common::WorkerId&);
     const std::map<Common::WorkerId, std::unique_ptr<CellWorker>>& all() const { return m_workers; }
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -80,6 +80,8 @@
         m_entry.draining = true;
         m_entry.remaining = std::chrono::seconds(60);
     }
+    /// Its entry names that rack from now on, as another writer may leave it.
+    void setRack(const Common::RackId& rack) { m_entry.rack = rack; }
     /// Its entry no longer says that it is about to leave.
     void stay() { m_entry.draining = false; }
     void crash()
--- a/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
+++ b/Source/UnitTests/Platform/OddWorkerEntryTest.cpp
@@ -73,6 +73,17 @@
 
 } // namespace
 
+// Guards against a worker that is listed in a second cell, whose owner acknowledges and stops the runs of the first.
+TEST_CASE("an entry without labels, or another field that tells what the worker is, names no worker")
+{
+    REQUIRE(readWorkerEntry(valueOf(goodEntry)));
+    for (const char* const field : { "service", "address", "zone", "state", "capacity", "labels" }) {
+        CAPTURE(field);
+        const std::string name = '"' + std::string(field) + '"';
+        CHECK_FALSE(readWorkerEntry(valueOf(withReplaced(goodEntry, name, "\"other\""))));
+    }
+}
+
 TEST_CASE("a worker's entry with a number that its field can't have names no worker")
 {
     REQUIRE(isRead(goodEntry));
