Count in the soak what lapses of leases excuse, in two more verdicts

Cause: rule TWICE excuses a start after an end as done if the worker's lease lapsed before the acknowledgement.

Change: a second verdict doesn't excuse a lapse that ended no run on the worker, a third excuses none. `--lasting` sets the share of jobs that last. The present verdict, its counts and the exit code don't change.

--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[3] / "Tools"))
 
 from soak import http  # noqa: E402
-from soak.judge import Judge  # noqa: E402
+from soak.judge import Judge, groups, like_the_record, summary  # noqa: E402
 from soak.link import Link, Passage  # noqa: E402
 from soak.store import Store  # noqa: E402
 from soak.worker import Worker  # noqa: E402
@@ -32,9 +32,18 @@
         self.now = at
         self.judge.ended(run, how)
 
-    def acknowledge(self, run, at, lapsed=False):
+    def acknowledge(self, run, at, lapsed=False, lapse_ended_runs=True):
         self.now = at
-        self.judge.acknowledged(run, lapsed)
+        self.judge.acknowledged(run, lapsed, lapse_ended_runs)
+
+    def pair(self, task, later, earlier, at, hosts=("edge-1", "edge-1")):
+        """A start of the task on the worker `later` at `at` after an end as done on `earlier`, in an idle lapse."""
+        self.now = at - 6
+        run = self.judge.started(task, 1, earlier, hosts[0], self.now)
+        self.end(run, "done", at - 5)
+        self.now = at
+        self.judge.started(task, 2, later, hosts[1], self.now)
+        self.acknowledge(run, at + 1, lapsed=True, lapse_ended_runs=False)
 
     def test_two_runs_at_once_break_the_rule(self):
         self.start(1, "i-0", 1)
@@ -95,6 +104,82 @@
         self.assertEqual((self.judge.breaks, self.judge.exempt, self.judge.noted), ([], 1, 0))
         self.assertEqual(len(self.judge.excused), 1)
 
+    def test_idle_lapse_excuses_in_the_first_verdict_alone(self):
+        run = self.start(1, "i-0", 1)
+        self.end(run, "done", 2)
+        self.start(2, "i-1", 3)
+        self.acknowledge(run, 4, lapsed=True, lapse_ended_runs=False)
+        counts = [len(pairs) for pairs in (self.judge.breaks, self.judge.idle_lapse, self.judge.any_lapse)]
+        self.assertEqual((counts, len(self.judge.excused)), ([0, 1, 1], 1))
+
+    def test_lapse_that_ended_a_run_counts_in_the_third_verdict_alone(self):
+        run = self.start(1, "i-0", 1)
+        self.end(run, "done", 2)
+        self.start(2, "i-1", 3)
+        self.acknowledge(run, 4, lapsed=True, lapse_ended_runs=True)
+        counts = [len(pairs) for pairs in (self.judge.breaks, self.judge.idle_lapse, self.judge.any_lapse)]
+        self.assertEqual(counts, [0, 0, 1])
+
+    def test_start_after_an_excused_acknowledgement_counts_in_the_other_verdicts(self):
+        for ended_runs in (False, True):
+            with self.subTest(ended_runs=ended_runs):
+                self.setUp()
+                run = self.start(1, "i-0", 1)
+                self.end(run, "done", 2)
+                self.acknowledge(run, 3, lapsed=True, lapse_ended_runs=ended_runs)
+                self.start(2, "i-1", 4)
+                counts = [len(pairs) for pairs in (self.judge.breaks, self.judge.idle_lapse, self.judge.any_lapse)]
+                self.assertEqual(counts, [0, 0 if ended_runs else 1, 1])
+
+    def test_noted_end_counts_in_the_first_verdict_alone(self):
+        run = self.start(1, "i-0", 1)
+        self.end(run, "done", 2)
+        self.acknowledge(run, 3)
+        self.start(2, "i-1", 4)
+        counts = [len(pairs) for pairs in (self.judge.breaks, self.judge.idle_lapse, self.judge.any_lapse)]
+        self.assertEqual(counts, [1, 0, 0])
+
+    def test_end_that_is_not_done_counts_in_no_verdict(self):
+        run = self.start(1, "i-0", 1)
+        self.end(run, "failed", 2)
+        self.acknowledge(run, 3, lapsed=True, lapse_ended_runs=False)
+        self.start(2, "i-1", 4)
+        self.assertEqual(self.judge.any_lapse, [])
+
+    def test_pairs_tell_whether_one_host_ordered_both(self):
+        self.pair(f"{JOB}.0.0.1", "i-1", "i-0", 10)
+        self.pair(f"{JOB}.0.0.2", "i-1", "i-0", 20, hosts=("edge-1", "edge-2"))
+        self.assertEqual([pair.same_host for pair in self.judge.any_lapse], [True, False])
+
+    def test_starts_near_each_other_by_one_host_are_a_group(self):
+        for index, (at, host) in enumerate(((10, "edge-1"), (10.5, "edge-1"), (10.6, "edge-2"), (20, "edge-1"))):
+            self.pair(f"{JOB}.0.0.{index}", "i-1", "i-0", at, hosts=(host, host))
+        self.assertEqual([len(group) for group in groups(self.judge.any_lapse)], [2, 1, 1])
+
+    def test_group_is_like_the_record_if_one_host_gave_all_to_one_worker(self):
+        def group(*pairs):
+            self.setUp()
+            for index, (later, earlier, hosts) in enumerate(pairs):
+                self.pair(f"{JOB}.0.0.{index}", later, earlier, 10 + index * 0.1, hosts)
+            found = groups(self.judge.any_lapse)
+            self.assertEqual(len(found), 1)
+            return like_the_record(found[0])
+        same = ("edge-1", "edge-1")
+        self.assertTrue(group(("i-9", "i-0", same), ("i-9", "i-1", same)))
+        self.assertFalse(group(("i-9", "i-0", same)))
+        self.assertFalse(group(("i-9", "i-0", same), ("i-8", "i-1", same)))
+        self.assertFalse(group(("i-9", "i-0", same), ("i-9", "i-1", ("edge-2", "edge-1"))))
+        self.assertFalse(group(("i-9", "i-0", same), ("i-9", "i-1", same), ("i-9", "i-2", same)))
+
+    def test_summary_counts_pairs_and_groups(self):
+        for index, later in enumerate(("i-9", "i-9")):
+            self.pair(f"{JOB}.0.0.{index}", later, "i-0", 10 + index * 0.1)
+        for index, later in enumerate(("i-9", "i-8"), 2):
+            self.pair(f"{JOB}.0.0.{index}", later, "i-0", 20 + index * 0.1)
+        self.pair(f"{JOB}.0.0.4", "i-9", "i-0", 30, hosts=("edge-1", "edge-2"))
+        self.assertEqual(summary(self.judge.any_lapse), "5 (same host 4, groups 3, of several 2, these on one worker 1, "
+                                                        "like the record 1)")
+
     def test_run_of_a_crashed_worker_does_not_count(self):
         self.end(self.start(1, "i-0", 1), "lost", 2)
         self.start(2, "i-1", 3)
@@ -259,6 +344,25 @@
         await self.hold(acked_through=1)
         self.assertEqual((self.judge.exempt, self.judge.noted), (1, 0))
 
+    async def test_lapse_is_idle_if_no_run_ended_by_it(self):
+        for lasts in (False, True):
+            with self.subTest(lasts=lasts):
+                self.worker.crash()
+                self.judge = Judge(asyncio.get_running_loop().time)
+                self.worker = self.make()
+                self.worker.start()
+                self.length = 0.01
+                await self.start(lease=1000)
+                await self.wait_for_end()
+                if lasts:
+                    self.length = None
+                    await self.start(task=TASK + "0", lease=1000)
+                while self.worker.clock() <= self.worker.lease_until:
+                    await asyncio.sleep(0.05)
+                await self.hold(acked_through=1)
+                self.judge.started(TASK, 2, "i-0001", "edge-1", 0.0)
+                self.assertEqual((len(self.judge.idle_lapse), len(self.judge.any_lapse)), (0 if lasts else 1, 1))
+
     async def test_lapse_before_the_end_does_not_exempt_it(self):
         await self.start(lease=50)
         await self.wait_for_end()
--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -11,12 +11,18 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from soak.faults import KINDS, Faults  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
-from soak.load import Load  # noqa: E402
+from soak.judge import summary  # noqa: E402
+from soak.load import LASTING_SHARE_OF_JOBS, Load  # noqa: E402
 
 START_S = 4.0
 SETTLE_S = 15.0
 
 
+def verdicts(judge):
+    """What the verdicts that excuse fewer lapses count beside the breaks of the rule, with their words in records."""
+    return ("idle-lapse-counted", judge.idle_lapse), ("any-lapse-counted", judge.any_lapse)
+
+
 async def play(options, seed, folder):
     """One run. Returns the breaks of the rule and the accepted jobs that haven't ended."""
     draw = random.Random(seed)
@@ -24,7 +30,7 @@
     loads = []
     fleet = Fleet(seed, options.hosts, options.workers, options.entry, folder, lambda task: loads[0].behaviour(task),
                   lambda line: record.write(line + "\n"))
-    load = Load(fleet, random.Random(draw.random()), options.pace)
+    load = Load(fleet, random.Random(draw.random()), options.pace, options.lasting)
     loads.append(load)
     faults = Faults(fleet, random.Random(draw.random()), options.kinds, options.gap, options.keep_ids)
     try:
@@ -45,6 +51,10 @@
             fleet.note("TWICE", text)
         for text in fleet.judge.excused:
             fleet.note("excused", text)
+        for word, pairs in verdicts(fleet.judge):
+            for pair in pairs:
+                fleet.note(word, pair)
+            fleet.note(word + "-count", summary(pairs))
         for job in unfinished:
             fleet.note("UNFINISHED", job)
         if faults.errors:
@@ -63,6 +73,7 @@
     parser.add_argument("--seconds", type=float, default=40, help="time with faults")
     parser.add_argument("--finish", type=float, default=60, help="seconds without faults in which jobs have to end")
     parser.add_argument("--pace", type=float, default=4, help="jobs submitted each second")
+    parser.add_argument("--lasting", type=float, default=LASTING_SHARE_OF_JOBS, help="share of jobs that last")
     parser.add_argument("--gap", type=float, default=1.5, help="mean seconds between two faults")
     parser.add_argument("--kinds", type=lambda text: text.split(","), default=list(KINDS),
                         help="kinds of faults, separated by commas: " + ", ".join(KINDS))
@@ -94,7 +105,8 @@
         broken += 1 if judge.breaks or unfinished else 0
         print(f"seed {seed}: TWICE {len(judge.breaks)}, unfinished {len(unfinished)}, starts {judge.starts}, "
               f"ends noted {judge.noted}, exempt {judge.exempt} (started again: {len(judge.excused)}), "
-              f"jobs accepted {len(load.accepted)}", flush=True)
+              f"jobs accepted {len(load.accepted)}, "
+              + ", ".join(f"{word} {summary(pairs)}" for word, pairs in verdicts(judge)), flush=True)
         for text in judge.breaks[:5]:
             print("  " + text, flush=True)
     return 1 if broken else 0
--- a/Tools/soak/load.py
+++ b/Tools/soak/load.py
@@ -4,13 +4,14 @@
 
 TRIES = 4
 LASTING_SHARE_OF_ROOM = 0.5
+LASTING_SHARE_OF_JOBS = 0.15
 
 
 class Load:
-    """Submits at `pace` jobs a second. Jobs that last are cancelled before they would hold more than half the room."""
+    """Submits at `pace` jobs a second, `lasting` of them such that last. Jobs that last are cancelled before they would hold more than half the room."""
 
-    def __init__(self, fleet, random, pace):
-        self.fleet, self.random, self.pace = fleet, random, pace
+    def __init__(self, fleet, random, pace, lasting=LASTING_SHARE_OF_JOBS):
+        self.fleet, self.random, self.pace, self.lasting_share = fleet, random, pace, lasting
         self.jobs = {}
         self.accepted = set()
         self.cancelled = set()
@@ -28,12 +29,13 @@
 
     def _phases(self):
         kind = self.random.random()
-        if kind < 0.55:
+        ending = 1 - self.lasting_share
+        if kind < ending * 55 / 85:
             phases = [{"count": 6, "cpu": 1600, "mem_mb": 256, "estimate_ms": 800}]
             if self.random.random() < 0.6:
                 phases.append(dict(phases[0], after=[0]))
             return phases
-        if kind < 0.85:
+        if kind < ending:
             first = {"count": 8, "cpu": 1800, "mem_mb": 512, "estimate_ms": 2700, "checkpoints": True}
             return [first, dict(first, after=[0])]
         return [{"count": 6, "cpu": 1500, "mem_mb": 512, "estimate_ms": 400, "long_running": True, "image": "watch",
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -61,6 +61,8 @@
         self.running, self.ended, self.closed = {}, [], {}
         self.lease_until = 0
         self.lapsed_at = -1
+        # The last lapse that ended a run.
+        self.lapse_ended_runs_at = -1
         self.news = asyncio.Event()
         self.up = True
         self.life = object()
@@ -135,7 +137,10 @@
         """Carries out what the lapse of the lease means, if it has lapsed since the last call."""
         if self.lease_until and self.clock() > self.lease_until and self.lapsed_at < self.lease_until:
             self.lapsed_at = self.lease_until
-            self.note("lease-lapsed", self.id, f"late-ms={self.clock() - self.lease_until}")
+            if self.running:
+                self.lapse_ended_runs_at = self.lapsed_at
+            self.note("lease-lapsed", self.id, f"late-ms={self.clock() - self.lease_until}",
+                      f"runs={len(self.running)}")
             for task in list(self.running):
                 self._end(task, "lapsed")
 
@@ -265,7 +270,7 @@
         through = call.get("acked_through", 0)
         for number, task, attempt, how, _, run, at in self.ended:
             if number <= through:
-                self.judge.acknowledged(run, self.lapsed_at >= at)
+                self.judge.acknowledged(run, self.lapsed_at >= at, self.lapse_ended_runs_at >= at)
                 self.note("acked", self.id, f"{task}#{attempt}", how, f"number={number}")
         self.ended = [row for row in self.ended if row[0] > through]
         if call.get("expires_ms", 0) > self.clock():
