Let a stand-in worker that stood still read calls before its lease lapses

Cause: PROTOCOL.md doesn't say what a worker does first that stood still past its lease. The stand-in always carried the lapse out first, and on time.

Change: `--late-lapse`, off by default: the lapse waits while the worker stands still, then for the calls that have waited, and is dropped if one of them extends the lease (`lapse-skipped` in the record). Breaks with a run on such a worker count as TWICE and are counted by themselves (`by-late-lapse`).

--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -460,6 +460,86 @@
         await waiting
         await self.wait_for_end()
 
+    async def freeze_past_the_lease(self, late_lapse, length=None):
+        """A worker with a run, frozen for longer than its lease."""
+        self.worker.crash()
+        self.judge = Judge(asyncio.get_running_loop().time, lambda: self.worker.settle())
+        self.worker = self.make(late_lapse=late_lapse)
+        self.worker.start()
+        self.length = length
+        await self.start(lease=100)
+        self.worker.freeze()
+        await asyncio.sleep(0.2)
+        self.assertGreater(self.worker.clock(), self.worker.lease_until)
+
+    async def test_worker_that_stood_still_lets_its_lease_lapse_before_it_reads_calls(self):
+        await self.freeze_past_the_lease(late_lapse=False)
+        waiting = asyncio.ensure_future(self.hold(expires_ms=self.worker.clock() + 5000))
+        await asyncio.sleep(0.01)
+        self.worker.thaw()
+        self.assertEqual(([row[3] for row in (await waiting)[1]["ended"]], self.worker.running), (["lapsed"], {}))
+
+    async def test_worker_with_a_late_lapse_reads_calls_that_waited_first(self):
+        await self.freeze_past_the_lease(late_lapse=True, length=0.15)
+        waiting = asyncio.ensure_future(self.hold(expires_ms=self.worker.clock() + 5000))
+        await asyncio.sleep(0.01)
+        self.worker.thaw()
+        self.assertEqual([row[1] for row in (await waiting)[1]["running"]], [1])
+        await self.wait_for_end()
+        self.assertEqual((self.worker.ended[0][3], self.worker.lapsed_at), ("done", -1))
+
+    async def test_worker_with_a_late_lapse_carries_it_out_if_no_call_extends_the_lease(self):
+        await self.freeze_past_the_lease(late_lapse=True, length=0.15)
+        waiting = asyncio.ensure_future(self.hold())
+        await asyncio.sleep(0.01)
+        self.assertIn(TASK, self.worker.running)
+        self.worker.thaw()
+        await waiting
+        await asyncio.sleep(0.01)
+        self.assertEqual([row[3] for row in self.worker.ended], ["lapsed"])
+        # Its next lapse comes in time.
+        await self.start(attempt=2, lease=50)
+        while len(self.worker.ended) < 2:
+            await asyncio.sleep(0.005)
+        self.assertEqual(self.worker.ended[1][3], "lapsed")
+
+    async def test_breaks_by_a_late_lapse_are_counted_by_themselves(self):
+        for late_lapse in (False, True):
+            with self.subTest(late_lapse=late_lapse):
+                await self.freeze_past_the_lease(late_lapse)
+                self.judge.started(TASK, 2, "i-0001", "edge-1", 0.0)
+                breaks = 1 if late_lapse else 0
+                self.assertEqual((len(self.judge.breaks), len(self.judge.by_late_lapse)), (breaks, breaks))
+
+    async def test_end_that_is_noted_by_a_late_lapse_is_counted_by_itself(self):
+        self.length = 0.01
+        for late_lapse in (False, True):
+            with self.subTest(late_lapse=late_lapse):
+                await self.freeze_past_the_lease(late_lapse)
+                self.worker.crash()
+                self.worker.thaw()
+                self.worker.start()
+                self.length = 0.01
+                await self.start(lease=100)
+                await self.wait_for_end()
+                self.worker.freeze()
+                await asyncio.sleep(0.2)
+                self.judge.started(TASK, 2, "i-0001", "edge-1", 0.0)
+                waiting = asyncio.ensure_future(self.hold(acked_through=1))
+                await asyncio.sleep(0.01)
+                self.worker.thaw()
+                await waiting
+                breaks = 1 if late_lapse else 0
+                self.assertEqual((len(self.judge.breaks), len(self.judge.by_late_lapse)), (breaks, breaks))
+
+    async def test_break_of_a_worker_in_time_is_not_by_a_late_lapse(self):
+        self.worker.crash()
+        self.worker = self.make(late_lapse=True)
+        self.worker.start()
+        await self.start()
+        self.judge.started(TASK, 2, "i-0001", "edge-1", 0.0)
+        self.assertEqual((len(self.judge.breaks), self.judge.by_late_lapse), (1, []))
+
     async def test_lease_of_a_frozen_worker_lapses(self):
         await self.start(lease=50)
         self.worker.freeze()
--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -29,7 +29,7 @@
     record = open(folder / "record.txt", "w", encoding="utf-8")
     loads = []
     fleet = Fleet(seed, options.hosts, options.workers, options.entry, folder, lambda task: loads[0].behaviour(task),
-                  lambda line: record.write(line + "\n"))
+                  lambda line: record.write(line + "\n"), options.late_lapse)
     load = Load(fleet, random.Random(draw.random()), options.pace, options.lasting)
     loads.append(load)
     faults = Faults(fleet, random.Random(draw.random()), options.kinds, options.gap, options.keep_ids)
@@ -49,6 +49,8 @@
         unfinished = await load.unfinished(options.finish)
         for text in fleet.judge.breaks:
             fleet.note("TWICE", text)
+        for text in fleet.judge.by_late_lapse:
+            fleet.note("by-late-lapse", text)
         for text in fleet.judge.excused:
             fleet.note("excused", text)
         for word, pairs in verdicts(fleet.judge):
@@ -78,6 +80,8 @@
     parser.add_argument("--kinds", type=lambda text: text.split(","), default=list(KINDS),
                         help="kinds of faults, separated by commas: " + ", ".join(KINDS))
     parser.add_argument("--keep-ids", action="store_true", help="a worker that crashes starts again under its id")
+    parser.add_argument("--late-lapse", action="store_true",
+                        help="a worker that stood still past its lease reads waiting calls before it lets the lease lapse")
     parser.add_argument("--entry", type=pathlib.Path, help="the program; default: that of the build folder")
     parser.add_argument("--build", type=pathlib.Path, default=pathlib.Path("build"))
     parser.add_argument("--keep", type=pathlib.Path, help="keep records and logs in this folder")
@@ -103,7 +107,8 @@
                 folder.mkdir(parents=True, exist_ok=True)
             judge, load, unfinished = asyncio.run(play(options, seed, folder))
         broken += 1 if judge.breaks or unfinished else 0
-        print(f"seed {seed}: TWICE {len(judge.breaks)}, unfinished {len(unfinished)}, starts {judge.starts}, "
+        late = f" (by a late lapse: {len(judge.by_late_lapse)})" if options.late_lapse else ""
+        print(f"seed {seed}: TWICE {len(judge.breaks)}{late}, unfinished {len(unfinished)}, starts {judge.starts}, "
               f"ends noted {judge.noted}, exempt {judge.exempt} (started again: {len(judge.excused)}), "
               f"jobs accepted {len(load.accepted)}, "
               + ", ".join(f"{word} {summary(pairs)}" for word, pairs in verdicts(judge)), flush=True)
--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -57,9 +57,10 @@
 class Fleet:
     """`behaviour(task)` says how long a task works and how it ends; `write_line` takes the lines of the record."""
 
-    def __init__(self, seed, hosts, workers, program, folder, behaviour, write_line):
+    def __init__(self, seed, hosts, workers, program, folder, behaviour, write_line, late_lapse=False):
         self.begun = time.monotonic()
         self.folder, self.behaviour, self.write_line = folder, behaviour, write_line
+        self.late_lapse = late_lapse
         self.judge = Judge(self.now, self._settle)
         self.store = Store(seed)
         self.links = {}
@@ -102,7 +103,7 @@
         port = port or self.ports.take()
         worker = Worker(f"i-{len(self.workers):04x}", f"127.0.0.1:{port}", zone, f"{zone}-{rack}", self.store,
                         self.judge, self.behaviour, self.note, clock_rate=CLOCK_RATES[len(self.workers) % 3],
-                        fences_waiting=len(self.workers) % 2 == 1)
+                        fences_waiting=len(self.workers) % 2 == 1, late_lapse=self.late_lapse)
         self.workers.append(worker)
         return worker
 
--- a/Tools/soak/judge.py
+++ b/Tools/soak/judge.py
@@ -33,6 +33,8 @@
     noted_at: float = None
     # The end was acknowledged after a lapse of the lease: "idle" if none of the lapses ended a run, otherwise "ending".
     lapse: str = None
+    # Its worker stood still past its lease and hadn't carried the lapse out; that stands for good.
+    overdue: bool = False
 
     def __str__(self):
         end = "runs" if self.ended_at is None else f"{self.how} at {self.ended_at:.3f}"
@@ -95,6 +97,8 @@
         # `settle` carries out all lapses of leases that are due: the event loop may come to a start before them.
         self.now, self.settle = now, settle
         self.breaks = []
+        # Those of them with a run on a worker that was late to carry out the lapse of its lease.
+        self.by_late_lapse = []
         self.starts = 0
         self.noted = 0
         self.exempt = 0
@@ -162,3 +166,5 @@
     def _report(self, what, run, other):
         self.breaks.append(f"{what}: [{run}] while [{other}]" if other.ended_at is None
                            else f"{what}: [{run}] after [{other}]")
+        if other.overdue:
+            self.by_late_lapse.append(self.breaks[-1])
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -29,7 +29,7 @@
     """One worker. `behaviour(task)` returns (seconds or None for a task that lasts, end)."""
 
     def __init__(self, ident, address, zone, rack, store, judge, behaviour, note, cpu=16000, mem=62500, max_hold=10.0,
-                 stop_grace=0.4, clock_rate=1.0, fences_waiting=False):
+                 stop_grace=0.4, clock_rate=1.0, fences_waiting=False, late_lapse=False):
         self.id, self.address, self.zone, self.rack = ident, address, zone, rack
         self.store, self.judge, self.behaviour, self.note = store, judge, behaviour, note
         self.cpu, self.mem, self.max_hold, self.stop_grace = cpu, mem, max_hold, stop_grace
@@ -37,6 +37,11 @@
         self.clock_rate = clock_rate
         # The protocol doesn't say what a hold that waits answers once a newer token has come: 409, or its lists.
         self.fences_waiting = fences_waiting
+        # The protocol doesn't say what a worker does first that stood still past its lease: it carries the lapse out, or
+        # (`late_lapse`) the calls that wait, and the lapse only if none of them has extended the lease.
+        self.late_lapse = late_lapse
+        # It goes on, and the calls that have waited come first.
+        self.resuming = False
         self.up = False
         self.state = "ready"
         self.reports = True
@@ -86,7 +91,16 @@
         self.thawed.clear()
 
     def thaw(self):
+        self.resuming = self.late_lapse and not self.thawed.is_set()
         self.thawed.set()
+        if self.resuming:
+            # The event loop comes to the calls that wait first, in the order of their arrival.
+            asyncio.get_running_loop().call_soon(self._resume, self.life)
+
+    def _resume(self, life):
+        self.resuming = False
+        if life is self.life and self.up:
+            self._note_lapse()
 
     @property
     def port(self):
@@ -136,6 +150,9 @@
     def _note_lapse(self):
         """Carries out what the lapse of the lease means, if it has lapsed since the last call."""
         if self.lease_until and self.clock() > self.lease_until and self.lapsed_at < self.lease_until:
+            if self.late_lapse and (self.resuming or not self.thawed.is_set()):
+                self._mark_overdue()
+                return
             self.lapsed_at = self.lease_until
             if self.running:
                 self.lapse_ended_runs_at = self.lapsed_at
@@ -144,11 +161,18 @@
             for task in list(self.running):
                 self._end(task, "lapsed")
 
+    def _mark_overdue(self):
+        for run in [entry.run for entry in self.running.values()] + [row[5] for row in self.ended]:
+            run.overdue = True
+
     def _extend(self, until):
         self._note_lapse()
         until = min(until, self.clock() + int(self.max_hold * 1000))
         if until <= self.lease_until:
             return
+        if self.lapsed_at < self.lease_until < self.clock() and self.lease_until:
+            self.note("lapse-skipped", self.id, f"late-ms={self.clock() - self.lease_until}",
+                      f"runs={len(self.running)}", f"ends={len(self.ended)}")
         self.lease_until = until
         life = self.life
         asyncio.get_running_loop().call_later((until - self.clock()) / 1000 / self.clock_rate + 0.002,
@@ -179,6 +203,9 @@
     def _on_run_timer(self, life, task, attempt, how):
         if life is not self.life or task not in self.running or self.running[task].attempt != attempt:
             return
+        if self.resuming:
+            asyncio.get_running_loop().call_soon(self._on_run_timer, life, task, attempt, how)
+            return
         if not self.thawed.is_set():
             asyncio.ensure_future(self._after_thaw(lambda: self._on_run_timer(life, task, attempt, how)))
             return
