Test the soak's verdicts in its output, and the late lapse of a run that lasts

Cause: no test read the line of a seed and the record; and the test that a late lapse is carried out passed without the call at the end of the standstill, since the timer of its run carried the lapse out.

Change: Process.soak compares the line and the record. The test of the late lapse has a run that lasts too, and one more shows that a worker that didn't stand still is in time. OPERATIONS.md describes the verdicts and the options.

--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -489,19 +489,25 @@
         self.assertEqual((self.worker.ended[0][3], self.worker.lapsed_at), ("done", -1))
 
     async def test_worker_with_a_late_lapse_carries_it_out_if_no_call_extends_the_lease(self):
-        await self.freeze_past_the_lease(late_lapse=True, length=0.15)
-        waiting = asyncio.ensure_future(self.hold())
-        await asyncio.sleep(0.01)
-        self.assertIn(TASK, self.worker.running)
-        self.worker.thaw()
-        await waiting
-        await asyncio.sleep(0.01)
+        # A run that lasts, and one whose work would have ended while the worker stood still.
+        for length in (None, 0.15):
+            with self.subTest(length=length):
+                await self.freeze_past_the_lease(late_lapse=True, length=length)
+                waiting = asyncio.ensure_future(self.hold())
+                await asyncio.sleep(0.01)
+                self.assertIn(TASK, self.worker.running)
+                self.worker.thaw()
+                await waiting
+                await asyncio.sleep(0.01)
+                self.assertEqual([row[3] for row in self.worker.ended], ["lapsed"])
+
+    async def test_worker_with_a_late_lapse_that_did_not_stand_still_is_in_time(self):
+        self.worker.crash()
+        self.worker = self.make(late_lapse=True)
+        self.worker.start()
+        await self.start(lease=50)
+        await asyncio.sleep(0.2)
         self.assertEqual([row[3] for row in self.worker.ended], ["lapsed"])
-        # Its next lapse comes in time.
-        await self.start(attempt=2, lease=50)
-        while len(self.worker.ended) < 2:
-            await asyncio.sleep(0.005)
-        self.assertEqual(self.worker.ended[1][3], "lapsed")
 
     async def test_breaks_by_a_late_lapse_are_counted_by_themselves(self):
         for late_lapse in (False, True):
--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -6,6 +6,7 @@
 import importlib.util
 import os
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
@@ -27,6 +28,12 @@
             if play.returncode:
                 print((pathlib.Path(folder) / f"seed-{SEED}" / "record.txt").read_text(encoding="utf-8"), flush=True)
             self.assertEqual(play.returncode, 0, f"seed {SEED}")
+            record = (pathlib.Path(folder) / f"seed-{SEED}" / "record.txt").read_text(encoding="utf-8")
+            for word in ("idle-lapse-counted", "any-lapse-counted"):
+                figures = re.search(word + r" (\d+ \(same host \d+, groups \d+, [^)]*\))", play.stdout)
+                self.assertIsNotNone(figures, word)
+                self.assertIn(f" {word}-count {figures[1]}\n", record)
+                self.assertEqual(len(re.findall(f" {word} ", record)), int(figures[1].split()[0]))
 
 
 def load_tests(loader, tests, _):
