Add a fault to the soak: an owner loses half of its workers for longer than a lease

Change: kind `cut-owner`, with 7 to 12 s; the owner keeps the store, and the other hosts reach the workers.

Measured: CutOwnerTest passes; no soak yet.

--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -4,12 +4,15 @@
 import base64
 import json
 import pathlib
+import random
 import sys
 import unittest
+import unittest.mock
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[3] / "Tools"))
 
 from soak import http  # noqa: E402
+from soak.faults import KINDS, NAMED_KINDS, Faults  # noqa: E402
 from soak.judge import Judge, groups, like_the_record, summary  # noqa: E402
 from soak.link import Link, Passage  # noqa: E402
 from soak.store import Store  # noqa: E402
@@ -690,5 +693,41 @@
         self.assertIsNone((await self.call("/a"))[0])
 
 
+class StandInHost:
+    def __init__(self, name):
+        self.name, self.up, self.frozen = name, True, False
+
+
+class CutOwnerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_owner_loses_half_of_its_workers_and_keeps_the_rest_and_the_store(self):
+        owner, other = StandInHost("edge-1"), StandInHost("edge-2")
+        workers = [Worker(f"i-{index}", f"127.0.0.1:{index}", "yard", "yard-0", None, None, None, None)
+                   for index in range(5)]
+        for worker in workers:
+            worker.up, worker.owner = True, "edge-1" if worker is not workers[4] else "edge-2"
+        fleet = unittest.mock.Mock(hosts=[owner, other], workers=workers)
+        links = {(host.name, worker.id): Link(host.name, "127.0.0.1", 0, None) for host in (owner, other)
+                 for worker in workers}
+        fleet.links_of = lambda host, worker: [links[host.name, worker.id]]
+        fleet.store_links = {"edge-1": Link("edge-1", "127.0.0.1", 0, None)}
+
+        def cut():
+            return [key for key, link in [*links.items(), *fleet.store_links.items()]
+                    if link.to_server.passage is not Passage.OPEN and link.to_host.passage is not Passage.OPEN]
+        faults = Faults(fleet, random.Random(1), NAMED_KINDS)
+        faults._up_worker = lambda: workers[0]
+        during = []
+        with unittest.mock.patch("soak.faults.asyncio.sleep", side_effect=lambda span: during.append((span, cut()))):
+            await faults._cut_owner()
+        [(span, lost)] = during
+        self.assertGreater(span, 6)
+        self.assertEqual((len(lost), {host for host, _ in lost}), (2, {"edge-1"}))
+        self.assertLess({ident for _, ident in lost}, {worker.id for worker in workers[:4]})
+        self.assertEqual(cut(), [])
+
+    def test_kinds_that_are_drawn_only_if_named_are_none_of_the_others(self):
+        self.assertEqual(set(KINDS) & set(NAMED_KINDS), set())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -9,7 +9,7 @@
 import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from soak.faults import KINDS, Faults  # noqa: E402
+from soak.faults import KINDS, NAMED_KINDS, Faults  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
 from soak.judge import summary  # noqa: E402
 from soak.load import LASTING_SHARE_OF_JOBS, Load  # noqa: E402
@@ -78,7 +78,8 @@
     parser.add_argument("--lasting", type=float, default=LASTING_SHARE_OF_JOBS, help="share of jobs that last")
     parser.add_argument("--gap", type=float, default=1.5, help="mean seconds between two faults")
     parser.add_argument("--kinds", type=lambda text: text.split(","), default=list(KINDS),
-                        help="kinds of faults, separated by commas: " + ", ".join(KINDS))
+                        help="kinds of faults, separated by commas: " + ", ".join(KINDS)
+                        + "; only if named: " + ", ".join(NAMED_KINDS))
     parser.add_argument("--keep-ids", action="store_true", help="a worker that crashes starts again under its id")
     parser.add_argument("--late-lapse", action="store_true",
                         help="a worker that stood still past its lease reads waiting calls before it lets the lease lapse")
@@ -87,7 +88,7 @@
     parser.add_argument("--keep", type=pathlib.Path, help="keep records and logs in this folder")
     options = parser.parse_args(words)
     options.entry = (options.entry or options.build / "bin/lavendercart-entry").resolve()
-    unknown = set(options.kinds) - set(KINDS)
+    unknown = set(options.kinds) - {*KINDS, *NAMED_KINDS}
     if unknown:
         parser.error("unknown kinds of faults: " + ", ".join(sorted(unknown)))
     if not options.entry.exists():
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -10,6 +10,8 @@
          "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store",
          "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker", "late-orders",
          "late-calls", "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
+# Drawn only if they are named, so that a seed's faults of all kinds stay as they were.
+NAMED_KINDS = ("cut-owner",)
 
 
 class Faults:
@@ -240,6 +242,24 @@
         for host in others:
             host.thaw()
 
+    async def _cut_owner(self):
+        """One owner loses half of its workers for longer than a lease. It keeps the store, and the other hosts reach
+        these workers."""
+        worker = self._up_worker()
+        owner = next((host for host in self.fleet.hosts if worker and host.name == worker.owner), None)
+        if not owner or not owner.up or owner.frozen:
+            return
+        workers = [other for other in self.fleet.workers if other.up and other.owner == owner.name]
+        chosen = self.random.sample(workers, (len(workers) + 1) // 2)
+        span = self._span(7, 12)
+        self._note("cut-owner", owner.name, "from", ",".join(other.id for other in chosen), f"for={span:.2f}")
+        links = [link for other in chosen for link in self.fleet.links_of(owner, other)]
+        for link in links:
+            link.cut(Passage.LOST, Passage.LOST)
+        await asyncio.sleep(span)
+        for link in links:
+            link.heal()
+
     async def _cut_host(self):
         """One host is cut from all workers and from the store."""
         host = self._up_host()
