--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -180,8 +180,8 @@
         for index, later in enumerate(("i-9", "i-8"), 2):
             self.pair(f"{JOB}.0.0.{index}", later, "i-0", 20 + index * 0.1)
         self.pair(f"{JOB}.0.0.4", "i-9", "i-0", 30, hosts=("edge-1", "edge-2"))
-        self.assertEqual(summary(self.judge.any_lapse), "5 (same host 4, groups 3, of several 2, these on one worker 1, "
-                                                        "like the record 1)")
+        self.assertEqual(summary(self.judge.any_lapse),
+                         "5 (same host 4, groups 3, of several 2, these on one worker 1, like the record 1)")
 
     def test_run_of_a_crashed_worker_does_not_count(self):
         self.end(self.start(1, "i-0", 1), "lost", 2)
--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -82,7 +82,7 @@
                         + "; only if named: " + ", ".join(NAMED_KINDS))
     parser.add_argument("--keep-ids", action="store_true", help="a worker that crashes starts again under its id")
     parser.add_argument("--late-lapse", action="store_true",
-                        help="a worker that stood still past its lease reads waiting calls before it lets the lease lapse")
+                        help="a worker that stood still past its lease reads waiting calls before the lapse")
     parser.add_argument("--entry", type=pathlib.Path, help="the program; default: that of the build folder")
     parser.add_argument("--build", type=pathlib.Path, default=pathlib.Path("build"))
     parser.add_argument("--keep", type=pathlib.Path, help="keep records and logs in this folder")
--- a/Tools/soak/judge.py
+++ b/Tools/soak/judge.py
@@ -5,8 +5,8 @@
 job was shown as `completed`. An end is taken note of when `acked_through` reaches it, unless the worker's lease lapsed
 between the two; that stands for good.
 
-Beside this verdict there are two that excuse less, as the users' judge may not see each lapse: the second doesn't excuse
-one that ended no run on the worker ("idle lapse"), the third excuses none.
+Beside this verdict there are two that excuse less, as the users' judge may not see each lapse: the second doesn't
+excuse one that ended no run on the worker ("idle lapse"), the third excuses none.
 """
 
 import collections
--- a/Tools/soak/load.py
+++ b/Tools/soak/load.py
@@ -8,7 +8,8 @@
 
 
 class Load:
-    """Submits at `pace` jobs a second, `lasting` of them such that last. Jobs that last are cancelled before they would hold more than half the room."""
+    """Submits at `pace` jobs a second, the share `lasting` of them such that last. Jobs that last are cancelled before
+    they would hold more than half the room."""
 
     def __init__(self, fleet, random, pace, lasting=LASTING_SHARE_OF_JOBS):
         self.fleet, self.random, self.pace, self.lasting_share = fleet, random, pace, lasting
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -37,8 +37,8 @@
         self.clock_rate = clock_rate
         # The protocol doesn't say what a hold that waits answers once a newer token has come: 409, or its lists.
         self.fences_waiting = fences_waiting
-        # The protocol doesn't say what a worker does first that stood still past its lease: it carries the lapse out, or
-        # (`late_lapse`) the calls that wait, and the lapse only if none of them has extended the lease.
+        # The protocol doesn't say what a worker does first that stood still past its lease: it carries the lapse out,
+        # or (`late_lapse`) the calls that wait, and the lapse only if none of them has extended the lease.
         self.late_lapse = late_lapse
         # It goes on, and the calls that have waited come first.
         self.resuming = False
