Soak: links between hosts that can be cut

An owner that is cut from the store still learned of its successor.

Ruled out: blocking inside the process (a silent established socket needs its readiness hidden from epoll); rewriting addresses in heartbeats (the soak would have to know the product's formats). Faults: cut-hosts, cut-domain, cut-owner; their cuts aren't ended by other faults. Link.stop() while start() is under way left the port taken, which fits "address already in use" of _reuse_port.

--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -7,9 +7,9 @@
 from soak.link import Passage
 
 KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "add-host", "replace-host",
-         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store",
-         "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker", "late-orders",
-         "late-calls", "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
+         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-hosts", "cut-domain", "cut-owner",
+         "cut-worker", "cut-store", "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker",
+         "late-orders", "late-calls", "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
 
 
 class Faults:
@@ -19,6 +19,7 @@
         self.fleet, self.random, self.kinds, self.gap, self.keep_ids = fleet, random, kinds, gap, keep_ids
         self.hosts_at_start = len(fleet.hosts)
         self.pending = set()
+        self.cut_owners = set()
         # Errors of the soak's own: such a run proves nothing.
         self.errors = []
         self.stopped = False
@@ -240,6 +241,72 @@
         for host in others:
             host.thaw()
 
+    async def _cut_pairs(self, pairs, links, what):
+        """Cuts the links between pairs of hosts, and `links`, towards the server and back."""
+        outwards, back = self._passages()
+        refuses = self.random.random() < 0.2
+        resets = self.random.random() < 0.3
+        span = self._span(0.5, 14)
+        self._note("cut", what, f"outwards={outwards.value}", f"back={back.value}", f"refuses={refuses}",
+                   f"resets={resets}", f"for={span:.2f}")
+        await self._sever(pairs, links, outwards, back, span, refuses, resets)
+
+    async def _sever(self, pairs, links, outwards, back, span, refuses=False, resets=False):
+        """Other faults don't end these cuts."""
+        cut = self.fleet.host_links.cut(pairs, outwards, back, refuses, resets)
+        holds = [(link, link.hold(outwards, back)) for link in links]
+        await asyncio.sleep(span)
+        self.fleet.host_links.heal(cut)
+        for link, hold in holds:
+            link.release(hold)
+
+    async def _cut_hosts(self):
+        """One host is cut from some other hosts or all."""
+        host = self._up_host()
+        others = [other for other in self.fleet.hosts if other.up and other is not host]
+        if not host or not others:
+            return
+        number = self.random.choice((len(others), self.random.randint(1, len(others))))
+        chosen = self.random.sample(others, number)
+        await self._cut_pairs(self.fleet.host_pairs([host], chosen), [],
+                              f"{host.name} from {','.join(other.name for other in chosen)}")
+
+    async def _cut_domain(self):
+        """The hosts of a domain are cut from other domains' hosts and workers, or from the store too."""
+        zone = self.random.choice([host.zone for host in self.fleet.hosts])
+        inner = [host for host in self.fleet.hosts if host.zone == zone and not host.gone]
+        others = [host for host in self.fleet.hosts if host.zone != zone and not host.gone]
+        links = [link for worker in self.fleet.workers if worker.zone != zone
+                 for host in inner for link in self.fleet.links_of(host, worker)]
+        with_store = self.random.random() < 0.5
+        if with_store:
+            links += [self.fleet.store_links[host.name] for host in inner]
+        await self._cut_pairs(self.fleet.host_pairs(inner, others), links, f"domain {zone} with-store={with_store}")
+
+    async def _cut_owner(self):
+        """The owner of a cell is cut from the store, from the other hosts and from half of the cell's workers, and the
+        other hosts from the rest: while its authority lasts, another host takes over."""
+        worker = self._up_worker()
+        owner = next((host for host in self.fleet.hosts if worker and host.name == worker.owner), None)
+        if not owner or not owner.up or owner.frozen or owner in self.cut_owners:
+            return
+        # With more owners cut at once, no cell has a host left that takes it over.
+        if len(self.cut_owners) >= max(1, len(self.fleet.hosts) // 4):
+            return
+        workers = [other for other in self.fleet.workers if other.up and other.owner == owner.name]
+        theirs = set(self.random.sample(workers, len(workers) // 2))
+        links = [self.fleet.store_links[owner.name]]
+        for other in workers:
+            links += [link for link in self.fleet.links_of(worker=other)
+                      if (link.host == owner.name) == (other in theirs)]
+        pairs = self.fleet.host_pairs([owner], [host for host in self.fleet.hosts if not host.gone])
+        passage, span = self.random.choice((Passage.HELD, Passage.LOST)), self._span(9, 14)
+        self._note("cut-owner", owner.name, "from", ",".join(sorted(other.id for other in theirs)),
+                   f"passage={passage.value}", f"for={span:.2f}")
+        self.cut_owners.add(owner)
+        await self._sever(pairs, links, passage, passage, span)
+        self.cut_owners.discard(owner)
+
     async def _cut_host(self):
         """One host is cut from all workers and from the store."""
         host = self._up_host()
--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -1,6 +1,7 @@
-"""The processes and stand-ins of one soak, with a link between each host and each worker and between each host and
-the store."""
+"""The processes and stand-ins of one soak, with links between each host and each worker, between each host and the
+store, and between each two hosts."""
 
+import asyncio
 import base64
 import random
 import re
@@ -8,6 +9,7 @@
 import time
 
 from soak.host import Host
+from soak.host_link import HostLinks, build_library
 from soak.judge import Judge
 from soak.link import Link
 from soak.store import Store
@@ -17,6 +19,7 @@
 REGIONS = {"yard": "east", "shed": "east", "loft": "west"}
 WORKERS_PER_RACK = 4
 MAX_HOSTS = 40
+FOLLOW_S = 0.05
 CLOCK_RATES = (1.0, 0.98, 0.99)
 SERVICE = {"name": "desk", "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": False,
            "enforces_capacity": False, "standby": False}
@@ -65,7 +68,8 @@
         self.links = {}
         self.store_links = {}
         self.workers = []
-        # Each soak has loopback addresses of its own: one for each host, and one for the links of each host.
+        # Each soak has loopback addresses of its own: one for each host, one for the links of each host to
+        # store and workers, and a network for its links to the other hosts.
         block = random.SystemRandom().randrange(1, 255)
         self.host_ips = [f"127.1.{block}.{10 + index}" for index in range(MAX_HOSTS)]
         self.link_ips = [f"127.2.{block}.{10 + index}" for index in range(MAX_HOSTS)]
@@ -73,6 +77,10 @@
         self.program = program
         self.host_ports = {name: self.ports.take() for name in ("front", "readiness", "control", "beats")}
         self.store_port = self.ports.take()
+        self.host_links = HostLinks(lambda index: f"127.{100 + index}.{block}.0", self.host_ips,
+                                    self.host_ports["control"], self.host_ports["beats"])
+        self.library = build_library(folder)
+        self.followers = []
         self.hosts = []
         for _ in range(hosts):
             self._new_host()
@@ -94,7 +102,8 @@
         zone = ZONES[index % len(ZONES)]
         seeds = [f"{ip}:{self.host_ports['control']}" for ip in self.host_ips[:3]]
         host = Host(f"edge-{zone}-{index + 1}", zone, REGIONS[zone], self.host_ips[index], self.host_ports, seeds,
-                    f"{self.link_ips[index]}:{self.store_port}", self.program, self.folder, self.note)
+                    f"{self.link_ips[index]}:{self.store_port}", self.program, self.folder, self.note,
+                    {"LD_PRELOAD": str(self.library), "LAVENDERCART_SOAK_LINKS": self.host_links.environment(index)})
         self.hosts.append(host)
         return host
 
@@ -110,6 +119,7 @@
         self.note("begun", time.strftime("%H:%M:%S", time.gmtime(time.time() - self.now())) + " UTC")
         for index in range(len(self.hosts)):
             await self._start_store_link(index)
+            self._start_host_links(index)
         for worker in self.workers:
             await self.start_worker(worker)
         self.configure(3)
@@ -121,6 +131,30 @@
         self.store_links[self.hosts[index].name] = link
         await link.start()
 
+    def _start_host_links(self, index):
+        self.host_links.add_host()
+        self.followers.append(asyncio.ensure_future(self._follow(index)))
+
+    async def _follow(self, index):
+        """Connections to a host whose process doesn't listen are refused, also through a link."""
+        host, process = self.hosts[index], None
+        while True:
+            await asyncio.sleep(FOLLOW_S)
+            if not host.up:
+                self.host_links.set_listening(index, False)
+                continue
+            # A frozen process goes on listening.
+            if process is not host.process or index not in self.host_links.listening:
+                process = host.process
+                self.host_links.set_listening(index, await host.listens())
+
+    def index_of(self, host):
+        return self.hosts.index(host)
+
+    def host_pairs(self, some, others):
+        """For the links between each host of `some` and each other host of `others`."""
+        return [(self.index_of(one), self.index_of(other)) for one in some for other in others if one is not other]
+
     async def add_host(self):
         """Starts a host at a new address. Returns None if there are as many as the soak has addresses for."""
         if len(self.hosts) == MAX_HOSTS:
@@ -128,6 +162,7 @@
         index = len(self.hosts)
         host = self._new_host()
         await self._start_store_link(index)
+        self._start_host_links(index)
         for worker in list(self.workers):
             if worker.up:
                 await self._start_link(index, worker)
@@ -192,6 +227,9 @@
 
     def close(self):
         """Ends the soak's own processes, by id."""
+        for follower in self.followers:
+            follower.cancel()
+        self.host_links.stop()
         for host in self.hosts:
             if host.up and host.frozen:
                 host.thaw()
--- a/Tools/soak/host.py
+++ b/Tools/soak/host.py
@@ -1,5 +1,6 @@
 """A lavendercart-entry process, started as the deploy file says."""
 
+import asyncio
 import json
 import os
 import pathlib
@@ -52,9 +53,11 @@
 class Host:
     """One host; its process may be ended and started again. `ports`: front, readiness, control and beats."""
 
-    def __init__(self, name, zone, region, ip, ports, seeds, store, program, folder, note):
+    def __init__(self, name, zone, region, ip, ports, seeds, store, program, folder, note,
+                 environment=None):
         self.name, self.zone, self.region, self.ip, self.ports = name, zone, region, ip, ports
         self.seeds, self.store, self.program, self.folder, self.note = seeds, store, program, folder, note
+        self.environment = environment or {}
         self.front = f"{ip}:{ports['front']}"
         self.process = None
         self.starts = 0
@@ -83,9 +86,19 @@
         self.frozen = False
         with open(self.folder / f"{self.name}.{self.starts}.log", "wb") as log:
             self.process = subprocess.Popen(words, cwd=REPOSITORY, stdout=log, stderr=subprocess.STDOUT,
-                                            env=dict(os.environ, LAVENDERCART_BOOT=str(path)))
+                                            env=dict(os.environ, **self.environment,
+                                                     LAVENDERCART_BOOT=str(path)))
         self.note("host-started", self.name, f"pid={self.process.pid}")
 
+    async def listens(self):
+        """Whether the process takes calls of other hosts."""
+        try:
+            _, writer = await asyncio.open_connection(self.ip, self.ports["control"])
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     def signal(self, number):
         if not self.up:
             return
--- a/Tools/soak/link.py
+++ b/Tools/soak/link.py
@@ -16,6 +16,12 @@
     LOST = "lost"
 
 
+def worst(passages):
+    """What passes where several cuts meet."""
+    order = list(Passage)
+    return max(passages, key=order.index, default=Passage.OPEN)
+
+
 class Direction:
     """One direction of a link. Messages that are held are delivered in order, also when their connection has ended."""
 
@@ -45,6 +51,9 @@
     def __init__(self, host, ip, port, serve):
         self.host, self.ip, self.port, self.serve = host, ip, port, serve
         self.to_server, self.to_host = Direction(), Direction()
+        # The passages to the server and to the host: of cut(), and of each hold().
+        self.passages = (Passage.OPEN, Passage.OPEN)
+        self.holds = []
         self.refuses = False
         self.writers = set()
         self.server = None
@@ -62,10 +71,11 @@
 
     def stop(self):
         """Closes the port and resets all connections, as the end of the server's process does."""
+        # Also before start() has got its server, which it closes then.
+        self.listens = False
         if self.server:
             self.server.close()
             self.server = None
-            self.listens = False
         self.reset()
 
     def reset(self):
@@ -73,8 +83,22 @@
             writer.transport.abort()
 
     def cut(self, to_server, to_host):
-        self.to_server.set(to_server)
-        self.to_host.set(to_host)
+        self.passages = (to_server, to_host)
+        self._apply()
+
+    def hold(self, to_server, to_host):
+        """A cut that heal() doesn't end, as another fault may call it meanwhile. Returns what release() takes."""
+        self.holds.append([to_server, to_host])
+        self._apply()
+        return self.holds[-1]
+
+    def release(self, hold):
+        self.holds = [other for other in self.holds if other is not hold]
+        self._apply()
+
+    def _apply(self):
+        self.to_server.set(worst([self.passages[0], *(hold[0] for hold in self.holds)]))
+        self.to_host.set(worst([self.passages[1], *(hold[1] for hold in self.holds)]))
 
     def heal(self):
         self.refuses = False
