--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -22,6 +22,7 @@
 SEED = 1
 sys.path.insert(0, str(ROOT / "Tools"))
 
+from soak.faults import Faults  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
 from soak.host_link import HostLinks, build_library  # noqa: E402
 from soak.link import Link, Passage  # noqa: E402
@@ -245,6 +246,102 @@
         other.stop()
 
 
+class Process:
+    """In place of a host's process."""
+
+    def poll(self):
+        return None
+
+    def kill(self):
+        pass
+
+    def wait(self):
+        pass
+
+
+class CutFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """What the faults cut, on a fleet of which nothing is started."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="lavendercart-links-")
+        self.addCleanup(folder.cleanup)
+        self.fleet = Fleet(SEED, 6, 6, None, pathlib.Path(folder.name), None, lambda line: None)
+        self.addCleanup(self.fleet.host_links.stop)
+        for host in self.fleet.hosts:
+            host.process = Process()
+            self.fleet.host_links.add_host()
+            self.fleet.store_links[host.name] = Link(host.name, "127.0.0.1", 0, None)
+            for worker in self.fleet.workers:
+                self.fleet.links[host.name, worker.id] = Link(host.name, "127.0.0.1", 0, None)
+        for worker in self.fleet.workers:
+            worker.up, worker.owner = True, self.fleet.hosts[0].name
+        self.faults = Faults(self.fleet, random.Random(SEED))
+        self.faults._span = lambda least, most: 0.2
+        self.faults._passages = lambda: (Passage.LOST, Passage.HELD)
+
+    def cut_pairs(self):
+        return {pair for pair, direction in self.fleet.host_links.directions.items()
+                if direction.passage is not Passage.OPEN}
+
+    def cut_of(self, links):
+        return {name for name, link in links.items()
+                if (link.to_server.passage, link.to_host.passage) != (Passage.OPEN, Passage.OPEN)}
+
+    def all_cuts(self):
+        return self.cut_pairs() | self.cut_of(self.fleet.links) | self.cut_of(self.fleet.store_links)
+
+    async def begin(self, fault):
+        task = asyncio.ensure_future(fault())
+        await asyncio.sleep(0)
+        return task
+
+    async def test_cut_owner_reaches_half_of_its_workers_and_the_others_reach_the_rest(self):
+        owner = self.fleet.hosts[0]
+        task = await self.begin(self.faults._cut_owner)
+        self.assertEqual(self.cut_pairs(), {pair for other in range(1, 6) for pair in ((0, other), (other, 0))})
+        self.assertEqual(self.cut_of(self.fleet.store_links), {owner.name})
+        cut = self.cut_of(self.fleet.links)
+        theirs = {worker.id for worker in self.fleet.workers if (owner.name, worker.id) in cut}
+        self.assertEqual(len(theirs), 3)
+        for host in self.fleet.hosts[1:]:
+            self.assertEqual({worker.id for worker in self.fleet.workers if (host.name, worker.id) not in cut}, theirs)
+        await task
+        self.assertEqual(self.all_cuts(), set())
+
+    async def test_owner_is_not_cut_twice_at_once(self):
+        task = await self.begin(self.faults._cut_owner)
+        self.assertTrue((await self.begin(self.faults._cut_owner)).done())
+        await task
+
+    async def test_cut_domain_leaves_what_is_inside_and_outside_of_it(self):
+        task = await self.begin(self.faults._cut_domain)
+        zones = [host.zone for host in self.fleet.hosts]
+        cut = self.cut_pairs()
+        self.assertTrue(cut)
+        inner = {zones[one] for one, _ in cut} & {zones[other] for _, other in cut}
+        self.assertEqual(len({pair for pair in cut if zones[pair[0]] == zones[pair[1]]}), 0)
+        # Each cut has the domain on one of its two sides.
+        domain = [zone for zone in inner if all(zone in (zones[one], zones[other]) for one, other in cut)]
+        self.assertEqual(len(domain), 1)
+        self.assertEqual(len(cut), 2 * 2 * 4)
+        for name, ident in self.cut_of(self.fleet.links):
+            host = next(host for host in self.fleet.hosts if host.name == name)
+            worker = next(worker for worker in self.fleet.workers if worker.id == ident)
+            self.assertEqual((host.zone, worker.zone != host.zone), (domain[0], True))
+        await task
+        self.assertEqual(self.all_cuts(), set())
+
+    async def test_cut_hosts_cuts_one_host_both_ways_as_drawn(self):
+        task = await self.begin(self.faults._cut_hosts)
+        cut = self.cut_pairs()
+        host = next(iter({one for one, _ in cut} & set.intersection(*({one, other} for one, other in cut))))
+        for one, other in cut:
+            expected = Passage.LOST if one == host else Passage.HELD
+            self.assertIs(self.fleet.host_links.directions[one, other].passage, expected)
+        await task
+        self.assertEqual(self.all_cuts(), set())
+
+
 class CutHostTest(unittest.IsolatedAsyncioTestCase):
     """Three real hosts that find each other, of which one is cut off."""
 
