Soak: cut-domain cuts the workers of both sides, one way as drawn

Cause: the other domains' hosts still reached the workers of a domain that was cut.

Change: their links are cut too, with what the domain sends as "outwards".

--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -324,10 +324,13 @@
         domain = [zone for zone in inner if all(zone in (zones[one], zones[other]) for one, other in cut)]
         self.assertEqual(len(domain), 1)
         self.assertEqual(len(cut), 2 * 2 * 4)
-        for name, ident in self.cut_of(self.fleet.links):
-            host = next(host for host in self.fleet.hosts if host.name == name)
-            worker = next(worker for worker in self.fleet.workers if worker.id == ident)
-            self.assertEqual((host.zone, worker.zone != host.zone), (domain[0], True))
+        # What the domain sends is lost, and what it is sent is held.
+        for host in self.fleet.hosts:
+            for worker in self.fleet.workers:
+                link, sides = self.fleet.links[host.name, worker.id], [host.zone in domain, worker.zone in domain]
+                expected = {(True, False): [Passage.LOST, Passage.HELD], (False, True): [Passage.HELD, Passage.LOST]}
+                self.assertEqual([link.to_server.passage, link.to_host.passage],
+                                 expected.get(tuple(sides), [Passage.OPEN, Passage.OPEN]))
         await task
         self.assertEqual(self.all_cuts(), set())
 
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -241,20 +241,22 @@
         for host in others:
             host.thaw()
 
-    async def _cut_pairs(self, pairs, links, what):
-        """Cuts the links between pairs of hosts, and `links`, towards the server and back."""
+    async def _cut_pairs(self, pairs, what, links=(), inbound=()):
+        """Cuts the links between pairs of hosts, and `links`, towards the server and back; the servers of `inbound` are
+        on the side of the first hosts."""
         outwards, back = self._passages()
         refuses = self.random.random() < 0.2
         resets = self.random.random() < 0.3
         span = self._span(0.5, 14)
         self._note("cut", what, f"outwards={outwards.value}", f"back={back.value}", f"refuses={refuses}",
                    f"resets={resets}", f"for={span:.2f}")
-        await self._sever(pairs, links, outwards, back, span, refuses, resets)
+        await self._sever(pairs, links, outwards, back, span, inbound, refuses, resets)
 
-    async def _sever(self, pairs, links, outwards, back, span, refuses=False, resets=False):
+    async def _sever(self, pairs, links, outwards, back, span, inbound=(), refuses=False, resets=False):
         """Other faults don't end these cuts."""
         cut = self.fleet.host_links.cut(pairs, outwards, back, refuses, resets)
         holds = [(link, link.hold(outwards, back)) for link in links]
+        holds += [(link, link.hold(back, outwards)) for link in inbound]
         await asyncio.sleep(span)
         self.fleet.host_links.heal(cut)
         for link, hold in holds:
@@ -268,20 +270,24 @@
             return
         number = self.random.choice((len(others), self.random.randint(1, len(others))))
         chosen = self.random.sample(others, number)
-        await self._cut_pairs(self.fleet.host_pairs([host], chosen), [],
+        await self._cut_pairs(self.fleet.host_pairs([host], chosen),
                               f"{host.name} from {','.join(other.name for other in chosen)}")
 
     async def _cut_domain(self):
-        """The hosts of a domain are cut from other domains' hosts and workers, or from the store too."""
+        """The hosts and workers of a domain are cut from those of other domains, and its hosts now and then from the
+        store."""
         zone = self.random.choice([host.zone for host in self.fleet.hosts])
         inner = [host for host in self.fleet.hosts if host.zone == zone and not host.gone]
         others = [host for host in self.fleet.hosts if host.zone != zone and not host.gone]
         links = [link for worker in self.fleet.workers if worker.zone != zone
                  for host in inner for link in self.fleet.links_of(host, worker)]
+        inbound = [link for worker in self.fleet.workers if worker.zone == zone
+                   for host in others for link in self.fleet.links_of(host, worker)]
         with_store = self.random.random() < 0.5
         if with_store:
             links += [self.fleet.store_links[host.name] for host in inner]
-        await self._cut_pairs(self.fleet.host_pairs(inner, others), links, f"domain {zone} with-store={with_store}")
+        await self._cut_pairs(self.fleet.host_pairs(inner, others), f"domain {zone} with-store={with_store}", links,
+                              inbound)
 
     async def _cut_owner(self):
         """The owner of a cell is cut from the store, from the other hosts and from half of the cell's workers, and the
