--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -60,9 +60,13 @@
 class HostLinkTest(unittest.IsolatedAsyncioTestCase):
     """Host 0 is a process that calls host 1, whose part the test plays."""
 
-    async def asyncSetUp(self):
+    @classmethod
+    def setUpClass(cls):
         folder = tempfile.TemporaryDirectory(prefix="lavendercart-links-")
-        self.addCleanup(folder.cleanup)
+        cls.addClassCleanup(folder.cleanup)
+        cls.library = build_library(pathlib.Path(folder.name))
+
+    async def asyncSetUp(self):
         block, port = random.SystemRandom().randrange(1, 255), random.SystemRandom().randrange(12000, 31000)
         self.ips = [f"127.1.{block}.{10 + index}" for index in range(2)]
         self.links = HostLinks(lambda index: f"127.{100 + index}.{block}.0", self.ips, port, port + 1)
@@ -78,7 +82,7 @@
         self.links.set_listening(1, True)
         self.caller = await asyncio.create_subprocess_exec(
             sys.executable, "-c", CALLER, self.ips[1], str(port), stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-            env=dict(os.environ, LD_PRELOAD=str(build_library(pathlib.Path(folder.name))),
+            env=dict(os.environ, LD_PRELOAD=str(self.library),
                      LAVENDERCART_SOAK_LINKS=self.links.environment(0)))
 
     async def asyncTearDown(self):
