--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -718,7 +718,7 @@
         faults._up_worker = lambda: workers[0]
         during = []
         with unittest.mock.patch("soak.faults.asyncio.sleep", side_effect=lambda span: during.append((span, cut()))):
-            await faults._cut_owner()
+            await faults._cut_owner_workers()
         [(span, lost)] = during
         self.assertGreater(span, 6)
         self.assertEqual((len(lost), {host for host, _ in lost}), (2, {"edge-1"}))
