Take over the end of a task that its sender has given back before it read the end

Cause: a cell gives up the run of a silent worker, gives the task to another cell, and then reads that the run has ended done. It notes the end and returns it; receiveTransfer() ignored it where the task waited again, and the cell started it a second time. If the task had come back to the cell that knew its end, nobody returned it and the job never ended. Change: a done task in a transfer is done wherever it is held, its run is stopped, and a part returns a done task each time that it gets it. Ruled out: the order of the two transfers doesn't matter. Not covered: the end reaches a cell after it has passed the task on to a third one, which may start it before the job's end reaches it.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -282,6 +282,7 @@
     void tellHolderOfFailure(LiveJob&, const Jobs::TaskName&);
     void returnAllEndedTasks();
     void receiveTransfer(const TaskTransfer&);
+    void stopRunsOfDoneTasks(LiveJob&);
     void continueWait(const TaskTransfer&);
     void onTasksReturned(LiveJob&);
     bool isWorthWaitingForRack(const Jobs::StepSpec&, const LiveStep&) const;
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -211,6 +211,21 @@
         returnEndedTasks(*job);
 }
 
+/// Stops runs of tasks whose earlier runs have ended done in cells that had transferred them here before.
+void CellEngine::stopRunsOfDoneTasks(LiveJob& job)
+{
+    for (const auto& [id, worker] : m_workers.all()) {
+        std::vector<RunKey> runs;
+        for (const auto& [run, allocation] : worker->allocations()) {
+            const LiveTask* const task = run.task.job == job.id() ? job.find(run.task) : nullptr;
+            if (task && task->progress.done)
+                runs.push_back(run);
+        }
+        for (const RunKey& run : runs)
+            stopRun(*worker, run);
+    }
+}
+
 void CellEngine::receiveTransfer(const TaskTransfer& transfer)
 {
     LC_INFO(Jobs,
@@ -220,6 +235,7 @@
     constexpr bool mayHaveStarted = true;
     if (LiveJob* const known = findJob(transfer.part.id)) {
         known->receiveTransfer(transfer, m_runtime.now(), m_runtime.wallMilliseconds());
+        stopRunsOfDoneTasks(*known);
         if (!known->isPart())
             onTasksReturned(*known);
     } else if (transfer.part.homeCell != m_id.value()) {
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -103,8 +103,14 @@
         // Failures that the sender heard of after it had transferred the task.
         if (progress.transferredTo.empty() && !progress.done && !transferredHere)
             progress.failedAttempts.insert(transferred.failedAttempts.begin(), transferred.failedAttempts.end());
-        if (progress.transferredTo.empty() || progress.done || (!transferredHere && !transferred.done))
+        // Returned, again, by a part.
+        if (progress.done && transferredHere)
+            progress.transferredTo.clear();
+        // The sender may also have read an end after it had transferred the task: then the task is done here too.
+        const bool broughtBack = transferredHere && !progress.transferredTo.empty();
+        if (progress.done || (!transferred.done && !broughtBack))
             return;
+        step.waitingCount -= task.waiting() ? 1 : 0;
         const uint32_t lastAttempt = std::max(progress.lastAttempt, transferred.lastAttempt);
         const std::string holder = transferredHere ? std::string {} : progress.transferredTo;
         if (transferred.done) {
