Test the share of the soak's jobs that last

Cause: `--lasting` had no test.

Measured: LastingShareTest passes; it fails with the share fixed at the default.

--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -15,6 +15,7 @@
 from soak.faults import KINDS, NAMED_KINDS, Faults  # noqa: E402
 from soak.judge import Judge, groups, like_the_record, summary  # noqa: E402
 from soak.link import Link, Passage  # noqa: E402
+from soak.load import Load  # noqa: E402
 from soak.store import Store  # noqa: E402
 from soak.worker import Worker  # noqa: E402
 
@@ -693,6 +694,14 @@
         self.assertIsNone((await self.call("/a"))[0])
 
 
+class LastingShareTest(unittest.TestCase):
+    def test_share_of_jobs_that_last(self):
+        for share in (0.0, 0.5, 1.0):
+            load = Load(None, random.Random(1), 1, share)
+            lasting = sum(bool(load._phases()[0].get("long_running")) for _ in range(1000))
+            self.assertLessEqual(abs(lasting - 1000 * share), 0 if share in (0, 1) else 100)
+
+
 class StandInHost:
     def __init__(self, name):
         self.name, self.up, self.frozen = name, True, False
