Soak: losses of power, resets, refusals, lost answers, copies, wide steps, cell size

The soak lacked much of what the users' machines do: hosts that all lose power at once, connections that are reset or refused, workers that join, answers that are lost by share, and steps with copies, with max_per_server, or wider than a cell.

Not run: Process.soak as a whole.

--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from soak.faults import KINDS, Faults  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
-from soak.load import Load  # noqa: E402
+from soak.load import DEFAULT_CELL_WORKERS, LASTING_SHARE, Load  # noqa: E402
 
 START_S = 4.0
 SETTLE_S = 15.0
@@ -23,8 +23,8 @@
     record = open(folder / "record.txt", "w", encoding="utf-8")
     loads = []
     fleet = Fleet(seed, options.hosts, options.workers, options.entry, folder, lambda task: loads[0].behaviour(task),
-                  lambda line: record.write(line + "\n"))
-    load = Load(fleet, random.Random(draw.random()), options.pace)
+                  lambda line: record.write(line + "\n"), options.cell_workers)
+    load = Load(fleet, random.Random(draw.random()), options.pace, options.lasting, options.wide_workers)
     loads.append(load)
     faults = Faults(fleet, random.Random(draw.random()), options.kinds, options.gap, options.keep_ids)
     try:
@@ -55,6 +55,13 @@
         record.close()
 
 
+def share(text):
+    value = float(text)
+    if not 0 <= value <= 1:
+        raise argparse.ArgumentTypeError("not from 0 to 1")
+    return value
+
+
 def parse(words):
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", default="1", help="a seed, or a range such as 1-50")
@@ -63,6 +70,11 @@
     parser.add_argument("--seconds", type=float, default=40, help="time with faults")
     parser.add_argument("--finish", type=float, default=60, help="seconds without faults in which jobs have to end")
     parser.add_argument("--pace", type=float, default=4, help="jobs submitted each second")
+    parser.add_argument("--lasting", type=share, default=LASTING_SHARE, help="share of jobs that last, 0 to 1")
+    parser.add_argument("--cell-workers", type=int,
+                        help="workers of a cell, a setting of the hosts; without it, their own default")
+    parser.add_argument("--wide-workers", type=int,
+                        help="wide steps need more than the room of so many workers; default: a cell's")
     parser.add_argument("--gap", type=float, default=1.5, help="mean seconds between two faults")
     parser.add_argument("--kinds", type=lambda text: text.split(","), default=list(KINDS),
                         help="kinds of faults, separated by commas: " + ", ".join(KINDS))
@@ -71,6 +83,7 @@
     parser.add_argument("--build", type=pathlib.Path, default=pathlib.Path("build"))
     parser.add_argument("--keep", type=pathlib.Path, help="keep records and logs in this folder")
     options = parser.parse_args(words)
+    options.wide_workers = options.wide_workers or options.cell_workers or DEFAULT_CELL_WORKERS
     options.entry = (options.entry or options.build / "bin/lavendercart-entry").resolve()
     unknown = set(options.kinds) - set(KINDS)
     if unknown:
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -7,9 +7,14 @@
 from soak.link import Passage
 
 KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "add-host", "replace-host",
-         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store",
-         "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker", "late-orders",
-         "late-calls", "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
+         "restart-all", "restart-domain",
+         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store", "reset-conns",
+         "refuse-conns",
+         "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "add-workers", "unhealthy-worker",
+         "late-orders", "late-calls", "lose-answers", "lose-share",
+         "store-down", "store-slow", "store-loses", "store-refuses")
+# Without calm between them, hosts would own nothing that a loss of power could harm.
+RESTART_EVERY_S = 9.0
 
 
 class Faults:
@@ -17,7 +22,8 @@
 
     def __init__(self, fleet, random, kinds=KINDS, gap=1.5, keep_ids=False):
         self.fleet, self.random, self.kinds, self.gap, self.keep_ids = fleet, random, kinds, gap, keep_ids
-        self.hosts_at_start = len(fleet.hosts)
+        self.hosts_at_start, self.workers_at_start = len(fleet.hosts), len(fleet.workers)
+        self.restarted_at = -RESTART_EVERY_S
         self.pending = set()
         # Errors of the soak's own: such a run proves nothing.
         self.errors = []
@@ -153,6 +159,42 @@
         host.end()
         await self.fleet.add_host()
 
+    async def _lose_power(self, what, hosts):
+        """The hosts end at the same moment, at times right after a job was accepted, and start again."""
+        if self.fleet.now() - self.restarted_at < RESTART_EVERY_S:
+            return
+        self.restarted_at = self.fleet.now()
+        after_accepted = self.random.random() < 0.5
+        pauses = {host.name: self._span(0.5, 1.6) for host in hosts}
+        if after_accepted:
+            self.fleet.job_accepted.clear()
+            try:
+                await asyncio.wait_for(self.fleet.job_accepted.wait(), 3)
+            except asyncio.TimeoutError:
+                after_accepted = False
+        hosts = [host for host in hosts if host.up]
+        self._note(what, ",".join(host.name for host in hosts), f"after-accepted={after_accepted}")
+        ended = {host: host.process for host in hosts}
+        for host in hosts:
+            host.signal(signal.SIGKILL)
+        await asyncio.gather(*(self._start_again(host, process, pauses[host.name])
+                               for host, process in ended.items()))
+
+    async def _start_again(self, host, process, pause):
+        await asyncio.sleep(pause)
+        while process.poll() is None:
+            await asyncio.sleep(0.05)
+        if host.process is process and not host.gone:
+            host.start()
+
+    async def _restart_all(self):
+        await self._lose_power("restart-all", [host for host in self.fleet.hosts if not host.gone])
+
+    async def _restart_domain(self):
+        zone = self.random.choice(sorted({host.zone for host in self.fleet.hosts if not host.gone}))
+        await self._lose_power("restart-domain",
+                               [host for host in self.fleet.hosts if not host.gone and host.zone == zone])
+
     # Links.
 
     async def _cut(self, links, what):
@@ -257,8 +299,67 @@
         if worker:
             await self._cut(self.fleet.links_of(worker=worker), f"{worker.id} from all")
 
+    async def _reset_conns(self):
+        """A part of the open connections to workers and store is reset: of one host, or of all."""
+        host = self.random.choice((None, self._up_host()))
+        links = self.fleet.links_of(host) + [link for name, link in self.fleet.store_links.items()
+                                             if host is None or name == host.name]
+        share = self._span(0.1, 1)
+        writers = [writer for link in links for writer in link.writers]
+        chosen = [writer for writer in writers if self.random.random() < share]
+        self._note("reset-conns", host.name if host else "all", f"connections={len(chosen)}/{len(writers)}")
+        for writer in chosen:
+            writer.transport.abort()
+
+    async def _refuse_conns(self):
+        """New connections to a worker, or of a host to the store, are refused; the open ones stay, or are reset too."""
+        worker, host = self._up_worker(), self._up_host()
+        to_worker = self.random.random() < 0.7
+        if not (worker if to_worker else host):
+            return
+        links = self.fleet.links_of(worker=worker) if to_worker else [self.fleet.store_links[host.name]]
+        span, resets = self._span(0.5, 8), self.random.random() < 0.5
+        self._note("refuse-conns", worker.id if to_worker else f"store for {host.name}", f"resets={resets}",
+                   f"for={span:.2f}")
+        for link in links:
+            link.refuses = True
+            if resets:
+                link.reset()
+        await asyncio.sleep(span)
+        for link in links:
+            link.refuses = False
+
     # Workers.
 
+    async def _add_workers(self):
+        """Empty workers, of one rack; at most a third more than at the start."""
+        room = self.workers_at_start * 4 // 3 - sum(worker.up for worker in self.fleet.workers)
+        if room <= 0:
+            return
+        zone = self.random.choice([worker.zone for worker in self.fleet.workers])
+        racks = [int(worker.rack.rsplit("-", 1)[1]) for worker in self.fleet.workers if worker.zone == zone]
+        rack = self.random.choice((max(racks), max(racks) + 1))
+        added = [self.fleet.new_worker(zone, rack) for _ in range(min(room, self.random.randint(1, 4)))]
+        self._note("add-workers", ",".join(worker.id for worker in added), f"rack={zone}-{rack}")
+        for worker in added:
+            await self.fleet.start_worker(worker)
+
+    async def _lose_share(self):
+        """The workers carry calls out, and a share of the answers is lost."""
+        up = [worker for worker in self.fleet.workers if worker.up]
+        chosen = self.random.sample(up, round(len(up) * 0.45))
+        share = self._span(0.025, 0.19)
+        self._note("lose-share", f"workers={len(chosen)}", f"share={share:.3f}", "for=5.50")
+
+        def loses():
+            return self.random.random() < share
+        for worker in chosen:
+            worker.loses_answer = loses
+        await asyncio.sleep(5.5)
+        for worker in chosen:
+            if worker.loses_answer is loses:
+                worker.loses_answer = None
+
     async def _freeze_worker(self):
         worker = self._up_worker()
         if not worker:
--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes and stand-ins of one soak, with a link between each host and each worker and between each host and
 the store."""
 
+import asyncio
 import base64
 import random
 import re
@@ -57,11 +58,14 @@
 class Fleet:
     """`behaviour(task)` says how long a task works and how it ends; `write_line` takes the lines of the record."""
 
-    def __init__(self, seed, hosts, workers, program, folder, behaviour, write_line):
+    def __init__(self, seed, hosts, workers, program, folder, behaviour, write_line, cell_workers=None):
         self.begun = time.monotonic()
         self.folder, self.behaviour, self.write_line = folder, behaviour, write_line
         self.judge = Judge(self.now, self._settle)
         self.store = Store(seed)
+        self.cell_workers = cell_workers
+        # Set by each job that is accepted; faults that wait for one clear it.
+        self.job_accepted = asyncio.Event()
         self.links = {}
         self.store_links = {}
         self.workers = []
@@ -94,7 +98,8 @@
         zone = ZONES[index % len(ZONES)]
         seeds = [f"{ip}:{self.host_ports['control']}" for ip in self.host_ips[:3]]
         host = Host(f"edge-{zone}-{index + 1}", zone, REGIONS[zone], self.host_ips[index], self.host_ports, seeds,
-                    f"{self.link_ips[index]}:{self.store_port}", self.program, self.folder, self.note)
+                    f"{self.link_ips[index]}:{self.store_port}", self.program, self.folder, self.note,
+                    self.cell_workers)
         self.hosts.append(host)
         return host
 
--- a/Tools/soak/host.py
+++ b/Tools/soak/host.py
@@ -52,9 +52,12 @@
 class Host:
     """One host; its process may be ended and started again. `ports`: front, readiness, control and beats."""
 
-    def __init__(self, name, zone, region, ip, ports, seeds, store, program, folder, note):
+    def __init__(self, name, zone, region, ip, ports, seeds, store, program, folder, note,
+                 cell_workers=None):
         self.name, self.zone, self.region, self.ip, self.ports = name, zone, region, ip, ports
         self.seeds, self.store, self.program, self.folder, self.note = seeds, store, program, folder, note
+        # Written only if given: older programs refuse settings that they don't know.
+        self.cell_workers = cell_workers
         self.front = f"{ip}:{ports['front']}"
         self.process = None
         self.starts = 0
@@ -66,7 +69,8 @@
     def up(self):
         return self.process is not None and self.process.poll() is None
 
-    def start(self):
+    def settings(self):
+        """The text of the settings file."""
         fields = {
             "node_name": self.name, "zone": self.zone, "region": self.region, "ip": self.ip,
             "listen_addrs": {"front": self.front, "readiness": f"{self.ip}:{self.ports['readiness']}",
@@ -74,10 +78,16 @@
             "port_range": [self.ports["beats"], self.ports["beats"] + 15], "platform": {"address": self.store},
             "seeds": self.seeds, "limits": {"cpu_share": 0.25, "cores": 1}, "bounds": BOUNDS,
         }
-        own = role(REPOSITORY)
+        template = REPOSITORY / role(REPOSITORY)["template"]
+        text = render(template.read_text(encoding="utf-8"), fields)
+        if self.cell_workers is None:
+            return text
+        return json.dumps(dict(json.loads(text), cells={"workers": self.cell_workers}), indent=4)
+
+    def start(self):
         path = self.folder / f"{self.name}.json"
-        path.write_text(render((REPOSITORY / own["template"]).read_text(encoding="utf-8"), fields), encoding="utf-8")
-        words = [str(path) if word.startswith("/etc/") else word for word in own["run"].split()]
+        path.write_text(self.settings(), encoding="utf-8")
+        words = [str(path) if word.startswith("/etc/") else word for word in role(REPOSITORY)["run"].split()]
         words[0] = str(self.program)
         self.starts += 1
         self.frozen = False
--- a/Tools/soak/load.py
+++ b/Tools/soak/load.py
@@ -1,16 +1,24 @@
 """Clients of a soak: they submit jobs, ask for their states and cancel some."""
 
 import asyncio
+import collections
 
 TRIES = 4
 LASTING_SHARE_OF_ROOM = 0.5
+LASTING_SHARE = 0.15
+# Shapes of the jobs that don't last, with their weights.
+SHAPES = {"short": 0.52, "checkpoints": 0.22, "speculative": 0.1, "apart": 0.12, "wide": 0.04}
+WIDE_CPU = 4000
+DEFAULT_CELL_WORKERS = 20
 
 
 class Load:
-    """Submits at `pace` jobs a second. Jobs that last are cancelled before they would hold more than half the room."""
+    """Submits at `pace` jobs a second; `lasting` is the share of jobs that last. These are cancelled before they would
+    hold more than half the room. Wide steps need more than the room of a cell of `cell_workers`."""
 
-    def __init__(self, fleet, random, pace):
+    def __init__(self, fleet, random, pace, lasting=LASTING_SHARE, cell_workers=DEFAULT_CELL_WORKERS):
         self.fleet, self.random, self.pace = fleet, random, pace
+        self.lasting_share, self.cell_workers = lasting, cell_workers
         self.jobs = {}
         self.accepted = set()
         self.cancelled = set()
@@ -24,20 +32,41 @@
         if phase.get("long_running"):
             return (self.random.uniform(5, 60), "failed") if self.random.random() < 0.2 else (None, "done")
         how = "failed" if self.random.random() < 0.05 else "done"
-        return phase["estimate_ms"] / 1000 * self.random.uniform(0.5, 1.5), how
+        length = phase["estimate_ms"] / 1000 * self.random.uniform(0.5, 1.5)
+        # Copies are started beside runs that lag behind.
+        lags = phase.get("speculative") and self.random.random() < 0.2
+        return length * (6 if lags else 1), how
 
     def _phases(self):
-        kind = self.random.random()
-        if kind < 0.55:
-            phases = [{"count": 6, "cpu": 1600, "mem_mb": 256, "estimate_ms": 800}]
-            if self.random.random() < 0.6:
-                phases.append(dict(phases[0], after=[0]))
-            return phases
-        if kind < 0.85:
-            first = {"count": 8, "cpu": 1800, "mem_mb": 512, "estimate_ms": 2700, "checkpoints": True}
-            return [first, dict(first, after=[0])]
-        return [{"count": 6, "cpu": 1500, "mem_mb": 512, "estimate_ms": 400, "long_running": True, "image": "watch",
-                 "target_ms": 200}]
+        if self.random.random() < self.lasting_share:
+            return [{"count": 6, "cpu": 1500, "mem_mb": 512, "estimate_ms": 400, "long_running": True,
+                     "image": "watch", "target_ms": 200}]
+        shape = self.random.choices(list(SHAPES), list(SHAPES.values()))[0]
+        return getattr(self, "_" + shape)()
+
+    def _short(self):
+        return self._maybe_twice({"count": 6, "cpu": 1600, "mem_mb": 256, "estimate_ms": 800})
+
+    def _checkpoints(self):
+        first = {"count": 8, "cpu": 1800, "mem_mb": 512, "estimate_ms": 2700, "checkpoints": True}
+        return [first, dict(first, after=[0])]
+
+    def _speculative(self):
+        return self._maybe_twice({"count": 6, "cpu": 1500, "mem_mb": 256, "estimate_ms": 900, "speculative": True})
+
+    def _apart(self):
+        return self._maybe_twice({"count": 6, "cpu": 1200, "mem_mb": 256, "estimate_ms": 1500, "max_per_server": 1})
+
+    def _wide(self):
+        """Its parts move to other cells, as no cell has room for all of it."""
+        zones = collections.Counter(worker.zone for worker in self.fleet.workers if worker.up)
+        workers = min([self.cell_workers, *zones.values()])
+        room = workers * max(worker.cpu for worker in self.fleet.workers)
+        count = int(room * self.random.uniform(1.25, 2.5) / WIDE_CPU)
+        return [{"count": count, "cpu": WIDE_CPU, "mem_mb": 256, "estimate_ms": 1800}]
+
+    def _maybe_twice(self, phase):
+        return [phase, dict(phase, after=[0])] if self.random.random() < 0.6 else [phase]
 
     async def run(self):
         running = set()
@@ -57,12 +86,15 @@
         job = f"{self.random.getrandbits(64):016x}"
         phases = self._phases()
         self.jobs[job] = phases
+        self.fleet.judge.speculative |= {(job, str(step)) for step, phase in enumerate(phases)
+                                         if phase.get("speculative")}
         for _ in range(TRIES):
             host = self._host()
             if host:
                 status, _ = await host.call("POST", f"/desk/{job}", {"spec": "work", "phases": phases})
                 if status == 200:
                     self.accepted.add(job)
+                    self.fleet.job_accepted.set()
                     lasting = bool(phases[0].get("long_running"))
                     self.fleet.note("accepted", job, f"host={host.name}", f"lasting={lasting}")
                     if lasting:
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -44,6 +44,8 @@
         self.owner = None
         self.unhealthy = False
         self.lost_answers = 0
+        # Says of each answer whether it is lost on a connection that stays silent; None: none is.
+        self.loses_answer = None
         # Delays in seconds of the next starts, and of the next stops and holds: their answers are lost.
         self.late_orders = []
         self.late_calls = []
@@ -199,6 +201,9 @@
         if self.lost_answers > 0 and answer is not None:
             self.lost_answers -= 1
             return None
+        if self.loses_answer and answer is not None and self.loses_answer():
+            await asyncio.sleep(60)
+            return None
         return answer
 
     async def _serve_late(self, delay, host, request, sent_at):
