Soak: strike owners more often; a worker starts again behind a cut; later late calls

Change: cut-some and kill-host take an owner in half of the draws, and cut-some its own workers' domain; kind cut-reborn; late orders and calls come 0.5 to 12 s late (5 before).

Without the cut, without the choice of owners, and without the choice of their domain, the test of each fails. Without the crash the test of cut-reborn waits for ever (run ended by its bound).

--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -23,6 +23,7 @@
 from soak.faults import KINDS, Faults  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
 from soak.judge import Judge  # noqa: E402
+from soak.link import Passage  # noqa: E402
 from soak.load import Load  # noqa: E402
 
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build"))
@@ -313,6 +314,54 @@
     async def test_store_refuses_connections_for_a_while(self):
         await self.check_refusal(False)
 
+    async def test_worker_starts_again_behind_a_cut(self):
+        links = await self.connect_all()
+        worker = self.fleet.workers[0]
+        self.faults._up_worker = lambda: worker
+        self.faults.random = types.SimpleNamespace(uniform=lambda least, most: 0.5)
+        life = worker.life
+        fault = asyncio.ensure_future(self.faults._cut_reborn())
+        await asyncio.sleep(0)
+        cut = [link for link in links if link.to_server.passage is not Passage.OPEN]
+        self.assertEqual(cut, [self.fleet.links[(self.fleet.hosts[0].name, worker.id)]])
+        self.assertIs(worker.life, life)
+        while worker.life is life or not worker.up:
+            await asyncio.sleep(0.02)
+        self.assertIs(cut[0].to_host.passage, Passage.LOST)
+        await fault
+        self.assertTrue(cut[0].listens)
+        self.assertEqual((cut[0].to_server.passage, cut[0].to_host.passage), (Passage.OPEN, Passage.OPEN))
+
+    def test_owners_are_struck_more_often_than_others(self):
+        names = [host.name for host in self.fleet.hosts[:2]]
+        for worker, name in zip(self.fleet.workers, names):
+            worker.up, worker.owner = True, name
+        try:
+            drawn = collections.Counter(self.faults._up_owner().name for _ in range(300))
+        finally:
+            for worker in self.fleet.workers:
+                worker.up = False
+        self.assertEqual(len(drawn), 6)
+        self.assertGreater(sum(drawn[name] for name in names), 150)
+
+    async def test_cut_of_an_owner_takes_workers_of_its_own(self):
+        owner = self.fleet.hosts[0]
+        for worker in self.fleet.workers:
+            worker.up = True
+        self.fleet.workers[0].owner = owner.name
+        self.faults._up_owner = lambda: owner
+        cuts = []
+
+        async def cut(_, what):
+            cuts.append(what)
+        self.faults._cut = cut
+        for _ in range(20):
+            await self.faults._cut_some()
+        for worker in self.fleet.workers:
+            worker.up = False
+        zones = {worker.zone for worker in self.fleet.workers for what in cuts if worker.id in what}
+        self.assertEqual((len(cuts), zones), (20, {self.fleet.workers[0].zone}))
+
     async def test_workers_are_added_up_to_a_third_more(self):
         for worker in self.fleet.workers:
             await self.fleet.start_worker(worker)
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -8,8 +8,8 @@
 
 KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "add-host", "replace-host",
          "restart-all", "restart-domain",
-         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store", "reset-conns",
-         "refuse-conns",
+         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store", "cut-reborn",
+         "reset-conns", "refuse-conns",
          "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "add-workers", "unhealthy-worker",
          "late-orders", "late-calls", "lose-answers", "lose-share",
          "store-down", "store-slow", "store-loses", "store-refuses")
@@ -64,6 +64,12 @@
         up = [host for host in self.fleet.hosts if host.up and not host.frozen]
         return self.random.choice(up) if len(up) > 1 else None
 
+    def _up_owner(self):
+        """In half of the draws a host that gave a worker its last order, as an owner has more to lose; else any."""
+        names = {worker.owner for worker in self.fleet.workers if worker.up}
+        owners = [host for host in self.fleet.hosts if host.up and not host.frozen and host.name in names]
+        return self.random.choice(owners) if len(owners) > 1 and self.random.random() < 0.5 else self._up_host()
+
     def _up_worker(self):
         up = [worker for worker in self.fleet.workers if worker.up and worker.state == "ready"]
         return self.random.choice(up) if up else None
@@ -123,7 +129,7 @@
             host.start()
 
     async def _kill_host(self):
-        host = self._up_host()
+        host = self._up_owner()
         if host:
             await self._restart(host, signal.SIGKILL, self._span(0.2, 4))
 
@@ -214,10 +220,11 @@
 
     async def _cut_some(self):
         """One host is cut from some workers; the others reach them."""
-        host = self._up_host()
+        host = self._up_owner()
         if not host:
             return
-        zone = self.random.choice([worker.zone for worker in self.fleet.workers])
+        zones = [worker.zone for worker in self.fleet.workers if worker.owner == host.name]
+        zone = self.random.choice(zones or [worker.zone for worker in self.fleet.workers])
         workers = [worker for worker in self.fleet.workers if worker.up and worker.zone == zone]
         chosen = self.random.sample(workers, self.random.randint(1, max(1, len(workers) - 1))) if workers else []
         links = [link for worker in chosen for link in self.fleet.links_of(host, worker)]
@@ -329,6 +336,27 @@
         for link in links:
             link.refuses = False
 
+    async def _cut_reborn(self):
+        """A worker crashes behind a cut from all hosts and starts again there under its id."""
+        worker = self._up_worker()
+        if not worker:
+            return
+        pause, rest = self._span(0.1, 5), self._span(0.5, 8)
+        self._note("cut-reborn", worker.id, f"until-crash={pause:.2f}", f"for={pause + rest:.2f}")
+        links = self.fleet.links_of(worker=worker)
+        for link in links:
+            link.cut(Passage.LOST, Passage.LOST)
+        await asyncio.sleep(pause)
+        if worker.up:
+            self.fleet.crash_worker(worker)
+            await asyncio.sleep(0.3)
+            # Another fault may have started it already.
+            if not worker.up:
+                await self.fleet.start_worker(worker)
+        await asyncio.sleep(rest)
+        for link in links:
+            link.heal()
+
     # Workers.
 
     async def _add_workers(self):
@@ -418,14 +446,14 @@
     async def _late_orders(self):
         worker = self._up_worker()
         if worker:
-            worker.late_orders += [self._span(0.5, 5) for _ in range(self.random.randint(1, 3))]
+            worker.late_orders += [self._span(0.5, 12) for _ in range(self.random.randint(1, 3))]
             self._note("late-orders", worker.id, len(worker.late_orders))
 
     async def _late_calls(self):
         """Stops and holds are carried out after newer ones."""
         worker = self._up_worker()
         if worker:
-            worker.late_calls += [self._span(0.5, 5) for _ in range(self.random.randint(1, 3))]
+            worker.late_calls += [self._span(0.5, 12) for _ in range(self.random.randint(1, 3))]
             self._note("late-calls", worker.id, len(worker.late_calls))
 
     async def _lose_answers(self):
