Soak: racks that the product knows as such; foreign entries of workers

Cause: the stand-in workers named their rack "yard-0"; the platform's form is "r1-3", and the product takes only labels of that form for a rack. So all soaks until now had no racks: workers were dealt to cells by the hash of their id. And PROTOCOL.md says that a worker's entry may come from another writer, with fields missing or of another type.

Kind foreign-entry overwrites a worker's entry until its next heartbeat. The test of cut-reborn ends by itself when it fails.

--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import base64
 import collections
 import importlib.util
 import json
@@ -156,6 +157,18 @@
                     self.assertEqual(settings.get("cells"), given and {"workers": given})
 
 
+class RacksTest(unittest.TestCase):
+    def test_racks_have_labels_of_the_platforms_form(self):
+        with tempfile.TemporaryDirectory() as folder:
+            workers = make_fleet(folder, workers=30).workers
+        zones = collections.defaultdict(set)
+        for worker in workers:
+            self.assertRegex(worker.rack, r"^r\d+-\d+$")
+            zones[worker.rack].add(worker.zone)
+        self.assertEqual({len(found) for found in zones.values()}, {1})
+        self.assertEqual(len(zones), 9)
+
+
 class Process:
     def __init__(self):
         self.ended_by = None
@@ -325,8 +338,9 @@
         cut = [link for link in links if link.to_server.passage is not Passage.OPEN]
         self.assertEqual(cut, [self.fleet.links[(self.fleet.hosts[0].name, worker.id)]])
         self.assertIs(worker.life, life)
-        while worker.life is life or not worker.up:
+        while not fault.done() and (worker.life is life or not worker.up):
             await asyncio.sleep(0.02)
+        self.assertIsNot(worker.life, life)
         self.assertIs(cut[0].to_host.passage, Passage.LOST)
         await fault
         self.assertTrue(cut[0].listens)
@@ -371,6 +385,27 @@
         for host in self.fleet.hosts:
             self.assertEqual(len([link for link in self.fleet.links_of(host) if link.listens]), 16)
 
+    async def test_entry_of_a_worker_is_overwritten_until_its_next_heartbeat(self):
+        worker = self.fleet.workers[0]
+        worker.start()
+        # The first heartbeat is written at once.
+        await asyncio.sleep(0.05)
+        self.faults._up_worker = lambda: worker
+        whole = worker.entry()
+        for kind, field in (("missing", "labels"), ("type", "zone"), ("bytes", "state")):
+            draws = iter((kind, field))
+            self.faults.random = types.SimpleNamespace(choice=lambda options: next(draws),
+                                                       randint=lambda least, most: 1, uniform=lambda least, most: 0)
+            await self.faults._foreign_entry()
+            text = base64.b64decode(self.fleet.store.items["servers/" + worker.id]["value"])
+            if kind == "bytes":
+                self.assertRaises(ValueError, lambda: json.loads(text.decode()))
+                continue
+            found = json.loads(text)
+            self.assertEqual(set(whole) - set(found), {field} if kind == "missing" else set())
+            self.assertEqual([name for name in found if type(found[name]) is not type(whole[name])],
+                             [field] if kind == "type" else [])
+
     async def test_share_of_the_answers_is_lost_though_calls_are_carried_out(self):
         for worker in self.fleet.workers:
             worker.start()
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -11,7 +11,7 @@
          "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store", "cut-reborn",
          "reset-conns", "refuse-conns",
          "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "add-workers", "unhealthy-worker",
-         "late-orders", "late-calls", "lose-answers", "lose-share",
+         "late-orders", "late-calls", "lose-answers", "lose-share", "foreign-entry",
          "store-down", "store-slow", "store-loses", "store-refuses")
 # Without calm between them, hosts would own nothing that a loss of power could harm.
 RESTART_EVERY_S = 9.0
@@ -372,6 +372,25 @@
         for worker in added:
             await self.fleet.start_worker(worker)
 
+    async def _foreign_entry(self):
+        """Another writer overwrites a worker's entry in the store, until the worker's next heartbeat."""
+        worker = self._up_worker()
+        if not worker:
+            return
+        entry, kind = worker.entry(), self.random.choice(("missing", "type", "bytes"))
+        field = self.random.choice(("labels", "capacity", "zone", "service", "address", "state", "born"))
+        for _ in range(self.random.randint(1, 6)):
+            self._note("foreign-entry", worker.id, kind, field)
+            if kind == "bytes":
+                self.fleet.store.put_bytes("servers/" + worker.id, b"\xff{")
+            else:
+                changed = {name: value for name, value in entry.items() if name != field}
+                self.fleet.store.put("servers/" + worker.id,
+                                     changed if kind == "missing" else dict(changed, **{field: [7]}))
+            await asyncio.sleep(self._span(0.1, 1.5))
+            if not worker.up:
+                return
+
     async def _lose_share(self):
         """The workers carry calls out, and a share of the answers is lost."""
         up = [worker for worker in self.fleet.workers if worker.up]
--- a/Tools/soak/store.py
+++ b/Tools/soak/store.py
@@ -31,7 +31,7 @@
     # The platform's own and the operator's writes.
 
     def put(self, key, value):
-        self._write(key, json.dumps(value).encode())
+        self.put_bytes(key, json.dumps(value).encode())
 
     def delete(self, key):
         if key in self.items:
@@ -39,7 +39,7 @@
             del self.items[key]
             self._tell({"key": key, "revision": self.revision, "tombstone": True})
 
-    def _write(self, key, data):
+    def put_bytes(self, key, data):
         self.revision += 1
         self._set(key, base64.b64encode(data).decode(), 0)
 
