--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -105,7 +105,8 @@
 
     def new_worker(self, zone, rack, port=None):
         port = port or self.ports.take()
-        worker = Worker(f"i-{len(self.workers):04x}", f"127.0.0.1:{port}", zone, f"r{ZONES.index(zone)}-{rack}", self.store,
+        rack = f"r{ZONES.index(zone)}-{rack}"
+        worker = Worker(f"i-{len(self.workers):04x}", f"127.0.0.1:{port}", zone, rack, self.store,
                         self.judge, self.behaviour, self.note, clock_rate=CLOCK_RATES[len(self.workers) % 3],
                         fences_waiting=len(self.workers) % 2 == 1)
         self.workers.append(worker)
