--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -80,6 +80,8 @@
         /// Sends the record of the cancelled part to the peer cell's owner; retried until it is acknowledged, which
         /// `handled` reports.
         std::function<void(const CellId&, const Jobs::JobRecord&, std::function<void()> handled)> cancel;
+        /// Has another host poll a worker of the cell; false if none may reach it.
+        std::function<bool(const CellId& self, const PollForHost&, Common::Callback<RunReport>)> pollThroughHost;
     };
 
     /// `lost` is called once, when the engine learns that it no longer owns the cell.
@@ -167,6 +169,7 @@
     void adopt(CellWorker&, const RunningTask&, LiveJob*);
     void removeAbsentRuns(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
     void onRunsCleared(CellWorker&, bool rebooted);
+    bool awaitsUnreadEnd(const CellWorker&, const RunKey&, const RunAllocation&) const;
     void dropRun(CellWorker&, const RunKey&);
     void awaitLateStart(const Common::WorkerId&, const RunAllocation&, const Jobs::TaskName&);
     void acknowledge(CellWorker&);
@@ -205,7 +208,7 @@
     };
     static LostWorker snapshotOf(const CellWorker&, Common::MonotonicTime now);
     static std::vector<LostRun> runsThatMayHaveStarted(const CellWorker&);
-    void onRunsLost(const CellWorker&, bool rebooted);
+    void onRunsLost(const CellWorker&, const std::vector<RunKey>& gone, bool rebooted);
     void suspectRunsOf(const LostWorker&);
     void noticeReplacement(const WorkerEntry&);
     void onWorkerCrash(LostWorker, int64_t startedAgainMilliseconds);
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -15,6 +15,12 @@
     constexpr uint32_t silentPolls = 3;
     constexpr Common::Duration longestExtraTime = std::chrono::seconds(5);
 
+    /// Whether an answer to a call that was sent in that life of the worker says anything about its present life.
+    bool isPresentLife(const CellWorker& worker, int64_t startedAtMilliseconds)
+    {
+        return startedAtMilliseconds == 0 || startedAtMilliseconds == worker.startedAtMilliseconds;
+    }
+
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
 } // namespace
@@ -38,6 +44,16 @@
     Common::MonotonicTime askedAt;
     /// The last polls in a row that the worker has left unanswered.
     uint32_t unansweredPolls = 0;
+    /// A poll through another host is under way, and whether the last one was answered. Only then may the next one
+    /// renew the lease: that of a worker which nobody reaches must be able to expire.
+    bool askingThroughHost = false;
+    bool heardThroughHost = false;
+    struct Rebirth {
+        int64_t startedAtMilliseconds = 0;
+        Common::MonotonicTime heardAt;
+    };
+    /// A later start of the worker that doesn't count yet; see acceptRebirth().
+    std::optional<Rebirth> rebirth;
     bool silenceLogged = false;
     bool latenessLogged = false;
     bool idleLogged = false;
@@ -94,13 +110,35 @@
     worker->update(entry);
     worker->listed = listed;
     worker->unlisted = false;
-    if (!rebooted)
-        return;
-    worker->startedAtMilliseconds = entry.startedAtMilliseconds;
-    worker->lease().reset(m_settings.longestLease, m_runtime.now());
-    worker->reachable = false;
-    m_hooks.runsCleared(*worker, true);
-    pollSoon(entry.id);
+    if (rebooted && acceptRebirth(*worker, entry.startedAtMilliseconds))
+        pollSoon(entry.id);
+}
+
+/// The worker has started anew. Until the store has confirmed the ownership after that was heard, its runs aren't given
+/// up, and it gets no new ones: a successor may have acknowledged their ends, and the new life has forgotten the
+/// successor's token. Returns whether the new life counts.
+bool CellWorkers::acceptRebirth(CellWorker& worker, int64_t startedAtMilliseconds)
+{
+    Link& state = link(worker);
+    worker.reachable = false;
+    if (!state.rebirth || state.rebirth->startedAtMilliseconds < startedAtMilliseconds)
+        state.rebirth = Link::Rebirth { startedAtMilliseconds, m_runtime.now() };
+    if (m_hooks.ownedAt() < state.rebirth->heardAt) {
+        m_hooks.confirmOwnership(m_lifetime.guard([this, id = worker.id()] {
+            CellWorker* const reborn = find(id);
+            const auto found = m_links.find(id);
+            if (m_closed || !reborn || found == m_links.end() || !found->second.rebirth)
+                return;
+            if (acceptRebirth(*reborn, found->second.rebirth->startedAtMilliseconds))
+                pollSoon(id);
+        }));
+        return false;
+    }
+    worker.startedAtMilliseconds = state.rebirth->startedAtMilliseconds;
+    state.rebirth.reset();
+    worker.lease().reset(m_settings.longestLease, m_runtime.now());
+    m_hooks.runsCleared(worker, true);
+    return true;
 }
 
 void CellWorkers::unlist(const Common::WorkerId& id)
@@ -200,30 +238,88 @@
     state.latenessLogged = false;
     state.retryPause = {};
     state.unansweredPolls = 0;
+    state.heardThroughHost = false;
     if (m_runtime.now() - askedAt < state.wait + m_settings.answerTimeout / 2)
         state.extraTime = {};
+    if (!acceptReport(worker, report))
+        return;
+    worker.reachable = true;
+    state.listsEnds = !report.ended.empty();
+    state.heardAt = m_runtime.suspendAwareNow();
+    if (*state.heardAt - state.askedAt > state.wait + m_settings.answerTimeout)
+        state.heardAt.reset();
+    m_hooks.report(worker, report, askedAt);
+    worker.contacted = true;
+}
+
+/// Takes over what the report says of the worker's life and clock. False if it is older than the life that is known.
+bool CellWorkers::acceptReport(CellWorker& worker, const RunReport& report)
+{
     const bool rebooted = report.startedAtMilliseconds != 0 && worker.startedAtMilliseconds != 0
         && report.startedAtMilliseconds != worker.startedAtMilliseconds;
     // A delayed answer from before the reboot says nothing about the current state.
     if (rebooted && report.startedAtMilliseconds < worker.startedAtMilliseconds)
-        return;
+        return false;
+    if (rebooted
+        && (!acceptRebirth(worker, report.startedAtMilliseconds)
+            || report.startedAtMilliseconds != worker.startedAtMilliseconds))
+        return false;
     if (report.startedAtMilliseconds != 0)
         worker.startedAtMilliseconds = report.startedAtMilliseconds;
-    if (rebooted) {
-        worker.lease().reset(m_settings.longestLease, m_runtime.now());
-        m_hooks.runsCleared(worker, true);
-    }
     worker.lease().synchronizeClock(report.clock, m_runtime.now());
     // An earlier owner may have renewed the lease just before.
     if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
         worker.lease().grant(m_settings.runLease, m_runtime.now());
-    worker.reachable = true;
     worker.lastReportAt = m_runtime.now();
-    state.listsEnds = !report.ended.empty();
-    state.heardAt = m_runtime.suspendAwareNow();
-    if (*state.heardAt - state.askedAt > state.wait + m_settings.answerTimeout)
-        state.heardAt.reset();
-    m_hooks.report(worker, report, askedAt);
+    return true;
+}
+
+/// Asks another host for a report of the worker, which may have runs.
+void CellWorkers::askThroughHost(CellWorker& worker)
+{
+    Link& state = link(worker);
+    const bool occupied = !worker.allocations().empty();
+    if (state.askingThroughHost || (!occupied && worker.contacted))
+        return;
+    PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, m_token, {} };
+    const bool mayGrant = state.heardThroughHost && m_hooks.mayGrant() && worker.lease().isClockKnown();
+    if (occupied && mayGrant)
+        poll.leaseUntil = worker.lease().grant(m_settings.runLease, m_runtime.now());
+    state.askingThroughHost = true;
+    const bool asked = m_hooks.pollThroughHost(poll,
+        m_lifetime.guard([this, id = worker.id(), askedAt = m_runtime.now()](const Common::Result<RunReport>& report) {
+            CellWorker* const silent = find(id);
+            if (!m_closed && silent)
+                onAnswerThroughHost(*silent, askedAt, report);
+        }));
+    if (!asked)
+        state.askingThroughHost = state.heardThroughHost = false;
+}
+
+/// The worker stays unreachable for orders, and its ends aren't acknowledged: the next poll is too far away for that.
+void CellWorkers::onAnswerThroughHost(
+    CellWorker& worker, Common::MonotonicTime askedAt, const Common::Result<RunReport>& report)
+{
+    Link& state = link(worker);
+    state.askingThroughHost = false;
+    if (!report && report.reason().code == Common::ErrorCode::NotOwner) {
+        m_hooks.fenced();
+        return;
+    }
+    // A poll of this host was answered meanwhile.
+    if (worker.reachable || worker.lastReportAt > askedAt)
+        return;
+    if (!report || !acceptReport(worker, *report)) {
+        state.heardThroughHost = false;
+        return;
+    }
+    if (!std::exchange(state.heardThroughHost, true)) {
+        LC_INFO(Worker,
+            "event=worker-heard-through-host worker=" << worker.id().value() << " runs=" << report->running.size()
+                                                      << " ends=" << report->ended.size());
+    }
+    state.unansweredPolls = 0;
+    m_hooks.report(worker, *report, askedAt);
     worker.contacted = true;
 }
 
@@ -244,6 +340,11 @@
                                           << " reason=" << Common::errorName(reason.code) << " after-ms="
                                           << (m_runtime.now() - askedAt) / std::chrono::milliseconds(1));
     }
+    if (state.rebirth) {
+        acceptRebirth(worker, state.rebirth->startedAtMilliseconds);
+        return;
+    }
+    askThroughHost(worker);
     clearIfIdle(worker);
     confirmIdle(worker);
 }
@@ -340,6 +441,8 @@
 Common::Duration CellWorkers::nextPollDelay(const CellWorker& worker) const
 {
     const auto found = m_links.find(worker.id());
+    if (found != m_links.end() && found->second.rebirth)
+        return m_settings.orderRetry;
     if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds))
         return m_settings.pollPauseAfterEnd;
     return worker.allocations().empty() ? m_settings.idlePollInterval : Common::Duration::zero();
@@ -373,27 +476,27 @@
     }
     const Common::WorkerTime until = worker->lease().grant(m_settings.runLease, m_runtime.now());
     m_orders.start(targetOf(*worker), m_token, order, until,
-        m_lifetime.guard(
-            [this, id, run, again, answered, sentAt = m_runtime.now()](const Common::Result<OrderAnswer>& answer) {
-                CellWorker* const target = find(id);
-                if (m_closed || !target)
-                    return;
-                if (!answer) {
-                    RunAllocation* const ordered = target->find(run);
-                    if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed) {
-                        ordered->startOutcomeUnknown = true;
-                        ordered->startUnansweredSince = sentAt;
-                    }
-                    m_runtime.schedule(m_settings.orderRetry, again);
-                    return;
+        m_lifetime.guard([this, id, run, again, answered, sentAt = m_runtime.now(),
+                             life = worker->startedAtMilliseconds](const Common::Result<OrderAnswer>& answer) {
+            CellWorker* const target = find(id);
+            if (m_closed || !target)
+                return;
+            if (!answer) {
+                RunAllocation* const ordered = target->find(run);
+                if (ordered && answer.reason().code != Common::ErrorCode::ConnectFailed) {
+                    ordered->startOutcomeUnknown = true;
+                    ordered->startUnansweredSince = sentAt;
                 }
-                if (answer->clock)
-                    target->lease().synchronizeClock(*answer->clock, m_runtime.now());
-                if (answer->verdict == OrderVerdict::Fenced)
-                    m_hooks.fenced();
-                else
-                    answered(*answer);
-            }));
+                m_runtime.schedule(m_settings.orderRetry, again);
+                return;
+            }
+            if (answer->clock && isPresentLife(*target, life))
+                target->lease().synchronizeClock(*answer->clock, m_runtime.now());
+            if (answer->verdict == OrderVerdict::Fenced)
+                m_hooks.fenced();
+            else
+                answered(*answer);
+        }));
 }
 
 void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
@@ -409,9 +512,11 @@
     CellWorker* const worker = find(id);
     if (m_closed || !worker || !worker->find(run))
         return;
+    const int64_t life = worker->startedAtMilliseconds;
     m_orders.stop(targetOf(*worker), m_token, run.task, run.attempt,
-        m_lifetime.guard([this, id, run, answered](const Common::Result<OrderAnswer>& answer) {
-            if (m_closed || !find(id))
+        m_lifetime.guard([this, id, run, answered, life](const Common::Result<OrderAnswer>& answer) {
+            const CellWorker* const target = find(id);
+            if (m_closed || !target)
                 return;
             // An unhealthy worker has done nothing.
             if (!answer || answer->verdict == OrderVerdict::Unhealthy) {
@@ -423,6 +528,9 @@
                 m_hooks.fenced();
                 return;
             }
+            // The present life has its own stop order; only its answer shows that this life refuses the attempt.
+            if (!isPresentLife(*target, life))
+                return;
             answered(*answer);
             pollSoon(id);
         }));
