--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -60,12 +60,16 @@
 class Fleet:
     """`behaviour(task)` says how long a task works and how it ends; `write_line` takes the lines of the record."""
 
-    def __init__(self, seed, hosts, workers, program, folder, behaviour, write_line, late_lapse=False):
+    def __init__(self, seed, hosts, workers, program, folder, behaviour, write_line, late_lapse=False,
+                 cell_workers=None):
         self.begun = time.monotonic()
         self.folder, self.behaviour, self.write_line = folder, behaviour, write_line
         self.late_lapse = late_lapse
         self.judge = Judge(self.now, self._settle)
         self.store = Store(seed)
+        self.cell_workers = cell_workers
+        # Set by each job that is accepted; faults that wait for one clear it.
+        self.job_accepted = asyncio.Event()
         self.links = {}
         self.store_links = {}
         self.workers = []
@@ -104,13 +108,15 @@
         seeds = [f"{ip}:{self.host_ports['control']}" for ip in self.host_ips[:3]]
         host = Host(f"edge-{zone}-{index + 1}", zone, REGIONS[zone], self.host_ips[index], self.host_ports, seeds,
                     f"{self.link_ips[index]}:{self.store_port}", self.program, self.folder, self.note,
-                    {"LD_PRELOAD": str(self.library), "LAVENDERCART_SOAK_LINKS": self.host_links.environment(index)})
+                    {"LD_PRELOAD": str(self.library), "LAVENDERCART_SOAK_LINKS": self.host_links.environment(index)},
+                    self.cell_workers)
         self.hosts.append(host)
         return host
 
     def new_worker(self, zone, rack, port=None):
         port = port or self.ports.take()
-        worker = Worker(f"i-{len(self.workers):04x}", f"127.0.0.1:{port}", zone, f"{zone}-{rack}", self.store,
+        rack = f"r{ZONES.index(zone)}-{rack}"
+        worker = Worker(f"i-{len(self.workers):04x}", f"127.0.0.1:{port}", zone, rack, self.store,
                         self.judge, self.behaviour, self.note, clock_rate=CLOCK_RATES[len(self.workers) % 3],
                         fences_waiting=len(self.workers) % 2 == 1, late_lapse=self.late_lapse)
         self.workers.append(worker)
