Soak: link the links between hosts into a test program instead of preloading them

Change: the same functions are linked into lavendercart-entry-linked, a test build of the entry program, and into host-link-caller, which plays a host in the tests in place of a Python script. Default program of Tools/soak.py; with another one the kinds that cut hosts from each other are left out, or refused if they were named. The checks of HostLinkTest are the same, with other names of the outcomes.

--- a/Tools/soak/HostLinks.cpp
+++ b/Source/UnitTests/Process/HostLinks.cpp
@@ -1,5 +1,5 @@
-// Loaded into each host of a soak with LD_PRELOAD: what the host sends to another host's address goes to the soak's
-// link between the two, which passes it on. Hosts announce addresses of their own, so settings can't do that.
+// Linked into the entry program of a soak: what a host sends to another host's address goes to the soak's link between
+// the two, which passes it on. Hosts announce addresses of their own, so settings can't do that.
 //
 // LAVENDERCART_SOAK_LINKS="OWN LINKS", two IPv4 addresses: the host of the network OWN/24 that ends in x is reached at
 // the address of the network LINKS/24 that ends in x. The port stays.
--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -28,7 +28,7 @@
 
 from soak.faults import KINDS, NAMED_KINDS, Faults  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
-from soak.host_link import HostLinks, build_library  # noqa: E402
+from soak.host_link import HostLinks, has_links  # noqa: E402
 from soak.judge import Judge  # noqa: E402
 from soak.link import Link, Passage  # noqa: E402
 from soak.load import Load  # noqa: E402
@@ -36,31 +36,6 @@
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build"))
 SEED = 1
 
-# Carries out the lines that it reads, as a host's process, and writes a line for each.
-CALLER = """
-import socket, sys
-target = (sys.argv[1], int(sys.argv[2]))
-datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-call = None
-for line in sys.stdin:
-    verb, _, text = line.strip().partition(" ")
-    try:
-        if verb == "datagram":
-            datagrams.sendto(text.encode(), (target[0], target[1] + 1))
-        elif verb == "connect":
-            call = socket.socket()
-            call.settimeout(float(text))
-            call.connect(target)
-        elif verb == "say":
-            call.sendall(text.encode())
-        elif verb == "hear":
-            call.settimeout(float(text))
-            print("heard", call.recv(100).decode(), flush=True)
-            continue
-        print("done", flush=True)
-    except OSError as error:
-        print(type(error).__name__, flush=True)
-"""
 # For what must not happen; a slow machine can't make such a test fail.
 SHORT = "0.4"
 LONG = "60"
@@ -69,12 +44,6 @@
 class HostLinkTest(unittest.IsolatedAsyncioTestCase):
     """Host 0 is a process that calls host 1, whose part the test plays."""
 
-    @classmethod
-    def setUpClass(cls):
-        folder = tempfile.TemporaryDirectory(prefix="lavendercart-links-")
-        cls.addClassCleanup(folder.cleanup)
-        cls.library = build_library(pathlib.Path(folder.name))
-
     async def asyncSetUp(self):
         block, port = random.SystemRandom().randrange(1, 255), random.SystemRandom().randrange(12000, 31000)
         self.ips = [f"127.1.{block}.{10 + index}" for index in range(2)]
@@ -90,9 +59,8 @@
         self.addCleanup(self.server.close)
         self.links.set_listening(1, True)
         self.caller = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", CALLER, self.ips[1], str(port), stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-            env=dict(os.environ, LD_PRELOAD=str(self.library),
-                     LAVENDERCART_SOAK_LINKS=self.links.environment(0)))
+            BUILD / "bin/host-link-caller", self.ips[1], str(port), stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+            env=dict(os.environ, LAVENDERCART_SOAK_LINKS=self.links.environment(0)))
 
     async def asyncTearDown(self):
         self.caller.stdin.close()
@@ -155,7 +123,7 @@
     async def test_cut_of_either_way_leaves_connecting_without_an_answer(self):
         for outwards, back in ((Passage.LOST, Passage.OPEN), (Passage.OPEN, Passage.HELD)):
             cut = self.links.cut([(0, 1)], outwards, back)
-            self.assertEqual(await self.do("connect", SHORT), "TimeoutError")
+            self.assertEqual(await self.do("connect", SHORT), "timeout")
             self.links.heal(cut)
             self.assertEqual(await self.do("connect", LONG), "done")
 
@@ -171,10 +139,10 @@
         await self.do("connect", LONG)
         cut = self.links.cut([(0, 1)], Passage.LOST, Passage.OPEN)
         await self.do("say a")
-        self.assertEqual(await self.do("hear", SHORT), "TimeoutError")
+        self.assertEqual(await self.do("hear", SHORT), "timeout")
         self.links.heal(cut)
         await self.do("say b")
-        self.assertEqual(await self.do("hear", SHORT), "TimeoutError")
+        self.assertEqual(await self.do("hear", SHORT), "timeout")
         self.assertEqual(self.heard, [])
 
     async def test_one_way_cut_loses_the_answer_alone(self):
@@ -182,14 +150,14 @@
         self.links.cut([(0, 1)], Passage.OPEN, Passage.LOST)
         await self.do("say a")
         await self.hears("a")
-        self.assertEqual(await self.do("hear", SHORT), "TimeoutError")
+        self.assertEqual(await self.do("hear", SHORT), "timeout")
 
     async def test_held_call_and_answer_arrive_when_the_link_heals(self):
         await self.do("connect", LONG)
         for outwards, back in ((Passage.HELD, Passage.OPEN), (Passage.OPEN, Passage.HELD)):
             cut = self.links.cut([(0, 1)], outwards, back)
             await self.do("say a")
-            self.assertEqual(await self.do("hear", SHORT), "TimeoutError")
+            self.assertEqual(await self.do("hear", SHORT), "timeout")
             self.links.heal(cut)
             self.assertEqual(await self.do("hear", LONG), "heard re:a")
 
@@ -204,7 +172,7 @@
         for writer in self.links.links[0, 1].writers:
             if writer.get_extra_info("peername")[0] == self.ips[1]:
                 writer.transport.get_extra_info("socket").shutdown(socket.SHUT_RD)
-        self.assertEqual(await self.do("hear", SHORT), "TimeoutError")
+        self.assertEqual(await self.do("hear", SHORT), "timeout")
         self.links.heal(cut)
         self.assertEqual(await self.do("hear", LONG), "heard")
 
@@ -213,14 +181,14 @@
         await self.do("say a")
         await self.do("hear", LONG)
         cut = self.links.cut([(0, 1)], Passage.OPEN, Passage.OPEN, refuses=True)
-        self.assertEqual(await self.do("hear", LONG), "ConnectionResetError")
-        self.assertEqual(await self.do("connect", LONG), "ConnectionRefusedError")
+        self.assertEqual(await self.do("hear", LONG), "reset")
+        self.assertEqual(await self.do("connect", LONG), "refused")
         self.links.heal(cut)
         self.assertEqual(await self.do("connect", LONG), "done")
 
     async def test_host_that_does_not_listen_refuses(self):
         self.links.set_listening(1, False)
-        self.assertEqual(await self.do("connect", LONG), "ConnectionRefusedError")
+        self.assertEqual(await self.do("connect", LONG), "refused")
 
     async def test_cuts_of_one_link_end_each_on_its_own(self):
         first = self.links.cut([(0, 1)], Passage.LOST, Passage.OPEN)
@@ -364,7 +332,7 @@
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory(prefix="lavendercart-links-")
         self.addCleanup(folder.cleanup)
-        self.fleet = Fleet(SEED, 3, 0, (BUILD / "bin/lavendercart-entry").resolve(), pathlib.Path(folder.name), None,
+        self.fleet = Fleet(SEED, 3, 0, (BUILD / "bin/lavendercart-entry-linked").resolve(), pathlib.Path(folder.name), None,
                            lambda line: None)
         self.addCleanup(self.fleet.close)
         await self.fleet.start()
--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -9,9 +9,10 @@
 import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from soak.faults import KINDS, NAMED_KINDS, Faults  # noqa: E402
+from soak.faults import KINDS, LINKED_KINDS, NAMED_KINDS, Faults  # noqa: E402
 from soak.fleet import Fleet  # noqa: E402
 from soak.judge import summary  # noqa: E402
+from soak.host_link import has_links  # noqa: E402
 from soak.load import DEFAULT_CELL_WORKERS, LASTING_SHARE_OF_JOBS, Load  # noqa: E402
 
 START_S = 4.0
@@ -88,23 +89,29 @@
     parser.add_argument("--wide-workers", type=int,
                         help="wide steps need more than the room of so many workers; default: a cell's")
     parser.add_argument("--gap", type=float, default=1.5, help="mean seconds between two faults")
-    parser.add_argument("--kinds", type=lambda text: text.split(","), default=list(KINDS),
+    parser.add_argument("--kinds", type=lambda text: text.split(","),
                         help="kinds of faults, separated by commas: " + ", ".join(KINDS)
                         + "; only if named: " + ", ".join(NAMED_KINDS))
     parser.add_argument("--keep-ids", action="store_true", help="a worker that crashes starts again under its id")
     parser.add_argument("--late-lapse", action="store_true",
                         help="a worker that stood still past its lease reads waiting calls before the lapse")
-    parser.add_argument("--entry", type=pathlib.Path, help="the program; default: that of the build folder")
+    parser.add_argument("--entry", type=pathlib.Path,
+                        help="the program; default: that of the build folder with links between hosts")
     parser.add_argument("--build", type=pathlib.Path, default=pathlib.Path("build"))
     parser.add_argument("--keep", type=pathlib.Path, help="keep records and logs in this folder")
     options = parser.parse_args(words)
     options.wide_workers = options.wide_workers or options.cell_workers or DEFAULT_CELL_WORKERS
-    options.entry = (options.entry or options.build / "bin/lavendercart-entry").resolve()
+    options.entry = (options.entry or options.build / "bin/lavendercart-entry-linked").resolve()
+    if not options.entry.exists():
+        parser.error(f"no program at {options.entry}; run Tools/build.sh")
+    unlinked = () if has_links(options.entry) else LINKED_KINDS
+    options.kinds = options.kinds or [kind for kind in KINDS if kind not in unlinked]
     unknown = set(options.kinds) - {*KINDS, *NAMED_KINDS}
     if unknown:
         parser.error("unknown kinds of faults: " + ", ".join(sorted(unknown)))
-    if not options.entry.exists():
-        parser.error(f"no program at {options.entry}; run Tools/build.sh")
+    if set(options.kinds) & set(unlinked):
+        parser.error(f"{options.entry} has no links between hosts, which these kinds cut: "
+                     + ", ".join(sorted(set(options.kinds) & set(unlinked))))
     return options
 
 
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -15,6 +15,8 @@
          "store-down", "store-slow", "store-loses", "store-refuses")
 # Drawn only if they are named, so that a seed's faults of all kinds stay as they were.
 NAMED_KINDS = ("cut-owner-workers",)
+# These cut links between hosts, which the program must have.
+LINKED_KINDS = ("cut-hosts", "cut-domain", "cut-owner")
 # Without calm between them, hosts would own nothing that a loss of power could harm.
 RESTART_EVERY_S = 9.0
 
--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -9,7 +9,7 @@
 import time
 
 from soak.host import Host
-from soak.host_link import HostLinks, build_library
+from soak.host_link import ENVIRONMENT, HostLinks
 from soak.judge import Judge
 from soak.link import Link
 from soak.store import Store
@@ -84,7 +84,6 @@
         self.store_port = self.ports.take()
         self.host_links = HostLinks(lambda index: f"127.{100 + index}.{block}.0", self.host_ips,
                                     self.host_ports["control"], self.host_ports["beats"])
-        self.library = build_library(folder)
         self.followers = []
         self.hosts = []
         for _ in range(hosts):
@@ -108,7 +107,7 @@
         seeds = [f"{ip}:{self.host_ports['control']}" for ip in self.host_ips[:3]]
         host = Host(f"edge-{zone}-{index + 1}", zone, REGIONS[zone], self.host_ips[index], self.host_ports, seeds,
                     f"{self.link_ips[index]}:{self.store_port}", self.program, self.folder, self.note,
-                    {"LD_PRELOAD": str(self.library), "LAVENDERCART_SOAK_LINKS": self.host_links.environment(index)},
+                    {ENVIRONMENT: self.host_links.environment(index)},
                     self.cell_workers)
         self.hosts.append(host)
         return host
--- a/Tools/soak/host_link.py
+++ b/Tools/soak/host_link.py
@@ -1,28 +1,23 @@
 """Links between hosts: calls (TCP) and datagrams of one host to another one, which pass through the soak.
 
-HostLinks.cpp, loaded into each host, sends them to the link's address.
+Source/UnitTests/Process/HostLinks.cpp, linked into the program, sends them to the link's address.
 """
 
 import asyncio
-import os
 import pathlib
 import socket
 import struct
-import subprocess
 
 from soak.link import Direction, Passage, worst
 
-SOURCE = pathlib.Path(__file__).resolve().parent / "HostLinks.cpp"
+ENVIRONMENT = "LAVENDERCART_SOAK_LINKS"
 BACKLOG = 128
 MAX_DATAGRAM = 65536
 
 
-def build_library(folder):
-    """Returns the path of the library that is to be loaded into each host."""
-    library = folder / "host-links.so"
-    subprocess.run([os.environ.get("CXX", "c++"), "-std=c++20", "-O1", "-shared", "-fPIC", "-o", library, SOURCE],
-                   check=True)
-    return library
+def has_links(program):
+    """Whether what the program's hosts send to each other passes through the soak."""
+    return ENVIRONMENT.encode() in pathlib.Path(program).read_bytes()
 
 
 def reset(writer):
