--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -7,9 +7,18 @@
 from soak.link import Passage
 
 KINDS = ("freeze-host", "throttle-host", "kill-host", "stop-host", "reload-host", "add-host", "replace-host",
-         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-worker", "cut-store",
-         "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "unhealthy-worker", "late-orders",
-         "late-calls", "lose-answers", "store-down", "store-slow", "store-loses", "store-refuses")
+         "restart-all", "restart-domain",
+         "cut-some", "cut-host", "cut-frozen-host", "split-owner", "cut-hosts", "cut-domain", "cut-owner",
+         "cut-worker", "cut-store", "cut-reborn", "reset-conns", "refuse-conns",
+         "freeze-worker", "crash-worker", "reuse-port", "drain-worker", "add-workers", "unhealthy-worker",
+         "late-orders", "late-calls", "lose-answers", "lose-share", "foreign-entry",
+         "store-down", "store-slow", "store-loses", "store-refuses")
+# Drawn only if they are named, so that a seed's faults of all kinds stay as they were.
+NAMED_KINDS = ("cut-owner-workers",)
+# These cut links between hosts, which the program must have.
+LINKED_KINDS = ("cut-hosts", "cut-domain", "cut-owner")
+# Without calm between them, hosts would own nothing that a loss of power could harm.
+RESTART_EVERY_S = 9.0
 
 
 class Faults:
@@ -17,8 +26,10 @@
 
     def __init__(self, fleet, random, kinds=KINDS, gap=1.5, keep_ids=False):
         self.fleet, self.random, self.kinds, self.gap, self.keep_ids = fleet, random, kinds, gap, keep_ids
-        self.hosts_at_start = len(fleet.hosts)
+        self.hosts_at_start, self.workers_at_start = len(fleet.hosts), len(fleet.workers)
+        self.restarted_at = -RESTART_EVERY_S
         self.pending = set()
+        self.cut_owners = set()
         # Errors of the soak's own: such a run proves nothing.
         self.errors = []
         self.stopped = False
@@ -58,6 +69,12 @@
         up = [host for host in self.fleet.hosts if host.up and not host.frozen]
         return self.random.choice(up) if len(up) > 1 else None
 
+    def _up_owner(self):
+        """In half of the draws a host that gave a worker its last order, as an owner has more to lose; else any."""
+        names = {worker.owner for worker in self.fleet.workers if worker.up}
+        owners = [host for host in self.fleet.hosts if host.up and not host.frozen and host.name in names]
+        return self.random.choice(owners) if len(owners) > 1 and self.random.random() < 0.5 else self._up_host()
+
     def _up_worker(self):
         up = [worker for worker in self.fleet.workers if worker.up and worker.state == "ready"]
         return self.random.choice(up) if up else None
@@ -117,7 +134,7 @@
             host.start()
 
     async def _kill_host(self):
-        host = self._up_host()
+        host = self._up_owner()
         if host:
             await self._restart(host, signal.SIGKILL, self._span(0.2, 4))
 
@@ -153,6 +170,42 @@
         host.end()
         await self.fleet.add_host()
 
+    async def _lose_power(self, what, hosts):
+        """The hosts end at the same moment, at times right after a job was accepted, and start again."""
+        if self.fleet.now() - self.restarted_at < RESTART_EVERY_S:
+            return
+        self.restarted_at = self.fleet.now()
+        after_accepted = self.random.random() < 0.5
+        pauses = {host.name: self._span(0.5, 1.6) for host in hosts}
+        if after_accepted:
+            self.fleet.job_accepted.clear()
+            try:
+                await asyncio.wait_for(self.fleet.job_accepted.wait(), 3)
+            except asyncio.TimeoutError:
+                after_accepted = False
+        hosts = [host for host in hosts if host.up]
+        self._note(what, ",".join(host.name for host in hosts), f"after-accepted={after_accepted}")
+        ended = {host: host.process for host in hosts}
+        for host in hosts:
+            host.signal(signal.SIGKILL)
+        await asyncio.gather(*(self._start_again(host, process, pauses[host.name])
+                               for host, process in ended.items()))
+
+    async def _start_again(self, host, process, pause):
+        await asyncio.sleep(pause)
+        while process.poll() is None:
+            await asyncio.sleep(0.05)
+        if host.process is process and not host.gone:
+            host.start()
+
+    async def _restart_all(self):
+        await self._lose_power("restart-all", [host for host in self.fleet.hosts if not host.gone])
+
+    async def _restart_domain(self):
+        zone = self.random.choice(sorted({host.zone for host in self.fleet.hosts if not host.gone}))
+        await self._lose_power("restart-domain",
+                               [host for host in self.fleet.hosts if not host.gone and host.zone == zone])
+
     # Links.
 
     async def _cut(self, links, what):
@@ -172,10 +225,11 @@
 
     async def _cut_some(self):
         """One host is cut from some workers; the others reach them."""
-        host = self._up_host()
+        host = self._up_owner()
         if not host:
             return
-        zone = self.random.choice([worker.zone for worker in self.fleet.workers])
+        zones = [worker.zone for worker in self.fleet.workers if worker.owner == host.name]
+        zone = self.random.choice(zones or [worker.zone for worker in self.fleet.workers])
         workers = [worker for worker in self.fleet.workers if worker.up and worker.zone == zone]
         chosen = self.random.sample(workers, self.random.randint(1, max(1, len(workers) - 1))) if workers else []
         links = [link for worker in chosen for link in self.fleet.links_of(host, worker)]
@@ -240,6 +294,96 @@
         for host in others:
             host.thaw()
 
+    async def _cut_owner_workers(self):
+        """One owner loses half of its workers for longer than a lease. It keeps the store, and the other hosts reach
+        these workers."""
+        worker = self._up_worker()
+        owner = next((host for host in self.fleet.hosts if worker and host.name == worker.owner), None)
+        if not owner or not owner.up or owner.frozen:
+            return
+        workers = [other for other in self.fleet.workers if other.up and other.owner == owner.name]
+        chosen = self.random.sample(workers, (len(workers) + 1) // 2)
+        span = self._span(7, 12)
+        self._note("cut-owner-workers", owner.name, "from", ",".join(other.id for other in chosen), f"for={span:.2f}")
+        links = [link for other in chosen for link in self.fleet.links_of(owner, other)]
+        for link in links:
+            link.cut(Passage.LOST, Passage.LOST)
+        await asyncio.sleep(span)
+        for link in links:
+            link.heal()
+
+    async def _cut_pairs(self, pairs, what, links=(), inbound=()):
+        """Cuts the links between pairs of hosts, and `links`, towards the server and back; the servers of `inbound` are
+        on the side of the first hosts."""
+        outwards, back = self._passages()
+        refuses = self.random.random() < 0.2
+        resets = self.random.random() < 0.3
+        span = self._span(0.5, 14)
+        self._note("cut", what, f"outwards={outwards.value}", f"back={back.value}", f"refuses={refuses}",
+                   f"resets={resets}", f"for={span:.2f}")
+        await self._sever(pairs, links, outwards, back, span, inbound, refuses, resets)
+
+    async def _sever(self, pairs, links, outwards, back, span, inbound=(), refuses=False, resets=False):
+        """Other faults don't end these cuts."""
+        cut = self.fleet.host_links.cut(pairs, outwards, back, refuses, resets)
+        holds = [(link, link.hold(outwards, back)) for link in links]
+        holds += [(link, link.hold(back, outwards)) for link in inbound]
+        await asyncio.sleep(span)
+        self.fleet.host_links.heal(cut)
+        for link, hold in holds:
+            link.release(hold)
+
+    async def _cut_hosts(self):
+        """One host is cut from some other hosts or all."""
+        host = self._up_host()
+        others = [other for other in self.fleet.hosts if other.up and other is not host]
+        if not host or not others:
+            return
+        number = self.random.choice((len(others), self.random.randint(1, len(others))))
+        chosen = self.random.sample(others, number)
+        await self._cut_pairs(self.fleet.host_pairs([host], chosen),
+                              f"{host.name} from {','.join(other.name for other in chosen)}")
+
+    async def _cut_domain(self):
+        """The hosts and workers of a domain are cut from those of other domains, and its hosts now and then from the
+        store."""
+        zone = self.random.choice([host.zone for host in self.fleet.hosts])
+        inner = [host for host in self.fleet.hosts if host.zone == zone and not host.gone]
+        others = [host for host in self.fleet.hosts if host.zone != zone and not host.gone]
+        links = [link for worker in self.fleet.workers if worker.zone != zone
+                 for host in inner for link in self.fleet.links_of(host, worker)]
+        inbound = [link for worker in self.fleet.workers if worker.zone == zone
+                   for host in others for link in self.fleet.links_of(host, worker)]
+        with_store = self.random.random() < 0.5
+        if with_store:
+            links += [self.fleet.store_links[host.name] for host in inner]
+        await self._cut_pairs(self.fleet.host_pairs(inner, others), f"domain {zone} with-store={with_store}", links,
+                              inbound)
+
+    async def _cut_owner(self):
+        """The owner of a cell is cut from the store, from the other hosts and from half of the cell's workers, and the
+        other hosts from the rest: while its authority lasts, another host takes over."""
+        worker = self._up_worker()
+        owner = next((host for host in self.fleet.hosts if worker and host.name == worker.owner), None)
+        if not owner or not owner.up or owner.frozen or owner in self.cut_owners:
+            return
+        # With more owners cut at once, no cell has a host left that takes it over.
+        if len(self.cut_owners) >= max(1, len(self.fleet.hosts) // 4):
+            return
+        workers = [other for other in self.fleet.workers if other.up and other.owner == owner.name]
+        theirs = set(self.random.sample(workers, len(workers) // 2))
+        links = [self.fleet.store_links[owner.name]]
+        for other in workers:
+            links += [link for link in self.fleet.links_of(worker=other)
+                      if (link.host == owner.name) == (other in theirs)]
+        pairs = self.fleet.host_pairs([owner], [host for host in self.fleet.hosts if not host.gone])
+        passage, span = self.random.choice((Passage.HELD, Passage.LOST)), self._span(9, 14)
+        self._note("cut-owner", owner.name, "from", ",".join(sorted(other.id for other in theirs)),
+                   f"passage={passage.value}", f"for={span:.2f}")
+        self.cut_owners.add(owner)
+        await self._sever(pairs, links, passage, passage, span)
+        self.cut_owners.discard(owner)
+
     async def _cut_host(self):
         """One host is cut from all workers and from the store."""
         host = self._up_host()
@@ -257,8 +401,107 @@
         if worker:
             await self._cut(self.fleet.links_of(worker=worker), f"{worker.id} from all")
 
+    async def _reset_conns(self):
+        """A part of the open connections to workers and store is reset: of one host, or of all."""
+        host = self.random.choice((None, self._up_host()))
+        links = self.fleet.links_of(host) + [link for name, link in self.fleet.store_links.items()
+                                             if host is None or name == host.name]
+        share = self._span(0.1, 1)
+        writers = [writer for link in links for writer in link.writers]
+        chosen = [writer for writer in writers if self.random.random() < share]
+        self._note("reset-conns", host.name if host else "all", f"connections={len(chosen)}/{len(writers)}")
+        for writer in chosen:
+            writer.transport.abort()
+
+    async def _refuse_conns(self):
+        """New connections to a worker, or of a host to the store, are refused; the open ones stay, or are reset too."""
+        worker, host = self._up_worker(), self._up_host()
+        to_worker = self.random.random() < 0.7
+        if not (worker if to_worker else host):
+            return
+        links = self.fleet.links_of(worker=worker) if to_worker else [self.fleet.store_links[host.name]]
+        span, resets = self._span(0.5, 8), self.random.random() < 0.5
+        self._note("refuse-conns", worker.id if to_worker else f"store for {host.name}", f"resets={resets}",
+                   f"for={span:.2f}")
+        for link in links:
+            link.refuses = True
+            if resets:
+                link.reset()
+        await asyncio.sleep(span)
+        for link in links:
+            link.refuses = False
+
+    async def _cut_reborn(self):
+        """A worker crashes behind a cut from all hosts and starts again there under its id."""
+        worker = self._up_worker()
+        if not worker:
+            return
+        pause, rest = self._span(0.1, 5), self._span(0.5, 8)
+        self._note("cut-reborn", worker.id, f"until-crash={pause:.2f}", f"for={pause + rest:.2f}")
+        links = self.fleet.links_of(worker=worker)
+        for link in links:
+            link.cut(Passage.LOST, Passage.LOST)
+        await asyncio.sleep(pause)
+        if worker.up:
+            self.fleet.crash_worker(worker)
+            await asyncio.sleep(0.3)
+            # Another fault may have started it already.
+            if not worker.up:
+                await self.fleet.start_worker(worker)
+        await asyncio.sleep(rest)
+        for link in links:
+            link.heal()
+
     # Workers.
 
+    async def _add_workers(self):
+        """Empty workers, of one rack; at most a third more than at the start."""
+        room = self.workers_at_start * 4 // 3 - sum(worker.up for worker in self.fleet.workers)
+        if room <= 0:
+            return
+        zone = self.random.choice([worker.zone for worker in self.fleet.workers])
+        racks = [int(worker.rack.rsplit("-", 1)[1]) for worker in self.fleet.workers if worker.zone == zone]
+        rack = self.random.choice((max(racks), max(racks) + 1))
+        added = [self.fleet.new_worker(zone, rack) for _ in range(min(room, self.random.randint(1, 4)))]
+        self._note("add-workers", ",".join(worker.id for worker in added), f"rack={zone}-{rack}")
+        for worker in added:
+            await self.fleet.start_worker(worker)
+
+    async def _foreign_entry(self):
+        """Another writer overwrites a worker's entry in the store, until the worker's next heartbeat."""
+        worker = self._up_worker()
+        if not worker:
+            return
+        entry, kind = worker.entry(), self.random.choice(("missing", "type", "bytes"))
+        field = self.random.choice(("labels", "capacity", "zone", "service", "address", "state", "born"))
+        for _ in range(self.random.randint(1, 6)):
+            self._note("foreign-entry", worker.id, kind, field)
+            if kind == "bytes":
+                self.fleet.store.put_bytes("servers/" + worker.id, b"\xff{")
+            else:
+                changed = {name: value for name, value in entry.items() if name != field}
+                self.fleet.store.put("servers/" + worker.id,
+                                     changed if kind == "missing" else dict(changed, **{field: [7]}))
+            await asyncio.sleep(self._span(0.1, 1.5))
+            if not worker.up:
+                return
+
+    async def _lose_share(self):
+        """The workers carry calls out, and a share of the answers is lost."""
+        up = [worker for worker in self.fleet.workers if worker.up]
+        chosen = self.random.sample(up, round(len(up) * 0.45))
+        share = self._span(0.025, 0.19)
+        self._note("lose-share", f"workers={len(chosen)}", f"share={share:.3f}", "for=5.50")
+
+        def loses():
+            return self.random.random() < share
+        for worker in chosen:
+            worker.loses_answer = loses
+        await asyncio.sleep(5.5)
+        for worker in chosen:
+            if worker.loses_answer is loses:
+                worker.loses_answer = None
+
     async def _freeze_worker(self):
         worker = self._up_worker()
         if not worker:
@@ -317,14 +560,14 @@
     async def _late_orders(self):
         worker = self._up_worker()
         if worker:
-            worker.late_orders += [self._span(0.5, 5) for _ in range(self.random.randint(1, 3))]
+            worker.late_orders += [self._span(0.5, 12) for _ in range(self.random.randint(1, 3))]
             self._note("late-orders", worker.id, len(worker.late_orders))
 
     async def _late_calls(self):
         """Stops and holds are carried out after newer ones."""
         worker = self._up_worker()
         if worker:
-            worker.late_calls += [self._span(0.5, 5) for _ in range(self.random.randint(1, 3))]
+            worker.late_calls += [self._span(0.5, 12) for _ in range(self.random.randint(1, 3))]
             self._note("late-calls", worker.id, len(worker.late_calls))
 
     async def _lose_answers(self):
--- a/Tools/soak/host.py
+++ b/Tools/soak/host.py
@@ -1,5 +1,6 @@
 """A lavendercart-entry process, started as the deploy file says."""
 
+import asyncio
 import json
 import os
 import pathlib
@@ -52,9 +53,13 @@
 class Host:
     """One host; its process may be ended and started again. `ports`: front, readiness, control and beats."""
 
-    def __init__(self, name, zone, region, ip, ports, seeds, store, program, folder, note):
+    def __init__(self, name, zone, region, ip, ports, seeds, store, program, folder, note,
+                 environment=None, cell_workers=None):
         self.name, self.zone, self.region, self.ip, self.ports = name, zone, region, ip, ports
         self.seeds, self.store, self.program, self.folder, self.note = seeds, store, program, folder, note
+        self.environment = environment or {}
+        # Written only if given: older programs refuse settings that they don't know.
+        self.cell_workers = cell_workers
         self.front = f"{ip}:{ports['front']}"
         self.process = None
         self.starts = 0
@@ -66,7 +71,8 @@
     def up(self):
         return self.process is not None and self.process.poll() is None
 
-    def start(self):
+    def settings(self):
+        """The text of the settings file."""
         fields = {
             "node_name": self.name, "zone": self.zone, "region": self.region, "ip": self.ip,
             "listen_addrs": {"front": self.front, "readiness": f"{self.ip}:{self.ports['readiness']}",
@@ -74,18 +80,34 @@
             "port_range": [self.ports["beats"], self.ports["beats"] + 15], "platform": {"address": self.store},
             "seeds": self.seeds, "limits": {"cpu_share": 0.25, "cores": 1}, "bounds": BOUNDS,
         }
-        own = role(REPOSITORY)
+        template = REPOSITORY / role(REPOSITORY)["template"]
+        text = render(template.read_text(encoding="utf-8"), fields)
+        if self.cell_workers is None:
+            return text
+        return json.dumps(dict(json.loads(text), cells={"workers": self.cell_workers}), indent=4)
+
+    def start(self):
         path = self.folder / f"{self.name}.json"
-        path.write_text(render((REPOSITORY / own["template"]).read_text(encoding="utf-8"), fields), encoding="utf-8")
-        words = [str(path) if word.startswith("/etc/") else word for word in own["run"].split()]
+        path.write_text(self.settings(), encoding="utf-8")
+        words = [str(path) if word.startswith("/etc/") else word for word in role(REPOSITORY)["run"].split()]
         words[0] = str(self.program)
         self.starts += 1
         self.frozen = False
         with open(self.folder / f"{self.name}.{self.starts}.log", "wb") as log:
             self.process = subprocess.Popen(words, cwd=REPOSITORY, stdout=log, stderr=subprocess.STDOUT,
-                                            env=dict(os.environ, LAVENDERCART_BOOT=str(path)))
+                                            env=dict(os.environ, **self.environment,
+                                                     LAVENDERCART_BOOT=str(path)))
         self.note("host-started", self.name, f"pid={self.process.pid}")
 
+    async def listens(self):
+        """Whether the process takes calls of other hosts."""
+        try:
+            _, writer = await asyncio.open_connection(self.ip, self.ports["control"])
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     def signal(self, number):
         if not self.up:
             return
