FullCellTest: the task of a silent worker moves after the wait for its end

Cause: the case "a failure that is reported at home after the task was transferred counts in the other cell" brings its state about by waiting up to 10 s until the task has moved. Since a run that has probably ended keeps its task for longestUnreadEndWait more, so the state comes later and the case's REQUIRE failed. Change: this case alone waits that much longer for its state; what it checks is the same.

--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -1,6 +1,7 @@
 // Tests of ordinary jobs in a cell that services have filled: their tasks run in a cell with room and are returned.
 #include "Cells/Fleet.h"
 #include "Cells/StoreKeys.h"
+#include "Policy/UnreadEnd.h"
 
 #include <doctest/doctest.h>
 
@@ -79,9 +80,9 @@
     std::optional<JobPhase> phaseOfJob() { return phase(*live().front(), jobNumber); }
     size_t runningOfJob() const { return judge.running(jobId(jobNumber)); }
     uint64_t startsOfJob() const { return judge.starts - serviceStarts; }
-    void waitUntil(const std::function<bool()>& condition)
+    void waitUntil(const std::function<bool()>& condition, Common::Duration limit = 10s)
     {
-        const Common::MonotonicTime end = clock.now() + 10s;
+        const Common::MonotonicTime end = clock.now() + limit;
         while (!condition() && clock.now() < end)
             clock.step();
         REQUIRE(condition());
@@ -289,10 +290,10 @@
     world.submitJob("fail:3000", 1);
     world.clock.advance(500ms);
     REQUIRE(world.runningOfJob() == 1);
-    // The run fails while nobody reaches its worker; after its lease the tasks of the worker move.
+    // The run fails while nobody reaches its worker; after its lease, and the wait for its end, its task moves.
     for (WorldHost* const host : world.live())
         world.disconnect(world.homeWorker().entry().address, host->address);
-    world.waitUntil([&] { return world.peerWorker().running() == 4; });
+    world.waitUntil([&] { return world.peerWorker().running() == 4; }, 10s + Policy::longestUnreadEndWait);
     world.network.heal();
     world.clock.advance(15s);
     CHECK(world.phaseOfJob() == JobPhase::Failed);
