--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -696,8 +696,10 @@
 
 class LastingShareTest(unittest.TestCase):
     def test_share_of_jobs_that_last(self):
+        workers = [unittest.mock.Mock(zone="yard", cpu=16000, up=True) for _ in range(6)]
+        fleet = unittest.mock.Mock(workers=workers)
         for share in (0.0, 0.5, 1.0):
-            load = Load(None, random.Random(1), 1, share)
+            load = Load(fleet, random.Random(1), 1, share)
             lasting = sum(bool(load._phases()[0].get("long_running")) for _ in range(1000))
             self.assertLessEqual(abs(lasting - 1000 * share), 0 if share in (0, 1) else 100)
 
