Limit the messages on transferred tasks that are under way to an owner

Cause: each transfer and cancellation had its own endless retries, 0.4 s after each timeout of 1 s, whatever else was under way. An owner that was late for a moment, here by placing a backlog on a tenth of a core, got copies of messages that it was still handling. Its answers came after their timeouts, so the copies grew: up to 445 transfers in six seconds, of which 23 were new, 600 failed messages a second at the senders, and no connection left for submissions and cancellations. The load that had set it off was long over.

PartOutbox sends at most as many transfers at a time as the owner answers in time (additive increase, halved by a timeout), cancellations apart from them and new ones first, with longer times and pauses for what isn't answered, and gives all to a new owner at once. A message that was received durably is confirmed without another write. One log line a second says what waits; a gauge counts it.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -9,6 +9,7 @@
 #include "Cells/CellSettings.h"
 #include "Cells/CellWorkers.h"
 #include "Cells/LiveJob.h"
+#include "Cells/PartMessage.h"
 #include "Cells/ServiceRoom.h"
 #include "Cells/TaskTransfer.h"
 #include "Cells/WorkerChanges.h"
@@ -35,7 +36,6 @@
 #include <set>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
 namespace Cells {
@@ -131,9 +131,6 @@
     CellLoad load() const;
     /// Room on the workers that accept runs, by service.
     ServiceRooms serviceRooms() const;
-    /// Tasks of another cell's job that were transferred here durably, or the record of the cancelled part of such a
-    /// job. The cancellation may arrive before the tasks.
-    using PartMessage = std::variant<TaskTransfer, Jobs::JobRecord>;
     /// Takes the message in; idempotent. Fails with NotOwner while the cell is released or lost.
     void handlePartMessage(const PartMessage&, const Common::Callback<Common::Done>&);
 
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -318,6 +318,12 @@
         return;
     }
     if (const auto* const transfer = std::get_if<TaskTransfer>(&message)) {
+        // Repeated, as its answer was late.
+        const LiveJob* const known = findJob(transfer->part.id);
+        if (known && known->hasReceived(*transfer) && known->isDurable()) {
+            callback(Common::Done {});
+            return;
+        }
         receiveTransfer(*transfer);
         // A former owner that doesn't know yet that it was replaced could confirm a transfer that its successor never
         // reads.
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -120,6 +120,13 @@
     , m_cellSettings(cellSettings)
     , m_directory(settings)
     , m_gossip(ports.runtime, ports.heartbeats, settings, m_directory)
+    , m_partOutbox(ports.runtime,
+          { .ownerAddress = [this](const CellId& cell) { return addressForParts(cell); },
+              .send =
+                  [this](const std::string& address, const CellId& cell, const PartMessage& message,
+                      Common::Duration timeout, const Common::Callback<Common::Done>& callback) {
+                      sendPartMessage(address, cell, message, timeout, callback);
+                  } })
 {
 }
 
@@ -1076,11 +1083,11 @@
                 return m_engines.contains(cell) || (other && other->load.takesScheduledTasks);
             },
         .serviceRooms = [this](const CellId& self) { return serviceRooms(self); },
-        .sendTransfer = [this](const TaskTransfer& transfer) { notifyOwner(transfer.to, transfer); },
+        .sendTransfer = [this](const TaskTransfer& transfer) { m_partOutbox.add(transfer.to, transfer, nullptr); },
         .requestTransferCheck
         = [this](const CellId& cell, const Common::JobId& job) { requestTransferCheck(cell, job); },
         .cancel = [this](const CellId& cell, const Jobs::JobRecord& part,
-                      const std::function<void()>& handled) { notifyOwner(cell, part, handled); },
+                      const std::function<void()>& handled) { m_partOutbox.add(cell, part, handled); },
         .pollThroughHost =
             [this](const CellId& cell, const PollForHost& poll, const std::string& address,
                 Common::Callback<RunReport> callback) {
@@ -1136,7 +1143,7 @@
             }
             for (const Scheduler::StoreValue& value : found->records) {
                 if (const auto transfer = readTransfer(value))
-                    notifyOwner(cell, *transfer);
+                    m_partOutbox.add(cell, *transfer, nullptr);
             }
         }));
 }
@@ -1169,28 +1176,25 @@
     return found;
 }
 
-/// Retries until the cell's owner at that time has handled the message, then calls `handled`.
-void CellOwnership::notifyOwner(const CellId& cell, const PartMessage& message, const std::function<void()>& handled)
+/// See PartOutbox::Ports::ownerAddress.
+std::optional<std::string> CellOwnership::addressForParts(const CellId& cell)
 {
-    const auto again = m_lifetime.guard([this, cell, message, handled] { notifyOwner(cell, message, handled); });
-    const auto onAnswer = m_lifetime.guard([this, cell, again, handled](const Common::Result<Common::Done>& answer) {
-        if (answer) {
-            if (handled)
-                handled();
-            return;
-        }
-        LC_WARN(Peer,
-            "event=part-message-unanswered cell=" << cell.value()
-                                                  << " reason=" << Common::errorName(answer.reason().code));
-        m_ports.runtime.schedule(storeRetryPause, again);
-    });
+    if (engine(cell))
+        return std::string();
     const Owner* const owner = liveOwner(cell);
-    if (CellEngine* const own = engine(cell))
-        own->handlePartMessage(message, onAnswer);
-    else if (owner && m_messenger)
-        m_messenger(owner->address, cell, message, onAnswer);
-    else
-        m_ports.runtime.schedule(storeRetryPause, again);
+    return owner && m_messenger ? std::optional(owner->address) : std::nullopt;
+}
+
+void CellOwnership::sendPartMessage(const std::string& address, const CellId& cell, const PartMessage& message,
+    Common::Duration timeout, const Common::Callback<Common::Done>& callback)
+{
+    if (!address.empty()) {
+        m_messenger(address, cell, message, timeout, callback);
+        return;
+    }
+    // The outbox may remove the message as soon as it is handled.
+    const PartMessage copy = message;
+    engine(cell)->handlePartMessage(copy, callback);
 }
 
 void CellOwnership::listWorkers()
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -11,6 +11,8 @@
 #include "Cells/HostGossip.h"
 #include "Cells/HostSettings.h"
 #include "Cells/LagMonitor.h"
+#include "Cells/PartMessage.h"
+#include "Cells/PartOutbox.h"
 #include "Cells/RecordStore.h"
 #include "Cells/WorkerList.h"
 #include "Cells/WorkerOrders.h"
@@ -82,6 +84,8 @@
     /// Addresses for calls of live hosts that receive the loads of all cells, those of this host's domain and region
     /// first; hosts in one place begin with different ones.
     std::vector<std::string> loadHolders() const;
+    /// Messages on transferred tasks that owners of other cells haven't handled.
+    size_t pendingPartMessages() const { return m_partOutbox.size(); }
     /// Number of cells with a live owner, this host included.
     size_t servedCells() const;
     HostDirectory& hosts() { return m_directory; }
@@ -93,10 +97,9 @@
     }
     /// Whether the store answered this host's last direct call; announced to other hosts.
     void setStoreAvailable(bool answers) { m_storeAvailable = answers; }
-    using PartMessage = CellEngine::PartMessage;
     /// Sends a message to the owner of a cell at `address`; Done when the owner has handled it. JobGateway sets it.
-    using Messenger = std::function<void(
-        const std::string& address, const CellId&, const PartMessage&, Common::Callback<Common::Done>)>;
+    using Messenger = std::function<void(const std::string& address, const CellId&, const PartMessage&,
+        Common::Duration timeout, Common::Callback<Common::Done>)>;
     void setMessenger(Messenger messenger) { m_messenger = std::move(messenger); }
     /// Whether this host has the cell in its hands: it owns the cell and may act, or its claim is written.
     bool holds(const CellId&) const;
@@ -198,7 +201,9 @@
     ServiceRooms serviceRooms(const CellId& self) const;
     std::map<CellId, size_t> taskSlots(
         const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
-    void notifyOwner(const CellId&, const PartMessage&, const std::function<void()>& handled = {});
+    std::optional<std::string> addressForParts(const CellId&);
+    void sendPartMessage(const std::string& address, const CellId&, const PartMessage&, Common::Duration timeout,
+        const Common::Callback<Common::Done>&);
     void requestTransferCheck(const CellId&, const Common::JobId&);
     void releaseCell(const CellId&, std::function<void()> done);
     void removeEngine(const CellId&);
@@ -271,6 +276,7 @@
     bool m_draining = false;
     ConfigVersionHook m_onConfigVersion;
     Messenger m_messenger;
+    PartOutbox m_partOutbox;
     OwnerProbe m_ownerProbe;
     ReliefRequest m_reliefRequest;
     PollMessenger m_pollMessenger;
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -189,21 +189,20 @@
 void JobGateway::start()
 {
     m_startedAt = m_runtime.now();
-    m_cellOwnership.setMessenger(
-        [this](const std::string& address, const CellId& cell, const CellEngine::PartMessage& message,
-            const Common::Callback<Common::Done>& onHandled) {
-            Json params { { "cell", cell.value() } };
-            if (const auto* const transfer = std::get_if<TaskTransfer>(&message))
-                params["gift"] = transfer->encode();
+    m_cellOwnership.setMessenger([this](const std::string& address, const CellId& cell, const PartMessage& message,
+                                     Common::Duration timeout, const Common::Callback<Common::Done>& onHandled) {
+        Json params { { "cell", cell.value() } };
+        if (const auto* const transfer = std::get_if<TaskTransfer>(&message))
+            params["gift"] = transfer->encode();
+        else
+            params["cancelled"] = std::get<Jobs::JobRecord>(message).encode();
+        m_peers.call(address, partMethod, params, timeout, [onHandled](const Common::Result<Json>& answer) {
+            if (answer)
+                onHandled(Common::Done {});
             else
-                params["cancelled"] = std::get<Jobs::JobRecord>(message).encode();
-            m_peers.call(address, partMethod, params, callTimeout, [onHandled](const Common::Result<Json>& answer) {
-                if (answer)
-                    onHandled(Common::Done {});
-                else
-                    onHandled(answer.reason());
-            });
+                onHandled(answer.reason());
         });
+    });
     m_cellOwnership.setOwnerProbe([this](const std::string& address, const CellId& cell, Common::Duration timeout,
                                       Common::Callback<CellOwnership::ProbeAnswer> callback) {
         m_peers.call(address, ownerMethod, Json { { "cell", cell.value() } }, timeout,
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -92,6 +92,7 @@
     /// received before. The job may be complete, or have a task without attempts left, afterwards. Opens the
     /// occurrences of the tasks in a part.
     void receiveTransfer(const TaskTransfer&, Common::MonotonicTime now, int64_t wallMilliseconds);
+    bool hasReceived(const TaskTransfer&) const;
     /// Closes the occurrences of a scheduled job's part whose tasks were all returned. Must not be called while a
     /// transfer isn't durable, which may have to be reverted.
     void closeReturned();
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -90,6 +90,12 @@
     });
 }
 
+bool LiveJob::hasReceived(const TaskTransfer& transfer) const
+{
+    const auto numbers = m_record.transfersReceived.find(transfer.from.value());
+    return numbers != m_record.transfersReceived.end() && numbers->second.contains(transfer.number);
+}
+
 void LiveJob::receiveTransfer(const TaskTransfer& transfer, Common::MonotonicTime now, int64_t wallMilliseconds)
 {
     ++m_changes;
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -252,6 +252,10 @@
     metrics.gauge("lavendercart_ready", "Whether the host takes calls").Set(ready() ? 1 : 0);
     metrics.gauge("lavendercart_pending_cancellations", "Cancellations that the owners of cells haven't confirmed yet")
         .Set(static_cast<double>(jobGateway.pendingCancellations()));
+    metrics
+        .gauge("lavendercart_pending_part_messages",
+            "Messages on transferred tasks that owners of other cells haven't handled")
+        .Set(static_cast<double>(cellOwnership.pendingPartMessages()));
     metrics.gauge("lavendercart_unreadable_entries", "Entries of the list of workers that can't be read")
         .Set(static_cast<double>(registry.unreadableEntries()));
     updateWorkMetrics();
