--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -318,9 +318,10 @@
         return;
     }
     if (const auto* const transfer = std::get_if<TaskTransfer>(&message)) {
-        // Repeated, as its answer was late.
         const LiveJob* const known = findJob(transfer->part.id);
         if (known && known->hasReceived(*transfer) && known->isDurable()) {
+            // A sender whose write had no certain outcome may have stored it again.
+            m_committer.recordReceivedTransfer(transfer->part.id, transfer->key());
             callback(Common::Done {});
             return;
         }
