--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -18,6 +18,9 @@
 namespace {
 
     constexpr Common::Duration sweepInterval = std::chrono::milliseconds(500);
+    /// A final job is known for this much longer than CellSettings::statusRetention: a query that began in time may
+    /// wait for calls without an answer, and wall clocks of hosts differ.
+    constexpr Common::Duration lateQueryTime = std::chrono::seconds(10);
     /// Workers list at most this many ends at a time; a list of this length may leave out ends.
     constexpr size_t maximumListedEnds = 500;
     /// A run without progress for this long is stuck: two polls and the slack between them.
@@ -496,7 +499,8 @@
     if (m_closed)
         return;
     const int64_t now = m_runtime.wallMilliseconds();
-    const auto retention = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.statusRetention).count();
+    const auto retention
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.statusRetention + lateQueryTime).count();
     for (auto row = m_jobs.begin(); row != m_jobs.end();) {
         const LiveJob& job = *row->second;
         const bool expired = isFinal(job.phase()) && job.isDurable() && now - job.finishedMilliseconds() > retention;
--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -36,7 +36,7 @@
     Common::Duration refusalPause = std::chrono::milliseconds(600);
     /// Delay between a change and the placement of tasks, so that one placement covers several changes.
     Common::Duration placementDelay = std::chrono::milliseconds(2);
-    /// How long the state of a final job can be queried.
+    /// How long the state of a final job can be queried at least.
     Common::Duration statusRetention = std::chrono::seconds(120);
     /// Factor by which a gang's run time grows when its members are on several racks.
     double spreadSlowdown = 2;
--- a/Source/Core/Config/EntrySettings.cpp
+++ b/Source/Core/Config/EntrySettings.cpp
@@ -44,6 +44,8 @@
             "How many times as long tasks that belong on one rack take on several.");
         table.integer("cells.workers", IntegerRule { 1, highestWorkersPerCell, "workers" }, &Settings::workersPerCell,
             "Target number of workers of a cell, when the fleet's first host divides them.");
+        table.duration("jobs.statusRetention", DurationRule { 1s, 24h }, &Settings::statusRetention,
+            "How long the state of a job that has ended is told at least.");
         table.duration("stop.grace", DurationRule { 1s, 1h }, &Settings::stopGrace,
             "From the signal to stop until the process is killed.");
         table.textChoice("log.level", ChoiceRule { { "debug", "info", "warn", "error" } }, &Settings::logLevel,
--- a/Source/Core/Config/EntrySettings.h
+++ b/Source/Core/Config/EntrySettings.h
@@ -36,6 +36,8 @@
     double spreadSlowdown = 2;
     /// Target number of workers of a cell; counts when the layout is written, by the first host that ever starts.
     int64_t workersPerCell = 20;
+    /// How long the state of a job that has ended is told at least.
+    Common::Duration statusRetention = std::chrono::seconds(120);
     /// Time from the stop signal until the process is killed.
     Common::Duration stopGrace = std::chrono::seconds(6);
     std::string logLevel = "info";
--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -111,6 +111,7 @@
         Cells::CellSettings cells;
         cells.longestLease = settings.longestRunLease;
         cells.spreadSlowdown = settings.spreadSlowdown;
+        cells.statusRetention = settings.statusRetention;
         return cells;
     }
 
