More transfers under way at first; read the transfers of few jobs at a time after a takeover

The same class of fault, found by reading: a new owner read the transfers of all its jobs at once, and each again 0.4 s after the store had refused it. Sixteen at a time now, pauses included.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -21,6 +21,8 @@
 namespace {
 
     constexpr Common::Duration storeRetryPause = std::chrono::milliseconds(400);
+    /// So many jobs' transfers are read from the store at a time.
+    constexpr size_t maximumTransferChecks = 16;
     /// The first layout is written when the list of workers has stopped growing, or after this time.
     constexpr Common::Duration layoutTimeout = std::chrono::seconds(5);
     constexpr Common::Duration layoutRetryPause = std::chrono::milliseconds(600);
@@ -1131,21 +1133,42 @@
 
 void CellOwnership::requestTransferCheck(const CellId& cell, const Common::JobId& job)
 {
-    m_ports.store.list(StoreKeys::job(cell, job) + StoreKeys::transferMarker, Freshness::Linearizable,
-        m_lifetime.guard([this, cell, job](const Common::Result<RecordListing>& found) {
-            if (!found) {
-                LC_WARN(Store,
-                    "event=transfers-unread cell=" << cell.value() << " job=" << job.value()
-                                                   << " reason=" << Common::errorName(found.reason().code));
-                m_ports.runtime.schedule(
-                    storeRetryPause, m_lifetime.guard([this, cell, job] { requestTransferCheck(cell, job); }));
-                return;
-            }
-            for (const Scheduler::StoreValue& value : found->records) {
-                if (const auto transfer = readTransfer(value))
-                    m_partOutbox.add(cell, *transfer, nullptr);
-            }
+    m_transferChecks.emplace_back(cell, job);
+    checkTransfers();
+}
+
+void CellOwnership::checkTransfers()
+{
+    while (!m_transferChecks.empty() && m_transferChecksUnderWay < maximumTransferChecks) {
+        const auto [cell, job] = m_transferChecks.front();
+        m_transferChecks.pop_front();
+        ++m_transferChecksUnderWay;
+        m_ports.store.list(StoreKeys::job(cell, job) + StoreKeys::transferMarker, Freshness::Linearizable,
+            m_lifetime.guard([this, cell = cell, job = job](
+                                 const Common::Result<RecordListing>& found) { onTransfersRead(cell, job, found); }));
+    }
+}
+
+void CellOwnership::onTransfersRead(
+    const CellId& cell, const Common::JobId& job, const Common::Result<RecordListing>& found)
+{
+    if (!found) {
+        LC_WARN(Store,
+            "event=transfers-unread cell=" << cell.value() << " job=" << job.value()
+                                           << " reason=" << Common::errorName(found.reason().code));
+        m_transferChecks.emplace_back(cell, job);
+        m_ports.runtime.schedule(storeRetryPause, m_lifetime.guard([this] {
+            --m_transferChecksUnderWay;
+            checkTransfers();
         }));
+        return;
+    }
+    --m_transferChecksUnderWay;
+    for (const Scheduler::StoreValue& value : found->records) {
+        if (const auto transfer = readTransfer(value))
+            m_partOutbox.add(cell, *transfer, nullptr);
+    }
+    checkTransfers();
 }
 
 ServiceRooms CellOwnership::serviceRooms(const CellId& self) const
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -21,6 +21,7 @@
 #include "Scheduler/Runtime.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -205,6 +206,8 @@
     void sendPartMessage(const std::string& address, const CellId&, const PartMessage&, Common::Duration timeout,
         const Common::Callback<Common::Done>&);
     void requestTransferCheck(const CellId&, const Common::JobId&);
+    void checkTransfers();
+    void onTransfersRead(const CellId&, const Common::JobId&, const Common::Result<RecordListing>&);
     void releaseCell(const CellId&, std::function<void()> done);
     void removeEngine(const CellId&);
     void listWorkers();
@@ -277,6 +280,9 @@
     ConfigVersionHook m_onConfigVersion;
     Messenger m_messenger;
     PartOutbox m_partOutbox;
+    /// Cells and jobs whose transfers are to be read from the store.
+    std::deque<std::pair<CellId, Common::JobId>> m_transferChecks;
+    size_t m_transferChecksUnderWay = 0;
     OwnerProbe m_ownerProbe;
     ReliefRequest m_reliefRequest;
     PollMessenger m_pollMessenger;
--- a/Source/Core/Cells/PartOutbox.cpp
+++ b/Source/Core/Cells/PartOutbox.cpp
@@ -19,9 +19,9 @@
     constexpr Common::Duration answerTime = std::chrono::milliseconds(1000);
     constexpr uint32_t maximumDoublings = 2;
     /// Messages of one kind that may be under way to one cell.
-    constexpr double firstWindow = 4;
+    constexpr double firstWindow = 16;
     constexpr double smallestWindow = 1;
-    constexpr double largestWindow = 16;
+    constexpr double largestWindow = 32;
     constexpr double windowReduction = 2;
     /// At most one line a lane within this time.
     constexpr Common::Duration logInterval = std::chrono::seconds(1);
@@ -33,8 +33,6 @@
 
 } // namespace
 
-double PartOutbox::firstWindowOf(Kind kind) { return kind == Kind::Transfer ? firstWindow : largestWindow; }
-
 const char* PartOutbox::nameOf(Kind kind) { return kind == Kind::Transfer ? "transfer" : "cancellation"; }
 
 PartOutbox::PartOutbox(Scheduler::Runtime& runtime, Ports ports)
@@ -59,7 +57,7 @@
     if (transfer && !lane.transferKeys.insert(transfer->key()).second)
         return;
     if (lane.messages.empty())
-        lane.window = firstWindowOf(key.second);
+        lane.window = firstWindow;
     const uint64_t number = ++m_lastNumber;
     Message& message = lane.messages[number];
     message.content = std::move(content);
@@ -193,7 +191,7 @@
         return;
     lane.address = address;
     lane.underWay = 0;
-    lane.window = firstWindowOf(key.second);
+    lane.window = firstWindow;
     lane.windowReducedAt = lane.sendsFrom = {};
     lane.waiting.clear();
     for (auto& [number, message] : lane.messages) {
--- a/Source/Core/Cells/PartOutbox.h
+++ b/Source/Core/Cells/PartOutbox.h
@@ -85,7 +85,6 @@
     };
     using LaneKey = std::pair<CellId, Kind>;
 
-    static double firstWindowOf(Kind);
     static const char* nameOf(Kind);
     void sendDue(const LaneKey&);
     void send(const LaneKey&, Lane&, uint64_t number, Common::MonotonicTime now);
--- a/Source/UnitTests/Fakes/FakeRecordStore.h
+++ b/Source/UnitTests/Fakes/FakeRecordStore.h
@@ -36,6 +36,7 @@
     uint64_t latePerMille = 0;
     uint64_t writes = 0;
     uint64_t reads = 0;
+    uint64_t refusedCalls = 0;
 
     Cells::RecordStore& client(const std::string& from, FakeProcess& process)
     {
@@ -152,6 +153,7 @@
 
         template <typename T> void refuse(Common::Callback<T> done)
         {
+            ++m_store.refusedCalls;
             m_process.schedule(std::chrono::milliseconds(2), [done] {
                 done(Common::Failure { Common::ErrorCode::StoreUnavailable, "", {} });
             });
