TransferCheckTest: lose the answers to the successor's first reads

The reads had been answered before the store went down, so the test passed without the limit. Without it 5201 calls are refused in five seconds now (bound 500).

--- a/Source/UnitTests/Cells/TransferCheckTest.cpp
+++ b/Source/UnitTests/Cells/TransferCheckTest.cpp
@@ -38,6 +38,8 @@
     for (int step = 0; step < 20'000 && !successor.cellOwnership.engine(home); ++step)
         world.clock.advance(1ms);
     REQUIRE(successor.cellOwnership.engine(home));
+    // The answers to what it has asked at once are lost.
+    world.network.cut(Fakes::FakeRecordStore::address, successor.address);
     world.store.down = true;
     world.clock.advance(2s);
     world.store.refusedCalls = 0;
@@ -45,6 +47,7 @@
     // Sixteen reads every 0.4 s.
     CHECK(world.store.refusedCalls < 5 * (40 + otherCallsPerSecond));
     world.store.down = false;
+    world.network.heal();
     world.clock.advance(30s);
     CHECK(world.running() == services);
     CHECK(world.judge.summary() == "");
