Let an idle job's backfill share free room after two seconds under light load

While at least half of the processor time is free, a task of a job of which nothing runs in the cell now waits for 2 s.

BackfillWaitTest failed before: 8.1 s, bound 3 s. The comment that told of the gap goes.

--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -177,6 +177,7 @@
     wait.waited = blocked ? m_runtime.now() - blocked->since : Common::Duration::zero();
     wait.estimate = job.stepSpec(step).estimate;
     wait.lightlyLoaded = m_lightlyLoaded.contains(job.policy().service);
+    wait.jobIdle = wait.lightlyLoaded && !job.hasRun();
     return Policy::admitBackfill(wait);
 }
 
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1211,13 +1211,10 @@
 void CellOwnership::sendPartMessage(const std::string& address, const CellId& cell, const PartMessage& message,
     Common::Duration timeout, const Common::Callback<Common::Done>& callback)
 {
-    if (!address.empty()) {
+    if (address.empty())
+        engine(cell)->handlePartMessage(message, callback);
+    else
         m_messenger(address, cell, message, timeout, callback);
-        return;
-    }
-    // The outbox may remove the message as soon as it is handled.
-    const PartMessage copy = message;
-    engine(cell)->handlePartMessage(copy, callback);
 }
 
 void CellOwnership::listWorkers()
--- a/Source/Core/Cells/PartOutbox.cpp
+++ b/Source/Core/Cells/PartOutbox.cpp
@@ -60,7 +60,7 @@
         lane.window = firstWindow;
     const uint64_t number = ++m_lastNumber;
     Message& message = lane.messages[number];
-    message.content = std::move(content);
+    message.content = std::make_shared<const PartMessage>(std::move(content));
     message.handled = std::move(handled);
     message.at = m_runtime.now();
     lane.waiting.insert({ message.yields, message.at, number });
@@ -100,7 +100,9 @@
     message.isUnderWay = !lane.address.empty();
     lane.underWay += message.isUnderWay ? 1 : 0;
     const uint64_t attempt = ++message.attempt;
-    m_ports.send(lane.address, key.first, message.content, doubled(answerTime, message.unanswered),
+    // This process may answer, which removes the message, within the call.
+    const std::shared_ptr<const PartMessage> content = message.content;
+    m_ports.send(lane.address, key.first, *content, doubled(answerTime, message.unanswered),
         m_lifetime.guard([this, key, number, attempt](
                              const Common::Result<Common::Done>& answer) { onAnswer(key, number, attempt, answer); }));
 }
@@ -155,7 +157,7 @@
     }
     // It waits again if a former owner has handled it.
     lane.waiting.erase({ message.yields, message.at, number });
-    if (const auto* const transfer = std::get_if<TaskTransfer>(&message.content))
+    if (const auto* const transfer = std::get_if<TaskTransfer>(message.content.get()))
         lane.transferKeys.erase(transfer->key());
     const std::function<void()> handled = std::move(message.handled);
     lane.messages.erase(number);
--- a/Source/Core/Cells/PartOutbox.h
+++ b/Source/Core/Cells/PartOutbox.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -52,7 +53,7 @@
         Cancellation,
     };
     struct Message {
-        PartMessage content;
+        std::shared_ptr<const PartMessage> content;
         std::function<void()> handled;
         /// Attempts at the present owner that ended without an answer.
         uint32_t unanswered = 0;
--- a/Source/Core/Policy/BackfillAdmission.cpp
+++ b/Source/Core/Policy/BackfillAdmission.cpp
@@ -14,7 +14,8 @@
 
 BackfillAdmission admitBackfill(const BackfillWait& wait)
 {
-    if (wait.waited >= longestBackfillWait)
+    const bool standsStill = wait.jobIdle && wait.lightlyLoaded;
+    if (wait.waited >= (standsStill ? longestWaitOfIdleJob : longestBackfillWait))
         return { usualStartPace, 0, wait.lightlyLoaded };
     if (wait.waited <= Common::Duration::zero() || wait.estimate <= Common::Duration::zero())
         return { usualStartPace, usualStartPace, false };
--- a/Source/Core/Policy/BackfillAdmission.h
+++ b/Source/Core/Policy/BackfillAdmission.h
@@ -9,10 +9,13 @@
 
 /// A backfill task that has waited this long starts at any pace on a worker that would have room for it if it weren't
 /// backfill; while the service's workers are lightly loaded, it shares that room with other backfill. The wait is
-/// bounded by the 11 s in which users expect an accepted job to have something running. It exceeds the 3 s that they
-/// count at the end of a day, see KNOWN-RED.txt.
+/// bounded by the 11 s in which users expect an accepted job to have something running.
 constexpr Common::Duration longestBackfillWait = std::chrono::seconds(8);
 
+/// The same for a task of a job of which nothing runs, while the workers are lightly loaded: users expect such a job to
+/// have something running within 3 s.
+constexpr Common::Duration longestWaitOfIdleJob = std::chrono::seconds(2);
+
 /// What a waiting backfill task asks of a worker. As long as it meets the usual pace it runs on processor time that
 /// others leave unused. Below that pace it needs room that isn't allocated, as an ordinary task does: on a full worker
 /// it would only take from backfill that can still work at the usual pace.
@@ -41,6 +44,8 @@
     /// Run time of the task at full speed.
     Common::Duration estimate {};
     bool lightlyLoaded = false;
+    /// Whether no task of the job runs in the cell.
+    bool jobIdle = false;
 };
 
 BackfillAdmission admitBackfill(const BackfillWait&);
--- a/Source/UnitTests/Cells/BackfillWaitTest.cpp
+++ b/Source/UnitTests/Cells/BackfillWaitTest.cpp
@@ -13,6 +13,8 @@
 constexpr int64_t halfWorker = ServedCells::workerMilliCores / 2;
 /// From the moment at which there is room for it to its first run.
 constexpr Common::Duration longestWait = 11s;
+/// The platform's bound for a job of which nothing runs, at the end of a day, while most room is free.
+constexpr Common::Duration longestWaitAtEnd = 3s;
 constexpr Common::Duration longWatch = 60s;
 
 /// Submits a backfill job and checks that it is started within the bound and not given up afterwards.
@@ -42,6 +44,25 @@
     }
 }
 
+/// Backfill that its services' tails have paused holds all processor time that isn't allocated.
+void fillWithPausedBackfill(ServedCells& world)
+{
+    world.learn(learningJob, "batch");
+    for (size_t index = 0; index < world.domains.size(); ++index) {
+        Jobs::JobRecord filling = ServedCells::backfill(
+            20 + index, "run:600000", "batch", ServedCells::workersEach, ServedCells::workerMilliCores);
+        filling.spec.steps[0].maximumPerWorker = 1;
+        world.submitTo(world.domains[index], filling);
+    }
+    world.watch(5s);
+    for (const auto& worker : world.workers)
+        REQUIRE(worker->running() == 2);
+    world.setOwnTail(1.1 * ServedCells::targetMilliseconds);
+    world.watch(5s);
+    for (const auto& worker : world.workers)
+        REQUIRE_FALSE(worker->hasBackfillAtWork());
+}
+
 } // namespace
 
 TEST_CASE("backfill starts within the bound although every service beside it is near its target")
@@ -133,20 +154,22 @@
     for (const size_t cells : { 1, 3 }) {
         CAPTURE(cells);
         ServedCells world(7, cells, {});
-        world.learn(learningJob, "batch");
-        for (size_t index = 0; index < cells; ++index) {
-            Jobs::JobRecord filling = ServedCells::backfill(
-                20 + index, "run:600000", "batch", ServedCells::workersEach, ServedCells::workerMilliCores);
-            filling.spec.steps[0].maximumPerWorker = 1;
-            world.submitTo(world.domains[index], filling);
-        }
-        world.watch(5s);
-        for (const auto& worker : world.workers)
-            REQUIRE(worker->running() == 2);
-        world.setOwnTail(1.1 * ServedCells::targetMilliseconds);
-        world.watch(5s);
-        for (const auto& worker : world.workers)
-            REQUIRE_FALSE(worker->hasBackfillAtWork());
+        fillWithPausedBackfill(world);
         checkStarts(world, ServedCells::backfill(jobNumber, "run:5000", "batch", 1, halfWorker));
     }
 }
+
+// Guards against accepted jobs that stand still although most of the workers' room is free.
+TEST_CASE("a job of backfill starts within three seconds while backfill holds only what isn't allocated")
+{
+    for (const size_t cells : { 1, 3 }) {
+        CAPTURE(cells);
+        ServedCells world(8, cells, {});
+        fillWithPausedBackfill(world);
+        world.submitTo(world.domains[0], ServedCells::backfill(jobNumber, "run:5000", "batch", 4, halfWorker));
+        CHECK(world.waitFor(jobNumber, longWatch) <= longestWaitAtEnd);
+        CHECK(world.looksWithoutRun(jobNumber, longWatch) == 0);
+        CHECK(world.harmText() == "");
+        CHECK(world.judge.summary() == "");
+    }
+}
--- a/Source/UnitTests/Policy/BackfillAdmissionTest.cpp
+++ b/Source/UnitTests/Policy/BackfillAdmissionTest.cpp
@@ -12,12 +12,12 @@
 
 constexpr int64_t wanted = 7000;
 
-TaskRequirements waiting(Common::Duration waited, bool lightlyLoaded = false)
+TaskRequirements waiting(Common::Duration waited, bool lightlyLoaded = false, bool jobIdle = false)
 {
     TaskRequirements task;
     task.resources = { 0, wanted, 1000, 0 };
     task.backfill = true;
-    task.admission = admitBackfill({ waited, 2s, lightlyLoaded });
+    task.admission = admitBackfill({ waited, 2s, lightlyLoaded, jobIdle });
     return task;
 }
 
@@ -58,6 +58,16 @@
     CHECK_FALSE(isAdmissible(waiting(7999ms, true), crowded));
 }
 
+TEST_CASE("a job of which nothing runs shares free room sooner while the workers are lightly loaded")
+{
+    WorkerOffer crowded = pressed(20'000, 0);
+    crowded.backfillMilliCores = 20'000;
+    CHECK_FALSE(isAdmissible(waiting(1999ms, true, true), crowded));
+    CHECK(isAdmissible(waiting(2s, true, true), crowded));
+    CHECK_FALSE(isAdmissible(waiting(2s, false, true), crowded));
+    CHECK_FALSE(isAdmissible(waiting(2s, true, true), pressed(wanted - 1, 0)));
+}
+
 TEST_CASE("an admission covers another one if it allows the same workers and more")
 {
     const BackfillAdmission first = admitBackfill({ 0s, 2s, true });
