--- a/Source/UnitTests/Cells/FullCellTest.cpp
+++ b/Source/UnitTests/Cells/FullCellTest.cpp
@@ -139,7 +139,7 @@
     CHECK(world.startsOfJob() == 3);
     CHECK(world.peerWorker().starts == 3);
     CHECK(world.judge.summary() == "");
-    world.clock.advance(125s);
+    world.clock.advance(135s);
     CHECK(world.partRecords() == 0);
     CHECK(world.judge.starts == 7);
 }
