--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -25,10 +25,6 @@
     constexpr size_t maximumListedEnds = 500;
     /// A run without progress for this long is stuck: two polls and the slack between them.
     constexpr Common::Duration stuckTimeout = std::chrono::milliseconds(3600);
-    /// An order that is left unanswered is carried out this much later at most.
-    constexpr Common::Duration longestOrderDelay = std::chrono::milliseconds(12100);
-    /// Time to learn from the worker whether it was.
-    constexpr Common::Duration lateStartReportTime = std::chrono::milliseconds(700);
     /// A long-running task that hasn't finished its start-up after this long is moved.
     constexpr Common::Duration startUpTimeout = std::chrono::milliseconds(4500);
     /// Tasks that save their progress are moved off a leaving worker when it may leave within this time.
@@ -171,9 +167,9 @@
         notifyParts(addJob(std::move(record), true));
     for (const TaskTransfer& transfer : recoveredCell.transfers)
         receiveTransfer(transfer);
-    for (const WorkerEntry& worker : recoveredCell.workers) {
+    for (const RecordedWorker& worker : recoveredCell.workers) {
         m_inheritedWorkers.insert(worker.id);
-        m_workers.add(worker, false);
+        m_workers.addRecorded(worker);
     }
     m_runtime.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
 }
@@ -184,7 +180,7 @@
 {
     noticeReplacement(entry);
     m_disownedWorkers.erase(entry.id);
-    m_workers.add(entry, true);
+    m_workers.add(entry);
     m_health.add(entry.id);
     writeWorkers();
     schedulePlacement();
@@ -231,11 +227,12 @@
     }
 }
 
-/// The record of workers must be durable before the first run is started on a new worker.
+/// The record of workers must be durable before the first run is started on a new worker, or on a new life of one: a
+/// successor may find no entry that tells of it.
 void CellEngine::writeWorkers()
 {
     nlohmann::json rows = nlohmann::json::array();
-    std::set<Common::WorkerId> ids;
+    std::map<Common::WorkerId, int64_t> lives;
     for (const auto& [id, worker] : m_workers.all()) {
         // A successor needn't wait for a worker that has no runs and gets none, and whose ends are durable.
         const bool takesWork = worker->listed && !worker->entry().draining;
@@ -243,21 +240,31 @@
             || (!worker->contacted && m_inheritedWorkers.contains(id));
         if (!takesWork && !mayHoldRuns)
             continue;
-        rows.push_back(nlohmann::json::array({ id.value(), worker->entry().address }));
-        ids.insert(id);
+        rows.push_back(nlohmann::json::array(
+            { id.value(), worker->entry().address, worker->startedAtMilliseconds, worker->lateCallsEndMilliseconds }));
+        lives.emplace(id, worker->startedAtMilliseconds);
     }
     std::string text = rows.dump();
     if (text == m_writtenWorkers)
         return;
     m_writtenWorkers = text;
     // From now on the durable record may be one that leaves these out, until a record with them is known to be durable.
-    std::erase_if(m_recordedWorkers, [&ids](const Common::WorkerId& id) { return !ids.contains(id); });
-    m_committer.setWorkers(std::move(text), m_lifetime.guard([this, ids = std::move(ids)] {
-        m_recordedWorkers = ids;
+    std::erase_if(m_recordedWorkers, [&lives](const auto& row) {
+        const auto written = lives.find(row.first);
+        return written == lives.end() || written->second != row.second;
+    });
+    m_committer.setWorkers(std::move(text), m_lifetime.guard([this, lives = std::move(lives)] {
+        m_recordedWorkers = lives;
         schedulePlacement();
     }));
 }
 
+bool CellEngine::isRecorded(const CellWorker& worker) const
+{
+    const auto found = m_recordedWorkers.find(worker.id());
+    return found != m_recordedWorkers.end() && found->second == worker.startedAtMilliseconds;
+}
+
 LiveJob* CellEngine::findJob(const Common::JobId& id)
 {
     const auto found = m_jobs.find(id);
@@ -646,6 +653,7 @@
         allocation = worker.find(run);
     }
     allocation->reportedRunning = true;
+    allocation->token = worker.token;
     allocation->load = row.load;
     if (!allocation->orderAnsweredAt)
         allocation->orderAnsweredAt = m_runtime.now();
@@ -705,9 +713,11 @@
     for (const auto& [run, allocation] : worker.allocations()) {
         // While the worker is unreachable no further copy of a start order is sent.
         const bool isTooLate = !worker.reachable && !allocation.reportedRunning && allocation.startOutcomeUnknown
-            && askedAt - allocation.startUnansweredSince > longestOrderDelay;
+            && !worker.lease().mayBeUnderWay(allocation.startUnansweredSince, askedAt);
         const bool isAnswered = allocation.orderAnsweredAt && *allocation.orderAnsweredAt < askedAt;
-        if ((isAnswered || isTooLate) && !present.contains(run))
+        // The present life refuses orders that were meant for a former one.
+        const bool isOfFormerLife = allocation.token != FencingToken {} && allocation.token != worker.token;
+        if ((isAnswered || isTooLate || isOfFormerLife) && !present.contains(run))
             gone.push_back(run);
     }
     for (const RunKey& run : gone) {
@@ -732,41 +742,41 @@
     size_t awaited = 0;
     for (const auto& [run, allocation] : worker.allocations()) {
         const bool mayStillStart = !allocation.reportedRunning || allocation.startOutcomeUnknown;
-        if (!rebooted && awaitsUnreadEnd(worker, run, allocation))
+        if (rebooted)
+            (mayStillStart ? unconfirmed : gone).push_back(run);
+        else if (awaitsLateStart(worker, run, allocation) || awaitsUnreadEnd(worker, run, allocation))
             ++awaited;
         else
-            (rebooted && mayStillStart ? unconfirmed : gone).push_back(run);
+            gone.push_back(run);
     }
-    if (awaited > 0 && gone.empty())
+    if (awaited > 0 && gone.empty()) {
+        noteHeldRuns(worker);
         return;
+    }
     LC_WARN(Worker,
         "event=" << (rebooted ? "worker-reborn" : "worker-lease-passed") << " worker=" << worker.id().value()
                  << " lost=" << gone.size() << " awaited=" << awaited
                  << " unheard-ms=" << (m_runtime.now() - worker.lastReportAt) / std::chrono::milliseconds(1));
     onRunsLost(worker, gone, rebooted);
-    for (const RunKey& run : gone) {
-        awaitLateStart(worker.id(), *worker.find(run), run.task);
+    for (const RunKey& run : gone)
         dropRun(worker, run);
-    }
-    // Start orders whose runs were never reported before the reboot, and copies that were left unanswered, may have
-    // been carried out since or may still be: nothing in them tells the worker's lives apart.
+    // A start order that was answered may have been carried out by either life, and copies without an answer may still
+    // be: nothing in them tells the worker's lives apart.
     for (const RunKey& run : unconfirmed) {
         RunAllocation& allocation = *worker.find(run);
         allocation.reportedRunning = false;
-        if (allocation.orderAnsweredAt)
-            allocation.orderAnsweredAt = m_runtime.now();
-        // Sent again, an order that was being carried out when the worker crashed would start the same attempt anew.
-        if (std::exchange(allocation.stopping, false) || allocation.startOutcomeUnknown) {
-            // Only the answer to the stop order shows that the new life will refuse the attempt.
-            allocation.orderAnsweredAt.reset();
+        if (const auto answeredAt = std::exchange(allocation.orderAnsweredAt, std::nullopt);
+            answeredAt && !std::exchange(allocation.startOutcomeUnknown, true))
+            allocation.startUnansweredSince = *answeredAt;
+        if (std::exchange(allocation.stopping, false))
             stopRun(worker, run);
-        }
     }
     if (rebooted) {
         worker.forgetReportedCapacity();
         worker.processedThrough = 0;
         worker.acknowledgedThrough = 0;
         worker.pendingEnds.clear();
+        writeWorkers();
     }
     schedulePlacement();
 }
@@ -788,26 +798,26 @@
     return Policy::endsWithin(silent, worker.lease().left(lastKnown));
 }
 
-/// Keeps the task from starting elsewhere as long as an order that a silent worker left unanswered may still be carried
-/// out: the worker may be started anew meanwhile, and its next life doesn't refuse the order.
-void CellEngine::awaitLateStart(
-    const Common::WorkerId& worker, const RunAllocation& allocation, const Jobs::TaskName& name)
+/// Whether a late order may still start the run, so that its task mustn't start elsewhere.
+bool CellEngine::awaitsLateStart(const CellWorker& worker, const RunKey& run, const RunAllocation& allocation) const
 {
-    LiveJob* const job = findJob(name.job);
-    LiveTask* const task = job && allocation.startOutcomeUnknown ? job->find(name) : nullptr;
-    if (!task)
-        return;
-    const Common::MonotonicTime latest = allocation.startUnansweredSince + longestOrderDelay;
-    task->notBefore = std::max(task->notBefore, latest + lateStartReportTime);
-    const Common::Duration left = std::max(latest - m_runtime.now(), Common::Duration::zero());
-    LC_INFO(Jobs,
-        "event=start-held job=" << name.job.value() << " task=" << name.occurrence << "." << name.step << "."
-                                << name.index << " worker=" << worker.value()
-                                << " left-ms=" << left / std::chrono::milliseconds(1));
-    m_runtime.schedule(left, m_lifetime.guard([this, worker] {
-        if (m_workers.find(worker))
-            m_workers.pollSoon(worker);
-    }));
+    const auto job = m_jobs.find(run.task.job);
+    return job != m_jobs.end() && !isFinal(job->second->phase())
+        && isRun(job->second->find(run.task), worker.id(), run.attempt) && !m_workers.isGone(worker, allocation);
+}
+
+/// Logs once which runs are kept although the worker is silent and its lease has passed, as a late order may start
+/// them.
+void CellEngine::noteHeldRuns(CellWorker& worker)
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    for (const auto& [run, allocation] : worker.allocations()) {
+        if (!awaitsLateStart(worker, run, allocation) || std::exchange(worker.find(run)->heldLogged, true))
+            continue;
+        LC_INFO(Jobs,
+            "event=start-held run=" << runName(run) << " worker=" << worker.id().value() << " left-ms="
+                                    << (m_workers.lateRunEnd(worker, allocation) - now) / std::chrono::milliseconds(1));
+    }
 }
 
 /// Acknowledges ends, in order, whose consequences are durable; the worker may discard these.
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -55,7 +55,7 @@
         /// place.
         bool formerOwnerStopped = false;
         /// Workers on which runs of earlier owners may still be.
-        std::vector<WorkerEntry> workers;
+        std::vector<RecordedWorker> workers;
         /// When the call by which the store confirmed the claim was sent, on the clock that includes suspended time.
         Common::MonotonicTime confirmedAt;
         /// What earlier owners learned about the interference of backfill images with services.
@@ -174,7 +174,8 @@
     void onRunsCleared(CellWorker&, bool rebooted);
     bool awaitsUnreadEnd(const CellWorker&, const RunKey&, const RunAllocation&) const;
     void dropRun(CellWorker&, const RunKey&);
-    void awaitLateStart(const Common::WorkerId&, const RunAllocation&, const Jobs::TaskName&);
+    bool awaitsLateStart(const CellWorker&, const RunKey&, const RunAllocation&) const;
+    void noteHeldRuns(CellWorker&);
     void acknowledge(CellWorker&);
     void recordRunOutcome(CellWorker&, const LiveJob&, bool ok);
     void moveStuckRuns(CellWorker&);
@@ -344,6 +345,7 @@
     void stopRunsOf(const Common::JobId&);
     void markChanged(LiveJob&);
     void writeWorkers();
+    bool isRecorded(const CellWorker&) const;
     /// Thousandths of a core that waiting long-running tasks and those of submissions in progress need.
     int64_t reservedMilliCores() const;
     bool fits(const Jobs::JobSpec&) const;
@@ -372,8 +374,9 @@
     std::set<Common::WorkerId> m_disownedWorkers;
     /// Record of the cell's workers as last given to the committer.
     std::string m_writtenWorkers;
-    /// Workers in the durable record of the cell. Only these get runs, so that a successor knows where runs may be.
-    std::set<Common::WorkerId> m_recordedWorkers;
+    /// Workers in the durable record of the cell, each with the start of the life that the record names. Only these
+    /// lives get runs, so that a successor knows where runs may be.
+    std::map<Common::WorkerId, int64_t> m_recordedWorkers;
     std::function<void()> m_lost;
     PeerCells m_peerCells;
     struct RecentTransfer {
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -223,7 +223,7 @@
     const WorkerEntry& entry = worker.entry();
     if (!worker.listed || entry.draining || !worker.reachable || !worker.contacted)
         return Policy::StartObstacle::Unavailable;
-    if (!m_recordedWorkers.contains(worker.id()))
+    if (!isRecorded(worker))
         return Policy::StartObstacle::Unrecorded;
     if (entry.service != job.policy().service || !hasLabel(entry, spec.requiredLabel))
         return Policy::StartObstacle::Ineligible;
@@ -298,7 +298,7 @@
                                         : static_cast<uint32_t>(fullPace);
     const Common::Duration sinceConfirmed = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
     LC_INFO(Jobs,
-        "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << m_token.value
+        "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << worker.token.value
                                  << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace
                                  << " confirmed-ms=" << sinceConfirmed / std::chrono::milliseconds(1));
     m_blockedSince.erase(name.job);
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -4,6 +4,8 @@
 #include "Cells/AnswerWindow.h"
 #include "Cells/PressureEstimateCodec.h"
 #include "Cells/StoreKeys.h"
+#include "Cells/TokenRange.h"
+#include "Common/Bounds.h"
 #include "Common/Hash.h"
 #include "Common/JsonFault.h"
 #include "Common/JsonField.h"
@@ -66,19 +68,22 @@
     /// The owner of a cell is watched by this many of the hosts that would replace it.
     constexpr size_t watchingSuccessors = 2;
 
-    std::vector<WorkerEntry> readWorkers(const std::optional<Scheduler::StoreValue>& record)
+    std::vector<RecordedWorker> readWorkers(const std::optional<Scheduler::StoreValue>& record)
     {
-        std::vector<WorkerEntry> workers;
+        std::vector<RecordedWorker> workers;
         if (!record)
             return workers;
         try {
             const nlohmann::json rows = Common::parseJsonOrThrow(record->value);
             for (const nlohmann::json& element : Common::JsonField(rows, "the workers").list()) {
                 const Common::JsonField row(element, "a worker");
-                WorkerEntry entry;
-                entry.id = Common::WorkerId(row.element(0).text());
-                entry.address = row.element(1).text();
-                workers.push_back(std::move(entry));
+                RecordedWorker worker;
+                worker.id = Common::WorkerId(row.element(0).text());
+                worker.address = row.element(1).text();
+                worker.startedAtMilliseconds = row.element(2).otherwise(0).amount(0, Common::maximumClockMilliseconds);
+                worker.lateCallsEndMilliseconds
+                    = row.element(3).otherwise(0).amount(0, Common::maximumClockMilliseconds);
+                workers.push_back(std::move(worker));
             }
         } catch (const Common::JsonFault& error) {
             LC_ERROR(Store, "event=unreadable-record key=" << record->key << " reason=" << error.what());
@@ -812,8 +817,8 @@
     }
     if (!found) {
         m_formerOwners.erase(cell);
-        writeClaim(
-            cell, CellRecord { m_settings.id, m_settings.address, FencingToken { 1 }, 0, false, false }, {}, true);
+        writeClaim(cell, CellRecord { m_settings.id, m_settings.address, TokenRange::lastAfter({}), 0, false, false },
+            {}, true);
         return;
     }
     const auto record = CellRecord::decode(found->value);
@@ -826,7 +831,7 @@
         // An earlier claim whose answer was lost, or a release that wasn't written. Either may still be written, and
         // other hosts may have been told of the release: only a new token tells the ownerships apart.
         writeClaim(cell,
-            CellRecord { m_settings.id, m_settings.address, FencingToken { record->token.value + 1 }, 0, false, true },
+            CellRecord { m_settings.id, m_settings.address, TokenRange::lastAfter(record->token), 0, false, true },
             found->revision, false);
         return;
     }
@@ -954,7 +959,7 @@
         m_formerOwners[cell] = record;
     writeClaim(cell,
         CellRecord {
-            m_settings.id, m_settings.address, FencingToken { record.token.value + 1 }, 0, false, !allOwnersStopped },
+            m_settings.id, m_settings.address, TokenRange::lastAfter(record.token), 0, false, !allOwnersStopped },
         revision, allOwnersStopped);
 }
 
--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -13,6 +13,8 @@
     Common::Duration runLease = std::chrono::seconds(6);
     /// The longest lease that workers accept, and so the longest that any owner may have granted.
     Common::Duration longestLease = std::chrono::seconds(10);
+    /// A call without an answer is carried out within this time or never.
+    Common::Duration longestCallDelay = std::chrono::milliseconds(12100);
     /// An owner whose last confirmation by the store is older than this grants no more leases. Longer than the usual
     /// outages of the store.
     Common::Duration authority = std::chrono::seconds(9);
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -1,6 +1,7 @@
 // One worker of a cell: its allocations, free resources and lease. CellWorkers keeps one for each worker.
 #pragma once
 
+#include "Cells/CellId.h"
 #include "Cells/RunAllocation.h"
 #include "Cells/WorkerEntry.h"
 #include "Cells/WorkerLease.h"
@@ -18,11 +19,13 @@
 
 namespace Cells {
 
+struct CellSettings;
+
 /// A run has an allocation from before its start order is sent until its end is reported or it provably can't run any
 /// more. Invariant: `used()` is the sum of what the allocations hold.
 class CellWorker {
 public:
-    explicit CellWorker(WorkerEntry entry);
+    CellWorker(WorkerEntry entry, const CellSettings&);
 
     /// The platform's entry, with the capacity as last known.
     const WorkerEntry& entry() const { return m_entry; }
@@ -90,6 +93,12 @@
     bool reachable = false;
     /// Whether this owner has received a report from it since the takeover.
     bool contacted = false;
+    /// See RecordedWorker.
+    int64_t lateCallsEndMilliseconds = 0;
+    /// Sent with all calls to the present life and with none to a former one.
+    FencingToken token;
+    /// Whether the present life has answered a call that carried its token.
+    bool answered = false;
     /// No runs are started before this time, after the worker refused one.
     Common::MonotonicTime noStartsBefore;
     /// Wall clock of the worker's last known start, in milliseconds; 0 if unknown. A change means that it rebooted.
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -15,12 +15,6 @@
     constexpr uint32_t silentPolls = 3;
     constexpr Common::Duration longestExtraTime = std::chrono::seconds(5);
 
-    /// Whether an answer to a call that was sent in that life of the worker says anything about its present life.
-    bool isPresentLife(const CellWorker& worker, int64_t startedAtMilliseconds)
-    {
-        return startedAtMilliseconds == 0 || startedAtMilliseconds == worker.startedAtMilliseconds;
-    }
-
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
 } // namespace
@@ -61,29 +55,23 @@
     bool idleLogged = false;
 };
 
-CellWorkers::CellWorkers(Scheduler::Runtime& runtime, WorkerOrders& orders, FencingToken token,
+CellWorkers::CellWorkers(Scheduler::Runtime& runtime, WorkerOrders& orders, FencingToken last,
     const CellSettings& settings, Common::Duration inheritedAuthority, Hooks hooks)
     : m_runtime(runtime)
     , m_orders(orders)
-    , m_token(token)
+    , m_tokens(last)
     , m_settings(settings)
     , m_hooks(std::move(hooks))
-    , m_inheritedLeasesEnd(runtime.now() + inheritedAuthority + longestInheritedLease())
+    , m_inheritedLeasesEnd(runtime.now() + inheritedAuthority + WorkerLease::onSlowestClock(settings.runLease))
 {
 }
 
 CellWorkers::~CellWorkers() = default;
 
-/// Duration of a run lease on the slowest worker clock.
-Common::Duration CellWorkers::longestInheritedLease() const
-{
-    return Common::Duration(static_cast<Common::Duration::rep>(
-        static_cast<double>(m_settings.runLease.count()) * (1 + WorkerLease::clockSlack)));
-}
-
 void CellWorkers::endInheritedAuthority()
 {
-    m_inheritedLeasesEnd = std::min(m_inheritedLeasesEnd, m_runtime.now() + longestInheritedLease());
+    m_inheritedLeasesEnd
+        = std::min(m_inheritedLeasesEnd, m_runtime.now() + WorkerLease::onSlowestClock(m_settings.runLease));
 }
 
 CellWorkers::Link& CellWorkers::link(const CellWorker& worker) { return m_links[worker.id()]; }
@@ -94,15 +82,46 @@
     return found == m_workers.end() ? nullptr : found->second.get();
 }
 
-void CellWorkers::add(const WorkerEntry& entry, bool listed)
+CellWorker& CellWorkers::addUnknown(const WorkerEntry& entry)
+{
+    CellWorker& worker = *m_workers.emplace(entry.id, std::make_unique<CellWorker>(entry, m_settings)).first->second;
+    worker.token = m_tokens.take();
+    schedulePoll(entry.id, Common::Duration::zero());
+    return worker;
+}
+
+void CellWorkers::addRecorded(const RecordedWorker& recorded)
+{
+    WorkerEntry entry;
+    entry.id = recorded.id;
+    entry.address = recorded.address;
+    entry.startedAtMilliseconds = recorded.startedAtMilliseconds;
+    CellWorker& worker = addUnknown(entry);
+    worker.listed = false;
+    worker.lateCallsEndMilliseconds = recorded.lateCallsEndMilliseconds;
+    if (recorded.lateCallsEndMilliseconds != 0)
+        worker.lease().expectLateCallsUntil(m_runtime.now()
+            + std::chrono::milliseconds(recorded.lateCallsEndMilliseconds - m_runtime.wallMilliseconds()));
+}
+
+void CellWorkers::noteLateCallsEnd(CellWorker& worker)
+{
+    const Common::MonotonicTime end = worker.lease().lateCallsEnd();
+    if (end != Common::MonotonicTime {})
+        worker.lateCallsEndMilliseconds
+            = m_runtime.wallMilliseconds() + (end - m_runtime.now()) / std::chrono::milliseconds(1);
+}
+
+void CellWorkers::add(const WorkerEntry& entry)
 {
-    CellWorker* worker = find(entry.id);
+    CellWorker* const worker = find(entry.id);
     if (!worker) {
-        worker = m_workers.emplace(entry.id, std::make_unique<CellWorker>(entry)).first->second.get();
-        worker->listed = listed;
+        CellWorker& added = addUnknown(entry);
+        if (const auto removed = m_removed.extract(entry.id); !removed.empty())
+            added.lease().expectLateCallsUntil(removed.mapped());
+        noteLateCallsEnd(added);
         if (entry.draining)
-            worker->drainingSince = m_runtime.now();
-        schedulePoll(entry.id, Common::Duration::zero());
+            added.drainingSince = m_runtime.now();
         return;
     }
     const bool rebooted = entry.startedAtMilliseconds != 0 && worker->startedAtMilliseconds != 0
@@ -110,8 +129,13 @@
     if (entry.draining && !worker->entry().draining)
         worker->drainingSince = m_runtime.now();
     worker->update(entry);
-    worker->listed = listed;
+    worker->listed = true;
     worker->unlisted = false;
+    // The record is of an earlier release, which doesn't tell the life.
+    if (worker->startedAtMilliseconds == 0 && !worker->contacted) {
+        worker->startedAtMilliseconds = entry.startedAtMilliseconds;
+        expectLateCallsOfEarlierOwner(*worker);
+    }
     if (!rebooted)
         return;
     acceptRebirth(*worker, entry.startedAtMilliseconds);
@@ -133,18 +157,35 @@
             const auto found = m_links.find(id);
             if (m_closed || !reborn || found == m_links.end() || !found->second.rebirth)
                 return;
-            if (acceptRebirth(*reborn, found->second.rebirth->startedAtMilliseconds))
-                pollSoon(id);
+            acceptRebirth(*reborn, found->second.rebirth->startedAtMilliseconds);
         }));
         return false;
     }
     worker.startedAtMilliseconds = state.rebirth->startedAtMilliseconds;
     state.rebirth.reset();
-    worker.lease().reset(m_settings.longestLease, m_runtime.now());
+    state.polling = false;
+    state.unansweredPolls = 0;
+    worker.lease().startAnew();
+    noteLateCallsEnd(worker);
+    if (!worker.contacted)
+        expectLateCallsOfEarlierOwner(worker);
+    worker.token = m_tokens.take();
+    worker.answered = false;
     m_hooks.runsCleared(worker, true);
+    pollSoon(worker.id());
     return true;
 }
 
+/// Calls of an earlier owner to a former life of a worker that hasn't reported to this owner may be carried out late.
+void CellWorkers::expectLateCallsOfEarlierOwner(CellWorker& worker)
+{
+    if (worker.startedAtMilliseconds == 0)
+        return;
+    const Common::Duration age = std::chrono::milliseconds(m_runtime.wallMilliseconds() - worker.startedAtMilliseconds);
+    worker.lease().startedAnewAt(m_runtime.now() - std::max(age, Common::Duration::zero()));
+    noteLateCallsEnd(worker);
+}
+
 void CellWorkers::unlist(const Common::WorkerId& id)
 {
     CellWorker* const worker = find(id);
@@ -158,6 +199,17 @@
 {
     if (const auto found = m_links.find(id); found != m_links.end() && found->second.timer)
         m_runtime.cancel(*found->second.timer);
+    forget(id);
+}
+
+void CellWorkers::forget(const Common::WorkerId& id)
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    std::erase_if(m_removed, [now](const auto& row) { return row.second < now; });
+    if (CellWorker* const worker = find(id)) {
+        worker->lease().startAnew();
+        m_removed[id] = worker->lease().lateCallsEnd();
+    }
     m_links.erase(id);
     m_workers.erase(id);
 }
@@ -188,7 +240,7 @@
         return;
     m_hooks.acknowledge(*worker);
     WorkerOrders::PollRequest request;
-    request.token = m_token;
+    request.token = worker->token;
     Link& state = link(*worker);
     const bool mayAcknowledge = mayAcknowledgeTo(*worker, state);
     request.acknowledgedThrough = mayAcknowledge ? worker->acknowledgedThrough : 0;
@@ -205,11 +257,11 @@
     state.window = worker->reachable
         ? nullptr
         : std::make_shared<AnswerWindow>(m_runtime, m_settings.answerTimeout + state.extraTime);
-    const Common::MonotonicTime askedAt = m_runtime.now();
+    const Asked asked { m_runtime.now(), worker->token };
     state.askedAt = m_runtime.suspendAwareNow();
     m_orders.pollRuns(targetOf(*worker), request,
         m_lifetime.guard(
-            [this, id, askedAt](const Common::Result<RunReport>& report) { onPollAnswer(id, askedAt, report); }));
+            [this, id, asked](const Common::Result<RunReport>& report) { onPollAnswer(id, asked, report); }));
 }
 
 /// A worker numbers its ends from 1 again when it is started anew, so a number that belongs to its former life would
@@ -221,27 +273,38 @@
         && m_runtime.suspendAwareNow() - *link.heardAt <= m_settings.answerTimeout;
 }
 
-void CellWorkers::onPollAnswer(
-    const Common::WorkerId& id, Common::MonotonicTime askedAt, const Common::Result<RunReport>& report)
+void CellWorkers::onPollAnswer(const Common::WorkerId& id, const Asked& asked, const Common::Result<RunReport>& report)
 {
     CellWorker* const worker = find(id);
     if (m_closed || !worker)
         return;
+    if (asked.token != worker->token) {
+        // The present life has a poll of its own; the answer may tell of a later one.
+        if (report)
+            acceptReport(*worker, *report, asked);
+        return;
+    }
     link(*worker).polling = false;
-    if (!report && report.reason().code == Common::ErrorCode::NotOwner) {
+    if (isFenced(*worker, asked, report)) {
         m_hooks.fenced();
         return;
     }
     if (report)
-        onReport(*worker, *report, askedAt);
+        onReport(*worker, *report, asked);
     else
-        onPollFailure(*worker, report.reason(), askedAt);
+        onPollFailure(*worker, report.reason(), asked.at);
     if (m_closed || dropIfGone(*worker))
         return;
     schedulePoll(id, report ? nextPollDelay(*worker) : link(*worker).retryPause);
 }
 
-void CellWorkers::onReport(CellWorker& worker, const RunReport& report, Common::MonotonicTime askedAt)
+/// Whether a newer owner has called the worker. A poll that was meant for a former life is refused by the present one.
+bool CellWorkers::isFenced(const CellWorker& worker, const Asked& asked, const Common::Result<RunReport>& report) const
+{
+    return !report && report.reason().code == Common::ErrorCode::NotOwner && asked.token == worker.token;
+}
+
+void CellWorkers::onReport(CellWorker& worker, const RunReport& report, const Asked& asked)
 {
     Link& state = link(worker);
     if (state.silenceLogged)
@@ -251,40 +314,49 @@
     state.retryPause = {};
     state.unansweredPolls = 0;
     state.heardThroughHost = false;
-    if (m_runtime.now() - askedAt < state.wait + m_settings.answerTimeout / 2)
+    if (m_runtime.now() - asked.at < state.wait + m_settings.answerTimeout / 2)
         state.extraTime = {};
-    if (!acceptReport(worker, report))
+    if (!acceptReport(worker, report, asked))
         return;
     worker.reachable = true;
     state.listsEnds = !report.ended.empty();
     state.heardAt = m_runtime.suspendAwareNow();
     if (*state.heardAt - state.askedAt > state.wait + m_settings.answerTimeout)
         state.heardAt.reset();
-    m_hooks.report(worker, report, askedAt);
+    m_hooks.report(worker, report, asked.at);
     worker.contacted = true;
 }
 
-/// Takes over what the report says of the worker's life and clock. False if it is older than the life that is known.
-bool CellWorkers::acceptReport(CellWorker& worker, const RunReport& report)
+/// Takes over what the report says of the worker's life and clock. False if it isn't of the present life, or if it
+/// answers a call that didn't carry that life's token: calls to former lives may have been carried out since.
+bool CellWorkers::acceptReport(CellWorker& worker, const RunReport& report, const Asked& asked)
 {
-    const bool rebooted = report.startedAtMilliseconds != 0 && worker.startedAtMilliseconds != 0
-        && report.startedAtMilliseconds != worker.startedAtMilliseconds;
-    // A delayed answer from before the reboot says nothing about the current state.
+    const int64_t startedAt = report.startedAtMilliseconds;
     const auto& rebirth = link(worker).rebirth;
     const int64_t present = rebirth ? rebirth->startedAtMilliseconds : worker.startedAtMilliseconds;
-    if (report.startedAtMilliseconds != 0 && report.startedAtMilliseconds < present)
+    if (startedAt != 0 && startedAt < present)
         return false;
-    if (rebooted
-        && (!acceptRebirth(worker, report.startedAtMilliseconds)
-            || report.startedAtMilliseconds != worker.startedAtMilliseconds))
+    if (startedAt != 0 && worker.startedAtMilliseconds != 0 && startedAt != worker.startedAtMilliseconds) {
+        acceptRebirth(worker, startedAt);
+        return false;
+    }
+    if (asked.token != worker.token)
         return false;
-    if (report.startedAtMilliseconds != 0)
-        worker.startedAtMilliseconds = report.startedAtMilliseconds;
-    worker.lease().synchronizeClock(report.clock, m_runtime.now());
+    const Common::MonotonicTime now = m_runtime.now();
+    if (startedAt != 0 && worker.startedAtMilliseconds == 0) {
+        worker.startedAtMilliseconds = startedAt;
+        if (!worker.contacted && !worker.listed)
+            expectLateCallsOfEarlierOwner(worker);
+    }
+    if (!std::exchange(worker.answered, true)) {
+        worker.lease().answered(now);
+        worker.lateCallsEndMilliseconds = std::min(worker.lateCallsEndMilliseconds, m_runtime.wallMilliseconds());
+    }
+    worker.lease().synchronizeClock(report.clock, now);
     // An earlier owner may have renewed the lease just before.
-    if (!worker.contacted && m_runtime.now() < m_inheritedLeasesEnd)
-        worker.lease().grant(m_settings.runLease, m_runtime.now());
-    worker.lastReportAt = m_runtime.now();
+    if (!worker.contacted && now < m_inheritedLeasesEnd)
+        worker.lease().grant(m_settings.runLease, now);
+    worker.lastReportAt = now;
     return true;
 }
 
@@ -295,15 +367,16 @@
     const bool mayHaveRuns = !worker.allocations().empty() || (!worker.contacted && !isProvablyIdle(worker));
     if (state.askingThroughHost || !mayHaveRuns)
         return;
-    PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, m_token, {} };
+    PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, worker.token, {} };
     if (mayRenewThroughHost(worker, state))
         poll.leaseUntil = worker.lease().grant(m_settings.runLease, m_runtime.now());
     state.askingThroughHost = true;
     state.throughHost = m_hooks.pollThroughHost(poll, state.heardThroughHost ? state.throughHost : std::string(),
-        m_lifetime.guard([this, id = worker.id(), askedAt = m_runtime.now()](const Common::Result<RunReport>& report) {
+        m_lifetime.guard([this, id = worker.id(), asked = Asked { m_runtime.now(), worker.token }](
+                             const Common::Result<RunReport>& report) {
             CellWorker* const silent = find(id);
             if (!m_closed && silent)
-                onAnswerThroughHost(*silent, askedAt, report);
+                onAnswerThroughHost(*silent, asked, report);
         }));
     if (state.throughHost.empty())
         state.askingThroughHost = state.heardThroughHost = false;
@@ -319,19 +392,18 @@
 }
 
 /// The worker stays unreachable for orders, and its ends aren't acknowledged: the next poll is too far away for that.
-void CellWorkers::onAnswerThroughHost(
-    CellWorker& worker, Common::MonotonicTime askedAt, const Common::Result<RunReport>& report)
+void CellWorkers::onAnswerThroughHost(CellWorker& worker, const Asked& asked, const Common::Result<RunReport>& report)
 {
     Link& state = link(worker);
     state.askingThroughHost = false;
-    if (!report && report.reason().code == Common::ErrorCode::NotOwner) {
+    if (isFenced(worker, asked, report)) {
         m_hooks.fenced();
         return;
     }
     // A poll of this host was answered meanwhile.
-    if (worker.reachable || worker.lastReportAt > askedAt)
+    if (worker.reachable || worker.lastReportAt > asked.at)
         return;
-    if (!report || !acceptReport(worker, *report)) {
+    if (!report || !acceptReport(worker, *report, asked)) {
         state.heardThroughHost = false;
         return;
     }
@@ -342,7 +414,7 @@
                                                       << " ends=" << report->ended.size());
     }
     state.unansweredPolls = 0;
-    m_hooks.report(worker, *report, askedAt);
+    m_hooks.report(worker, *report, asked.at);
     worker.contacted = true;
     // The lease hasn't been renewed since the last direct poll.
     if (first && !m_closed)
@@ -382,16 +454,16 @@
     if (!worker.contacted && !std::exchange(link(worker).idleLogged, true)) {
         LC_WARN(Worker,
             "event=worker-considered-idle worker=" << worker.id().value() << " listed=" << worker.listed
-                                                   << " token=" << m_token.value);
+                                                   << " token=" << worker.token.value);
     }
     if (!worker.allocations().empty())
         m_hooks.runsCleared(worker, false);
 }
 
-/// Has the ownership confirmed if the worker is idle unless a successor has taken the cell over.
+/// Has the ownership confirmed if the worker is idle, or a run on it gone, unless a successor has taken the cell over.
 void CellWorkers::confirmIdle(const CellWorker& worker)
 {
-    if (isProvablyIdle(worker) || !isIdleAfter(worker, m_runtime.now()))
+    if (!needsConfirmation(worker))
         return;
     m_hooks.confirmOwnership(m_lifetime.guard([this, id = worker.id()] {
         CellWorker* const silent = find(id);
@@ -400,6 +472,15 @@
     }));
 }
 
+bool CellWorkers::needsConfirmation(const CellWorker& worker) const
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    const auto& runs = worker.allocations();
+    return (!isProvablyIdle(worker) && isIdleAfter(worker, now))
+        || std::any_of(runs.begin(), runs.end(),
+            [&](const auto& row) { return !isGone(worker, row.second) && isGoneAfter(worker, row.second, now); });
+}
+
 /// Counts a poll of an unreachable worker as unanswered, or gives the next one more time.
 void CellWorkers::judgeFailure(const CellWorker& worker, const Common::Failure& reason, Common::Duration elapsed)
 {
@@ -442,7 +523,7 @@
 /// Whether the unreachable worker is idle if only this owner, or an earlier one, can have reached it before `time`.
 bool CellWorkers::isIdleAfter(const CellWorker& worker, Common::MonotonicTime time) const
 {
-    if (!worker.contacted && time < m_inheritedLeasesEnd)
+    if (!worker.contacted && time < std::max(m_inheritedLeasesEnd, worker.lease().lateLeasesEnd()))
         return false;
     if (!worker.lease().hasExpired(time))
         return false;
@@ -451,6 +532,30 @@
     return worker.unlisted || (found != m_links.end() && found->second.unansweredPolls >= silentPolls);
 }
 
+bool CellWorkers::isGone(const CellWorker& worker, const RunAllocation& run) const
+{
+    return isGoneAfter(worker, run, m_hooks.ownedAt());
+}
+
+/// As isIdleAfter, for one run.
+bool CellWorkers::isGoneAfter(const CellWorker& worker, const RunAllocation& run, Common::MonotonicTime time) const
+{
+    return isIdleAfter(worker, time) && time >= lateRunEnd(worker, run);
+}
+
+Common::MonotonicTime CellWorkers::lateRunEnd(const CellWorker& worker, const RunAllocation& run) const
+{
+    const WorkerLease& lease = worker.lease();
+    if (!run.startOutcomeUnknown || !lease.mayBeUnderWay(run.startUnansweredSince, worker.lastReportAt))
+        return {};
+    // As far as the platform's list tells, the life that the order was meant for is still there.
+    const bool isListedLife = worker.listed && run.token == worker.token
+        && worker.entry().startedAtMilliseconds == worker.startedAtMilliseconds;
+    if (isListedLife)
+        return run.startUnansweredSince + m_settings.longestCallDelay + m_settings.answerTimeout;
+    return lease.unknownLeasesEnd();
+}
+
 bool CellWorkers::dropIfGone(CellWorker& worker)
 {
     if (worker.listed || worker.reachable || !worker.allocations().empty() || !isProvablyIdle(worker))
@@ -458,8 +563,7 @@
     LC_INFO(Worker, "event=worker-gone worker=" << worker.id().value());
     const Common::WorkerId id = worker.id();
     m_hooks.runsCleared(worker, false);
-    m_links.erase(id);
-    m_workers.erase(id);
+    forget(id);
     m_hooks.dropped();
     return true;
 }
@@ -467,7 +571,7 @@
 Common::Duration CellWorkers::nextPollDelay(const CellWorker& worker) const
 {
     const auto found = m_links.find(worker.id());
-    if (found != m_links.end() && found->second.rebirth)
+    if (!worker.answered || (found != m_links.end() && found->second.rebirth))
         return m_settings.orderRetry;
     if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds))
         return m_settings.pollPauseAfterEnd;
@@ -488,9 +592,12 @@
     const RunKey run { order.task, order.attempt };
     if (m_closed || !worker)
         return;
-    const RunAllocation* const allocation = worker->find(run);
+    RunAllocation* const allocation = worker->find(run);
     if (!allocation || allocation->reportedRunning || allocation->stopping)
         return;
+    // The order was meant for a former life; the present one reports whether it has carried it out.
+    if (allocation->token != FencingToken {} && allocation->token != worker->token)
+        return;
     if (worker->entry().draining) {
         answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
         return;
@@ -506,9 +613,10 @@
         return;
     }
     const Common::WorkerTime until = worker->lease().grant(m_settings.runLease, m_runtime.now());
-    m_orders.start(targetOf(*worker), m_token, order, until,
-        m_lifetime.guard([this, id, run, again, answered, sentAt = m_runtime.now(),
-                             life = worker->startedAtMilliseconds](const Common::Result<OrderAnswer>& answer) {
+    allocation->token = worker->token;
+    m_orders.start(targetOf(*worker), worker->token, order, until,
+        m_lifetime.guard([this, id, run, again, answered, sentAt = m_runtime.now(), token = worker->token](
+                             const Common::Result<OrderAnswer>& answer) {
             CellWorker* const target = find(id);
             if (m_closed || !target)
                 return;
@@ -521,7 +629,9 @@
                 m_runtime.schedule(m_settings.orderRetry, again);
                 return;
             }
-            if (answer->clock && isPresentLife(*target, life))
+            if (token != target->token)
+                return;
+            if (answer->clock)
                 target->lease().synchronizeClock(*answer->clock, m_runtime.now());
             if (answer->verdict == OrderVerdict::Fenced)
                 m_hooks.fenced();
@@ -543,11 +653,11 @@
     CellWorker* const worker = find(id);
     if (m_closed || !worker || !worker->find(run))
         return;
-    const int64_t life = worker->startedAtMilliseconds;
-    m_orders.stop(targetOf(*worker), m_token, run.task, run.attempt,
-        m_lifetime.guard([this, id, run, answered, life](const Common::Result<OrderAnswer>& answer) {
+    m_orders.stop(targetOf(*worker), worker->token, run.task, run.attempt,
+        m_lifetime.guard([this, id, run, answered, token = worker->token](const Common::Result<OrderAnswer>& answer) {
             const CellWorker* const target = find(id);
-            if (m_closed || !target)
+            // The present life has its own stop order; only its answer shows that this life refuses the attempt.
+            if (m_closed || !target || token != target->token)
                 return;
             // An unhealthy worker has done nothing.
             if (!answer || answer->verdict == OrderVerdict::Unhealthy) {
@@ -559,9 +669,6 @@
                 m_hooks.fenced();
                 return;
             }
-            // The present life has its own stop order; only its answer shows that this life refuses the attempt.
-            if (!isPresentLife(*target, life))
-                return;
             answered(*answer);
             pollSoon(id);
         }));
@@ -573,7 +680,7 @@
     if (!allocation || m_closed)
         return;
     const uint32_t before = std::exchange(allocation->pace, percent);
-    m_orders.pace(targetOf(worker), m_token, run.task, run.attempt, percent,
+    m_orders.pace(targetOf(worker), worker.token, run.task, run.attempt, percent,
         m_lifetime.guard([this, id = worker.id(), run, before](const Common::Result<OrderAnswer>& answer) {
             CellWorker* const target = find(id);
             RunAllocation* const paced = target ? target->find(run) : nullptr;
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -5,6 +5,8 @@
 #include "Cells/CellSettings.h"
 #include "Cells/CellWorker.h"
 #include "Cells/PollForHost.h"
+#include "Cells/RecordedWorker.h"
+#include "Cells/TokenRange.h"
 #include "Cells/WorkerOrders.h"
 #include "Common/Ids.h"
 #include "Common/Lifetime.h"
@@ -27,8 +29,9 @@
     struct Hooks {
         /// A report of the worker, requested at `askedAt`.
         std::function<void(CellWorker&, const RunReport&, Common::MonotonicTime askedAt)> report;
-        /// The worker's previous runs can't run any more: it rebooted, or its lease has expired. The store has
-        /// confirmed the ownership since. After a reboot the start orders without an answer must be kept.
+        /// Runs of the worker may be gone, see isGone(), or those of its former life are, as it rebooted. The store has
+        /// confirmed the ownership since. After a reboot the runs that the new life may have, or may still get by a
+        /// late order, must be kept until a report shows whether it has them.
         std::function<void(CellWorker&, bool rebooted)> runsCleared;
         /// A worker rejected an order because a newer owner has sent orders.
         std::function<void()> fenced;
@@ -50,14 +53,16 @@
             pollThroughHost;
     };
 
-    /// `inheritedAuthority`: how long an earlier owner may still grant leases; zero if it can't.
-    CellWorkers(Scheduler::Runtime&, WorkerOrders&, FencingToken, const CellSettings&,
+    /// `last`: the token of the cell's record. `inheritedAuthority`: how long an earlier owner may still grant leases;
+    /// zero if it can't.
+    CellWorkers(Scheduler::Runtime&, WorkerOrders&, FencingToken last, const CellSettings&,
         Common::Duration inheritedAuthority, Hooks);
     ~CellWorkers();
 
-    /// Adds or updates a worker that may run tasks of the cell. One that isn't listed gets no new runs. A later start
-    /// time in the entry counts as a reboot.
-    void add(const WorkerEntry&, bool listed);
+    /// Adds or updates a worker that the platform lists. A later start time in the entry counts as a reboot.
+    void add(const WorkerEntry&);
+    /// Adds a worker on which runs of an earlier owner may be. It gets no new runs until it is listed.
+    void addRecorded(const RecordedWorker&);
     /// Marks a worker that the platform no longer lists; no effect if it is unknown.
     void unlist(const Common::WorkerId&);
     /// Forgets a worker on which no runs of the cell can be.
@@ -82,6 +87,11 @@
     /// confirmed the ownership: a successor that has claimed the cell since may have renewed them, or acknowledged
     /// ends.
     bool isProvablyIdle(const CellWorker&) const;
+    /// Whether the run can't be on the unreachable worker any more, nor on a next life of it that nobody has heard of.
+    bool isGone(const CellWorker&, const RunAllocation&) const;
+    /// When the run is gone at the latest if a start order without an answer is carried out late; long ago if there is
+    /// none that may be.
+    Common::MonotonicTime lateRunEnd(const CellWorker&, const RunAllocation&) const;
     /// Called when earlier owners can't grant leases any more.
     void endInheritedAuthority();
     /// Stops all polls and orders.
@@ -94,33 +104,46 @@
     void poll(const Common::WorkerId&);
     bool mayAcknowledgeTo(const CellWorker&, const Link&) const;
     void schedulePoll(const Common::WorkerId&, Common::Duration);
-    void onPollAnswer(const Common::WorkerId&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
-    void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
-    bool acceptReport(CellWorker&, const RunReport&);
+    /// A poll that was sent.
+    struct Asked {
+        Common::MonotonicTime at;
+        FencingToken token;
+    };
+    void onPollAnswer(const Common::WorkerId&, const Asked&, const Common::Result<RunReport>&);
+    bool isFenced(const CellWorker&, const Asked&, const Common::Result<RunReport>&) const;
+    void onReport(CellWorker&, const RunReport&, const Asked&);
+    bool acceptReport(CellWorker&, const RunReport&, const Asked&);
     void askThroughHost(CellWorker&);
     bool mayRenewThroughHost(const CellWorker&, const Link&) const;
-    void onAnswerThroughHost(CellWorker&, Common::MonotonicTime askedAt, const Common::Result<RunReport>&);
+    void onAnswerThroughHost(CellWorker&, const Asked&, const Common::Result<RunReport>&);
     void onPollFailure(CellWorker&, const Common::Failure&, Common::MonotonicTime askedAt);
     bool acceptRebirth(CellWorker&, int64_t startedAtMilliseconds);
+    CellWorker& addUnknown(const WorkerEntry&);
+    void expectLateCallsOfEarlierOwner(CellWorker&);
+    void noteLateCallsEnd(CellWorker&);
+    void forget(const Common::WorkerId&);
     void judgeFailure(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
     void giveMoreTime(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
     bool isProofOfSilence(const Link&, const Common::Failure&, Common::Duration elapsed) const;
     Common::Duration nextPollDelay(const CellWorker&) const;
     bool isIdleAfter(const CellWorker&, Common::MonotonicTime) const;
+    bool isGoneAfter(const CellWorker&, const RunAllocation&, Common::MonotonicTime) const;
+    bool needsConfirmation(const CellWorker&) const;
     void clearIfIdle(CellWorker&);
     void confirmIdle(const CellWorker&);
     bool dropIfGone(CellWorker&);
-    Common::Duration longestInheritedLease() const;
     void sendStart(const Common::WorkerId&, const RunOrder&, const std::function<void(OrderAnswer)>&);
     void sendStop(const Common::WorkerId&, const RunKey&, const std::function<void(OrderAnswer)>&);
 
     Scheduler::Runtime& m_runtime;
     WorkerOrders& m_orders;
-    FencingToken m_token;
+    TokenRange m_tokens;
     const CellSettings& m_settings;
     Hooks m_hooks;
     std::map<Common::WorkerId, std::unique_ptr<CellWorker>> m_workers;
     std::map<Common::WorkerId, Link> m_links;
+    /// Until when calls to workers that were removed may be carried out late, if one starts again under the id.
+    std::map<Common::WorkerId, Common::MonotonicTime> m_removed;
     /// Workers that haven't reported may hold leases of an earlier owner until then.
     Common::MonotonicTime m_inheritedLeasesEnd;
     bool m_closed = false;
--- a/Source/Core/Cells/RunAllocation.h
+++ b/Source/Core/Cells/RunAllocation.h
@@ -1,6 +1,7 @@
 // Resources that one run holds on a worker, and the state of its orders.
 #pragma once
 
+#include "Cells/CellId.h"
 #include "Common/Resources.h"
 #include "Common/Units.h"
 #include "Jobs/StepSpec.h"
@@ -43,6 +44,11 @@
     /// Whether a start order had no answer, so that it may still be carried out, and when the last such order was sent.
     bool startOutcomeUnknown = false;
     Common::MonotonicTime startUnansweredSince;
+    /// Whether it was logged that the run is kept although the lease of its silent worker has passed.
+    bool heldLogged = false;
+    /// Token of the last start order, or of the worker when it listed the run; a value of 0 if no order was sent. Lower
+    /// than the worker's token after the worker has started anew.
+    FencingToken token;
     /// Whether a stop order was sent or is about to be.
     bool stopping = false;
     /// When the worker answered the last start or stop order for the run; empty if it hasn't. A report that was
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -61,7 +61,7 @@
     {
         Cells::WorkerChanges found;
         for (const auto& worker : m_workers) {
-            if (worker->up())
+            if (worker->up() && worker->listed)
                 found.listed.push_back(worker->entry());
             else
                 found.removed.push_back(worker->entry().id);
--- a/Source/UnitTests/Cells/EarlierOwnerAuthorityTest.cpp
+++ b/Source/UnitTests/Cells/EarlierOwnerAuthorityTest.cpp
@@ -2,6 +2,7 @@
 #include "Cells/CellRecord.h"
 #include "Cells/Fleet.h"
 #include "Cells/StoreKeys.h"
+#include "Cells/TokenRange.h"
 
 #include <doctest/doctest.h>
 
@@ -99,12 +100,14 @@
         return *record;
     };
     CHECK_FALSE(recordOfCell().unsettled);
+    const Cells::FencingToken first = recordOfCell().token;
+    const Cells::FencingToken second = Cells::TokenRange::lastAfter(first);
     fleet.owner()->process.kill();
-    for (size_t steps = 0; steps < 2000 && recordOfCell().token.value == 1; ++steps)
+    for (size_t steps = 0; steps < 2000 && recordOfCell().token == first; ++steps)
         fleet.clock.advance(5ms);
-    REQUIRE(recordOfCell().token.value == 2);
+    REQUIRE(recordOfCell().token == second);
     CHECK(recordOfCell().unsettled);
     fleet.clock.advance(2s);
-    CHECK(recordOfCell().token.value == 2);
+    CHECK(recordOfCell().token == second);
     CHECK_FALSE(recordOfCell().unsettled);
 }
--- a/Source/UnitTests/Cells/HostDiscoveryTest.cpp
+++ b/Source/UnitTests/Cells/HostDiscoveryTest.cpp
@@ -1,5 +1,6 @@
 // Hosts of a large fleet that start with a few seeds discover all others, and each cell gets one owner.
 #include "Cells/CellWorld.h"
+#include "Cells/TokenRange.h"
 
 #include <doctest/doctest.h>
 
@@ -53,7 +54,8 @@
         owned += host->cellOwnership.engines().size();
     CHECK(owned == 3);
     // One handover is allowed, when the preferred owner wasn't discovered yet.
-    CHECK(fleet.highestToken() <= 2);
+    const Cells::FencingToken ofSecondOwner = Cells::TokenRange::lastAfter(Cells::TokenRange::lastAfter({}));
+    CHECK(fleet.highestToken() <= ofSecondOwner.value);
 }
 
 TEST_CASE("a host that hasn't discovered a cell's owner yet doesn't claim the cell")
--- a/Source/UnitTests/Cells/LateStartOnNextLifeTest.cpp
+++ b/Source/UnitTests/Cells/LateStartOnNextLifeTest.cpp
@@ -47,8 +47,8 @@
     }
     size_t owner() const
     {
-        const auto found = std::find_if(hosts.begin(), hosts.end(),
-            [](const auto& host) { return !host->cellOwnership.engines().empty(); });
+        const auto found = std::find_if(
+            hosts.begin(), hosts.end(), [](const auto& host) { return !host->cellOwnership.engines().empty(); });
         REQUIRE(found != hosts.end());
         return static_cast<size_t>(found - hosts.begin());
     }
@@ -108,3 +108,24 @@
         CHECK(world.running() == 1);
     }
 }
+
+// Guards against the same when the worker, cut off from the store as well, has left the platform's list before.
+TEST_CASE("a successor knows from the cell's record that a worker which isn't listed any more had started again")
+{
+    for (Common::Duration late = 6s; late <= mostLate; late += 500ms) {
+        CAPTURE(late.count());
+        LateStart world({ "a:1", "b:1" }, "last", late);
+        // The owner learns of the restart from the list.
+        world.clock.advance(1500ms);
+        world.reborn->listed = false;
+        world.restart(world.owner());
+        world.cutBoth(world.hosts.back()->address, world.reborn->entry().address);
+        world.clock.advance(35s);
+        CHECK(world.judge.twice.summary() == "");
+        world.network.heal();
+        world.reborn->listed = true;
+        world.clock.advance(5s);
+        CHECK(world.judge.twice.summary() == "");
+        CHECK(world.running() == 1);
+    }
+}
--- a/Source/UnitTests/Cells/RoomReservationTest.cpp
+++ b/Source/UnitTests/Cells/RoomReservationTest.cpp
@@ -100,7 +100,8 @@
 {
     Cells::WorkerEntry entry;
     entry.capacity = { 0, 8000, 1000, 0 };
-    Cells::CellWorker worker(entry);
+    const Cells::CellSettings settings;
+    Cells::CellWorker worker(entry, settings);
     const Common::MonotonicTime since { 10s };
     const Jobs::TaskName step { CellWorld::jobId(largeJob), 0, 2, 0 };
     const auto add = [&](uint64_t number, int64_t milliCores, Common::MonotonicTime orderedAt, bool longRunning) {
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -57,6 +57,8 @@
     bool losesNextStartAnswer = false;
     /// The next copy of an order whose run is there is refused as expired.
     bool nextCopyExpired = false;
+    /// The platform lists it while it is up.
+    bool listed = true;
     /// Rows of runs can't be read in its reports.
     bool unreadableRows = false;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
--- a/Source/UnitTests/Cells/ScriptedOrders.h
+++ b/Source/UnitTests/Cells/ScriptedOrders.h
@@ -57,7 +57,7 @@
     size_t rebirths = 0;
     /// The runs of a former life are kept, as if their orders had no known outcome.
     bool keepsRuns = false;
-    Cells::CellWorkers workers { clock, orders, Cells::FencingToken { 1 }, settings, Common::Duration::zero(),
+    Cells::CellWorkers workers { clock, orders, Cells::TokenRange::lastAfter({}), settings, Common::Duration::zero(),
         Cells::CellWorkers::Hooks {
             .report = [](Cells::CellWorker&, const Cells::RunReport&, Common::MonotonicTime) {},
             .runsCleared =
@@ -87,7 +87,7 @@
         entry.id = Common::WorkerId("w0");
         entry.address = "w0:1";
         entry.startedAtMilliseconds = 1000;
-        workers.add(entry, true);
+        workers.add(entry);
         clock.advance(std::chrono::milliseconds(1));
     }
     Cells::CellWorker& worker() { return *workers.find(Common::WorkerId("w0")); }
--- a/Source/UnitTests/Cells/WorkerCapacityTest.cpp
+++ b/Source/UnitTests/Cells/WorkerCapacityTest.cpp
@@ -42,7 +42,8 @@
 {
     Cells::WorkerEntry entry;
     entry.capacity = { 0, 4000, 1000, 0 };
-    Cells::CellWorker worker(entry);
+    const Cells::CellSettings settings;
+    Cells::CellWorker worker(entry, settings);
     worker.updateCapacity({ 0, 1000, 1000, 0 });
     worker.update(entry);
     CHECK(worker.entry().capacity.milliCores == 1000);
--- a/Source/UnitTests/Cells/WorkerCrashTest.cpp
+++ b/Source/UnitTests/Cells/WorkerCrashTest.cpp
@@ -1,6 +1,7 @@
 // Tests that tasks that crash their workers are given up, and that no other task is.
 #include "Cells/Fleet.h"
 #include "Cells/RandomSchedule.h"
+#include "Cells/StoreKeys.h"
 
 #include <doctest/doctest.h>
 
@@ -30,6 +31,31 @@
             clock.advance(10ms);
         return judge.crashes > before;
     }
+    /// Waits until the store knows of that many crashes under job 1, or that the job has ended. The task isn't started
+    /// again before; false if that takes longer than 4 s.
+    bool awaitRecordedCrashes(size_t count)
+    {
+        for (size_t step = 0; step < 4000; ++step) {
+            const std::string key = Cells::StoreKeys::job(Cells::CellId("yard-0"), jobId(1));
+            const auto record = Jobs::JobRecord::decode(store.recordsWithPrefix(key).at(key));
+            REQUIRE(record);
+            if (isFinal(record->phase) || crashesIn(*record) >= count)
+                return true;
+            clock.advance(1ms);
+        }
+        return false;
+    }
+    static size_t crashesIn(const Jobs::JobRecord& record)
+    {
+        size_t crashes = 0;
+        for (const auto& [occurrence, steps] : record.progress) {
+            for (const auto& tasks : steps) {
+                for (const Jobs::TaskProgress& task : tasks)
+                    crashes += task.crashes.size();
+            }
+        }
+        return crashes;
+    }
     void setRestartPause(Common::Duration pause)
     {
         for (const auto& worker : workers)
@@ -142,8 +168,8 @@
 {
     CrashFleet fleet;
     fleet.submitAt(*fleet.hosts[0], CellWorld::job(1, "crash:200", 1));
-    for (size_t crash = 0; crash < 8 && fleet.awaitCrash(); ++crash) {
-        fleet.clock.advance(3500ms);
+    for (size_t crash = 1; crash <= 8 && fleet.awaitCrash(); ++crash) {
+        REQUIRE(fleet.awaitRecordedCrashes(crash));
         fleet.restartOwner();
     }
     CHECK(fleet.judge.summary() == "");
@@ -154,8 +180,8 @@
 {
     CrashFleet fleet;
     fleet.submitAt(*fleet.hosts[0], CellWorld::job(1, "crash:200", 1));
-    for (size_t crash = 0; crash < 8 && fleet.awaitCrash(); ++crash) {
-        fleet.clock.advance(3500ms);
+    for (size_t crash = 1; crash <= 8 && fleet.awaitCrash(); ++crash) {
+        REQUIRE(fleet.awaitRecordedCrashes(crash));
         fleet.restartAllHosts();
     }
     CHECK(fleet.judge.summary() == "");
