LateCalls: limits for the delay of late calls, and what they do on a next life

The limits are settings now, with the present values as defaults, so the draws of other schedules are the same. LateCalls also counts calls under way to a worker and tells what one that was sent to a former life has done to the next one. RebirthSchedule needs that, and the cuts of CutLinksSchedule.

--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -154,7 +154,8 @@
         , settings(std::move(hostSettings))
         , peer(world.network, process, world.peers, address)
         , heartbeats(world.network, process, world.heartbeats, address, world.heartbeatLossPerMille)
-        , orders(world.clock, world.network, process, world.workerDirectory, address, world.latePerMille)
+        , orders(
+              world.clock, world.network, process, world.workerDirectory, address, world.latePerMille, world.lateCalls)
         , workers(process, world.workers)
         , store(process, world.store.client(address, process), peer)
         , cellOwnership({ process, store, workers, orders, heartbeats }, settings, cellSettings)
@@ -195,6 +196,7 @@
     std::vector<std::unique_ptr<WorldHost>> hosts;
     /// Share of the orders to workers, in thousandths, that are carried out seconds late and never answered.
     uint64_t latePerMille = 0;
+    LateCalls lateCalls;
     /// Share of the heartbeats that get lost, in thousandths. Calls go over connections, which repeat what is lost.
     uint64_t heartbeatLossPerMille = 0;
     /// Target number of workers per cell.
@@ -243,6 +245,13 @@
         old.process.kill();
         return addHost(old.settings.domain.value(), old.address, old.settings.weight);
     }
+    bool isCutOff(const std::string& worker) const
+    {
+        return std::all_of(hosts.begin(), hosts.end(), [&](const auto& host) {
+            return host->process.isKilled() || network.isCut(worker, host->address)
+                || network.isCut(host->address, worker);
+        });
+    }
     /// Number of runs on all workers.
     size_t running() const
     {
@@ -324,13 +333,6 @@
     }
 
 private:
-    bool isCutOff(const std::string& worker) const
-    {
-        return std::all_of(hosts.begin(), hosts.end(), [&](const auto& host) {
-            return host->process.isKilled() || network.isCut(worker, host->address)
-                || network.isCut(host->address, worker);
-        });
-    }
     /// Tells the judge of workers whose leases have lapsed while they were cut off from all hosts.
     void noteLostEnds()
     {
--- a/Source/UnitTests/Cells/CutLinksSchedule.h
+++ b/Source/UnitTests/Cells/CutLinksSchedule.h
@@ -21,7 +21,7 @@
         keepCuts();
     }
 
-    Common::Duration randomMilliseconds(size_t least, size_t most)
+    std::chrono::milliseconds randomMilliseconds(size_t least, size_t most)
     {
         return std::chrono::milliseconds(least + randomBelow(most - least + 1));
     }
@@ -185,13 +185,12 @@
         }
     }
 
-private:
-    struct Cut {
-        std::string from;
-        std::string to;
-        Common::MonotonicTime until;
-    };
-
+protected:
+    void cutUntil(const std::string& from, const std::string& to, Common::MonotonicTime until)
+    {
+        network.cut(from, to);
+        m_cuts.push_back({ from, to, until });
+    }
     static bool serves(const WorldHost& owner, const RunWorker& worker)
     {
         const std::string prefix = worker.entry().domain.value() + "-";
@@ -199,11 +198,14 @@
         return std::any_of(
             engines.begin(), engines.end(), [&](const auto& row) { return row.first.value().starts_with(prefix); });
     }
-    void cutUntil(const std::string& from, const std::string& to, Common::MonotonicTime until)
-    {
-        network.cut(from, to);
-        m_cuts.push_back({ from, to, until });
-    }
+
+private:
+    struct Cut {
+        std::string from;
+        std::string to;
+        Common::MonotonicTime until;
+    };
+
     void cutStoreUntil(const WorldHost& host, Common::MonotonicTime until)
     {
         cutUntil(host.address, Fakes::FakeRecordStore::address, until);
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -101,6 +101,9 @@
         });
     }
     size_t running() const { return m_runs.size(); }
+    /// Differs from one life to the next.
+    uint64_t life() const { return m_boot; }
+    Common::WorkerTime leaseUntil() const { return m_leaseUntil; }
     /// Tail latency in milliseconds of its serving tasks; see `interference`.
     double currentTail() const { return interference->tail(smoothedPressure()); }
     /// Whether a backfill run works at a pace above 0.
--- a/Source/UnitTests/Cells/RunWorkerPort.h
+++ b/Source/UnitTests/Cells/RunWorkerPort.h
@@ -1,6 +1,7 @@
 // Sends the orders of one process to the fake workers over the fake network.
 #pragma once
 
+#include "Cells/LateCalls.h"
 #include "Cells/RunWorker.h"
 #include "Cells/WorkerOrders.h"
 #include "Fakes/FakeCall.h"
@@ -16,13 +17,14 @@
     using Directory = std::map<std::string, RunWorker*>;
 
     RunWorkerPort(Fakes::VirtualRuntime& world, Fakes::FakeNetwork& network, Fakes::FakeProcess& process,
-        Directory& directory, std::string from, const uint64_t& latePerMille)
+        Directory& directory, std::string from, const uint64_t& latePerMille, LateCalls& lateCalls)
         : m_world(world)
         , m_network(network)
         , m_process(process)
         , m_directory(directory)
         , m_from(std::move(from))
         , m_latePerMille(latePerMille)
+        , m_lateCalls(lateCalls)
     {
     }
 
@@ -77,8 +79,8 @@
                 serve(*worker, answer);
                 return;
             }
-            const auto delay = std::chrono::milliseconds(1000 + m_process.random()() % 4000);
-            m_world.schedule(delay, [worker, serve] { serve(*worker, [](const Common::Result<T>&) {}); });
+            m_lateCalls.postpone(m_world, m_process.random(), *worker,
+                [serve](RunWorker& target) { serve(target, [](const Common::Result<T>&) {}); });
         };
         Fakes::callOver<T>(m_network, m_process, m_from, target.address, timeout, deliver, std::move(done),
             Fakes::Delivery::AtMostOnce);
@@ -90,6 +92,7 @@
     Directory& m_directory;
     std::string m_from;
     const uint64_t& m_latePerMille;
+    LateCalls& m_lateCalls;
 };
 
 } // namespace CellTests
