--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -475,7 +475,7 @@
         self.assertTrue(11000 <= self.worker.lease_until <= self.worker.clock() + 10000, self.worker.lease_until)
 
     async def test_next_life_carries_out_a_start_to_the_former_one_under_the_longest_lease(self):
-        self.worker.token = 7
+        self.worker.token = 9
         await self.late("/v1/run-start", self.late_start())
         self.assertEqual((self.judge.starts, list(self.worker.running), self.worker.token), (1, [TASK], 7))
         self.check_longest_lease()
