Soak: count ends that a poll to a worker's former life makes its next one forget

The numbers of ends begin anew with each life, and acked_through of a poll to the former life is far ahead. The count stands beside those of starts and grants.

--- a/Source/UnitTests/Platform/soak_test.py
+++ b/Source/UnitTests/Platform/soak_test.py
@@ -480,13 +480,26 @@
         self.assertEqual((self.judge.starts, list(self.worker.running), self.worker.token), (1, [TASK], 7))
         self.check_longest_lease()
         self.assertEqual(dict(self.judge.next_life), {"start": 1})
-        self.assertEqual(self.judge.coincidences(), "starts 1 (while cut 0), grants 0 (while cut 0)")
+        self.assertEqual(self.judge.coincidences(),
+                         "starts 1 (while cut 0), grants 0 (while cut 0), acks 0 (while cut 0)")
 
     async def test_next_life_takes_the_longest_lease_from_a_late_poll_and_counts_it_while_cut(self):
         self.worker.is_cut = lambda: True
         await self.late("/v1/hold", {"fencing_token": 7, "expires_ms": 3600000})
         self.check_longest_lease()
-        self.assertEqual(self.judge.coincidences(), "starts 0 (while cut 0), grants 1 (while cut 1)")
+        self.assertEqual(self.judge.coincidences(),
+                         "starts 0 (while cut 0), grants 1 (while cut 1), acks 0 (while cut 0)")
+
+    async def test_poll_to_the_former_life_makes_the_next_one_forget_ends_that_nobody_has_read(self):
+        self.length = 0.01
+        poll, sent_at = Call("/v1/hold", {"fencing_token": 1, "acked_through": 57}), self.judge.now()
+        await self.start_again()
+        await self.worker.serve("edge-1", Call("/v1/run-start", self.late_start(token=1)), self.judge.now())
+        await self.wait_for_end()
+        await self.worker.serve("edge-1", poll, sent_at)
+        self.assertEqual((self.worker.ended, self.judge.noted, dict(self.judge.next_life)), ([], 1, {"ack": 1}))
+        self.judge.started(TASK, 2, "i-0001", "edge-1", self.judge.now())
+        self.assertEqual(len(self.judge.breaks), 1)
 
     async def test_next_life_refuses_late_calls_below_the_token_it_has_seen(self):
         self.worker.delays_call = lambda: 0.15
--- a/Source/UnitTests/Process/soak_test.py
+++ b/Source/UnitTests/Process/soak_test.py
@@ -390,10 +390,10 @@
     def test_no_task_runs_twice_on_workers_that_start_again_and_are_cut_off(self):
         printed, record = self.play("--kinds", "reborn-cut", "--gap", "2", "--workers", "12")
         self.assertIn(" fault reborn-cut ", record)
-        figures = re.search(r"carried out by a next life: (starts \d+ \(while cut \d+\), grants \d+ .*)\n", printed)
+        figures = re.search(r"carried out by a next life: (starts \d+ .*, grants \d+ .*, acks \d+ .*)\n", printed)
         self.assertIsNotNone(figures)
         self.assertIn(f" next-life-count {figures[1]}\n", record)
-        for what, number in re.findall(r"(start|grant)s (\d+)", figures[1]):
+        for what, number in re.findall(r"(start|grant|ack)s (\d+)", figures[1]):
             self.assertEqual(len(re.findall(rf" next-life i-\w+ {what} ", record)), int(number))
 
 
--- a/Tools/soak/judge.py
+++ b/Tools/soak/judge.py
@@ -111,7 +111,8 @@
         # Steps, as (job, step), that may have copies of a task: the rule's first two parts don't hold for these, and
         # the other verdicts count no starts of theirs.
         self.speculative = set()
-        # What calls to a worker's former life did on its next one: starts of runs, and longer leases ("grant").
+        # What calls to a worker's former life did on its next one: starts of runs, longer leases by polls ("grant"), and
+        # polls that made it forget ends ("ack"), as the numbers of ends begin anew with each life.
         self.next_life = collections.Counter()
         self._runs = collections.defaultdict(list)
         self._completed = {}
@@ -173,7 +174,7 @@
     def coincidences(self):
         """The figures of `next_life` as one text."""
         return ", ".join(f"{what}s {self.next_life[what]} (while cut {self.next_life[what + ' while cut']})"
-                         for what in ("start", "grant"))
+                         for what in ("start", "grant", "ack"))
 
     def shown_completed(self, job):
         self._completed.setdefault(job, self.now())
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -331,6 +331,8 @@
             if number <= through:
                 self.judge.acknowledged(run, self.lapsed_at >= at, self.lapse_ended_runs_at >= at)
                 self.note("acked", self.id, f"{task}#{attempt}", how, f"number={number}")
+        if any(row[0] <= through for row in self.ended):
+            self._count_for_former_life("ack", sent_at)
         self.ended = [row for row in self.ended if row[0] > through]
         if call.get("expires_ms", 0) > self.clock() and self._extend(call["expires_ms"]):
             self._count_for_former_life("grant", sent_at)
