--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -43,6 +43,9 @@
     std::optional<Interference> interference;
     uint64_t polls = 0;
     uint64_t starts = 0;
+    /// Runs that ended by a stop order, and the work that they had done.
+    uint64_t stoppedRuns = 0;
+    double stoppedCoreSeconds = 0;
     /// Time until it starts again after a task has crashed it.
     Common::Duration restartPause = std::chrono::milliseconds(700);
     /// Every run fails.
@@ -333,6 +336,13 @@
         if (run == m_runs.end() || run->second.attempt != attempt)
             return;
         updatePressure();
+        if (how == Cells::RunEnd::Stopped) {
+            constexpr double milliCoresPerCore = 1000;
+            const std::chrono::duration<double> ran = m_world.now() - run->second.startedAt;
+            ++stoppedRuns;
+            stoppedCoreSeconds
+                += ran.count() * static_cast<double>(stepOf(task).resources.milliCores) / milliCoresPerCore;
+        }
         m_runs.erase(run);
         m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
         m_judge.gone(m_entry.id.value(), task);
