Room is made for long-running tasks that have lost their runs

Change: Policy::RoomMaking chooses, on one worker, the cheapest runs to stop: backfill where it holds what is needed, then the worst priority, then the least work. Never long-running runs, gangs, runs of a better priority, of steps with max_unavailable, or of a task that was stopped twice. CellEngine does so after 1 s for a task that has run (2 s if an earlier owner or another cell may have run it), unless a peer cell shows room and hasn't refused the step: then it is transferred. The room is reserved for the step for 3 s at most, nothing else starts in it, and it counts as free when the ends are listed. An eighth of the workers at a time; again for a task after 3 s.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -20,6 +20,7 @@
 #include "Policy/BackfillAdmission.h"
 #include "Policy/BackfillPace.h"
 #include "Policy/GangPlacement.h"
+#include "Policy/RoomMaking.h"
 #include "Policy/ServiceFit.h"
 #include "Policy/StartObstacle.h"
 #include "Policy/StartOrder.h"
@@ -265,6 +266,27 @@
     void endReservation(CellWorker&, const char* reason);
     void endReservationForStart(LiveStep&, const Jobs::TaskName&);
 
+    // Room that is made by stops.
+    void makeRoom(const std::vector<Candidate>& ranked);
+    std::optional<Jobs::TaskName> taskToMakeRoomFor(const Candidate&);
+    bool transferToUntriedCell(const Candidate&);
+    std::vector<Policy::RoomHolder> roomHolders(const CellWorker&) const;
+    /// Stops the runs on one worker whose stops cost least, and reserves the room; false if there is no such worker.
+    bool makeRoomFor(const Candidate&, const Jobs::TaskName&);
+    /// The runs to stop on a worker, and the work that this throws away, in core-seconds.
+    struct RoomPlan {
+        CellWorker* worker = nullptr;
+        std::vector<RunKey> stopped;
+        double workLost = 0;
+    };
+    enum class ReservedWorkers {
+        LeaveOut,
+        /// Those reserved for steps that aren't long-running count as well.
+        TakeOver,
+    };
+    std::optional<RoomPlan> planRoom(const LiveJob&, const Jobs::TaskName&, ReservedWorkers) const;
+    bool mayTakeOver(const CellWorker::Reservation&) const;
+
     // Starts.
     void schedulePlacement();
     void place();
@@ -419,6 +441,8 @@
     Common::MonotonicTime m_pressureEstimatesLoggedAt;
     /// When workers to reserve were last looked for.
     Common::MonotonicTime m_reservationsSearchedAt;
+    /// When runs to stop were last looked for.
+    Common::MonotonicTime m_roomMakingSearchedAt;
     bool m_placingSoon = false;
     bool m_releasing = false;
     bool m_closed = false;
--- a/Source/Core/Cells/CellEngineReservations.cpp
+++ b/Source/Core/Cells/CellEngineReservations.cpp
@@ -20,6 +20,8 @@
     constexpr Common::Duration reservationInterval = std::chrono::milliseconds(100);
     /// At most one of so many workers is reserved, so that a backlog of large tasks doesn't hold up all others.
     constexpr size_t reservationShare = 8;
+    /// How long room that is made by stops is kept; a stop takes a fraction of it.
+    constexpr Common::Duration longestRoomMaking = std::chrono::seconds(3);
     /// An ordinary task takes the place of a reservation for one that needs at most this part of what it needs.
     constexpr double displacementFactor = 2;
 
@@ -69,7 +71,7 @@
     size_t reserved = 0;
     for (const auto& [id, worker] : m_workers.all()) {
         listed += worker->listed ? 1 : 0;
-        reserved += worker->reservation ? 1 : 0;
+        reserved += worker->reservation && !worker->reservation->made ? 1 : 0;
     }
     const size_t most = std::max<size_t>(1, listed / reservationShare);
     // What needs at least as much as a step without a suitable worker has none either.
@@ -159,7 +161,7 @@
 {
     const Jobs::TaskName name = firstTaskOf(*candidate.job, candidate.occurrence, candidate.step);
     const Common::Resources needed = allocationFor(candidate.job->stepSpec(candidate.step)).held;
-    room.worker->reservation = CellWorker::Reservation { name, needed, m_runtime.now() };
+    room.worker->reservation = CellWorker::Reservation { name, needed, m_runtime.now(), false };
     LC_INFO(Jobs,
         "event=room-reserved step=" << stepName(name) << " worker=" << room.worker->id().value() << " cell="
                                     << m_id.value() << " wait-ms=" << room.wait / std::chrono::milliseconds(1)
@@ -236,6 +238,8 @@
     const auto obstacle = obstacleAtWorker(worker, *job, job->stepSpec(reservation.step.step));
     if (obstacle && *obstacle != Policy::StartObstacle::Refused)
         return "worker-unavailable";
+    if (reservation.made && m_runtime.now() - reservation.since >= longestRoomMaking)
+        return "room-not-made";
     const Candidate candidate { findJob(reservation.step.job), reservation.step.occurrence, reservation.step.step, {} };
     const Jobs::TaskName name = firstWaitingTask(candidate);
     if (isQuarantinedFor(worker, *job, name))
@@ -263,6 +267,7 @@
     endReservation(*reserved, "started");
     step.reservedStartAt = m_runtime.now();
     m_reservationsSearchedAt = {};
+    m_roomMakingSearchedAt = {};
     schedulePlacement();
 }
 
--- /dev/null
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -0,0 +1,207 @@
+// Room that is made for long-running tasks: one that has lost its run must soon run again, however full the cells are.
+// Runs on one worker are stopped for it, and the room that they leave is reserved for its step.
+#include "Cells/CellEngine.h"
+
+#include "Common/Log.h"
+#include "Policy/RoomMaking.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    /// How long a long-running task that has run, or may have run under an earlier owner or in another cell, finds no
+    /// room until room is made for it.
+    constexpr Common::Duration delayAfterRun = std::chrono::seconds(1);
+    constexpr Common::Duration delayIfUnknown = std::chrono::seconds(2);
+    /// Time between searches for runs to stop.
+    constexpr Common::Duration searchInterval = std::chrono::milliseconds(100);
+    /// Room isn't made again for the same task within this time.
+    constexpr Common::Duration pauseOfTask = std::chrono::seconds(3);
+    /// The same after a search that found no runs to stop.
+    constexpr Common::Duration pauseAfterFailure = std::chrono::milliseconds(500);
+    /// Room is made on one of so many workers at a time, on one at least.
+    constexpr size_t workersShare = 8;
+    /// A task is stopped this often at most, so that it ends at last.
+    constexpr uint32_t mostStopsOfTask = 2;
+    /// Room of peer cells doesn't count any more after this wait: it was taken whenever the task came there.
+    constexpr Common::Duration longestWaitForPeers = std::chrono::seconds(3);
+    constexpr double milliCoresPerCore = 1000;
+    constexpr double coresPerAccelerator = 8;
+
+} // namespace
+
+void CellEngine::makeRoom(const std::vector<Candidate>& ranked)
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    if (now - m_roomMakingSearchedAt < searchInterval)
+        return;
+    m_roomMakingSearchedAt = now;
+    size_t listed = 0;
+    size_t making = 0;
+    for (const auto& [id, worker] : m_workers.all()) {
+        listed += worker->listed ? 1 : 0;
+        making += worker->reservation && worker->reservation->made ? 1 : 0;
+    }
+    for (const Candidate& candidate : ranked) {
+        if (making >= std::max<size_t>(1, listed / workersShare))
+            return;
+        const std::optional<Jobs::TaskName> name = taskToMakeRoomFor(candidate);
+        if (name && makeRoomFor(candidate, *name))
+            ++making;
+    }
+}
+
+/// The step's first waiting task, if it is time to make room for it. A task that never ran has no run to miss: it waits
+/// for ends.
+std::optional<Jobs::TaskName> CellEngine::taskToMakeRoomFor(const Candidate& candidate)
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    const LiveJob& job = *candidate.job;
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    const auto occurrence = job.occurrences().find(candidate.occurrence);
+    if (!spec.longRunning || spec.gang || occurrence == job.occurrences().end())
+        return std::nullopt;
+    const LiveStep& step = occurrence->second.steps[candidate.step];
+    if (!step.blocked || step.waitingCount == 0 || m_committer.isTransferring(job.id()))
+        return std::nullopt;
+    const Jobs::TaskName name = firstWaitingTask(candidate);
+    const LiveTask& task = step.tasks[name.index];
+    if (task.notBefore > now || !mayStart(job, name, task)
+        || job.crashHistory(name).isolation() != Policy::CrashHistory::Isolation::None)
+        return std::nullopt;
+    if (task.noRoomMadeBefore > now)
+        return std::nullopt;
+    const bool hasRun = task.progress.lastAttempt > 0;
+    if (!hasRun && !job.recovered())
+        return std::nullopt;
+    // The others of a step that was given room don't wait anew.
+    if (hasRun && step.reservedStartAt)
+        return name;
+    const Common::Duration delay = hasRun ? delayAfterRun : delayIfUnknown;
+    return now - step.blocked->since < delay ? std::nullopt : std::optional(name);
+}
+
+/// Transfers the step's waiting tasks if a peer cell shows room that they haven't been refused there.
+bool CellEngine::transferToUntriedCell(const Candidate& candidate)
+{
+    LiveJob& job = *candidate.job;
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    if (m_runtime.now() - step.blocked->since >= longestWaitForPeers)
+        return false;
+    const auto other = findCellWithCapacity(job, spec, step);
+    if (!other || step.refusals.contains(other->first.value()))
+        return false;
+    if (CellWorker* const reserved = reservedWorker(firstWaitingTask(candidate)))
+        endReservation(*reserved, "transferred");
+    transferTasks(job, candidate);
+    return true;
+}
+
+/// Runs of the worker as far as room is concerned, in the order of its allocations.
+std::vector<Policy::RoomHolder> CellEngine::roomHolders(const CellWorker& worker) const
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    std::vector<Policy::RoomHolder> holders;
+    for (const auto& [run, allocation] : worker.allocations()) {
+        Policy::RoomHolder holder;
+        holder.held = allocation.held;
+        holder.ending = allocation.stopping;
+        holder.backfill = allocation.backfillMilliCores > 0;
+        const auto job = m_jobs.find(run.task.job);
+        const LiveTask* const task = job == m_jobs.end() ? nullptr : job->second->find(run.task);
+        const bool started = allocation.reportedRunning || allocation.orderAnsweredAt;
+        holder.kept = true;
+        if (task && started && task->run && task->run->worker == worker.id() && task->run->attempt == run.attempt) {
+            const Jobs::StepSpec& spec = job->second->stepSpec(run.task.step);
+            holder.kept = spec.longRunning || spec.gang || spec.maximumUnavailable > 0
+                || task->stopsForRoom >= mostStopsOfTask || isFinal(job->second->phase());
+            holder.priority = job->second->policy().priority;
+            const double cores = static_cast<double>(spec.resources.milliCores) / milliCoresPerCore
+                + coresPerAccelerator * static_cast<double>(spec.resources.accelerators);
+            const std::chrono::duration<double> ran = now - allocation.orderedAt;
+            holder.workLost = spec.supportsCheckpoints ? 0 : cores * ran.count();
+        }
+        holders.push_back(holder);
+    }
+    return holders;
+}
+
+bool CellEngine::makeRoomFor(const Candidate& candidate, const Jobs::TaskName& name)
+{
+    LiveJob& job = *candidate.job;
+    std::optional<RoomPlan> plan = planRoom(job, name, ReservedWorkers::LeaveOut);
+    if (!plan)
+        plan = planRoom(job, name, ReservedWorkers::TakeOver);
+    if (!plan) {
+        job.find(name)->noRoomMadeBefore = m_runtime.now() + pauseAfterFailure;
+        return false;
+    }
+    // Not before there is a plan: a search that fails keeps other steps from searching for a while.
+    if (transferToUntriedCell(candidate))
+        return false;
+    CellWorker& worker = *plan->worker;
+    if (CellWorker* const reserved = reservedWorker(name); reserved && reserved != &worker)
+        endReservation(*reserved, "room-made-elsewhere");
+    if (worker.reservation && !worker.reservation->isFor(name))
+        endReservation(worker, "displaced");
+    if (!worker.reservation)
+        reserve({ &worker, Common::Duration::zero() }, candidate);
+    worker.reservation->made = true;
+    worker.reservation->since = m_runtime.now();
+    job.find(name)->noRoomMadeBefore = m_runtime.now() + pauseOfTask;
+    std::string names;
+    for (const RunKey& run : plan->stopped)
+        names += (names.empty() ? "" : ",") + runName(run);
+    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    LC_INFO(Jobs,
+        "event=room-made task=" << runName({ name, Common::AttemptNumber { job.find(name)->progress.lastAttempt } })
+                                << " worker=" << worker.id().value() << " cell=" << m_id.value() << " waited-ms="
+                                << (m_runtime.now() - step.blocked->since) / std::chrono::milliseconds(1)
+                                << " stopped=" << names << " core-seconds-lost=" << plan->workLost);
+    for (const RunKey& run : plan->stopped) {
+        if (LiveJob* const owner = findJob(run.task.job))
+            ++owner->find(run.task)->stopsForRoom;
+        stopRun(worker, run);
+    }
+    return true;
+}
+
+std::optional<CellEngine::RoomPlan> CellEngine::planRoom(
+    const LiveJob& job, const Jobs::TaskName& name, ReservedWorkers reserved) const
+{
+    const Jobs::StepSpec& spec = job.stepSpec(name.step);
+    std::vector<CellWorker*> workers;
+    std::vector<Policy::RoomMakingOffer> offers;
+    for (const auto& [id, worker] : m_workers.all()) {
+        const bool reservedForOther = worker->reservation && !worker->reservation->isFor(name);
+        if (!mayRunOn(*worker, job, spec) || isQuarantinedFor(*worker, job, name)
+            || (reservedForOther && (reserved == ReservedWorkers::LeaveOut || !mayTakeOver(*worker->reservation)))
+            || (spec.maximumPerWorker > 0 && offerOf(*worker, spec, name).sameStep >= spec.maximumPerWorker))
+            continue;
+        workers.push_back(worker.get());
+        offers.push_back({ worker->entry().capacity, roomHolders(*worker) });
+    }
+    const std::optional<Policy::RoomMakingPlan> plan
+        = Policy::planRoomMaking(allocationFor(spec).held, job.policy().priority, offers);
+    if (!plan)
+        return std::nullopt;
+    RoomPlan found { workers[plan->worker], {}, plan->cost.workLost };
+    size_t index = 0;
+    for (const auto& [run, allocation] : found.worker->allocations()) {
+        if (std::find(plan->stopped.begin(), plan->stopped.end(), index++) != plan->stopped.end())
+            found.stopped.push_back(run);
+    }
+    return found;
+}
+
+/// Whether a long-running task may have the worker in place of the step for which it is reserved.
+bool CellEngine::mayTakeOver(const CellWorker::Reservation& reservation) const
+{
+    const auto job = m_jobs.find(reservation.step.job);
+    return job != m_jobs.end() && !job->second->stepSpec(reservation.step.step).longRunning;
+}
+
+} // namespace Cells
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -57,6 +57,7 @@
         if (!quarantined || !placeSuspects(candidate))
             placeStep(candidate, blocked);
     }
+    makeRoom(ranked);
 }
 
 ServiceRooms CellEngine::serviceRooms() const
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -103,6 +103,11 @@
 {
     if (!reservation)
         return free();
+    if (reservation->made) {
+        Common::Resources left = free();
+        left -= reservation->needed;
+        return left;
+    }
     Common::Resources beside = m_entry.capacity;
     beside -= reservation->needed;
     for (const auto& [run, allocation] : m_allocations) {
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -126,6 +126,8 @@
         Jobs::TaskName step;
         Common::Resources needed;
         Common::MonotonicTime since;
+        /// Runs were stopped so that the room becomes free at once; nothing else starts in it.
+        bool made = false;
 
         bool isFor(const Jobs::TaskName&) const;
     };
--- a/Source/Core/Cells/LiveTask.h
+++ b/Source/Core/Cells/LiveTask.h
@@ -23,6 +23,10 @@
     uint32_t unconfirmedCrashes = 0;
     /// Since when the task waits for a worker on which it can run in isolation; empty if it doesn't.
     std::optional<Common::MonotonicTime> isolationSince;
+    /// No runs are stopped to make room for the task before this time, after some were or none could be.
+    Common::MonotonicTime noRoomMadeBefore;
+    /// How often runs of the task were stopped here to make room for others.
+    uint32_t stopsForRoom = 0;
 
     /// The task, or its gang, has failed as often as it may. The cell to which the job belongs fails the job then; a
     /// part returns the task to that cell.
