Keep orders under way at a worker's restart; count late hosts' polls and a former owner's calls after its first report

- An answer to a start that arrives after the worker's new life is known is ignored, as its token is the former life's.
The run then counted as never started, and its task started elsewhere although the new life may have carried the order out.
A run whose order was sent counts as one without a known outcome from the restart on, until a report shows it.
- A host that is late gives its polls up to 5 s more, and starts go on while one is open.
The former owner's last call to a former life may be 7.2 s later than that life's end, not 2.2 s.
- What an earlier owner may have sent was forgotten with the first report of the worker; now it counts for a restart within its authority and the longest delay of a call.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -760,14 +760,15 @@
     onRunsLost(worker, gone, rebooted);
     for (const RunKey& run : gone)
         dropRun(worker, run);
-    // A start order that was answered may have been carried out by either life, and copies without an answer may still
-    // be: nothing in them tells the worker's lives apart.
+    // A start order that was answered may have been carried out by either life, and one without an answer may still be:
+    // nothing in them tells the worker's lives apart.
     for (const RunKey& run : unconfirmed) {
         RunAllocation& allocation = *worker.find(run);
         allocation.reportedRunning = false;
-        if (const auto answeredAt = std::exchange(allocation.orderAnsweredAt, std::nullopt);
-            answeredAt && !std::exchange(allocation.startOutcomeUnknown, true))
-            allocation.startUnansweredSince = *answeredAt;
+        const auto answeredAt = std::exchange(allocation.orderAnsweredAt, std::nullopt);
+        const bool wasSent = allocation.token != FencingToken {};
+        if (wasSent && !std::exchange(allocation.startOutcomeUnknown, true))
+            allocation.startUnansweredSince = answeredAt.value_or(m_runtime.now());
         if (std::exchange(allocation.stopping, false))
             stopRun(worker, run);
     }
--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -29,6 +29,8 @@
     Common::Duration idlePollInterval = std::chrono::seconds(5);
     /// A request has timed out when its answer takes longer than the requested wait plus this.
     Common::Duration answerTimeout = std::chrono::milliseconds(700);
+    /// How much longer than that a poll may take while this host is late in reading answers.
+    Common::Duration longestExtraTime = std::chrono::seconds(5);
     /// Pause after the first failed poll; doubles up to `longestPollRetryPause`.
     Common::Duration firstPollRetryPause = std::chrono::milliseconds(100);
     Common::Duration longestPollRetryPause = std::chrono::seconds(1);
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -13,7 +13,6 @@
 
     /// Number of polls in a row that a worker must leave unanswered before it counts as silent.
     constexpr uint32_t silentPolls = 3;
-    constexpr Common::Duration longestExtraTime = std::chrono::seconds(5);
 
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
@@ -167,7 +166,7 @@
     state.unansweredPolls = 0;
     worker.lease().startAnew();
     noteLateCallsEnd(worker);
-    if (!worker.contacted)
+    if (!worker.contacted || m_runtime.now() < m_inheritedLeasesEnd + m_settings.longestCallDelay)
         expectLateCallsOfEarlierOwner(worker);
     worker.token = m_tokens.take();
     worker.answered = false;
@@ -176,7 +175,7 @@
     return true;
 }
 
-/// Calls of an earlier owner to a former life of a worker that hasn't reported to this owner may be carried out late.
+/// Calls of an earlier owner to a former life of the worker may be carried out late.
 void CellWorkers::expectLateCallsOfEarlierOwner(CellWorker& worker)
 {
     if (worker.startedAtMilliseconds == 0)
@@ -498,8 +497,8 @@
 void CellWorkers::giveMoreTime(const CellWorker& worker, const Common::Failure& reason, Common::Duration elapsed)
 {
     Link& state = link(worker);
-    state.extraTime
-        = std::clamp(std::max(2 * state.extraTime, elapsed - state.wait), m_settings.answerTimeout, longestExtraTime);
+    state.extraTime = std::clamp(
+        std::max(2 * state.extraTime, elapsed - state.wait), m_settings.answerTimeout, m_settings.longestExtraTime);
     if (!std::exchange(state.latenessLogged, true)) {
         LC_WARN(Worker,
             "event=worker-poll-unjudged worker=" << worker.id().value() << " runs=" << worker.allocations().size()
--- a/Source/Core/Cells/WorkerLease.cpp
+++ b/Source/Core/Cells/WorkerLease.cpp
@@ -24,7 +24,7 @@
 WorkerLease::WorkerLease(const CellSettings& settings)
     : m_longestLease(onSlowestClock(settings.longestLease))
     , m_longestCallDelay(settings.longestCallDelay)
-    , m_longestPoll(settings.pollWait + settings.answerTimeout)
+    , m_longestPoll(settings.pollWait + settings.answerTimeout + settings.longestExtraTime)
 {
 }
 
