Don't hold a task for a late start on a worker that another one has replaced

Where another worker, under another id, has been started at the same address, no life under the former id is there, and orders name the id.

Change: a worker at whose address one with a later start is listed counts as replaced; its runs are gone with the lease that was granted last. The fake of a worker's calls refuses those that name another id, as the platform does.

Test: LateStartOnNextLifeTest, last case: the task runs elsewhere 11 s after the loss.

--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -95,6 +95,8 @@
     bool contacted = false;
     /// See RecordedWorker.
     int64_t lateCallsEndMilliseconds = 0;
+    /// Whether another worker that started later runs at its address, so that no life under this id does.
+    bool replaced = false;
     /// Sent with all calls to the present life and with none to a former one.
     FencingToken token;
     /// Whether the present life has answered a call that carried its token.
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -103,6 +103,16 @@
             + std::chrono::milliseconds(recorded.lateCallsEndMilliseconds - m_runtime.wallMilliseconds()));
 }
 
+/// Orders name the worker's id, so a worker under another id at its address carries out none of them.
+void CellWorkers::noteReplacedBy(const WorkerEntry& entry)
+{
+    for (const auto& [id, worker] : m_workers) {
+        if (id != entry.id && worker->entry().address == entry.address && worker->startedAtMilliseconds != 0
+            && worker->startedAtMilliseconds < entry.startedAtMilliseconds)
+            worker->replaced = true;
+    }
+}
+
 void CellWorkers::noteLateCallsEnd(CellWorker& worker)
 {
     const Common::MonotonicTime end = worker.lease().lateCallsEnd();
@@ -119,6 +129,7 @@
         if (const auto removed = m_removed.extract(entry.id); !removed.empty())
             added.lease().expectLateCallsUntil(removed.mapped());
         noteLateCallsEnd(added);
+        noteReplacedBy(entry);
         if (entry.draining)
             added.drainingSince = m_runtime.now();
         return;
@@ -169,6 +180,7 @@
     if (!worker.contacted || m_runtime.now() < m_inheritedLeasesEnd + m_settings.longestCallDelay)
         expectLateCallsOfEarlierOwner(worker);
     worker.token = m_tokens.take();
+    worker.replaced = false;
     worker.answered = false;
     m_hooks.runsCleared(worker, true);
     pollSoon(worker.id());
@@ -545,7 +557,8 @@
 Common::MonotonicTime CellWorkers::lateRunEnd(const CellWorker& worker, const RunAllocation& run) const
 {
     const WorkerLease& lease = worker.lease();
-    if (!run.startOutcomeUnknown || !lease.mayBeUnderWay(run.startUnansweredSince, worker.lastReportAt))
+    if (!run.startOutcomeUnknown || worker.replaced
+        || !lease.mayBeUnderWay(run.startUnansweredSince, worker.lastReportAt))
         return {};
     // As far as the platform's list tells, the life that the order was meant for is still there.
     const bool isListedLife = worker.listed && run.token == worker.token
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -121,6 +121,7 @@
     CellWorker& addUnknown(const WorkerEntry&);
     void expectLateCallsOfEarlierOwner(CellWorker&);
     void noteLateCallsEnd(CellWorker&);
+    void noteReplacedBy(const WorkerEntry&);
     void forget(const Common::WorkerId&);
     void judgeFailure(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
     void giveMoreTime(const CellWorker&, const Common::Failure&, Common::Duration elapsed);
--- a/Source/UnitTests/Cells/LateStartOnNextLifeTest.cpp
+++ b/Source/UnitTests/Cells/LateStartOnNextLifeTest.cpp
@@ -129,3 +129,30 @@
         CHECK(world.running() == 1);
     }
 }
+
+// Guards against a task that is held although nothing can start it any more (issue 49, LOST).
+TEST_CASE("a task isn't held for a late start on a worker that another one has replaced")
+{
+    CellWorld world(1);
+    Outcome outcome;
+    world.addWorkers("yard", 3, 8000);
+    world.addHost("yard", "a:1");
+    world.clock.advance(30s);
+    for (const auto& worker : world.workers)
+        worker->nextStartDelay = mostLate;
+    world.submit(*world.hosts.front(), CellWorld::service(1, 1), outcome);
+    world.clock.advance(1500ms);
+    const auto busy = std::find_if(
+        world.workers.begin(), world.workers.end(), [](const auto& worker) { return worker->running() > 0; });
+    REQUIRE(busy != world.workers.end());
+    for (const auto& worker : world.workers)
+        worker->nextStartDelay.reset();
+    (*busy)->crash();
+    Cells::WorkerEntry entry = (*busy)->entry();
+    entry.id = Common::WorkerId("replacement");
+    world.workers.push_back(std::make_unique<RunWorker>(world.clock, world.judge, entry));
+    world.workerDirectory[entry.address] = world.workers.back().get();
+    world.clock.advance(11s);
+    CHECK(world.running() == 1);
+    CHECK(world.judge.twice.summary() == "");
+}
--- a/Source/UnitTests/Cells/RunWorkerPort.h
+++ b/Source/UnitTests/Cells/RunWorkerPort.h
@@ -70,18 +70,21 @@
     void send(const Cells::WorkerTarget& target, Common::Duration timeout, Serve serve, Common::Callback<T> done)
     {
         const bool late = m_latePerMille > 0 && m_process.random()() % 1000 < m_latePerMille;
-        const auto deliver = [this, address = target.address, serve, late](const Common::Callback<T>& answer) {
-            const auto found = m_directory.find(address);
-            if (found == m_directory.end())
-                return;
-            RunWorker* const worker = found->second;
-            if (!late) {
-                serve(*worker, answer);
-                return;
-            }
-            m_lateCalls.postpone(m_world, m_process.random(), *worker,
-                [serve](RunWorker& target) { serve(target, [](const Common::Result<T>&) {}); });
-        };
+        const auto deliver
+            = [this, id = target.id, address = target.address, serve, late](const Common::Callback<T>& answer) {
+                  const auto found = m_directory.find(address);
+                  if (found == m_directory.end())
+                      return;
+                  RunWorker* const worker = found->second;
+                  if (worker->entry().id != id)
+                      return;
+                  if (!late) {
+                      serve(*worker, answer);
+                      return;
+                  }
+                  m_lateCalls.postpone(m_world, m_process.random(), *worker,
+                      [serve](RunWorker& target) { serve(target, [](const Common::Result<T>&) {}); });
+              };
         Fakes::callOver<T>(m_network, m_process, m_from, target.address, timeout, deliver, std::move(done),
             Fakes::Delivery::AtMostOnce);
     }
