Leases end with the authority of the owner that grants them

Cause: an owner granted leases in full up to the last moment of its authority (9 s after the store's last confirmation), so a successor had to take them to last for 9 + 6.1 s after its claim, on each worker that it couldn't reach.

Change: a lease ends no later than the authority, which is 8 s. A successor waits for that horizon, counted from the confirmation of its claim instead of the end of reading the cell; InheritedLeases is the one place that works it out. The record of a cell names the horizon. One without it is of an earlier release, whose leases last for up to 15 s; its successor waits for that, and carries it in the record until it is settled, for its own successors.

The price is paid in outages of the store: runs last for 8 s after the last confirmation, not for up to 15 s. Against that, polls near the end of the authority return early enough for another renewal, ownership is confirmed by a read when it is 1 s old (2 s before, and up to 4 s if something was written in between), and then each 0.5 s until the store answers.

--- a/Source/Core/Cells/CellCommitter.cpp
+++ b/Source/Core/Cells/CellCommitter.cpp
@@ -132,11 +132,12 @@
     scheduleFlush(Common::Duration::zero());
 }
 
-void CellCommitter::settle()
+void CellCommitter::settle(Common::Duration leaseHorizon)
 {
     // A write in progress may be a rewrite that still says so.
     if (m_stopped || m_busy || !std::exchange(m_record.unsettled, false))
         return;
+    m_record.leaseHorizon = leaseHorizon;
     m_needsRewrite = true;
     scheduleFlush(m_settings.lazyCommitDelay);
 }
@@ -522,8 +523,10 @@
 
 void CellCommitter::confirm()
 {
-    m_runtime.schedule(m_settings.confirmInterval, m_lifetime.guard([this] { confirm(); }));
-    if (m_runtime.suspendAwareNow() - m_confirmedAt >= m_settings.confirmInterval)
+    const Common::Duration left = m_settings.confirmInterval - (m_runtime.suspendAwareNow() - m_confirmedAt);
+    const bool isDue = left <= Common::Duration::zero();
+    m_runtime.schedule(isDue ? m_settings.confirmRetryInterval : left, m_lifetime.guard([this] { confirm(); }));
+    if (isDue)
         readRecord();
 }
 
--- a/Source/Core/Cells/CellCommitter.h
+++ b/Source/Core/Cells/CellCommitter.h
@@ -68,9 +68,9 @@
     void release(std::function<void()> done);
     /// Whether the cell's record says that an earlier owner may still grant leases.
     bool isUnsettled() const { return m_record.unsettled; }
-    /// Takes that out of the record: no earlier owner can grant leases any more. No effect while a write is in
-    /// progress.
-    void settle();
+    /// Takes that out of the record: no earlier owner can grant leases any more, and those of this owner end by the
+    /// horizon. No effect while a write is in progress.
+    void settle(Common::Duration leaseHorizon);
     /// Stops writing. Pending calls fail: submissions known not to be written with NotOwner, all others with
     /// OutcomeUnknown. Callbacks of transfers are dropped without a call.
     void stop();
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -126,7 +126,9 @@
               .lost = [this] { stopAfterLoss(); },
           })
     , m_workers(runtime, orders, m_token, settings,
-          recoveredCell.formerOwnerStopped ? Common::Duration::zero() : settings.authority,
+          recoveredCell.formerOwnerStopped
+              ? InheritedLeases::ofStoppedOwners(runtime.now(), settings)
+              : InheritedLeases::ofClaim(recoveredCell.record, recoveredCell.claimedAt, settings),
           CellWorkers::Hooks {
               .report = [this](CellWorker& worker, const RunReport& report,
                             Common::MonotonicTime askedAt) { onReport(worker, report, askedAt); },
@@ -138,7 +140,7 @@
                   },
               .acknowledge = [this](CellWorker& worker) { acknowledge(worker); },
               .dropped = [this] { writeWorkers(); },
-              .mayGrant = [this] { return mayGrant(); },
+              .authorityLeft = [this] { return authorityLeft(); },
               .ownedAt =
                   [this] {
                       const Common::Duration age = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
@@ -485,10 +487,11 @@
     m_lost();
 }
 
-bool CellEngine::mayGrant() const
+Common::Duration CellEngine::authorityLeft() const
 {
-    return !m_closed && !m_committer.isMarkingRelease()
-        && m_runtime.suspendAwareNow() - m_committer.confirmedAt() < m_settings.authority;
+    if (m_closed || m_committer.isMarkingRelease())
+        return Common::Duration::zero();
+    return m_settings.authority - (m_runtime.suspendAwareNow() - m_committer.confirmedAt());
 }
 
 bool CellEngine::hasUncontactedWorkers() const
@@ -524,7 +527,7 @@
     leaveDisownedWorkers();
     // Workers that have reported to this owner refuse orders of earlier ones.
     if (m_committer.isUnsettled() && !hasUncontactedWorkers())
-        m_committer.settle();
+        m_committer.settle(m_settings.authority);
     returnAllEndedTasks();
     updateLightlyLoaded();
     writeWorkers();
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -59,6 +59,8 @@
         std::vector<RecordedWorker> workers;
         /// When the call by which the store confirmed the claim was sent, on the clock that includes suspended time.
         Common::MonotonicTime confirmedAt;
+        /// When the store had confirmed the claim, on the runtime's clock: later it confirms no earlier owner.
+        Common::MonotonicTime claimedAt;
         /// What earlier owners learned about the interference of backfill images with services.
         std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimates;
     };
@@ -151,7 +153,7 @@
     /// Whether the store has confirmed the ownership recently enough to start runs.
     bool mayGrantLeases() const { return mayGrant(); }
     /// Called when the former owner can't grant leases any more because another process runs in its place.
-    void formerOwnerStopped() { m_workers.endInheritedAuthority(); }
+    void formerOwnerStopped() { m_workers.earlierOwnersStopped(); }
 
     /// Starts no more runs, writes pending changes and marks the cell as released in the store.
     void release(std::function<void()> done);
@@ -355,7 +357,10 @@
     CellWorker* choose(const LiveJob&, const Jobs::TaskName&, const LiveTask&, const Common::RackId& rack = {});
     void order(LiveJob&, const Jobs::TaskName&, CellWorker&, Common::AttemptNumber);
     void onOrderAnswer(const Common::WorkerId&, const RunKey&, OrderVerdict);
-    bool mayGrant() const;
+    bool mayGrant() const { return authorityLeft() > Common::Duration::zero(); }
+    /// How long this owner may still start runs and grant leases, and how long these may last; not above zero if its
+    /// authority has ended.
+    Common::Duration authorityLeft() const;
     bool hasUncontactedWorkers() const;
 
     // Jobs.
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -817,8 +817,7 @@
     }
     if (!found) {
         m_formerOwners.erase(cell);
-        writeClaim(cell, CellRecord { m_settings.id, m_settings.address, TokenRange::lastAfter({}), 0, false, false },
-            {}, true);
+        writeClaim(cell, recordOfClaim(CellRecord {}, true), {}, true);
         return;
     }
     const auto record = CellRecord::decode(found->value);
@@ -830,9 +829,7 @@
     if (record->owner == m_settings.id && !record->released) {
         // An earlier claim whose answer was lost, or a release that wasn't written. Either may still be written, and
         // other hosts may have been told of the release: only a new token tells the ownerships apart.
-        writeClaim(cell,
-            CellRecord { m_settings.id, m_settings.address, TokenRange::lastAfter(record->token), 0, false, true },
-            found->revision, false);
+        writeClaim(cell, recordOfClaim(*record, false), found->revision, false);
         return;
     }
     if (record->token > m_owners[cell].token && !record->released
@@ -957,10 +954,21 @@
         m_formerOwners.erase(cell);
     else
         m_formerOwners[cell] = record;
-    writeClaim(cell,
-        CellRecord {
-            m_settings.id, m_settings.address, TokenRange::lastAfter(record.token), 0, false, !allOwnersStopped },
-        revision, allOwnersStopped);
+    writeClaim(cell, recordOfClaim(record, allOwnersStopped), revision, allOwnersStopped);
+}
+
+/// The record by which this host replaces the owners of `former`, which may still grant leases unless they stopped.
+CellRecord CellOwnership::recordOfClaim(const CellRecord& former, bool allOwnersStopped) const
+{
+    CellRecord record;
+    record.owner = m_settings.id;
+    record.address = m_settings.address;
+    record.token = TokenRange::lastAfter(former.token);
+    record.unsettled = !allOwnersStopped;
+    record.leaseHorizon = m_cellSettings.authority;
+    if (record.unsettled)
+        record.leaseHorizon = std::max(record.leaseHorizon, former.leaseHorizon);
+    return record;
 }
 
 /// Whether the recorded owner may be alive but not yet discovered: a host that has just started doesn't know all
@@ -1009,13 +1017,16 @@
 {
     m_claims.at(cell).written = true;
     LC_INFO(Jobs, "event=cell-claimed cell=" << cell.value() << " token=" << record.token.value);
+    const Common::MonotonicTime claimedAt = m_ports.runtime.now();
     m_ports.store.list(StoreKeys::jobs(cell), Freshness::Linearizable,
-        m_lifetime.guard([this, cell, record, fence, formerOwnerStopped](const Common::Result<RecordListing>& jobs) {
+        m_lifetime.guard([this, cell, record, fence, formerOwnerStopped, claimedAt](
+                             const Common::Result<RecordListing>& jobs) {
             if (!jobs || jobs->unreadable > 0) {
                 endClaim(cell, "the job records can't be read");
                 return;
             }
-            CellEngine::RecoveredCell recoveredCell { record, fence, {}, {}, formerOwnerStopped, {}, {}, {} };
+            CellEngine::RecoveredCell recoveredCell { record, fence, {}, {}, formerOwnerStopped, {}, {}, claimedAt,
+                {} };
             for (const Scheduler::StoreValue& value : jobs->records) {
                 if (value.key == StoreKeys::pressureEstimates(cell)) {
                     recoveredCell.pressureEstimates = readPressureEstimates(value);
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -190,6 +190,7 @@
     void onProbed(const CellId&, const CellRecord&, Common::StoreRevision, const Common::Result<ProbeAnswer>&,
         bool wasRead, Common::MonotonicTime askedAt);
     void replaceOwner(const CellId&, const CellRecord&, Common::StoreRevision, bool formerOwnerStopped);
+    CellRecord recordOfClaim(const CellRecord& former, bool allOwnersStopped) const;
     bool isProofOfDeath(
         const CellId&, const CellRecord&, const Common::Failure&, bool wasRead, Common::MonotonicTime askedAt);
     bool wasLateSince(Common::MonotonicTime) const;
--- a/Source/Core/Cells/CellRecord.cpp
+++ b/Source/Core/Cells/CellRecord.cpp
@@ -9,11 +9,19 @@
 
 namespace Cells {
 
+namespace {
+
+    /// Far beyond any sensible authority; a record with more is refused.
+    constexpr int64_t maximumHorizonMilliseconds = 3600 * 1000;
+
+} // namespace
+
 std::string CellRecord::encode() const
 {
     return nlohmann::json {
         { "owner", owner.value() }, { "address", address }, { "token", token.value }, { "rewrites", rewrites },
-        { "released", released }, { "unsettled", unsettled }
+        { "released", released }, { "unsettled", unsettled },
+        { "lease-horizon-ms", leaseHorizon / std::chrono::milliseconds(1) }
     }.dump();
 }
 
@@ -29,6 +37,10 @@
         record.rewrites = static_cast<uint64_t>(object["rewrites"].otherwise(0).integer(0, Common::maximumJsonInteger));
         record.released = object["released"].otherwise(false).flag();
         record.unsettled = object["unsettled"].otherwise(false).flag();
+        record.leaseHorizon
+            = std::chrono::milliseconds(object["lease-horizon-ms"]
+                                            .otherwise(earlierReleaseHorizon / std::chrono::milliseconds(1))
+                                            .integer(0, maximumHorizonMilliseconds));
         return record;
     } catch (const Common::JsonFault& fault) {
         return Common::Failure { Common::ErrorCode::ProtocolError, std::string("cell record: ") + fault.what(), {} };
--- a/Source/Core/Cells/CellRecord.h
+++ b/Source/Core/Cells/CellRecord.h
@@ -4,6 +4,7 @@
 #include "Cells/CellId.h"
 #include "Common/Ids.h"
 #include "Common/Result.h"
+#include "Common/Units.h"
 
 #include <cstdint>
 #include <string>
@@ -23,7 +24,12 @@
     bool released = false;
     /// An owner before the recorded one may still grant leases to workers that the recorded one hasn't reached yet.
     bool unsettled = false;
+    /// How long after the store last confirmed the ownership of its owner a lease may end, at the latest, on a clock
+    /// that isn't slow: the longest of the recorded owner and, while the record is unsettled, of those before it.
+    Common::Duration leaseHorizon = earlierReleaseHorizon;
 
+    /// That of releases that don't record it: they grant leases of 6 s until the end of an authority of 9 s.
+    static constexpr Common::Duration earlierReleaseHorizon = std::chrono::seconds(15);
     std::string encode() const;
     static Common::Result<CellRecord> decode(std::string_view text);
 };
--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -15,12 +15,16 @@
     Common::Duration longestLease = std::chrono::seconds(10);
     /// A call without an answer is carried out within this time or never.
     Common::Duration longestCallDelay = std::chrono::milliseconds(12100);
-    /// An owner whose last confirmation by the store is older than this grants no more leases. Longer than the usual
-    /// outages of the store.
-    Common::Duration authority = std::chrono::seconds(9);
+    /// An owner whose last confirmation by the store is older than this starts nothing, and all leases that it has
+    /// granted have ended. So runs survive outages of the store that are shorter, less `confirmInterval` and a retry,
+    /// and a successor waits that long for workers that it can't reach.
+    Common::Duration authority = std::chrono::seconds(8);
     /// How long a worker may hold a poll open while no run ends. A quarter of the run lease, so that two polls may be
     /// lost.
     Common::Duration pollWait = std::chrono::milliseconds(1500);
+    /// The least wait of a poll that grants a shorter lease, as near the end of the authority, so that workers aren't
+    /// polled without a pause.
+    Common::Duration shortestPollWait = std::chrono::milliseconds(250);
     /// The same for a worker that runs both backfill and services, whose backfill pace is adjusted from each report.
     Common::Duration frequentPollWait = std::chrono::milliseconds(500);
     /// Pause before the next poll while ends wait for their commit; longer than a lazy commit takes.
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -13,6 +13,8 @@
 
     /// Number of polls in a row that a worker must leave unanswered before it counts as silent.
     constexpr uint32_t silentPolls = 3;
+    /// Number of polls that a lease lasts for, see CellSettings::pollWait.
+    constexpr int pollsInLease = 4;
 
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
@@ -55,23 +57,19 @@
 };
 
 CellWorkers::CellWorkers(Scheduler::Runtime& runtime, WorkerOrders& orders, FencingToken last,
-    const CellSettings& settings, Common::Duration inheritedAuthority, Hooks hooks)
+    const CellSettings& settings, InheritedLeases inheritedLeases, Hooks hooks)
     : m_runtime(runtime)
     , m_orders(orders)
     , m_tokens(last)
     , m_settings(settings)
     , m_hooks(std::move(hooks))
-    , m_inheritedLeasesEnd(runtime.now() + inheritedAuthority + WorkerLease::onSlowestClock(settings.runLease))
+    , m_inheritedLeases(inheritedLeases)
 {
 }
 
 CellWorkers::~CellWorkers() = default;
 
-void CellWorkers::endInheritedAuthority()
-{
-    m_inheritedLeasesEnd
-        = std::min(m_inheritedLeasesEnd, m_runtime.now() + WorkerLease::onSlowestClock(m_settings.runLease));
-}
+void CellWorkers::earlierOwnersStopped() { m_inheritedLeases.ownersStopped(m_runtime.now(), m_settings); }
 
 CellWorkers::Link& CellWorkers::link(const CellWorker& worker) { return m_links[worker.id()]; }
 
@@ -177,7 +175,7 @@
     state.unansweredPolls = 0;
     worker.lease().startAnew();
     noteLateCallsEnd(worker);
-    if (!worker.contacted || m_runtime.now() < m_inheritedLeasesEnd + m_settings.longestCallDelay)
+    if (!worker.contacted || m_runtime.now() < m_inheritedLeases.end() + m_settings.longestCallDelay)
         expectLateCallsOfEarlierOwner(worker);
     worker.token = m_tokens.take();
     worker.replaced = false;
@@ -244,6 +242,23 @@
     }));
 }
 
+/// Grants a lease that ends no later than the authority: a successor doesn't wait longer. This owner has some left.
+Common::WorkerTime CellWorkers::grantLease(CellWorker& worker)
+{
+    return worker.lease().grant(std::min(m_settings.runLease, m_hooks.authorityLeft()), m_runtime.now());
+}
+
+/// A poll near the end of the authority returns early, so that the lease can be renewed before its end if the store
+/// confirms the ownership meanwhile.
+Common::Duration CellWorkers::pollWaitFor(const CellWorker& worker) const
+{
+    const Common::Duration usual
+        = m_hooks.shouldPollFrequently(worker) ? m_settings.frequentPollWait : m_settings.pollWait;
+    if (!mayGrant())
+        return usual;
+    return std::clamp(m_hooks.authorityLeft() / pollsInLease, std::min(m_settings.shortestPollWait, usual), usual);
+}
+
 void CellWorkers::poll(const Common::WorkerId& id)
 {
     CellWorker* const worker = find(id);
@@ -257,11 +272,11 @@
     request.acknowledgedThrough = mayAcknowledge ? worker->acknowledgedThrough : 0;
     const bool occupied = !worker->allocations().empty();
     // The lease of an unreachable worker must be able to expire, so polls don't renew it until the worker answers.
-    if (occupied && worker->reachable && worker->lease().isClockKnown() && m_hooks.mayGrant())
-        request.leaseUntil = worker->lease().grant(m_settings.runLease, m_runtime.now());
+    if (occupied && worker->reachable && worker->lease().isClockKnown() && mayGrant())
+        request.leaseUntil = grantLease(*worker);
     const bool hasUnacknowledgedEnds = !worker->pendingEnds.empty() || (state.listsEnds && !mayAcknowledge);
     if (occupied && worker->reachable && !hasUnacknowledgedEnds)
-        request.wait = m_hooks.shouldPollFrequently(*worker) ? m_settings.frequentPollWait : m_settings.pollWait;
+        request.wait = pollWaitFor(*worker);
     request.extraTime = state.extraTime;
     state.polling = true;
     state.wait = request.wait;
@@ -365,8 +380,8 @@
     }
     worker.lease().synchronizeClock(report.clock, now);
     // An earlier owner may have renewed the lease just before.
-    if (!worker.contacted && now < m_inheritedLeasesEnd)
-        worker.lease().grant(m_settings.runLease, now);
+    if (!worker.contacted && now < m_inheritedLeases.end())
+        worker.lease().grant(std::min(m_settings.runLease, m_inheritedLeases.end() - now), now);
     worker.lastReportAt = now;
     return true;
 }
@@ -380,7 +395,7 @@
         return;
     PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, worker.token, {} };
     if (mayRenewThroughHost(worker, state))
-        poll.leaseUntil = worker.lease().grant(m_settings.runLease, m_runtime.now());
+        poll.leaseUntil = grantLease(worker);
     state.askingThroughHost = true;
     state.throughHost = m_hooks.pollThroughHost(poll, state.heardThroughHost ? state.throughHost : std::string(),
         m_lifetime.guard([this, id = worker.id(), asked = Asked { m_runtime.now(), worker.token }](
@@ -397,7 +412,7 @@
 bool CellWorkers::mayRenewThroughHost(const CellWorker& worker, const Link& state) const
 {
     const auto& runs = worker.allocations();
-    return state.heardThroughHost && m_hooks.mayGrant() && worker.lease().isClockKnown()
+    return state.heardThroughHost && mayGrant() && worker.lease().isClockKnown()
         && std::any_of(runs.begin(), runs.end(), [](const auto& row) { return row.second.reportedRunning; })
         && std::none_of(runs.begin(), runs.end(), [](const auto& row) { return row.second.stopping; });
 }
@@ -534,7 +549,7 @@
 /// Whether the unreachable worker is idle if only this owner, or an earlier one, can have reached it before `time`.
 bool CellWorkers::isIdleAfter(const CellWorker& worker, Common::MonotonicTime time) const
 {
-    if (!worker.contacted && time < std::max(m_inheritedLeasesEnd, worker.lease().lateLeasesEnd()))
+    if (!worker.contacted && time < std::max(m_inheritedLeases.end(), worker.lease().lateLeasesEnd()))
         return false;
     if (!worker.lease().hasExpired(time))
         return false;
@@ -620,11 +635,11 @@
         return;
     }
     const auto again = m_lifetime.guard([this, id, order, answered] { sendStart(id, order, answered); });
-    if (!m_hooks.mayGrant() || !worker->reachable || !worker->lease().isClockKnown()) {
+    if (!mayGrant() || !worker->reachable || !worker->lease().isClockKnown()) {
         m_runtime.schedule(m_settings.orderRetry, again);
         return;
     }
-    const Common::WorkerTime until = worker->lease().grant(m_settings.runLease, m_runtime.now());
+    const Common::WorkerTime until = grantLease(*worker);
     allocation->token = worker->token;
     m_orders.start(targetOf(*worker), worker->token, order, until,
         m_lifetime.guard([this, id, run, again, answered, sentAt = m_runtime.now(), token = worker->token](
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -4,6 +4,7 @@
 #include "Cells/CellId.h"
 #include "Cells/CellSettings.h"
 #include "Cells/CellWorker.h"
+#include "Cells/InheritedLeases.h"
 #include "Cells/PollForHost.h"
 #include "Cells/RecordedWorker.h"
 #include "Cells/TokenRange.h"
@@ -39,8 +40,9 @@
         std::function<void(CellWorker&)> acknowledge;
         /// A worker was removed because it is neither listed nor reachable and is provably idle.
         std::function<void()> dropped;
-        /// Whether this owner may still grant leases and start runs.
-        std::function<bool()> mayGrant;
+        /// How long this owner may still grant leases and start runs, and how long leases that it grants may last; not
+        /// above zero if it may not.
+        std::function<Common::Duration()> authorityLeft;
         /// When the store last confirmed that this host owns the cell, on the runtime's clock, or earlier.
         std::function<Common::MonotonicTime()> ownedAt;
         /// Asks the store to confirm that this host owns the cell. The callback may be dropped.
@@ -53,10 +55,8 @@
             pollThroughHost;
     };
 
-    /// `last`: the token of the cell's record. `inheritedAuthority`: how long an earlier owner may still grant leases;
-    /// zero if it can't.
-    CellWorkers(Scheduler::Runtime&, WorkerOrders&, FencingToken last, const CellSettings&,
-        Common::Duration inheritedAuthority, Hooks);
+    /// `last`: the token of the cell's record.
+    CellWorkers(Scheduler::Runtime&, WorkerOrders&, FencingToken last, const CellSettings&, InheritedLeases, Hooks);
     ~CellWorkers();
 
     /// Adds or updates a worker that the platform lists. A later start time in the entry counts as a reboot.
@@ -93,7 +93,7 @@
     /// none that may be.
     Common::MonotonicTime lateRunEnd(const CellWorker&, const RunAllocation&) const;
     /// Called when earlier owners can't grant leases any more.
-    void endInheritedAuthority();
+    void earlierOwnersStopped();
     /// Stops all polls and orders.
     void close();
 
@@ -101,6 +101,9 @@
     struct Link;
 
     Link& link(const CellWorker&);
+    bool mayGrant() const { return m_hooks.authorityLeft() > Common::Duration::zero(); }
+    Common::WorkerTime grantLease(CellWorker&);
+    Common::Duration pollWaitFor(const CellWorker&) const;
     void poll(const Common::WorkerId&);
     bool mayAcknowledgeTo(const CellWorker&, const Link&) const;
     void schedulePoll(const Common::WorkerId&, Common::Duration);
@@ -145,8 +148,8 @@
     std::map<Common::WorkerId, Link> m_links;
     /// Until when calls to workers that were removed may be carried out late, if one starts again under the id.
     std::map<Common::WorkerId, Common::MonotonicTime> m_removed;
-    /// Workers that haven't reported may hold leases of an earlier owner until then.
-    Common::MonotonicTime m_inheritedLeasesEnd;
+    /// What workers that haven't reported may hold.
+    InheritedLeases m_inheritedLeases;
     bool m_closed = false;
     Common::Lifetime m_lifetime;
 };
--- a/Source/Core/Cells/CommitterSettings.h
+++ b/Source/Core/Cells/CommitterSettings.h
@@ -25,8 +25,10 @@
     Common::Duration acceptTimeoutWhileFailing = std::chrono::milliseconds(250);
     /// A caller gets OutcomeUnknown when the outcome of its write isn't known after this time.
     Common::Duration unknownOutcomeTimeout = std::chrono::milliseconds(400);
-    /// How often ownership is confirmed by a read when nothing is written.
-    Common::Duration confirmInterval = std::chrono::seconds(2);
+    /// Ownership that no write has confirmed for this long is confirmed by a read.
+    Common::Duration confirmInterval = std::chrono::seconds(1);
+    /// Time until the next read if that isn't answered: an outage of the store ends with it.
+    Common::Duration confirmRetryInterval = std::chrono::milliseconds(500);
 };
 
 } // namespace Cells
--- a/Source/UnitTests/Cells/EarlierOwnerAuthorityTest.cpp
+++ b/Source/UnitTests/Cells/EarlierOwnerAuthorityTest.cpp
@@ -4,6 +4,8 @@
 #include "Cells/StoreKeys.h"
 #include "Cells/TokenRange.h"
 
+#include <nlohmann/json.hpp>
+
 #include <doctest/doctest.h>
 
 using namespace CellTests;
@@ -90,6 +92,25 @@
     }
 }
 
+// Guards against a successor that counts on leases that end with the authority, as those of earlier releases don't.
+TEST_CASE("a task runs once if an owner of a release that doesn't record its leases' horizon is cut off with a worker")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        SeparatedOwner world(seed);
+        // The earlier release grants 6 s until 9 s after the last confirmation.
+        world.first->cellSettings.authority = 15s;
+        const std::string key = Cells::StoreKeys::cell(Cells::CellId("yard-0"));
+        nlohmann::json record = nlohmann::json::parse(*world.store.value(key));
+        REQUIRE(record.erase("lease-horizon-ms") == 1);
+        world.store.put(key, record.dump());
+        world.awaitSuccessor();
+        world.clock.advance(30s);
+        CHECK(world.judge.summary() == "");
+        CHECK(world.running() == 8);
+    }
+}
+
 TEST_CASE("an owner that has replaced a dead one takes its record for settled once all workers have reported")
 {
     Fleet fleet;
--- a/Source/UnitTests/Cells/ScriptedOrders.h
+++ b/Source/UnitTests/Cells/ScriptedOrders.h
@@ -54,10 +54,12 @@
     Cells::CellSettings settings;
     Common::MonotonicTime ownedAt = clock.now();
     bool storeAnswers = true;
+    Common::Duration authorityLeft = settings.authority;
     size_t rebirths = 0;
     /// The runs of a former life are kept, as if their orders had no known outcome.
     bool keepsRuns = false;
-    Cells::CellWorkers workers { clock, orders, Cells::TokenRange::lastAfter({}), settings, Common::Duration::zero(),
+    Cells::CellWorkers workers { clock, orders, Cells::TokenRange::lastAfter({}), settings,
+        Cells::InheritedLeases::ofStoppedOwners(clock.now(), settings),
         Cells::CellWorkers::Hooks {
             .report = [](Cells::CellWorker&, const Cells::RunReport&, Common::MonotonicTime) {},
             .runsCleared =
@@ -69,7 +71,7 @@
             .fenced = [] {},
             .acknowledge = [](Cells::CellWorker&) {},
             .dropped = [] {},
-            .mayGrant = [] { return true; },
+            .authorityLeft = [this] { return authorityLeft; },
             .ownedAt = [this] { return ownedAt; },
             .confirmOwnership =
                 [this](std::function<void()> confirmed) {
