ReleasedCellTransferTest: begin the outage just before the hand-over

The outage now begins 6 s after the nearer host's start in all cases, 1 s later than before and still before the release that must fail, so that the authority outlasts the release.

--- a/Source/UnitTests/Cells/ReleasedCellTransferTest.cpp
+++ b/Source/UnitTests/Cells/ReleasedCellTransferTest.cpp
@@ -19,8 +19,6 @@
 struct TwoCells : CellWorld {
     const Cells::CellId home { "yard-0" };
     const Cells::CellId peer { "shed-0" };
-    /// From the start of the nearer host to the outage, which must begin before the hand-over.
-    Common::Duration untilOutage = 5s;
 
     TwoCells()
         : CellWorld(1)
@@ -81,7 +79,8 @@
         WorldHost* const releaser = ownerOf(cell);
         const std::string domain = cell == home ? "yard" : "shed";
         WorldHost& nearer = addHost(domain, domain + ":1", 100'000);
-        clock.advance(untilOutage);
+        // Just before the hand-over, so that the owner's authority outlasts its release.
+        clock.advance(6s);
         store.down = true;
         duringOutage();
         waitUntil([&] { return !ownerOf(cell); });
@@ -100,9 +99,7 @@
 TEST_CASE("a job ends although its cell was held on after a failed release while its tasks ran in another cell")
 {
     TwoCells world;
-    // The runs last as long as the authority of their owner.
-    world.untilOutage = 10s;
-    world.submitToHome(CellWorld::job(jobNumber, "run:30000", 2));
+    world.submitToHome(CellWorld::job(jobNumber, "run:20000", 2));
     world.waitUntil([&] { return world.peerWorker().running() == 2; });
     world.holdOnAfterFailedRelease(world.home, 3s);
     REQUIRE(world.peerWorker().running() == 2);
