Look at silent workers as soon as the leases of earlier owners end

After a takeover the tasks of a lost worker waited until the next poll of it had timed out, up to 1.7 s after the last lease that it could hold.

The ownership is now confirmed at the end of the inherited leases for the silent workers, as it is after a poll.

--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1067,14 +1067,15 @@
     const size_t jobs = recoveredCell.jobs.size();
     const FencingToken token = recoveredCell.record.token;
     const bool unsettled = recoveredCell.record.unsettled;
+    const Common::Duration leaseHorizon = recoveredCell.record.leaseHorizon;
     auto engine = std::make_unique<CellEngine>(m_ports.runtime, m_ports.store, m_ports.orders, cell, m_cellSettings,
         std::move(recoveredCell), peerCells(), m_lifetime.guard([this, cell] {
             removeEngine(cell);
             findAnnouncedOwner(cell);
         }));
     LC_INFO(Jobs,
-        "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs
-                                 << " unsettled=" << unsettled);
+        "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs << " unsettled="
+                                 << unsettled << " lease-horizon-ms=" << leaseHorizon / std::chrono::milliseconds(1));
     for (const auto& [other, pressureEstimates] : m_pressureEstimates) {
         if (other != cell)
             engine->adopt(other, pressureEstimates);
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -65,11 +65,27 @@
     , m_hooks(std::move(hooks))
     , m_inheritedLeases(inheritedLeases)
 {
+    confirmIdleAtEndOfInheritedLeases();
 }
 
 CellWorkers::~CellWorkers() = default;
 
-void CellWorkers::earlierOwnersStopped() { m_inheritedLeases.ownersStopped(m_runtime.now(), m_settings); }
+void CellWorkers::earlierOwnersStopped()
+{
+    m_inheritedLeases.ownersStopped(m_runtime.now(), m_settings);
+    confirmIdleAtEndOfInheritedLeases();
+}
+
+/// Recovered tasks wait for that; the next poll of a silent worker may end more than a second later.
+void CellWorkers::confirmIdleAtEndOfInheritedLeases()
+{
+    m_runtime.schedule(m_inheritedLeases.end() - m_runtime.now(), m_lifetime.guard([this] {
+        for (const auto& [id, worker] : m_workers) {
+            if (!m_closed && !worker->contacted)
+                confirmIdle(*worker);
+        }
+    }));
+}
 
 CellWorkers::Link& CellWorkers::link(const CellWorker& worker) { return m_links[worker.id()]; }
 
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -135,6 +135,7 @@
     bool needsConfirmation(const CellWorker&) const;
     void clearIfIdle(CellWorker&);
     void confirmIdle(const CellWorker&);
+    void confirmIdleAtEndOfInheritedLeases();
     bool dropIfGone(CellWorker&);
     void sendStart(const Common::WorkerId&, const RunOrder&, const std::function<void(OrderAnswer)>&);
     void sendStop(const Common::WorkerId&, const RunKey&, const std::function<void(OrderAnswer)>&);
