Start nothing in the last second of the authority; read the time before the authority

- Runs were started on leases of any length, down to milliseconds, only to lapse; an order that arrived after the end of its lease was sent again at once, under a new attempt number each time.
- A process that was suspended between the question for its authority and the reading of the clock granted a lease beyond its authority.
InheritedLeasesTest has the case; GCC evaluates the arguments in the order that hid it.
- The leases of owners that have stopped count from the claim, not from the end of reading the cell (no test of its own).

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -127,7 +127,7 @@
           })
     , m_workers(runtime, orders, m_token, settings,
           recoveredCell.formerOwnerStopped
-              ? InheritedLeases::ofStoppedOwners(runtime.now(), settings)
+              ? InheritedLeases::ofStoppedOwners(recoveredCell.claimedAt, settings)
               : InheritedLeases::ofClaim(recoveredCell.record, recoveredCell.claimedAt, settings),
           CellWorkers::Hooks {
               .report = [this](CellWorker& worker, const RunReport& report,
@@ -143,8 +143,9 @@
               .authorityLeft = [this] { return authorityLeft(); },
               .ownedAt =
                   [this] {
-                      const Common::Duration age = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
-                      return m_runtime.now() - age;
+                      // Read first: this process may be suspended between the two.
+                      const Common::MonotonicTime now = m_runtime.now();
+                      return now - (m_runtime.suspendAwareNow() - m_committer.confirmedAt());
                   },
               .confirmOwnership =
                   [this](std::function<void()> confirmed) {
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -45,7 +45,7 @@
 
 void CellEngine::place()
 {
-    if (m_closed || m_releasing || !mayGrant())
+    if (m_closed || m_releasing || authorityLeft() < m_settings.shortestStartLease)
         return;
     const Common::WorkTimes::Scope work(Common::WorkKind::Placement);
     std::vector<Candidate> ranked = candidates();
@@ -352,7 +352,7 @@
     LC_INFO(Jobs,
         "event=run-refused run=" << runName(run) << " worker=" << id.value()
                                  << " verdict=" << static_cast<int>(verdict));
-    if (verdict == OrderVerdict::NoRoom || verdict == OrderVerdict::Unhealthy)
+    if (verdict == OrderVerdict::NoRoom || verdict == OrderVerdict::Unhealthy || verdict == OrderVerdict::OrderExpired)
         worker->noStartsBefore = now + m_settings.refusalPause;
     if (task && verdict == OrderVerdict::Malformed)
         task->notBefore = now + malformedRetryPause;
--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -19,6 +19,8 @@
     /// granted have ended. So runs survive outages of the store that are shorter, less `confirmInterval` and a retry,
     /// and a successor waits that long for workers that it can't reach.
     Common::Duration authority = std::chrono::seconds(8);
+    /// No run is started on a shorter lease: the order may arrive after its end, and the run would end soon.
+    Common::Duration shortestStartLease = std::chrono::seconds(1);
     /// How long a worker may hold a poll open while no run ends. A quarter of the run lease, so that two polls may be
     /// lost.
     Common::Duration pollWait = std::chrono::milliseconds(1500);
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -101,7 +101,7 @@
     FencingToken token;
     /// Whether the present life has answered a call that carried its token.
     bool answered = false;
-    /// No runs are started before this time, after the worker refused one.
+    /// No runs are started before this time, after the worker refused one or got its order too late.
     Common::MonotonicTime noStartsBefore;
     /// Wall clock of the worker's last known start, in milliseconds; 0 if unknown. A change means that it rebooted.
     int64_t startedAtMilliseconds = 0;
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -191,7 +191,10 @@
     state.unansweredPolls = 0;
     worker.lease().startAnew();
     noteLateCallsEnd(worker);
-    if (!worker.contacted || m_runtime.now() < m_inheritedLeases.end() + m_settings.longestCallDelay)
+    // A late host may have sent a poll for the earlier owner after the end of its authority.
+    const Common::MonotonicTime earlierCallsEnd
+        = m_inheritedLeases.end() + m_settings.longestExtraTime + m_settings.longestCallDelay;
+    if (!worker.contacted || m_runtime.now() < earlierCallsEnd)
         expectLateCallsOfEarlierOwner(worker);
     worker.token = m_tokens.take();
     worker.replaced = false;
@@ -261,7 +264,9 @@
 /// Grants a lease that ends no later than the authority: a successor doesn't wait longer. This owner has some left.
 Common::WorkerTime CellWorkers::grantLease(CellWorker& worker)
 {
-    return worker.lease().grant(std::min(m_settings.runLease, m_hooks.authorityLeft()), m_runtime.now());
+    // Read first: this process may be suspended between the two.
+    const Common::MonotonicTime now = m_runtime.now();
+    return worker.lease().grant(std::min(m_settings.runLease, m_hooks.authorityLeft()), now);
 }
 
 /// A poll near the end of the authority returns early, so that the lease can be renewed before its end if the store
@@ -651,7 +656,8 @@
         return;
     }
     const auto again = m_lifetime.guard([this, id, order, answered] { sendStart(id, order, answered); });
-    if (!mayGrant() || !worker->reachable || !worker->lease().isClockKnown()) {
+    if (m_hooks.authorityLeft() < m_settings.shortestStartLease || !worker->reachable
+        || !worker->lease().isClockKnown()) {
         m_runtime.schedule(m_settings.orderRetry, again);
         return;
     }
--- a/Source/Core/Cells/InheritedLeases.h
+++ b/Source/Core/Cells/InheritedLeases.h
@@ -9,7 +9,8 @@
 struct CellRecord;
 struct CellSettings;
 
-/// Invariant: no lease of an earlier owner, on however slow a worker's clock, ends after `end()`.
+/// Invariant: no lease of an earlier owner ends after `end()` on the life of the worker for which it was granted, on
+/// however slow a clock. What late calls give to a next life is in WorkerLease.
 class InheritedLeases {
 public:
     /// Those of a cell that was claimed with that record. `claimedAt`: when the store had confirmed the claim, or
--- a/Source/UnitTests/Cells/ScriptedOrders.h
+++ b/Source/UnitTests/Cells/ScriptedOrders.h
@@ -55,6 +55,8 @@
     Common::MonotonicTime ownedAt = clock.now();
     bool storeAnswers = true;
     Common::Duration authorityLeft = settings.authority;
+    /// The next questions for the authority are answered before suspensions of these lengths, and read after them.
+    std::deque<Common::Duration> suspensions;
     size_t rebirths = 0;
     /// The runs of a former life are kept, as if their orders had no known outcome.
     bool keepsRuns = false;
@@ -71,7 +73,16 @@
             .fenced = [] {},
             .acknowledge = [](Cells::CellWorker&) {},
             .dropped = [] {},
-            .authorityLeft = [this] { return authorityLeft; },
+            .authorityLeft =
+                [this] {
+                    const Common::Duration left = authorityLeft;
+                    if (!suspensions.empty()) {
+                        authorityLeft -= suspensions.front();
+                        clock.advance(suspensions.front());
+                        suspensions.pop_front();
+                    }
+                    return left;
+                },
             .ownedAt = [this] { return ownedAt; },
             .confirmOwnership =
                 [this](std::function<void()> confirmed) {
