A new owner holds back only tasks that may be on a silent worker

Cause: CellEngine::candidates left out recovered jobs as a whole until each worker of the record had reported or was provably idle.

Change: LiveTask::mayBeElsewhere says of each task whether an earlier owner may have started it on a worker that hasn't reported; CellEngine::isAvailable is the one condition for starts, gangs, suspects, reservations, room making and transfers. It is cleared when a worker lists a run of the task that this owner adopts: the worker refuses earlier owners' calls by then, so they can't learn of the run's end and have neither started the task again nor a step that depends on its step. No proof: an end in the first report; a listed run if a later attempt is known; for the next steps, a run with earlier attempts that aren't known to have failed, as the end of one that was given up completes the task too, and a gang of which a member wasn't listed, as one end completes it. A task that a transfer brings to a recovered job is held again.

Attempt numbers weren't unique: a successor that had given a silent worker up started its tasks with the numbers that the earlier owner may have used. To the next owner such a run would look like the task's first one.

tasks-held and tasks-released tell how many tasks wait.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -701,7 +701,9 @@
     if (!task || !task->waiting())
         return;
     const Common::MonotonicTime now = m_runtime.now();
+    const uint32_t lastAttempt = task->progress.lastAttempt;
     job->adoptRun(row.task, TaskRun { worker.id(), row.attempt, RunPhase::Running, now, now, row.percent, now });
+    job->noteListed(row.task, lastAttempt);
 }
 
 void CellEngine::removeAbsentRuns(CellWorker& worker, const RunReport& report, Common::MonotonicTime askedAt)
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -260,7 +260,8 @@
     void reserve(const ExpectedRoom&, const Candidate&);
     /// The worker on which room is reserved for the task's step; null if there is none.
     CellWorker* reservedWorker(const Jobs::TaskName&) const;
-    static Jobs::TaskName firstWaitingTask(const Candidate&);
+    /// The step must have an available task.
+    Jobs::TaskName firstAvailableTask(const Candidate&) const;
     std::optional<Common::Duration> timeUntilRoom(const CellWorker&, const Common::Resources& needed) const;
     std::optional<ExpectedRoom> earliestRoom(const LiveJob&, const Jobs::TaskName&, const CellWorker* displaced) const;
     void endOutdatedReservations();
@@ -293,6 +294,13 @@
     void schedulePlacement();
     void place();
     void updateLightlyLoaded();
+    /// Decides whether tasks that may be on workers of earlier owners are held until these have reported.
+    void updateHold();
+    size_t waitingElsewhere() const;
+    Common::AttemptNumber nextAttempt(const LiveTask&) const;
+    /// Whether the task waits and can't be on a worker that hasn't reported, so that it may be started or given away.
+    bool isAvailable(const LiveTask&) const;
+    bool hasAvailableTask(const LiveStep&) const;
     std::vector<Candidate> candidates();
     /// A kind of task for which one look at all workers has found no room.
     struct BlockedKind {
@@ -448,6 +456,11 @@
     Common::MonotonicTime m_reservationsSearchedAt;
     /// When runs to stop were last looked for.
     Common::MonotonicTime m_roomMakingSearchedAt;
+    /// Whether a worker that may hold runs of an earlier owner hasn't reported and isn't provably idle, as of the last
+    /// placement; empty before the first.
+    std::optional<bool> m_holdsTasks;
+    /// A worker that may hold runs of an earlier owner counted as idle without a report.
+    bool m_gaveUpInherited = false;
     bool m_placingSoon = false;
     bool m_releasing = false;
     bool m_closed = false;
--- a/Source/Core/Cells/CellEngineCrashes.cpp
+++ b/Source/Core/Cells/CellEngineCrashes.cpp
@@ -328,11 +328,11 @@
     for (uint32_t index = 0; index < step.tasks.size(); ++index) {
         const LiveTask& task = step.tasks[index];
         const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
-        if (!isSuspect(task) || !task.waiting() || task.notBefore > now || !mayStart(job, name, task))
+        if (!isSuspect(task) || !isAvailable(task) || task.notBefore > now || !mayStart(job, name, task))
             continue;
         const std::optional<CellWorker*> choice = chooseForStart(job, name);
         if (choice && *choice)
-            order(job, name, **choice, Common::AttemptNumber { task.progress.lastAttempt + 1 });
+            order(job, name, **choice, nextAttempt(task));
     }
     return step.waitingCount == 0;
 }
--- a/Source/Core/Cells/CellEngineGangs.cpp
+++ b/Source/Core/Cells/CellEngineGangs.cpp
@@ -61,8 +61,9 @@
         return;
     const Common::MonotonicTime now = m_runtime.now();
     const Jobs::TaskName first { job.id(), candidate.occurrence, candidate.step, 0 };
-    if (std::any_of(step.tasks.begin(), step.tasks.end(),
-            [&](const LiveTask& task) { return task.notBefore > now || !mayStart(job, first, task); }))
+    if (std::any_of(step.tasks.begin(), step.tasks.end(), [&](const LiveTask& task) {
+            return !isAvailable(task) || task.notBefore > now || !mayStart(job, first, task);
+        }))
         return;
     if (!step.waitingSince)
         step.waitingSince = now;
@@ -80,12 +81,11 @@
 {
     LiveJob& job = *candidate.job;
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
-    uint32_t lastAttempt = 0;
+    Common::AttemptNumber attempt;
     for (const LiveTask& task : step.tasks)
-        lastAttempt = std::max(lastAttempt, task.progress.lastAttempt);
+        attempt = std::max(attempt, nextAttempt(task));
     // Each member's allocation is added before the next worker is chosen, so that the choices account for one another.
     std::vector<std::pair<Jobs::TaskName, CellWorker*>> placedMembers;
-    const Common::AttemptNumber attempt { lastAttempt + 1 };
     for (uint32_t index = 0; index < step.tasks.size(); ++index) {
         const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
         const std::optional<CellWorker*> choice = chooseForStart(job, name, rack);
--- a/Source/Core/Cells/CellEngineReservations.cpp
+++ b/Source/Core/Cells/CellEngineReservations.cpp
@@ -84,7 +84,7 @@
         if (reserved >= most && !displaced)
             return;
         const std::optional<ExpectedRoom> room
-            = earliestRoom(*claim.candidate->job, firstWaitingTask(*claim.candidate), displaced);
+            = earliestRoom(*claim.candidate->job, firstAvailableTask(*claim.candidate), displaced);
         if (!room) {
             hopeless.push_back(claim.candidate);
             continue;
@@ -169,13 +169,13 @@
                                     << " accelerators=" << needed.accelerators);
 }
 
-Jobs::TaskName CellEngine::firstWaitingTask(const Candidate& candidate)
+Jobs::TaskName CellEngine::firstAvailableTask(const Candidate& candidate) const
 {
     const LiveStep& step = candidate.job->occurrences().at(candidate.occurrence).steps[candidate.step];
-    const auto waiting
-        = std::find_if(step.tasks.begin(), step.tasks.end(), [](const LiveTask& task) { return task.waiting(); });
+    const auto available = std::find_if(
+        step.tasks.begin(), step.tasks.end(), [this](const LiveTask& task) { return isAvailable(task); });
     return { candidate.job->id(), candidate.occurrence, candidate.step,
-        static_cast<uint32_t>(waiting - step.tasks.begin()) };
+        static_cast<uint32_t>(available - step.tasks.begin()) };
 }
 
 std::optional<Common::Duration> CellEngine::timeUntilRoom(
@@ -233,7 +233,7 @@
     if (!job || isFinal(job->phase()))
         return "job-ended";
     const LiveStep* const step = findStep(*job, reservation.step);
-    if (!step || step->waitingCount == 0)
+    if (!step || !hasAvailableTask(*step))
         return "no-waiting-task";
     const auto obstacle = obstacleAtWorker(worker, *job, job->stepSpec(reservation.step.step));
     if (obstacle && *obstacle != Policy::StartObstacle::Refused)
@@ -241,7 +241,7 @@
     if (reservation.made && m_runtime.now() - reservation.since >= longestRoomMaking)
         return "room-not-made";
     const Candidate candidate { findJob(reservation.step.job), reservation.step.occurrence, reservation.step.step, {} };
-    const Jobs::TaskName name = firstWaitingTask(candidate);
+    const Jobs::TaskName name = firstAvailableTask(candidate);
     if (isQuarantinedFor(worker, *job, name))
         return "quarantine";
     // A worker on which runs overrun their estimates is kept: another would have to begin anew.
--- a/Source/Core/Cells/CellEngineRoomMaking.cpp
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -64,9 +64,9 @@
     if (!spec.longRunning || spec.gang || occurrence == job.occurrences().end())
         return std::nullopt;
     const LiveStep& step = occurrence->second.steps[candidate.step];
-    if (!step.blocked || step.waitingCount == 0 || m_committer.isTransferring(job.id()))
+    if (!step.blocked || !hasAvailableTask(step) || m_committer.isTransferring(job.id()))
         return std::nullopt;
-    const Jobs::TaskName name = firstWaitingTask(candidate);
+    const Jobs::TaskName name = firstAvailableTask(candidate);
     const LiveTask& task = step.tasks[name.index];
     if (task.notBefore > now || !mayStart(job, name, task)
         || job.crashHistory(name).isolation() != Policy::CrashHistory::Isolation::None)
@@ -94,7 +94,7 @@
     const auto other = findCellWithCapacity(job, spec, step);
     if (!other || step.refusals.contains(other->first.value()))
         return false;
-    if (CellWorker* const reserved = reservedWorker(firstWaitingTask(candidate)))
+    if (CellWorker* const reserved = reservedWorker(firstAvailableTask(candidate)))
         endReservation(*reserved, "transferred");
     transferTasks(job, candidate);
     return true;
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -48,6 +48,7 @@
     if (m_closed || m_releasing || !mayGrant())
         return;
     const Common::WorkTimes::Scope work(Common::WorkKind::Placement);
+    updateHold();
     std::vector<Candidate> ranked = candidates();
     std::sort(ranked.begin(), ranked.end(), [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
     reserveRoom(ranked);
@@ -86,23 +87,75 @@
     }
 }
 
+void CellEngine::updateHold()
+{
+    const bool holds = hasUncontactedWorkers();
+    if (m_holdsTasks == holds)
+        return;
+    if (!holds) {
+        const auto& workers = m_workers.all();
+        m_gaveUpInherited = std::any_of(m_inheritedWorkers.begin(), m_inheritedWorkers.end(), [&](const auto& id) {
+            const auto worker = workers.find(id);
+            return worker == workers.end() || !worker->second->contacted;
+        });
+    }
+    if (std::exchange(m_holdsTasks, holds).value_or(false) || holds) {
+        LC_INFO(Jobs,
+            "event=" << (holds ? "tasks-held" : "tasks-released") << " cell=" << m_id.value()
+                     << " tasks=" << waitingElsewhere());
+    }
+}
+
+/// Number of waiting tasks that an earlier owner may have started on a worker that hasn't reported.
+size_t CellEngine::waitingElsewhere() const
+{
+    size_t count = 0;
+    for (const auto& [id, job] : m_jobs) {
+        for (const auto& [index, occurrence] : job->occurrences()) {
+            for (const LiveStep& step : occurrence.steps) {
+                count += static_cast<size_t>(std::count_if(step.tasks.begin(), step.tasks.end(),
+                    [](const LiveTask& task) { return task.waiting() && task.mayBeElsewhere; }));
+            }
+        }
+    }
+    return count;
+}
+
+/// A run of the task that an earlier owner started on a worker that has never reported may have ended done. Its number
+/// must not be used again: a successor must see that the task had runs of which it knows no end.
+Common::AttemptNumber CellEngine::nextAttempt(const LiveTask& task) const
+{
+    const uint32_t skipped = m_gaveUpInherited && task.mayBeElsewhere ? skippedAttempts : 0;
+    return Common::AttemptNumber { task.progress.lastAttempt + skipped + 1 };
+}
+
+bool CellEngine::isAvailable(const LiveTask& task) const
+{
+    return task.waiting() && !(task.mayBeElsewhere && m_holdsTasks.value_or(true));
+}
+
+bool CellEngine::hasAvailableTask(const LiveStep& step) const
+{
+    return step.waitingCount > 0 && std::any_of(step.tasks.begin(), step.tasks.end(), [this](const LiveTask& task) {
+        return isAvailable(task);
+    });
+}
+
 std::vector<CellEngine::Candidate> CellEngine::candidates()
 {
     const Common::MonotonicTime now = m_runtime.now();
     const int64_t wallNow = m_runtime.wallMilliseconds()
         - std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.dueMargin).count();
-    const bool uncontacted = hasUncontactedWorkers();
     std::vector<Candidate> found;
     std::optional<int64_t> nextDue;
     for (const auto& [id, job] : m_jobs) {
-        // Tasks of recovered jobs may run on a worker that hasn't reported yet.
-        if (isFinal(job->phase()) || (uncontacted && job->recovered()))
+        if (isFinal(job->phase()))
             continue;
         if (const auto due = job->openDueOccurrences(now, wallNow); due && (!nextDue || *due < *nextDue))
             nextDue = due;
         for (const auto& [index, occurrence] : job->occurrences()) {
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                if (occurrence.steps[step].waitingCount == 0 || !job->isStartable(occurrence, step))
+                if (!hasAvailableTask(occurrence.steps[step]) || !job->isStartable(occurrence, step))
                     continue;
                 Policy::StartCandidate startCandidate;
                 startCandidate.priority = job->policy().priority;
@@ -156,7 +209,7 @@
     for (uint32_t index = 0; index < count; ++index) {
         const LiveTask& task = job.occurrences().at(candidate.occurrence).steps[candidate.step].tasks[index];
         const Jobs::TaskName name { job.id(), candidate.occurrence, candidate.step, index };
-        if (!task.waiting() || task.notBefore > now || !mayStart(job, name, task))
+        if (!isAvailable(task) || task.notBefore > now || !mayStart(job, name, task))
             continue;
         const std::optional<CellWorker*> choice = chooseForStart(job, name);
         if (!choice)
@@ -167,7 +220,7 @@
             handleBlockedStep(job, candidate);
             return;
         }
-        order(job, name, *worker, Common::AttemptNumber { task.progress.lastAttempt + 1 });
+        order(job, name, *worker, nextAttempt(task));
     }
 }
 
@@ -311,6 +364,7 @@
     allocation.orderedAt = now;
     worker.addAllocation(run, std::move(allocation));
     job.beginRun(name, TaskRun { worker.id(), attempt, RunPhase::Ordered, now, std::nullopt, 0, now });
+    job.find(name)->mayBeElsewhere = false;
     if (step.waitingCount == 0)
         step.reservedStartAt.reset();
     m_health.recordStart(worker.id(), now);
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -128,7 +128,7 @@
     std::vector<Jobs::TaskName> tasks;
     for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < other->second; ++index) {
         // Another cell wouldn't know why a task must not be started yet.
-        if (step.tasks[index].waiting() && step.tasks[index].notBefore <= m_runtime.now())
+        if (isAvailable(step.tasks[index]) && step.tasks[index].notBefore <= m_runtime.now())
             tasks.push_back({ job.id(), candidate.occurrence, candidate.step, index });
     }
     if (tasks.empty() || (spec.gang && tasks.size() < spec.taskCount))
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -2,15 +2,18 @@
 #include "Cells/LiveJob.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Cells {
 
 namespace {
 
-    LiveStep emptyStep(const Jobs::StepSpec& spec)
+    LiveStep emptyStep(const Jobs::StepSpec& spec, bool mayBeElsewhere)
     {
+        LiveTask task;
+        task.mayBeElsewhere = mayBeElsewhere;
         LiveStep step;
-        step.tasks.resize(spec.taskCount);
+        step.tasks.resize(spec.taskCount, task);
         step.waitingCount = spec.taskCount;
         return step;
     }
@@ -52,7 +55,7 @@
 {
     LiveOccurrence opened;
     for (const Jobs::StepSpec& spec : m_record.spec.steps)
-        opened.steps.push_back(emptyStep(spec));
+        opened.steps.push_back(emptyStep(spec, m_recovered));
     const int64_t due
         = m_record.spec.isScheduled() ? m_record.spec.dueMilliseconds(occurrence) : m_record.acceptedMilliseconds;
     // Wall clocks of hosts differ and may jump; an age below zero would place the start of the occurrence in the
@@ -130,6 +133,43 @@
         beginRun(name, std::move(run));
 }
 
+void LiveJob::noteListed(const Jobs::TaskName& name, uint32_t lastAttemptBefore)
+{
+    LiveTask& task = *find(name);
+    const uint32_t attempt = task.run->attempt.value;
+    // A later run may be on a worker that hasn't reported.
+    if (attempt < lastAttemptBefore)
+        return;
+    task.mayBeElsewhere = false;
+    if (!isNotCompleteForEarlierOwners(name, attempt))
+        return;
+    LiveOccurrence& occurrence = m_occurrences.at(name.occurrence);
+    // Steps depend on earlier steps only.
+    std::vector<bool> dependent(occurrence.steps.size(), false);
+    for (uint32_t step = name.step + 1; step < occurrence.steps.size(); ++step) {
+        const std::vector<uint32_t>& after = stepSpec(step).after;
+        dependent[step] = std::any_of(
+            after.begin(), after.end(), [&](uint32_t earlier) { return earlier == name.step || dependent[earlier]; });
+        if (!dependent[step])
+            continue;
+        for (LiveTask& later : occurrence.steps[step].tasks)
+            later.mayBeElsewhere = false;
+    }
+}
+
+/// Whether earlier owners can't have seen the step of the listed run complete.
+bool LiveJob::isNotCompleteForEarlierOwners(const Jobs::TaskName& name, uint32_t attempt) const
+{
+    const LiveStep& step = m_occurrences.at(name.occurrence).steps[name.step];
+    // An earlier run that was given up may have ended done after all, which completes the task while this one runs.
+    const std::set<uint32_t>& failed = step.tasks[name.index].progress.failedAttempts;
+    if (std::distance(failed.begin(), failed.lower_bound(attempt)) + 1 < static_cast<ptrdiff_t>(attempt))
+        return false;
+    // One member that is done completes its gang.
+    return !stepSpec(name.step).gang
+        || std::none_of(step.tasks.begin(), step.tasks.end(), [](const LiveTask& task) { return task.mayBeElsewhere; });
+}
+
 void LiveJob::clearRun(const Jobs::TaskName& name)
 {
     LiveStep* const step = stepOf(name);
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -63,6 +63,10 @@
     void beginRun(const Jobs::TaskName&, TaskRun);
     /// Assigns a run that an earlier owner started, or that was given up too early, to its task if that is waiting.
     void adoptRun(const Jobs::TaskName&, TaskRun);
+    /// Records that a worker, which refuses calls of earlier owners by now, lists the task's run, which this owner has
+    /// just adopted. Earlier owners can't learn of its end any more: they haven't started the task again, nor, unless
+    /// an earlier run of it may have ended done, what depends on its step.
+    void noteListed(const Jobs::TaskName&, uint32_t lastAttemptBefore);
     /// Removes the task's run; the task waits again unless it is done.
     void clearRun(const Jobs::TaskName&);
     /// Records that a run succeeded; for a gang this completes the whole step. Returns whether anything changed.
@@ -130,6 +134,7 @@
 private:
     LiveOccurrence open(uint32_t occurrence, Common::MonotonicTime now, int64_t wallMilliseconds) const;
     LiveStep* stepOf(const Jobs::TaskName&);
+    bool isNotCompleteForEarlierOwners(const Jobs::TaskName&, uint32_t attempt) const;
     void openTransferred(const TaskTransfer&, Common::MonotonicTime now, int64_t wallMilliseconds);
     template <typename Change> void forEachTask(const TaskTransfer&, const Change&);
     template <typename Condition> bool hasTask(const Condition&) const;
--- a/Source/Core/Cells/LiveJobTransfers.cpp
+++ b/Source/Core/Cells/LiveJobTransfers.cpp
@@ -136,6 +136,8 @@
             progress.lastAttempt = lastAttempt;
             step.waitingCount += task.waiting() ? 1 : 0;
             task.requiredChange = m_changes;
+            // An earlier owner may have received it too.
+            task.mayBeElsewhere = m_recovered;
         }
         m_hasStartedTask = m_hasStartedTask || lastAttempt > 0 || transferred.done;
     });
--- a/Source/Core/Cells/LiveTask.h
+++ b/Source/Core/Cells/LiveTask.h
@@ -28,6 +28,9 @@
     /// How often runs of the task were stopped here to make room for others.
     uint32_t stopsForRoom = 0;
 
+    /// An earlier owner may have started the task on a worker that hasn't reported to this owner.
+    bool mayBeElsewhere = false;
+
     /// The task, or its gang, has failed as often as it may. The cell to which the job belongs fails the job then; a
     /// part returns the task to that cell.
     bool attemptsUsedUp = false;
