Cells ask others for room for a task that has lost its run

Cause: room was made only in the cell where a long-running task waited. Where each worker had a task of its step, CellEngine::canMakeRoom ignored maximumPerWorker, so the task wasn't given away either; where what ran was of a better priority, a reservation by ends kept it. Otherwise it went through the cells that show free processor time, one after the other. Change: an owner that can stop nothing for such a task asks other cells (cell.room, at most three at a time, RoomInquiry) and gives it to the one with free room or the cheapest stops, which makes the room at once and keeps the task for 3 s. Such tasks are given unasked once only, to a cell that shows free room, and to owners that have no answer. canMakeRoom takes account of maximumPerWorker and quarantine.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -10,6 +10,7 @@
 #include "Cells/CellWorkers.h"
 #include "Cells/LiveJob.h"
 #include "Cells/PartMessage.h"
+#include "Cells/RoomQuestion.h"
 #include "Cells/ServiceRoom.h"
 #include "Cells/TaskTransfer.h"
 #include "Cells/WorkerChanges.h"
@@ -21,6 +22,7 @@
 #include "Policy/BackfillPace.h"
 #include "Policy/GangPlacement.h"
 #include "Policy/RoomMaking.h"
+#include "Policy/RoomOffer.h"
 #include "Policy/ServiceFit.h"
 #include "Policy/StartObstacle.h"
 #include "Policy/StartOrder.h"
@@ -71,6 +73,8 @@
         std::function<std::map<CellId, size_t>(
             const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind)>
             taskSlots;
+        /// Asks the peer cell's owner for room. Its answer, or a failure, arrives later.
+        std::function<void(const CellId&, const RoomQuestion&, Common::Callback<Policy::RoomOffer>)> askForRoom;
         /// Whether the peer cell's owner can hold tasks of a scheduled job; see CellLoad::takesScheduledTasks.
         std::function<bool(const CellId&)> takesScheduledTasks;
         /// Room in all peer cells whose owners' heartbeats arrive, by service.
@@ -137,6 +141,10 @@
     /// Takes the message in; idempotent. Fails with NotOwner while the cell is released or lost.
     void handlePartMessage(const PartMessage&, const Common::Callback<Common::Done>&);
 
+    /// How the cell would make room for the task now. For a few seconds after an offer the cell gives the tasks of the
+    /// step to no other cell.
+    Policy::RoomOffer offerRoom(const RoomQuestion&);
+
     /// At most `most` estimates of the interference between images, to be sent to peer cells.
     std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimates(size_t most) const
     {
@@ -275,20 +283,37 @@
     std::vector<Policy::RoomHolder> roomHolders(const CellWorker&) const;
     /// Stops the runs on one worker whose stops cost least, and reserves the room; false if there is no such worker.
     bool makeRoomFor(const Candidate&, const Jobs::TaskName&);
-    /// The runs to stop on a worker, and the work that this throws away, in core-seconds.
+    /// The runs to stop on a worker, and what that costs.
     struct RoomPlan {
         CellWorker* worker = nullptr;
         std::vector<RunKey> stopped;
-        double workLost = 0;
+        Policy::StopCost cost;
     };
     enum class ReservedWorkers {
         LeaveOut,
         /// Those reserved for steps that aren't long-running count as well.
         TakeOver,
     };
-    std::optional<RoomPlan> planRoom(const LiveJob&, const Jobs::TaskName&, ReservedWorkers) const;
+    std::optional<RoomPlan> planRoom(const RoomQuestion&, ReservedWorkers) const;
+    /// The same, if need be on a worker that is reserved.
+    std::optional<RoomPlan> planRoom(const RoomQuestion&) const;
+    /// Whether the worker could take the task if it had room.
+    bool isOpenTo(const CellWorker&, const RoomQuestion&) const;
+    static RoomQuestion roomQuestion(const LiveJob&, const Jobs::TaskName&);
+    /// The step's first waiting task if it is a long-running one that has run, or may have run under an earlier owner
+    /// or in another cell, and that may start.
+    std::optional<Jobs::TaskName> taskWithoutRun(const Candidate&) const;
     bool mayTakeOver(const CellWorker::Reservation&) const;
 
+    // Questions to other cells about room.
+    void inquireForRoom(LiveJob&, const Candidate&);
+    std::vector<Policy::RoomInquiry::Peer> peersToAsk(const LiveJob&, const Jobs::StepSpec&, const LiveStep&) const;
+    void noteRoomOffer(const Jobs::TaskName&, uint64_t round, const CellId&, const Common::Result<Policy::RoomOffer>&);
+    void concludeInquiry(LiveJob&, const Jobs::TaskName&);
+    uint32_t tasksWithRoom(const CellWorker&, const RoomQuestion&) const;
+    /// Whether the cell has lately offered room for the step, so that its tasks stay here for now.
+    bool hasOfferedRoom(const LiveJob&, const Candidate&) const;
+
     // Starts.
     void schedulePlacement();
     void place();
@@ -306,6 +331,7 @@
     void logBlockedStep(const LiveJob&, const Candidate&) const;
     void transferIfBlockedForLong(LiveJob&, const Candidate&);
     void transferTasks(LiveJob&, const Candidate&);
+    void giveTasks(LiveJob&, const Candidate&, const CellId&, size_t most);
     void commitTransfer(LiveJob&, const TaskTransfer&);
     /// Returns the part's ended tasks shortly, together with others that end until then.
     void scheduleReturn(const Common::JobId&);
@@ -321,7 +347,7 @@
     std::optional<std::pair<CellId, size_t>> findCellWithCapacity(
         const LiveJob&, const Jobs::StepSpec&, const LiveStep&, CellLoad::RoomKind = CellLoad::RoomKind::Free);
     /// Whether a task of the step may start here once runs that aren't long-running have ended.
-    bool canMakeRoom(const LiveJob&, const Jobs::StepSpec&) const;
+    bool canMakeRoom(const LiveJob&, const Candidate&) const;
     void notifyParts(const LiveJob&);
     void onPartCancelled(const Common::JobId&, const CellId&);
     bool mayRun(const Common::JobId&, StopScope) const;
@@ -340,6 +366,8 @@
     std::optional<Policy::StartObstacle> obstacleAtWorker(
         const CellWorker&, const LiveJob&, const Jobs::StepSpec&) const;
     bool mayRunOn(const CellWorker&, const LiveJob&, const Jobs::StepSpec&) const;
+    std::optional<Policy::StartObstacle> obstacleAtWorker(
+        const CellWorker&, const Common::ServiceName&, const Jobs::StepSpec&) const;
     Policy::BackfillAdmission admissionOf(const LiveJob&, uint32_t occurrence, uint32_t step) const;
     Policy::TaskRequirements requirementsOf(const LiveJob&, const Jobs::TaskName&) const;
     Policy::WorkerOffer offerOf(const CellWorker&, const Jobs::StepSpec&, const Jobs::TaskName&) const;
@@ -428,6 +456,11 @@
     };
     /// Recent searches for a peer cell with room that found none.
     std::map<PeerSearch, FailedSearch> m_failedSearches;
+    /// Rounds of questions about room that are under way, each with the number of answers that it waits for.
+    std::map<uint64_t, size_t> m_roomRounds;
+    uint64_t m_lastRoomRound = 0;
+    /// When room was last offered to another cell, by step.
+    std::map<Jobs::TaskName, Common::MonotonicTime> m_roomOffered;
     /// Peer cells that haven't acknowledged the end of their parts, by job.
     std::map<Common::JobId, std::set<CellId>> m_partCancellations;
     struct StopWaiter {
--- a/Source/Core/Cells/CellEngineBlocked.cpp
+++ b/Source/Core/Cells/CellEngineBlocked.cpp
@@ -29,6 +29,7 @@
         logBlockedStep(job, candidate);
     }
     transferIfBlockedForLong(job, candidate);
+    inquireForRoom(job, candidate);
 }
 
 void CellEngine::logBlockedStep(const LiveJob& job, const Candidate& candidate) const
--- /dev/null
+++ b/Source/Core/Cells/CellEngineInquiries.cpp
@@ -0,0 +1,174 @@
+// Long-running tasks that have lost their run and for which their cell can make no room: their owner asks other cells
+// whether they could, and at which price. See Policy/RoomInquiry.h.
+#include "Cells/CellEngine.h"
+
+#include "Common/Log.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    /// How long a task that has run, or may have run, finds no room before other cells are asked.
+    constexpr Common::Duration delayAfterRun = std::chrono::milliseconds(500);
+    constexpr Common::Duration delayIfUnknown = std::chrono::seconds(2);
+    /// Time until the next look at what the cell itself could do.
+    constexpr Common::Duration lookInterval = std::chrono::milliseconds(500);
+    /// Rounds of questions of a cell that are under way at a time.
+    constexpr size_t mostRoundsUnderWay = 4;
+    /// Tasks for which a worker's free room is offered at a time.
+    constexpr uint32_t mostTasksOffered = 64;
+    /// How long a cell keeps tasks for which it has offered room: a transfer, the stops and the start take a part of
+    /// it.
+    constexpr Common::Duration offerSpan = std::chrono::seconds(3);
+
+    Jobs::TaskName stepOf(Jobs::TaskName task)
+    {
+        task.index = 0;
+        return task;
+    }
+
+} // namespace
+
+bool CellEngine::hasOfferedRoom(const LiveJob& job, const Candidate& candidate) const
+{
+    const auto offered = m_roomOffered.find({ job.id(), candidate.occurrence, candidate.step, 0 });
+    return offered != m_roomOffered.end() && m_runtime.now() - offered->second < offerSpan;
+}
+
+void CellEngine::inquireForRoom(LiveJob& job, const Candidate& candidate)
+{
+    const std::optional<Jobs::TaskName> name = taskWithoutRun(candidate);
+    if (!name)
+        return;
+    const Common::MonotonicTime now = m_runtime.now();
+    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    const Common::Duration delay = step.tasks[name->index].progress.lastAttempt > 0 ? delayAfterRun : delayIfUnknown;
+    if (!step.inquiry.isDue(now) || now - step.blocked->since < delay || m_roomRounds.size() >= mostRoundsUnderWay
+        || hasOfferedRoom(job, candidate))
+        return;
+    const CellWorker* const reserved = reservedWorker(*name);
+    RoomQuestion question = roomQuestion(job, *name);
+    question.spec.taskCount = step.waitingCount;
+    if ((reserved && reserved->reservation->made) || planRoom(question)) {
+        step.inquiry.defer(now + lookInterval);
+        return;
+    }
+    const uint64_t round = ++m_lastRoomRound;
+    const std::vector<std::string> cells
+        = step.inquiry.begin(now, round, peersToAsk(job, job.stepSpec(candidate.step), step));
+    if (cells.empty())
+        return;
+    m_roomRounds[round] = cells.size();
+    for (const std::string& cell : cells) {
+        m_peerCells.askForRoom(CellId(cell), question,
+            m_lifetime.guard(
+                [this, name = *name, round, cell = CellId(cell)](
+                    const Common::Result<Policy::RoomOffer>& offer) { noteRoomOffer(name, round, cell, offer); }));
+    }
+}
+
+std::vector<Policy::RoomInquiry::Peer> CellEngine::peersToAsk(
+    const LiveJob& job, const Jobs::StepSpec& spec, const LiveStep& step) const
+{
+    const Common::ServiceName& service = job.policy().service;
+    const std::map<CellId, size_t> free = m_peerCells.taskSlots(m_id, service, spec, CellLoad::RoomKind::Free);
+    std::vector<Policy::RoomInquiry::Peer> peers;
+    for (const auto& [cell, afterEnds] : m_peerCells.taskSlots(m_id, service, spec, CellLoad::RoomKind::AfterEnds)) {
+        // A host of an earlier release doesn't say what ends make.
+        const size_t room = std::max(afterEnds, free.at(cell));
+        if (room == 0 || (job.spec().isScheduled() && !m_peerCells.takesScheduledTasks(cell)))
+            continue;
+        const auto refused = step.refusals.find(cell.value());
+        peers.push_back({ cell.value(), room, refused == step.refusals.end() ? 0 : refused->second });
+    }
+    return peers;
+}
+
+void CellEngine::noteRoomOffer(
+    const Jobs::TaskName& name, uint64_t round, const CellId& cell, const Common::Result<Policy::RoomOffer>& offer)
+{
+    const auto underWay = m_roomRounds.find(round);
+    if (underWay != m_roomRounds.end() && --underWay->second == 0)
+        m_roomRounds.erase(underWay);
+    LiveJob* const job = findJob(name.job);
+    if (!job || !job->occurrences().contains(name.occurrence))
+        return;
+    Policy::RoomInquiry& inquiry = job->occurrences().at(name.occurrence).steps[name.step].inquiry;
+    if (inquiry.note(round, cell.value(), offer ? std::optional(*offer) : std::nullopt))
+        concludeInquiry(*job, name);
+}
+
+void CellEngine::concludeInquiry(LiveJob& job, const Jobs::TaskName& name)
+{
+    const Candidate candidate { &job, name.occurrence, name.step, {} };
+    LiveStep& step = job.occurrences().at(name.occurrence).steps[name.step];
+    const bool isWanted = !m_closed && !m_releasing && !isFinal(job.phase()) && taskWithoutRun(candidate);
+    const std::optional<Policy::RoomInquiry::Choice> choice
+        = step.inquiry.conclude(m_runtime.now(), isWanted && !canMakeRoom(job, candidate));
+    LC_INFO(Jobs,
+        "event=room-asked task=" << runName(
+            { name, Common::AttemptNumber { step.tasks[name.index].progress.lastAttempt } })
+                                 << " cell=" << m_id.value() << " offered-by=" << (choice ? choice->cell : "none")
+                                 << " wanted=" << isWanted);
+    if (choice && isWanted)
+        giveTasks(job, candidate, CellId(choice->cell), choice->tasks);
+    else
+        schedulePlacement();
+}
+
+/// How many tasks of the step fit into the worker's free room, as far as its limit allows more.
+uint32_t CellEngine::tasksWithRoom(const CellWorker& worker, const RoomQuestion& question) const
+{
+    const uint32_t limit = question.spec.maximumPerWorker;
+    const uint32_t allowed
+        = limit == 0 ? mostTasksOffered : limit - offerOf(worker, question.spec, question.task).sameStep;
+    const uint32_t most = std::min({ allowed, question.spec.taskCount, mostTasksOffered });
+    const Common::Resources needed = allocationFor(question.spec).held;
+    const Common::Resources free = worker.freeFor(question.task);
+    Common::Resources wanted = needed;
+    uint32_t tasks = 0;
+    while (tasks < most && Common::fits(wanted, free)) {
+        wanted += needed;
+        ++tasks;
+    }
+    return tasks;
+}
+
+Policy::RoomOffer CellEngine::offerRoom(const RoomQuestion& question)
+{
+    if (m_closed || m_releasing || !mayGrant() || hasUncontactedWorkers())
+        return Policy::NoRoom {};
+    const Common::MonotonicTime now = m_runtime.now();
+    const Common::Resources needed = allocationFor(question.spec).held;
+    std::optional<Common::Duration> wait;
+    uint32_t free = 0;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!isOpenTo(*worker, question))
+            continue;
+        free += tasksWithRoom(*worker, question);
+        const bool reservedForOther = worker->reservation && !worker->reservation->isFor(question.task);
+        const std::optional<Common::Duration> untilRoom
+            = reservedForOther ? std::nullopt : timeUntilRoom(*worker, needed);
+        if (untilRoom && (!wait || *untilRoom < *wait))
+            wait = untilRoom;
+    }
+    if (free > 0)
+        return Policy::FreeRoom { free };
+    const std::optional<RoomPlan> plan = planRoom(question);
+    if (!plan && !wait)
+        return Policy::NoRoom {};
+    if (!plan)
+        return Policy::RoomByEnds { *wait };
+    std::erase_if(m_roomOffered, [now](const auto& row) { return now - row.second >= offerSpan; });
+    m_roomOffered[stepOf(question.task)] = now;
+    LC_INFO(Jobs,
+        "event=room-offered task=" << question.task.job.value() << "." << question.task.occurrence << "."
+                                   << question.task.step << "." << question.task.index << " cell=" << m_id.value()
+                                   << " worker=" << plan->worker->id().value() << " stops=" << plan->stopped.size()
+                                   << " core-seconds=" << plan->cost.workLost);
+    return Policy::RoomByStops { plan->cost };
+}
+
+} // namespace Cells
--- a/Source/Core/Cells/CellEngineRoomMaking.cpp
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -53,11 +53,9 @@
     }
 }
 
-/// The step's first waiting task, if it is time to make room for it. A task that never ran has no run to miss: it waits
-/// for ends.
-std::optional<Jobs::TaskName> CellEngine::taskToMakeRoomFor(const Candidate& candidate)
+/// A task that never ran has no run to miss: it waits for ends.
+std::optional<Jobs::TaskName> CellEngine::taskWithoutRun(const Candidate& candidate) const
 {
-    const Common::MonotonicTime now = m_runtime.now();
     const LiveJob& job = *candidate.job;
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
     const auto occurrence = job.occurrences().find(candidate.occurrence);
@@ -68,35 +66,47 @@
         return std::nullopt;
     const Jobs::TaskName name = firstWaitingTask(candidate);
     const LiveTask& task = step.tasks[name.index];
-    if (task.notBefore > now || !mayStart(job, name, task)
+    if (task.notBefore > m_runtime.now() || !mayStart(job, name, task)
         || job.crashHistory(name).isolation() != Policy::CrashHistory::Isolation::None)
         return std::nullopt;
+    const bool mayHaveRun = task.progress.lastAttempt > 0 || job.recovered();
+    return mayHaveRun ? std::optional(name) : std::nullopt;
+}
+
+/// The step's first waiting task, if it is time to make room for it.
+std::optional<Jobs::TaskName> CellEngine::taskToMakeRoomFor(const Candidate& candidate)
+{
+    const std::optional<Jobs::TaskName> name = taskWithoutRun(candidate);
+    if (!name)
+        return std::nullopt;
+    const Common::MonotonicTime now = m_runtime.now();
+    const LiveStep& step = candidate.job->occurrences().at(candidate.occurrence).steps[candidate.step];
+    const LiveTask& task = step.tasks[name->index];
     if (task.noRoomMadeBefore > now)
         return std::nullopt;
     const bool hasRun = task.progress.lastAttempt > 0;
-    if (!hasRun && !job.recovered())
-        return std::nullopt;
-    // The others of a step that was given room don't wait anew.
-    if (hasRun && step.reservedStartAt)
+    // The others of a step that was given room don't wait anew, nor do those for which this cell has offered room.
+    if ((hasRun && step.reservedStartAt) || hasOfferedRoom(*candidate.job, candidate))
         return name;
     const Common::Duration delay = hasRun ? delayAfterRun : delayIfUnknown;
-    return now - step.blocked->since < delay ? std::nullopt : std::optional(name);
+    return now - step.blocked->since < delay ? std::nullopt : name;
 }
 
-/// Transfers the step's waiting tasks if a peer cell shows room that they haven't been refused there.
+/// Transfers the step's waiting tasks if a peer cell shows room. Tasks that came from a cell that showed room stay: the
+/// next one may have as little for them.
 bool CellEngine::transferToUntriedCell(const Candidate& candidate)
 {
     LiveJob& job = *candidate.job;
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
-    if (m_runtime.now() - step.blocked->since >= longestWaitForPeers)
+    if (m_runtime.now() - step.blocked->since >= longestWaitForPeers || !step.refusals.empty())
         return false;
     const auto other = findCellWithCapacity(job, spec, step);
-    if (!other || step.refusals.contains(other->first.value()))
+    if (!other)
         return false;
     if (CellWorker* const reserved = reservedWorker(firstWaitingTask(candidate)))
         endReservation(*reserved, "transferred");
-    transferTasks(job, candidate);
+    giveTasks(job, candidate, other->first, other->second);
     return true;
 }
 
@@ -132,9 +142,7 @@
 bool CellEngine::makeRoomFor(const Candidate& candidate, const Jobs::TaskName& name)
 {
     LiveJob& job = *candidate.job;
-    std::optional<RoomPlan> plan = planRoom(job, name, ReservedWorkers::LeaveOut);
-    if (!plan)
-        plan = planRoom(job, name, ReservedWorkers::TakeOver);
+    const std::optional<RoomPlan> plan = planRoom(roomQuestion(job, name));
     if (!plan) {
         job.find(name)->noRoomMadeBefore = m_runtime.now() + pauseAfterFailure;
         return false;
@@ -160,7 +168,7 @@
         "event=room-made task=" << runName({ name, Common::AttemptNumber { job.find(name)->progress.lastAttempt } })
                                 << " worker=" << worker.id().value() << " cell=" << m_id.value() << " waited-ms="
                                 << (m_runtime.now() - step.blocked->since) / std::chrono::milliseconds(1)
-                                << " stopped=" << names << " core-seconds-lost=" << plan->workLost);
+                                << " stopped=" << names << " core-seconds-lost=" << plan->cost.workLost);
     for (const RunKey& run : plan->stopped) {
         if (LiveJob* const owner = findJob(run.task.job))
             ++owner->find(run.task)->stopsForRoom;
@@ -169,26 +177,43 @@
     return true;
 }
 
-std::optional<CellEngine::RoomPlan> CellEngine::planRoom(
-    const LiveJob& job, const Jobs::TaskName& name, ReservedWorkers reserved) const
+RoomQuestion CellEngine::roomQuestion(const LiveJob& job, const Jobs::TaskName& name)
+{
+    return { name, job.policy().service, job.policy().priority, job.stepSpec(name.step) };
+}
+
+bool CellEngine::isOpenTo(const CellWorker& worker, const RoomQuestion& question) const
+{
+    const Jobs::StepSpec& spec = question.spec;
+    const bool isQuarantined
+        = worker.quarantine && worker.quarantine->until > m_runtime.now() && worker.quarantine->task != question.task;
+    return !isQuarantined && !obstacleAtWorker(worker, question.service, spec)
+        && (spec.maximumPerWorker == 0 || offerOf(worker, spec, question.task).sameStep < spec.maximumPerWorker);
+}
+
+std::optional<CellEngine::RoomPlan> CellEngine::planRoom(const RoomQuestion& question) const
+{
+    std::optional<RoomPlan> plan = planRoom(question, ReservedWorkers::LeaveOut);
+    return plan ? plan : planRoom(question, ReservedWorkers::TakeOver);
+}
+
+std::optional<CellEngine::RoomPlan> CellEngine::planRoom(const RoomQuestion& question, ReservedWorkers reserved) const
 {
-    const Jobs::StepSpec& spec = job.stepSpec(name.step);
     std::vector<CellWorker*> workers;
     std::vector<Policy::RoomMakingOffer> offers;
     for (const auto& [id, worker] : m_workers.all()) {
-        const bool reservedForOther = worker->reservation && !worker->reservation->isFor(name);
-        if (!mayRunOn(*worker, job, spec) || isQuarantinedFor(*worker, job, name)
-            || (reservedForOther && (reserved == ReservedWorkers::LeaveOut || !mayTakeOver(*worker->reservation)))
-            || (spec.maximumPerWorker > 0 && offerOf(*worker, spec, name).sameStep >= spec.maximumPerWorker))
+        const bool reservedForOther = worker->reservation && !worker->reservation->isFor(question.task);
+        if (!isOpenTo(*worker, question)
+            || (reservedForOther && (reserved == ReservedWorkers::LeaveOut || !mayTakeOver(*worker->reservation))))
             continue;
         workers.push_back(worker.get());
         offers.push_back({ worker->entry().capacity, roomHolders(*worker) });
     }
     const std::optional<Policy::RoomMakingPlan> plan
-        = Policy::planRoomMaking(allocationFor(spec).held, job.policy().priority, offers);
+        = Policy::planRoomMaking(allocationFor(question.spec).held, question.priority, offers);
     if (!plan)
         return std::nullopt;
-    RoomPlan found { workers[plan->worker], {}, plan->cost.workLost };
+    RoomPlan found { workers[plan->worker], {}, plan->cost };
     size_t index = 0;
     for (const auto& [run, allocation] : found.worker->allocations()) {
         if (std::find(plan->stopped.begin(), plan->stopped.end(), index++) != plan->stopped.end())
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -219,6 +219,12 @@
 
 std::optional<Policy::StartObstacle> CellEngine::obstacleAtWorker(
     const CellWorker& worker, const LiveJob& job, const Jobs::StepSpec& spec) const
+{
+    return obstacleAtWorker(worker, job.policy().service, spec);
+}
+
+std::optional<Policy::StartObstacle> CellEngine::obstacleAtWorker(
+    const CellWorker& worker, const Common::ServiceName& service, const Jobs::StepSpec& spec) const
 {
     const Common::MonotonicTime now = m_runtime.now();
     const WorkerEntry& entry = worker.entry();
@@ -226,7 +232,7 @@
         return Policy::StartObstacle::Unavailable;
     if (!isRecorded(worker))
         return Policy::StartObstacle::Unrecorded;
-    if (entry.service != job.policy().service || !hasLabel(entry, spec.requiredLabel))
+    if (entry.service != service || !hasLabel(entry, spec.requiredLabel))
         return Policy::StartObstacle::Ineligible;
     if (worker.noStartsBefore > now)
         return Policy::StartObstacle::Refused;
@@ -305,6 +311,7 @@
     m_blockedSince.erase(name.job);
     LiveStep& step = job.occurrences().at(name.occurrence).steps[name.step];
     step.blocked.reset();
+    step.inquiry = {};
     endReservationForStart(step, name);
     quarantineForStart(worker, job, name);
     RunAllocation allocation = allocationFor(spec);
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -43,7 +43,7 @@
     // A part of a host of an earlier version doesn't say where ended tasks belong.
     if (!spec.longRunning && job.isPart() && job.homeCell().empty())
         return;
-    if (reservedWorker({ job.id(), candidate.occurrence, candidate.step, 0 }))
+    if (reservedWorker({ job.id(), candidate.occurrence, candidate.step, 0 }) || hasOfferedRoom(job, candidate))
         return;
     const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     if (spec.gang && (step.waitingCount < step.tasks.size() || (spec.sameRack && isWorthWaitingForRack(spec, step))))
@@ -102,12 +102,13 @@
     return best;
 }
 
-bool CellEngine::canMakeRoom(const LiveJob& job, const Jobs::StepSpec& spec) const
+bool CellEngine::canMakeRoom(const LiveJob& job, const Candidate& candidate) const
 {
-    const Common::Resources needed = allocationFor(spec).held;
+    const RoomQuestion question = roomQuestion(job, firstWaitingTask(candidate));
+    const Common::Resources needed = allocationFor(question.spec).held;
     const auto& workers = m_workers.all();
     return std::any_of(workers.begin(), workers.end(), [&](const auto& row) {
-        return mayRunOn(*row.second, job, spec) && Common::fits(needed, row.second->freeAfterEnds());
+        return isOpenTo(*row.second, question) && Common::fits(needed, row.second->freeAfterEnds());
     });
 }
 
@@ -119,24 +120,42 @@
     Jobs::StepSpec wanted = spec;
     // What may start at any pace needs the room that an ordinary task needs.
     wanted.backfill = spec.backfill && admissionOf(job, candidate.occurrence, candidate.step).paceInFreeRoom > 0;
-    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    const LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
+    // A task that has lost its run is given unasked once, to a cell that shows free room; after that to one that offers
+    // it room, see inquireForRoom.
+    const bool awaitsOffers = taskWithoutRun(candidate).has_value();
+    const auto mayGiveUnasked
+        = [&](const CellId& cell) { return !awaitsOffers || step.inquiry.isSilent(cell.value()); };
     auto other = findCellWithCapacity(job, wanted, step);
-    if (!other && spec.longRunning && !canMakeRoom(job, spec))
+    if (other && !step.refusals.empty() && !mayGiveUnasked(other->first))
+        other.reset();
+    if (!other && spec.longRunning && !canMakeRoom(job, candidate)) {
         other = findCellWithCapacity(job, wanted, step, CellLoad::RoomKind::AfterEnds);
+        if (other && !mayGiveUnasked(other->first))
+            other.reset();
+    }
     if (!other || (spec.gang && other->second < spec.taskCount))
         return;
+    giveTasks(job, candidate, other->first, other->second);
+}
+
+/// Transfers at most so many of the step's waiting tasks to the peer cell.
+void CellEngine::giveTasks(LiveJob& job, const Candidate& candidate, const CellId& cell, size_t most)
+{
+    const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
+    LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     std::vector<Jobs::TaskName> tasks;
-    for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < other->second; ++index) {
+    for (uint32_t index = 0; index < step.tasks.size() && tasks.size() < most; ++index) {
         // Another cell wouldn't know why a task must not be started yet.
         if (step.tasks[index].waiting() && step.tasks[index].notBefore <= m_runtime.now())
             tasks.push_back({ job.id(), candidate.occurrence, candidate.step, index });
     }
     if (tasks.empty() || (spec.gang && tasks.size() < spec.taskCount))
         return;
-    RecentTransfer& recent = m_recentTransfers[other->first];
+    RecentTransfer& recent = m_recentTransfers[cell];
     recent.at = m_runtime.now();
     recent.tasks += tasks.size();
-    TaskTransfer transfer = job.transferTasks(tasks, m_id, other->first);
+    TaskTransfer transfer = job.transferTasks(tasks, m_id, cell);
     transfer.waited = step.blocked ? recent.at - step.blocked->since : Common::Duration::zero();
     if (step.waitingCount == 0)
         step.blocked.reset();
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1095,6 +1095,9 @@
     return CellEngine::PeerCells {
         .taskSlots = [this](const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec,
                          CellLoad::RoomKind kind) { return taskSlots(self, service, spec, kind); },
+        .askForRoom
+        = [this](const CellId& cell, const RoomQuestion& question,
+              const Common::Callback<Policy::RoomOffer>& callback) { askForRoom(cell, question, callback); },
         .takesScheduledTasks =
             [this](const CellId& cell) {
                 const Owner* const other = m_engines.contains(cell) ? nullptr : liveOwner(cell);
@@ -1147,6 +1150,23 @@
     m_ports.orders.pollRuns(poll.worker, request, std::move(callback));
 }
 
+void CellOwnership::askForRoom(
+    const CellId& cell, const RoomQuestion& question, const Common::Callback<Policy::RoomOffer>& callback)
+{
+    const Owner* const owner = engine(cell) ? nullptr : liveOwner(cell);
+    if (owner && m_roomMessenger) {
+        m_roomMessenger(owner->address, cell, question, callback);
+        return;
+    }
+    // Answered later, as by another host: the caller is in the middle of a placement.
+    m_ports.runtime.schedule(Common::Duration::zero(), m_lifetime.guard([this, cell, question, callback] {
+        if (CellEngine* const own = engine(cell))
+            callback(own->offerRoom(question));
+        else
+            callback(Common::Failure { Common::ErrorCode::NotOwner, "no owner of the cell is known", std::nullopt });
+    }));
+}
+
 void CellOwnership::requestTransferCheck(const CellId& cell, const Common::JobId& job)
 {
     m_transferChecks.emplace_back(cell, job);
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -124,6 +124,10 @@
     void setPollMessenger(PollMessenger messenger) { m_pollMessenger = std::move(messenger); }
     /// Carries out a poll for another host. Errors as WorkerOrders::pollRuns.
     void pollForHost(const PollForHost&, Common::Callback<RunReport>);
+    /// Asks the owner of a cell at `address` for room. JobGateway sets it.
+    using RoomMessenger = std::function<void(
+        const std::string& address, const CellId&, const RoomQuestion&, Common::Callback<Policy::RoomOffer>)>;
+    void setRoomMessenger(RoomMessenger messenger) { m_roomMessenger = std::move(messenger); }
     /// Releases the cell if this host owns it and is late; another host that is in time asks for it.
     void releaseIfLate(const CellId&);
     /// Calls the hook with a host's address and its version of the configuration for each message of the host itself.
@@ -206,6 +210,7 @@
     std::optional<std::string> addressForParts(const CellId&);
     void sendPartMessage(const std::string& address, const CellId&, const PartMessage&, Common::Duration timeout,
         const Common::Callback<Common::Done>&);
+    void askForRoom(const CellId&, const RoomQuestion&, const Common::Callback<Policy::RoomOffer>&);
     void requestTransferCheck(const CellId&, const Common::JobId&);
     void checkTransfers();
     void onTransfersRead(const CellId&, const Common::JobId&, const Common::Result<RecordListing>&);
@@ -287,6 +292,7 @@
     OwnerProbe m_ownerProbe;
     ReliefRequest m_reliefRequest;
     PollMessenger m_pollMessenger;
+    RoomMessenger m_roomMessenger;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -1,6 +1,7 @@
 // Submissions, phase queries and cancellations, and the peer calls that carry them.
 #include "Cells/JobGateway.h"
 
+#include "Cells/RoomQuestion.h"
 #include "Cells/RunReportCodec.h"
 #include "Cells/StoreKeys.h"
 #include "Common/Hash.h"
@@ -28,6 +29,10 @@
     constexpr const char* choiceMethod = "cell.choice";
     constexpr const char* pendingMethod = "job.pending";
     constexpr const char* pollMethod = "worker.poll";
+    constexpr const char* roomMethod = "cell.room";
+    constexpr const char* cellMember = "cell";
+    /// Time for the owner of a cell to say whether it can make room; it makes no call of its own for that.
+    constexpr Common::Duration roomTimeout = std::chrono::milliseconds(300);
     /// Time for a host that knows the loads of all cells to choose one; it makes no call of its own for that.
     constexpr Common::Duration choiceTimeout = std::chrono::milliseconds(300);
     /// Hosts that are asked in turn.
@@ -225,6 +230,17 @@
                     callback(answer ? runReportFromJson(*answer) : Common::Result<RunReport>(answer.reason()));
                 });
         });
+    m_cellOwnership.setRoomMessenger([this](const std::string& address, const CellId& cell,
+                                         const RoomQuestion& question, Common::Callback<Policy::RoomOffer> callback) {
+        Json params = roomQuestionToJson(question);
+        params[cellMember] = cell.value();
+        m_peers.call(address, roomMethod, params, roomTimeout,
+            [callback = std::move(callback)](const Common::Result<Json>& answer) {
+                callback(answer ? roomOfferFromJson(*answer) : Common::Result<Policy::RoomOffer>(answer.reason()));
+            });
+    });
+    m_peers.serve(
+        roomMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveRoom(params, reply); });
     m_peers.serve(pollMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
         const auto poll = pollForHostFromJson(params);
         if (!poll) {
@@ -349,6 +365,20 @@
         });
 }
 
+/// Answers whether a cell of this host has or makes room for another cell's task.
+void JobGateway::serveRoom(const Json& params, const Scheduler::PeerPort::Reply& reply)
+{
+    CellEngine* const engine = m_cellOwnership.engine(CellId(params.value(cellMember, std::string {})));
+    if (!engine) {
+        reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
+        return;
+    }
+    if (const auto question = roomQuestionFromJson(params))
+        reply(roomOfferToJson(engine->offerRoom(*question)));
+    else
+        reply(question.reason());
+}
+
 /// Handles a transfer of tasks to a cell of this host, or the cancellation of transferred tasks.
 void JobGateway::servePart(const Json& params, const Scheduler::PeerPort::Reply& reply)
 {
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -55,6 +55,7 @@
     void serveChoice(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void servePhase(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void servePart(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
+    void serveRoom(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void serveCancel(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
 
     void tryCell(const std::shared_ptr<Submission>&);
--- a/Source/Core/Cells/LiveStep.h
+++ b/Source/Core/Cells/LiveStep.h
@@ -3,6 +3,7 @@
 
 #include "Cells/BlockedStep.h"
 #include "Cells/LiveTask.h"
+#include "Policy/RoomInquiry.h"
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,8 @@
     std::optional<Common::MonotonicTime> reservedStartAt;
     /// How often tasks of the step came here, or came back, still waiting, by the cells that found no room for them.
     std::map<std::string, uint32_t> refusals;
+    /// Questions to other cells about room for a long-running task that has lost its run; begun anew by each start.
+    Policy::RoomInquiry inquiry;
 
     bool isComplete() const { return doneCount == tasks.size(); }
 };
