--- a/Source/Core/Cells/CellEngineRoomMaking.cpp
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -76,7 +76,7 @@
 /// The step's first waiting task, if it is time to make room for it.
 std::optional<Jobs::TaskName> CellEngine::taskToMakeRoomFor(const Candidate& candidate)
 {
-    const std::optional<Jobs::TaskName> name = taskWithoutRun(candidate);
+    std::optional<Jobs::TaskName> name = taskWithoutRun(candidate);
     if (!name)
         return std::nullopt;
     const Common::MonotonicTime now = m_runtime.now();
