Soak: check rule LOST for tasks that last

Cause: the soak judged TWICE and that jobs end; a long-running task that waited for a successor for 15 s passed.

Change: LostWatch looks at the fleet each 0.1 s. A task that lasts breaks the rule if it doesn't run 6 s + 3 s after its last run, with room for two on workers that are in touch throughout the 3 s, and with store and hosts calm and what was lost for good replaced throughout the 3 s and the 4 s before. Hosts that were lost leave no calm to ask for. A second verdict, "before replacement", asks for no replacement; it fails nothing. A look that is over 0.5 s late ends the calm and is counted: the machine slows the soak's workers and store then.

All hosts have to be calm, as the soak doesn't know which one is to start a task: among many overlapping faults the check sees mostly the end of a run. Other parts of the rule (410, states without a cause) aren't checked.

--- a/Tools/soak.py
+++ b/Tools/soak.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""Runs real lavendercart-entry processes on loopback under random load and faults, and checks rule TWICE."""
+"""Runs real lavendercart-entry processes on loopback under random load and faults, and checks rules TWICE and
+LOST."""
 
 import argparse
 import asyncio
@@ -13,6 +14,7 @@
 from soak.fleet import Fleet  # noqa: E402
 from soak.judge import summary  # noqa: E402
 from soak.host_link import has_links  # noqa: E402
+from soak.lost import LostWatch  # noqa: E402
 from soak.load import DEFAULT_CELL_WORKERS, LASTING_SHARE_OF_JOBS, Load  # noqa: E402
 
 START_S = 4.0
@@ -25,7 +27,7 @@
 
 
 async def play(options, seed, folder):
-    """One run. Returns the breaks of the rule and the accepted jobs that haven't ended."""
+    """One run. Returns the judge, the load, the watch for lost tasks and the accepted jobs that haven't ended."""
     draw = random.Random(seed)
     record = open(folder / "record.txt", "w", encoding="utf-8")
     loads = []
@@ -33,11 +35,13 @@
                   lambda line: record.write(line + "\n"), options.late_lapse, options.cell_workers)
     load = Load(fleet, random.Random(draw.random()), options.pace, options.lasting, options.wide_workers)
     loads.append(load)
+    watch = LostWatch(fleet, load)
     faults = Faults(fleet, random.Random(draw.random()), options.kinds, options.gap, options.keep_ids)
     try:
         await fleet.start()
         await asyncio.sleep(START_S)
         clients = asyncio.ensure_future(load.run())
+        watching = asyncio.ensure_future(watch.run())
         await asyncio.sleep(START_S)
         trouble = asyncio.ensure_future(faults.run())
         await asyncio.sleep(options.seconds)
@@ -48,6 +52,14 @@
         await clients
         await asyncio.sleep(SETTLE_S if options.seconds else 0)
         unfinished = await load.unfinished(options.finish)
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+        if not watching.cancelled():
+            raise watching.exception()
+        for text in watch.breaks:
+            fleet.note("LOST", text)
+        for text in watch.before_replacement:
+            fleet.note("lost-before-replacement", text)
         for text in fleet.judge.breaks:
             fleet.note("TWICE", text)
         for text in fleet.judge.by_late_lapse:
@@ -63,7 +75,7 @@
             fleet.note("UNFINISHED", job)
         if faults.errors:
             raise faults.errors[0]
-        return fleet.judge, load, unfinished
+        return fleet.judge, load, watch, unfinished
     finally:
         fleet.close()
         record.close()
@@ -126,15 +138,17 @@
             if options.keep:
                 folder = options.keep / f"seed-{seed}"
                 folder.mkdir(parents=True, exist_ok=True)
-            judge, load, unfinished = asyncio.run(play(options, seed, folder))
-        broken += 1 if judge.breaks or unfinished else 0
+            judge, load, watch, unfinished = asyncio.run(play(options, seed, folder))
+        broken += 1 if judge.breaks or watch.breaks or unfinished else 0
         late = f" (by a late lapse: {len(judge.by_late_lapse)})" if options.late_lapse else ""
-        print(f"seed {seed}: TWICE {len(judge.breaks)}{late}, unfinished {len(unfinished)}, starts {judge.starts}, "
+        print(f"seed {seed}: TWICE {len(judge.breaks)}{late}, LOST {len(watch.breaks)} (before replacement "
+              f"{len(watch.before_replacement)}, longest {watch.longest:.1f} s, late looks {watch.late}), "
+              f"unfinished {len(unfinished)}, starts {judge.starts}, "
               f"ends noted {judge.noted}, exempt {judge.exempt} (started again: {len(judge.excused)}), "
               f"jobs accepted {len(load.accepted)}, "
               + ", ".join(f"{word} {summary(pairs)}" for word, pairs in verdicts(judge))
               + f", carried out by a next life: {judge.coincidences()}", flush=True)
-        for text in judge.breaks[:5]:
+        for text in judge.breaks[:5] + watch.breaks[:5]:
             print("  " + text, flush=True)
     return 1 if broken else 0
 
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -112,12 +112,14 @@
         self._note("throttle-host", host.name, f"share={share:.2f}", f"period={period}", f"for={span:.2f}")
         process, loop = host.process, asyncio.get_running_loop()
         end = loop.time() + span
+        host.throttled += 1
         while loop.time() < end and host.process is process and host.up:
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(period * (1 - share))
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
             await asyncio.sleep(period * share)
+        host.throttled -= 1
 
     async def _restart(self, host, number, span):
         self._note("end-host", host.name, signal.Signals(number).name, f"pause={span:.2f}")
@@ -412,6 +414,8 @@
         self._note("reset-conns", host.name if host else "all", f"connections={len(chosen)}/{len(writers)}")
         for writer in chosen:
             writer.transport.abort()
+        for other in [host] if host else self.fleet.hosts:
+            other.disruptions += 1
 
     async def _refuse_conns(self):
         """New connections to a worker, or of a host to the store, are refused; the open ones stay, or are reset too."""
--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -70,6 +70,8 @@
         self.cell_workers = cell_workers
         # Set by each job that is accepted; faults that wait for one clear it.
         self.job_accepted = asyncio.Event()
+        # Hosts and workers that are lost for good and that others haven't replaced yet.
+        self.awaited = 0
         self.links = {}
         self.store_links = {}
         self.workers = []
--- a/Tools/soak/host.py
+++ b/Tools/soak/host.py
@@ -64,6 +64,10 @@
         self.process = None
         self.starts = 0
         self.frozen = False
+        # Faults that leave it a share of a core.
+        self.throttled = 0
+        # Signals other than that for reloading, and resets of its connections.
+        self.disruptions = 0
         # Replaced by another host: its process isn't started again.
         self.gone = False
 
@@ -112,6 +116,7 @@
         if not self.up:
             return
         self.process.send_signal(number)
+        self.disruptions += number != signal.SIGHUP
         self.note("signal", self.name, signal.Signals(number).name)
 
     def freeze(self):
--- a/Tools/soak/host_link.py
+++ b/Tools/soak/host_link.py
@@ -244,6 +244,10 @@
         self.cuts = [other for other in self.cuts if other is not cut]
         self._apply(cut[0])
 
+    def are_open(self, index):
+        """Whether no link of this host is cut."""
+        return not any(index in pair for cut, _ in self.cuts for pair in cut)
+
     def _apply(self, pairs):
         for pair in pairs:
             present = [(cut[pair], refuses) for cut, refuses in self.cuts if pair in cut]
--- a/Tools/soak/judge.py
+++ b/Tools/soak/judge.py
@@ -176,6 +176,13 @@
         return ", ".join(f"{what}s {self.next_life[what]} (while cut {self.next_life[what + ' while cut']})"
                          for what in ("start", "grant", "ack"))
 
+    def away_since(self, task, accepted_at):
+        """The end of its last run, or `accepted_at` before its first one. None while it runs."""
+        runs = self._runs.get(task, ())
+        if any(run.ended_at is None for run in runs):
+            return None
+        return max([accepted_at, *(run.ended_at for run in runs)])
+
     def shown_completed(self, job):
         self._completed.setdefault(job, self.now())
 
--- a/Tools/soak/load.py
+++ b/Tools/soak/load.py
@@ -21,6 +21,7 @@
         self.lasting_share, self.cell_workers = lasting, cell_workers
         self.jobs = {}
         self.accepted = set()
+        self.accepted_at = {}
         self.cancelled = set()
         self.lasting = []
         self.stopped = False
@@ -94,6 +95,7 @@
                 status, _ = await host.call("POST", f"/desk/{job}", {"spec": "work", "phases": phases})
                 if status == 200:
                     self.accepted.add(job)
+                    self.accepted_at[job] = self.fleet.judge.now()
                     self.fleet.job_accepted.set()
                     lasting = bool(phases[0].get("long_running"))
                     self.fleet.note("accepted", job, f"host={host.name}", f"lasting={lasting}")
--- a/Tools/soak/store.py
+++ b/Tools/soak/store.py
@@ -28,6 +28,9 @@
         self.late_share = 0.0
         self.refused_hosts = set()
 
+    def is_slow(self):
+        return self.latency > LATENCY_S
+
     # The platform's own and the operator's writes.
 
     def put(self, key, value):
