Soak: lose a share of a cell's workers, then its owner, three times

Cause: no kind of fault lost workers and the owner that grants their leases for good at once, so that a successor has to wait for leases that it can't ask about.

Change: the kind owner-and-workers, drawn only if named, begins with the faults and strikes three times, also when further kinds are drawn beside it.

--- a/Source/UnitTests/Process/soak_lost_test.py
+++ b/Source/UnitTests/Process/soak_lost_test.py
@@ -1,11 +1,20 @@
-"""Tests of the soak's check of rule LOST."""
+"""Tests of the soak's check of rule LOST and of the fault that loses workers and their owner, and a short soak of it
+with real processes.
 
+LOST has bounds on time, those of the rule; a machine that is late isn't calm, so that it can't make the soak fail.
+"""
+
+import asyncio
 import pathlib
+import random
+import signal
 import tempfile
 import types
 import unittest
+import unittest.mock
 
-from soak_test import SEED, Process
+from soak_test import SEED, Process, play
+from soak.faults import Faults
 from soak.fleet import Fleet
 from soak.link import Link, Passage
 from soak.lost import LostWatch
@@ -223,5 +232,110 @@
         self.assertEqual(self.watch.late, 1)
 
 
+class OwnerAndWorkersTest(unittest.IsolatedAsyncioTestCase):
+    """Host i owns the workers of zone i. What happens is written down, and no time passes."""
+
+    async def asyncSetUp(self):
+        self.fleet = make_fleet(self, 6, 24)
+        self.fleet.crash_worker = self.crash
+        self.fleet.start_worker = unittest.mock.AsyncMock(side_effect=self.start)
+        self.fleet.add_host = unittest.mock.AsyncMock(side_effect=self.add_host)
+        self.events, self.awaited = [], {}
+        zones = [host.zone for host in self.fleet.hosts[:3]]
+        for worker in self.fleet.workers:
+            worker.owner = self.fleet.hosts[zones.index(worker.zone)].name
+        for host in self.fleet.hosts:
+            self.watch(host)
+
+    def watch(self, host):
+        def signalled(number):
+            self.events.append(("signal", host, number))
+            self.awaited[host.name] = self.fleet.awaited
+        host.signal = signalled
+
+    def crash(self, worker):
+        worker.up, worker.owner_then = False, worker.owner
+        self.events.append(("crash", worker))
+
+    def start(self, worker):
+        worker.up, worker.running, worker.life = True, {}, object()
+        self.events.append(("start", worker))
+
+    def add_host(self):
+        """It takes over what hosts that are gone have owned."""
+        host = self.fleet._new_host()
+        host.process = Process()
+        self.watch(host)
+        self.events.append(("add", host))
+        gone = {other.name for other in self.fleet.hosts if other.gone}
+        for worker in self.fleet.workers:
+            if worker.owner in gone or not worker.owner:
+                worker.owner = host.name
+
+    async def strike(self, seed):
+        faults = Faults(self.fleet, random.Random(seed), ("owner-and-workers",))
+        faults._note = lambda *words: None
+        with unittest.mock.patch("soak.faults.asyncio.sleep",
+                                 side_effect=lambda span: self.events.append(("sleep", span))):
+            await faults._owner_and_workers()
+        self.assertFalse(faults.in_series)
+        self.assertEqual(self.fleet.awaited, 0)
+
+    async def test_three_times_workers_are_lost_for_good_and_then_their_owner(self):
+        await self.strike(SEED)
+        kills = [at for at, event in enumerate(self.events) if event[0] == "signal"]
+        self.assertEqual(len(kills), 3)
+        for at in kills:
+            _, owner, number = self.events[at]
+            self.assertEqual((number, owner.gone), (signal.SIGKILL, True))
+            self.assertEqual(self.events[at - 1], ("sleep", 0.2))
+            lost = []
+            for event in reversed(self.events[:at - 1]):
+                if event[0] != "crash":
+                    break
+                lost.append(event[1])
+            self.assertTrue(1 <= len(lost) <= 4, lost)
+            self.assertEqual(self.awaited[owner.name], len(lost) + 1)
+            self.assertEqual({(worker.owner_then, worker.zone) for worker in lost}, {(owner.name, lost[0].zone)})
+            self.assertEqual({worker.up for worker in lost}, {False})
+            self.assertEqual([event[0] for event in self.events[at + 1:at + 4]], ["sleep", "add", "sleep"])
+            started = [event[1] for event in self.events[at + 4:at + 4 + len(lost)]]
+            self.assertEqual([worker.zone for worker in started], [worker.zone for worker in reversed(lost)])
+
+    async def test_strike_without_an_owner_is_given_up(self):
+        for worker in self.fleet.workers:
+            worker.owner = None
+        await self.strike(SEED)
+        self.assertEqual({event[0] for event in self.events}, {"sleep"})
+
+    async def test_a_first_contact_stays(self):
+        for seed in range(4):
+            await self.strike(seed)
+        self.assertEqual(sum(host.gone for host in self.fleet.hosts), 12)
+        self.assertTrue(any(not host.gone for host in self.fleet.hosts[:3]))
+
+    async def test_series_begins_with_the_faults_and_once_at_a_time(self):
+        faults = Faults(self.fleet, random.Random(SEED), ("owner-and-workers",), gap=0.001)
+        strikes = []
+
+        async def strike():
+            strikes.append(faults.in_series)
+            if len(strikes) == 3:
+                faults.stopped = True
+            await asyncio.sleep(0.02)
+        faults._lose_owner_and_workers = strike
+        faults._span = lambda least, most: 0
+        await faults.run()
+        await asyncio.gather(*faults.pending)
+        self.assertEqual(strikes, [True, True, True])
+
+
+class LostSoakTest(unittest.TestCase):
+    def test_no_lasting_task_is_lost_when_workers_and_their_owner_are(self):
+        printed, record = play(self, "--kinds", "owner-and-workers", "--lasting", "0.4")
+        self.assertEqual(record.count(" fault owner-and-workers "), 3)
+        self.assertRegex(printed, r"TWICE 0, LOST 0 \(")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -14,11 +14,14 @@
          "late-orders", "late-calls", "lose-answers", "lose-share", "foreign-entry",
          "store-down", "store-slow", "store-loses", "store-refuses")
 # Drawn only if they are named, so that a seed's faults of all kinds stay as they were.
-NAMED_KINDS = ("cut-owner-workers", "reborn-cut")
+NAMED_KINDS = ("cut-owner-workers", "reborn-cut", "owner-and-workers")
+# These begin with the faults and strike several times. Drawn while they are on, they do nothing.
+SERIES_KINDS = ("owner-and-workers",)
 # These cut links between hosts, which the program must have.
 LINKED_KINDS = ("cut-hosts", "cut-domain", "cut-owner")
 # Without calm between them, hosts would own nothing that a loss of power could harm.
 RESTART_EVERY_S = 9.0
+STRIKES_IN_SERIES = 3
 
 
 class Faults:
@@ -30,18 +33,24 @@
         self.restarted_at = -RESTART_EVERY_S
         self.pending = set()
         self.cut_owners = set()
+        self.in_series = False
         # Errors of the soak's own: such a run proves nothing.
         self.errors = []
         self.stopped = False
 
     async def run(self):
+        for kind in SERIES_KINDS:
+            if kind in self.kinds:
+                self._begin(kind)
         while not self.stopped:
-            kind = self.random.choice(self.kinds)
-            task = asyncio.ensure_future(getattr(self, "_" + kind.replace("-", "_"))())
-            self.pending.add(task)
-            task.add_done_callback(self._forget)
+            self._begin(self.random.choice(self.kinds))
             await asyncio.sleep(self.random.expovariate(1 / self.gap))
 
+    def _begin(self, kind):
+        task = asyncio.ensure_future(getattr(self, "_" + kind.replace("-", "_"))())
+        self.pending.add(task)
+        task.add_done_callback(self._forget)
+
     def _forget(self, task):
         self.pending.discard(task)
         if not task.cancelled() and task.exception():
@@ -172,6 +181,61 @@
         host.end()
         await self.fleet.add_host()
 
+    async def _owner_and_workers(self):
+        """Again and again a share of a cell's workers is gone for good, and right after that the host that owns it;
+        others come instead."""
+        if self.in_series:
+            return
+        self.in_series = True
+        try:
+            for strike in range(STRIKES_IN_SERIES):
+                await asyncio.sleep(self._span(8, 10) if strike else 0)
+                await self._lose_owner_and_workers()
+        finally:
+            self.in_series = False
+
+    def _replaceable_owners(self):
+        """Hosts that own a worker. One host that the settings name as first contact stays, so that new ones find the
+        others."""
+        names = {worker.owner for worker in self.fleet.workers if worker.up and worker.state == "ready"}
+        contacts = [host for host in self.fleet.hosts[:3] if not host.gone]
+        return [host for host in self.fleet.hosts
+                if host.name in names and not host.gone and host.up and contacts != [host]]
+
+    async def _lose_owner_and_workers(self):
+        for _ in range(100):
+            owners = self._replaceable_owners()
+            if owners:
+                break
+            await asyncio.sleep(0.1)
+        else:
+            self._note("owner-and-workers", "none")
+            return
+        owner = self.random.choice(owners)
+        owned = [worker for worker in self.fleet.workers
+                 if worker.up and worker.state == "ready" and worker.owner == owner.name]
+        zone = self.random.choice([worker.zone for worker in owned])
+        cell = [worker for worker in owned if worker.zone == zone]
+        lost = self.random.sample(cell, max(1, round(len(cell) * self._span(0.1, 0.5))))
+        # Before the new ones come, those that are gone are no longer listed.
+        until_host, until_workers = self._span(3, 4), 4.5
+        self._note("owner-and-workers", owner.name, "with", ",".join(worker.id for worker in lost),
+                   f"of={len(cell)}", f"until-host={until_host:.2f}")
+        self.fleet.awaited += len(lost) + 1
+        for worker in lost:
+            self.fleet.crash_worker(worker)
+        await asyncio.sleep(0.2)
+        owner.gone = True
+        owner.signal(signal.SIGKILL)
+        await asyncio.sleep(until_host)
+        owner.end()
+        await self.fleet.add_host()
+        self.fleet.awaited -= 1
+        await asyncio.sleep(until_workers - until_host)
+        for worker in lost:
+            await self.fleet.start_worker(self.fleet.new_worker(worker.zone, int(worker.rack.rsplit("-", 1)[1])))
+            self.fleet.awaited -= 1
+
     async def _lose_power(self, what, hosts):
         """The hosts end at the same moment, at times right after a job was accepted, and start again."""
         if self.fleet.now() - self.restarted_at < RESTART_EVERY_S:
