--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -104,7 +104,7 @@
 
 bool CellEngine::canMakeRoom(const LiveJob& job, const Candidate& candidate) const
 {
-    const RoomQuestion question = roomQuestion(job, firstWaitingTask(candidate));
+    const RoomQuestion question = roomQuestion(job, firstAvailableTask(candidate));
     const Common::Resources needed = allocationFor(question.spec).held;
     const auto& workers = m_workers.all();
     return std::any_of(workers.begin(), workers.end(), [&](const auto& row) {
