--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -127,7 +127,7 @@
           })
     , m_workers(runtime, orders, m_token, settings,
           recoveredCell.formerOwnerStopped
-              ? InheritedLeases::ofStoppedOwners(runtime.now(), settings)
+              ? InheritedLeases::ofStoppedOwners(recoveredCell.claimedAt, settings)
               : InheritedLeases::ofClaim(recoveredCell.record, recoveredCell.claimedAt, settings),
           CellWorkers::Hooks {
               .report = [this](CellWorker& worker, const RunReport& report,
@@ -143,8 +143,9 @@
               .authorityLeft = [this] { return authorityLeft(); },
               .ownedAt =
                   [this] {
-                      const Common::Duration age = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
-                      return m_runtime.now() - age;
+                      // Read first: this process may be suspended between the two.
+                      const Common::MonotonicTime now = m_runtime.now();
+                      return now - (m_runtime.suspendAwareNow() - m_committer.confirmedAt());
                   },
               .confirmOwnership =
                   [this](std::function<void()> confirmed) {
@@ -701,7 +702,9 @@
     if (!task || !task->waiting())
         return;
     const Common::MonotonicTime now = m_runtime.now();
+    const uint32_t lastAttempt = task->progress.lastAttempt;
     job->adoptRun(row.task, TaskRun { worker.id(), row.attempt, RunPhase::Running, now, now, row.percent, now });
+    job->noteListed(row.task, lastAttempt);
 }
 
 void CellEngine::removeAbsentRuns(CellWorker& worker, const RunReport& report, Common::MonotonicTime askedAt)
