--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -61,7 +61,9 @@
     {
         Cells::WorkerChanges found;
         for (const auto& worker : m_workers) {
-            if (worker->up() && worker->listed)
+            if (worker->outdatedEntry)
+                found.listed.push_back(*worker->outdatedEntry);
+            else if (worker->up() && worker->listed)
                 found.listed.push_back(worker->entry());
             else
                 found.removed.push_back(worker->entry().id);
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -56,12 +56,16 @@
     bool ignoresStarts = false;
     /// The next start order gets no answer and is carried out this much later, by whichever life is up then.
     std::optional<Common::Duration> nextStartDelay;
+    /// The same for the next poll that acknowledges ends.
+    std::optional<Common::Duration> nextAcknowledgementDelay;
     /// The next start order is carried out, but its answer gets lost.
     bool losesNextStartAnswer = false;
     /// The next copy of an order whose run is there is refused as expired.
     bool nextCopyExpired = false;
     /// The platform lists it while it is up.
     bool listed = true;
+    /// The platform lists this instead, whether the worker is up or not.
+    std::optional<Cells::WorkerEntry> outdatedEntry;
     /// Rows of runs can't be read in its reports.
     bool unreadableRows = false;
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
@@ -205,6 +209,12 @@
         if (!m_up)
             return;
         ++polls;
+        if (request.acknowledgedThrough > 0 && nextAcknowledgementDelay) {
+            const Common::Duration delay = *std::exchange(nextAcknowledgementDelay, std::nullopt);
+            m_world.schedule(
+                delay, [this, request] { pollRuns(request, [](const Common::Result<Cells::RunReport>&) {}); });
+            return;
+        }
         if (request.token < m_token) {
             answer(Common::Failure { Common::ErrorCode::NotOwner, "", {} });
             return;
