Record start orders without an answer for the cell's successor

The record of a cell's workers now names, for each worker, the tasks with such an order and until when it may be carried out. Times are rounded up to 4 s, so that further copies rarely change the record. Earlier releases ignore the addition, and a record without it has none. What remains: orders that were under way, or whose record wasn't durable, when their owner died.

--- a/Source/Core/Cells/CallsUnderWay.cpp
+++ b/Source/Core/Cells/CallsUnderWay.cpp
@@ -18,6 +18,11 @@
     return std::max(unanswered.value_or(Common::MonotonicTime {}), waiting.value_or(Common::MonotonicTime {}));
 }
 
+bool CallsUnderWay::Start::isOverdue(Common::MonotonicTime now, Common::Duration answerTimeout) const
+{
+    return unanswered || now - *waiting > answerTimeout;
+}
+
 void CallsUnderWay::startSent(const Jobs::TaskName& task, Common::MonotonicTime time)
 {
     Start& start = m_starts[task];
@@ -26,6 +31,12 @@
     start.waiting = time;
 }
 
+void CallsUnderWay::startInherited(const Jobs::TaskName& task, Common::MonotonicTime time)
+{
+    Start& start = m_starts[task];
+    start.unanswered = std::max(start.unanswered.value_or(time), time);
+}
+
 void CallsUnderWay::startSettled(const Jobs::TaskName& task, Common::MonotonicTime sentAt)
 {
     const auto found = m_starts.find(task);
@@ -43,10 +54,27 @@
 
 bool CallsUnderWay::hasOverdueStarts(Common::MonotonicTime now) const
 {
-    return std::any_of(m_starts.begin(), m_starts.end(), [&](const auto& row) {
-        const Start& start = row.second;
-        return start.unanswered || now - *start.waiting > m_answerTimeout;
-    });
+    return std::any_of(
+        m_starts.begin(), m_starts.end(), [&](const auto& row) { return row.second.isOverdue(now, m_answerTimeout); });
+}
+
+std::vector<std::pair<Jobs::TaskName, Common::MonotonicTime>> CallsUnderWay::overdueStarts(
+    Common::MonotonicTime now) const
+{
+    std::vector<std::pair<Jobs::TaskName, Common::MonotonicTime>> overdue;
+    for (const auto& [task, start] : m_starts) {
+        if (start.isOverdue(now, m_answerTimeout))
+            overdue.emplace_back(task, start.lastSentAt());
+    }
+    return overdue;
+}
+
+Common::MonotonicTime CallsUnderWay::lastStart() const
+{
+    Common::MonotonicTime last;
+    for (const auto& [task, start] : m_starts)
+        last = std::max(last, start.lastSentAt());
+    return last;
 }
 
 std::optional<Common::MonotonicTime> CallsUnderWay::lastStart(const Jobs::TaskName& task) const
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -18,6 +18,9 @@
 namespace {
 
     constexpr Common::Duration sweepInterval = std::chrono::milliseconds(500);
+    /// The ends of late starts are rounded up to a multiple of that in the record of workers, so that further copies of
+    /// an order rarely change it.
+    constexpr int64_t lateStartsStepMilliseconds = 4000;
     /// A final job is known for this much longer than CellSettings::statusRetention: a query that began in time may
     /// wait for calls without an answer, and wall clocks of hosts differ.
     constexpr Common::Duration lateQueryTime = std::chrono::seconds(10);
@@ -131,6 +134,7 @@
               .report = [this](CellWorker& worker, const RunReport& report,
                             Common::MonotonicTime askedAt) { onReport(worker, report, askedAt); },
               .runsCleared = [this](CellWorker& worker, bool rebooted) { onRunsCleared(worker, rebooted); },
+              .startUnanswered = [this] { writeWorkers(); },
               .fenced =
                   [this] {
                       LC_WARN(Jobs, "event=fenced cell=" << m_id.value() << " token=" << m_token.value);
@@ -238,11 +242,14 @@
         // A successor needn't wait for a worker that has no runs and gets none, and whose ends are durable.
         const bool takesWork = worker->listed && !worker->entry().draining;
         const bool mayHoldRuns = !worker->allocations().empty() || !worker->pendingEnds.empty()
-            || (!worker->contacted && m_inheritedWorkers.contains(id));
+            || m_workers.mayStartLate(*worker) || (!worker->contacted && m_inheritedWorkers.contains(id));
         if (!takesWork && !mayHoldRuns)
             continue;
-        rows.push_back(nlohmann::json::array(
-            { id.value(), worker->entry().address, worker->startedAtMilliseconds, worker->lateCallsEndMilliseconds }));
+        nlohmann::json row = nlohmann::json::array(
+            { id.value(), worker->entry().address, worker->startedAtMilliseconds, worker->lateCallsEndMilliseconds });
+        if (nlohmann::json starts = lateStarts(*worker); !starts.empty())
+            row.push_back(std::move(starts));
+        rows.push_back(std::move(row));
         lives.emplace(id, worker->startedAtMilliseconds);
     }
     std::string text = rows.dump();
@@ -260,6 +267,23 @@
     }));
 }
 
+/// Those that are overdue, or all when the cell is handed over: their answers won't be read any more. See
+/// RecordedWorker::lateStarts.
+nlohmann::json CellEngine::lateStarts(const CellWorker& worker) const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    const Common::MonotonicTime now = m_runtime.now();
+    const Common::MonotonicTime overdueAt = m_releasing ? now + m_settings.longestCallDelay : now;
+    for (const auto& [task, sentAt] : worker.callsUnderWay.overdueStarts(overdueAt)) {
+        const Common::Duration left = sentAt + m_settings.longestCallDelay - now;
+        const int64_t end = m_runtime.wallMilliseconds() + left / std::chrono::milliseconds(1);
+        const int64_t steps = (end + lateStartsStepMilliseconds - 1) / lateStartsStepMilliseconds;
+        rows.push_back(nlohmann::json::array(
+            { task.job.value(), task.occurrence, task.step, task.index, steps * lateStartsStepMilliseconds }));
+    }
+    return rows;
+}
+
 bool CellEngine::isRecorded(const CellWorker& worker) const
 {
     const auto found = m_recordedWorkers.find(worker.id());
@@ -468,6 +492,7 @@
 void CellEngine::release(std::function<void()> done)
 {
     m_releasing = true;
+    writeWorkers();
     m_committer.release([this, done = std::move(done)] {
         m_closed = true;
         m_workers.close();
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -32,6 +32,8 @@
 #include "Policy/WorkerOffer.h"
 #include "Scheduler/Runtime.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -411,6 +413,7 @@
     void stopRunsOf(const Common::JobId&);
     void markChanged(LiveJob&);
     void writeWorkers();
+    nlohmann::json lateStarts(const CellWorker&) const;
     bool isRecorded(const CellWorker&) const;
     /// Thousandths of a core that waiting long-running tasks and those of submissions in progress need.
     int64_t reservedMilliCores() const;
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -68,6 +68,18 @@
     /// The owner of a cell is watched by this many of the hosts that would replace it.
     constexpr size_t watchingSuccessors = 2;
 
+    RecordedWorker::LateStart readLateStart(const nlohmann::json& element)
+    {
+        const Common::JsonField row(element, "a late start");
+        RecordedWorker::LateStart start;
+        start.task.job = Common::JobId(row.element(0).text());
+        start.task.occurrence = row.element(1).count();
+        start.task.step = row.element(2).count();
+        start.task.index = row.element(3).count();
+        start.endMilliseconds = row.element(4).amount(0, Common::maximumClockMilliseconds);
+        return start;
+    }
+
     std::vector<RecordedWorker> readWorkers(const std::optional<Scheduler::StoreValue>& record)
     {
         std::vector<RecordedWorker> workers;
@@ -83,6 +95,8 @@
                 worker.startedAtMilliseconds = row.element(2).otherwise(0).amount(0, Common::maximumClockMilliseconds);
                 worker.lateCallsEndMilliseconds
                     = row.element(3).otherwise(0).amount(0, Common::maximumClockMilliseconds);
+                for (const nlohmann::json& start : row.element(4).listOrEmpty())
+                    worker.lateStarts.push_back(readLateStart(start));
                 workers.push_back(std::move(worker));
             }
         } catch (const Common::JsonFault& error) {
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -121,6 +121,12 @@
     if (recorded.lateCallsEndMilliseconds != 0)
         worker.lease().expectLateCallsUntil(m_runtime.now()
             + std::chrono::milliseconds(recorded.lateCallsEndMilliseconds - m_runtime.wallMilliseconds()));
+    for (const RecordedWorker::LateStart& start : recorded.lateStarts) {
+        const std::chrono::milliseconds left(start.endMilliseconds - m_runtime.wallMilliseconds());
+        // The wall clocks of hosts may differ.
+        worker.callsUnderWay.startInherited(
+            start.task, m_runtime.now() + std::min<Common::Duration>(left - m_settings.longestCallDelay, {}));
+    }
 }
 
 /// Orders name the worker's id, so a worker under another id at its address carries out none of them.
@@ -619,7 +625,9 @@
 /// reached it before `time`.
 bool CellWorkers::areLateStartsOverAfter(const CellWorker& worker, Common::MonotonicTime time) const
 {
-    return !worker.reachable && isIdleAfter(worker, time) && time >= worker.lease().unknownLeasesEnd();
+    const WorkerLease& lease = worker.lease();
+    return !worker.reachable && isIdleAfter(worker, time)
+        && time >= std::max(lease.unknownLeasesEnd(), lease.lateLeaseEnd(worker.callsUnderWay.lastStart()));
 }
 
 Common::MonotonicTime CellWorkers::lateRunEnd(
@@ -715,6 +723,8 @@
                     ordered->startOutcomeUnknown = true;
                     ordered->startUnansweredSince = sentAt;
                 }
+                if (mayArrive)
+                    m_hooks.startUnanswered();
                 m_runtime.schedule(m_settings.orderRetry, again);
                 return;
             }
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -37,6 +37,8 @@
         /// confirmed the ownership since. After a reboot the runs that the new life may have, or may still get by a
         /// late order, must be kept until a report shows whether it has them.
         std::function<void(CellWorker&, bool rebooted)> runsCleared;
+        /// A start order was left unanswered, and a successor has to know of it.
+        std::function<void()> startUnanswered;
         /// A worker rejected an order because a newer owner has sent orders.
         std::function<void()> fenced;
         /// Called before each poll; updates `acknowledgedThrough` of the worker.
--- a/Source/Core/Cells/RecordedWorker.h
+++ b/Source/Core/Cells/RecordedWorker.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "Common/Ids.h"
+#include "Jobs/TaskName.h"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Cells {
 
@@ -16,6 +18,15 @@
     int64_t startedAtMilliseconds = 0;
     /// Wall clock until which calls to former lives may have an effect on this one; 0 if there are none.
     int64_t lateCallsEndMilliseconds = 0;
+
+    /// A start order that was left unanswered.
+    struct LateStart {
+        Jobs::TaskName task;
+        /// Wall clock until which it may be carried out.
+        int64_t endMilliseconds = 0;
+    };
+    /// Empty in a record of an earlier release.
+    std::vector<LateStart> lateStarts;
 };
 
 } // namespace Cells
--- a/Source/Core/Cells/WorkerLease.cpp
+++ b/Source/Core/Cells/WorkerLease.cpp
@@ -92,7 +92,7 @@
 
 Common::MonotonicTime WorkerLease::unknownLeasesEnd() const
 {
-    return std::max(lateLeasesEnd(), m_grantedAt + m_longestCallDelay + m_longestLease);
+    return std::max(lateLeasesEnd(), lateLeaseEnd(m_grantedAt));
 }
 
 bool WorkerLease::mayBeUnderWay(Common::MonotonicTime sentAt, Common::MonotonicTime now) const
--- a/Source/Core/Cells/WorkerLease.h
+++ b/Source/Core/Cells/WorkerLease.h
@@ -58,6 +58,11 @@
     Common::MonotonicTime lateLeasesEnd() const;
     /// The same for a next life that nobody has heard of.
     Common::MonotonicTime unknownLeasesEnd() const;
+    /// The same for a life on which a call of that time may have started a run.
+    Common::MonotonicTime lateLeaseEnd(Common::MonotonicTime sentAt) const
+    {
+        return sentAt + m_longestCallDelay + m_longestLease;
+    }
     /// Whether a call of that time may still be carried out at `now`.
     bool mayBeUnderWay(Common::MonotonicTime sentAt, Common::MonotonicTime now) const;
     /// When calls to former lives that may be carried out late have been.
