--- a/Tools/soak/faults.py
+++ b/Tools/soak/faults.py
@@ -2,6 +2,7 @@
 store."""
 
 import asyncio
+import contextlib
 import signal
 
 from soak.link import Passage
@@ -14,7 +15,7 @@
          "late-orders", "late-calls", "lose-answers", "lose-share", "foreign-entry",
          "store-down", "store-slow", "store-loses", "store-refuses")
 # Drawn only if they are named, so that a seed's faults of all kinds stay as they were.
-NAMED_KINDS = ("cut-owner-workers", "reborn-cut", "owner-and-workers")
+NAMED_KINDS = ("cut-owner-workers", "reborn-cut", "reborn-dark", "reborn-stale", "owner-and-workers")
 # These begin with the faults and strike several times. Drawn while they are on, they do nothing.
 SERIES_KINDS = ("owner-and-workers",)
 # These cut links between hosts, which the program must have.
@@ -523,32 +524,81 @@
     async def _reborn_cut(self):
         """Workers of one owner leave calls unanswered and carry them out late, crash, start again under their ids, and
         are cut from all hosts soon after. In half of the draws the owner is killed meanwhile."""
-        first = self._up_worker()
-        if not first:
+        chosen = self._workers_of_one_owner(0.4, 1)
+        if not chosen:
             return
-        group = [worker for worker in self.fleet.workers
-                 if worker.up and worker.state == "ready" and worker.owner == first.owner]
-        chosen = self.random.sample(group, max(1, round(len(group) * self._span(0.4, 1))))
         share, late = self._span(0.5, 1), self._span(0.5, 2.5)
         until_cut, span = self._span(1, 3), self._span(6, 14)
         passage = self.random.choice((Passage.HELD, Passage.LOST))
-        owner = next((host for host in self.fleet.hosts if host.name == first.owner), None)
+        owner = next((host for host in self.fleet.hosts if host.name == chosen[0].owner), None)
         until_kill = self._span(0, until_cut + 2) if self.random.random() < 0.5 else None
         self._note("reborn-cut", ",".join(worker.id for worker in chosen), f"share={share:.2f}", f"late={late:.2f}",
                    f"until-cut={until_cut:.2f}", f"passage={passage.value}", f"for={span:.2f}",
                    f"kill={'none' if until_kill is None or not owner else owner.name}")
+        await self._leave_calls_unanswered(chosen, share, 2, late)
+        await self._start_all_under_their_ids(chosen, 0.3, 1)
+        links = [link for worker in chosen for link in self.fleet.links_of(worker=worker)]
+        await asyncio.gather(self._hold_links(links, passage, until_cut, span), self._kill_after(owner, until_kill))
+
+    async def _reborn_dark(self):
+        """Workers of one owner leave calls unanswered and carry them out late. Some seconds later they are cut from all
+        hosts and the store, and start again there under their ids."""
+        chosen = self._workers_of_one_owner(0.3, 0.7)
+        if not chosen:
+            return
+        share, late = self._span(0.5, 1), self._span(0.5, 2.5)
+        until_cut, span = self._span(2, 10), self._span(6, 14)
+        self._note("reborn-dark", ",".join(worker.id for worker in chosen), f"share={share:.2f}", f"late={late:.2f}",
+                   f"until-cut={until_cut:.2f}", f"for={span:.2f}")
+        await self._leave_calls_unanswered(chosen, share, 6, late)
+        await asyncio.sleep(until_cut)
+        with self._cut_from_hosts(chosen, Passage.LOST), self._cut_from_store(chosen):
+            await self._start_all_under_their_ids(chosen, 0.1, 0.6)
+            await asyncio.sleep(span)
 
+    async def _reborn_stale(self):
+        """Workers of one owner leave calls unanswered and are cut from all hosts while the store still hears of them.
+        Later they are cut from the store too and start again there under their ids. The store's list shows the former
+        life until its entry lapses, in time or one lapse later."""
+        chosen = self._workers_of_one_owner(0.3, 0.7)
+        if not chosen:
+            return
+        share, late = self._span(0.5, 1), self._span(0.5, 2)
+        until_crash, span = self._span(5, 10), self._span(6, 14)
+        keeps_entries = self.random.random() < 0.5
+        self._note("reborn-stale", ",".join(worker.id for worker in chosen), f"share={share:.2f}", f"late={late:.2f}",
+                   f"until-crash={until_crash:.2f}", f"keeps-entries={keeps_entries}", f"for={span:.2f}")
+        await self._leave_calls_unanswered(chosen, share, 8, late)
+        with self._cut_from_hosts(chosen, Passage.LOST):
+            await asyncio.sleep(until_crash)
+            with self._cut_from_store(chosen):
+                for worker in chosen:
+                    worker.lapses_skipped = 1 if keeps_entries else 0
+                await self._start_all_under_their_ids(chosen, 0.1, 0.6)
+                await asyncio.sleep(span)
+
+    def _workers_of_one_owner(self, least, most):
+        """A share of these workers, or none."""
+        first = self._up_worker()
+        if not first:
+            return []
+        group = [worker for worker in self.fleet.workers
+                 if worker.up and worker.state == "ready" and worker.owner == first.owner]
+        return self.random.sample(group, max(1, round(len(group) * self._span(least, most))))
+
+    async def _leave_calls_unanswered(self, workers, share, least, span):
+        """For a time, the workers carry a share of their calls out `least` to 12 seconds late, without an answer."""
         def delay():
-            return self._span(2, 12) if self.random.random() < share else None
-        for worker in chosen:
+            return self._span(least, 12) if self.random.random() < share else None
+        for worker in workers:
             worker.delays_call = delay
-        await asyncio.sleep(late)
-        for worker in chosen:
+        await asyncio.sleep(span)
+        for worker in workers:
             if worker.delays_call is delay:
                 worker.delays_call = None
-        await asyncio.gather(*(self._start_under_its_id(worker, self._span(0.3, 1)) for worker in chosen))
-        links = [link for worker in chosen for link in self.fleet.links_of(worker=worker)]
-        await asyncio.gather(self._hold_links(links, passage, until_cut, span), self._kill_after(owner, until_kill))
+
+    async def _start_all_under_their_ids(self, workers, least, most):
+        await asyncio.gather(*(self._start_under_its_id(worker, self._span(least, most)) for worker in workers))
 
     async def _start_under_its_id(self, worker, dark):
         if worker.up:
@@ -559,13 +609,34 @@
         if not worker.up:
             await self.fleet.start_worker(worker)
 
-    @staticmethod
-    async def _hold_links(links, passage, pause, span):
+    async def _hold_links(self, links, passage, pause, span):
         await asyncio.sleep(pause)
+        with self._links_held(links, passage):
+            await asyncio.sleep(span)
+
+    def _cut_from_hosts(self, workers, passage):
+        return self._links_held([link for worker in workers for link in self.fleet.links_of(worker=worker)], passage)
+
+    @staticmethod
+    @contextlib.contextmanager
+    def _links_held(links, passage):
         holds = [(link, link.hold(passage, passage)) for link in links]
-        await asyncio.sleep(span)
-        for link, hold in holds:
-            link.release(hold)
+        try:
+            yield
+        finally:
+            for link, hold in holds:
+                link.release(hold)
+
+    @staticmethod
+    @contextlib.contextmanager
+    def _cut_from_store(workers):
+        for worker in workers:
+            worker.cuts_from_store += 1
+        try:
+            yield
+        finally:
+            for worker in workers:
+                worker.cuts_from_store -= 1
 
     async def _kill_after(self, host, pause):
         if not host or pause is None:
--- a/Tools/soak/fleet.py
+++ b/Tools/soak/fleet.py
@@ -249,5 +249,4 @@
             host.end()
         # Their timers would write to a record that is closed.
         for worker in self.workers:
-            if worker.up:
-                worker.crash()
+            worker.close()
--- a/Tools/soak/store.py
+++ b/Tools/soak/store.py
@@ -42,6 +42,9 @@
             del self.items[key]
             self._tell({"key": key, "revision": self.revision, "tombstone": True})
 
+    def has(self, key):
+        return key in self.items
+
     def put_bytes(self, key, data):
         self.revision += 1
         self._set(key, base64.b64encode(data).decode(), 0)
--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -51,7 +51,10 @@
         self.resuming = False
         self.up = False
         self.state = "ready"
-        self.reports = True
+        # Faults that keep its heartbeats from the store.
+        self.cuts_from_store = 0
+        # How often the platform leaves its entry when it would be removed.
+        self.lapses_skipped = 0
         # The host whose call was carried out last.
         self.owner = None
         self.unhealthy = False
@@ -102,6 +105,13 @@
         self.crash()
         self.store.delete("servers/" + self.id)
 
+    def close(self):
+        """Neither the worker nor its entry does anything more."""
+        if self.up:
+            self.crash()
+        if self._silence:
+            self._silence.cancel()
+
     def freeze(self):
         self.thawed.clear()
 
@@ -143,7 +153,7 @@
 
     async def _beat(self):
         while True:
-            if self.reports and self.thawed.is_set() and not self.store.down:
+            if not self.cuts_from_store and self.thawed.is_set() and not self.store.down:
                 self.store.put("servers/" + self.id, self.entry())
                 self._expect_beat()
             await asyncio.sleep(HEARTBEAT_S)
@@ -158,7 +168,13 @@
         if self.store.down and self.store.keeps_entries_while_down:
             self._expect_beat()
             return
-        self.store.delete("servers/" + self.id)
+        if self.lapses_skipped > 0:
+            self.lapses_skipped -= 1
+            self._expect_beat()
+            return
+        if self.store.has("servers/" + self.id):
+            self.note("entry-lapsed", self.id)
+            self.store.delete("servers/" + self.id)
 
     # Lease.
 
