Read the time of a start order once, so that its answer settles the copy

Cause: sendStart read the clock for CallsUnderWay::startSent and again for the capture that startSettled compares with it.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -707,9 +707,11 @@
     }
     const Common::WorkerTime until = grantLease(*worker);
     allocation->token = worker->token;
-    worker->callsUnderWay.startSent(run.task, m_runtime.now());
+    // Read once: it names the copy when its answer comes.
+    const Common::MonotonicTime sentAt = m_runtime.now();
+    worker->callsUnderWay.startSent(run.task, sentAt);
     m_orders.start(targetOf(*worker), worker->token, order, until,
-        m_lifetime.guard([this, id, run, again, answered, sentAt = m_runtime.now(), token = worker->token](
+        m_lifetime.guard([this, id, run, again, answered, sentAt, token = worker->token](
                              const Common::Result<OrderAnswer>& answer) {
             CellWorker* const target = find(id);
             if (m_closed || !target)
