Send no start order beside an acknowledgement that may be carried out late

An acknowledgement without an answer may be carried out by the worker's next life. CallsUnderWay excluded only the acknowledgement after the order.

Orders now wait for the answer to an acknowledgement, whose poll doesn't wait for an end any more. No second acknowledgement is sent meanwhile, and none of ends that the worker has forgotten.

--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -431,7 +431,7 @@
         "event=run-refused run=" << runName(run) << " worker=" << id.value()
                                  << " verdict=" << static_cast<int>(verdict));
     if (verdict == OrderVerdict::NoRoom || verdict == OrderVerdict::Unhealthy || verdict == OrderVerdict::OrderExpired)
-        worker->noStartsBefore = now + m_settings.refusalPause;
+        worker->noStartsBefore = std::max(worker->noStartsBefore, now + m_settings.refusalPause);
     if (task && verdict == OrderVerdict::Malformed)
         task->notBefore = now + malformedRetryPause;
     if (job)
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -38,6 +38,39 @@
     /// it was read too late to say what the worker was like then.
     bool listsEnds = false;
     std::optional<Common::MonotonicTime> heardAt;
+    /// An acknowledgement of the ends up to that number which has had no answer. Carried out late by a next life, it
+    /// would forget the ends of what an order with the same token had started there, so no such order is sent beside
+    /// it. A life that has seen a higher token refuses it.
+    struct Acknowledgement {
+        uint64_t through = 0;
+        Common::MonotonicTime sentAt;
+    };
+    std::optional<Acknowledgement> acknowledgement;
+    /// The worker has forgotten the ends up to this number.
+    uint64_t forgottenThrough = 0;
+    /// Start orders that wait for the answer to an acknowledgement.
+    std::vector<std::function<void()>> waitingStarts;
+    /// The worker gets no starts since an acknowledgement was left unanswered.
+    bool startsHeld = false;
+
+    void settleAcknowledgement(bool carriedOut)
+    {
+        if (carriedOut)
+            forgottenThrough = std::max(forgottenThrough, acknowledgement->through);
+        acknowledgement.reset();
+    }
+    /// A report of the life for which the acknowledgement was meant shows whether it was carried out.
+    void settleAcknowledgement(
+        const RunReport& report, Common::MonotonicTime askedAt, Common::Duration longestCallDelay)
+    {
+        if (!acknowledgement || !isComplete(report))
+            return;
+        const bool isForgotten = std::none_of(report.ended.begin(), report.ended.end(),
+            [&](const EndedTask& end) { return end.number <= acknowledgement->through; });
+        const bool isAnswer = acknowledgement->sentAt == askedAt;
+        if (isForgotten || isAnswer || askedAt - acknowledgement->sentAt > longestCallDelay)
+            settleAcknowledgement(isForgotten || isAnswer);
+    }
     /// How much longer than usual answers may take, since this process was too late to tell whether one had arrived.
     Common::Duration extraTime {};
     /// The wait of the open poll, and when it was sent on the clock that includes suspended time.
@@ -201,6 +234,10 @@
     state.rebirth.reset();
     state.polling = false;
     state.unansweredPolls = 0;
+    state.acknowledgement.reset();
+    state.forgottenThrough = 0;
+    if (std::exchange(state.startsHeld, false))
+        worker.noStartsBefore = {};
     worker.lease().startAnew();
     noteLateCallsEnd(worker);
     // A late host may have sent a poll for the earlier owner after the end of its authority.
@@ -302,13 +339,19 @@
     request.token = worker->token;
     Link& state = link(*worker);
     const bool mayAcknowledge = mayAcknowledgeTo(*worker, state);
-    request.acknowledgedThrough = mayAcknowledge ? worker->acknowledgedThrough : 0;
+    const bool acknowledges = mayAcknowledge && worker->acknowledgedThrough > state.forgottenThrough;
+    const Asked asked { m_runtime.now(), worker->token };
+    if (acknowledges) {
+        request.acknowledgedThrough = worker->acknowledgedThrough;
+        state.acknowledgement = Link::Acknowledgement { worker->acknowledgedThrough, asked.at };
+    }
     const bool occupied = !worker->allocations().empty();
     // The lease of an unreachable worker must be able to expire, so polls don't renew it until the worker answers.
     if (occupied && worker->reachable && worker->lease().isClockKnown() && mayGrant())
         request.leaseUntil = grantLease(*worker);
     const bool hasUnacknowledgedEnds = !worker->pendingEnds.empty() || (state.listsEnds && !mayAcknowledge);
-    if (occupied && worker->reachable && !hasUnacknowledgedEnds)
+    // Start orders wait for the answer to an acknowledgement.
+    if (occupied && worker->reachable && !hasUnacknowledgedEnds && !acknowledges)
         request.wait = pollWaitFor(*worker);
     request.extraTime = state.extraTime;
     state.polling = true;
@@ -316,7 +359,6 @@
     state.window = worker->reachable
         ? nullptr
         : std::make_shared<AnswerWindow>(m_runtime, m_settings.answerTimeout + state.extraTime);
-    const Asked asked { m_runtime.now(), worker->token };
     state.askedAt = m_runtime.suspendAwareNow();
     m_orders.pollRuns(targetOf(*worker), request,
         m_lifetime.guard(
@@ -329,8 +371,8 @@
 /// a start order that may be carried out late: see CallsUnderWay.
 bool CellWorkers::mayAcknowledgeTo(const CellWorker& worker, const Link& link) const
 {
-    return worker.reachable && !worker.callsUnderWay.hasStarts() && link.listsEnds && link.heardAt
-        && m_runtime.suspendAwareNow() - *link.heardAt <= m_settings.answerTimeout;
+    return worker.reachable && !worker.callsUnderWay.hasStarts() && !link.acknowledgement && link.listsEnds
+        && link.heardAt && m_runtime.suspendAwareNow() - *link.heardAt <= m_settings.answerTimeout;
 }
 
 void CellWorkers::onPollAnswer(const Common::WorkerId& id, const Asked& asked, const Common::Result<RunReport>& report)
@@ -356,6 +398,8 @@
     if (m_closed || dropIfGone(*worker))
         return;
     schedulePoll(id, report ? nextPollDelay(*worker) : link(*worker).retryPause);
+    for (const auto& start : std::exchange(link(*worker).waitingStarts, {}))
+        start();
 }
 
 /// Whether a newer owner has called the worker. A poll that was meant for a former life is refused by the present one.
@@ -419,6 +463,10 @@
     worker.lastReportAt = now;
     if (isComplete(report))
         worker.callsUnderWay.settleByReport(asked.at);
+    Link& state = link(worker);
+    state.settleAcknowledgement(report, asked.at, m_settings.longestCallDelay);
+    if (!state.acknowledgement && std::exchange(state.startsHeld, false))
+        worker.noStartsBefore = {};
     return true;
 }
 
@@ -489,6 +537,14 @@
     state.retryPause
         = std::clamp(2 * state.retryPause, m_settings.firstPollRetryPause, m_settings.longestPollRetryPause);
     const Common::Duration elapsed = m_runtime.now() - askedAt;
+    if (state.acknowledgement && reason.code == Common::ErrorCode::ConnectFailed
+        && state.acknowledgement->sentAt == askedAt)
+        state.settleAcknowledgement(false);
+    if (state.acknowledgement) {
+        state.startsHeld = true;
+        worker.noStartsBefore = std::max(worker.noStartsBefore,
+            state.acknowledgement->sentAt + m_settings.longestCallDelay + m_settings.answerTimeout);
+    }
     if (!worker.reachable)
         judgeFailure(worker, reason, elapsed);
     else if (elapsed > state.wait + m_settings.answerTimeout + state.extraTime)
@@ -661,8 +717,9 @@
     if (!worker.answered || (found != m_links.end() && found->second.rebirth))
         return m_settings.orderRetry;
     if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds)) {
-        return worker.callsUnderWay.hasOverdueStarts(m_runtime.now()) ? m_settings.frequentPollWait
-                                                                      : m_settings.pollPauseAfterEnd;
+        const bool mayArriveLate = worker.callsUnderWay.hasOverdueStarts(m_runtime.now())
+            || (found != m_links.end() && found->second.acknowledgement);
+        return mayArriveLate ? m_settings.frequentPollWait : m_settings.pollPauseAfterEnd;
     }
     if (!worker.allocations().empty())
         return Common::Duration::zero();
@@ -705,40 +762,44 @@
         m_runtime.schedule(m_settings.orderRetry, again);
         return;
     }
+    if (link(*worker).acknowledgement) {
+        link(*worker).waitingStarts.push_back(again);
+        return;
+    }
     const Common::WorkerTime until = grantLease(*worker);
     allocation->token = worker->token;
     // Read once: it names the copy when its answer comes.
     const Common::MonotonicTime sentAt = m_runtime.now();
     worker->callsUnderWay.startSent(run.task, sentAt);
     m_orders.start(targetOf(*worker), worker->token, order, until,
-        m_lifetime.guard([this, id, run, again, answered, sentAt, token = worker->token](
-                             const Common::Result<OrderAnswer>& answer) {
-            CellWorker* const target = find(id);
-            if (m_closed || !target)
-                return;
-            const bool mayArrive = !answer && answer.reason().code != Common::ErrorCode::ConnectFailed;
-            if (!mayArrive)
-                target->callsUnderWay.startSettled(run.task, sentAt);
-            if (!answer) {
-                RunAllocation* const ordered = target->find(run);
-                if (ordered && mayArrive) {
-                    ordered->startOutcomeUnknown = true;
-                    ordered->startUnansweredSince = sentAt;
+        m_lifetime.guard(
+            [this, id, run, again, answered, sentAt, token = worker->token](const Common::Result<OrderAnswer>& answer) {
+                CellWorker* const target = find(id);
+                if (m_closed || !target)
+                    return;
+                const bool mayArrive = !answer && answer.reason().code != Common::ErrorCode::ConnectFailed;
+                if (!mayArrive)
+                    target->callsUnderWay.startSettled(run.task, sentAt);
+                if (!answer) {
+                    RunAllocation* const ordered = target->find(run);
+                    if (ordered && mayArrive) {
+                        ordered->startOutcomeUnknown = true;
+                        ordered->startUnansweredSince = sentAt;
+                    }
+                    if (mayArrive)
+                        m_hooks.startUnanswered();
+                    m_runtime.schedule(m_settings.orderRetry, again);
+                    return;
                 }
-                if (mayArrive)
-                    m_hooks.startUnanswered();
-                m_runtime.schedule(m_settings.orderRetry, again);
-                return;
-            }
-            if (token != target->token)
-                return;
-            if (answer->clock)
-                target->lease().synchronizeClock(*answer->clock, m_runtime.now());
-            if (answer->verdict == OrderVerdict::Fenced)
-                m_hooks.fenced();
-            else
-                answered(*answer);
-        }));
+                if (token != target->token)
+                    return;
+                if (answer->clock)
+                    target->lease().synchronizeClock(*answer->clock, m_runtime.now());
+                if (answer->verdict == OrderVerdict::Fenced)
+                    m_hooks.fenced();
+                else
+                    answered(*answer);
+            }));
 }
 
 void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
