Start no task while the worker reports another run of it

What is gone is now dropped first, so that the listed run is adopted as the task's; and a task is started nowhere while any worker has an allocation for a run of it, as after a refusal that makes its own run stale.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -584,9 +584,10 @@
         if (end.number > worker.processedThrough)
             onEnd(worker, end);
     }
+    // First: a listed run of a task whose own run is gone is adopted as that.
+    removeAbsentRuns(worker, report, askedAt);
     for (const RunningTask& running : report.running)
         onRunning(worker, running);
-    removeAbsentRuns(worker, report, askedAt);
     updateTailModel(worker);
     paceBackfill(worker);
     answerStopWaiters();
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -22,6 +22,15 @@
         return label.empty() || std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
     }
 
+    bool hasRun(const CellWorkers& workers, const Jobs::TaskName& task)
+    {
+        return std::any_of(workers.all().begin(), workers.all().end(), [&](const auto& row) {
+            const auto& runs = row.second->allocations();
+            const auto first = runs.lower_bound(RunKey { task, {} });
+            return first != runs.end() && first->first.task == task;
+        });
+    }
+
     uint32_t countOfStep(const CellWorker& worker, const Jobs::TaskName& task)
     {
         return static_cast<uint32_t>(
@@ -321,6 +330,9 @@
     LiveJob& job, const Jobs::TaskName& name, const Common::RackId& rack)
 {
     LiveTask& task = *job.find(name);
+    // A run that this cell doesn't want, such as one that a late order has started, is stopped first.
+    if (hasRun(m_workers, name))
+        return std::nullopt;
     if (CellWorker* const worker = m_workers.workerWithLateStart(name)) {
         return mayStartBesideLateStart(*worker, job, name, task) ? std::optional(worker) : std::optional<CellWorker*>();
     }
