Give orders beside an acknowledgement a higher token instead of making them wait

A report with 500 ends, or with a row that can't be read, settled nothing at all (found by review): no end of such a worker was acknowledged again.

Orders that are sent beside or after an acknowledgement now have a higher token than it. A life that has carried out one of them refuses the acknowledgement, so nothing waits. CellWorker::token goes on naming the life. A refusal of a call that was sent before the token was raised is no sign of another owner. Acknowledgements wait by time, not for a complete report.

The copy that a failed call leaves is recorded at once.

--- a/Source/Core/Cells/CallsUnderWay.cpp
+++ b/Source/Core/Cells/CallsUnderWay.cpp
@@ -31,7 +31,7 @@
     start.waiting = time;
 }
 
-void CallsUnderWay::startInherited(const Jobs::TaskName& task, Common::MonotonicTime time)
+void CallsUnderWay::startUnanswered(const Jobs::TaskName& task, Common::MonotonicTime time)
 {
     Start& start = m_starts[task];
     start.unanswered = std::max(start.unanswered.value_or(time), time);
@@ -52,12 +52,6 @@
     std::erase_if(m_starts, [&](const auto& row) { return askedAt - row.second.lastSentAt() > m_longestDelay; });
 }
 
-bool CallsUnderWay::hasOverdueStarts(Common::MonotonicTime now) const
-{
-    return std::any_of(
-        m_starts.begin(), m_starts.end(), [&](const auto& row) { return row.second.isOverdue(now, m_answerTimeout); });
-}
-
 std::vector<std::pair<Jobs::TaskName, Common::MonotonicTime>> CallsUnderWay::overdueStarts(
     Common::MonotonicTime now) const
 {
--- a/Source/Core/Cells/CallsUnderWay.h
+++ b/Source/Core/Cells/CallsUnderWay.h
@@ -24,17 +24,16 @@
 
     /// A copy of a start order of the task is sent at that time; the one before it, if any, was left unanswered.
     void startSent(const Jobs::TaskName&, Common::MonotonicTime);
-    /// A copy that an earlier owner sent at that time at the latest was left unanswered.
-    void startInherited(const Jobs::TaskName&, Common::MonotonicTime);
+    /// A copy that was sent at that time at the latest, by this owner or an earlier one, was left unanswered.
+    void startUnanswered(const Jobs::TaskName&, Common::MonotonicTime);
     /// The copy that was sent at that time was answered, by whichever life, or can't have arrived.
     void startSettled(const Jobs::TaskName&, Common::MonotonicTime sentAt);
     /// A report that was asked for at that time shows what came of all calls that were sent long enough before.
     void settleByReport(Common::MonotonicTime askedAt);
 
     bool hasStarts() const { return !m_starts.empty(); }
-    /// Whether a start order is under way for so long that its answer is overdue.
-    bool hasOverdueStarts(Common::MonotonicTime now) const;
-    /// The tasks with such an order, each with the time at which the last copy was sent.
+    /// The tasks with a start order that is under way for so long that its answer is overdue, each with the time at
+    /// which the last copy was sent.
     std::vector<std::pair<Jobs::TaskName, Common::MonotonicTime>> overdueStarts(Common::MonotonicTime now) const;
     /// When the last copy of any start order that is under way was sent; long ago if there is none.
     Common::MonotonicTime lastStart() const;
--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -758,6 +758,12 @@
 
 void CellEngine::dropRun(CellWorker& worker, const RunKey& run)
 {
+    if (const auto sentAt = worker.callsUnderWay.lastStart(run.task)) {
+        LC_INFO(Jobs,
+            "event=task-kept run=" << runName(run) << " worker=" << worker.id().value() << " left-ms="
+                                   << (*sentAt + m_settings.longestCallDelay - m_runtime.now())
+                    / std::chrono::milliseconds(1));
+    }
     worker.removeAllocation(run);
     endQuarantine(worker, run.task);
     LiveJob* const job = findJob(run.task.job);
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -18,6 +18,12 @@
 
     WorkerTarget targetOf(const CellWorker& worker) { return WorkerTarget { worker.id(), worker.entry().address }; }
 
+    /// Whether the call that failed may still be carried out.
+    bool mayArriveLate(const Common::Failure& reason)
+    {
+        return reason.code != Common::ErrorCode::ConnectFailed && reason.code != Common::ErrorCode::NotOwner;
+    }
+
     /// Whether the report leaves out no run.
     bool isComplete(const RunReport& report)
     {
@@ -38,38 +44,26 @@
     /// it was read too late to say what the worker was like then.
     bool listsEnds = false;
     std::optional<Common::MonotonicTime> heardAt;
-    /// An acknowledgement of the ends up to that number which has had no answer. Carried out late by a next life, it
-    /// would forget the ends of what an order with the same token had started there, so no such order is sent beside
-    /// it. A life that has seen a higher token refuses it.
+    /// An acknowledgement of the ends up to that number which waits for its answer. Carried out late by a next life, it
+    /// would forget the ends of what an order with the same token had started there. So orders beside or after it have
+    /// a higher token: a life that has carried out one of them refuses the acknowledgement.
     struct Acknowledgement {
         uint64_t through = 0;
         Common::MonotonicTime sentAt;
+        FencingToken token;
     };
     std::optional<Acknowledgement> acknowledgement;
     /// The worker has forgotten the ends up to this number.
     uint64_t forgottenThrough = 0;
-    /// Start orders that wait for the answer to an acknowledgement.
-    std::vector<std::function<void()>> waitingStarts;
-    /// The worker gets no starts since an acknowledgement was left unanswered.
-    bool startsHeld = false;
+    /// Sent with all calls to the present life unless its first token, which names it, is higher; and since when.
+    FencingToken raisedToken;
+    Common::MonotonicTime tokenRaisedAt;
 
-    void settleAcknowledgement(bool carriedOut)
+    FencingToken tokenFor(const CellWorker& worker) const { return std::max(worker.token, raisedToken); }
+    void raiseToken(FencingToken token, Common::MonotonicTime now)
     {
-        if (carriedOut)
-            forgottenThrough = std::max(forgottenThrough, acknowledgement->through);
-        acknowledgement.reset();
-    }
-    /// A report of the life for which the acknowledgement was meant shows whether it was carried out.
-    void settleAcknowledgement(
-        const RunReport& report, Common::MonotonicTime askedAt, Common::Duration longestCallDelay)
-    {
-        if (!acknowledgement || !isComplete(report))
-            return;
-        const bool isForgotten = std::none_of(report.ended.begin(), report.ended.end(),
-            [&](const EndedTask& end) { return end.number <= acknowledgement->through; });
-        const bool isAnswer = acknowledgement->sentAt == askedAt;
-        if (isForgotten || isAnswer || askedAt - acknowledgement->sentAt > longestCallDelay)
-            settleAcknowledgement(isForgotten || isAnswer);
+        raisedToken = token;
+        tokenRaisedAt = now;
     }
     /// How much longer than usual answers may take, since this process was too late to tell whether one had arrived.
     Common::Duration extraTime {};
@@ -157,7 +151,7 @@
     for (const RecordedWorker::LateStart& start : recorded.lateStarts) {
         const std::chrono::milliseconds left(start.endMilliseconds - m_runtime.wallMilliseconds());
         // The wall clocks of hosts may differ.
-        worker.callsUnderWay.startInherited(
+        worker.callsUnderWay.startUnanswered(
             start.task, m_runtime.now() + std::min<Common::Duration>(left - m_settings.longestCallDelay, {}));
     }
 }
@@ -236,8 +230,6 @@
     state.unansweredPolls = 0;
     state.acknowledgement.reset();
     state.forgottenThrough = 0;
-    if (std::exchange(state.startsHeld, false))
-        worker.noStartsBefore = {};
     worker.lease().startAnew();
     noteLateCallsEnd(worker);
     // A late host may have sent a poll for the earlier owner after the end of its authority.
@@ -336,22 +328,21 @@
         return;
     m_hooks.acknowledge(*worker);
     WorkerOrders::PollRequest request;
-    request.token = worker->token;
+    request.token = link(*worker).tokenFor(*worker);
     Link& state = link(*worker);
     const bool mayAcknowledge = mayAcknowledgeTo(*worker, state);
     const bool acknowledges = mayAcknowledge && worker->acknowledgedThrough > state.forgottenThrough;
     const Asked asked { m_runtime.now(), worker->token };
     if (acknowledges) {
         request.acknowledgedThrough = worker->acknowledgedThrough;
-        state.acknowledgement = Link::Acknowledgement { worker->acknowledgedThrough, asked.at };
+        state.acknowledgement = Link::Acknowledgement { worker->acknowledgedThrough, asked.at, request.token };
     }
     const bool occupied = !worker->allocations().empty();
     // The lease of an unreachable worker must be able to expire, so polls don't renew it until the worker answers.
     if (occupied && worker->reachable && worker->lease().isClockKnown() && mayGrant())
         request.leaseUntil = grantLease(*worker);
     const bool hasUnacknowledgedEnds = !worker->pendingEnds.empty() || (state.listsEnds && !mayAcknowledge);
-    // Start orders wait for the answer to an acknowledgement.
-    if (occupied && worker->reachable && !hasUnacknowledgedEnds && !acknowledges)
+    if (occupied && worker->reachable && !hasUnacknowledgedEnds)
         request.wait = pollWaitFor(*worker);
     request.extraTime = state.extraTime;
     state.polling = true;
@@ -371,8 +362,10 @@
 /// a start order that may be carried out late: see CallsUnderWay.
 bool CellWorkers::mayAcknowledgeTo(const CellWorker& worker, const Link& link) const
 {
-    return worker.reachable && !worker.callsUnderWay.hasStarts() && !link.acknowledgement && link.listsEnds
-        && link.heardAt && m_runtime.suspendAwareNow() - *link.heardAt <= m_settings.answerTimeout;
+    const bool mayStartLate = worker.callsUnderWay.hasStarts()
+        && m_runtime.now() - worker.callsUnderWay.lastStart() <= m_settings.longestCallDelay;
+    return worker.reachable && !mayStartLate && !link.acknowledgement && link.listsEnds && link.heardAt
+        && m_runtime.suspendAwareNow() - *link.heardAt <= m_settings.answerTimeout;
 }
 
 void CellWorkers::onPollAnswer(const Common::WorkerId& id, const Asked& asked, const Common::Result<RunReport>& report)
@@ -391,6 +384,23 @@
         m_hooks.fenced();
         return;
     }
+    if (Link& state = link(*worker); state.acknowledgement && state.acknowledgement->sentAt == asked.at) {
+        if (report) {
+            state.forgottenThrough = state.acknowledgement->through;
+        } else if (mayArriveLate(report.reason())) {
+            state.raiseToken(m_tokens.take(), m_runtime.now());
+            LC_INFO(Worker,
+                "event=acknowledgement-unanswered worker=" << id.value()
+                                                           << " through=" << state.acknowledgement->through
+                                                           << " next-token=" << state.raisedToken.value);
+        }
+        state.acknowledgement.reset();
+    }
+    // An order with a higher token has overtaken the poll.
+    if (!report && report.reason().code == Common::ErrorCode::NotOwner) {
+        pollSoon(id);
+        return;
+    }
     if (report)
         onReport(*worker, *report, asked);
     else
@@ -398,14 +408,15 @@
     if (m_closed || dropIfGone(*worker))
         return;
     schedulePoll(id, report ? nextPollDelay(*worker) : link(*worker).retryPause);
-    for (const auto& start : std::exchange(link(*worker).waitingStarts, {}))
-        start();
 }
 
 /// Whether a newer owner has called the worker. A poll that was meant for a former life is refused by the present one.
 bool CellWorkers::isFenced(const CellWorker& worker, const Asked& asked, const Common::Result<RunReport>& report) const
 {
-    return !report && report.reason().code == Common::ErrorCode::NotOwner && asked.token == worker.token;
+    const auto found = m_links.find(worker.id());
+    const bool hasLastToken = found == m_links.end() || asked.at >= found->second.tokenRaisedAt;
+    return !report && report.reason().code == Common::ErrorCode::NotOwner && asked.token == worker.token
+        && hasLastToken;
 }
 
 void CellWorkers::onReport(CellWorker& worker, const RunReport& report, const Asked& asked)
@@ -463,10 +474,6 @@
     worker.lastReportAt = now;
     if (isComplete(report))
         worker.callsUnderWay.settleByReport(asked.at);
-    Link& state = link(worker);
-    state.settleAcknowledgement(report, asked.at, m_settings.longestCallDelay);
-    if (!state.acknowledgement && std::exchange(state.startsHeld, false))
-        worker.noStartsBefore = {};
     return true;
 }
 
@@ -477,7 +484,7 @@
     const bool mayHaveRuns = !worker.allocations().empty() || (!worker.contacted && !isProvablyIdle(worker));
     if (state.askingThroughHost || !mayHaveRuns)
         return;
-    PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, worker.token, {} };
+    PollForHost poll { WorkerTarget { worker.id(), worker.entry().address }, state.tokenFor(worker), {} };
     if (mayRenewThroughHost(worker, state))
         poll.leaseUntil = grantLease(worker);
     state.askingThroughHost = true;
@@ -537,14 +544,6 @@
     state.retryPause
         = std::clamp(2 * state.retryPause, m_settings.firstPollRetryPause, m_settings.longestPollRetryPause);
     const Common::Duration elapsed = m_runtime.now() - askedAt;
-    if (state.acknowledgement && reason.code == Common::ErrorCode::ConnectFailed
-        && state.acknowledgement->sentAt == askedAt)
-        state.settleAcknowledgement(false);
-    if (state.acknowledgement) {
-        state.startsHeld = true;
-        worker.noStartsBefore = std::max(worker.noStartsBefore,
-            state.acknowledgement->sentAt + m_settings.longestCallDelay + m_settings.answerTimeout);
-    }
     if (!worker.reachable)
         judgeFailure(worker, reason, elapsed);
     else if (elapsed > state.wait + m_settings.answerTimeout + state.extraTime)
@@ -716,11 +715,8 @@
     const auto found = m_links.find(worker.id());
     if (!worker.answered || (found != m_links.end() && found->second.rebirth))
         return m_settings.orderRetry;
-    if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds)) {
-        const bool mayArriveLate = worker.callsUnderWay.hasOverdueStarts(m_runtime.now())
-            || (found != m_links.end() && found->second.acknowledgement);
-        return mayArriveLate ? m_settings.frequentPollWait : m_settings.pollPauseAfterEnd;
-    }
+    if (!worker.pendingEnds.empty() || (found != m_links.end() && found->second.listsEnds))
+        return m_settings.pollPauseAfterEnd;
     if (!worker.allocations().empty())
         return Common::Duration::zero();
     // Tasks may wait for the report that shows what came of them.
@@ -762,44 +758,52 @@
         m_runtime.schedule(m_settings.orderRetry, again);
         return;
     }
-    if (link(*worker).acknowledgement) {
-        link(*worker).waitingStarts.push_back(again);
-        return;
-    }
+    Link& state = link(*worker);
+    if (state.acknowledgement && state.acknowledgement->token == state.tokenFor(*worker))
+        state.raiseToken(m_tokens.take(), m_runtime.now());
     const Common::WorkerTime until = grantLease(*worker);
     allocation->token = worker->token;
+    const FencingToken callToken = state.tokenFor(*worker);
     // Read once: it names the copy when its answer comes.
     const Common::MonotonicTime sentAt = m_runtime.now();
     worker->callsUnderWay.startSent(run.task, sentAt);
-    m_orders.start(targetOf(*worker), worker->token, order, until,
-        m_lifetime.guard(
-            [this, id, run, again, answered, sentAt, token = worker->token](const Common::Result<OrderAnswer>& answer) {
-                CellWorker* const target = find(id);
-                if (m_closed || !target)
-                    return;
-                const bool mayArrive = !answer && answer.reason().code != Common::ErrorCode::ConnectFailed;
-                if (!mayArrive)
-                    target->callsUnderWay.startSettled(run.task, sentAt);
-                if (!answer) {
-                    RunAllocation* const ordered = target->find(run);
-                    if (ordered && mayArrive) {
-                        ordered->startOutcomeUnknown = true;
-                        ordered->startUnansweredSince = sentAt;
-                    }
-                    if (mayArrive)
-                        m_hooks.startUnanswered();
-                    m_runtime.schedule(m_settings.orderRetry, again);
-                    return;
+    m_orders.start(targetOf(*worker), callToken, order, until,
+        m_lifetime.guard([this, id, run, again, answered, sentAt, callToken, token = worker->token](
+                             const Common::Result<OrderAnswer>& answer) {
+            CellWorker* const target = find(id);
+            if (m_closed || !target)
+                return;
+            const bool mayArrive = !answer && mayArriveLate(answer.reason());
+            if (!mayArrive)
+                target->callsUnderWay.startSettled(run.task, sentAt);
+            if (!answer) {
+                RunAllocation* const ordered = target->find(run);
+                if (ordered && mayArrive) {
+                    ordered->startOutcomeUnknown = true;
+                    ordered->startUnansweredSince = sentAt;
                 }
-                if (token != target->token)
-                    return;
-                if (answer->clock)
-                    target->lease().synchronizeClock(*answer->clock, m_runtime.now());
-                if (answer->verdict == OrderVerdict::Fenced)
-                    m_hooks.fenced();
-                else
-                    answered(*answer);
-            }));
+                if (mayArrive) {
+                    LC_INFO(Worker,
+                        "event=start-unanswered run=" << runName(run) << " worker=" << id.value()
+                                                      << " token=" << token.value
+                                                      << " reason=" << Common::errorName(answer.reason().code));
+                    target->callsUnderWay.startUnanswered(run.task, sentAt);
+                    m_hooks.startUnanswered();
+                }
+                m_runtime.schedule(m_settings.orderRetry, again);
+                return;
+            }
+            if (token != target->token)
+                return;
+            if (answer->clock)
+                target->lease().synchronizeClock(*answer->clock, m_runtime.now());
+            if (answer->verdict != OrderVerdict::Fenced)
+                answered(*answer);
+            else if (callToken == link(*target).tokenFor(*target))
+                m_hooks.fenced();
+            else
+                m_runtime.schedule(m_settings.orderRetry, again);
+        }));
 }
 
 void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
@@ -815,25 +819,29 @@
     CellWorker* const worker = find(id);
     if (m_closed || !worker || !worker->find(run))
         return;
-    m_orders.stop(targetOf(*worker), worker->token, run.task, run.attempt,
-        m_lifetime.guard([this, id, run, answered, token = worker->token](const Common::Result<OrderAnswer>& answer) {
-            const CellWorker* const target = find(id);
-            // The present life has its own stop order; only its answer shows that this life refuses the attempt.
-            if (m_closed || !target || token != target->token)
-                return;
-            // An unhealthy worker has done nothing.
-            if (!answer || answer->verdict == OrderVerdict::Unhealthy) {
-                m_runtime.schedule(m_settings.orderRetry,
-                    m_lifetime.guard([this, id, run, answered] { sendStop(id, run, answered); }));
-                return;
-            }
-            if (answer->verdict == OrderVerdict::Fenced) {
-                m_hooks.fenced();
-                return;
-            }
-            answered(*answer);
-            pollSoon(id);
-        }));
+    const FencingToken callToken = link(*worker).tokenFor(*worker);
+    m_orders.stop(targetOf(*worker), callToken, run.task, run.attempt,
+        m_lifetime.guard(
+            [this, id, run, answered, callToken, token = worker->token](const Common::Result<OrderAnswer>& answer) {
+                const CellWorker* const target = find(id);
+                // The present life has its own stop order; only its answer shows that this life refuses the attempt.
+                if (m_closed || !target || token != target->token)
+                    return;
+                const bool hadLastToken = callToken == link(*target).tokenFor(*target);
+                // An unhealthy worker has done nothing.
+                if (!answer || answer->verdict == OrderVerdict::Unhealthy
+                    || (answer->verdict == OrderVerdict::Fenced && !hadLastToken)) {
+                    m_runtime.schedule(m_settings.orderRetry,
+                        m_lifetime.guard([this, id, run, answered] { sendStop(id, run, answered); }));
+                    return;
+                }
+                if (answer->verdict == OrderVerdict::Fenced) {
+                    m_hooks.fenced();
+                    return;
+                }
+                answered(*answer);
+                pollSoon(id);
+            }));
 }
 
 void CellWorkers::pace(CellWorker& worker, const RunKey& run, uint32_t percent)
@@ -842,12 +850,12 @@
     if (!allocation || m_closed)
         return;
     const uint32_t before = std::exchange(allocation->pace, percent);
-    m_orders.pace(targetOf(worker), worker.token, run.task, run.attempt, percent,
+    m_orders.pace(targetOf(worker), link(worker).tokenFor(worker), run.task, run.attempt, percent,
         m_lifetime.guard([this, id = worker.id(), run, before](const Common::Result<OrderAnswer>& answer) {
             CellWorker* const target = find(id);
             RunAllocation* const paced = target ? target->find(run) : nullptr;
             // The worker's next report causes the pace to be sent again.
-            if (paced && !answer)
+            if (paced && (!answer || answer->verdict == OrderVerdict::Fenced))
                 paced->pace = before;
         }));
 }
--- a/Source/UnitTests/Cells/CallsUnderWayTest.cpp
+++ b/Source/UnitTests/Cells/CallsUnderWayTest.cpp
@@ -133,23 +133,23 @@
 
 TEST_CASE_FIXTURE(Calls, "an order is overdue when its answer takes longer than answers may, or a copy had none")
 {
-    CHECK_FALSE(calls.hasOverdueStarts(start));
+    CHECK(calls.overdueStarts(start).empty());
     calls.startSent(task, start);
-    CHECK_FALSE(calls.hasOverdueStarts(start));
-    CHECK_FALSE(calls.hasOverdueStarts(start + settings.answerTimeout));
-    CHECK(calls.hasOverdueStarts(start + settings.answerTimeout + step));
+    CHECK(calls.overdueStarts(start).empty());
+    CHECK(calls.overdueStarts(start + settings.answerTimeout).empty());
+    CHECK_FALSE(calls.overdueStarts(start + settings.answerTimeout + step).empty());
 
     const Common::MonotonicTime second = start + 1s;
     calls.startSent(task, second);
-    CHECK(calls.hasOverdueStarts(second));
+    CHECK_FALSE(calls.overdueStarts(second).empty());
     calls.startSettled(task, second);
-    CHECK(calls.hasOverdueStarts(second));
+    CHECK_FALSE(calls.overdueStarts(second).empty());
     // Another task's order in time changes nothing.
     calls.startSent(other, second);
     calls.startSettled(other, second);
-    CHECK(calls.hasOverdueStarts(second));
+    CHECK_FALSE(calls.overdueStarts(second).empty());
     calls.settleByReport(over(start));
-    CHECK_FALSE(calls.hasOverdueStarts(over(start)));
+    CHECK(calls.overdueStarts(over(start)).empty());
 }
 
 TEST_CASE_FIXTURE(Calls, "an order in time isn't overdue beside a settled one")
@@ -157,6 +157,6 @@
     calls.startSent(task, start);
     calls.startSent(other, start + 500ms);
     calls.startSettled(task, start);
-    CHECK_FALSE(calls.hasOverdueStarts(start + 500ms + settings.answerTimeout));
-    CHECK(calls.hasOverdueStarts(start + 500ms + settings.answerTimeout + step));
+    CHECK(calls.overdueStarts(start + 500ms + settings.answerTimeout).empty());
+    CHECK_FALSE(calls.overdueStarts(start + 500ms + settings.answerTimeout + step).empty());
 }
--- a/Source/UnitTests/Cells/TokenRangeTest.cpp
+++ b/Source/UnitTests/Cells/TokenRangeTest.cpp
@@ -49,12 +49,22 @@
 
 TEST_CASE("an owner that has used up its tokens keeps the last one")
 {
-    const FencingToken last = TokenRange::lastAfter(none);
+    // The record may name any last token.
+    const FencingToken first = TokenRange(TokenRange::lastAfter(none)).take();
+    const FencingToken last { first.value + 1000 };
     TokenRange tokens(last);
     FencingToken token;
-    for (uint64_t count = 0; count < UINT64_C(1) << 24U; ++count)
+    for (uint64_t count = 0; count <= 1000; ++count)
         token = tokens.take();
     CHECK(token == last);
     CHECK(tokens.take() == last);
     CHECK(TokenRange(TokenRange::lastAfter(last)).take() > last);
 }
+
+TEST_CASE("an owner has tokens for years of orders beside acknowledgements")
+{
+    constexpr uint64_t secondsInYear = 365 * 24 * 3600;
+    constexpr uint64_t tokensEachSecond = 20;
+    const FencingToken last = TokenRange::lastAfter(none);
+    CHECK(last.value - TokenRange(last).take().value > 5 * secondsInYear * tokensEachSecond);
+}
