Keep a cell from planned handing over while a worker with runs is silent

Change: as for workers that an owner hasn't reached yet, an owner that isn't late keeps the cell while a worker with runs doesn't answer. Owners that stop or are late do as before.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -527,6 +527,13 @@
     });
 }
 
+bool CellEngine::hasSilentWorkersWithRuns() const
+{
+    const auto& workers = m_workers.all();
+    return std::any_of(workers.begin(), workers.end(),
+        [](const auto& row) { return !row.second->reachable && !row.second->allocations().empty(); });
+}
+
 void CellEngine::sweep()
 {
     m_runtime.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -160,6 +160,8 @@
 
     /// Whether each worker that may hold runs of an earlier owner has reported or is provably idle.
     bool hasContactedInheritedWorkers() const { return !hasUncontactedWorkers(); }
+    /// Whether a worker that doesn't answer may hold runs, so that a successor would have to wait for its leases.
+    bool hasSilentWorkersWithRuns() const;
     /// Whether the store has confirmed the ownership recently enough to start runs.
     bool mayGrantLeases() const { return mayGrant(); }
     /// Called when the former owner can't grant leases any more because another process runs in its place.
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -743,8 +743,12 @@
 
 void CellOwnership::considerHandOver(const CellId& cell)
 {
-    // A successor would have to wait again for workers that haven't answered yet; a late owner may never hear them.
-    if (m_releasing.contains(cell) || (!isLate() && !m_engines.at(cell)->hasContactedInheritedWorkers()))
+    // A successor would have to wait again for workers that haven't answered yet or don't any more; a late owner may
+    // never hear them.
+    const auto successorWaits = [](const CellEngine& engine) {
+        return !engine.hasContactedInheritedWorkers() || engine.hasSilentWorkersWithRuns();
+    };
+    if (m_releasing.contains(cell) || (!isLate() && successorWaits(*m_engines.at(cell))))
         return;
     const Common::MonotonicTime now = m_ports.runtime.now();
     const auto ranked = m_ranks.find(cell);
