Keep the room that a cell offers for the task that it was offered to

Cause: a cell offered stops on the same, cheapest worker to all that asked. One task got it; the others were given there in vain and stayed for 3 s, as a cell keeps the tasks of a step after its offer, before they asked on.

Change: the worker of an offer is kept for that task, 0.6 s until it arrives and 3 s in all. A task for which there is no room any more asks on at once.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -318,6 +318,8 @@
     uint32_t tasksWithRoom(const CellWorker&, const RoomQuestion&) const;
     /// Whether the cell has lately offered room for the step, so that its tasks stay here for now.
     bool hasOfferedRoom(const LiveJob&, const Candidate&) const;
+    /// Whether room on the worker was offered for another task that is on its way or waits here.
+    bool isOfferedToOther(const CellWorker&, const Jobs::TaskName&) const;
 
     // Starts.
     void schedulePlacement();
@@ -477,6 +479,12 @@
     uint64_t m_lastRoomRound = 0;
     /// When room was last offered to another cell, by step.
     std::map<Jobs::TaskName, Common::MonotonicTime> m_roomOffered;
+    struct OfferedWorker {
+        Jobs::TaskName task;
+        Common::MonotonicTime at;
+    };
+    /// Workers on which room by stops was last offered to another cell.
+    std::map<Common::WorkerId, OfferedWorker> m_offeredWorkers;
     /// Peer cells that haven't acknowledged the end of their parts, by job.
     std::map<Common::JobId, std::set<CellId>> m_partCancellations;
     struct StopWaiter {
--- a/Source/Core/Cells/CellEngineInquiries.cpp
+++ b/Source/Core/Cells/CellEngineInquiries.cpp
@@ -22,6 +22,8 @@
     /// How long a cell keeps tasks for which it has offered room: a transfer, the stops and the start take a part of
     /// it.
     constexpr Common::Duration offerSpan = std::chrono::seconds(3);
+    /// How long a worker is kept for a task that hasn't arrived: its owner asks several cells and chooses one.
+    constexpr Common::Duration arrivalSpan = std::chrono::milliseconds(600);
 
     Jobs::TaskName stepOf(Jobs::TaskName task)
     {
@@ -37,6 +39,19 @@
     return offered != m_roomOffered.end() && m_runtime.now() - offered->second < offerSpan;
 }
 
+bool CellEngine::isOfferedToOther(const CellWorker& worker, const Jobs::TaskName& task) const
+{
+    const auto offered = m_offeredWorkers.find(worker.id());
+    if (offered == m_offeredWorkers.end() || offered->second.task == task)
+        return false;
+    const Common::Duration age = m_runtime.now() - offered->second.at;
+    if (age < arrivalSpan)
+        return true;
+    const auto job = m_jobs.find(offered->second.task.job);
+    const LiveTask* const waiting = job == m_jobs.end() ? nullptr : job->second->find(offered->second.task);
+    return age < offerSpan && waiting && waiting->waiting();
+}
+
 void CellEngine::inquireForRoom(LiveJob& job, const Candidate& candidate)
 {
     const std::optional<Jobs::TaskName> name = taskWithoutRun(candidate);
@@ -45,8 +60,7 @@
     const Common::MonotonicTime now = m_runtime.now();
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     const Common::Duration delay = step.tasks[name->index].progress.lastAttempt > 0 ? delayAfterRun : delayIfUnknown;
-    if (!step.inquiry.isDue(now) || now - step.blocked->since < delay || m_roomRounds.size() >= mostRoundsUnderWay
-        || hasOfferedRoom(job, candidate))
+    if (!step.inquiry.isDue(now) || now - step.blocked->since < delay || m_roomRounds.size() >= mostRoundsUnderWay)
         return;
     const CellWorker* const reserved = reservedWorker(*name);
     RoomQuestion question = roomQuestion(job, *name);
@@ -163,6 +177,9 @@
         return Policy::RoomByEnds { *wait };
     std::erase_if(m_roomOffered, [now](const auto& row) { return now - row.second >= offerSpan; });
     m_roomOffered[stepOf(question.task)] = now;
+    std::erase_if(m_offeredWorkers,
+        [&](const auto& row) { return now - row.second.at >= offerSpan || row.second.task == question.task; });
+    m_offeredWorkers[plan->worker->id()] = { question.task, now };
     LC_INFO(Jobs,
         "event=room-offered task=" << question.task.job.value() << "." << question.task.occurrence << "."
                                    << question.task.step << "." << question.task.index << " cell=" << m_id.value()
--- a/Source/Core/Cells/CellEngineRoomMaking.cpp
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -158,6 +158,8 @@
     if (!worker.reservation)
         reserve({ &worker, Common::Duration::zero() }, candidate);
     worker.reservation->made = true;
+    // The reservation keeps the room from now on.
+    m_offeredWorkers.erase(worker.id());
     worker.reservation->since = m_runtime.now();
     job.find(name)->noRoomMadeBefore = m_runtime.now() + pauseOfTask;
     std::string names;
@@ -203,7 +205,7 @@
     std::vector<Policy::RoomMakingOffer> offers;
     for (const auto& [id, worker] : m_workers.all()) {
         const bool reservedForOther = worker->reservation && !worker->reservation->isFor(question.task);
-        if (!isOpenTo(*worker, question)
+        if (!isOpenTo(*worker, question) || isOfferedToOther(*worker, question.task)
             || (reservedForOther && (reserved == ReservedWorkers::LeaveOut || !mayTakeOver(*worker->reservation))))
             continue;
         workers.push_back(worker.get());
