Unit test of a full list of ends after a start without an answer: fails

Cause: reports of 500 ends settle no call, so no end is acknowledged and the list never gets shorter.

--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -68,6 +69,10 @@
     std::optional<Cells::WorkerEntry> outdatedEntry;
     /// Rows of runs can't be read in its reports.
     bool unreadableRows = false;
+    /// The most ends that a report lists: those with the lowest numbers.
+    size_t listsAtMost = std::numeric_limits<size_t>::max();
+    /// Ends that aren't acknowledged.
+    size_t listedEnds() const { return m_ended.size(); }
     std::vector<std::pair<Jobs::TaskName, uint32_t>> paces;
     enum class CapacitySource {
         List,
@@ -383,6 +388,8 @@
         report.clock = clock();
         report.startedAtMilliseconds = m_entry.startedAtMilliseconds;
         report.ended = m_ended;
+        report.ended.erase(report.ended.begin() + static_cast<std::ptrdiff_t>(std::min(m_ended.size(), listsAtMost)),
+            report.ended.end());
         if (m_reportsCapacity)
             report.capacity = m_capacity;
         report.unreadable = unreadableRows ? static_cast<uint32_t>(m_runs.size()) : 0;
