Let polls wait for an end while the listed ones can't be acknowledged

Such polls now wait for an end as others do; the pause of 180 ms stays, as a worker may answer at once while it lists ends.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -342,7 +342,9 @@
     if (occupied && worker->reachable && worker->lease().isClockKnown() && mayGrant())
         request.leaseUntil = grantLease(*worker);
     const bool hasUnacknowledgedEnds = !worker->pendingEnds.empty() || (state.listsEnds && !mayAcknowledge);
-    if (occupied && worker->reachable && !hasUnacknowledgedEnds)
+    // Ends that must stay at the worker for longer needn't be read again soon.
+    const bool mustWithhold = worker->pendingEnds.empty() && worker->callsUnderWay.hasStarts();
+    if (occupied && worker->reachable && (!hasUnacknowledgedEnds || mustWithhold))
         request.wait = pollWaitFor(*worker);
     request.extraTime = state.extraTime;
     state.polling = true;
