Take no poll that was overtaken at the moment of its sending for one of a fenced owner

An order raised the token in the same instant in which an acknowledging poll had been sent, reached the worker first, and the refused poll counted as the sign of another owner: the cell was lost for no reason. A poll counts only if it was sent after the token was raised; one sent at that very moment with the new token is judged by the next one.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -416,7 +416,7 @@
 bool CellWorkers::isFenced(const CellWorker& worker, const Asked& asked, const Common::Result<RunReport>& report) const
 {
     const auto found = m_links.find(worker.id());
-    const bool hasLastToken = found == m_links.end() || asked.at >= found->second.tokenRaisedAt;
+    const bool hasLastToken = found == m_links.end() || asked.at > found->second.tokenRaisedAt;
     return !report && report.reason().code == Common::ErrorCode::NotOwner && asked.token == worker.token
         && hasLastToken;
 }
