--- a/Source/UnitTests/Cells/CallsUnderWayTest.cpp
+++ b/Source/UnitTests/Cells/CallsUnderWayTest.cpp
@@ -13,7 +13,7 @@
 Jobs::TaskName taskOf(uint32_t index) { return { Common::JobId { "0000000000000001" }, 0, 0, index }; }
 
 struct Calls {
-    const Cells::CellSettings settings;
+    const Cells::CellSettings settings {};
     const Common::MonotonicTime start { 1h };
     const Jobs::TaskName task = taskOf(0);
     const Jobs::TaskName other = taskOf(1);
