--- a/Tools/soak/worker.py
+++ b/Tools/soak/worker.py
@@ -38,7 +38,7 @@
     def __init__(self, ident, address, zone, rack, store, judge, behaviour, note, cpu=16000, mem=62500, max_hold=10.0,
                  stop_grace=0.4, clock_rate=1.0, fences_waiting=False, late_lapse=False):
         self.id, self.address, self.zone, self.rack = ident, address, zone, rack
-        self.store, self.judge, self.behaviour, self.note = store, judge, behaviour, note
+        self.store, self.judge, self.behaviour, self.note = store, judge, behaviour, note or (lambda *row: None)
         self.cpu, self.mem, self.max_hold, self.stop_grace = cpu, mem, max_hold, stop_grace
         # The worker's clock may be 2% slow, and leases are measured on it.
         self.clock_rate = clock_rate
