--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -101,7 +101,8 @@
     int64_t lateCallsEndMilliseconds = 0;
     /// Whether another worker that started later runs at its address, so that no life under this id does.
     bool replaced = false;
-    /// Names the present life: sent with calls to it, which may carry a higher one later, and with none to a former one.
+    /// Names the present life: sent with calls to it, which may carry a higher one later, and with none to a former
+    /// one.
     FencingToken token;
     /// Whether the present life has answered a call that carried its token.
     bool answered = false;
