Log why a long-running task that waits asks no other cell

No log line told whether the questions paused, no cell showed room, or the cell had runs of its own to stop.

event=room-search, once a second in a cell with such tasks: outcomes of the looks by name, the longest wait, and the age of the oldest load known of a peer cell. No decision changes; the limit of workers is now looked at after the candidate, so that it is counted only for tasks that could use room.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -563,6 +563,7 @@
     updateLightlyLoaded();
     writeWorkers();
     answerStopWaiters();
+    logRoomSearches();
     if (m_runtime.now() - m_pressureEstimatesLoggedAt >= pressureEstimateInterval
         && !m_tails.backfillImages().empty()) {
         m_pressureEstimatesLoggedAt = m_runtime.now();
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -11,6 +11,7 @@
 #include "Cells/LiveJob.h"
 #include "Cells/PartMessage.h"
 #include "Cells/RoomQuestion.h"
+#include "Cells/RoomSearchCounts.h"
 #include "Cells/ServiceRoom.h"
 #include "Cells/TaskTransfer.h"
 #include "Cells/WorkerChanges.h"
@@ -75,6 +76,8 @@
         std::function<std::map<CellId, size_t>(
             const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind)>
             taskSlots;
+        /// Age of the oldest load of a peer cell; zero if none is known.
+        std::function<Common::Duration(const CellId& self)> oldestLoad;
         /// Asks the peer cell's owner for room. Its answer, or a failure, arrives later.
         std::function<void(const CellId&, const RoomQuestion&, Common::Callback<Policy::RoomOffer>)> askForRoom;
         /// Whether the peer cell's owner can hold tasks of a scheduled job; see CellLoad::takesScheduledTasks.
@@ -315,6 +318,7 @@
     std::vector<Policy::RoomInquiry::Peer> peersToAsk(const LiveJob&, const Jobs::StepSpec&, const LiveStep&) const;
     void noteRoomOffer(const Jobs::TaskName&, uint64_t round, const CellId&, const Common::Result<Policy::RoomOffer>&);
     void concludeInquiry(LiveJob&, const Jobs::TaskName&);
+    void logRoomSearches();
     uint32_t tasksWithRoom(const CellWorker&, const RoomQuestion&) const;
     /// Whether the cell has lately offered room for the step, so that its tasks stay here for now.
     bool hasOfferedRoom(const LiveJob&, const Candidate&) const;
@@ -477,6 +481,9 @@
     /// Rounds of questions about room that are under way, each with the number of answers that it waits for.
     std::map<uint64_t, size_t> m_roomRounds;
     uint64_t m_lastRoomRound = 0;
+    /// Since the last log line.
+    RoomSearchCounts m_roomSearches;
+    Common::MonotonicTime m_roomSearchesLoggedAt;
     /// When room was last offered to another cell, by step.
     std::map<Jobs::TaskName, Common::MonotonicTime> m_roomOffered;
     struct OfferedWorker {
--- a/Source/Core/Cells/CellEngineInquiries.cpp
+++ b/Source/Core/Cells/CellEngineInquiries.cpp
@@ -22,6 +22,8 @@
     /// How long a cell keeps tasks for which it has offered room: a transfer, the stops and the start take a part of
     /// it.
     constexpr Common::Duration offerSpan = std::chrono::seconds(3);
+    /// Time between log lines on the search for room.
+    constexpr Common::Duration roomSearchLogInterval = std::chrono::seconds(1);
     /// How long a worker is kept for a task that hasn't arrived: its owner asks several cells and chooses one.
     constexpr Common::Duration arrivalSpan = std::chrono::milliseconds(600);
 
@@ -60,18 +62,31 @@
     const Common::MonotonicTime now = m_runtime.now();
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
     const Common::Duration delay = step.tasks[name->index].progress.lastAttempt > 0 ? delayAfterRun : delayIfUnknown;
-    if (!step.inquiry.isDue(now) || now - step.blocked->since < delay || m_roomRounds.size() >= mostRoundsUnderWay)
+    if (now - step.blocked->since < delay) {
+        m_roomSearches.add(RoomSearchCounts::Outcome::JustBlocked);
         return;
+    }
+    if (!step.inquiry.isDue(now)) {
+        m_roomSearches.add(RoomSearchCounts::Outcome::Pausing);
+        return;
+    }
+    if (m_roomRounds.size() >= mostRoundsUnderWay) {
+        m_roomSearches.add(RoomSearchCounts::Outcome::QuestionLimit);
+        return;
+    }
     const CellWorker* const reserved = reservedWorker(*name);
     RoomQuestion question = roomQuestion(job, *name);
     question.spec.taskCount = step.waitingCount;
-    if ((reserved && reserved->reservation->made) || planRoom(question)) {
+    const bool isMakingRoom = reserved && reserved->reservation->made;
+    if (isMakingRoom || planRoom(question)) {
+        m_roomSearches.add(isMakingRoom ? RoomSearchCounts::Outcome::MakingRoom : RoomSearchCounts::Outcome::OwnPlan);
         step.inquiry.defer(now + lookInterval);
         return;
     }
     const uint64_t round = ++m_lastRoomRound;
     const std::vector<std::string> cells
         = step.inquiry.begin(now, round, peersToAsk(job, job.stepSpec(candidate.step), step));
+    m_roomSearches.add(cells.empty() ? RoomSearchCounts::Outcome::NoPeers : RoomSearchCounts::Outcome::Asked);
     if (cells.empty())
         return;
     m_roomRounds[round] = cells.size();
@@ -132,6 +147,29 @@
         schedulePlacement();
 }
 
+void CellEngine::logRoomSearches()
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    if (m_roomSearches.isEmpty() || now - m_roomSearchesLoggedAt < roomSearchLogInterval)
+        return;
+    m_roomSearchesLoggedAt = now;
+    size_t steps = 0;
+    Common::Duration longestWait {};
+    for (const Candidate& candidate : candidates()) {
+        if (!taskWithoutRun(candidate))
+            continue;
+        ++steps;
+        const LiveStep& step = candidate.job->occurrences().at(candidate.occurrence).steps[candidate.step];
+        longestWait = std::max(longestWait, now - step.blocked->since);
+    }
+    LC_INFO(Jobs,
+        "event=room-search cell=" << m_id.value() << " waiting-steps=" << steps << " longest-wait-ms="
+                                  << longestWait / std::chrono::milliseconds(1) << " looks=" << m_roomSearches.text()
+                                  << " oldest-load-ms="
+                                  << m_peerCells.oldestLoad(m_id) / std::chrono::milliseconds(1));
+    m_roomSearches = {};
+}
+
 /// How many tasks of the step fit into the worker's free room, as far as its limit allows more.
 uint32_t CellEngine::tasksWithRoom(const CellWorker& worker, const RoomQuestion& question) const
 {
--- a/Source/Core/Cells/CellEngineRoomMaking.cpp
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -45,9 +45,11 @@
         making += worker->reservation && worker->reservation->made ? 1 : 0;
     }
     for (const Candidate& candidate : ranked) {
-        if (making >= std::max<size_t>(1, listed / workersShare))
-            return;
         const std::optional<Jobs::TaskName> name = taskToMakeRoomFor(candidate);
+        if (name && making >= std::max<size_t>(1, listed / workersShare)) {
+            m_roomSearches.add(RoomSearchCounts::Outcome::WorkerLimit);
+            return;
+        }
         if (name && makeRoomFor(candidate, *name))
             ++making;
     }
@@ -82,8 +84,10 @@
     const Common::MonotonicTime now = m_runtime.now();
     const LiveStep& step = candidate.job->occurrences().at(candidate.occurrence).steps[candidate.step];
     const LiveTask& task = step.tasks[name->index];
-    if (task.noRoomMadeBefore > now)
+    if (task.noRoomMadeBefore > now) {
+        m_roomSearches.add(RoomSearchCounts::Outcome::MakingPauses);
         return std::nullopt;
+    }
     const bool hasRun = task.progress.lastAttempt > 0;
     // The others of a step that was given room don't wait anew, nor do those for which this cell has offered room.
     if ((hasRun && step.reservedStartAt) || hasOfferedRoom(*candidate.job, candidate))
@@ -144,12 +148,16 @@
     LiveJob& job = *candidate.job;
     const std::optional<RoomPlan> plan = planRoom(roomQuestion(job, name));
     if (!plan) {
+        m_roomSearches.add(RoomSearchCounts::Outcome::NothingToStop);
         job.find(name)->noRoomMadeBefore = m_runtime.now() + pauseAfterFailure;
         return false;
     }
     // Not before there is a plan: a search that fails keeps other steps from searching for a while.
-    if (transferToUntriedCell(candidate))
+    if (transferToUntriedCell(candidate)) {
+        m_roomSearches.add(RoomSearchCounts::Outcome::GivenAway);
         return false;
+    }
+    m_roomSearches.add(RoomSearchCounts::Outcome::Made);
     CellWorker& worker = *plan->worker;
     if (CellWorker* const reserved = reservedWorker(name); reserved && reserved != &worker)
         endReservation(*reserved, "room-made-elsewhere");
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1114,6 +1114,7 @@
     return CellEngine::PeerCells {
         .taskSlots = [this](const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec,
                          CellLoad::RoomKind kind) { return taskSlots(self, service, spec, kind); },
+        .oldestLoad = [this](const CellId& self) { return oldestLoad(self); },
         .askForRoom
         = [this](const CellId& cell, const RoomQuestion& question,
               const Common::Callback<Policy::RoomOffer>& callback) { askForRoom(cell, question, callback); },
@@ -1240,6 +1241,17 @@
     return rooms;
 }
 
+Common::Duration CellOwnership::oldestLoad(const CellId& self) const
+{
+    Common::Duration oldest {};
+    for (const CellId& cell : m_layout.cells()) {
+        const Owner* const other = cell == self || m_engines.contains(cell) ? nullptr : liveOwner(cell);
+        if (other && other->loadVersion > 0)
+            oldest = std::max(oldest, m_ports.runtime.now() - other->loadReceivedAt);
+    }
+    return oldest;
+}
+
 std::map<CellId, size_t> CellOwnership::taskSlots(
     const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec, CellLoad::RoomKind kind) const
 {
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -207,6 +207,7 @@
     ServiceRooms serviceRooms(const CellId& self) const;
     std::map<CellId, size_t> taskSlots(
         const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
+    Common::Duration oldestLoad(const CellId& self) const;
     std::optional<std::string> addressForParts(const CellId&);
     void sendPartMessage(const std::string& address, const CellId&, const PartMessage&, Common::Duration timeout,
         const Common::Callback<Common::Done>&);
