Offer free room to long-running tasks that wait in other cells

Cause: room was looked for by the cells that wait only. Each step asked a few cells at a time, those that a load of up to some seconds' age showed with room, and paused for up to 4 s after asking in vain, 1 to 16 s for a cell that had given tasks back.

Change: a cell's load names up to four of its steps that want room, each in turn. A cell whose own tasks have been placed keeps free room on at most a quarter of its workers for such steps, by priority and wait, and offers it to their owner (cell.take-room), which transfers the tasks. The cost is a part of the load's frame and one call for room that exists, whatever the number of waiting tasks or cells.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -10,10 +10,12 @@
 #include "Cells/CellWorkers.h"
 #include "Cells/LiveJob.h"
 #include "Cells/PartMessage.h"
+#include "Cells/PromisedRoom.h"
 #include "Cells/RoomQuestion.h"
 #include "Cells/RoomSearchCounts.h"
 #include "Cells/ServiceRoom.h"
 #include "Cells/TaskTransfer.h"
+#include "Cells/WantedRoom.h"
 #include "Cells/WorkerChanges.h"
 #include "Common/Ids.h"
 #include "Common/Lifetime.h"
@@ -80,6 +82,11 @@
         std::function<Common::Duration(const CellId& self)> oldestLoad;
         /// Asks the peer cell's owner for room. Its answer, or a failure, arrives later.
         std::function<void(const CellId&, const RoomQuestion&, Common::Callback<Policy::RoomOffer>)> askForRoom;
+        /// What peer cells want, as far as their owners have told.
+        std::function<std::vector<WantedRoom>(const CellId& self)> wantedRoom;
+        /// Tells the peer cell's owner of room that is kept for its tasks. Its answer says how many it transfers to the
+        /// room; it or a failure arrives later.
+        std::function<void(const CellId&, const PromisedRoom&, Common::Callback<uint32_t>)> offerRoom;
         /// Whether the peer cell's owner can hold tasks of a scheduled job; see CellLoad::takesScheduledTasks.
         std::function<bool(const CellId&)> takesScheduledTasks;
         /// Room in all peer cells whose owners' heartbeats arrive, by service.
@@ -149,6 +156,11 @@
     /// How the cell would make room for the task now. For a few seconds after an offer the cell gives the tasks of the
     /// step to no other cell.
     Policy::RoomOffer offerRoom(const RoomQuestion&);
+    /// Steps whose long-running tasks have lost their run and find no room here, at most `most`. If there are more, each
+    /// has its turn in the calls that follow.
+    std::vector<WantedRoom> wantedRoom(size_t most);
+    /// Transfers tasks to room that another cell keeps for them. Returns how many; 0 if none wait any more.
+    uint32_t takeRoom(const PromisedRoom&);
 
     /// At most `most` estimates of the interference between images, to be sent to peer cells.
     std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimates(size_t most) const
@@ -282,7 +294,7 @@
     void endOutdatedReservations();
     const char* reasonToEndReservation(const CellWorker&);
     void endReservation(CellWorker&, const char* reason);
-    void endReservationForStart(LiveStep&, const Jobs::TaskName&);
+    void endReservationForStart(LiveStep&, const Jobs::TaskName&, CellWorker& started);
 
     // Room that is made by stops.
     void makeRoom(const std::vector<Candidate>& ranked);
@@ -311,6 +323,8 @@
     /// The step's first waiting task if it is a long-running one that has run, or may have run under an earlier owner
     /// or in another cell, and that may start.
     std::optional<Jobs::TaskName> taskWithoutRun(const Candidate&) const;
+    /// The same, also if it is a suspect of a crash that may share a worker.
+    std::optional<Jobs::TaskName> taskForFreeRoom(const Candidate&) const;
     bool mayTakeOver(const CellWorker::Reservation&) const;
 
     // Questions to other cells about room.
@@ -325,6 +339,12 @@
     /// Whether room on the worker was offered for another task that is on its way or waits here.
     bool isOfferedToOther(const CellWorker&, const Jobs::TaskName&) const;
 
+    // Free room that is offered to tasks of other cells.
+    void offerFreeRoom();
+    size_t promiseRoom(const WantedRoom&, uint32_t waiting, size_t mostWorkers);
+    void notePromiseAnswer(const CellId&, const Jobs::TaskName& step, uint32_t taken);
+    uint32_t tasksWithoutPromise(const WantedRoom&) const;
+
     // Starts.
     void schedulePlacement();
     void place();
@@ -349,7 +369,7 @@
     void logBlockedStep(const LiveJob&, const Candidate&) const;
     void transferIfBlockedForLong(LiveJob&, const Candidate&);
     void transferTasks(LiveJob&, const Candidate&);
-    void giveTasks(LiveJob&, const Candidate&, const CellId&, size_t most);
+    uint32_t giveTasks(LiveJob&, const Candidate&, const CellId&, size_t most);
     void commitTransfer(LiveJob&, const TaskTransfer&);
     /// Returns the part's ended tasks shortly, together with others that end until then.
     void scheduleReturn(const Common::JobId&);
@@ -490,6 +510,19 @@
         Jobs::TaskName task;
         Common::MonotonicTime at;
     };
+    /// The last promise of free room to a step of another cell.
+    struct Promise {
+        /// When it was made and, once it is answered, when that was.
+        Common::MonotonicTime at;
+        bool answered = false;
+        uint32_t tasks = 0;
+        /// How many tasks waited beyond those; 0 after an answer that took fewer.
+        uint32_t tasksLeft = 0;
+    };
+    std::map<std::pair<CellId, Jobs::TaskName>, Promise> m_promises;
+    Common::MonotonicTime m_freeRoomOfferedAt;
+    /// The first of the steps that other cells are told of next.
+    size_t m_nextWanted = 0;
     /// Workers on which room by stops was last offered to another cell.
     std::map<Common::WorkerId, OfferedWorker> m_offeredWorkers;
     /// Peer cells that haven't acknowledged the end of their parts, by job.
--- /dev/null
+++ b/Source/Core/Cells/CellEngineOffers.cpp
@@ -0,0 +1,207 @@
+// Free room that is offered to long-running tasks that wait in other cells. Cells without room tell what they want with
+// their loads; a cell with room keeps some of it for one of these steps and calls for its tasks. So what a waiting task
+// costs doesn't depend on the number of cells, and room is found when it becomes free, whatever was asked before.
+#include "Cells/CellEngine.h"
+
+#include "Common/Log.h"
+#include "Policy/RoomPromise.h"
+
+#include <algorithm>
+
+namespace Cells {
+
+namespace {
+
+    /// How long a task that has run, or may have run, finds no room before other cells are told.
+    constexpr Common::Duration delayAfterRun = std::chrono::milliseconds(500);
+    constexpr Common::Duration delayIfUnknown = std::chrono::seconds(2);
+    /// Time between two looks for tasks that could use free room.
+    constexpr Common::Duration offerInterval = std::chrono::milliseconds(100);
+    /// Room is kept for tasks of other cells on one of so many workers at a time, on one at least.
+    constexpr size_t workersShare = 4;
+    /// How long room is kept until the answer of the cell that was offered it.
+    constexpr Common::Duration answerSpan = std::chrono::milliseconds(600);
+    /// How long it is kept after that: a transfer is written and sent, and its receipt is written.
+    constexpr Common::Duration arrivalSpan = std::chrono::seconds(2);
+    /// How long a promise is remembered: longer than a load takes to reach this cell.
+    constexpr Common::Duration promiseMemory = std::chrono::seconds(10);
+
+    Jobs::TaskName stepOf(Jobs::TaskName task)
+    {
+        task.index = 0;
+        return task;
+    }
+
+} // namespace
+
+std::vector<WantedRoom> CellEngine::wantedRoom(size_t most)
+{
+    if (m_closed || m_releasing || !mayGrant())
+        return {};
+    const Common::MonotonicTime now = m_runtime.now();
+    std::vector<WantedRoom> wanted;
+    for (const auto& [id, job] : m_jobs) {
+        for (const auto& [occurrence, steps] : job->occurrences()) {
+            for (uint32_t number = 0; number < steps.steps.size(); ++number) {
+                const LiveStep& step = steps.steps[number];
+                const std::optional<Jobs::TaskName> name
+                    = step.blocked ? taskForFreeRoom({ job.get(), occurrence, number, {} }) : std::nullopt;
+                if (!name)
+                    continue;
+                const bool hasRun = step.tasks[name->index].progress.lastAttempt > 0;
+                const Common::Duration waited = now - step.blocked->since;
+                if (waited < (hasRun ? delayAfterRun : delayIfUnknown))
+                    continue;
+                wanted.push_back({ m_id, roomQuestion(*job, *name), waited, now });
+                wanted.back().question.spec.taskCount = step.waitingCount;
+            }
+        }
+    }
+    if (wanted.size() <= most)
+        return wanted;
+    // Each step has its turn.
+    m_nextWanted %= wanted.size();
+    std::rotate(wanted.begin(), wanted.begin() + static_cast<std::ptrdiff_t>(m_nextWanted), wanted.end());
+    m_nextWanted += most;
+    wanted.resize(most);
+    return wanted;
+}
+
+void CellEngine::offerFreeRoom()
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    if (now - m_freeRoomOfferedAt < offerInterval || hasUncontactedWorkers())
+        return;
+    m_freeRoomOfferedAt = now;
+    std::erase_if(m_promises, [now](const auto& row) { return now - row.second.at >= promiseMemory; });
+    size_t listed = 0;
+    size_t promised = 0;
+    Common::Resources largest;
+    for (const auto& [id, worker] : m_workers.all()) {
+        listed += worker->listed ? 1 : 0;
+        promised += worker->reservation && worker->reservation->promisedUntil ? 1 : 0;
+        largest = Common::largerOf(largest, worker->unreservedFree());
+    }
+    const size_t most = std::max<size_t>(1, listed / workersShare);
+    if (promised >= most || largest.milliCores <= 0)
+        return;
+    const std::vector<WantedRoom> wanted = m_peerCells.wantedRoom(m_id);
+    std::vector<Policy::RoomClaim> claims;
+    for (const WantedRoom& want : wanted)
+        claims.push_back({ want.question.priority, want.waited });
+    for (const size_t index : Policy::rankRoomClaims(claims)) {
+        if (promised >= most)
+            return;
+        const uint32_t waiting = tasksWithoutPromise(wanted[index]);
+        if (waiting > 0 && Common::fits(allocationFor(wanted[index].question.spec).held, largest))
+            promised += promiseRoom(wanted[index], waiting, most - promised);
+    }
+}
+
+/// How many tasks of the step wait there that have been promised no room since its cell told of them.
+uint32_t CellEngine::tasksWithoutPromise(const WantedRoom& want) const
+{
+    // Another cell may have tasks of the same step.
+    if (reservedWorker(want.question.task))
+        return 0;
+    const auto found = m_promises.find({ want.cell, stepOf(want.question.task) });
+    if (found == m_promises.end())
+        return want.question.spec.taskCount;
+    const Promise& promise = found->second;
+    if (!promise.answered)
+        return 0;
+    return want.heardAt > promise.at ? want.question.spec.taskCount : promise.tasksLeft;
+}
+
+/// Keeps room for tasks of the step on at most so many workers and calls for them. Returns on how many.
+size_t CellEngine::promiseRoom(const WantedRoom& want, uint32_t waiting, size_t mostWorkers)
+{
+    const RoomQuestion& question = want.question;
+    std::vector<CellWorker*> workers;
+    std::vector<uint32_t> roomOf;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (worker->reservation || !isOpenTo(*worker, question) || isOfferedToOther(*worker, question.task))
+            continue;
+        workers.push_back(worker.get());
+        roomOf.push_back(tasksWithRoom(*worker, question));
+    }
+    const std::vector<Policy::KeptRoom> chosen = Policy::chooseKeptRoom(roomOf, waiting, mostWorkers);
+    if (chosen.empty())
+        return 0;
+    const Common::MonotonicTime now = m_runtime.now();
+    const Jobs::TaskName step = stepOf(question.task);
+    const Common::Resources needed = allocationFor(question.spec).held;
+    uint32_t tasks = 0;
+    std::string names;
+    for (const Policy::KeptRoom& room : chosen) {
+        CellWorker& worker = *workers[room.worker];
+        Common::Resources all;
+        for (uint32_t task = 0; task < room.tasks; ++task)
+            all += needed;
+        worker.reservation = CellWorker::Reservation { step, all, now, true, now + answerSpan };
+        tasks += room.tasks;
+        names += (names.empty() ? "" : ",") + worker.id().value();
+    }
+    m_promises[{ want.cell, step }] = { now, false, tasks, waiting - tasks };
+    LC_INFO(Jobs,
+        "event=room-promised task=" << runName({ question.task, {} }) << " cell=" << m_id.value()
+                                    << " to=" << want.cell.value() << " tasks=" << tasks << " workers=" << names
+                                    << " heard-ms=" << (now - want.heardAt) / std::chrono::milliseconds(1));
+    m_peerCells.offerRoom(want.cell, { question.task, m_id, tasks },
+        m_lifetime.guard([this, cell = want.cell, step](const Common::Result<uint32_t>& taken) {
+            notePromiseAnswer(cell, step, taken ? *taken : 0);
+        }));
+    return chosen.size();
+}
+
+void CellEngine::notePromiseAnswer(const CellId& cell, const Jobs::TaskName& step, uint32_t taken)
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    LC_INFO(Jobs,
+        "event=room-promise-answered task=" << runName({ step, {} }) << " cell=" << m_id.value()
+                                            << " to=" << cell.value() << " taken=" << taken);
+    if (const auto found = m_promises.find({ cell, step }); found != m_promises.end()) {
+        Promise& promise = found->second;
+        promise.at = now;
+        promise.answered = true;
+        promise.tasksLeft = taken < promise.tasks ? 0 : promise.tasksLeft;
+    }
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (!worker->reservation || !worker->reservation->promisedUntil || !worker->reservation->isFor(step))
+            continue;
+        if (taken == 0)
+            endReservation(*worker, "declined");
+        else
+            worker->reservation->promisedUntil = now + arrivalSpan;
+    }
+    if (taken > 0)
+        m_roomOffered[step] = now;
+    // The next one doesn't wait.
+    m_freeRoomOfferedAt = {};
+    schedulePlacement();
+}
+
+uint32_t CellEngine::takeRoom(const PromisedRoom& room)
+{
+    LiveJob* const job = m_closed || m_releasing || !mayGrant() ? nullptr : findJob(room.task.job);
+    if (!job || isFinal(job->phase()))
+        return 0;
+    const auto occurrence = job->occurrences().find(room.task.occurrence);
+    if (occurrence == job->occurrences().end() || room.task.step >= occurrence->second.steps.size()
+        || (job->spec().isScheduled() && !m_peerCells.takesScheduledTasks(room.cell)))
+        return 0;
+    const Candidate candidate { job, room.task.occurrence, room.task.step, {} };
+    const std::optional<Jobs::TaskName> name = taskForFreeRoom(candidate);
+    if (!name)
+        return 0;
+    CellWorker* const reserved = reservedWorker(*name);
+    const bool isMakingRoom = reserved && reserved->reservation->made;
+    if (isMakingRoom && occurrence->second.steps[room.task.step].waitingCount == 1)
+        return 0;
+    const uint32_t given = giveTasks(*job, candidate, room.cell, room.tasks);
+    if (given > 0 && reserved && !isMakingRoom)
+        endReservation(*reserved, "transferred");
+    return given;
+}
+
+} // namespace Cells
--- a/Source/Core/Cells/CellEngineReservations.cpp
+++ b/Source/Core/Cells/CellEngineReservations.cpp
@@ -161,7 +161,7 @@
 {
     const Jobs::TaskName name = firstTaskOf(*candidate.job, candidate.occurrence, candidate.step);
     const Common::Resources needed = allocationFor(candidate.job->stepSpec(candidate.step)).held;
-    room.worker->reservation = CellWorker::Reservation { name, needed, m_runtime.now(), false };
+    room.worker->reservation = CellWorker::Reservation { name, needed, m_runtime.now(), false, std::nullopt };
     LC_INFO(Jobs,
         "event=room-reserved step=" << stepName(name) << " worker=" << room.worker->id().value() << " cell="
                                     << m_id.value() << " wait-ms=" << room.wait / std::chrono::milliseconds(1)
@@ -229,6 +229,11 @@
 const char* CellEngine::reasonToEndReservation(const CellWorker& worker)
 {
     const CellWorker::Reservation& reservation = *worker.reservation;
+    if (reservation.promisedUntil) {
+        if (!worker.listed || worker.entry().draining || !worker.reachable)
+            return "worker-unavailable";
+        return m_runtime.now() < *reservation.promisedUntil ? nullptr : "promise-lapsed";
+    }
     const LiveJob* const job = findJob(reservation.step.job);
     if (!job || isFinal(job->phase()))
         return "job-ended";
@@ -259,9 +264,10 @@
 }
 
 /// Called when a task of the step is ordered, on whichever worker.
-void CellEngine::endReservationForStart(LiveStep& step, const Jobs::TaskName& name)
+void CellEngine::endReservationForStart(LiveStep& step, const Jobs::TaskName& name, CellWorker& started)
 {
-    CellWorker* const reserved = reservedWorker(name);
+    const bool isThere = started.reservation && started.reservation->isFor(name);
+    CellWorker* const reserved = isThere ? &started : reservedWorker(name);
     if (!reserved)
         return;
     endReservation(*reserved, "started");
--- a/Source/Core/Cells/CellEngineRoomMaking.cpp
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -42,7 +42,7 @@
     size_t making = 0;
     for (const auto& [id, worker] : m_workers.all()) {
         listed += worker->listed ? 1 : 0;
-        making += worker->reservation && worker->reservation->made ? 1 : 0;
+        making += worker->reservation && worker->reservation->made && !worker->reservation->promisedUntil ? 1 : 0;
     }
     for (const Candidate& candidate : ranked) {
         const std::optional<Jobs::TaskName> name = taskToMakeRoomFor(candidate);
@@ -55,8 +55,16 @@
     }
 }
 
-/// A task that never ran has no run to miss: it waits for ends.
 std::optional<Jobs::TaskName> CellEngine::taskWithoutRun(const Candidate& candidate) const
+{
+    const std::optional<Jobs::TaskName> name = taskForFreeRoom(candidate);
+    const bool isSuspect
+        = name && candidate.job->crashHistory(*name).isolation() != Policy::CrashHistory::Isolation::None;
+    return isSuspect ? std::nullopt : name;
+}
+
+/// A task that never ran has no run to miss: it waits for ends.
+std::optional<Jobs::TaskName> CellEngine::taskForFreeRoom(const Candidate& candidate) const
 {
     const LiveJob& job = *candidate.job;
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
@@ -69,7 +77,7 @@
     const Jobs::TaskName name = firstAvailableTask(candidate);
     const LiveTask& task = step.tasks[name.index];
     if (task.notBefore > m_runtime.now() || !mayStart(job, name, task) || m_workers.workerWithLateStart(name)
-        || job.crashHistory(name).isolation() != Policy::CrashHistory::Isolation::None)
+        || job.crashHistory(name).isolation() == Policy::CrashHistory::Isolation::Required)
         return std::nullopt;
     const bool mayHaveRun = task.progress.lastAttempt > 0 || job.recovered();
     return mayHaveRun ? std::optional(name) : std::nullopt;
@@ -166,6 +174,7 @@
     if (!worker.reservation)
         reserve({ &worker, Common::Duration::zero() }, candidate);
     worker.reservation->made = true;
+    worker.reservation->promisedUntil.reset();
     // The reservation keeps the room from now on.
     m_offeredWorkers.erase(worker.id());
     worker.reservation->since = m_runtime.now();
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -68,6 +68,7 @@
             placeStep(candidate, blocked);
     }
     makeRoom(ranked);
+    offerFreeRoom();
 }
 
 ServiceRooms CellEngine::serviceRooms() const
@@ -394,7 +395,7 @@
     LiveStep& step = job.occurrences().at(name.occurrence).steps[name.step];
     step.blocked.reset();
     step.inquiry = {};
-    endReservationForStart(step, name);
+    endReservationForStart(step, name, worker);
     quarantineForStart(worker, job, name);
     RunAllocation allocation = allocationFor(spec);
     allocation.orderedAt = now;
--- a/Source/Core/Cells/CellEngineTransfers.cpp
+++ b/Source/Core/Cells/CellEngineTransfers.cpp
@@ -139,8 +139,8 @@
     giveTasks(job, candidate, other->first, other->second);
 }
 
-/// Transfers at most so many of the step's waiting tasks to the peer cell.
-void CellEngine::giveTasks(LiveJob& job, const Candidate& candidate, const CellId& cell, size_t most)
+/// Transfers at most so many of the step's waiting tasks to the peer cell. Returns how many.
+uint32_t CellEngine::giveTasks(LiveJob& job, const Candidate& candidate, const CellId& cell, size_t most)
 {
     const Jobs::StepSpec& spec = job.stepSpec(candidate.step);
     LiveStep& step = job.occurrences().at(candidate.occurrence).steps[candidate.step];
@@ -153,7 +153,7 @@
             tasks.push_back(name);
     }
     if (tasks.empty() || (spec.gang && tasks.size() < spec.taskCount))
-        return;
+        return 0;
     RecentTransfer& recent = m_recentTransfers[cell];
     recent.at = m_runtime.now();
     recent.tasks += tasks.size();
@@ -166,6 +166,7 @@
                                  << " to=" << transfer.to.value() << " gift=" << transfer.number
                                  << " waited-ms=" << transfer.waited / std::chrono::milliseconds(1));
     commitTransfer(job, transfer);
+    return static_cast<uint32_t>(tasks.size());
 }
 
 void CellEngine::commitTransfer(LiveJob& job, const TaskTransfer& transfer)
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -52,6 +52,8 @@
     /// Every n-th report of a cell carries pressure estimates, at most this many pairs.
     constexpr uint64_t roundsPerEstimates = 4;
     constexpr size_t maximumSentPressureEstimates = 60;
+    /// Steps that want room, of each cell in one round: some 60 bytes each.
+    constexpr size_t mostWantedSent = 4;
     /// Loads are sent to this many hosts of the own domain and of other domains in each round, to all in rotation.
     constexpr size_t loadReceiversInDomain = 2;
     constexpr size_t loadReceiversElsewhere = 6;
@@ -271,6 +273,7 @@
         if (m_releasing.contains(cell) || !engine->mayGrantLeases())
             continue;
         CellReport report { m_settings.id, { cell, engine->token(), engine->load(), {} }, ++m_loadVersion };
+        report.cell.load.wantedRoom = engine->wantedRoom(mostWantedSent);
         if (sendEstimates)
             report.cell.pressureEstimates = engine->pressureEstimates(maximumSentPressureEstimates);
         frames.push_back(report.encode());
@@ -1118,6 +1121,9 @@
         .askForRoom
         = [this](const CellId& cell, const RoomQuestion& question,
               const Common::Callback<Policy::RoomOffer>& callback) { askForRoom(cell, question, callback); },
+        .wantedRoom = [this](const CellId& self) { return wantedRoom(self); },
+        .offerRoom = [this](const CellId& cell, const PromisedRoom& room,
+                         const Common::Callback<uint32_t>& callback) { offerRoom(cell, room, callback); },
         .takesScheduledTasks =
             [this](const CellId& cell) {
                 const Owner* const other = m_engines.contains(cell) ? nullptr : liveOwner(cell);
@@ -1252,6 +1258,40 @@
     return oldest;
 }
 
+std::vector<WantedRoom> CellOwnership::wantedRoom(const CellId& self) const
+{
+    std::vector<WantedRoom> found;
+    for (const CellId& cell : m_layout.cells()) {
+        const auto own = m_engines.find(cell);
+        const Owner* const other = own == m_engines.end() ? liveOwner(cell) : nullptr;
+        if (cell == self || (own == m_engines.end() && !other))
+            continue;
+        for (const WantedRoom& want : other ? other->load.wantedRoom : own->second->wantedRoom(mostWantedSent)) {
+            found.push_back(want);
+            found.back().cell = cell;
+            found.back().heardAt = other ? other->loadReceivedAt : m_ports.runtime.now();
+        }
+    }
+    return found;
+}
+
+void CellOwnership::offerRoom(
+    const CellId& cell, const PromisedRoom& room, const Common::Callback<uint32_t>& callback)
+{
+    const Owner* const owner = engine(cell) ? nullptr : liveOwner(cell);
+    if (owner && m_promiseMessenger) {
+        m_promiseMessenger(owner->address, cell, room, callback);
+        return;
+    }
+    // Answered later, as by another host: the caller is in the middle of a placement.
+    m_ports.runtime.schedule(Common::Duration::zero(), m_lifetime.guard([this, cell, room, callback] {
+        if (CellEngine* const own = engine(cell))
+            callback(own->takeRoom(room));
+        else
+            callback(Common::Failure { Common::ErrorCode::NotOwner, "no owner of the cell is known", std::nullopt });
+    }));
+}
+
 std::map<CellId, size_t> CellOwnership::taskSlots(
     const CellId& self, const Common::ServiceName& service, const Jobs::StepSpec& spec, CellLoad::RoomKind kind) const
 {
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -128,6 +128,10 @@
     using RoomMessenger = std::function<void(
         const std::string& address, const CellId&, const RoomQuestion&, Common::Callback<Policy::RoomOffer>)>;
     void setRoomMessenger(RoomMessenger messenger) { m_roomMessenger = std::move(messenger); }
+    /// Offers the owner of a cell at `address` room that is kept for its tasks. JobGateway sets it.
+    using PromiseMessenger = std::function<void(
+        const std::string& address, const CellId&, const PromisedRoom&, Common::Callback<uint32_t>)>;
+    void setPromiseMessenger(PromiseMessenger messenger) { m_promiseMessenger = std::move(messenger); }
     /// Releases the cell if this host owns it and is late; another host that is in time asks for it.
     void releaseIfLate(const CellId&);
     /// Calls the hook with a host's address and its version of the configuration for each message of the host itself.
@@ -208,6 +212,8 @@
     std::map<CellId, size_t> taskSlots(
         const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
     Common::Duration oldestLoad(const CellId& self) const;
+    std::vector<WantedRoom> wantedRoom(const CellId& self) const;
+    void offerRoom(const CellId&, const PromisedRoom&, const Common::Callback<uint32_t>&);
     std::optional<std::string> addressForParts(const CellId&);
     void sendPartMessage(const std::string& address, const CellId&, const PartMessage&, Common::Duration timeout,
         const Common::Callback<Common::Done>&);
@@ -294,6 +300,7 @@
     ReliefRequest m_reliefRequest;
     PollMessenger m_pollMessenger;
     RoomMessenger m_roomMessenger;
+    PromiseMessenger m_promiseMessenger;
     Common::Lifetime m_lifetime;
 };
 
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -133,8 +133,11 @@
         Jobs::TaskName step;
         Common::Resources needed;
         Common::MonotonicTime since;
-        /// Runs were stopped so that the room becomes free at once; nothing else starts in it.
+        /// Runs were stopped so that the room becomes free at once, or it is free already; nothing else starts in it.
         bool made = false;
+        /// Set for room that was promised to tasks that wait in another cell: how long it is kept although they aren't
+        /// here.
+        std::optional<Common::MonotonicTime> promisedUntil;
 
         bool isFor(const Jobs::TaskName&) const;
     };
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -30,7 +30,9 @@
     constexpr const char* pendingMethod = "job.pending";
     constexpr const char* pollMethod = "worker.poll";
     constexpr const char* roomMethod = "cell.room";
+    constexpr const char* takeRoomMethod = "cell.take-room";
     constexpr const char* cellMember = "cell";
+    constexpr const char* tasksMember = "tasks";
     /// Time for the owner of a cell to say whether it can make room; it makes no call of its own for that.
     constexpr Common::Duration roomTimeout = std::chrono::milliseconds(300);
     /// Time for a host that knows the loads of all cells to choose one; it makes no call of its own for that.
@@ -239,6 +241,18 @@
                 callback(answer ? roomOfferFromJson(*answer) : Common::Result<Policy::RoomOffer>(answer.reason()));
             });
     });
+    m_cellOwnership.setPromiseMessenger([this](const std::string& address, const CellId& cell, const PromisedRoom& room,
+                                            Common::Callback<uint32_t> callback) {
+        Json params = promisedRoomToJson(room);
+        params[cellMember] = cell.value();
+        m_peers.call(address, takeRoomMethod, params, roomTimeout,
+            [callback = std::move(callback)](const Common::Result<Json>& answer) {
+                callback(answer ? Common::Result<uint32_t>(countOf(*answer, tasksMember).value_or(0))
+                                : Common::Result<uint32_t>(answer.reason()));
+            });
+    });
+    m_peers.serve(takeRoomMethod,
+        [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveTakeRoom(params, reply); });
     m_peers.serve(
         roomMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) { serveRoom(params, reply); });
     m_peers.serve(pollMethod, [this](const Json& params, const Scheduler::PeerPort::Reply& reply) {
@@ -379,6 +393,20 @@
         reply(question.reason());
 }
 
+/// Transfers tasks of a cell of this host to room that another cell keeps for them.
+void JobGateway::serveTakeRoom(const Json& params, const Scheduler::PeerPort::Reply& reply)
+{
+    CellEngine* const engine = m_cellOwnership.engine(CellId(params.value(cellMember, std::string {})));
+    if (!engine) {
+        reply(failure(Common::ErrorCode::NotOwner, "this host doesn't own the cell"));
+        return;
+    }
+    if (const auto room = promisedRoomFromJson(params))
+        reply(Json { { tasksMember, engine->takeRoom(*room) } });
+    else
+        reply(room.reason());
+}
+
 /// Handles a transfer of tasks to a cell of this host, or the cancellation of transferred tasks.
 void JobGateway::servePart(const Json& params, const Scheduler::PeerPort::Reply& reply)
 {
--- a/Source/Core/Cells/JobGateway.h
+++ b/Source/Core/Cells/JobGateway.h
@@ -56,6 +56,7 @@
     void servePhase(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void servePart(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void serveRoom(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
+    void serveTakeRoom(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
     void serveCancel(const nlohmann::json&, const Scheduler::PeerPort::Reply&);
 
     void tryCell(const std::shared_ptr<Submission>&);
--- a/Source/Core/Cells/OwnedCellCodec.cpp
+++ b/Source/Core/Cells/OwnedCellCodec.cpp
@@ -2,6 +2,7 @@
 #include "Cells/OwnedCellCodec.h"
 
 #include "Cells/PressureEstimateCodec.h"
+#include "Common/Bounds.h"
 #include "Common/JsonField.h"
 
 #include <nlohmann/json.hpp>
@@ -35,6 +36,45 @@
         return loads;
     }
 
+    constexpr Common::Duration longestWait = std::chrono::hours(24 * 365);
+
+    Json wantedRoomToJson(const std::vector<WantedRoom>& wanted)
+    {
+        Json rows = Json::array();
+        for (const WantedRoom& want : wanted) {
+            const RoomQuestion& question = want.question;
+            const Common::Resources& resources = question.spec.resources;
+            rows.push_back(Json::array({ question.task.job.value(), question.task.occurrence, question.task.step,
+                question.task.index, question.service.value(), question.priority, resources.milliCores,
+                resources.memoryMegabytes, resources.accelerators, question.spec.requiredLabel,
+                question.spec.maximumPerWorker, question.spec.taskCount, want.waited / std::chrono::milliseconds(1) }));
+        }
+        return rows;
+    }
+
+    std::vector<WantedRoom> wantedRoomFrom(const JsonField& field)
+    {
+        std::vector<WantedRoom> wanted;
+        for (const Json& value : field.list()) {
+            const JsonField row(value, "wanted room");
+            WantedRoom want;
+            want.question.task = { Common::JobId(row.element(0).name()), row.element(1).count(), row.element(2).count(),
+                row.element(3).count() };
+            want.question.service = Common::ServiceName(row.element(4).text());
+            want.question.priority = row.element(5).count();
+            want.question.spec.longRunning = true;
+            want.question.spec.resources.milliCores = row.element(6).integer(0, Common::maximumMilliCores);
+            want.question.spec.resources.memoryMegabytes = row.element(7).integer(0, Common::maximumMegabytes);
+            want.question.spec.resources.accelerators = row.element(8).integer(0, Common::maximumAccelerators);
+            want.question.spec.requiredLabel = row.element(9).text();
+            want.question.spec.maximumPerWorker = row.element(10).count();
+            want.question.spec.taskCount = row.element(11).count();
+            want.waited = row.element(12).milliseconds(longestWait);
+            wanted.push_back(std::move(want));
+        }
+        return wanted;
+    }
+
 } // namespace
 
 Json ownedCellToJson(const HostHeartbeat::OwnedCell& owned)
@@ -46,7 +86,7 @@
         owned.load.freeMilliCores, owned.load.backfillMilliCores, owned.load.waitingRegular, owned.load.waitingBackfill,
         owned.load.serving, owned.load.backfillCapacity, owned.load.largestFreeMilliCores, std::move(pending),
         pressureEstimatesToJson(owned.pressureEstimates), owned.load.services, owned.load.labels,
-        owned.load.largestFreeAfterEnds, owned.load.takesScheduledTasks });
+        owned.load.largestFreeAfterEnds, owned.load.takesScheduledTasks, wantedRoomToJson(owned.load.wantedRoom) });
 }
 
 HostHeartbeat::OwnedCell ownedCellFromJson(const Json& value)
@@ -75,6 +115,8 @@
         owned.load.largestFreeAfterEnds = listedLoadsFrom(row.element(14));
     if (row.element(15).exists())
         owned.load.takesScheduledTasks = row.element(15).flag();
+    if (row.element(16).exists())
+        owned.load.wantedRoom = wantedRoomFrom(row.element(16));
     return owned;
 }
 
