--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -156,8 +156,8 @@
     /// How the cell would make room for the task now. For a few seconds after an offer the cell gives the tasks of the
     /// step to no other cell.
     Policy::RoomOffer offerRoom(const RoomQuestion&);
-    /// Steps whose long-running tasks have lost their run and find no room here, at most `most`. If there are more, each
-    /// has its turn in the calls that follow.
+    /// Steps whose long-running tasks have lost their run and find no room here, at most `most`. If there are more,
+    /// each has its turn in the calls that follow.
     std::vector<WantedRoom> wantedRoom(size_t most);
     /// Transfers tasks to room that another cell keeps for them. Returns how many; 0 if none wait any more.
     uint32_t takeRoom(const PromisedRoom&);
--- a/Source/Core/Cells/CellEngineInquiries.cpp
+++ b/Source/Core/Cells/CellEngineInquiries.cpp
@@ -165,8 +165,7 @@
     LC_INFO(Jobs,
         "event=room-search cell=" << m_id.value() << " waiting-steps=" << steps << " longest-wait-ms="
                                   << longestWait / std::chrono::milliseconds(1) << " looks=" << m_roomSearches.text()
-                                  << " oldest-load-ms="
-                                  << m_peerCells.oldestLoad(m_id) / std::chrono::milliseconds(1));
+                                  << " oldest-load-ms=" << m_peerCells.oldestLoad(m_id) / std::chrono::milliseconds(1));
     m_roomSearches = {};
 }
 
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1275,8 +1275,7 @@
     return found;
 }
 
-void CellOwnership::offerRoom(
-    const CellId& cell, const PromisedRoom& room, const Common::Callback<uint32_t>& callback)
+void CellOwnership::offerRoom(const CellId& cell, const PromisedRoom& room, const Common::Callback<uint32_t>& callback)
 {
     const Owner* const owner = engine(cell) ? nullptr : liveOwner(cell);
     if (owner && m_promiseMessenger) {
--- a/Source/Core/Cells/RoomSearchCounts.h
+++ b/Source/Core/Cells/RoomSearchCounts.h
@@ -1,5 +1,5 @@
-// What became of the looks at steps whose long-running tasks have lost their run and find no room, for a log line of the
-// cell.
+// What became of the looks at steps whose long-running tasks have lost their run and find no room, for a log line of
+// the cell.
 #pragma once
 
 #include <array>
--- a/Source/Core/Policy/RoomPromise.h
+++ b/Source/Core/Policy/RoomPromise.h
@@ -30,7 +30,6 @@
 
 /// The workers on which room is kept for at most `waiting` tasks; `roomOf` has the number of tasks that fit on each
 /// worker. Those with the most room first, and no more workers than `mostWorkers`.
-std::vector<KeptRoom> chooseKeptRoom(
-    const std::vector<uint32_t>& roomOf, uint32_t waiting, size_t mostWorkers);
+std::vector<KeptRoom> chooseKeptRoom(const std::vector<uint32_t>& roomOf, uint32_t waiting, size_t mostWorkers);
 
 } // namespace Policy
