--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -82,8 +82,8 @@
         std::function<Common::Duration(const CellId& self)> oldestLoad;
         /// Asks the peer cell's owner for room. Its answer, or a failure, arrives later.
         std::function<void(const CellId&, const RoomQuestion&, Common::Callback<Policy::RoomOffer>)> askForRoom;
-        /// What peer cells want, as far as their owners have told.
-        std::function<std::vector<WantedRoom>(const CellId& self)> wantedRoom;
+        /// What peer cells want that fits into the room, as far as their owners have told.
+        std::function<std::vector<WantedRoom>(const CellId& self, const Common::Resources& room)> wantedRoom;
         /// Tells the peer cell's owner of room that is kept for its tasks. Its answer says how many it transfers to the
         /// room; it or a failure arrives later.
         std::function<void(const CellId&, const PromisedRoom&, Common::Callback<uint32_t>)> offerRoom;
@@ -340,6 +340,13 @@
     bool isOfferedToOther(const CellWorker&, const Jobs::TaskName&) const;
 
     // Free room that is offered to tasks of other cells.
+    /// A step whose long-running tasks have lost their run and find no room.
+    struct WaitingStep {
+        const LiveJob* job = nullptr;
+        const LiveStep* step = nullptr;
+        Jobs::TaskName task;
+    };
+    std::vector<WaitingStep> stepsWithoutRun() const;
     void offerFreeRoom();
     size_t promiseRoom(const WantedRoom&, uint32_t waiting, size_t mostWorkers);
     void notePromiseAnswer(const CellId&, const Jobs::TaskName& step, uint32_t taken);
--- a/Source/Core/Cells/CellEngineInquiries.cpp
+++ b/Source/Core/Cells/CellEngineInquiries.cpp
@@ -153,17 +153,12 @@
     if (m_roomSearches.isEmpty() || now - m_roomSearchesLoggedAt < roomSearchLogInterval)
         return;
     m_roomSearchesLoggedAt = now;
-    size_t steps = 0;
+    const std::vector<WaitingStep> steps = stepsWithoutRun();
     Common::Duration longestWait {};
-    for (const Candidate& candidate : candidates()) {
-        if (!taskWithoutRun(candidate))
-            continue;
-        ++steps;
-        const LiveStep& step = candidate.job->occurrences().at(candidate.occurrence).steps[candidate.step];
-        longestWait = std::max(longestWait, now - step.blocked->since);
-    }
+    for (const WaitingStep& waiting : steps)
+        longestWait = std::max(longestWait, now - waiting.step->blocked->since);
     LC_INFO(Jobs,
-        "event=room-search cell=" << m_id.value() << " waiting-steps=" << steps << " longest-wait-ms="
+        "event=room-search cell=" << m_id.value() << " waiting-steps=" << steps.size() << " longest-wait-ms="
                                   << longestWait / std::chrono::milliseconds(1) << " looks=" << m_roomSearches.text()
                                   << " oldest-load-ms=" << m_peerCells.oldestLoad(m_id) / std::chrono::milliseconds(1));
     m_roomSearches = {};
--- a/Source/Core/Cells/CellEngineOffers.cpp
+++ b/Source/Core/Cells/CellEngineOffers.cpp
@@ -34,28 +34,35 @@
 
 } // namespace
 
+std::vector<CellEngine::WaitingStep> CellEngine::stepsWithoutRun() const
+{
+    std::vector<WaitingStep> found;
+    for (const auto& [id, job] : m_jobs) {
+        for (const auto& [occurrence, opened] : job->occurrences()) {
+            for (uint32_t number = 0; number < opened.steps.size(); ++number) {
+                if (!opened.steps[number].blocked)
+                    continue;
+                if (const auto task = taskForFreeRoom({ job.get(), occurrence, number, {} }))
+                    found.push_back({ job.get(), &opened.steps[number], *task });
+            }
+        }
+    }
+    return found;
+}
+
 std::vector<WantedRoom> CellEngine::wantedRoom(size_t most)
 {
     if (m_closed || m_releasing || !mayGrant())
         return {};
     const Common::MonotonicTime now = m_runtime.now();
     std::vector<WantedRoom> wanted;
-    for (const auto& [id, job] : m_jobs) {
-        for (const auto& [occurrence, steps] : job->occurrences()) {
-            for (uint32_t number = 0; number < steps.steps.size(); ++number) {
-                const LiveStep& step = steps.steps[number];
-                const std::optional<Jobs::TaskName> name
-                    = step.blocked ? taskForFreeRoom({ job.get(), occurrence, number, {} }) : std::nullopt;
-                if (!name)
-                    continue;
-                const bool hasRun = step.tasks[name->index].progress.lastAttempt > 0;
-                const Common::Duration waited = now - step.blocked->since;
-                if (waited < (hasRun ? delayAfterRun : delayIfUnknown))
-                    continue;
-                wanted.push_back({ m_id, roomQuestion(*job, *name), waited, now });
-                wanted.back().question.spec.taskCount = step.waitingCount;
-            }
-        }
+    for (const WaitingStep& waiting : stepsWithoutRun()) {
+        const bool hasRun = waiting.step->tasks[waiting.task.index].progress.lastAttempt > 0;
+        const Common::Duration waited = now - waiting.step->blocked->since;
+        if (waited < (hasRun ? delayAfterRun : delayIfUnknown))
+            continue;
+        wanted.push_back({ m_id, roomQuestion(*waiting.job, waiting.task), waited, now });
+        wanted.back().question.spec.taskCount = waiting.step->waitingCount;
     }
     if (wanted.size() <= most)
         return wanted;
@@ -85,7 +92,7 @@
     const size_t most = std::max<size_t>(1, listed / workersShare);
     if (promised >= most || largest.milliCores <= 0)
         return;
-    const std::vector<WantedRoom> wanted = m_peerCells.wantedRoom(m_id);
+    const std::vector<WantedRoom> wanted = m_peerCells.wantedRoom(m_id, largest);
     std::vector<Policy::RoomClaim> claims;
     for (const WantedRoom& want : wanted)
         claims.push_back({ want.question.priority, want.waited });
@@ -93,7 +100,7 @@
         if (promised >= most)
             return;
         const uint32_t waiting = tasksWithoutPromise(wanted[index]);
-        if (waiting > 0 && Common::fits(allocationFor(wanted[index].question.spec).held, largest))
+        if (waiting > 0)
             promised += promiseRoom(wanted[index], waiting, most - promised);
     }
 }
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1121,7 +1121,7 @@
         .askForRoom
         = [this](const CellId& cell, const RoomQuestion& question,
               const Common::Callback<Policy::RoomOffer>& callback) { askForRoom(cell, question, callback); },
-        .wantedRoom = [this](const CellId& self) { return wantedRoom(self); },
+        .wantedRoom = [this](const CellId& self, const Common::Resources& room) { return wantedRoom(self, room); },
         .offerRoom = [this](const CellId& cell, const PromisedRoom& room,
                          const Common::Callback<uint32_t>& callback) { offerRoom(cell, room, callback); },
         .takesScheduledTasks =
@@ -1258,7 +1258,7 @@
     return oldest;
 }
 
-std::vector<WantedRoom> CellOwnership::wantedRoom(const CellId& self) const
+std::vector<WantedRoom> CellOwnership::wantedRoom(const CellId& self, const Common::Resources& room) const
 {
     std::vector<WantedRoom> found;
     for (const CellId& cell : m_layout.cells()) {
@@ -1266,7 +1266,11 @@
         const Owner* const other = own == m_engines.end() ? liveOwner(cell) : nullptr;
         if (cell == self || (own == m_engines.end() && !other))
             continue;
-        for (const WantedRoom& want : other ? other->load.wantedRoom : own->second->wantedRoom(mostWantedSent)) {
+        const std::vector<WantedRoom> ofOwn
+            = other ? std::vector<WantedRoom> {} : own->second->wantedRoom(mostWantedSent);
+        for (const WantedRoom& want : other ? other->load.wantedRoom : ofOwn) {
+            if (!Common::fits(allocationFor(want.question.spec).held, room))
+                continue;
             found.push_back(want);
             found.back().cell = cell;
             found.back().heardAt = other ? other->loadReceivedAt : m_ports.runtime.now();
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -212,7 +212,7 @@
     std::map<CellId, size_t> taskSlots(
         const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
     Common::Duration oldestLoad(const CellId& self) const;
-    std::vector<WantedRoom> wantedRoom(const CellId& self) const;
+    std::vector<WantedRoom> wantedRoom(const CellId& self, const Common::Resources& room) const;
     void offerRoom(const CellId&, const PromisedRoom&, const Common::Callback<uint32_t>&);
     std::optional<std::string> addressForParts(const CellId&);
     void sendPartMessage(const std::string& address, const CellId&, const PartMessage&, Common::Duration timeout,
