Keep room that runs leave for tasks that wait in other cells

Cells that gave tasks back at 5 to 8 s aren't asked for up to 16 s (looks pausing, no-peers).

Change: where no free room is there, a cell reserves the worker on which ends make room first for one of these steps, on an eighth of its workers at a time, and calls for a task once the room is free.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -348,7 +348,10 @@
     };
     std::vector<WaitingStep> stepsWithoutRun() const;
     void offerFreeRoom();
+    void expectRoom(const WantedRoom&);
+    void promiseExpectedRoom();
     size_t promiseRoom(const WantedRoom&, uint32_t waiting, size_t mostWorkers);
+    void promise(const WantedRoom&, uint32_t waiting, const std::vector<std::pair<CellWorker*, uint32_t>>& rooms);
     void notePromiseAnswer(const CellId&, const Jobs::TaskName& step, uint32_t taken);
     uint32_t tasksWithoutPromise(const WantedRoom&) const;
 
@@ -528,6 +531,8 @@
     };
     std::map<std::pair<CellId, Jobs::TaskName>, Promise> m_promises;
     Common::MonotonicTime m_freeRoomOfferedAt;
+    /// Workers on which runs are expected to leave room for a step of another cell, which hasn't been told yet.
+    std::map<Common::WorkerId, WantedRoom> m_expectedRoom;
     /// The first of the steps that other cells are told of next.
     size_t m_nextWanted = 0;
     /// Workers on which room by stops was last offered to another cell.
--- a/Source/Core/Cells/CellEngineOffers.cpp
+++ b/Source/Core/Cells/CellEngineOffers.cpp
@@ -19,6 +19,10 @@
     constexpr Common::Duration offerInterval = std::chrono::milliseconds(100);
     /// Room is kept for tasks of other cells on one of so many workers at a time, on one at least.
     constexpr size_t workersShare = 4;
+    /// Room that runs are expected to leave is kept for them on one of so many workers at a time, on one at least, and
+    /// for so long.
+    constexpr size_t expectingShare = 8;
+    constexpr Common::Duration expectationSpan = std::chrono::seconds(3);
     /// How long room is kept until the answer of the cell that was offered it.
     constexpr Common::Duration answerSpan = std::chrono::milliseconds(600);
     /// How long it is kept after that: a transfer is written and sent, and its receipt is written.
@@ -81,16 +85,18 @@
         return;
     m_freeRoomOfferedAt = now;
     std::erase_if(m_promises, [now](const auto& row) { return now - row.second.at >= promiseMemory; });
+    promiseExpectedRoom();
     size_t listed = 0;
     size_t promised = 0;
     Common::Resources largest;
     for (const auto& [id, worker] : m_workers.all()) {
         listed += worker->listed ? 1 : 0;
-        promised += worker->reservation && worker->reservation->promisedUntil ? 1 : 0;
-        largest = Common::largerOf(largest, worker->unreservedFree());
+        promised += worker->reservation && worker->reservation->promisedUntil && worker->reservation->made ? 1 : 0;
+        largest = Common::largerOf(largest, worker->freeAfterEnds());
     }
     const size_t most = std::max<size_t>(1, listed / workersShare);
-    if (promised >= most || largest.milliCores <= 0)
+    const size_t mostExpected = std::max<size_t>(1, listed / expectingShare);
+    if (promised >= most)
         return;
     const std::vector<WantedRoom> wanted = m_peerCells.wantedRoom(m_id, largest);
     std::vector<Policy::RoomClaim> claims;
@@ -100,8 +106,54 @@
         if (promised >= most)
             return;
         const uint32_t waiting = tasksWithoutPromise(wanted[index]);
-        if (waiting > 0)
-            promised += promiseRoom(wanted[index], waiting, most - promised);
+        if (waiting == 0)
+            continue;
+        const size_t kept = promiseRoom(wanted[index], waiting, most - promised);
+        promised += kept;
+        if (kept == 0 && m_expectedRoom.size() < mostExpected)
+            expectRoom(wanted[index]);
+    }
+}
+
+/// Reserves the worker on which the ends of its runs make room for a task of the step first.
+void CellEngine::expectRoom(const WantedRoom& want)
+{
+    const Common::Resources needed = allocationFor(want.question.spec).held;
+    CellWorker* earliest = nullptr;
+    std::optional<Common::Duration> wait;
+    for (const auto& [id, worker] : m_workers.all()) {
+        if (worker->reservation || !isOpenTo(*worker, want.question) || isOfferedToOther(*worker, want.question.task))
+            continue;
+        const std::optional<Common::Duration> untilRoom = timeUntilRoom(*worker, needed);
+        if (untilRoom && (!wait || *untilRoom < *wait)) {
+            earliest = worker.get();
+            wait = untilRoom;
+        }
+    }
+    if (!earliest || *wait >= expectationSpan)
+        return;
+    const Common::MonotonicTime now = m_runtime.now();
+    earliest->reservation
+        = CellWorker::Reservation { stepOf(want.question.task), needed, now, false, now + expectationSpan };
+    m_expectedRoom[earliest->id()] = want;
+    LC_INFO(Jobs,
+        "event=room-expected task=" << runName({ want.question.task, {} }) << " cell=" << m_id.value()
+                                    << " for=" << want.cell.value() << " worker=" << earliest->id().value()
+                                    << " wait-ms=" << *wait / std::chrono::milliseconds(1));
+}
+
+/// Calls for the tasks for which room was expected and is free by now.
+void CellEngine::promiseExpectedRoom()
+{
+    for (auto expected = m_expectedRoom.begin(); expected != m_expectedRoom.end();) {
+        const WantedRoom& want = expected->second;
+        CellWorker* const worker = m_workers.find(expected->first);
+        const bool isKept = worker && worker->reservation && !worker->reservation->made
+            && worker->reservation->isFor(want.question.task);
+        const bool isFree = isKept && Common::fits(worker->reservation->needed, worker->free());
+        if (isFree)
+            promise(want, want.question.spec.taskCount, { { worker, 1 } });
+        expected = isKept && !isFree ? std::next(expected) : m_expectedRoom.erase(expected);
     }
 }
 
@@ -135,19 +187,30 @@
     const std::vector<Policy::KeptRoom> chosen = Policy::chooseKeptRoom(roomOf, waiting, mostWorkers);
     if (chosen.empty())
         return 0;
+    std::vector<std::pair<CellWorker*, uint32_t>> rooms;
+    for (const Policy::KeptRoom& room : chosen)
+        rooms.emplace_back(workers[room.worker], room.tasks);
+    promise(want, waiting, rooms);
+    return chosen.size();
+}
+
+/// Keeps room for so many tasks of the step on each of the workers and calls for them.
+void CellEngine::promise(
+    const WantedRoom& want, uint32_t waiting, const std::vector<std::pair<CellWorker*, uint32_t>>& rooms)
+{
+    const RoomQuestion& question = want.question;
     const Common::MonotonicTime now = m_runtime.now();
     const Jobs::TaskName step = stepOf(question.task);
     const Common::Resources needed = allocationFor(question.spec).held;
     uint32_t tasks = 0;
     std::string names;
-    for (const Policy::KeptRoom& room : chosen) {
-        CellWorker& worker = *workers[room.worker];
+    for (const auto& [worker, count] : rooms) {
         Common::Resources all;
-        for (uint32_t task = 0; task < room.tasks; ++task)
+        for (uint32_t task = 0; task < count; ++task)
             all += needed;
-        worker.reservation = CellWorker::Reservation { step, all, now, true, now + answerSpan };
-        tasks += room.tasks;
-        names += (names.empty() ? "" : ",") + worker.id().value();
+        worker->reservation = CellWorker::Reservation { step, all, now, true, now + answerSpan };
+        tasks += count;
+        names += (names.empty() ? "" : ",") + worker->id().value();
     }
     m_promises[{ want.cell, step }] = { now, false, tasks, waiting - tasks };
     LC_INFO(Jobs,
@@ -158,7 +221,6 @@
         m_lifetime.guard([this, cell = want.cell, step](const Common::Result<uint32_t>& taken) {
             notePromiseAnswer(cell, step, taken ? *taken : 0);
         }));
-    return chosen.size();
 }
 
 void CellEngine::notePromiseAnswer(const CellId& cell, const Jobs::TaskName& step, uint32_t taken)
--- a/Source/Core/Cells/CellEngineReservations.cpp
+++ b/Source/Core/Cells/CellEngineReservations.cpp
@@ -71,7 +71,7 @@
     size_t reserved = 0;
     for (const auto& [id, worker] : m_workers.all()) {
         listed += worker->listed ? 1 : 0;
-        reserved += worker->reservation && !worker->reservation->made ? 1 : 0;
+        reserved += worker->reservation && !worker->reservation->made && !worker->reservation->promisedUntil ? 1 : 0;
     }
     const size_t most = std::max<size_t>(1, listed / reservationShare);
     // What needs at least as much as a step without a suitable worker has none either.
