Offer room again to a cell whose transfer was under way; spread the offers

Cells with room called for the same few steps at a time, the ones that had waited longest, and knew four steps of a cell at most.

Change: the answer says how many tasks wait on, and the step is called for again after 100 ms. Without an answer the room is kept, as tasks may be on their way. Each cell has its own order among steps that have waited for 4 s; steps that a load leaves out for want of space count for 4 s. The cell's own tasks may take over room that is only expected.

--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -84,9 +84,8 @@
         std::function<void(const CellId&, const RoomQuestion&, Common::Callback<Policy::RoomOffer>)> askForRoom;
         /// What peer cells want that fits into the room, as far as their owners have told.
         std::function<std::vector<WantedRoom>(const CellId& self, const Common::Resources& room)> wantedRoom;
-        /// Tells the peer cell's owner of room that is kept for its tasks. Its answer says how many it transfers to the
-        /// room; it or a failure arrives later.
-        std::function<void(const CellId&, const PromisedRoom&, Common::Callback<uint32_t>)> offerRoom;
+        /// Tells the peer cell's owner of room that is kept for its tasks. Its answer, or a failure, arrives later.
+        std::function<void(const CellId&, const PromisedRoom&, Common::Callback<TakenRoom>)> offerRoom;
         /// Whether the peer cell's owner can hold tasks of a scheduled job; see CellLoad::takesScheduledTasks.
         std::function<bool(const CellId&)> takesScheduledTasks;
         /// Room in all peer cells whose owners' heartbeats arrive, by service.
@@ -159,8 +158,8 @@
     /// Steps whose long-running tasks have lost their run and find no room here, at most `most`. If there are more,
     /// each has its turn in the calls that follow.
     std::vector<WantedRoom> wantedRoom(size_t most);
-    /// Transfers tasks to room that another cell keeps for them. Returns how many; 0 if none wait any more.
-    uint32_t takeRoom(const PromisedRoom&);
+    /// Transfers tasks to room that another cell keeps for them.
+    TakenRoom takeRoom(const PromisedRoom&);
 
     /// At most `most` estimates of the interference between images, to be sent to peer cells.
     std::vector<Policy::TailLatencyModel::PressureEstimate> pressureEstimates(size_t most) const
@@ -352,7 +351,7 @@
     void promiseExpectedRoom();
     size_t promiseRoom(const WantedRoom&, uint32_t waiting, size_t mostWorkers);
     void promise(const WantedRoom&, uint32_t waiting, const std::vector<std::pair<CellWorker*, uint32_t>>& rooms);
-    void notePromiseAnswer(const CellId&, const Jobs::TaskName& step, uint32_t taken);
+    void notePromiseAnswer(const CellId&, const Jobs::TaskName& step, const Common::Result<TakenRoom>&);
     uint32_t tasksWithoutPromise(const WantedRoom&) const;
 
     // Starts.
@@ -525,16 +524,13 @@
         /// When it was made and, once it is answered, when that was.
         Common::MonotonicTime at;
         bool answered = false;
-        uint32_t tasks = 0;
-        /// How many tasks waited beyond those; 0 after an answer that took fewer.
+        /// How many tasks of the step wait there by the answer.
         uint32_t tasksLeft = 0;
     };
     std::map<std::pair<CellId, Jobs::TaskName>, Promise> m_promises;
     Common::MonotonicTime m_freeRoomOfferedAt;
     /// Workers on which runs are expected to leave room for a step of another cell, which hasn't been told yet.
     std::map<Common::WorkerId, WantedRoom> m_expectedRoom;
-    /// The first of the steps that other cells are told of next.
-    size_t m_nextWanted = 0;
     /// Workers on which room by stops was last offered to another cell.
     std::map<Common::WorkerId, OfferedWorker> m_offeredWorkers;
     /// Peer cells that haven't acknowledged the end of their parts, by job.
--- a/Source/Core/Cells/CellEngineOffers.cpp
+++ b/Source/Core/Cells/CellEngineOffers.cpp
@@ -3,6 +3,7 @@
 // costs doesn't depend on the number of cells, and room is found when it becomes free, whatever was asked before.
 #include "Cells/CellEngine.h"
 
+#include "Common/Hash.h"
 #include "Common/Log.h"
 #include "Policy/RoomPromise.h"
 
@@ -17,8 +18,9 @@
     constexpr Common::Duration delayIfUnknown = std::chrono::seconds(2);
     /// Time between two looks for tasks that could use free room.
     constexpr Common::Duration offerInterval = std::chrono::milliseconds(100);
-    /// Room is kept for tasks of other cells on one of so many workers at a time, on one at least.
+    /// Free room is kept for tasks of other cells on one of so many workers at a time, on two at least.
     constexpr size_t workersShare = 4;
+    constexpr size_t leastWorkers = 2;
     /// Room that runs are expected to leave is kept for them on one of so many workers at a time, on one at least, and
     /// for so long.
     constexpr size_t expectingShare = 8;
@@ -27,6 +29,12 @@
     constexpr Common::Duration answerSpan = std::chrono::milliseconds(600);
     /// How long it is kept after that: a transfer is written and sent, and its receipt is written.
     constexpr Common::Duration arrivalSpan = std::chrono::seconds(2);
+    /// A step isn't offered room again within this time: a transfer of its job may be under way.
+    constexpr Common::Duration pauseAfterAnswer = std::chrono::milliseconds(100);
+    /// Among steps that have waited for long, each cell has its own order: cells with room would otherwise call for the
+    /// same tasks at a time.
+    constexpr Common::Duration longWait = std::chrono::seconds(4);
+    constexpr uint64_t spreadMilliseconds = 1000;
     /// How long a promise is remembered: longer than a load takes to reach this cell.
     constexpr Common::Duration promiseMemory = std::chrono::seconds(10);
 
@@ -70,10 +78,8 @@
     }
     if (wanted.size() <= most)
         return wanted;
-    // Each step has its turn.
-    m_nextWanted %= wanted.size();
-    std::rotate(wanted.begin(), wanted.begin() + static_cast<std::ptrdiff_t>(m_nextWanted), wanted.end());
-    m_nextWanted += most;
+    // Turns could fall into step with those of the loads' receivers.
+    std::shuffle(wanted.begin(), wanted.end(), m_runtime.random());
     wanted.resize(most);
     return wanted;
 }
@@ -94,14 +100,20 @@
         promised += worker->reservation && worker->reservation->promisedUntil && worker->reservation->made ? 1 : 0;
         largest = Common::largerOf(largest, worker->freeAfterEnds());
     }
-    const size_t most = std::max<size_t>(1, listed / workersShare);
+    const size_t most = std::max<size_t>(leastWorkers, listed / workersShare);
     const size_t mostExpected = std::max<size_t>(1, listed / expectingShare);
     if (promised >= most)
         return;
     const std::vector<WantedRoom> wanted = m_peerCells.wantedRoom(m_id, largest);
     std::vector<Policy::RoomClaim> claims;
-    for (const WantedRoom& want : wanted)
-        claims.push_back({ want.question.priority, want.waited });
+    claims.reserve(wanted.size());
+    for (const WantedRoom& want : wanted) {
+        const Jobs::TaskName& task = want.question.task;
+        const uint64_t lot = Common::rendezvousWeight(
+            m_id.value(), task.job.value() + std::to_string(task.occurrence) + "." + std::to_string(task.step));
+        claims.push_back({ want.question.priority,
+            std::min<Common::Duration>(want.waited, longWait) + std::chrono::milliseconds(lot % spreadMilliseconds) });
+    }
     for (const size_t index : Policy::rankRoomClaims(claims)) {
         if (promised >= most)
             return;
@@ -167,7 +179,7 @@
     if (found == m_promises.end())
         return want.question.spec.taskCount;
     const Promise& promise = found->second;
-    if (!promise.answered)
+    if (!promise.answered || m_runtime.now() - promise.at < pauseAfterAnswer)
         return 0;
     return want.heardAt > promise.at ? want.question.spec.taskCount : promise.tasksLeft;
 }
@@ -188,6 +200,7 @@
     if (chosen.empty())
         return 0;
     std::vector<std::pair<CellWorker*, uint32_t>> rooms;
+    rooms.reserve(chosen.size());
     for (const Policy::KeptRoom& room : chosen)
         rooms.emplace_back(workers[room.worker], room.tasks);
     promise(want, waiting, rooms);
@@ -212,65 +225,68 @@
         tasks += count;
         names += (names.empty() ? "" : ",") + worker->id().value();
     }
-    m_promises[{ want.cell, step }] = { now, false, tasks, waiting - tasks };
+    m_promises[{ want.cell, step }] = { now, false, 0 };
     LC_INFO(Jobs,
         "event=room-promised task=" << runName({ question.task, {} }) << " cell=" << m_id.value()
                                     << " to=" << want.cell.value() << " tasks=" << tasks << " workers=" << names
                                     << " heard-ms=" << (now - want.heardAt) / std::chrono::milliseconds(1));
     m_peerCells.offerRoom(want.cell, { question.task, m_id, tasks },
-        m_lifetime.guard([this, cell = want.cell, step](const Common::Result<uint32_t>& taken) {
-            notePromiseAnswer(cell, step, taken ? *taken : 0);
-        }));
+        m_lifetime.guard([this, cell = want.cell, step](
+                             const Common::Result<TakenRoom>& taken) { notePromiseAnswer(cell, step, taken); }));
 }
 
-void CellEngine::notePromiseAnswer(const CellId& cell, const Jobs::TaskName& step, uint32_t taken)
+void CellEngine::notePromiseAnswer(
+    const CellId& cell, const Jobs::TaskName& step, const Common::Result<TakenRoom>& taken)
 {
     const Common::MonotonicTime now = m_runtime.now();
     LC_INFO(Jobs,
-        "event=room-promise-answered task=" << runName({ step, {} }) << " cell=" << m_id.value()
-                                            << " to=" << cell.value() << " taken=" << taken);
-    if (const auto found = m_promises.find({ cell, step }); found != m_promises.end()) {
-        Promise& promise = found->second;
-        promise.at = now;
-        promise.answered = true;
-        promise.tasksLeft = taken < promise.tasks ? 0 : promise.tasksLeft;
-    }
+        "event=room-promise-answered task="
+            << runName({ step, {} }) << " cell=" << m_id.value() << " to=" << cell.value()
+            << (taken ? " taken=" + std::to_string(taken->tasks) + " waiting=" + std::to_string(taken->waiting)
+                      : std::string(" reason=") + std::string(Common::errorName(taken.reason().code))));
+    if (const auto found = m_promises.find({ cell, step }); found != m_promises.end())
+        found->second = { now, true, taken ? taken->waiting : 0 };
+    // Without an answer tasks may be on their way.
+    const bool isDeclined = taken ? taken->tasks == 0 : taken.reason().code == Common::ErrorCode::NotOwner;
     for (const auto& [id, worker] : m_workers.all()) {
         if (!worker->reservation || !worker->reservation->promisedUntil || !worker->reservation->isFor(step))
             continue;
-        if (taken == 0)
+        if (isDeclined)
             endReservation(*worker, "declined");
         else
             worker->reservation->promisedUntil = now + arrivalSpan;
     }
-    if (taken > 0)
+    if (!isDeclined) {
+        std::erase_if(m_roomOffered, [now](const auto& row) { return now - row.second >= promiseMemory; });
         m_roomOffered[step] = now;
+    }
     // The next one doesn't wait.
     m_freeRoomOfferedAt = {};
     schedulePlacement();
 }
 
-uint32_t CellEngine::takeRoom(const PromisedRoom& room)
+TakenRoom CellEngine::takeRoom(const PromisedRoom& room)
 {
     LiveJob* const job = m_closed || m_releasing || !mayGrant() ? nullptr : findJob(room.task.job);
     if (!job || isFinal(job->phase()))
-        return 0;
+        return {};
     const auto occurrence = job->occurrences().find(room.task.occurrence);
     if (occurrence == job->occurrences().end() || room.task.step >= occurrence->second.steps.size()
         || (job->spec().isScheduled() && !m_peerCells.takesScheduledTasks(room.cell)))
-        return 0;
+        return {};
+    const LiveStep& step = occurrence->second.steps[room.task.step];
     const Candidate candidate { job, room.task.occurrence, room.task.step, {} };
     const std::optional<Jobs::TaskName> name = taskForFreeRoom(candidate);
     if (!name)
-        return 0;
+        return { 0, m_committer.isTransferring(job->id()) ? step.waitingCount : 0 };
     CellWorker* const reserved = reservedWorker(*name);
     const bool isMakingRoom = reserved && reserved->reservation->made;
-    if (isMakingRoom && occurrence->second.steps[room.task.step].waitingCount == 1)
-        return 0;
+    if (isMakingRoom && step.waitingCount == 1)
+        return {};
     const uint32_t given = giveTasks(*job, candidate, room.cell, room.tasks);
     if (given > 0 && reserved && !isMakingRoom)
         endReservation(*reserved, "transferred");
-    return given;
+    return { given, step.waitingCount };
 }
 
 } // namespace Cells
--- a/Source/Core/Cells/CellEngineRoomMaking.cpp
+++ b/Source/Core/Cells/CellEngineRoomMaking.cpp
@@ -244,6 +244,9 @@
 /// Whether a long-running task may have the worker in place of the step for which it is reserved.
 bool CellEngine::mayTakeOver(const CellWorker::Reservation& reservation) const
 {
+    // Nobody was told yet of room that is only expected.
+    if (reservation.promisedUntil)
+        return !reservation.made;
     const auto job = m_jobs.find(reservation.step.job);
     return job != m_jobs.end() && !job->second->stepSpec(reservation.step.step).longRunning;
 }
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -54,6 +54,8 @@
     constexpr size_t maximumSentPressureEstimates = 60;
     /// Steps that want room, of each cell in one round: some 60 bytes each.
     constexpr size_t mostWantedSent = 4;
+    /// How long a step counts that was left out of later loads of its cell, which name some of several.
+    constexpr Common::Duration wantedMemory = std::chrono::seconds(4);
     /// Loads are sent to this many hosts of the own domain and of other domains in each round, to all in rotation.
     constexpr size_t loadReceiversInDomain = 2;
     constexpr size_t loadReceiversElsewhere = 6;
@@ -126,6 +128,24 @@
         return std::nullopt;
     }
 
+    /// Notes when the steps of a new load were heard of, and adds those of the load before that it may have left out.
+    void keepWanted(const std::vector<WantedRoom>& before, std::vector<WantedRoom>& wanted, Common::MonotonicTime now)
+    {
+        for (WantedRoom& want : wanted)
+            want.heardAt = now;
+        if (wanted.size() < mostWantedSent)
+            return;
+        for (const WantedRoom& earlier : before) {
+            const bool isNamed = std::any_of(wanted.begin(), wanted.end(), [&earlier](const WantedRoom& want) {
+                const Jobs::TaskName& a = want.question.task;
+                const Jobs::TaskName& b = earlier.question.task;
+                return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+            });
+            if (!isNamed && now - earlier.heardAt < wantedMemory)
+                wanted.push_back(earlier);
+        }
+    }
+
 } // namespace
 
 /// A takeover in progress.
@@ -412,6 +432,7 @@
     if (found == m_owners.end() || found->second.id != report.owner || found->second.token != cell.token
         || found->second.loadVersion >= report.version)
         return;
+    keepWanted(found->second.load.wantedRoom, cell.load.wantedRoom, m_ports.runtime.now());
     found->second.load = std::move(cell.load);
     found->second.loadVersion = report.version;
     found->second.loadReceivedAt = m_ports.runtime.now();
@@ -1123,7 +1144,7 @@
               const Common::Callback<Policy::RoomOffer>& callback) { askForRoom(cell, question, callback); },
         .wantedRoom = [this](const CellId& self, const Common::Resources& room) { return wantedRoom(self, room); },
         .offerRoom = [this](const CellId& cell, const PromisedRoom& room,
-                         const Common::Callback<uint32_t>& callback) { offerRoom(cell, room, callback); },
+                         const Common::Callback<TakenRoom>& callback) { offerRoom(cell, room, callback); },
         .takesScheduledTasks =
             [this](const CellId& cell) {
                 const Owner* const other = m_engines.contains(cell) ? nullptr : liveOwner(cell);
@@ -1273,13 +1294,12 @@
                 continue;
             found.push_back(want);
             found.back().cell = cell;
-            found.back().heardAt = other ? other->loadReceivedAt : m_ports.runtime.now();
         }
     }
     return found;
 }
 
-void CellOwnership::offerRoom(const CellId& cell, const PromisedRoom& room, const Common::Callback<uint32_t>& callback)
+void CellOwnership::offerRoom(const CellId& cell, const PromisedRoom& room, const Common::Callback<TakenRoom>& callback)
 {
     const Owner* const owner = engine(cell) ? nullptr : liveOwner(cell);
     if (owner && m_promiseMessenger) {
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -130,7 +130,7 @@
     void setRoomMessenger(RoomMessenger messenger) { m_roomMessenger = std::move(messenger); }
     /// Offers the owner of a cell at `address` room that is kept for its tasks. JobGateway sets it.
     using PromiseMessenger = std::function<void(
-        const std::string& address, const CellId&, const PromisedRoom&, Common::Callback<uint32_t>)>;
+        const std::string& address, const CellId&, const PromisedRoom&, Common::Callback<TakenRoom>)>;
     void setPromiseMessenger(PromiseMessenger messenger) { m_promiseMessenger = std::move(messenger); }
     /// Releases the cell if this host owns it and is late; another host that is in time asks for it.
     void releaseIfLate(const CellId&);
@@ -213,7 +213,7 @@
         const CellId& self, const Common::ServiceName&, const Jobs::StepSpec&, CellLoad::RoomKind) const;
     Common::Duration oldestLoad(const CellId& self) const;
     std::vector<WantedRoom> wantedRoom(const CellId& self, const Common::Resources& room) const;
-    void offerRoom(const CellId&, const PromisedRoom&, const Common::Callback<uint32_t>&);
+    void offerRoom(const CellId&, const PromisedRoom&, const Common::Callback<TakenRoom>&);
     std::optional<std::string> addressForParts(const CellId&);
     void sendPartMessage(const std::string& address, const CellId&, const PartMessage&, Common::Duration timeout,
         const Common::Callback<Common::Done>&);
--- a/Source/Core/Cells/JobGateway.cpp
+++ b/Source/Core/Cells/JobGateway.cpp
@@ -32,7 +32,6 @@
     constexpr const char* roomMethod = "cell.room";
     constexpr const char* takeRoomMethod = "cell.take-room";
     constexpr const char* cellMember = "cell";
-    constexpr const char* tasksMember = "tasks";
     /// Time for the owner of a cell to say whether it can make room; it makes no call of its own for that.
     constexpr Common::Duration roomTimeout = std::chrono::milliseconds(300);
     /// Time for a host that knows the loads of all cells to choose one; it makes no call of its own for that.
@@ -242,13 +241,12 @@
             });
     });
     m_cellOwnership.setPromiseMessenger([this](const std::string& address, const CellId& cell, const PromisedRoom& room,
-                                            Common::Callback<uint32_t> callback) {
+                                            Common::Callback<TakenRoom> callback) {
         Json params = promisedRoomToJson(room);
         params[cellMember] = cell.value();
         m_peers.call(address, takeRoomMethod, params, roomTimeout,
             [callback = std::move(callback)](const Common::Result<Json>& answer) {
-                callback(answer ? Common::Result<uint32_t>(countOf(*answer, tasksMember).value_or(0))
-                                : Common::Result<uint32_t>(answer.reason()));
+                callback(answer ? takenRoomFromJson(*answer) : Common::Result<TakenRoom>(answer.reason()));
             });
     });
     m_peers.serve(takeRoomMethod,
@@ -402,7 +400,7 @@
         return;
     }
     if (const auto room = promisedRoomFromJson(params))
-        reply(Json { { tasksMember, engine->takeRoom(*room) } });
+        reply(takenRoomToJson(engine->takeRoom(*room)));
     else
         reply(room.reason());
 }
--- a/Source/Core/Cells/PromisedRoom.cpp
+++ b/Source/Core/Cells/PromisedRoom.cpp
@@ -16,6 +16,7 @@
     constexpr const char* taskMember = "task";
     constexpr const char* roomMember = "room";
     constexpr const char* tasksMember = "tasks";
+    constexpr const char* waitingMember = "waiting";
 
 } // namespace
 
@@ -42,4 +43,19 @@
     }
 }
 
+Json takenRoomToJson(const TakenRoom& taken)
+{
+    return Json { { tasksMember, taken.tasks }, { waitingMember, taken.waiting } };
+}
+
+Common::Result<TakenRoom> takenRoomFromJson(const Json& value)
+{
+    try {
+        const JsonField object(value, "the answer to promised room");
+        return TakenRoom { object[tasksMember].count(), object[waitingMember].count() };
+    } catch (const Common::JsonFault& fault) {
+        return Common::Failure { Common::ErrorCode::MalformedRequest, fault.what(), std::nullopt };
+    }
+}
+
 } // namespace Cells
