--- a/Source/UnitTests/Cells/CellLoadTest.cpp
+++ b/Source/UnitTests/Cells/CellLoadTest.cpp
@@ -91,8 +91,8 @@
     nlohmann::json old = nlohmann::json::parse(heartbeat.encode());
     old.erase("changing");
     // What later versions append.
-    REQUIRE(old["cells"][0].size() == 16);
-    for (const size_t element : { 15, 14, 13, 12 })
+    REQUIRE(old["cells"][0].size() == 17);
+    for (const size_t element : { 16, 15, 14, 13, 12 })
         old["cells"][0].erase(element);
     const auto earlier = Cells::HostHeartbeat::decode(old.dump());
     REQUIRE(earlier);
