--- a/Source/UnitTests/Cells/ScriptedOrders.h
+++ b/Source/UnitTests/Cells/ScriptedOrders.h
@@ -70,6 +70,7 @@
                     if (!keepsRuns)
                         worker.clearAllocations();
                 },
+            .startUnanswered = [] {},
             .fenced = [] {},
             .acknowledge = [](Cells::CellWorker&) {},
             .dropped = [] {},
