Take an order that found no connection for one that wasn't sent

Cause: CellWorkers::sendStart sets the allocation's token before the call and kept it when the connection failed. When the worker then started again before the next copy was due, the order counted as one that the former or the present life may have carried out (CellEngine::onRunsCleared), so the task was held until the new life answered, or for up to 22.3 s.

Change: when a copy has failed with ConnectFailed, no earlier copy was left unanswered and the worker hasn't listed the run, the token is taken back. The order is withdrawn while the worker is silent, and sent to the new life otherwise. One that a restart has made uncertain meanwhile stays so.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -784,6 +784,9 @@
                     ordered->startOutcomeUnknown = true;
                     ordered->startUnansweredSince = sentAt;
                 }
+                // A life that starts now can't have the run either.
+                if (ordered && !mayArrive && !ordered->startOutcomeUnknown && !ordered->reportedRunning)
+                    ordered->token = {};
                 if (mayArrive) {
                     LC_INFO(Worker,
                         "event=start-unanswered run=" << runName(run) << " worker=" << id.value()
--- a/Source/Core/Cells/RunAllocation.h
+++ b/Source/Core/Cells/RunAllocation.h
@@ -46,8 +46,8 @@
     Common::MonotonicTime startUnansweredSince;
     /// Whether it was logged that the run is kept although the lease of its silent worker has passed.
     bool heldLogged = false;
-    /// Token of the last start order, or of the worker when it listed the run; a value of 0 if no order was sent. Lower
-    /// than the worker's token after the worker has started anew.
+    /// Token of the last start order, or of the worker when it listed the run; a value of 0 if no order was sent, or
+    /// none can have arrived. Lower than the worker's token after the worker has started anew.
     FencingToken token;
     /// Whether a stop order was sent or is about to be.
     bool stopping = false;
