--- a/Source/UnitTests/Cells/OfferedRoomTest.cpp
+++ b/Source/UnitTests/Cells/OfferedRoomTest.cpp
@@ -142,3 +142,38 @@
         CHECK(world.judge.summary() == "");
     }
 }
+
+// Guards against LOST (issue 58): whoever asked within a moment was offered the same free room, and most came too late.
+TEST_CASE("free room and room by ends that were offered to one step aren't offered to others")
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        CellWorld world(seed);
+        world.addWorkers("yard", 1, workerMilliCores);
+        world.addHost("yard", "yard:1");
+        world.clock.advance(8s);
+        Cells::CellEngine* const yard = world.live().front()->cellOwnership.engine(Cells::CellId("yard-0"));
+        REQUIRE(yard);
+        const auto ask = [yard](uint64_t number) {
+            Jobs::JobRecord record = CellWorld::service(number, 1);
+            record.spec.steps[0].resources.milliCores = serviceMilliCores;
+            return yard->offerRoom({ { record.id, 0, 0, 0 }, record.policy.service, 1, record.spec.steps[0] });
+        };
+        CHECK(std::holds_alternative<Policy::FreeRoom>(ask(1)));
+        CHECK(std::holds_alternative<Policy::FreeRoom>(ask(1)));
+        CHECK_FALSE(std::holds_alternative<Policy::FreeRoom>(ask(2)));
+        // The task never came.
+        world.clock.advance(1s);
+        CHECK(std::holds_alternative<Policy::FreeRoom>(ask(2)));
+        world.clock.advance(1s);
+        Jobs::JobRecord busy = CellWorld::job(50, "run:5000", 1);
+        busy.spec.steps[0].resources.milliCores = workerMilliCores;
+        busy.spec.steps[0].estimate = 5s;
+        world.judge.submitted[busy.id] = busy.spec;
+        yard->submit(busy, Cells::CellEngine::Fit::Any, [](const Common::Result<Cells::AcceptOutcome>&) {});
+        world.clock.advance(500ms);
+        CHECK(std::holds_alternative<Policy::RoomByEnds>(ask(3)));
+        CHECK(std::holds_alternative<Policy::NoRoom>(ask(4)));
+        CHECK(world.judge.summary() == "");
+    }
+}
