--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -333,6 +333,8 @@
     void concludeInquiry(LiveJob&, const Jobs::TaskName&);
     void logRoomSearches();
     uint32_t tasksWithRoom(const CellWorker&, const RoomQuestion&) const;
+    uint32_t keepFreeRoom(const RoomQuestion&);
+    Policy::RoomOffer offerRoomByEnds(const RoomQuestion&);
     /// Whether the cell has lately offered room for the step, so that its tasks stay here for now.
     bool hasOfferedRoom(const LiveJob&, const Candidate&) const;
     /// Whether room on the worker was offered for another task that is on its way or waits here.
@@ -346,8 +348,17 @@
         Jobs::TaskName task;
     };
     std::vector<WaitingStep> stepsWithoutRun() const;
+    /// Workers with room that is kept for tasks of other cells: room that is free, and room that runs are expected to
+    /// leave.
+    struct KeptWorkers {
+        size_t promised = 0;
+        size_t mostPromised = 0;
+        size_t expected = 0;
+        size_t mostExpected = 0;
+    };
+    KeptWorkers keptWorkers() const;
     void offerFreeRoom();
-    void expectRoom(const WantedRoom&);
+    bool expectRoom(const WantedRoom&);
     void promiseExpectedRoom();
     size_t promiseRoom(const WantedRoom&, uint32_t waiting, size_t mostWorkers);
     void promise(const WantedRoom&, uint32_t waiting, const std::vector<std::pair<CellWorker*, uint32_t>>& rooms);
--- a/Source/Core/Cells/CellEngineInquiries.cpp
+++ b/Source/Core/Cells/CellEngineInquiries.cpp
@@ -17,10 +17,6 @@
     constexpr Common::Duration lookInterval = std::chrono::milliseconds(500);
     /// Rounds of questions of a cell that are under way at a time.
     constexpr size_t mostRoundsUnderWay = 4;
-    /// Room that was offered is kept on one of so many workers at a time: free room, and room that ends make.
-    constexpr size_t keptShare = 4;
-    constexpr size_t leastWorkersKept = 2;
-    constexpr size_t expectingShare = 8;
     /// Tasks for which a worker's free room is offered at a time.
     constexpr uint32_t mostTasksOffered = 64;
     /// How long a cell keeps tasks for which it has offered room: a transfer, the stops and the start take a part of
@@ -186,59 +182,69 @@
     return tasks;
 }
 
-Policy::RoomOffer CellEngine::offerRoom(const RoomQuestion& question)
+/// Reserves free room for tasks of the step, so that others who ask get what is left. Returns for how many.
+uint32_t CellEngine::keepFreeRoom(const RoomQuestion& question)
 {
-    if (m_closed || m_releasing || !mayGrant() || hasUncontactedWorkers())
-        return Policy::NoRoom {};
     const Common::MonotonicTime now = m_runtime.now();
     const Common::Resources needed = allocationFor(question.spec).held;
-    std::optional<Common::Duration> wait;
-    CellWorker* earliest = nullptr;
+    const KeptWorkers kept = keptWorkers();
+    size_t promised = kept.promised;
     uint32_t free = 0;
-    size_t listed = 0;
-    size_t kept = 0;
-    size_t expecting = 0;
-    for (const auto& [id, worker] : m_workers.all()) {
-        const bool isPromised = worker->reservation && worker->reservation->promisedUntil;
-        listed += worker->listed ? 1 : 0;
-        kept += isPromised && worker->reservation->made ? 1 : 0;
-        expecting += isPromised && !worker->reservation->made ? 1 : 0;
-    }
     for (const auto& [id, worker] : m_workers.all()) {
         const bool reservedForOther = worker->reservation && !worker->reservation->isFor(question.task);
-        if (!isOpenTo(*worker, question) || reservedForOther)
+        if (reservedForOther || !isOpenTo(*worker, question) || (!worker->reservation && promised >= kept.mostPromised))
             continue;
         const uint32_t tasks = std::min(tasksWithRoom(*worker, question), question.spec.taskCount - free);
-        const std::optional<Common::Duration> untilRoom = timeUntilRoom(*worker, needed);
-        if (untilRoom && (!wait || *untilRoom < *wait)) {
-            wait = untilRoom;
-            earliest = worker.get();
-        }
-        if (tasks == 0 || (!worker->reservation && kept >= std::max<size_t>(leastWorkersKept, listed / keptShare)))
-            continue;
         free += tasks;
-        if (worker->reservation)
+        if (tasks == 0 || worker->reservation)
             continue;
-        // Others that ask get what is left.
         Common::Resources all;
         for (uint32_t task = 0; task < tasks; ++task)
             all += needed;
         worker->reservation = CellWorker::Reservation { stepOf(question.task), all, now, true, now + arrivalSpan };
-        ++kept;
+        ++promised;
     }
-    if (free > 0)
-        return Policy::FreeRoom { free };
-    const std::optional<RoomPlan> plan = planRoom(question);
-    if (!plan && !wait)
+    return free;
+}
+
+/// Reserves the worker on which ends make room first, alike.
+Policy::RoomOffer CellEngine::offerRoomByEnds(const RoomQuestion& question)
+{
+    const Common::Resources needed = allocationFor(question.spec).held;
+    CellWorker* earliest = nullptr;
+    std::optional<Common::Duration> wait;
+    for (const auto& [id, worker] : m_workers.all()) {
+        const bool reservedForOther = worker->reservation && !worker->reservation->isFor(question.task);
+        if (reservedForOther || !isOpenTo(*worker, question))
+            continue;
+        const std::optional<Common::Duration> untilRoom = timeUntilRoom(*worker, needed);
+        if (untilRoom && (!wait || *untilRoom < *wait)) {
+            wait = untilRoom;
+            earliest = worker.get();
+        }
+    }
+    if (!earliest)
         return Policy::NoRoom {};
-    if (!plan) {
-        if (earliest->reservation)
-            return Policy::RoomByEnds { *wait };
-        if (expecting >= std::max<size_t>(1, listed / expectingShare))
+    if (!earliest->reservation) {
+        const KeptWorkers kept = keptWorkers();
+        if (kept.expected >= kept.mostExpected)
             return Policy::NoRoom {};
+        const Common::MonotonicTime now = m_runtime.now();
         earliest->reservation = CellWorker::Reservation { stepOf(question.task), needed, now, false, now + offerSpan };
-        return Policy::RoomByEnds { *wait };
     }
+    return Policy::RoomByEnds { *wait };
+}
+
+Policy::RoomOffer CellEngine::offerRoom(const RoomQuestion& question)
+{
+    if (m_closed || m_releasing || !mayGrant() || hasUncontactedWorkers())
+        return Policy::NoRoom {};
+    const Common::MonotonicTime now = m_runtime.now();
+    if (const uint32_t free = keepFreeRoom(question); free > 0)
+        return Policy::FreeRoom { free };
+    const std::optional<RoomPlan> plan = planRoom(question);
+    if (!plan)
+        return offerRoomByEnds(question);
     std::erase_if(m_roomOffered, [now](const auto& row) { return now - row.second >= offerSpan; });
     m_roomOffered[stepOf(question.task)] = now;
     std::erase_if(m_offeredWorkers,
--- a/Source/Core/Cells/CellEngineOffers.cpp
+++ b/Source/Core/Cells/CellEngineOffers.cpp
@@ -92,18 +92,12 @@
     m_freeRoomOfferedAt = now;
     std::erase_if(m_promises, [now](const auto& row) { return now - row.second.at >= promiseMemory; });
     promiseExpectedRoom();
-    size_t listed = 0;
-    size_t promised = 0;
+    KeptWorkers kept = keptWorkers();
+    if (kept.promised >= kept.mostPromised)
+        return;
     Common::Resources largest;
-    for (const auto& [id, worker] : m_workers.all()) {
-        listed += worker->listed ? 1 : 0;
-        promised += worker->reservation && worker->reservation->promisedUntil && worker->reservation->made ? 1 : 0;
+    for (const auto& [id, worker] : m_workers.all())
         largest = Common::largerOf(largest, worker->freeAfterEnds());
-    }
-    const size_t most = std::max<size_t>(leastWorkers, listed / workersShare);
-    const size_t mostExpected = std::max<size_t>(1, listed / expectingShare);
-    if (promised >= most)
-        return;
     const std::vector<WantedRoom> wanted = m_peerCells.wantedRoom(m_id, largest);
     std::vector<Policy::RoomClaim> claims;
     claims.reserve(wanted.size());
@@ -115,20 +109,35 @@
             std::min<Common::Duration>(want.waited, longWait) + std::chrono::milliseconds(lot % spreadMilliseconds) });
     }
     for (const size_t index : Policy::rankRoomClaims(claims)) {
-        if (promised >= most)
+        if (kept.promised >= kept.mostPromised)
             return;
         const uint32_t waiting = tasksWithoutPromise(wanted[index]);
         if (waiting == 0)
             continue;
-        const size_t kept = promiseRoom(wanted[index], waiting, most - promised);
-        promised += kept;
-        if (kept == 0 && m_expectedRoom.size() < mostExpected)
-            expectRoom(wanted[index]);
+        const size_t promised = promiseRoom(wanted[index], waiting, kept.mostPromised - kept.promised);
+        kept.promised += promised;
+        if (promised == 0 && kept.expected < kept.mostExpected && expectRoom(wanted[index]))
+            ++kept.expected;
+    }
+}
+
+CellEngine::KeptWorkers CellEngine::keptWorkers() const
+{
+    KeptWorkers kept;
+    size_t listed = 0;
+    for (const auto& [id, worker] : m_workers.all()) {
+        listed += worker->listed ? 1 : 0;
+        if (worker->reservation && worker->reservation->promisedUntil)
+            ++(worker->reservation->made ? kept.promised : kept.expected);
     }
+    kept.mostPromised = std::max<size_t>(leastWorkers, listed / workersShare);
+    kept.mostExpected = std::max<size_t>(1, listed / expectingShare);
+    return kept;
 }
 
-/// Reserves the worker on which the ends of its runs make room for a task of the step first.
-void CellEngine::expectRoom(const WantedRoom& want)
+/// Reserves the worker on which the ends of its runs make room for a task of the step first. Returns whether there is
+/// one.
+bool CellEngine::expectRoom(const WantedRoom& want)
 {
     const Common::Resources needed = allocationFor(want.question.spec).held;
     CellWorker* earliest = nullptr;
@@ -143,7 +152,7 @@
         }
     }
     if (!earliest || *wait >= expectationSpan)
-        return;
+        return false;
     const Common::MonotonicTime now = m_runtime.now();
     earliest->reservation
         = CellWorker::Reservation { stepOf(want.question.task), needed, now, false, now + expectationSpan };
@@ -152,6 +161,7 @@
         "event=room-expected task=" << runName({ want.question.task, {} }) << " cell=" << m_id.value()
                                     << " for=" << want.cell.value() << " worker=" << earliest->id().value()
                                     << " wait-ms=" << *wait / std::chrono::milliseconds(1));
+    return true;
 }
 
 /// Calls for the tasks for which room was expected and is free by now.
