--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -155,8 +155,8 @@
     /// How the cell would make room for the task now. For a few seconds after an offer the cell gives the tasks of the
     /// step to no other cell.
     Policy::RoomOffer offerRoom(const RoomQuestion&);
-    /// Steps whose long-running tasks have lost their run and find no room here, at most `most`. If there are more,
-    /// each has its turn in the calls that follow.
+    /// Steps whose long-running tasks have lost their run and find no room here; random ones if there are more than
+    /// `most`.
     std::vector<WantedRoom> wantedRoom(size_t most);
     /// Transfers tasks to room that another cell keeps for them.
     TakenRoom takeRoom(const PromisedRoom&);
--- a/Source/Core/Cells/CellLoad.h
+++ b/Source/Core/Cells/CellLoad.h
@@ -39,8 +39,8 @@
     int64_t waitingBackfill = 0;
     /// Number of accepted jobs of which no task has started, by route.
     std::map<std::string, uint32_t> pending;
-    /// Some of the steps that want room in other cells; each of them has its turn. Empty in heartbeats of hosts of an
-    /// earlier version.
+    /// Steps that want room in other cells, random ones if there are many. Empty in heartbeats of hosts of an earlier
+    /// version.
     std::vector<WantedRoom> wantedRoom;
     /// Whether the owner can hold tasks of another cell's scheduled job. One of an earlier version would open all due
     /// occurrences of the job itself.
