--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -66,23 +66,16 @@
         return [run for run in self.runs if run.task.startswith(job + ".")]
 
 
-class LabelledWorker(Worker):
-    """A worker whose kind may change with its next life."""
+class PlainWorker(Worker):
+    """A worker whose lists of runs hold what the pages name, and nothing else."""
 
-    kind = "a"
     # Its machine has lost power.
     dark = False
 
-    def labels(self):
-        return [self.kind, self.rack]
-
-    def entry(self):
-        return dict(super().entry(), labels=self.labels())
-
     async def _hold(self, call_body, token, sent_at):
         answer = await super()._hold(call_body, token, sent_at)
-        if answer and answer[1] and "labels" in answer[1]:
-            answer[1]["labels"] = self.labels()
+        if answer and answer[1] and "running" in answer[1]:
+            answer = answer[0], {name: answer[1][name] for name in ("clock_ms", "born", "running", "ended")}
         return answer
 
 
@@ -119,7 +112,7 @@
         self.kept = []
         for index in range(workers):
             zone = ZONES[index % len(ZONES)]
-            worker = LabelledWorker(f"i-{index:04x}", f"{self.worker_ip}:{self.ports.take()}", zone,
+            worker = PlainWorker(f"i-{index:04x}", f"{self.worker_ip}:{self.ports.take()}", zone,
                                     f"r{ZONES.index(zone)}-{index // len(ZONES) // 4}", self.store, self.journal,
                                     behaviour, None, cpu=cpu)
             self.workers.append(worker)
@@ -152,7 +145,7 @@
         self.writers[worker.id] = set()
         self.servers[worker.id] = await asyncio.start_server(
             lambda reader, writer: self._serve(reader, writer, worker), *worker.address.split(":"))
-        self.note("worker-started", worker.id, f"labels={','.join(worker.labels())}", f"rack={worker.rack}")
+        self.note("worker-started", worker.id, f"cpu={worker.cpu}", f"rack={worker.rack}")
 
     def crash_worker(self, worker):
         """The worker's process ends: its port is closed and its connections are reset."""
