--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -69,9 +69,17 @@
 class PlainWorker(Worker):
     """A worker whose lists of runs hold what the pages name, and nothing else."""
 
+    # The label that names its kind; its next life may be of another one.
+    kind = "a"
     # Its machine has lost power.
     dark = False
 
+    def labels(self):
+        return [self.kind, self.rack]
+
+    def entry(self):
+        return dict(super().entry(), labels=self.labels())
+
     async def _hold(self, call_body, token, sent_at):
         answer = await super()._hold(call_body, token, sent_at)
         if answer and answer[1] and "running" in answer[1]:
@@ -145,7 +153,7 @@
         self.writers[worker.id] = set()
         self.servers[worker.id] = await asyncio.start_server(
             lambda reader, writer: self._serve(reader, writer, worker), *worker.address.split(":"))
-        self.note("worker-started", worker.id, f"cpu={worker.cpu}", f"rack={worker.rack}")
+        self.note("worker-started", worker.id, f"labels={','.join(worker.labels())}")
 
     def crash_worker(self, worker):
         """The worker's process ends: its port is closed and its connections are reset."""
