--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Workers that run a task crash and start again, one at a time; no run of the task ends `failed`."""
+"""A task that lasts ends by itself, as `done`; it has to be started again."""
 
 import asyncio
 import pathlib
@@ -8,49 +8,44 @@
 sys.path.insert(0, str(HERE.parent / "second"))
 import fleet as deployment  # noqa: E402
 
-WORK_S = 30.0
-CRASHES = 3
-AT_WORK_S = 4.0
-DOWN_S = 1.0
+ENDS_AFTER_S = 4.0
+# The rule: from 6 s after its last run, for 3 s; two more seconds for the judge's own delays.
+AWAY_S = 6.0
+LOST_S = 3.0
+SLACK_S = 2.0
+
+
+def behaviour(task):
+    first = task.endswith(".0.0.0") and task not in ended
+    if first and deployment.is_troubled():
+        ended.add(task)
+        return ENDS_AFTER_S, "done"
+    return None, "done"
+
+
+ended = set()
 
 
 async def play(fleet):
     job = deployment.new_id()
-    phases = [{"count": 1, "cpu": 4000, "mem_mb": 1024, "estimate_ms": int(WORK_S * 1000)}]
+    phases = [{"count": 3, "cpu": 1500, "mem_mb": 512, "estimate_ms": 400, "long_running": True}]
     if not await fleet.submit(job, phases):
         return None
-    for _ in range(CRASHES if deployment.is_troubled() else 0):
-        if not await fleet.until(lambda: running(fleet, job), 25):
-            return [f"{job} doesn't run for 25 s"]
-        await asyncio.sleep(AT_WORK_S)
-        run = running(fleet, job)
-        if not run:
-            break
-        worker = fleet.worker(run.worker)
-        fleet.crash_worker(worker)
-        await asyncio.sleep(DOWN_S)
-        await fleet.start_worker(worker)
+    if not await fleet.until(lambda: len(fleet.journal.of_job(job)) == 3, 15):
+        return None
+    await asyncio.sleep(ENDS_AFTER_S + 1)
     breaks = []
-    end = fleet.now() + WORK_S + 20
+    end = fleet.now() + AWAY_S + LOST_S + SLACK_S
     while fleet.now() < end:
-        state = await fleet.state(job, quiet=True)
-        if state == "failed":
-            await fleet.state(job)
-            failed = [run for run in fleet.journal.of_job(job) if run.how == "failed"]
-            breaks.append(f"{job} is shown as failed after {len(failed)} ends `failed`")
-            break
-        if state == "completed":
-            await fleet.state(job)
-            break
-        await asyncio.sleep(0.5)
-    else:
         await fleet.state(job)
-        breaks.append(f"{job} isn't completed {WORK_S + 20:.0f} s after the last crash")
+        await asyncio.sleep(1)
+    for index in range(3):
+        task = f"{job}.0.0.{index}"
+        runs = [run for run in fleet.journal.runs if run.task == task]
+        if all(run.ended_at is not None for run in runs):
+            away = fleet.now() - max(run.ended_at for run in runs)
+            breaks.append(f"{task} is to last and hasn't run for {away:.1f} s; its last run ended {runs[-1].how}")
     return breaks
 
 
-def running(fleet, job):
-    return next((run for run in fleet.journal.of_job(job) if run.ended_at is None), None)
-
-
-sys.exit(deployment.main(play, HERE, behaviour=lambda task: (WORK_S, "done")))
+sys.exit(deployment.main(play, HERE, behaviour=behaviour))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A task that lasts ends by itself, as `done`; it has to be started again."""
+"""A host is told to stop; clients cancel jobs on connections that they opened before."""
 
 import asyncio
 import pathlib
@@ -8,44 +8,54 @@
 sys.path.insert(0, str(HERE.parent / "second"))
 import fleet as deployment  # noqa: E402
 
-ENDS_AFTER_S = 4.0
-# The rule: from 6 s after its last run, for 3 s; two more seconds for the judge's own delays.
-AWAY_S = 6.0
-LOST_S = 3.0
-SLACK_S = 2.0
-
-
-def behaviour(task):
-    first = task.endswith(".0.0.0") and task not in ended
-    if first and deployment.is_troubled():
-        ended.add(task)
-        return ENDS_AFTER_S, "done"
-    return None, "done"
-
-
-ended = set()
+CLIENTS = 26
+FIRST_S = 2.4
+GAP_S = 0.1
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
 
 
 async def play(fleet):
-    job = deployment.new_id()
-    phases = [{"count": 3, "cpu": 1500, "mem_mb": 512, "estimate_ms": 400, "long_running": True}]
-    if not await fleet.submit(job, phases):
-        return None
-    if not await fleet.until(lambda: len(fleet.journal.of_job(job)) == 3, 15):
+    for worker in fleet.workers:
+        # The worker stops a run within half of this, so within the pages' stop_grace_ms.
+        worker.stop_grace = 0.78
+    jobs = [deployment.new_id() for _ in range(CLIENTS)]
+    phase = {"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 60000}
+    for job in jobs:
+        if not await fleet.submit(job, [phase]):
+            return None
+    if not await fleet.until(lambda: all(len(fleet.journal.of_job(job)) == 2 for job in jobs), 20):
         return None
-    await asyncio.sleep(ENDS_AFTER_S + 1)
+    host = fleet.hosts[0]
+    ip, port = host.front.rsplit(":", 1)
+    connections = [await asyncio.open_connection(ip, int(port)) for _ in jobs]
+    await asyncio.sleep(5)
+    stopped_at = fleet.now()
+    if deployment.is_troubled():
+        host.signal(15)
     breaks = []
-    end = fleet.now() + AWAY_S + LOST_S + SLACK_S
-    while fleet.now() < end:
-        await fleet.state(job)
-        await asyncio.sleep(1)
-    for index in range(3):
-        task = f"{job}.0.0.{index}"
-        runs = [run for run in fleet.journal.runs if run.task == task]
-        if all(run.ended_at is not None for run in runs):
-            away = fleet.now() - max(run.ended_at for run in runs)
-            breaks.append(f"{task} is to last and hasn't run for {away:.1f} s; its last run ended {runs[-1].how}")
+    await asyncio.gather(*(cancel(fleet, stopped_at, index, jobs[index], connections[index], breaks)
+                           for index in range(CLIENTS)))
     return breaks
 
 
-sys.exit(deployment.main(play, HERE, behaviour=behaviour))
+async def cancel(fleet, stopped_at, index, job, connection, breaks):
+    reader, writer = connection
+    await asyncio.sleep(max(0.0, stopped_at + FIRST_S + GAP_S * index - fleet.now()))
+    try:
+        writer.write((f"DELETE /desk/{job} HTTP/1.1\r\nHost: desk.example\r\nX-Deadline-Ms: 3000\r\n"
+                      "Content-Length: 0\r\n\r\n").encode())
+        sent_at = fleet.now()
+        data = await asyncio.wait_for(reader.read(4096), 3)
+    except (OSError, asyncio.TimeoutError) as error:
+        data = repr(error).encode()
+    took = fleet.now() - sent_at
+    status = data.split(b" ")[1].decode() if data.startswith(b"HTTP/1.1 ") else "none"
+    fleet.note("cancel", job, f"after-signal={sent_at - stopped_at:.3f}", f"status={status}", f"took={took:.3f}")
+    if status == "none" and LOSS_SLACK_S < took and sent_at + took < stopped_at + GRACE_S + 1:
+        breaks.append(f"DELETE {job}, sent {sent_at - stopped_at:.3f} s after SIGTERM, got no answer; its connection "
+                      f"ended {took:.3f} s after its last byte")
+    writer.close()
+
+
+sys.exit(deployment.main(play, HERE, behaviour=lambda task: (90.0, "done")))
