--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -230,17 +230,13 @@
             await asyncio.sleep(0.5)
         return False
 
-    async def owned_cells(self, host):
-        """How many cells the host owns, by its own metrics."""
-        try:
-            reader, writer = await asyncio.open_connection(host.ip, host.ports["control"])
-            writer.write(b"GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n")
-            text = (await asyncio.wait_for(reader.read(), 3)).decode()
-            writer.close()
-        except (OSError, asyncio.TimeoutError):
-            return 0
-        rows = [row for row in text.splitlines() if row.startswith("lavendercart_owned_cells")]
-        return int(float(rows[0].split()[-1])) if rows else 0
+    def starter_of(self, job):
+        """The host whose log says that it has ordered a run of the job; None if none does yet."""
+        for host in self.hosts:
+            log = pathlib.Path(self.logs.name) / f"{host.name}.{host.starts}.log"
+            if f"event=run-ordered run={job}." in log.read_text(encoding="utf-8", errors="replace"):
+                return host
+        return None
 
     async def state(self, job, host=None, quiet=False):
         status, answer = await self.call(host or next(host for host in self.hosts if host.up), "GET", f"/desk/{job}",
