--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -280,19 +281,19 @@
     """Plays a case: `play(fleet)` returns the breaks of the rule as texts, or None if the case couldn't run."""
     async def run():
         fleet = Fleet(folder, **settings)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        breaks = None
         try:
             await asyncio.wait_for(fleet.start(), 30)
             breaks = await asyncio.wait_for(play(fleet), limit_s - fleet.now())
-        except (asyncio.TimeoutError, RuntimeError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             fleet.note("not-run", repr(error))
             print("the case couldn't run:", repr(error))
             return NOT_RUN
         finally:
-            if not fleet.record.closed:
-                outcome = locals().get("breaks")
-                for text in outcome or []:
-                    fleet.note("BROKEN", text)
-                fleet.close()
+            for text in breaks or []:
+                fleet.note("BROKEN", text)
+            fleet.close()
         if breaks is None:
             print("the case couldn't run, see record.txt")
             return NOT_RUN
