A long-running task is never done: its run that ends as done is started again

Once all of its tasks had ended so the job was shown as completed; a gang ended with the first of its members.

Cause: CellEngine::onEnd passed each end `done` to LiveJob::markDone, which completed the task without regard to StepSpec::longRunning. A successor read the same flag from the job's record.

Change: markDone has no effect for long-running tasks, so that the engine treats their ends like any other end: the run is cleared, gang members are stopped, the task waits again. Records that earlier releases wrote are read without the flag.

Not changed: failedAttempts of a long-running task still grows by one entry for each failure. A job that an earlier release wrote as completed has no steps in its record and stays completed.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -616,17 +616,20 @@
                                    << " number=" << end.number << " expected=" << wasExpected);
         job->openStarted(end.task.occurrence, m_runtime.now(), m_runtime.wallMilliseconds());
         job->recordAttempt(end.task, end.attempt);
-        if (isRun(job->find(end.task), worker.id(), end.attempt))
+        if (isRun(job->find(end.task), worker.id(), end.attempt)) {
+            delayRestart(*job, end);
             job->clearRun(end.task);
-        if (end.end == RunEnd::Done) {
+        }
+        if (end.end == RunEnd::Done)
             recordRunOutcome(worker, *job, true);
+        const bool completesTask = end.end == RunEnd::Done && !job->isLongRunning(end.task);
+        if (completesTask)
             onDone(*job, end);
-        }
-        if (end.end != RunEnd::Done)
+        else
             stopOtherGangMembers(*job, run, GangMembers::NotReported);
         if (end.end == RunEnd::Failed)
             onFailed(*job, worker, end);
-        else if (end.end != RunEnd::Done)
+        else if (!completesTask)
             job->saveCheckpoint(end.task, end.checkpoint);
         if (!job->isDurable())
             markChanged(*job);
@@ -636,6 +639,23 @@
     worker.pendingEnds.push_back({ end.number, end.task.job, job ? job->changes() : 0 });
 }
 
+/// Delays the next start of a long-running task whose present run has ended by itself, if its runs keep ending soon.
+void CellEngine::delayRestart(LiveJob& job, const EndedTask& end)
+{
+    const bool endedByItself = end.end == RunEnd::Done || end.end == RunEnd::Failed;
+    if (!endedByItself || !job.isLongRunning(end.task))
+        return;
+    const Common::MonotonicTime now = m_runtime.now();
+    LiveTask& task = *job.find(end.task);
+    const Common::Duration pause = task.restarts.runEnded(now - task.run->orderedAt);
+    if (pause == Common::Duration::zero())
+        return;
+    task.notBefore = std::max(task.notBefore, now + pause);
+    LC_INFO(Jobs,
+        "event=restart-delayed run=" << runName({ end.task, end.attempt })
+                                     << " pause-ms=" << pause / std::chrono::milliseconds(1));
+}
+
 void CellEngine::onDone(LiveJob& job, const EndedTask& end)
 {
     // A run that was given up too early may have finished the work; then the run that replaced it is stopped.
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -195,6 +195,7 @@
     // Reports.
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
     void onEnd(CellWorker&, const EndedTask&);
+    void delayRestart(LiveJob&, const EndedTask&);
     void onDone(LiveJob&, const EndedTask&);
     void onFailed(LiveJob&, CellWorker&, const EndedTask&);
     void onRunning(CellWorker&, const RunningTask&);
--- a/Source/Core/Cells/LiveJob.cpp
+++ b/Source/Core/Cells/LiveJob.cpp
@@ -183,7 +183,7 @@
 bool LiveJob::markDone(const Jobs::TaskName& name)
 {
     LiveStep* const step = stepOf(name);
-    if (!step || name.index >= step->tasks.size())
+    if (!step || name.index >= step->tasks.size() || isLongRunning(name))
         return false;
     const bool gang = stepSpec(name.step).gang;
     bool changed = false;
--- a/Source/Core/Cells/LiveJob.h
+++ b/Source/Core/Cells/LiveJob.h
@@ -53,6 +53,11 @@
     /// Null if the occurrence isn't open or the task doesn't exist.
     LiveTask* find(const Jobs::TaskName&);
     const Jobs::StepSpec& stepSpec(uint32_t step) const { return m_record.spec.steps.at(step); }
+    /// False for a task of a step that the job doesn't have.
+    bool isLongRunning(const Jobs::TaskName& name) const
+    {
+        return name.step < m_record.spec.steps.size() && stepSpec(name.step).longRunning;
+    }
     /// Whether the tasks of the step may start: all steps that it depends on are complete.
     bool isStartable(const LiveOccurrence&, uint32_t step) const;
     bool hasStartedTask() const { return m_hasStartedTask; }
@@ -69,7 +74,8 @@
     void noteListed(const Jobs::TaskName&, uint32_t lastAttemptBefore);
     /// Removes the task's run; the task waits again unless it is done.
     void clearRun(const Jobs::TaskName&);
-    /// Records that a run succeeded; for a gang this completes the whole step. Returns whether anything changed.
+    /// Records that a run succeeded; for a gang this completes the whole step. Returns whether anything changed. No
+    /// effect for long-running tasks, which are never done.
     bool markDone(const Jobs::TaskName&);
     /// Records that an attempt failed; each attempt counts once. Returns whether the job's retry limit is used up.
     bool markFailed(const Jobs::TaskName&, Common::AttemptNumber);
--- a/Source/Core/Cells/LiveTask.h
+++ b/Source/Core/Cells/LiveTask.h
@@ -3,6 +3,7 @@
 
 #include "Cells/TaskRun.h"
 #include "Jobs/TaskProgress.h"
+#include "Policy/RestartBackoff.h"
 
 #include <optional>
 
@@ -12,8 +13,10 @@
     Jobs::TaskProgress progress;
     /// Empty if the task has no run.
     std::optional<TaskRun> run;
-    /// The task isn't started before this time, after a worker couldn't read its order.
+    /// The task isn't started before this time, after a worker couldn't read its order or its runs ended soon.
     Common::MonotonicTime notBefore;
+    /// Counts the runs of a long-running task that ended soon by themselves.
+    Policy::RestartBackoff restarts;
     /// Worker on which the last run failed or was stuck; another worker is preferred. Empty if there is none.
     Common::WorkerId avoid;
     /// The change of the job without which the task isn't started: the one that records its last crash or its receipt
--- a/Source/Core/Jobs/JobRecord.cpp
+++ b/Source/Core/Jobs/JobRecord.cpp
@@ -261,6 +261,17 @@
         putUnlessDefault(object, "giftsTaken", received);
     }
 
+    /// Earlier releases took a long-running task whose run had ended as done for completed.
+    void reopenLongRunning(const JobSpec& spec, JobRecord::OccurrenceProgress& steps)
+    {
+        for (size_t number = 0; number < std::min(steps.size(), spec.steps.size()); ++number) {
+            if (!spec.steps[number].longRunning)
+                continue;
+            for (TaskProgress& task : steps[number])
+                task.done = false;
+        }
+    }
+
     void readProgress(const JsonField& object, JobRecord& record)
     {
         record.finishedMilliseconds = amountFrom(object["finished"], Common::maximumClockMilliseconds);
@@ -279,6 +290,7 @@
             JobRecord::OccurrenceProgress steps;
             for (const Json& pair : row.element(1).list())
                 steps.push_back(stepProgressFromJson(JsonField(pair, "a step")));
+            reopenLongRunning(record.spec, steps);
             record.progress.emplace(row.element(0).count(), std::move(steps));
         }
     }
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -113,6 +113,12 @@
         });
     }
     size_t running() const { return m_runs.size(); }
+    /// Ends the task's run by itself, if it has one.
+    void endRun(const Jobs::TaskName& task, Cells::RunEnd how)
+    {
+        if (const auto run = m_runs.find(task); run != m_runs.end())
+            end(task, run->second.attempt, how);
+    }
     /// Differs from one life to the next.
     uint64_t life() const { return m_boot; }
     Common::WorkerTime leaseUntil() const { return m_leaseUntil; }
@@ -229,9 +235,9 @@
             extend(*request.leaseUntil);
         std::erase_if(m_ended, [&](const Cells::EndedTask& end) {
             const bool forgotten = end.number <= request.acknowledgedThrough;
-            if (forgotten && end.end == Cells::RunEnd::Done)
+            if (forgotten && completes(end.task, end.end))
                 m_judge.acknowledged(end.task);
-            if (forgotten && end.end == Cells::RunEnd::Done)
+            if (forgotten && completes(end.task, end.end))
                 forEachTwiceJudge(
                     [&](TwiceJudge& twice) { twice.acknowledged(m_entry.id.value(), end.task, end.attempt); });
             return forgotten;
@@ -362,7 +368,7 @@
         m_highestEnded[task] = std::max(m_highestEnded[task], attempt);
         m_judge.gone(m_entry.id.value(), task);
         forEachTwiceJudge([&](TwiceJudge& twice) { twice.gone(m_entry.id.value(), task); });
-        if (how == Cells::RunEnd::Done) {
+        if (completes(task, how)) {
             m_judge.done(m_entry.id.value(), task);
             forEachTwiceJudge([&](TwiceJudge& twice) { twice.done(m_entry.id.value(), task, attempt); });
         }
@@ -420,6 +426,11 @@
     {
         return m_judge.submitted.at(task.job).steps.at(task.step);
     }
+    /// Long-running tasks must be started again however they end.
+    bool completes(const Jobs::TaskName& task, Cells::RunEnd how) const
+    {
+        return how == Cells::RunEnd::Done && !stepOf(task).longRunning;
+    }
     double usedMilliCores(const Jobs::TaskName& task, const Run& run) const
     {
         return static_cast<double>(stepOf(task).resources.milliCores) * run.pace / fullPace;
--- a/Source/UnitTests/Jobs/JobRecordTest.cpp
+++ b/Source/UnitTests/Jobs/JobRecordTest.cpp
@@ -65,6 +65,19 @@
     CHECK(cancelled->spec.payload.empty());
 }
 
+// LOST: a record of an earlier release says that a long-running task is done; it must be started again.
+TEST_CASE("no long-running task of a decoded record is done")
+{
+    JobRecord record = sampleRecord();
+    record.spec.steps[0].longRunning = true;
+    record.progress.at(0)[1][1].done = true;
+    const auto read = JobRecord::decode(record.encode());
+    REQUIRE(read);
+    CHECK_FALSE(read->progress.at(0)[0][0].done);
+    CHECK(read->progress.at(0)[0][2].lastAttempt == 3);
+    CHECK(read->progress.at(0)[1][1].done);
+}
+
 TEST_CASE("malformed text fails with ProtocolError")
 {
     for (const char* const text : { "", "{", "[]", "{}", R"({"id":5})", R"({"id":"a","terms":{}})" })
