A stopping host answers each call that it has read before its process ends

Cause: EntryProcess::finish stopped the event loop 0.9 s before the end of the grace period although calls were under way, and until then every call was taken with its full timeout, however little time was left.

Change: JobApi::answerAllBy gives each call that is under way a final answer 0.9 s before the end of the grace period: a read fails with Draining (503), of other calls the outcome is unknown (504). The process then ends as soon as the last answer has had 100 ms to be sent, and 0.3 s before the end of the grace period in any case. This holds for all kinds of call: submissions, queries, cancellations and the count of pending jobs.

--- a/Source/LavendercartEntry/EntryProcess.cpp
+++ b/Source/LavendercartEntry/EntryProcess.cpp
@@ -44,8 +44,12 @@
     constexpr long connectionsToStore = 8;
     /// Round trips to other hosts and to the store take 60 ms at most.
     constexpr Common::Duration connectTimeout = std::chrono::milliseconds(400);
-    /// Part of the stop's grace period that is left for the last answers, before the process is killed.
+    /// Part of the stop's grace period that is left when the last calls get their final answers.
     constexpr Common::Duration stopMargin = std::chrono::milliseconds(900);
+    /// Part that is left when the process ends at the latest, before it is killed.
+    constexpr Common::Duration latestEndMargin = std::chrono::milliseconds(300);
+    /// Time in which an answer is written to its connection.
+    constexpr Common::Duration sendTime = std::chrono::milliseconds(100);
     /// The load balancer stops sending connections after two failed readiness checks, a second apart. Until then the
     /// process serves them.
     constexpr Common::Duration balancerDelay = std::chrono::milliseconds(3000);
@@ -197,8 +201,18 @@
     void updateWorkMetrics();
     void updateGossipMetrics();
     void flushLog();
+    /// When a stopping process may end, on the loop's clock, in ascending order.
+    struct EndTimes {
+        /// From then on it ends as soon as nothing is left to do.
+        Common::MonotonicTime earliest;
+        /// From then on it ends as soon as its answers are sent.
+        Common::MonotonicTime answersEnd;
+        /// It ends then in any case.
+        Common::MonotonicTime latest;
+    };
     void stop(Common::Duration grace);
-    void finish(Common::MonotonicTime notBefore, Common::MonotonicTime deadline);
+    bool mayEnd(const EndTimes&) const;
+    void finish(const EndTimes&);
 
     Http::EventLoop loop;
     Common::Metrics metrics;
@@ -335,16 +349,25 @@
     callServer.closeAfterAnswers();
     cellOwnership.drain([this] { handedOver = true; });
     const Common::MonotonicTime now = loop.now();
-    const Common::Duration latest = std::max(grace - stopMargin, stopPoll);
-    finish(now + std::min(balancerDelay, latest), now + latest);
+    const Common::Duration answersEnd = std::max(grace - stopMargin, stopPoll);
+    api.answerAllBy(now + answersEnd);
+    finish({ now + std::min(balancerDelay, answersEnd), now + answersEnd,
+        now + std::max(grace - latestEndMargin, answersEnd) });
 }
 
-void EntryProcess::Components::finish(Common::MonotonicTime notBefore, Common::MonotonicTime deadline)
+bool EntryProcess::Components::mayEnd(const EndTimes& times) const
 {
     const Common::MonotonicTime now = loop.now();
-    const bool isBusy = !handedOver || api.underWay() > 0 || jobGateway.pendingCancellations() > 0;
-    if (now < deadline && (now < notBefore || isBusy)) {
-        loop.schedule(stopPoll, [this, notBefore, deadline] { finish(notBefore, deadline); });
+    const bool hasAnswered = api.underWay() == 0 && now - api.lastAnswerAt() >= sendTime;
+    if (now >= times.answersEnd)
+        return hasAnswered || now >= times.latest;
+    return now >= times.earliest && hasAnswered && handedOver && jobGateway.pendingCancellations() == 0;
+}
+
+void EntryProcess::Components::finish(const EndTimes& times)
+{
+    if (!mayEnd(times)) {
+        loop.schedule(stopPoll, [this, times] { finish(times); });
         return;
     }
     LC_INFO(Core,
--- a/Source/LavendercartEntry/JobApi.cpp
+++ b/Source/LavendercartEntry/JobApi.cpp
@@ -5,6 +5,7 @@
 #include "Common/Overloaded.h"
 #include "Common/WorkTimes.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace Entry {
@@ -16,10 +17,14 @@
     /// Taken off a caller's timeout, so that the answer still reaches the caller.
     constexpr Common::Duration answerMargin = std::chrono::milliseconds(60);
     constexpr Common::Duration retryAfterNoConfig = std::chrono::seconds(1);
+    /// A stopping process takes no call that it would have to answer sooner than this: a call passes through another
+    /// host and the store.
+    constexpr Common::Duration shortestTimeWhenStopping = std::chrono::milliseconds(300);
 
 } // namespace
 
 struct JobApi::Call {
+    uint64_t number = 0;
     Http::Server::Responder respond;
     Common::MonotonicTime arrivedAt;
     Common::Duration timeout {};
@@ -47,8 +52,9 @@
 void JobApi::serve(const Http::Request& request, const Http::Server::Responder& respond)
 {
     const Common::WorkTimes::Scope work(Common::WorkKind::CallerCalls);
-    ++m_underWay;
     auto call = std::make_shared<Call>();
+    call->number = ++m_calls;
+    m_underWay.emplace(call->number, call);
     call->respond = respond;
     call->arrivedAt = m_runtime.now();
     call->method = request.method;
@@ -68,6 +74,14 @@
     call->timeout = Platform::timeoutOf(request, defaultTimeout) - answerMargin;
     const std::string_view rest = path.substr(route->prefix.size());
     call->job = std::string(rest);
+    if (m_answersEnd) {
+        const Common::Duration left = *m_answersEnd - call->arrivedAt;
+        if (left < shortestTimeWhenStopping) {
+            fail(call, { Common::ErrorCode::Draining, "the process is stopping", std::nullopt });
+            return;
+        }
+        call->timeout = std::min(call->timeout, left - answerMargin);
+    }
     auto read = Platform::readCall(request, rest);
     if (!read)
         fail(call, read.reason());
@@ -127,8 +141,11 @@
 
 void JobApi::answer(const std::shared_ptr<Call>& call, Http::Response response, const char* outcome)
 {
-    --m_underWay;
-    const Common::Duration took = m_runtime.now() - call->arrivedAt;
+    // The outcome of a call may become known after its final answer.
+    if (m_underWay.erase(call->number) == 0)
+        return;
+    m_lastAnswerAt = m_runtime.now();
+    const Common::Duration took = m_lastAnswerAt - call->arrivedAt;
     secondsOf(call->method).Observe(std::chrono::duration<double>(took).count());
     m_metrics.counter("lavendercart_calls_total", "Callers' calls by outcome", { { "outcome", outcome } }).Increment();
     // Successful reads change nothing and are by far the most frequent calls, so they are not logged.
@@ -154,4 +171,22 @@
     answer(call, Platform::failureAnswer(failure), std::string(Common::errorName(failure.code)).c_str());
 }
 
+void JobApi::answerAllBy(Common::MonotonicTime time)
+{
+    m_answersEnd = time;
+    m_runtime.schedule(time - m_runtime.now(), m_lifetime.guard([this] { answerAll(); }));
+}
+
+void JobApi::answerAll()
+{
+    // A copy, as each answer removes its call.
+    for (const auto& [number, call] : std::map(m_underWay)) {
+        if (call->method == "GET")
+            fail(call, { Common::ErrorCode::Draining, "the process stops before the answer is known", std::nullopt });
+        else
+            fail(call,
+                { Common::ErrorCode::OutcomeUnknown, "the process stops before the outcome is known", std::nullopt });
+    }
+}
+
 } // namespace Entry
