A worker gets work only by the entry of its present life

Cause: a new life took work as soon as it had answered a poll, but its labels, its service, its capacity and its state stood in the entry of the former life until the next round of the list's watch, which pauses for 0.8 s. An order that had found no connection was also sent again to a life that began meanwhile.

Change: CellWorker::isOpen() requires that the entry is of the life that reports (its start time is the same); placement, reservations, offers and the loads and rooms that other cells see use it. An entry of an earlier life than the present one is ignored, and a former life's `draining` evacuates nothing. When a report shows a life whose entry isn't known, the owner reads this one entry from the store (WorkerList::read), again every 400 ms, instead of waiting for the watch. A start order of which no copy can have arrived is withdrawn when its worker has started anew, so that its task is placed by the new entry.

Open: an order that is under way while the worker starts again can be accepted by the next life. Nothing in the order tells the worker's lives apart.

--- a/Source/Core/Cells/CellEngine.cpp
+++ b/Source/Core/Cells/CellEngine.cpp
@@ -30,6 +30,8 @@
     constexpr Common::Duration startUpTimeout = std::chrono::milliseconds(4500);
     /// Tasks that save their progress are moved off a leaving worker when it may leave within this time.
     constexpr Common::Duration evacuationTime = std::chrono::milliseconds(900);
+    /// Least time between two requests for the entry of a worker's present life.
+    constexpr Common::Duration entryRequestInterval = std::chrono::milliseconds(400);
     /// Progress of a long-running task that has started up, and the pace of a run that isn't slowed down.
     constexpr uint32_t fullPercent = 100;
     /// Smaller changes of pace, in percent, aren't sent. The limit is lower for a slow-down because it protects
@@ -332,7 +334,7 @@
     std::vector<int64_t> freeMilliCores;
     int64_t capacity = 0;
     for (const auto& [id, worker] : m_workers.all()) {
-        if (!worker->listed || worker->entry().draining || !worker->reachable)
+        if (!worker->isOpen())
             continue;
         freeMilliCores.push_back(worker->free().milliCores);
         capacity += worker->entry().capacity.milliCores;
@@ -552,8 +554,9 @@
     for (const auto& [id, worker] : m_workers.all()) {
         moveStuckRuns(*worker);
         moveStarvedRuns(*worker);
-        if (worker->entry().draining)
+        if (worker->entry().draining && worker->hasOwnEntry())
             evacuate(*worker);
+        requestOwnEntry(*worker);
     }
     leaveDisownedWorkers();
     // Workers that have reported to this owner refuse orders of earlier ones.
@@ -588,6 +591,7 @@
     }
     if (report.capacity)
         worker.updateCapacity(*report.capacity);
+    requestOwnEntry(worker);
     for (const EndedTask& end : report.ended) {
         if (end.number > worker.processedThrough)
             onEnd(worker, end);
@@ -602,6 +606,20 @@
     schedulePlacement();
 }
 
+/// Asks for the entry of a worker's present life if only that of a former one is known.
+void CellEngine::requestOwnEntry(CellWorker& worker)
+{
+    const Common::MonotonicTime now = m_runtime.now();
+    if (!worker.listed || !worker.reachable || worker.hasOwnEntry() || !m_onOutdatedEntry
+        || now - worker.entryRequestedAt < entryRequestInterval)
+        return;
+    worker.entryRequestedAt = now;
+    LC_INFO(Worker,
+        "event=entry-of-former-life worker=" << worker.id().value() << " entry=" << worker.entry().startedAtMilliseconds
+                                             << " life=" << worker.startedAtMilliseconds);
+    m_onOutdatedEntry(worker.id());
+}
+
 void CellEngine::onEnd(CellWorker& worker, const EndedTask& end)
 {
     const RunKey run { end.task, end.attempt };
@@ -1066,7 +1084,7 @@
     CellLoad load;
     load.takesScheduledTasks = true;
     for (const auto& [id, worker] : m_workers.all()) {
-        if (!worker->listed || worker->entry().draining || !worker->reachable)
+        if (!worker->isOpen())
             continue;
         addCapacity(worker->entry(), load);
         load.freeMilliCores += worker->free().milliCores;
@@ -1096,7 +1114,7 @@
     const std::vector<std::string> images(m_tails.backfillImages().begin(), m_tails.backfillImages().end());
     std::vector<int64_t> room(images.size(), 0);
     for (const auto& [id, worker] : m_workers.all()) {
-        if (!worker->listed || worker->entry().draining || !worker->reachable)
+        if (!worker->isOpen())
             continue;
         const int64_t unused = worker->unusedMilliCores() - worker->backfillMilliCores();
         if (unused <= 0)
--- a/Source/Core/Cells/CellEngine.h
+++ b/Source/Core/Cells/CellEngine.h
@@ -114,6 +114,9 @@
 
     /// Adds or updates a worker that the platform lists.
     void listWorker(const WorkerEntry&);
+    /// Sets what is called, again while it lasts, when the entry of a worker is of a former life of it. The present one
+    /// is to be passed to listWorker().
+    void onOutdatedEntry(std::function<void(const Common::WorkerId&)> hook) { m_onOutdatedEntry = std::move(hook); }
     /// Marks a worker as no longer listed by the platform; it gets no new runs.
     void unlistWorker(const Common::WorkerId&);
     bool knowsWorker(const Common::WorkerId& id) const { return m_workers.all().contains(id); }
@@ -194,6 +197,7 @@
 
     // Reports.
     void onReport(CellWorker&, const RunReport&, Common::MonotonicTime askedAt);
+    void requestOwnEntry(CellWorker&);
     void onEnd(CellWorker&, const EndedTask&);
     void delayRestart(LiveJob&, const EndedTask&);
     void onDone(LiveJob&, const EndedTask&);
@@ -496,6 +500,7 @@
     /// lives get runs, so that a successor knows where runs may be.
     std::map<Common::WorkerId, int64_t> m_recordedWorkers;
     std::function<void()> m_lost;
+    std::function<void(const Common::WorkerId&)> m_onOutdatedEntry;
     PeerCells m_peerCells;
     struct RecentTransfer {
         Common::MonotonicTime at;
--- a/Source/Core/Cells/CellEngineReservations.cpp
+++ b/Source/Core/Cells/CellEngineReservations.cpp
@@ -230,7 +230,7 @@
 {
     const CellWorker::Reservation& reservation = *worker.reservation;
     if (reservation.promisedUntil) {
-        if (!worker.listed || worker.entry().draining || !worker.reachable)
+        if (!worker.isOpen())
             return "worker-unavailable";
         return m_runtime.now() < *reservation.promisedUntil ? nullptr : "promise-lapsed";
     }
--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -75,7 +75,7 @@
 {
     ServiceRooms rooms;
     for (const auto& [id, worker] : m_workers.all()) {
-        if (!worker->listed || worker->entry().draining || !worker->reachable)
+        if (!worker->isOpen())
             continue;
         ServiceRoom& room = rooms[worker->entry().service];
         room.capacityMilliCores += worker->entry().capacity.milliCores;
@@ -291,7 +291,7 @@
 {
     const Common::MonotonicTime now = m_runtime.now();
     const WorkerEntry& entry = worker.entry();
-    if (!worker.listed || entry.draining || !worker.reachable || !worker.contacted)
+    if (!worker.isOpen() || !worker.contacted)
         return Policy::StartObstacle::Unavailable;
     if (!isRecorded(worker))
         return Policy::StartObstacle::Unrecorded;
--- a/Source/Core/Cells/CellOwnership.cpp
+++ b/Source/Core/Cells/CellOwnership.cpp
@@ -1115,6 +1115,7 @@
             removeEngine(cell);
             findAnnouncedOwner(cell);
         }));
+    engine->onOutdatedEntry([this](const Common::WorkerId& worker) { readEntry(worker); });
     LC_INFO(Jobs,
         "event=cell-owned cell=" << cell.value() << " token=" << token.value << " jobs=" << jobs << " unsettled="
                                  << unsettled << " lease-horizon-ms=" << leaseHorizon / std::chrono::milliseconds(1));
@@ -1414,6 +1415,20 @@
     }
 }
 
+/// The watch of the list tells of changes only after a pause, and of none while its connection is silent.
+void CellOwnership::readEntry(const Common::WorkerId& id)
+{
+    m_ports.workers.read(id, m_lifetime.guard([this, id](const Common::Result<std::optional<WorkerEntry>>& entry) {
+        const auto known = m_listedWorkers.find(id);
+        // The watch may have told of later changes meanwhile.
+        if (!entry || !*entry || known == m_listedWorkers.end()
+            || (*entry)->startedAtMilliseconds <= known->second.startedAtMilliseconds)
+            return;
+        known->second = **entry;
+        listWorker(**entry);
+    }));
+}
+
 void CellOwnership::listWorker(const WorkerEntry& entry)
 {
     const CellId cell = m_layout.cellOf(entry);
--- a/Source/Core/Cells/CellOwnership.h
+++ b/Source/Core/Cells/CellOwnership.h
@@ -226,6 +226,7 @@
     void listWorkers();
     void watchWorkers();
     void onWorkers(const WorkerChanges&);
+    void readEntry(const Common::WorkerId&);
     void listWorker(const WorkerEntry&);
 
     Ports m_ports;
--- a/Source/Core/Cells/CellWorker.cpp
+++ b/Source/Core/Cells/CellWorker.cpp
@@ -42,6 +42,8 @@
 
 void CellWorker::update(WorkerEntry entry)
 {
+    if (entry.startedAtMilliseconds != 0 && entry.startedAtMilliseconds < m_entry.startedAtMilliseconds)
+        return;
     const Common::Resources known = m_entry.capacity;
     const bool listedAnew = entry.capacity != std::exchange(m_listedCapacity, entry.capacity);
     m_entry = std::move(entry);
@@ -50,6 +52,12 @@
     m_entry.capacity = listedAnew ? smaller(known, m_listedCapacity) : known;
 }
 
+bool CellWorker::hasOwnEntry() const
+{
+    return startedAtMilliseconds == 0 || m_entry.startedAtMilliseconds == 0
+        || m_entry.startedAtMilliseconds == startedAtMilliseconds;
+}
+
 void CellWorker::updateCapacity(const Common::Resources& capacity)
 {
     m_reportsCapacity = true;
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -31,8 +31,14 @@
     /// The platform's entry, with the capacity as last known.
     const WorkerEntry& entry() const { return m_entry; }
     const Common::WorkerId& id() const { return m_entry.id; }
-    /// Replaces the platform's entry of the worker; keeps allocations and lease.
+    /// Replaces the platform's entry of the worker; keeps allocations and lease. No effect if the entry is of an
+    /// earlier life than the present entry.
     void update(WorkerEntry entry);
+    /// Whether the entry is of the present life: a next life may be of another kind, and only its own entry says so.
+    /// True if either life is unknown.
+    bool hasOwnEntry() const;
+    /// Whether runs may be started on it, as far as the platform's list and the last poll say.
+    bool isOpen() const { return listed && !m_entry.draining && reachable && hasOwnEntry(); }
     /// Takes over the capacity that the worker reports. Entries of the list, which may be older, then only lower it
     /// until the next report.
     void updateCapacity(const Common::Resources&);
@@ -106,6 +112,8 @@
     FencingToken token;
     /// Whether the present life has answered a call that carried its token.
     bool answered = false;
+    /// When the entry of the present life was last asked for; see hasOwnEntry().
+    Common::MonotonicTime entryRequestedAt;
     /// No runs are started before this time, after the worker refused one or got its order too late.
     Common::MonotonicTime noStartsBefore;
     /// Wall clock of the worker's last known start, in milliseconds; 0 if unknown. A change means that it rebooted.
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -189,9 +189,10 @@
     }
     const bool rebooted = entry.startedAtMilliseconds != 0 && worker->startedAtMilliseconds != 0
         && entry.startedAtMilliseconds > worker->startedAtMilliseconds;
-    if (entry.draining && !worker->entry().draining)
-        worker->drainingSince = m_runtime.now();
+    const bool wasDraining = worker->entry().draining;
     worker->update(entry);
+    if (worker->entry().draining && !wasDraining)
+        worker->drainingSince = m_runtime.now();
     worker->listed = true;
     worker->unlisted = false;
     // The record is of an earlier release, which doesn't tell the life.
@@ -727,16 +728,15 @@
 
 void CellWorkers::start(CellWorker& worker, const RunOrder& order, const std::function<void(OrderAnswer)>& answered)
 {
-    sendStart(worker.id(), order, answered);
+    sendStart(worker.id(), { order, worker.token, answered });
     // The next poll of an idle worker may be seconds away.
     schedulePoll(worker.id(), m_settings.frequentPollWait);
 }
 
-void CellWorkers::sendStart(
-    const Common::WorkerId& id, const RunOrder& order, const std::function<void(OrderAnswer)>& answered)
+void CellWorkers::sendStart(const Common::WorkerId& id, const StartOrder& start)
 {
     CellWorker* const worker = find(id);
-    const RunKey run { order.task, order.attempt };
+    const RunKey run { start.order.task, start.order.attempt };
     if (m_closed || !worker)
         return;
     RunAllocation* const allocation = worker->find(run);
@@ -746,15 +746,15 @@
     if (allocation->token != FencingToken {} && allocation->token != worker->token)
         return;
     if (worker->entry().draining) {
-        answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
+        start.answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
         return;
     }
-    // No copy can have arrived, and the next one may not arrive for long.
-    if (!worker->reachable && !allocation->startOutcomeUnknown) {
-        answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
+    // No copy can have arrived, and the next one may not arrive for long, or at a life that the task may not run on.
+    if (!allocation->startOutcomeUnknown && (!worker->reachable || worker->token != start.life)) {
+        start.answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
         return;
     }
-    const auto again = m_lifetime.guard([this, id, order, answered] { sendStart(id, order, answered); });
+    const auto again = m_lifetime.guard([this, id, start] { sendStart(id, start); });
     if (m_hooks.authorityLeft() < m_settings.shortestStartLease || !worker->reachable
         || !worker->lease().isClockKnown()) {
         m_runtime.schedule(m_settings.orderRetry, again);
@@ -769,8 +769,8 @@
     // Read once: it names the copy when its answer comes.
     const Common::MonotonicTime sentAt = m_runtime.now();
     worker->callsUnderWay.startSent(run.task, sentAt);
-    m_orders.start(targetOf(*worker), callToken, order, until,
-        m_lifetime.guard([this, id, run, again, answered, sentAt, callToken, token = worker->token](
+    m_orders.start(targetOf(*worker), callToken, start.order, until,
+        m_lifetime.guard([this, id, run, again, answered = start.answered, sentAt, callToken, token = worker->token](
                              const Common::Result<OrderAnswer>& answer) {
             CellWorker* const target = find(id);
             if (m_closed || !target)
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -77,7 +77,8 @@
     const std::map<Common::WorkerId, std::unique_ptr<CellWorker>>& all() const { return m_workers; }
 
     /// Sends the start order, and again until it is answered, as long as the run's allocation exists, isn't stopping
-    /// and isn't reported as running. It is withdrawn once the worker is about to leave.
+    /// and isn't reported as running. It is withdrawn once the worker is about to leave, and while no copy can have
+    /// arrived also when the worker doesn't answer or has started anew: the order is meant for the present life.
     void start(CellWorker&, const RunOrder&, const std::function<void(OrderAnswer)>&);
     /// Sends the stop order, and again until it is answered, as long as the run's allocation exists.
     void stop(CellWorker&, const RunKey&, const std::function<void(OrderAnswer)>&);
@@ -109,6 +110,13 @@
 
 private:
     struct Link;
+    /// An order to start a run, until it is answered or given up.
+    struct StartOrder {
+        RunOrder order;
+        /// The life of the worker that it is meant for; see CellWorker::token.
+        FencingToken life;
+        std::function<void(OrderAnswer)> answered;
+    };
 
     Link& link(const CellWorker&);
     bool mayGrant() const { return m_hooks.authorityLeft() > Common::Duration::zero(); }
@@ -148,7 +156,7 @@
     void confirmIdle(const CellWorker&);
     void confirmIdleAtEndOfInheritedLeases();
     bool dropIfGone(CellWorker&);
-    void sendStart(const Common::WorkerId&, const RunOrder&, const std::function<void(OrderAnswer)>&);
+    void sendStart(const Common::WorkerId&, const StartOrder&);
     void sendStop(const Common::WorkerId&, const RunKey&, const std::function<void(OrderAnswer)>&);
 
     Scheduler::Runtime& m_runtime;
--- a/Source/Core/Policy/StartObstacle.h
+++ b/Source/Core/Policy/StartObstacle.h
@@ -7,7 +7,8 @@
 namespace Policy {
 
 enum class StartObstacle {
-    /// The worker isn't listed, is draining, doesn't answer, or hasn't reported to this owner yet.
+    /// The worker isn't listed, is draining, doesn't answer, hasn't reported to this owner yet, or is listed with the
+    /// entry of a former life.
     Unavailable,
     /// It isn't in the durable record of the cell's workers yet.
     Unrecorded,
--- a/Source/UnitTests/Cells/CellWorld.h
+++ b/Source/UnitTests/Cells/CellWorld.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,22 @@
     {
         m_process.schedule(std::chrono::milliseconds(3), [this, done] { done(changes()); });
     }
+    void read(const Common::WorkerId& id, Common::Callback<std::optional<Cells::WorkerEntry>> done) override
+    {
+        m_process.schedule(std::chrono::milliseconds(3), [this, id, done] {
+            if (storeDown) {
+                done(Common::Failure { Common::ErrorCode::Timeout, "", {} });
+                return;
+            }
+            for (const Cells::WorkerEntry& entry : changes().listed) {
+                if (entry.id == id) {
+                    done(std::optional(entry));
+                    return;
+                }
+            }
+            done(std::optional<Cells::WorkerEntry>());
+        });
+    }
     void watch(Common::StoreRevision, Common::Duration wait, Common::Callback<Cells::WorkerChanges> done) override
     {
         // Entries change every second or two; what was missed is told at once.
@@ -52,6 +69,8 @@
     }
     /// The connection falls silent: the watch that is open, or else the next one, ends by its timeout only.
     void silenceConnection() { m_silent = true; }
+    /// Single entries can't be read.
+    bool storeDown = false;
 
 private:
     /// Platform::KeyValueStore::Settings::timeout.
--- a/Source/UnitTests/Cells/RunWorker.h
+++ b/Source/UnitTests/Cells/RunWorker.h
@@ -112,6 +112,14 @@
                 begin();
         });
     }
+    /// Crashes; its next life under the same id is of another kind.
+    void restartAs(const std::vector<std::string>& labels, int64_t milliCores,
+        Common::Duration pause = std::chrono::milliseconds(250))
+    {
+        restart(pause);
+        m_entry.labels = labels;
+        setCapacity(milliCores, CapacitySource::List);
+    }
     size_t running() const { return m_runs.size(); }
     /// Ends the task's run by itself, if it has one.
     void endRun(const Jobs::TaskName& task, Cells::RunEnd how)
