Restarts of long-running tasks are only delayed while runs last under 2 s

The series of short runs now ends with a run that lasted as long as the longest pause, 2 s instead of 10 s.

--- a/Source/Core/Policy/RestartBackoff.cpp
+++ b/Source/Core/Policy/RestartBackoff.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /// A run that lasted this long shows that the task works.
-    constexpr Common::Duration stableRun = std::chrono::seconds(10);
+    /// A run that lasted as long as the longest pause shows that the task works.
+    constexpr Common::Duration stableRun = std::chrono::seconds(2);
     constexpr Common::Duration firstPause = std::chrono::milliseconds(250);
     constexpr uint32_t maximumDoublings = 3;
 
