A worker that hasn't answered lately is probed before it gets a start order

Cause: it was ordered to an idle worker that had been lost 4 s later than the first. Idle workers are polled each 5 s, so the owner didn't know. The order got no answer; until no life of the worker can carry it out any more (12.1 s for the call and 10.2 s for a lease) the task mustn't start elsewhere. That wait guards against a second run and stays as it is.

Change: before a start order a worker whose last answer is older than 500 ms, or 50 ms for a long-running task, gets a poll that returns at once, beside one that may be held open. It grants no lease and acknowledges nothing, so it does no harm if it is carried out late. When it is unanswered for 300 ms, in which this process has read its sockets (AnswerWindow), the order is withdrawn, the worker gets no work until it answers, and idle workers are polled. A start order of which a copy may have arrived isn't withdrawn.

This holds for ordinary tasks, gangs, copies and moved tasks too: all are ordered through CellWorkers::start. run-ordered is logged with long-running and unheard-ms, and there is a new event, probe-overdue.

Tests of single calls (ScriptedCell) set both ages to an hour, as each of their polls is answered by the test; what they check is unchanged.

Open: a worker that is lost in the milliseconds between its answer and the order (up to 500 ms for ordinary tasks) still keeps the task for that wait.

--- a/Source/Core/Cells/CellEngineStarts.cpp
+++ b/Source/Core/Cells/CellEngineStarts.cpp
@@ -389,7 +389,9 @@
     const Common::Duration sinceConfirmed = m_runtime.suspendAwareNow() - m_committer.confirmedAt();
     LC_INFO(Jobs,
         "event=run-ordered run=" << runName(run) << " worker=" << worker.id().value() << " token=" << worker.token.value
-                                 << " recovered=" << job.recovered() << " image=" << spec.image << " pace=" << pace
+                                 << " recovered=" << job.recovered() << " image=" << spec.image
+                                 << " long-running=" << spec.longRunning << " pace=" << pace
+                                 << " unheard-ms=" << (now - worker.lastReportAt) / std::chrono::milliseconds(1)
                                  << " confirmed-ms=" << sinceConfirmed / std::chrono::milliseconds(1));
     m_blockedSince.erase(name.job);
     LiveStep& step = job.occurrences().at(name.occurrence).steps[name.step];
--- a/Source/Core/Cells/CellSettings.h
+++ b/Source/Core/Cells/CellSettings.h
@@ -40,6 +40,13 @@
     /// Pause after the first failed poll; doubles up to `longestPollRetryPause`.
     Common::Duration firstPollRetryPause = std::chrono::milliseconds(100);
     Common::Duration longestPollRetryPause = std::chrono::seconds(1);
+    /// A worker whose last answer is older is probed before it gets a start order. It may be gone, and an order without
+    /// an answer keeps its task from starting elsewhere for `longestCallDelay` and more. Bounds the probes of a worker.
+    Common::Duration answerAgeAtStart = std::chrono::milliseconds(500);
+    /// The same for long-running tasks, which are few. Covers the tasks of one placement.
+    Common::Duration answerAgeAtLongRunningStart = std::chrono::milliseconds(50);
+    /// Time that the answer to a probe may take; then the order is withdrawn.
+    Common::Duration probeTimeout = std::chrono::milliseconds(300);
     /// Pause before an unanswered order is sent again.
     Common::Duration orderRetry = std::chrono::milliseconds(200);
     /// A worker that refused a task because it was full or unhealthy gets no starts for this long.
--- a/Source/Core/Cells/CellWorker.h
+++ b/Source/Core/Cells/CellWorker.h
@@ -38,7 +38,7 @@
     /// True if either life is unknown.
     bool hasOwnEntry() const;
     /// Whether runs may be started on it, as far as the platform's list and the last poll say.
-    bool isOpen() const { return listed && !m_entry.draining && reachable && hasOwnEntry(); }
+    bool isOpen() const { return listed && !m_entry.draining && reachable && !probeOverdue && hasOwnEntry(); }
     /// Takes over the capacity that the worker reports. Entries of the list, which may be older, then only lower it
     /// until the next report.
     void updateCapacity(const Common::Resources&);
@@ -101,6 +101,8 @@
     bool unlisted = false;
     /// Whether it answered the last poll.
     bool reachable = false;
+    /// It has left a probe unanswered for CellSettings::probeTimeout, and has answered nothing since.
+    bool probeOverdue = false;
     /// Whether this owner has received a report from it since the takeover.
     bool contacted = false;
     /// See RecordedWorker.
--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -44,6 +44,11 @@
     /// it was read too late to say what the worker was like then.
     bool listsEnds = false;
     std::optional<Common::MonotonicTime> heardAt;
+    /// When the last answer to a poll or a probe was read, on the clock that includes suspended time.
+    std::optional<Common::MonotonicTime> answeredAt;
+    /// Start orders that wait for the answer to a probe, and the time that it has.
+    std::vector<std::function<void()>> waitingStarts;
+    std::shared_ptr<const AnswerWindow> probeWindow;
     /// An acknowledgement of the ends up to that number which waits for its answer. Carried out late by a next life, it
     /// would forget the ends of what an order with the same token had started there. So orders beside or after it have
     /// a higher token: a life that has carried out one of them refuses the acknowledgement.
@@ -241,6 +246,9 @@
     worker.token = m_tokens.take();
     worker.replaced = false;
     worker.answered = false;
+    worker.probeOverdue = false;
+    state.answeredAt.reset();
+    continueStarts(worker.id());
     m_hooks.runsCleared(worker, true);
     pollSoon(worker.id());
     return true;
@@ -443,6 +451,8 @@
         state.heardAt.reset();
     m_hooks.report(worker, report, asked.at);
     worker.contacted = true;
+    if (!m_closed && state.heardAt)
+        noteAnswer(worker);
 }
 
 /// Takes over what the report says of the worker's life and clock. False if it isn't of the present life, or if it
@@ -750,7 +760,8 @@
         return;
     }
     // No copy can have arrived, and the next one may not arrive for long, or at a life that the task may not run on.
-    if (!allocation->startOutcomeUnknown && (!worker->reachable || worker->token != start.life)) {
+    const bool isSilent = !worker->reachable || worker->probeOverdue;
+    if (!allocation->startOutcomeUnknown && (isSilent || worker->token != start.life)) {
         start.answered(OrderAnswer { OrderVerdict::Withdrawn, std::nullopt });
         return;
     }
@@ -760,6 +771,10 @@
         m_runtime.schedule(m_settings.orderRetry, again);
         return;
     }
+    if (needsProbe(*worker, *allocation)) {
+        startAfterProbe(*worker, again);
+        return;
+    }
     Link& state = link(*worker);
     if (state.acknowledgement && state.acknowledgement->token == state.tokenFor(*worker))
         state.raiseToken(m_tokens.take(), m_runtime.now());
@@ -811,6 +826,81 @@
         }));
 }
 
+bool CellWorkers::needsProbe(const CellWorker& worker, const RunAllocation& allocation) const
+{
+    const Common::Duration longest
+        = allocation.longRunning ? m_settings.answerAgeAtLongRunningStart : m_settings.answerAgeAtStart;
+    const auto found = m_links.find(worker.id());
+    return found == m_links.end() || !found->second.answeredAt
+        || m_runtime.suspendAwareNow() - *found->second.answeredAt > longest;
+}
+
+/// Calls `start` once the worker has answered, or has left a probe unanswered.
+void CellWorkers::startAfterProbe(const CellWorker& worker, std::function<void()> start)
+{
+    Link& state = link(worker);
+    state.waitingStarts.push_back(std::move(start));
+    if (state.probeWindow)
+        return;
+    probe(worker);
+}
+
+/// Sends a poll that returns at once, beside one that may be open: it changes nothing, also if it is carried out late.
+void CellWorkers::probe(const CellWorker& worker)
+{
+    const auto window = std::make_shared<const AnswerWindow>(m_runtime, m_settings.probeTimeout);
+    link(worker).probeWindow = window;
+    WorkerOrders::PollRequest request;
+    request.token = link(worker).tokenFor(worker);
+    m_orders.pollRuns(targetOf(worker), request,
+        m_lifetime.guard([this, id = worker.id(), token = worker.token](const Common::Result<RunReport>& report) {
+            CellWorker* const probed = find(id);
+            if (!m_closed && probed && report && probed->token == token
+                && report->startedAtMilliseconds == probed->startedAtMilliseconds)
+                noteAnswer(*probed);
+        }));
+    m_runtime.schedule(m_settings.probeTimeout, m_lifetime.guard([this, id = worker.id(), window] {
+        CellWorker* const probed = find(id);
+        if (m_closed || !probed || link(*probed).probeWindow != window)
+            return;
+        // Otherwise the answer may wait to be read, as this process is late.
+        if (window->wasRead())
+            onProbeOverdue(*probed);
+        else
+            probe(*probed);
+    }));
+}
+
+/// What took this worker may have taken others, to which its tasks would be ordered next.
+void CellWorkers::onProbeOverdue(CellWorker& worker)
+{
+    worker.probeOverdue = true;
+    LC_INFO(Worker,
+        "event=probe-overdue worker=" << worker.id().value() << " starts=" << link(worker).waitingStarts.size()
+                                      << " unheard-ms="
+                                      << (m_runtime.now() - worker.lastReportAt) / std::chrono::milliseconds(1));
+    for (const auto& [id, other] : m_workers) {
+        if (other->allocations().empty() || other->probeOverdue)
+            pollSoon(id);
+    }
+    continueStarts(worker.id());
+}
+
+void CellWorkers::noteAnswer(CellWorker& worker)
+{
+    worker.probeOverdue = false;
+    link(worker).answeredAt = m_runtime.suspendAwareNow();
+    continueStarts(worker.id());
+}
+
+void CellWorkers::continueStarts(const Common::WorkerId& id)
+{
+    Link& state = m_links[id];
+    state.probeWindow.reset();
+    for (const std::function<void()>& start : std::exchange(state.waitingStarts, {}))
+        start();
+}
+
 void CellWorkers::stop(CellWorker& worker, const RunKey& run, const std::function<void(OrderAnswer)>& answered)
 {
     if (RunAllocation* const allocation = worker.find(run))
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -22,6 +22,8 @@
 
 namespace Cells {
 
+class AnswerWindow;
+
 /// Keeps one poll open at each worker that has runs. The poll renews the lease, acknowledges ends and returns when a
 /// run ends. A worker that doesn't answer is polled through another host as well: as long as that works, its runs keep
 /// their leases and their ends are read.
@@ -77,8 +79,9 @@
     const std::map<Common::WorkerId, std::unique_ptr<CellWorker>>& all() const { return m_workers; }
 
     /// Sends the start order, and again until it is answered, as long as the run's allocation exists, isn't stopping
-    /// and isn't reported as running. It is withdrawn once the worker is about to leave, and while no copy can have
-    /// arrived also when the worker doesn't answer or has started anew: the order is meant for the present life.
+    /// and isn't reported as running. A worker that hasn't answered lately is probed first; see
+    /// CellSettings::answerAgeAtStart. The order is withdrawn once the worker is about to leave, and while no copy can
+    /// have arrived also when the worker doesn't answer or has started anew: it is meant for the present life.
     void start(CellWorker&, const RunOrder&, const std::function<void(OrderAnswer)>&);
     /// Sends the stop order, and again until it is answered, as long as the run's allocation exists.
     void stop(CellWorker&, const RunKey&, const std::function<void(OrderAnswer)>&);
@@ -157,6 +160,12 @@
     void confirmIdleAtEndOfInheritedLeases();
     bool dropIfGone(CellWorker&);
     void sendStart(const Common::WorkerId&, const StartOrder&);
+    bool needsProbe(const CellWorker&, const RunAllocation&) const;
+    void startAfterProbe(const CellWorker&, std::function<void()> start);
+    void probe(const CellWorker&);
+    void onProbeOverdue(CellWorker&);
+    void noteAnswer(CellWorker&);
+    void continueStarts(const Common::WorkerId&);
     void sendStop(const Common::WorkerId&, const RunKey&, const std::function<void(OrderAnswer)>&);
 
     Scheduler::Runtime& m_runtime;
--- a/Source/UnitTests/Cells/ScriptedOrders.h
+++ b/Source/UnitTests/Cells/ScriptedOrders.h
@@ -51,7 +51,7 @@
 struct ScriptedCell {
     Fakes::VirtualRuntime clock { 1 };
     ScriptedOrders orders;
-    Cells::CellSettings settings;
+    Cells::CellSettings settings = withoutProbes();
     Common::MonotonicTime ownedAt = clock.now();
     bool storeAnswers = true;
     Common::Duration authorityLeft = settings.authority;
@@ -95,6 +95,13 @@
             .shouldPollFrequently = [](const Cells::CellWorker&) { return false; },
         } };
 
+    /// Each poll is answered by the test; LostBeforeStartTest plays probes.
+    static Cells::CellSettings withoutProbes()
+    {
+        Cells::CellSettings settings;
+        settings.answerAgeAtStart = settings.answerAgeAtLongRunningStart = std::chrono::hours(1);
+        return settings;
+    }
     ScriptedCell()
     {
         Cells::WorkerEntry entry;
