Probes count for workers that don't tell their life; a late report opens a worker

Found on reading: an answer to a probe without `born` didn't count, so a worker that doesn't tell its life would have got no start order, and a report that was read late didn't end probeOverdue, so a worker that only late reports tell of would have stayed closed. LostBeforeStartTest plays probes call by call.

--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -451,6 +451,7 @@
         state.heardAt.reset();
     m_hooks.report(worker, report, asked.at);
     worker.contacted = true;
+    worker.probeOverdue = false;
     if (!m_closed && state.heardAt)
         noteAnswer(worker);
 }
@@ -855,8 +856,11 @@
     m_orders.pollRuns(targetOf(worker), request,
         m_lifetime.guard([this, id = worker.id(), token = worker.token](const Common::Result<RunReport>& report) {
             CellWorker* const probed = find(id);
-            if (!m_closed && probed && report && probed->token == token
-                && report->startedAtMilliseconds == probed->startedAtMilliseconds)
+            if (m_closed || !probed || !report || probed->token != token)
+                return;
+            // Zero if the worker doesn't tell its life.
+            const int64_t startedAt = report->startedAtMilliseconds;
+            if (startedAt == 0 || startedAt == probed->startedAtMilliseconds)
                 noteAnswer(*probed);
         }));
     m_runtime.schedule(m_settings.probeTimeout, m_lifetime.guard([this, id = worker.id(), window] {
