--- a/Source/UnitTests/Entry/StoppingJobApiTest.cpp
+++ b/Source/UnitTests/Entry/StoppingJobApiTest.cpp
@@ -59,7 +59,7 @@
         request.headers.set("X-Deadline-Ms", "3000");
         if (method == "POST")
             request.body = R"({"spec":"run:60000","phases":[{"count":1,"cpu":1000,"mem_mb":10}]})";
-        const auto outcome = std::make_shared<CallOutcome>();
+        auto outcome = std::make_shared<CallOutcome>();
         outcome->sentAt = clock.now();
         api.serve(request, [this, outcome](const Http::Response& response) {
             ++outcome->answers;
