--- a/Source/Core/Cells/CellWorkers.cpp
+++ b/Source/Core/Cells/CellWorkers.cpp
@@ -744,7 +744,7 @@
     schedulePoll(worker.id(), m_settings.frequentPollWait);
 }
 
-void CellWorkers::sendStart(const Common::WorkerId& id, const StartOrder& start)
+void CellWorkers::sendStart(const Common::WorkerId& id, const PendingStart& start)
 {
     CellWorker* const worker = find(id);
     const RunKey run { start.order.task, start.order.attempt };
--- a/Source/Core/Cells/CellWorkers.h
+++ b/Source/Core/Cells/CellWorkers.h
@@ -114,7 +114,7 @@
 private:
     struct Link;
     /// An order to start a run, until it is answered or given up.
-    struct StartOrder {
+    struct PendingStart {
         RunOrder order;
         /// The life of the worker that it is meant for; see CellWorker::token.
         FencingToken life;
@@ -159,7 +159,7 @@
     void confirmIdle(const CellWorker&);
     void confirmIdleAtEndOfInheritedLeases();
     bool dropIfGone(CellWorker&);
-    void sendStart(const Common::WorkerId&, const StartOrder&);
+    void sendStart(const Common::WorkerId&, const PendingStart&);
     bool needsProbe(const CellWorker&, const RunAllocation&) const;
     void startAfterProbe(const CellWorker&, std::function<void()> start);
     void probe(const CellWorker&);
--- a/Source/UnitTests/Cells/LostBeforeStartTest.cpp
+++ b/Source/UnitTests/Cells/LostBeforeStartTest.cpp
@@ -133,7 +133,7 @@
     ProbedWorker world;
     world.clock.advance(Cells::CellSettings {}.probeTimeout);
     REQUIRE_FALSE(world.worker().isOpen());
-    // The probe; the poll after it is due as a start was ordered.
+    // Drops the probe; the ordered start has brought the next poll forward.
     world.orders.polls.pop_front();
     world.clock.advance(Cells::CellSettings {}.answerTimeout);
     REQUIRE(world.orders.polls.size() == 1);
